--- /dev/null
+++ b/core/member/tick.go
@@ -0,0 +1,222 @@
+package member
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Tick does what is due at now and returns the messages to send. It is to be
+// called several times a gossip period.
+func (s *State) Tick(now time.Time) []Send {
+	var out []Send
+	s.age(now)
+	out = s.continueProbe(now, out)
+	if !now.Before(s.next.probe) {
+		s.next.probe = now.Add(s.settings.ProbePeriod)
+		out = s.startProbe(now, out)
+	}
+	if !now.Before(s.next.gossip) {
+		s.next.gossip = now.Add(s.settings.GossipPeriod)
+		out = s.push(out)
+	}
+	if !now.Before(s.next.sync) {
+		s.next.sync = now.Add(s.settings.SyncPeriod)
+		out = s.startSync(out)
+	}
+	return out
+}
+
+// age turns suspects into dead nodes and forgets old dead ones.
+func (s *State) age(now time.Time) {
+	for name, p := range s.nodes {
+		passed := now.Sub(p.since)
+		switch {
+		case p.node.Status == Suspect && passed >= s.suspectTimeout():
+			p.node.Status, p.since = Dead, now
+			s.heat(nodePrefix + name)
+		case p.node.Status >= Dead && passed >= s.settings.Forget:
+			delete(s.nodes, name)
+			delete(s.hot, nodePrefix+name)
+		}
+	}
+	for seq, r := range s.relayed {
+		if now.Sub(r.at) > s.settings.ProbePeriod {
+			delete(s.relayed, seq)
+		}
+	}
+}
+
+// suspectTimeout grows with the logarithm of the count of nodes, since a
+// refutation needs that many rounds to come back.
+func (s *State) suspectTimeout() time.Duration {
+	rounds := bits.Len(uint(len(s.nodes) + 1))
+	return max(s.settings.SuspectTimeout, time.Duration(2*rounds)*s.settings.GossipPeriod)
+}
+
+// startProbe pings the next node of a shuffled round.
+func (s *State) startProbe(now time.Time, out []Send) []Send {
+	if s.probe.target != "" && !s.probe.done {
+		s.suspect(now, s.probe.target)
+	}
+	target := s.nextTarget()
+	s.sequence++
+	s.probe = probe{target: target, sequence: s.sequence, sent: now, done: target == ""}
+	if target == "" {
+		return out
+	}
+	p := s.nodes[target]
+	m := Message{Type: Ping, Sequence: s.sequence}
+	if p.node.Status != Alive {
+		m.Nodes = append(m.Nodes, p.node) // so that it can refute
+	}
+	return append(out, s.send(p.node.Address, s.loaded(m)))
+}
+
+// nextTarget returns the next name to probe, or "".
+func (s *State) nextTarget() string {
+	for range 2 {
+		for len(s.order) > 0 {
+			name := s.order[0]
+			s.order = s.order[1:]
+			p := s.nodes[name]
+			if p == nil || p.node.Status == Left {
+				continue
+			}
+			if p.node.Status == Dead && s.rng.IntN(deadProbeShare) != 0 {
+				continue
+			}
+			return name
+		}
+		for name := range s.nodes {
+			s.order = append(s.order, name)
+		}
+		slices.Sort(s.order)
+		s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+	}
+	return ""
+}
+
+// continueProbe asks other nodes to ping the target once it is late.
+func (s *State) continueProbe(now time.Time, out []Send) []Send {
+	p := &s.probe
+	if p.done || p.indirect || p.target == "" || now.Sub(p.sent) < s.settings.ProbeTimeout {
+		return out
+	}
+	p.indirect = true
+	for _, name := range s.sample(s.settings.Indirect, p.target) {
+		m := Message{Type: PingRequest, Sequence: p.sequence, Target: p.target}
+		out = append(out, s.send(s.nodes[name].node.Address, m))
+	}
+	return out
+}
+
+// suspect marks a node that did not answer.
+func (s *State) suspect(now time.Time, name string) {
+	p := s.nodes[name]
+	if p == nil || p.node.Status != Alive {
+		return
+	}
+	p.node.Status, p.since = Suspect, now
+	s.heat(nodePrefix + name)
+}
+
+// Unreachable tells the state that a connection to a node failed, which makes
+// it a suspect at once. The node refutes if it lives.
+func (s *State) Unreachable(now time.Time, name string) { s.suspect(now, name) }
+
+// push sends changed records to a few random peers.
+func (s *State) push(out []Send) []Send {
+	if len(s.hot) == 0 {
+		return out
+	}
+	for _, name := range s.sample(s.settings.Fanout, "") {
+		m := s.loaded(Message{Type: Gossip})
+		if len(m.Nodes)+len(m.Entries) == 0 {
+			break
+		}
+		out = append(out, s.send(s.nodes[name].node.Address, m))
+	}
+	return out
+}
+
+// startSync compares everything with one random peer.
+func (s *State) startSync(out []Send) []Send {
+	for _, name := range s.sample(1, "") {
+		m := Message{Type: Sync, Versions: s.versions()}
+		out = append(out, s.send(s.nodes[name].node.Address, m))
+	}
+	return out
+}
+
+// sample returns up to k random live names without one.
+func (s *State) sample(k int, without string) []string {
+	var names []string
+	for name, p := range s.nodes {
+		if name != without && p.node.Status <= Suspect {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	s.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(k, len(names))]
+}
+
+// loaded returns m with as many changed records as fit, those that were pushed
+// least first.
+func (s *State) loaded(m Message) Message {
+	keys := make([]string, 0, len(s.hot))
+	for k := range s.hot {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		if d := s.hot[b] - s.hot[a]; d != 0 {
+			return d
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+	room := s.settings.MessageBytes
+	for _, k := range keys {
+		room = s.load(&m, k, room)
+	}
+	return m
+}
+
+// load adds the record of a key to m if there is room and returns what is left.
+// A record larger than a message goes alone.
+func (s *State) load(m *Message, key string, room int) int {
+	n, isNode := s.record(key)
+	e, isEntry := s.entries[key]
+	size := nodeBytes
+	if isEntry {
+		size = entryOverhead + len(key) + len(e.Value)
+	}
+	if size > room && len(m.Nodes)+len(m.Entries) > 0 {
+		return room
+	}
+	switch {
+	case isNode:
+		m.Nodes = append(m.Nodes, n)
+	case isEntry:
+		m.Entries = append(m.Entries, e)
+	default:
+		delete(s.hot, key)
+		return room
+	}
+	s.hot[key]--
+	if s.hot[key] <= 0 {
+		delete(s.hot, key)
+	}
+	return room - size
+}
+
+// record returns the node record of a key with the node prefix.
+func (s *State) record(key string) (Node, bool) {
+	if len(key) <= len(nodePrefix) || key[:len(nodePrefix)] != nodePrefix {
+		return Node{}, false
+	}
+	return s.Node(key[len(nodePrefix):])
+}
