--- /dev/null
+++ b/core/config/canonical.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Canonical returns the document as JSON without white space, defaults filled
+// in, entries sorted by name, and sets of names sorted. Two documents that mean
+// the same have the same canonical bytes. The order of a service's calls is
+// kept, as the first match counts.
+func (d *Document) Canonical() []byte {
+	b, err := json.Marshal(d.sorted())
+	if err != nil {
+		// Only NaN or an infinity gets here, which JSON can't have given.
+		panic(fmt.Errorf("config: canonical form: %w", err))
+	}
+	return b
+}
+
+// Hash returns the SHA-256 of the canonical bytes in 64 hex digits.
+func (d *Document) Hash() string { return HashBytes(d.Canonical()) }
+
+// HashBytes returns the SHA-256 of body in 64 hex digits.
+func HashBytes(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// sorted returns a copy of d in canonical order.
+func (d *Document) sorted() *Document {
+	c := *d
+	c.Customers = byName(d.Customers, func(c Customer) string { return c.Name })
+	for i := range c.Customers {
+		c.Customers[i].KeyHashes = sortedNames(lower(c.Customers[i].KeyHashes))
+		c.Customers[i].Models = sortedNames(c.Customers[i].Models)
+		c.Customers[i].Services = sortedNames(c.Customers[i].Services)
+		c.Customers[i].Kinds = sortedNames(c.Customers[i].Kinds)
+	}
+	c.Kinds = byName(d.Kinds, func(k Kind) string { return k.Name })
+	c.Models = byName(d.Models, func(m Model) string { return m.Name })
+	c.Adapters = byName(d.Adapters, func(a Adapter) string { return a.Name })
+	c.Services = byName(d.Services, func(s PlainService) string { return s.Name })
+	for i := range c.Services {
+		c.Services[i].Calls = append([]Call{}, c.Services[i].Calls...)
+	}
+	c.Servers = byName(d.Servers, func(s BackendServer) string { return s.Name })
+	return &c
+}
+
+func byName[T any](list []T, name func(T) string) []T {
+	c := append([]T{}, list...)
+	slices.SortStableFunc(c, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return c
+}
+
+func sortedNames(names []string) []string {
+	c := append([]string{}, names...)
+	slices.Sort(c)
+	return c
+}
+
+func lower(names []string) []string {
+	c := make([]string, len(names))
+	for i, n := range names {
+		c[i] = strings.ToLower(n)
+	}
+	return c
+}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -1,4 +1,3 @@
-// Package config holds the configuration document that operators apply.
 package config
 
 import "guavapaddle/core/backend"
@@ -32,22 +31,22 @@
 		Customers  []Customer      `json:"customers"`
 		Kinds      []Kind          `json:"kinds"`
 		Models     []Model         `json:"models"`
-		Adapters   []Adapter       `json:"adapters"`
-		Services   []PlainService  `json:"services"`
+		Adapters   []Adapter       `json:"adapters" config:"optional"`
+		Services   []PlainService  `json:"services" config:"optional"`
 		Servers    []BackendServer `json:"backend-servers"`
-		Limits     Limits          `json:"limits"`
-		Placement  Placement       `json:"placement"`
+		Limits     Limits          `json:"limits" config:"optional"`
+		Placement  Placement       `json:"placement" config:"optional"`
 	}
 
 	// Customer is one who calls, with its keys and what it may use.
 	Customer struct {
 		Name        string   `json:"name"`
-		KeyHashes   []string `json:"key-hashes"`   // "sha256:" and 64 hex digits each
-		Models      []string `json:"models"`       // names of models and adapters; "*" for all
-		Services    []string `json:"services"`     // names of plain services
-		Kinds       []string `json:"kinds"`        // allowed kinds of work
-		DefaultKind string   `json:"default-kind"` // kind of a request that names none
-		Weight      float64  `json:"weight"`       // share when overloaded
+		KeyHashes   []string `json:"key-hashes"`                 // "sha256:" and 64 hex digits each
+		Models      []string `json:"models" config:"optional"`   // names of models and adapters; "*" for all
+		Services    []string `json:"services" config:"optional"` // names of plain services
+		Kinds       []string `json:"kinds"`                      // allowed kinds of work
+		DefaultKind string   `json:"default-kind"`               // kind of a request that names none
+		Weight      float64  `json:"weight" config:"optional"`   // share when overloaded
 	}
 
 	// Kind is a kind of work.
@@ -64,8 +63,8 @@
 		Name          string `json:"name"`
 		Version       string `json:"version"`
 		Bytes         int64  `json:"bytes"`
-		LoadPeakBytes int64  `json:"load-peak-bytes"` // extra while loading
-		MinCopies     int    `json:"min-copies"`      // at least 1
+		LoadPeakBytes int64  `json:"load-peak-bytes" config:"optional"` // extra while loading
+		MinCopies     int    `json:"min-copies" config:"optional"`      // at least 1
 	}
 
 	// Adapter is an adapter of a model, called by its own name.
@@ -74,8 +73,8 @@
 		Model         string `json:"model"`
 		Version       string `json:"version"`
 		Bytes         int64  `json:"bytes"`
-		LoadPeakBytes int64  `json:"load-peak-bytes"`
-		MinCopies     int    `json:"min-copies"`
+		LoadPeakBytes int64  `json:"load-peak-bytes" config:"optional"`
+		MinCopies     int    `json:"min-copies" config:"optional"`
 	}
 
 	// PlainService is a service that is not a model engine.
@@ -96,34 +95,34 @@
 	BackendServer struct {
 		Name            string     `json:"name"`
 		Type            ServerType `json:"type"`
-		Service         string     `json:"service,omitempty"` // for type service
-		Address         string     `json:"address"`           // IP:port
+		Service         string     `json:"service" config:"optional"` // for type service
+		Address         string     `json:"address"`                   // IP:port
 		DataCentre      string     `json:"data-centre"`
-		MemoryBytes     int64      `json:"memory-bytes"`
-		KVReserveBytes  int64      `json:"kv-reserve-bytes"`
-		ChecksOrders    bool       `json:"checks-orders"` // refuses old fencing numbers
-		OrderLifetimeMS int64      `json:"order-lifetime-ms"`
+		MemoryBytes     int64      `json:"memory-bytes" config:"optional"`
+		KVReserveBytes  int64      `json:"kv-reserve-bytes" config:"optional"`
+		ChecksOrders    bool       `json:"checks-orders" config:"optional"` // refuses old fencing numbers
+		OrderLifetimeMS int64      `json:"order-lifetime-ms" config:"optional"`
 		Slots           int        `json:"slots"` // requests run at the same time
-		StepMS          float64    `json:"step-ms"`
+		StepMS          float64    `json:"step-ms" config:"optional"`
 	}
 
 	// Limits bounds what the system takes on.
 	Limits struct {
-		BodyBytes       int64   `json:"body-bytes"`
-		HeaderBytes     int     `json:"header-bytes"`
-		StreamsPerNode  int     `json:"streams-per-node"`
-		IdleMS          int64   `json:"idle-ms"`
-		QueuePerServer  int     `json:"queue-per-server"`
-		RetryShare      float64 `json:"retry-share"`       // retries for each first attempt that succeeded
-		WeightLoads     int     `json:"weight-loads"`      // concurrent loads at full speed
-		WeightLoadsRate float64 `json:"weight-loads-rate"` // loads a second
+		BodyBytes       int64   `json:"body-bytes" config:"optional"`
+		HeaderBytes     int     `json:"header-bytes" config:"optional"`
+		StreamsPerNode  int     `json:"streams-per-node" config:"optional"`
+		IdleMS          int64   `json:"idle-ms" config:"optional"`
+		QueuePerServer  int     `json:"queue-per-server" config:"optional"`
+		RetryShare      float64 `json:"retry-share" config:"optional"`       // retries for each first attempt that succeeded
+		WeightLoads     int     `json:"weight-loads" config:"optional"`      // concurrent loads at full speed
+		WeightLoadsRate float64 `json:"weight-loads-rate" config:"optional"` // loads a second
 	}
 
 	// Placement sets how copies are placed.
 	Placement struct {
-		MovePrice      float64 `json:"move-price"`       // value that a move must gain
-		MinResidenceMS int64   `json:"min-residence-ms"` // before a copy may be unloaded
-		PeriodMS       int64   `json:"period-ms"`        // between plans
+		MovePrice      float64 `json:"move-price" config:"optional"`       // value that a move must gain
+		MinResidenceMS int64   `json:"min-residence-ms" config:"optional"` // before a copy may be unloaded
+		PeriodMS       int64   `json:"period-ms" config:"optional"`        // between plans
 	}
 )
 
