--- /dev/null
+++ b/io/jsonhttp/conn.go
@@ -0,0 +1,86 @@
+package jsonhttp
+
+import (
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// conn is a connection that knows whether anything was written to it.
+type conn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
+}
+
+// Write writes b unless the connection is sealed.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// count returns how often something was written.
+func (c *conn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal closes the connection and returns how often something was written. The
+// figure is final.
+func (c *conn) seal() uint64 {
+	c.mu.Lock()
+	c.sealed = true
+	n := c.writes
+	c.mu.Unlock()
+	_ = c.Conn.Close()
+	return n
+}
+
+// attempt is a connection that a call was given and its writes before that.
+type attempt struct {
+	conn   *conn
+	before uint64
+}
+
+// tracker records the connections that a call was given.
+type tracker struct {
+	mu       sync.Mutex
+	attempts []attempt
+	foreign  bool // a connection of unknown type: nothing can be proved
+}
+
+// trace returns the hooks by which the transport reports to t.
+func (t *tracker) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		c, ok := i.Conn.(*conn)
+		if !ok {
+			t.foreign = true
+			return
+		}
+		t.attempts = append(t.attempts, attempt{conn: c, before: c.count()})
+	}}
+}
+
+// abandon seals all connections of a failed call and tells whether any byte of
+// the call was written.
+func (t *tracker) abandon() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sent := t.foreign
+	for _, a := range t.attempts {
+		if a.conn.seal() != a.before {
+			sent = true
+		}
+	}
+	return sent
+}
--- /dev/null
+++ b/io/jsonhttp/lazy.go
@@ -0,0 +1,22 @@
+package jsonhttp
+
+import "sync"
+
+// Lazy makes a Client at its first use, from the address that its owner has
+// been given by then. Its zero value is ready. Only the first use counts.
+type Lazy struct {
+	once   sync.Once
+	client *Client
+}
+
+// Get returns a client for address that reuses connections.
+func (l *Lazy) Get(address string) *Client {
+	l.once.Do(func() { l.client = &Client{Address: address} })
+	return l.client
+}
+
+// Fresh returns a client for address that opens a connection for each call.
+func (l *Lazy) Fresh(address string) *Client {
+	l.once.Do(func() { l.client = &Client{Address: address, Fresh: true} })
+	return l.client
+}
--- /dev/null
+++ b/io/object/doc.go
@@ -0,0 +1,11 @@
+// Package object speaks to the platform's object store.
+//
+// # Usage
+//
+//	c := &object.Client{Address: "127.0.0.1:9000"}
+//	err := c.Put(ctx, "config/"+hash, body)
+//	body, err := c.Get(ctx, "config/"+hash)
+//	if object.KindOf(err) == object.NotFound {
+//		// No such object.
+//	}
+package object
--- /dev/null
+++ b/io/table/table.go
@@ -0,0 +1,147 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapaddle/core/row"
+	"guavapaddle/io/jsonhttp"
+)
+
+// Kind tells what a failure means for the transaction.
+type Kind string
+
+const (
+	// Unavailable means that the call was surely not done.
+	Unavailable Kind = "unavailable"
+	// Uncertain means that the call may have been done.
+	Uncertain Kind = "uncertain"
+	// Invalid means that the table refused the call as malformed: not done.
+	Invalid Kind = "invalid"
+)
+
+const (
+	// DefaultTimeout bounds a call.
+	DefaultTimeout = 2 * time.Second
+
+	transactPath = "/table/v1/transact"
+	readPath     = "/table/v1/read"
+	scanPath     = "/table/v1/scan"
+)
+
+type (
+	// Client makes calls to the table. Its exported fields are set before the
+	// first call. It is safe for concurrent use.
+	Client struct {
+		Address string        // IP:port
+		Timeout time.Duration // of each call, DefaultTimeout if zero
+
+		http jsonhttp.Lazy
+	}
+
+	// Error is the failure of a call.
+	Error struct {
+		Kind Kind
+		Call string // path of the call
+		Err  error
+	}
+
+	// ReadRequest asks for rows by key.
+	ReadRequest struct {
+		Keys []string `json:"keys"`
+	}
+
+	// ScanRequest asks for rows by prefix.
+	ScanRequest struct {
+		Prefix string `json:"prefix"`
+	}
+
+	// Rows is the answer to ReadRequest and ScanRequest.
+	Rows struct {
+		Rows []row.Row `json:"rows"`
+	}
+)
+
+// Error returns kind, call and cause in one line.
+func (e *Error) Error() string { return fmt.Sprintf("table: %s: %s: %v", e.Kind, e.Call, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of the *Error inside err, empty if err is nil and
+// Uncertain if there is none.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.Kind
+	}
+	return Uncertain
+}
+
+// Transact commits tx if its conditions hold. Every failure is an *Error.
+func (c *Client) Transact(ctx context.Context, tx row.Tx) (row.Result, error) {
+	var out row.Result
+	err := c.call(ctx, transactPath, tx, &out)
+	return out, err
+}
+
+// Read returns the rows of keys in their order, with revision zero for those
+// that are absent. Every failure is an *Error.
+func (c *Client) Read(ctx context.Context, keys ...string) ([]row.Row, error) {
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	var out Rows
+	if err := c.call(ctx, readPath, ReadRequest{Keys: keys}, &out); err != nil {
+		return nil, err
+	}
+	if len(out.Rows) != len(keys) {
+		return nil, &Error{Kind: Uncertain, Call: readPath, Err: eris.Errorf("%d rows for %d keys", len(out.Rows), len(keys))}
+	}
+	return out.Rows, nil
+}
+
+// Scan returns the rows whose key begins with prefix in key order. Every
+// failure is an *Error.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]row.Row, error) {
+	var out Rows
+	err := c.call(ctx, scanPath, ScanRequest{Prefix: prefix}, &out)
+	return out.Rows, err
+}
+
+// Close closes unused connections.
+func (c *Client) Close() { c.http.Get(c.Address).Close() }
+
+// call makes one call and sorts its failure.
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := c.http.Get(c.Address).JSON(ctx, http.MethodPost, path, in, out)
+	if err != nil {
+		kind := Uncertain
+		if jsonhttp.StageOf(err) == jsonhttp.NotSent {
+			kind = Unavailable
+		}
+		return &Error{Kind: kind, Call: path, Err: err}
+	}
+	switch a.Status {
+	case http.StatusOK:
+		return nil
+	case http.StatusServiceUnavailable:
+		return &Error{Kind: Unavailable, Call: path, Err: eris.New("refused")}
+	case http.StatusBadRequest:
+		return &Error{Kind: Invalid, Call: path, Err: eris.Errorf("%.200s", a.Body)}
+	}
+	return &Error{Kind: Uncertain, Call: path, Err: eris.Errorf("status %d", a.Status)}
+}
--- /dev/null
+++ b/io/vmlist/vmlist.go
@@ -0,0 +1,140 @@
+package vmlist
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapaddle/io/jsonhttp"
+)
+
+// Role tells what a VM runs.
+type Role string
+
+// State tells whether a VM takes new work.
+type State string
+
+// Kind tells what a failure means.
+type Kind string
+
+const (
+	// Node is a VM that runs a node of guavapaddle.
+	Node Role = "node"
+	// Engine is a VM that runs a model engine.
+	Engine Role = "engine"
+	// Service is a VM that runs a plain service.
+	Service Role = "service"
+)
+
+const (
+	// Live means that the VM takes new work.
+	Live State = "live"
+	// Leaving means that the VM will stop soon.
+	Leaving State = "leaving"
+	// Gone removes a VM from the list.
+	Gone State = "gone"
+)
+
+const (
+	// Unavailable means that the call was surely not done.
+	Unavailable Kind = "unavailable"
+	// Uncertain means that the call may have been done.
+	Uncertain Kind = "uncertain"
+)
+
+const (
+	// DefaultTimeout bounds a call.
+	DefaultTimeout = 2 * time.Second
+	// ListPath is the path of the call that reads the list.
+	ListPath = "/vms/v1/list"
+	// SetPath is the path of the call that sets an entry.
+	SetPath = "/vms/v1/set"
+)
+
+type (
+	// VM is one entry of the list.
+	VM struct {
+		Name       string `json:"name"`
+		Address    string `json:"address"` // IP:port
+		Role       Role   `json:"role"`
+		DataCentre string `json:"data-centre"`
+		State      State  `json:"state"`
+	}
+
+	// List is the answer to a call that reads the list.
+	List struct {
+		VMs []VM `json:"vms"`
+	}
+
+	// Set is a call that sets one entry.
+	Set struct {
+		VM VM `json:"vm"`
+	}
+
+	// Client makes calls to the list. Its exported fields are set before the
+	// first call. It is safe for concurrent use.
+	Client struct {
+		Address string        // IP:port
+		Timeout time.Duration // of each call, DefaultTimeout if zero
+
+		http jsonhttp.Lazy
+	}
+
+	// Error is the failure of a call.
+	Error struct {
+		Kind Kind
+		Call string // path of the call
+		Err  error
+	}
+)
+
+// Error returns kind, call and cause in one line.
+func (e *Error) Error() string { return fmt.Sprintf("vmlist: %s: %s: %v", e.Kind, e.Call, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// List returns the VMs that the platform lists now, in order of name. Every
+// failure is an *Error.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	var out List
+	err := c.call(ctx, http.MethodGet, ListPath, nil, &out)
+	return out.VMs, err
+}
+
+// Set sets the entry of one VM, or removes it if its state is Gone. Every
+// failure is an *Error.
+func (c *Client) Set(ctx context.Context, vm VM) error {
+	return c.call(ctx, http.MethodPost, SetPath, Set{VM: vm}, nil)
+}
+
+// Close closes unused connections.
+func (c *Client) Close() { c.http.Get(c.Address).Close() }
+
+// call makes one call and sorts its failure.
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := c.http.Get(c.Address).JSON(ctx, method, path, in, out)
+	if err != nil {
+		kind := Uncertain
+		if jsonhttp.StageOf(err) == jsonhttp.NotSent {
+			kind = Unavailable
+		}
+		return &Error{Kind: kind, Call: path, Err: err}
+	}
+	switch a.Status {
+	case http.StatusOK:
+		return nil
+	case http.StatusServiceUnavailable:
+		return &Error{Kind: Unavailable, Call: path, Err: eris.New("refused")}
+	}
+	return &Error{Kind: Uncertain, Call: path, Err: eris.Errorf("status %d", a.Status)}
+}
