--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/queue"
--- a/internal/engines/engines.go
+++ b/internal/engines/engines.go
@@ -60,7 +60,7 @@
 		// Next returns the next event. An event with Finish is the last.
 		Next() (backend.Event, error)
 		// Close closes the connection if the stream did not end.
-		Close() error
+		Close()
 	}
 
 	// Engine is a client of one model engine.
@@ -111,7 +111,7 @@
 	for {
 		if err == nil {
 			err = r.deliver(s)
-			_ = s.Close()
+			s.Close()
 		}
 		if err == nil || ctx.Err() != nil {
 			return r.ended(ctx, err)
