--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -72,6 +72,8 @@
 	BackendLost Reason = "backend-lost"
 	// BackendCut means that an answer ended without its end marker.
 	BackendCut Reason = "backend-cut"
+	// PeerUnreachable means that no connection to another node could be opened.
+	PeerUnreachable Reason = "peer-unreachable"
 	// PeerLost means that the connection to another node broke.
 	PeerLost Reason = "peer-lost"
 	// CallerGone means that the caller closed its connection.
