--- /dev/null
+++ b/core/config/head/follower.go
@@ -0,0 +1,107 @@
+package head
+
+import "fmt"
+
+type (
+	// Follower is what one node knows of the head. It is immutable; the zero
+	// Follower is that of a node that just started. The version in force never
+	// falls.
+	Follower struct {
+		inForce   Ref
+		target    Ref
+		confirmed bool // the target was confirmed since the start or last pause
+		stale     bool // no confirmed target was adopted since the last pause
+		started   bool // something was adopted since the start
+	}
+
+	// ForkError means that two documents claim the same version. The one known
+	// first counts. It can't come from the table, where one row decides.
+	ForkError struct {
+		Known Ref
+		Other Ref
+	}
+)
+
+// Error tells the version and both hashes.
+func (e *ForkError) Error() string {
+	return fmt.Sprintf("version %d has hash %s and also %s", e.Known.Version, e.Known.Hash, e.Other.Hash)
+}
+
+// InForce returns what is in force, the zero Ref if nothing is.
+func (f Follower) InForce() Ref { return f.inForce }
+
+// Target returns the newest that was seen.
+func (f Follower) Target() Ref { return f.target }
+
+// Want returns the document to fetch, if one newer than that in force is known.
+func (f Follower) Want() (Ref, bool) { return f.target, f.target.Version > f.inForce.Version }
+
+// Fresh tells whether the node may admit requests: something is in force, and
+// since the last pause the head was heard of and is in force. A node that is
+// only behind a new version stays fresh while it fetches it.
+func (f Follower) Fresh() bool { return f.started && !f.stale }
+
+// WithRead returns f after ref was read from the head row, the zero Ref if the
+// row is absent. A lower version than the newest seen changes no version: the
+// version in force never falls. The error is a *ForkError.
+func (f Follower) WithRead(ref Ref) (Follower, error) {
+	if f.target.forks(ref) {
+		return f, &ForkError{Known: f.target, Other: ref}
+	}
+	f.target = Highest(f.target, ref)
+	f.confirmed = true
+	return f.settled(), nil
+}
+
+// WithHeard returns f after a peer, which was fresh itself, told that ref is in
+// force there. Peers that are behind confirm nothing. The error is a
+// *ForkError.
+func (f Follower) WithHeard(ref Ref) (Follower, error) {
+	if ref.Version == 0 || ref.Version < f.target.Version {
+		return f, nil
+	}
+	return f.WithRead(ref)
+}
+
+// forks tells whether o is another document of the same version.
+func (r Ref) forks(o Ref) bool { return r.Version > 0 && r.Version == o.Version && r.Hash != o.Hash }
+
+// WithAdopted returns f after the body of ref was fetched, checked and put in
+// force. An older version than that in force changes nothing.
+func (f Follower) WithAdopted(ref Ref) Follower {
+	if ref.Version <= f.inForce.Version {
+		return f
+	}
+	f.inForce = ref
+	f.started = true
+	if f.target.Version < ref.Version {
+		f.target = ref
+	}
+	return f.settled()
+}
+
+// WithPause returns f after the node found that it did not run for a while.
+func (f Follower) WithPause() Follower {
+	f.confirmed = false
+	f.stale = true
+	return f
+}
+
+// settled ends staleness once the confirmed target is in force.
+func (f Follower) settled() Follower {
+	if f.confirmed && f.inForce == f.target {
+		f.stale = false
+	}
+	return f
+}
+
+// Highest returns the newest of refs, the zero Ref if there is none.
+func Highest(refs ...Ref) Ref {
+	var best Ref
+	for _, r := range refs {
+		if r.Version > best.Version {
+			best = r
+		}
+	}
+	return best
+}
