--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -62,6 +62,10 @@
 		Failure *Failure `cbor:"4,keyasint,omitempty"`
 		Load    *Load    `cbor:"5,keyasint,omitempty"`
 	}
+
+	// Emit takes a reply with a token of the answer and the place to resume
+	// after it. An error means that the caller is gone.
+	Emit func(reply Reply, at Token) error
 )
 
 // FailureOf returns the failure of err, nil if err is nil.
--- a/internal/generate/token.go
+++ b/core/forward/token.go
@@ -1,4 +1,4 @@
-package generate
+package forward
 
 import (
 	"encoding/hex"
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -41,7 +41,7 @@
 		PrefixHash  uint64
 		Fingerprint string
 		Alone       bool
-		Resume      *Token // continue an earlier answer, nil for a new one
+		Resume      *forward.Token // continue an earlier answer, nil for a new one
 	}
 
 	// Views is what the node knows of backend servers.
@@ -67,10 +67,6 @@
 		Do(ctx context.Context, job forward.Job, sink engines.Sink) error
 	}
 
-	// Emit takes a reply with a token and the place to resume after it. An
-	// error means that the caller is gone.
-	Emit func(reply forward.Reply, at Token) error
-
 	// Event tells of one decision about a request, for logs and explain.
 	Event struct {
 		RequestID string
@@ -105,7 +101,7 @@
 	attempt struct {
 		r       *Router
 		q       Request
-		emit    Emit
+		emit    forward.Emit
 		offset  int
 		exclude map[string]bool
 		count   int // attempts that cost a server something
@@ -124,7 +120,7 @@
 }
 
 // Do generates the answer to q and passes it to emit.
-func (r *Router) Do(ctx context.Context, q Request, emit Emit) error {
+func (r *Router) Do(ctx context.Context, q Request, emit forward.Emit) error {
 	a := &attempt{r: r, q: q, emit: emit, exclude: map[string]bool{}}
 	if q.Resume != nil {
 		a.offset, a.server = q.Resume.Offset, q.Resume.Server
@@ -264,7 +260,7 @@
 		if reply.Finish == "" {
 			a.offset = reply.Offset + 1
 		}
-		return a.emit(reply, Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server})
+		return a.emit(reply, forward.Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server})
 	}
 	switch {
 	case r.Forward && a.owner == r.Self:
@@ -384,7 +380,7 @@
 	return forward.Job{
 		Server:      a.server,
 		RequestID:   a.q.ID,
-		EngineID:    EngineID(a.q.Customer, a.engineRequest()),
+		EngineID:    forward.EngineID(a.q.Customer, a.engineRequest()),
 		Customer:    a.q.Customer,
 		Kind:        a.q.Kind.Name,
 		Urgency:     a.q.Kind.Urgency,
