--- /dev/null
+++ b/internal/cluster/calls.go
@@ -0,0 +1,238 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"guavapaddle/core/forward"
+	"guavapaddle/core/outcome"
+	"guavapaddle/internal/dispatch"
+	"guavapaddle/internal/engines"
+	"guavapaddle/io/peer"
+)
+
+type (
+	// answering writes the replies of one job to the node that forwarded it.
+	answering struct {
+		stream *peer.Stream
+		mu     sync.Mutex
+		last   time.Time
+		ended  bool
+	}
+
+	configRequest struct {
+		Hash string `cbor:"1,keyasint"`
+	}
+
+	configReply struct {
+		Body []byte `cbor:"1,keyasint"`
+	}
+)
+
+// call serves one call of another node.
+func (c *Cluster) call(ctx context.Context, from string, f peer.Frame, s *peer.Stream) {
+	defer s.Cancel()
+	switch f.Kind {
+	case KindJob:
+		c.serveJob(ctx, f, s)
+	case KindConfig:
+		c.serveConfig(f, s)
+	}
+}
+
+// serveJob runs a job that another node forwarded.
+func (c *Cluster) serveJob(ctx context.Context, f peer.Frame, s *peer.Stream) {
+	var job forward.Job
+	if f.Decode(&job) != nil {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &answering{stream: s, last: time.Now()}
+	go a.watch(cancel)
+	go a.heartbeat(ctx, c.Local, job.Server)
+	err := c.Local.Do(ctx, job, a.write)
+	if _, gone := errors.AsType[*engines.SinkError](err); gone {
+		return
+	}
+	a.end(c.Local, job.Server, err)
+}
+
+// watch ends the job when the asker cancels it.
+func (a *answering) watch(cancel context.CancelCauseFunc) {
+	f, err := a.stream.Read()
+	if err == nil && f.Kind == KindCancel {
+		cancel(dispatch.ErrCancelled)
+		return
+	}
+	if !errors.Is(err, io.EOF) {
+		cancel(err)
+	}
+}
+
+// heartbeat tells the asker that the job waits on.
+func (a *answering) heartbeat(ctx context.Context, l Local, server string) {
+	t := time.NewTicker(HeartbeatPeriod / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		load, _ := l.Load(server)
+		a.mu.Lock()
+		quiet := time.Since(a.last) >= HeartbeatPeriod/2 && !a.ended
+		a.mu.Unlock()
+		if quiet && a.write(forward.Reply{Load: &load}) != nil {
+			return
+		}
+	}
+}
+
+func (a *answering) write(r forward.Reply) error {
+	f, err := peer.Encode(KindReply, r)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = time.Now()
+	return a.stream.Write(f)
+}
+
+// end writes the last reply and waits for the asker to have it.
+func (a *answering) end(l Local, server string, err error) {
+	a.mu.Lock()
+	a.ended = true
+	a.mu.Unlock()
+	last := forward.Reply{Failure: forward.FailureOf(err)}
+	if load, ok := l.Load(server); ok {
+		last.Load = &load
+	}
+	if a.write(last) == nil {
+		_ = a.stream.Close()
+		a.stream.Drain(sendTimeout)
+	}
+}
+
+// Do runs a job at its owner on another node.
+func (c *Cluster) Do(ctx context.Context, owner string, job forward.Job, sink engines.Sink) error {
+	n, ok := c.Node(owner)
+	if !ok {
+		return outcome.Refuse(outcome.PeerUnreachable, "no such node: "+owner, 0)
+	}
+	f, err := peer.Encode(KindJob, job)
+	if err != nil {
+		return outcome.Refuse(outcome.Internal, err.Error(), 0)
+	}
+	s, err := c.Endpoint.Open(ctx, n.Address, f)
+	if err != nil {
+		return c.notOpened(owner, err)
+	}
+	return follow(ctx, s, sink)
+}
+
+// notOpened judges a call that could not be opened.
+func (c *Cluster) notOpened(owner string, err error) error {
+	c.mu.Lock()
+	c.state.Unreachable(time.Now(), owner)
+	c.mu.Unlock()
+	if e, ok := errors.AsType[*peer.Error](err); ok && e.Kind == peer.Unreachable {
+		return outcome.Refuse(outcome.PeerUnreachable, owner, 0)
+	}
+	return outcome.Fail(outcome.PeerLost, err.Error())
+}
+
+// follow passes the replies of a call to sink. A call that makes no sign of
+// life for ProgressTimeout is lost.
+func follow(ctx context.Context, s *peer.Stream, sink engines.Sink) error {
+	unwatch := context.AfterFunc(ctx, func() { abandon(ctx, s) })
+	defer unwatch()
+	alive := time.AfterFunc(ProgressTimeout, s.Cancel)
+	defer alive.Stop()
+	finished := false
+	for {
+		f, err := s.Read()
+		if err != nil {
+			return outcome.Fail(outcome.PeerLost, err.Error())
+		}
+		alive.Reset(ProgressTimeout)
+		var r forward.Reply
+		if err := f.Decode(&r); err != nil {
+			s.Cancel()
+			return outcome.Fail(outcome.PeerLost, err.Error())
+		}
+		last := r.Failure != nil || finished
+		if err := sink(r); err != nil {
+			s.Cancel()
+			return &engines.SinkError{Err: err}
+		}
+		finished = finished || r.Finish != ""
+		switch {
+		case r.Failure != nil:
+			_ = s.Close()
+			return r.Failure.Err()
+		case last:
+			_ = s.Close()
+			return nil
+		}
+	}
+}
+
+// abandon ends a call whose asker is gone. An asker that will not come back
+// says so; a broken stream alone leaves the generation running for a while.
+func abandon(ctx context.Context, s *peer.Stream) {
+	if context.Cause(ctx) == dispatch.ErrCancelled {
+		_ = s.Write(peer.Frame{Kind: KindCancel})
+		_ = s.Close()
+		s.CancelRead()
+		return
+	}
+	s.Cancel()
+}
+
+// serveConfig gives another node the body of a configuration.
+func (c *Cluster) serveConfig(f peer.Frame, s *peer.Stream) {
+	var q configRequest
+	if f.Decode(&q) != nil {
+		return
+	}
+	body, ok := c.Config(q.Hash)
+	if !ok {
+		return
+	}
+	reply, err := peer.Encode(KindConfig, configReply{Body: body})
+	if err == nil && s.Write(reply) == nil {
+		_ = s.Close()
+		s.Drain(sendTimeout)
+	}
+}
+
+// FetchConfig asks a node for the body of a configuration.
+func (c *Cluster) FetchConfig(ctx context.Context, node, hash string) ([]byte, error) {
+	n, ok := c.Node(node)
+	if !ok {
+		return nil, &peer.Error{Kind: peer.Unreachable, Peer: node}
+	}
+	f, err := peer.Encode(KindConfig, configRequest{Hash: hash})
+	if err != nil {
+		return nil, err
+	}
+	s, err := c.Endpoint.Open(ctx, n.Address, f)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Cancel()
+	stop := context.AfterFunc(ctx, s.Cancel)
+	defer stop()
+	f, err = s.Read()
+	if err != nil {
+		return nil, err
+	}
+	var r configReply
+	return r.Body, f.Decode(&r)
+}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,271 @@
+// Package cluster joins this node with the others: it carries the digests of
+// core/member over io/peer, runs jobs that other nodes forward, and reaches the
+// owners of backend servers on other nodes.
+//
+// # Method
+//
+// One goroutine drives the membership state under a lock; messages are sent by
+// goroutines of their own, so that a silent peer delays nobody. A call tells
+// that it is alive every HeartbeatPeriod while it waits, so connections need no
+// keep-alive of their own and a call whose owner is silent for ProgressTimeout
+// is lost.
+//
+// # Usage
+//
+//	c := &cluster.Cluster{Self: self, Endpoint: endpoint, Local: dispatcher}
+//	address, err := c.Listen()
+//	err = c.Run(ctx)
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/forward"
+	"guavapaddle/core/member"
+	"guavapaddle/core/view"
+	"guavapaddle/internal/engines"
+	"guavapaddle/io/peer"
+)
+
+// Kinds of frames between nodes.
+const (
+	KindMember peer.Kind = iota + 1
+	KindJob
+	KindReply
+	KindCancel
+	KindConfig
+	KindDemand
+	KindPlan
+	KindSuspect
+)
+
+const (
+	// HeartbeatPeriod is the longest silence of a call that waits.
+	HeartbeatPeriod = time.Second
+	// ProgressTimeout is the silence after which a call is lost.
+	ProgressTimeout = 3 * time.Second
+
+	tickPeriod   = 50 * time.Millisecond
+	sendTimeout  = 2 * time.Second
+	joinPeriod   = 2 * time.Second
+	serverPrefix = "server/"
+)
+
+type (
+	// Local runs jobs on servers that this node owns.
+	Local interface {
+		Do(ctx context.Context, job forward.Job, sink engines.Sink) error
+		Load(server string) (forward.Load, bool)
+	}
+
+	// Cluster is this node's part in the whole. Its fields are set before
+	// Listen.
+	Cluster struct {
+		Self     member.Node // Address is filled in by Listen if its port is zero
+		Endpoint *peer.Endpoint
+		Settings member.Settings
+		Seeds    func() []string // addresses of nodes, from settings and VM list
+		Local    Local
+		// OnView is told each newer view of a server.
+		OnView func(v view.Server)
+		// OnMessage is told the messages that are not the cluster's own.
+		OnMessage func(from string, f peer.Frame)
+		// Config returns the body of the configuration with a hash.
+		Config func(hash string) ([]byte, bool)
+		Log    *zap.Logger
+		Seed   uint64
+
+		mu    sync.Mutex
+		state *member.State
+		known map[string]uint64 // incarnation of each node when last seen
+	}
+)
+
+// Listen opens the endpoint and returns its address.
+func (c *Cluster) Listen() (string, error) {
+	address, err := c.Endpoint.Listen()
+	if err != nil {
+		return "", err
+	}
+	c.Self.Address = address
+	c.Endpoint.OnMessage = c.message
+	c.Endpoint.OnCall = c.call
+	c.state = member.New(c.Self, c.Settings, rand.New(rand.NewPCG(c.Seed, c.Self.Incarnation)))
+	c.known = map[string]uint64{}
+	return address, nil
+}
+
+// Run takes part until ctx ends.
+func (c *Cluster) Run(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- c.Endpoint.Run(ctx) }()
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	var joined time.Time
+	for {
+		c.sendAll(ctx, c.step(time.Now(), &joined))
+		select {
+		case <-t.C:
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return <-done
+		}
+	}
+}
+
+// step advances the membership state.
+func (c *Cluster) step(now time.Time, joined *time.Time) []member.Send {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []member.Send
+	if now.Sub(*joined) > joinPeriod && (joined.IsZero() || len(c.state.Live()) == 1) {
+		*joined = now
+		out = c.state.Join(now, c.Seeds())
+	}
+	return append(out, c.state.Tick(now)...)
+}
+
+func (c *Cluster) sendAll(ctx context.Context, all []member.Send) {
+	for _, s := range all {
+		go c.send(ctx, s.Address, KindMember, s.Message)
+	}
+}
+
+// send gives one message to an address, best effort.
+func (c *Cluster) send(ctx context.Context, address string, k peer.Kind, v any) {
+	f, err := peer.Encode(k, v)
+	if err != nil {
+		c.Log.Error("encode", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	_ = c.Endpoint.Send(ctx, address, f) // probes find out who is unreachable
+}
+
+// Tell sends v to a node by name, best effort.
+func (c *Cluster) Tell(ctx context.Context, node string, k peer.Kind, v any) {
+	if n, ok := c.Node(node); ok {
+		c.send(ctx, n.Address, k, v)
+	}
+}
+
+// TellAll sends v to all other live nodes, best effort, and returns when each
+// has been tried.
+func (c *Cluster) TellAll(ctx context.Context, k peer.Kind, v any) {
+	var wg sync.WaitGroup
+	for _, n := range c.Nodes() {
+		if n.Name != c.Self.Name && n.Status <= member.Suspect {
+			wg.Go(func() { c.send(ctx, n.Address, k, v) })
+		}
+	}
+	wg.Wait()
+}
+
+// message takes one message in.
+func (c *Cluster) message(from string, f peer.Frame) {
+	if f.Kind != KindMember {
+		c.OnMessage(from, f)
+		return
+	}
+	var m member.Message
+	if err := f.Decode(&m); err != nil {
+		c.Log.Warn("message refused", zap.String("from", from), zap.Error(err))
+		return
+	}
+	c.mu.Lock()
+	out := c.state.Receive(time.Now(), m)
+	c.mu.Unlock()
+	c.views(m.Entries)
+	c.restarted(m)
+	c.sendAll(context.Background(), out)
+}
+
+// views passes on the views in entries that were received.
+func (c *Cluster) views(entries []member.Entry) {
+	for _, e := range entries {
+		var v view.Server
+		if cbor.Unmarshal(e.Value, &v) == nil && e.Key == serverPrefix+v.Server {
+			c.OnView(v)
+		}
+	}
+}
+
+// restarted drops connections to nodes that began anew.
+func (c *Cluster) restarted(m member.Message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range append(m.Nodes, m.From) {
+		old, ok := c.known[n.Name]
+		if n.Incarnation > old {
+			c.known[n.Name] = n.Incarnation
+		}
+		if ok && n.Incarnation > old {
+			go c.Endpoint.Forget(n.Address)
+		}
+	}
+}
+
+// Publish spreads the view of a server that this node owns.
+func (c *Cluster) Publish(v view.Server) error {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.state.Put(member.Entry{Key: serverPrefix + v.Server, Major: v.Epoch, Minor: v.Sequence, Value: b})
+	c.mu.Unlock()
+	c.OnView(v)
+	return nil
+}
+
+// Update changes this node's own record.
+func (c *Cluster) Update(f func(n *member.Node)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Update(f)
+}
+
+// Nodes returns all nodes that are known.
+func (c *Cluster) Nodes() []member.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Nodes()
+}
+
+// Node returns a node by name.
+func (c *Cluster) Node(name string) (member.Node, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Node(name)
+}
+
+// Working returns the names of live nodes that do not leave, sorted.
+func (c *Cluster) Working() []string {
+	var names []string
+	for _, n := range c.Nodes() {
+		if n.Status <= member.Suspect && !n.Leaving {
+			names = append(names, n.Name)
+		}
+	}
+	return names
+}
+
+// Leave tells the others that this node stops.
+func (c *Cluster) Leave(ctx context.Context) {
+	c.mu.Lock()
+	out := c.state.Leave()
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range out {
+		wg.Go(func() { c.send(ctx, s.Address, KindMember, s.Message) })
+	}
+	wg.Wait()
+}
--- a/io/peer/doc.go
+++ b/io/peer/doc.go
@@ -11,8 +11,10 @@
 // connection do not wait for each other, so a lost packet delays one answer
 // only; that is what speaks for QUIC over one TCP connection here.
 //
-// A connection that is silent for IdleTimeout is closed; keep-alives are sent
-// at a third of it. A call whose connection breaks ends with an *Error of kind
+// A connection that is silent for IdleTimeout is closed. There are no
+// keep-alives: at 350 nodes they alone would cost more than the bytes that
+// control may use, so who waits for an answer demands signs of life on the call
+// itself. A call whose connection breaks ends with an *Error of kind
 // Lost, and the next call dials anew. A dial that fails gives Unreachable: no
 // byte of the call left this node.
 //
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	protocol         = "guavapaddle/1"
-	defaultIdle      = 6 * time.Second
-	defaultDial      = time.Second
-	defaultWrite     = 3 * time.Second
-	maxStreams       = 1 << 14
-	idlePerKeepAlive = 3
+	protocol     = "guavapaddle/1"
+	defaultIdle  = 30 * time.Second
+	defaultDial  = time.Second
+	defaultWrite = 3 * time.Second
+	maxStreams   = 1 << 14
 )
 
 type (
@@ -39,7 +38,7 @@
 		TLS          TLSSource
 		OnMessage    func(from string, f Frame)
 		OnCall       func(ctx context.Context, from string, f Frame, s *Stream)
-		IdleTimeout  time.Duration // silence that ends a connection, default 6 s
+		IdleTimeout  time.Duration // silence that ends a connection, default 30 s
 		DialTimeout  time.Duration // default 1 s
 		WriteTimeout time.Duration // a peer that takes nothing for so long is lost, default 3 s
 
@@ -220,10 +219,24 @@
 	}
 }
 
+// Forget closes the connection to an address, whose process began anew.
+func (e *Endpoint) Forget(address string) {
+	e.mu.Lock()
+	d := e.conns[address]
+	delete(e.conns, address)
+	e.mu.Unlock()
+	if d == nil {
+		return
+	}
+	<-d.ready
+	if d.conn != nil {
+		_ = d.conn.CloseWithError(0, "")
+	}
+}
+
 func (e *Endpoint) quic() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        e.IdleTimeout,
-		KeepAlivePeriod:       e.IdleTimeout / idlePerKeepAlive,
 		HandshakeIdleTimeout:  e.DialTimeout,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: maxStreams,
@@ -309,6 +322,19 @@
 // Close ends the own side of the stream.
 func (s *Stream) Close() error { return s.s.Close() }
 
+// Drain waits until the peer has closed its side, at most for d.
+func (s *Stream) Drain(d time.Duration) {
+	_ = s.s.SetReadDeadline(time.Now().Add(d))
+	for {
+		if _, err := s.Read(); err != nil {
+			return
+		}
+	}
+}
+
+// CancelRead makes Read fail and leaves what was written to arrive.
+func (s *Stream) CancelRead() { s.s.CancelRead(0) }
+
 // Cancel ends both sides at once.
 func (s *Stream) Cancel() {
 	s.s.CancelRead(0)
