--- /dev/null
+++ b/core/route/tracker.go
@@ -0,0 +1,70 @@
+package route
+
+import "time"
+
+// defaultSettle is how long a request is on its way to the owner, at most.
+const defaultSettle = 3 * time.Millisecond
+
+// Tracker counts the requests that a node has sent to each server and that the
+// last view of the server can't include yet.
+type Tracker struct {
+	// Settle is how long before a view's arrival a request may have been sent
+	// and not be part of the view: about a round trip to the owner, default
+	// 3 ms.
+	Settle time.Duration
+
+	sent     map[string][]time.Time // by server, oldest first
+	inFlight map[string]int
+}
+
+// Sent records that a request was sent to the server.
+func (t *Tracker) Sent(server string, now time.Time) {
+	if t.sent == nil {
+		t.sent = map[string][]time.Time{}
+		t.inFlight = map[string]int{}
+	}
+	t.sent[server] = append(t.sent[server], now)
+	t.inFlight[server]++
+}
+
+// Ended records that a request sent to the server has ended.
+func (t *Tracker) Ended(server string) {
+	if t.inFlight[server] == 0 {
+		return
+	}
+	t.inFlight[server]--
+	if times := t.sent[server]; len(times) > t.inFlight[server] {
+		t.sent[server] = append(times[:0], times[len(times)-t.inFlight[server]:]...)
+	}
+}
+
+// Seen records that a newer view of the server arrived.
+func (t *Tracker) Seen(server string, now time.Time) {
+	settle := t.Settle
+	if settle == 0 {
+		settle = defaultSettle
+	}
+	times, cut := t.sent[server], now.Add(-settle)
+	n := 0
+	for n < len(times) && times[n].Before(cut) {
+		n++
+	}
+	if n > 0 {
+		t.sent[server] = append(times[:0], times[n:]...)
+	}
+}
+
+// Forget drops what is known of a server that is gone.
+func (t *Tracker) Forget(server string) {
+	delete(t.sent, server)
+	delete(t.inFlight, server)
+}
+
+// Recent returns the requests that the last view can't include; at most those
+// that are in flight.
+func (t *Tracker) Recent(server string) int {
+	return len(t.sent[server])
+}
+
+// InFlight returns the node's own requests at the server.
+func (t *Tracker) InFlight(server string) int { return t.inFlight[server] }
