Add the stand-ins of platform, engine and plain service

Cause: the first whole path needs systems to talk to. Ruled out: nbhttp for them, since silencing a connection has to happen below the HTTP server and streams hold their handler.

--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,25 @@
+package engine
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavapaddle/core/backend"
+)
+
+// Token returns token i, from zero, of the answer of item to prompt.
+func Token(item backend.Item, prompt string, i int) string {
+	h := xxhash.Sum64String(item.String() + "\x00" + prompt + "\x00" + strconv.Itoa(i))
+	return " t" + fmt.Sprintf("%016x", h)[:6]
+}
+
+// Answer returns the first n tokens of the answer of item to prompt.
+func Answer(item backend.Item, prompt string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = Token(item, prompt, i)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/fault/fault.go
@@ -0,0 +1,136 @@
+package fault
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// NotRunHeader is set to "1" on answers that affirm that a call did not run.
+const NotRunHeader = "Guavapaddle-Not-Run"
+
+type (
+	// Faults are the faults in force. The zero value is none.
+	Faults struct {
+		Down         bool   `json:"down,omitempty"`           // calls break at once, unread
+		Refuse       bool   `json:"refuse,omitempty"`         // 503 to every call
+		DelayMS      int64  `json:"delay-ms,omitempty"`       // every answer is late by so much
+		Silent       bool   `json:"silent,omitempty"`         // connections open now go silent for good
+		BlackHole    bool   `json:"black-hole,omitempty"`     // everything goes unanswered
+		DropAnswers  int    `json:"drop-answers,omitempty"`   // next calls that run and break unanswered
+		CutStreams   int    `json:"cut-streams,omitempty"`    // next streams that break
+		CutAfter     int    `json:"cut-after,omitempty"`      // tokens before a stream breaks
+		CloseReused  bool   `json:"close-reused,omitempty"`   // a second call on a connection runs and breaks unanswered
+		OrderDelayMS int64  `json:"order-delay-ms,omitempty"` // orders take effect so much later
+		LoseOrders   int    `json:"lose-orders,omitempty"`    // next orders that are accepted and never done
+		CrashOn      string `json:"crash-on,omitempty"`       // text in a prompt that crashes the engine
+		Leaving      bool   `json:"leaving,omitempty"`        // 503 to new work
+	}
+
+	// Set holds the faults of one stand-in. Its exported fields are set before
+	// use.
+	Set struct {
+		Counters *Counters
+		Server   *Server
+
+		mu     sync.Mutex
+		faults Faults
+	}
+)
+
+// Put sets the faults in force. Down and BlackHole also meet the connections
+// that are open.
+func (s *Set) Put(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	if s.Server == nil {
+		return
+	}
+	if f.Silent || f.BlackHole {
+		s.Server.silence(s)
+	}
+	if f.Down {
+		s.Server.Break(s)
+	}
+}
+
+// Faults returns the faults in force, with what is left of those that count
+// down.
+func (s *Set) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// TakeLostOrder tells whether the next order is lost.
+func (s *Set) TakeLostOrder() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return take(&s.faults.LoseOrders)
+}
+
+// TakeCut tells whether the next stream breaks, and after how many tokens.
+func (s *Set) TakeCut() (after int, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CutAfter, take(&s.faults.CutStreams)
+}
+
+// ServeFault sets the faults in force from the body of the request.
+func (s *Set) ServeFault(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if ReadJSON(w, r, &f) {
+		s.Put(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Wrap returns h under the faults in force.
+func (s *Set) Wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f, drop := s.begin()
+		before := 0
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok {
+			before = c.use(s)
+		}
+		switch {
+		case f.BlackHole && ok:
+			c.silence()
+		case f.Down || f.BlackHole:
+			panic(http.ErrAbortHandler)
+		case f.Refuse:
+			w.Header().Set(NotRunHeader, "1")
+			http.Error(w, "refused", http.StatusServiceUnavailable)
+		case drop || f.CloseReused && before > 0:
+			s.Counters.Add("answers-dropped", 1)
+			h.ServeHTTP(&deafWriter{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		case f.DelayMS > 0:
+			h.ServeHTTP(&lateWriter{ResponseWriter: w, request: r, delay: time.Duration(f.DelayMS) * time.Millisecond}, r)
+		default:
+			h.ServeHTTP(w, r)
+		}
+	})
+}
+
+// begin returns the faults for one call and whether its answer is dropped.
+func (s *Set) begin() (f Faults, drop bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f = s.faults
+	if f.BlackHole || f.Down || f.Refuse {
+		return f, false
+	}
+	return f, take(&s.faults.DropAnswers)
+}
+
+// take counts n down and tells whether there was something left.
+func take(n *int) bool {
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
--- /dev/null
+++ b/internal/standin/object/object.go
@@ -0,0 +1,111 @@
+// Package object is a stand-in for the platform's object store, in memory.
+//
+// # Usage
+//
+//	o := &object.Store{}
+//	address, err := o.Start()
+//	defer o.Close()
+package object
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"guavapaddle/internal/standin/fault"
+)
+
+const (
+	// DefaultWriteRate is the bound of writes a second.
+	DefaultWriteRate = 500
+	// DefaultReadRate is the bound of reads a second.
+	DefaultReadRate = 2000
+
+	burst   = 50
+	maxBody = 64 << 20
+)
+
+// Store is a stand-in for the object store. Its exported fields are set before
+// Start or Handler.
+type Store struct {
+	Listen    string  // IP:port, a free port of 127.0.0.1 if empty
+	WriteRate float64 // writes a second, DefaultWriteRate if zero; what is over waits
+	ReadRate  float64 // reads a second, DefaultReadRate if zero; what is over waits
+	Faults    fault.Set
+
+	mu      sync.Mutex
+	objects map[string][]byte
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	server  *fault.Server
+}
+
+// Start begins to serve and returns the address.
+func (s *Store) Start() (string, error) {
+	mux := http.NewServeMux()
+	mux.Handle("/object/v1/", s.Handler())
+	mux.HandleFunc("POST /fault", s.Faults.ServeFault)
+	mux.Handle("GET /counters", s.Faults.Counters)
+	s.server = &fault.Server{Listen: s.Listen, Handler: mux}
+	s.Faults.Server = s.server
+	return s.server.Start()
+}
+
+// Close stops serving. The objects stay, and Start may be called again.
+func (s *Store) Close() { s.server.Close() }
+
+// Handler returns the calls of the store under its faults.
+func (s *Store) Handler() http.Handler {
+	if s.Faults.Counters == nil {
+		s.Faults.Counters = &fault.Counters{}
+	}
+	s.writes = limiter(s.WriteRate, DefaultWriteRate)
+	s.reads = limiter(s.ReadRate, DefaultReadRate)
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /object/v1/{key...}", s.put)
+	mux.HandleFunc("GET /object/v1/{key...}", s.get)
+	return s.Faults.Wrap(mux)
+}
+
+// put serves a write.
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil || s.writes.Wait(r.Context()) != nil {
+		http.Error(w, "body not read", http.StatusBadRequest)
+		return
+	}
+	s.Faults.Counters.Add("puts", 1)
+	s.mu.Lock()
+	if s.objects == nil {
+		s.objects = map[string][]byte{}
+	}
+	s.objects[r.PathValue("key")] = body
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// get serves a read.
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	if s.reads.Wait(r.Context()) != nil {
+		return
+	}
+	s.Faults.Counters.Add("gets", 1)
+	s.mu.Lock()
+	body, ok := s.objects[r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// limiter returns a limiter of n calls a second, or of standard if n is zero.
+func limiter(n, standard float64) *rate.Limiter {
+	if n == 0 {
+		n = standard
+	}
+	return rate.NewLimiter(rate.Limit(n), burst)
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,81 @@
+// Package platform mounts the stand-ins for table, object store, weight store
+// and VM list on one address.
+//
+// POST /fault sets the faults of all four, POST /fault/NAME those of one, where
+// NAME is table, object, weights or vms. GET /counters gives all counters.
+//
+// # Usage
+//
+//	p := &platform.Platform{}
+//	address, err := p.Start()
+//	defer p.Close()
+//	p.Table.Faults.Put(fault.Faults{Down: true})
+package platform
+
+import (
+	"net/http"
+
+	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/standin/object"
+	"guavapaddle/internal/standin/table"
+	"guavapaddle/internal/standin/vmlist"
+	"guavapaddle/internal/standin/weights"
+)
+
+// Platform is the stand-in for the platform. Its exported fields are set
+// before Start, which overwrites the Listen fields of the parts.
+type Platform struct {
+	Listen   string // IP:port, a free port of 127.0.0.1 if empty
+	Table    table.Table
+	Objects  object.Store
+	Weights  weights.Store
+	VMs      vmlist.List
+	Counters fault.Counters
+
+	server *fault.Server
+}
+
+// Start begins to serve and returns the address.
+func (p *Platform) Start() (string, error) {
+	mux := http.NewServeMux()
+	p.server = &fault.Server{Listen: p.Listen, Handler: mux}
+	parts := p.parts()
+	for name, set := range parts {
+		set.Counters, set.Server = &p.Counters, p.server
+		mux.HandleFunc("POST /fault/"+name, set.ServeFault)
+	}
+	mux.Handle("/table/v1/", p.Table.Handler())
+	mux.Handle("/object/v1/", p.Objects.Handler())
+	mux.Handle("/weights/v1/", p.Weights.Handler())
+	mux.Handle("/vms/v1/", p.VMs.Handler())
+	mux.Handle("GET /counters", &p.Counters)
+	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		var f fault.Faults
+		if fault.ReadJSON(w, r, &f) {
+			p.Put(f)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	return p.server.Start()
+}
+
+// Put sets the faults of all parts.
+func (p *Platform) Put(f fault.Faults) {
+	for _, set := range p.parts() {
+		set.Put(f)
+	}
+}
+
+// Close stops serving. What was stored stays, and Start may be called again.
+func (p *Platform) Close() {
+	p.server.Close()
+	p.Weights.Stop()
+}
+
+// parts returns the faults of each part by name.
+func (p *Platform) parts() map[string]*fault.Set {
+	return map[string]*fault.Set{
+		"table": &p.Table.Faults, "object": &p.Objects.Faults,
+		"weights": &p.Weights.Faults, "vms": &p.VMs.Faults,
+	}
+}
--- /dev/null
+++ b/internal/standin/table/doc.go
@@ -0,0 +1,10 @@
+// Package table is a stand-in for the platform's transactional table service.
+// It keeps its rows in memory and commits one transaction after the other.
+//
+// # Usage
+//
+//	t := &table.Table{}
+//	address, err := t.Start()
+//	defer t.Close()
+//	t.Faults.Put(fault.Faults{DropAnswers: 1})
+package table
--- /dev/null
+++ b/internal/standin/table/table.go
@@ -0,0 +1,119 @@
+package table
+
+import (
+	"net/http"
+	"slices"
+
+	"golang.org/x/time/rate"
+
+	"guavapaddle/core/row"
+	"guavapaddle/internal/standin/fault"
+	iotable "guavapaddle/io/table"
+)
+
+const (
+	// DefaultWriteRate is the bound of transactions a second.
+	DefaultWriteRate = 500
+	// DefaultReadRate is the bound of reads and scans a second.
+	DefaultReadRate = 2000
+
+	burst = 50
+)
+
+// Table is a stand-in for the table service. Its exported fields are set
+// before Start or Handler.
+type Table struct {
+	Listen      string  // IP:port, a free port of 127.0.0.1 if empty
+	WriteRate   float64 // transactions a second, DefaultWriteRate if zero; what is over waits
+	ReadRate    float64 // reads and scans a second, DefaultReadRate if zero; what is over waits
+	KeepHistory bool    // History returns all committed transactions
+	Faults      fault.Set
+
+	store  store
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	server *fault.Server
+}
+
+// Start begins to serve and returns the address.
+func (t *Table) Start() (string, error) {
+	mux := http.NewServeMux()
+	mux.Handle("/table/v1/", t.Handler())
+	mux.HandleFunc("POST /fault", t.Faults.ServeFault)
+	mux.Handle("GET /counters", t.Faults.Counters)
+	t.server = &fault.Server{Listen: t.Listen, Handler: mux}
+	t.Faults.Server = t.server
+	return t.server.Start()
+}
+
+// Close stops serving. The rows stay, and Start may be called again.
+func (t *Table) Close() { t.server.Close() }
+
+// Handler returns the calls of the table under its faults.
+func (t *Table) Handler() http.Handler {
+	if t.Faults.Counters == nil {
+		t.Faults.Counters = &fault.Counters{}
+	}
+	t.writes = limiter(t.WriteRate, DefaultWriteRate)
+	t.reads = limiter(t.ReadRate, DefaultReadRate)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /table/v1/transact", t.transact)
+	mux.HandleFunc("POST /table/v1/read", t.read)
+	mux.HandleFunc("POST /table/v1/scan", t.scan)
+	return t.Faults.Wrap(mux)
+}
+
+// History returns all committed transactions in order, if KeepHistory is set.
+func (t *Table) History() []Commit {
+	t.store.mu.Lock()
+	defer t.store.mu.Unlock()
+	return slices.Clone(t.store.history)
+}
+
+// Transact commits tx without a call, for tests.
+func (t *Table) Transact(tx row.Tx) row.Result { return t.store.transact(tx, t.KeepHistory) }
+
+// Rows returns the rows whose key begins with prefix without a call, for tests.
+func (t *Table) Rows(prefix string) []row.Row { return t.store.scan(prefix) }
+
+// transact serves a transaction.
+func (t *Table) transact(w http.ResponseWriter, r *http.Request) {
+	var tx row.Tx
+	if !fault.ReadJSON(w, r, &tx) || t.writes.Wait(r.Context()) != nil {
+		return
+	}
+	t.Faults.Counters.Add("transactions", 1)
+	res := t.store.transact(tx, t.KeepHistory)
+	if !res.Committed {
+		t.Faults.Counters.Add("conflicts", 1)
+	}
+	fault.WriteJSON(w, http.StatusOK, res)
+}
+
+// read serves a read.
+func (t *Table) read(w http.ResponseWriter, r *http.Request) {
+	var in iotable.ReadRequest
+	if !fault.ReadJSON(w, r, &in) || t.reads.Wait(r.Context()) != nil {
+		return
+	}
+	t.Faults.Counters.Add("reads", 1)
+	fault.WriteJSON(w, http.StatusOK, iotable.Rows{Rows: t.store.read(in.Keys)})
+}
+
+// scan serves a scan.
+func (t *Table) scan(w http.ResponseWriter, r *http.Request) {
+	var in iotable.ScanRequest
+	if !fault.ReadJSON(w, r, &in) || t.reads.Wait(r.Context()) != nil {
+		return
+	}
+	t.Faults.Counters.Add("scans", 1)
+	fault.WriteJSON(w, http.StatusOK, iotable.Rows{Rows: t.store.scan(in.Prefix)})
+}
+
+// limiter returns a limiter of n calls a second, or of standard if n is zero.
+func limiter(n, standard float64) *rate.Limiter {
+	if n == 0 {
+		n = standard
+	}
+	return rate.NewLimiter(rate.Limit(n), burst)
+}
