--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -38,6 +38,8 @@
 	KeyRequired Reason = "key-required"
 	// InProgress means that the same call is running elsewhere.
 	InProgress Reason = "in-progress"
+	// AnswerLost means that the call ran and its stored answer can't be read.
+	AnswerLost Reason = "answer-lost"
 	// CustomerLimit means that the customer is over its share.
 	CustomerLimit Reason = "customer-limit"
 	// QueueFull means that the queue is at its bound.
--- /dev/null
+++ b/core/suspect/mark.go
@@ -0,0 +1,107 @@
+package suspect
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+const fingerprintBytes = 16
+
+type (
+	// Fingerprint tells requests apart by customer, model and body.
+	Fingerprint string
+
+	// Incident is one crash of a server, or one trial whose end is not known.
+	Incident struct {
+		Server string `json:"server"`
+		BootID string `json:"boot-id,omitempty"` // of the run that crashed
+		Trial  string `json:"trial,omitempty"`   // attempt id, for a trial
+	}
+
+	// Mark is what is known against one fingerprint. It is immutable.
+	Mark struct {
+		Fingerprint Fingerprint `json:"fingerprint"`
+		Incidents   []Incident  `json:"incidents,omitempty"` // sorted, without doubles
+		Cleared     []Incident  `json:"cleared,omitempty"`   // sorted, without doubles
+		ExpiresMS   int64       `json:"expires-ms"`          // milliseconds since 1970
+	}
+)
+
+// Of returns the fingerprint of a request.
+func Of(customer, model string, body []byte) Fingerprint {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%d:%s%d:%s", len(customer), customer, len(model), model) // a hash does not fail
+	_, _ = h.Write(body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
+}
+
+// Standing returns the number of incidents that are not cleared.
+func (m Mark) Standing() int {
+	n := 0
+	for _, i := range m.Incidents {
+		if !contains(m.Cleared, i) {
+			n++
+		}
+	}
+	return n
+}
+
+// WithIncident returns m with one more incident.
+func (m Mark) WithIncident(i Incident, expiresMS int64) Mark {
+	m.Incidents = union(m.Incidents, []Incident{i})
+	m.ExpiresMS = max(m.ExpiresMS, expiresMS)
+	return m
+}
+
+// WithCleared returns m with the incidents cleared.
+func (m Mark) WithCleared(incidents ...Incident) Mark {
+	m.Cleared = union(m.Cleared, incidents)
+	return m
+}
+
+// Merge returns what m and o know together.
+func (m Mark) Merge(o Mark) Mark {
+	return Mark{
+		Fingerprint: m.Fingerprint,
+		Incidents:   union(m.Incidents, o.Incidents),
+		Cleared:     union(m.Cleared, o.Cleared),
+		ExpiresMS:   max(m.ExpiresMS, o.ExpiresMS),
+	}
+}
+
+// Equal tells whether m and o know the same.
+func (m Mark) Equal(o Mark) bool {
+	return m.Fingerprint == o.Fingerprint && m.ExpiresMS == o.ExpiresMS &&
+		slices.Equal(m.Incidents, o.Incidents) && slices.Equal(m.Cleared, o.Cleared)
+}
+
+// compare orders incidents.
+func compare(a, b Incident) int {
+	if c := strings.Compare(a.Server, b.Server); c != 0 {
+		return c
+	}
+	if c := strings.Compare(a.BootID, b.BootID); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Trial, b.Trial)
+}
+
+// contains tells whether sorted has i.
+func contains(sorted []Incident, i Incident) bool {
+	_, found := slices.BinarySearchFunc(sorted, i, compare)
+	return found
+}
+
+// union returns the sorted union of sorted a and any b in a new slice.
+func union(a, b []Incident) []Incident {
+	if len(a)+len(b) == 0 {
+		return nil
+	}
+	out := make([]Incident, 0, len(a)+len(b))
+	out = append(append(out, a...), b...)
+	slices.SortFunc(out, compare)
+	return slices.Compact(out)
+}
