--- a/core/place/gain.go
+++ b/core/place/gain.go
@@ -156,7 +156,11 @@
 // then the one with the most headroom.
 func (p *Gain) roomiest(s *state, item int, elsewhere bool) int {
 	best, most := -1, math.Inf(-1)
+	bytes := s.items[item].bytes
 	for j := range s.servers {
+		if sv := &s.servers[j]; sv.used+bytes+sv.peak > sv.room {
+			continue
+		}
 		if s.holds(j, item) || s.lacking(j, item) > 0 {
 			continue
 		}
@@ -248,11 +252,13 @@
 	if lacking <= 0 {
 		return nil, 0, true
 	}
-	options := p.options(s, j, item)
-	for _, o := range options {
+	for _, o := range p.options(s, j) {
 		if lacking <= 0 {
 			break
 		}
+		if s.servers[j].items[o.places[0]].item == s.items[item].base {
+			continue
+		}
 		for _, k := range o.places {
 			if slices.Contains(evict, k) {
 				continue
@@ -267,30 +273,33 @@
 	return evict, loss, lacking <= 0
 }
 
-// options returns what may be dropped on server j for an item, the least loss
-// per byte first.
-func (p *Gain) options(s *state, j, newcomer int) []option {
-	var options []option
-	for k, h := range s.servers[j].items {
-		if s.items[newcomer].base == h.item {
-			continue
-		}
+// options returns what may be dropped on server j, the least loss per byte
+// first. They are kept until the server's items change; that other servers'
+// loads change meanwhile is left out.
+func (p *Gain) options(s *state, j int) []option {
+	sv := &s.servers[j]
+	if sv.optionsKnown {
+		return sv.options
+	}
+	sv.options, sv.optionsKnown = nil, true
+	for k := range sv.items {
 		o := option{places: s.dependents(j, k)}
 		var bytes int64
 		ok := true
 		for _, d := range o.places {
-			other := s.servers[j].items[d]
-			ok = ok && p.evictable(s, other)
-			o.loss += p.loss(s, j, other.item)
-			bytes += s.items[other.item].bytes
+			if ok = p.evictable(s, sv.items[d]); !ok {
+				break
+			}
+			o.loss += p.loss(s, j, sv.items[d].item)
+			bytes += s.items[sv.items[d].item].bytes
 		}
 		if ok {
 			o.perByte = o.loss / float64(max(1, bytes))
-			options = append(options, o)
+			sv.options = append(sv.options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.perByte, b.perByte) })
-	return options
+	slices.SortStableFunc(sv.options, func(a, b option) int { return cmp.Compare(a.perByte, b.perByte) })
+	return sv.options
 }
 
 // evictable tells whether a copy may be dropped for another item: it is neither
--- a/core/place/marginal.go
+++ b/core/place/marginal.go
@@ -90,17 +90,15 @@
 			continue
 		}
 		gain := p.gain(i, over, s.headroom(j, p.Target))
-		if gain*horizon <= price {
+		bytes, _ := s.needs(j, item)
+		most := gain*horizon - price
+		if most <= 0 || most/float64(max(1, bytes)) <= best.perByte {
 			continue
 		}
 		evict, loss, fits := p.evictions(s, j, item)
-		net := (gain-loss)*horizon - price
-		if !fits || net <= 0 {
-			continue
-		}
-		bytes, _ := s.needs(j, item)
+		net := most - loss*horizon
 		c := candidate{server: j, item: item, evict: evict, gain: gain, net: net, perByte: net / float64(max(1, bytes))}
-		if c.perByte > best.perByte {
+		if fits && net > 0 && c.perByte > best.perByte {
 			best, found = c, true
 		}
 	}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,373 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavapaddle/core/backend"
+	"guavapaddle/core/config"
+	"guavapaddle/core/place"
+	"guavapaddle/core/view"
+)
+
+const gb = int64(1) << 30
+
+var now = time.Unix(1_000_000, 0)
+
+func model(name string, gigabytes int64) config.Model {
+	return config.Model{Name: name, Version: "1", Bytes: gigabytes * gb, LoadPeakBytes: gb, MinCopies: 1}
+}
+
+func adapter(name, base string) config.Adapter {
+	return config.Adapter{Name: name, Model: base, Version: "1", Bytes: gb / 2, LoadPeakBytes: gb / 4, MinCopies: 1}
+}
+
+func server(name, dataCentre string, gigabytes int64, resident ...backend.Item) place.Server {
+	s := place.Server{
+		Name: name, DataCentre: dataCentre, MemoryBytes: gigabytes * gb, KVReserveBytes: 4 * gb, Slots: 8, Reachable: true,
+	}
+	for _, i := range resident {
+		s.Resident = append(s.Resident, place.Copy{Item: i, Bytes: 10 * gb})
+	}
+	return s
+}
+
+// apply returns the input after the moves of a plan have been carried out.
+func apply(in place.Input, out place.Output) place.Input {
+	bytes := sizes(in)
+	in.Servers = slices.Clone(in.Servers)
+	for j := range in.Servers {
+		plan, ok := out.Plan[in.Servers[j].Name]
+		if !ok {
+			continue
+		}
+		in.Servers[j].Resident, in.Servers[j].Loading = nil, nil
+		for _, i := range plan {
+			in.Servers[j].Resident = append(in.Servers[j].Resident, place.Copy{Item: i, Bytes: bytes[i.Name], Since: now})
+		}
+	}
+	return in
+}
+
+func sizes(in place.Input) map[string]int64 {
+	out := map[string]int64{}
+	for _, m := range in.Models {
+		out[m.Name] = m.Bytes
+	}
+	for _, a := range in.Adapters {
+		out[a.Name] = a.Bytes
+	}
+	return out
+}
+
+func copies(out place.Output, item backend.Item) []string {
+	var on []string
+	for name, items := range out.Plan {
+		if slices.Contains(items, item) {
+			on = append(on, name)
+		}
+	}
+	slices.Sort(on)
+	return on
+}
+
+func TestGain(t *testing.T) {
+	a, b := model("a", 10), model("b", 10)
+	t.Run("two copies in two data centres where memory allows", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a, b}, Servers: []place.Server{
+			server("s1", "d1", 40), server("s2", "d1", 40), server("s3", "d2", 40),
+		}}
+		out := (&place.Gain{}).Plan(now, in)
+		for _, m := range in.Models {
+			on := copies(out, m.Item())
+			require.Len(t, on, 2)
+			require.Contains(t, on, "s3")
+		}
+		require.Empty(t, (&place.Gain{}).Plan(now, apply(in, out)).Moves, "nothing moves without a cause")
+	})
+	t.Run("a hot model gets copies, a cold one gives way", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a, b}, Servers: []place.Server{
+			server("s1", "d1", 20, a.Item()), server("s2", "d2", 20, b.Item()), server("s3", "d3", 20, b.Item()), server("s4", "d4", 20, b.Item()),
+		}, Demand: []view.Demand{{Name: "a", Rate: 10, Urgent: 10, Seconds: 1.5}}}
+		out := (&place.Gain{}).Plan(now, in)
+		require.Greater(t, len(copies(out, a.Item())), 1)
+		require.NotEmpty(t, copies(out, b.Item()))
+		in.Placement.MovePrice = 1e6
+		require.Empty(t, (&place.Gain{}).Plan(now, in).Moves, "the price forbids it")
+		in.Placement.MovePrice, in.Placement.MinResidenceMS = 0, 60_000
+		for j := range in.Servers {
+			in.Servers[j].Resident[0].Since = now.Add(-time.Second)
+		}
+		require.Empty(t, (&place.Gain{}).Plan(now, in).Moves, "young copies stay")
+	})
+	t.Run("demand of several nodes adds up", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a}, Servers: []place.Server{
+			server("s1", "d1", 20, a.Item()), server("s2", "d2", 20, a.Item()), server("s3", "d1", 20),
+		}}
+		for range 8 {
+			in.Demand = append(in.Demand, view.Demand{Name: "a", Rate: 2, Seconds: 1})
+		}
+		require.Len(t, copies((&place.Gain{}).Plan(now, in), a.Item()), 3)
+	})
+	t.Run("a lost server's items come first, urgent ones before", func(t *testing.T) {
+		c := model("c", 10)
+		in := place.Input{Models: []config.Model{a, b, c}, Servers: []place.Server{
+			server("s1", "d1", 60, a.Item()), server("s2", "d2", 60), server("s3", "d1", 60, b.Item(), c.Item()),
+		}, Demand: []view.Demand{{Name: "a", Rate: 50, Seconds: 1}, {Name: "c", Rate: 1, Urgent: 1, Seconds: 1}}}
+		in.Servers[2].Reachable = false
+		out := (&place.Gain{}).Plan(now, in)
+		require.Equal(t, c.Item(), out.Moves[0].Item)
+		require.Equal(t, b.Item(), out.Moves[1].Item)
+		require.Equal(t, place.Unreachable, out.Moves[0].Why)
+		require.NotContains(t, out.Plan, "s3")
+	})
+	t.Run("an adapter comes with its model", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a}, Adapters: []config.Adapter{adapter("x", "a")}, Servers: []place.Server{server("s1", "d1", 40)}}
+		out := (&place.Gain{}).Plan(now, in)
+		require.Equal(t, []backend.Item{a.Item(), in.Adapters[0].Item()}, out.Plan["s1"])
+		require.Equal(t, a.Item(), out.Moves[0].Item, "the model is loaded first")
+	})
+	t.Run("what fits nowhere is named", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{model("huge", 100)}, Servers: []place.Server{server("s1", "d1", 40)}}
+		require.Equal(t, []backend.Item{{Name: "huge", Version: "1"}}, (&place.Gain{}).Plan(now, in).Unplaced)
+	})
+}
+
+func TestInvariantReachableDuringVersionChange(t *testing.T) {
+	old := backend.Item{Name: "a", Version: "0"}
+	x := adapter("x", "a")
+	in := place.Input{
+		Models: []config.Model{model("a", 10)}, Adapters: []config.Adapter{x},
+		Servers: []place.Server{server("s1", "d1", 40, old), server("s2", "d1", 40)},
+	}
+	in.Servers[0].Resident = append(in.Servers[0].Resident, place.Copy{Item: x.Item(), Bytes: gb / 2})
+	for step := range 4 {
+		out := (&place.Gain{}).Plan(now, in)
+		oldStays := len(copies(out, old)) > 0
+		newServes := slices.ContainsFunc(in.Servers, func(s place.Server) bool {
+			return slices.ContainsFunc(s.Resident, func(c place.Copy) bool { return c.Item == in.Models[0].Item() })
+		})
+		require.True(t, oldStays || newServes, "step %d: neither version serves", step)
+		require.NotEmpty(t, copies(out, x.Item()), "step %d: the adapter is gone", step)
+		in = apply(in, out)
+	}
+	out := (&place.Gain{}).Plan(now, in)
+	require.Empty(t, copies(out, old), "the old version is dropped in the end")
+	require.Empty(t, out.Moves)
+}
+
+// fleet draws an input whose servers hold items that fit.
+func fleet(t *rapid.T) place.Input {
+	var in place.Input
+	for i := range rapid.IntRange(1, 8).Draw(t, "models") {
+		m := model(fmt.Sprint("m", i), int64(rapid.IntRange(2, 16).Draw(t, "size")))
+		m.MinCopies = rapid.IntRange(1, 2).Draw(t, "min-copies")
+		in.Models = append(in.Models, m)
+		for k := range rapid.IntRange(0, 3).Draw(t, "adapters") {
+			in.Adapters = append(in.Adapters, adapter(fmt.Sprint("m", i, "-a", k), m.Name))
+		}
+	}
+	for j := range rapid.IntRange(1, 8).Draw(t, "servers") {
+		in.Servers = append(in.Servers, server(fmt.Sprint("s", j), fmt.Sprint("d", j%3), int64(rapid.IntRange(12, 48).Draw(t, "memory"))))
+	}
+	for _, m := range in.Models {
+		rate := float64(rapid.IntRange(0, 30).Draw(t, "rate"))
+		in.Demand = append(in.Demand, view.Demand{Name: m.Name, Rate: rate, Urgent: rate / 2, Seconds: 1})
+	}
+	in.Placement = config.Placement{MovePrice: float64(rapid.IntRange(0, 20).Draw(t, "price"))}
+	return in
+}
+
+// disturb changes demand and loses or returns a server.
+func disturb(t *rapid.T, in place.Input) place.Input {
+	in.Servers = slices.Clone(in.Servers)
+	in.Demand = slices.Clone(in.Demand)
+	for i := range in.Demand {
+		in.Demand[i].Rate = float64(rapid.IntRange(0, 30).Draw(t, "rate"))
+	}
+	j := rapid.IntRange(0, len(in.Servers)-1).Draw(t, "server")
+	in.Servers[j].Reachable = !in.Servers[j].Reachable
+	if !in.Servers[j].Reachable {
+		in.Servers[j].Resident = nil
+	}
+	return in
+}
+
+func requireFits(t require.TestingT, in place.Input, out place.Output) {
+	bytes, peaks := sizes(in), map[string]int64{}
+	for _, m := range in.Models {
+		peaks[m.Name] = m.LoadPeakBytes
+	}
+	for _, a := range in.Adapters {
+		peaks[a.Name] = a.LoadPeakBytes
+	}
+	for _, s := range in.Servers {
+		var sum, peak int64
+		for _, i := range out.Plan[s.Name] {
+			sum += bytes[i.Name]
+			peak = max(peak, peaks[i.Name])
+			if i.Base != "" {
+				require.True(t, slices.ContainsFunc(out.Plan[s.Name], func(m backend.Item) bool { return m.Name == i.Base }), "adapter without model")
+			}
+		}
+		require.LessOrEqual(t, sum+peak, s.MemoryBytes-s.KVReserveBytes-s.HeldBytes, "server %s is overcommitted", s.Name)
+	}
+}
+
+func TestInvariantPlanFitsMemoryAndKeepsLastCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := fleet(t)
+		for range 6 {
+			for _, name := range place.Names() {
+				p, err := place.New(name)
+				require.NoError(t, err)
+				out := p.Plan(now, in)
+				requireFits(t, in, out)
+				require.Equal(t, out, p.Plan(now, in), "not deterministic")
+			}
+			out := (&place.Gain{}).Plan(now, in)
+			for _, m := range out.Moves {
+				if m.Op != backend.Unload {
+					continue
+				}
+				var holders []string
+				for _, s := range in.Servers {
+					if s.Reachable && slices.ContainsFunc(s.Resident, func(c place.Copy) bool { return c.Item == m.Item }) {
+						holders = append(holders, s.Name)
+					}
+				}
+				require.True(t, place.MayDrop(m.Item, m.Server, holders, 1), "%v may not be dropped", m)
+			}
+			in = disturb(t, apply(in, out))
+		}
+	})
+}
+
+// TestInvariantReachableAfterPlan shows that a declared item is without a copy
+// only if no server could take it with every spare copy dropped.
+func TestInvariantReachableAfterPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := fleet(t)
+		for range 4 {
+			out := (&place.Gain{}).Plan(now, in)
+			after := apply(in, out)
+			for _, i := range out.Unplaced {
+				var need int64
+				for _, m := range in.Models {
+					if m.Name == i.Name || m.Name == i.Base {
+						need += m.Bytes
+					}
+				}
+				for _, a := range in.Adapters {
+					if a.Name == i.Name {
+						need += a.Bytes
+					}
+				}
+				for _, s := range after.Servers {
+					used := int64(0)
+					for _, c := range s.Resident {
+						used += c.Bytes
+					}
+					room := s.MemoryBytes - s.KVReserveBytes - used - gb
+					require.False(t, s.Reachable && room >= need, "%v fits on %s", i, s.Name)
+				}
+			}
+			declared := len(in.Models) + len(in.Adapters)
+			reached := map[backend.Item]bool{}
+			for _, items := range out.Plan {
+				for _, i := range items {
+					reached[i] = true
+				}
+			}
+			require.Equal(t, declared, len(reached)+len(out.Unplaced))
+			in = disturb(t, after)
+		}
+	})
+}
+
+// TestInvariantLastCopyStaysWithOldViews lets owners drop by views of any age.
+func TestInvariantLastCopyStaysWithOldViews(t *testing.T) {
+	item := backend.Item{Name: "a", Version: "1"}
+	rapid.Check(t, func(t *rapid.T) {
+		holders := []string{"s0", "s1", "s2", "s3", "s4"}[:rapid.IntRange(1, 5).Draw(t, "holders")]
+		history := [][]string{slices.Clone(holders)}
+		for range 20 {
+			s := rapid.SampledFrom(holders).Draw(t, "server")
+			old := history[rapid.IntRange(0, len(history)-1).Draw(t, "age")]
+			if slices.Contains(old, s) && place.MayDrop(item, s, old, 1) {
+				holders = slices.DeleteFunc(slices.Clone(holders), func(h string) bool { return h == s })
+				require.NotEmpty(t, holders, "the last copy was dropped")
+				history = append(history, holders)
+			}
+		}
+	})
+}
+
+func TestLRU(t *testing.T) {
+	a, b, c := model("a", 10), model("b", 10), model("c", 10)
+	in := place.Input{
+		Models:  []config.Model{a, b, c},
+		Servers: []place.Server{server("s1", "d1", 26, a.Item(), b.Item())},
+		Demand:  []view.Demand{{Name: "c", Waiting: 3}},
+	}
+	in.Servers[0].Resident[0].Used = now.Add(-time.Minute)
+	in.Servers[0].Resident[1].Used = now.Add(-time.Hour)
+	out := place.LRU{}.Plan(now, in)
+	require.True(t, out.MayDropLast)
+	require.Equal(t, []backend.Item{a.Item(), c.Item()}, out.Plan["s1"])
+	in.Demand = nil
+	require.Empty(t, place.LRU{}.Plan(now, in).Moves)
+}
+
+func TestStaticIgnoresDemandAndLosses(t *testing.T) {
+	in := place.Input{Models: []config.Model{model("a", 10), model("b", 10)}, Servers: []place.Server{
+		server("s1", "d1", 26), server("s2", "d2", 26),
+	}}
+	out := place.Static{}.Plan(now, in)
+	require.Len(t, out.Moves, 4)
+	in.Demand = []view.Demand{{Name: "a", Rate: 100, Seconds: 1}}
+	in.Servers[1].Reachable = false
+	lost := place.Static{}.Plan(now, in)
+	require.Equal(t, out.Plan["s1"], lost.Plan["s1"])
+	require.NotContains(t, lost.Plan, "s2")
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ servers, models, adapters int }{
+		{20, 20, 30}, {100, 200, 600}, {300, 600, 2000}, {600, 1200, 4000},
+	} {
+		random := rand.New(rand.NewPCG(1, 1))
+		var in place.Input
+		for i := range size.models {
+			in.Models = append(in.Models, model(fmt.Sprint("m", i), 8+random.Int64N(9)))
+			in.Demand = append(in.Demand, view.Demand{Name: fmt.Sprint("m", i), Rate: random.ExpFloat64(), Urgent: 0.1, Seconds: 1})
+		}
+		for i := range size.adapters {
+			base := fmt.Sprint("m", random.IntN(size.models))
+			in.Adapters = append(in.Adapters, adapter(fmt.Sprint("x", i), base))
+			in.Demand = append(in.Demand, view.Demand{Name: fmt.Sprint("x", i), Rate: random.ExpFloat64() / 4, Seconds: 1})
+		}
+		for j := range size.servers {
+			in.Servers = append(in.Servers, server(fmt.Sprint("s", j), fmt.Sprint("d", j%7), 80))
+		}
+		in.Placement.MovePrice = 1
+		name := fmt.Sprintf("servers=%d/items=%d", size.servers, size.models+size.adapters)
+		b.Run(name+"/empty", func(b *testing.B) {
+			for b.Loop() {
+				(&place.Gain{}).Plan(now, in)
+			}
+		})
+		settled := apply(in, (&place.Gain{}).Plan(now, in))
+		b.Run(name+"/settled", func(b *testing.B) {
+			for b.Loop() {
+				(&place.Gain{}).Plan(now, settled)
+			}
+		})
+	}
+}
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -89,7 +89,8 @@
 
 	// Output is a plan.
 	Output struct {
-		// Plan names the items that each live server should hold, sorted.
+		// Plan names the items that each live server should hold, models
+		// before adapters, each sorted.
 		Plan map[string][]backend.Item
 		// Moves are the differences to what the servers hold, loads in the order
 		// of importance, then drops, adapters before models. A model must not be
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -47,6 +47,9 @@
 		peak  int64 // largest load peak of the plan's items
 		load  float64
 		items []held
+
+		options      []option // what may be dropped, see Gain.options
+		optionsKnown bool
 	}
 
 	// state is a plan in the making.
@@ -275,6 +278,7 @@
 	sv.items = append(sv.items, h)
 	sv.used += i.bytes
 	sv.peak = max(sv.peak, i.peak)
+	sv.optionsKnown = false
 }
 
 // take removes the k-th copy from the plan of server j.
@@ -288,6 +292,7 @@
 	sv.items = slices.Delete(sv.items, k, k+1)
 	sv.used -= i.bytes
 	sv.peak = 0
+	sv.optionsKnown = false
 	for _, h := range sv.items {
 		sv.peak = max(sv.peak, s.items[h.item].peak)
 	}
@@ -349,7 +354,10 @@
 	for j := range s.servers {
 		sv := &s.servers[j]
 		items := make([]backend.Item, 0, len(sv.items))
-		slices.SortFunc(sv.items, func(a, b held) int { return strings.Compare(s.items[a.item].name, s.items[b.item].name) })
+		slices.SortFunc(sv.items, func(a, b held) int {
+			x, y := &s.items[a.item], &s.items[b.item]
+			return cmp.Or(cmp.Compare(min(x.base, 0), min(y.base, 0)), strings.Compare(x.name, y.name))
+		})
 		for _, h := range sv.items {
 			items = append(items, s.items[h.item].item)
 		}
