--- a/core/member/types.go
+++ b/core/member/types.go
@@ -63,6 +63,7 @@
 		Leaving       bool   `cbor:"8,keyasint"` // takes no new work
 		ConfigVersion uint64 `cbor:"9,keyasint"`
 		ConfigHash    string `cbor:"10,keyasint"`
+		Fresh         bool   `cbor:"11,keyasint"` // the configuration was confirmed since the last pause
 	}
 
 	// Entry is a small value that nodes spread. Of two entries of one key the
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -94,7 +94,7 @@
 		mu     sync.Mutex
 		random *rand.Rand
 		budget *retry.Budget
-		flight map[string]int // own requests at a server
+		sent   route.Tracker
 	}
 
 	// attempt is the state of one request in Do.
@@ -116,7 +116,6 @@
 func (r *Router) Init(seed uint64, budget *retry.Budget) {
 	r.random = rand.New(rand.NewPCG(seed, 0))
 	r.budget = budget
-	r.flight = map[string]int{}
 }
 
 // Do generates the answer to q and passes it to emit.
@@ -225,8 +224,8 @@
 		cs = append(cs, route.Candidate{
 			Server:         v,
 			SameDataCentre: r.Place(v.Server) == r.DataCentre,
-			OwnInFlight:    r.flight[v.Server],
-			OwnRecent:      r.flight[v.Server],
+			OwnInFlight:    r.sent.InFlight(v.Server),
+			OwnRecent:      r.sent.Recent(v.Server),
 		})
 	}
 	q := route.Request{
@@ -248,11 +247,12 @@
 func (a *attempt) send(ctx context.Context, resume bool) error {
 	r := a.r
 	job := a.job(resume)
-	r.count(a.server, 1)
-	defer r.count(a.server, -1)
+	r.begin(a.server)
+	defer r.end(a.server)
 	sink := func(reply forward.Reply) error {
 		if reply.Load != nil {
 			r.Views.Heard(a.server, *reply.Load)
+			r.Seen(a.server)
 		}
 		if reply.Token == "" && reply.Finish == "" {
 			return nil
@@ -422,10 +422,23 @@
 	return ""
 }
 
-func (r *Router) count(server string, d int) {
+// Seen notes that a newer view or load of a server arrived.
+func (r *Router) Seen(server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.flight[server] += d
+	r.sent.Seen(server, time.Now())
+}
+
+func (r *Router) begin(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent.Sent(server, time.Now())
+}
+
+func (r *Router) end(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent.Ended(server)
 }
 
 // success fills the retry budget; only first attempts count.
