--- a/core/config/head/follower.go
+++ b/core/config/head/follower.go
@@ -10,8 +10,7 @@
 		inForce   Ref
 		target    Ref
 		confirmed bool // the target was confirmed since the start or last pause
-		stale     bool // no confirmed target was adopted since the last pause
-		started   bool // something was adopted since the start
+		fresh     bool // a confirmed target was adopted since then
 	}
 
 	// ForkError means that two documents claim the same version. The one known
@@ -36,10 +35,10 @@
 // Want returns the document to fetch, if one newer than that in force is known.
 func (f Follower) Want() (Ref, bool) { return f.target, f.target.Version > f.inForce.Version }
 
-// Fresh tells whether the node may admit requests: something is in force, and
-// since the last pause the head was heard of and is in force. A node that is
-// only behind a new version stays fresh while it fetches it.
-func (f Follower) Fresh() bool { return f.started && !f.stale }
+// Fresh tells whether the node may admit requests: since its start or last
+// pause the head was confirmed and put in force. A node that is only behind a
+// new version stays fresh while it fetches it.
+func (f Follower) Fresh() bool { return f.fresh }
 
 // WithRead returns f after ref was read from the head row, the zero Ref if the
 // row is absent. A lower version than the newest seen changes no version: the
@@ -53,14 +52,19 @@
 	return f.settled(), nil
 }
 
-// WithHeard returns f after a peer, which was fresh itself, told that ref is in
-// force there. Peers that are behind confirm nothing. The error is a
+// WithHeard returns f after a peer told that ref is in force there. It confirms
+// only if the peer was fresh itself and isn't behind. The error is a
 // *ForkError.
-func (f Follower) WithHeard(ref Ref) (Follower, error) {
+func (f Follower) WithHeard(ref Ref, fresh bool) (Follower, error) {
+	if f.target.forks(ref) {
+		return f, &ForkError{Known: f.target, Other: ref}
+	}
 	if ref.Version == 0 || ref.Version < f.target.Version {
 		return f, nil
 	}
-	return f.WithRead(ref)
+	f.target = ref
+	f.confirmed = f.confirmed || fresh
+	return f.settled(), nil
 }
 
 // forks tells whether o is another document of the same version.
@@ -73,24 +77,29 @@
 		return f
 	}
 	f.inForce = ref
-	f.started = true
-	if f.target.Version < ref.Version {
-		f.target = ref
-	}
+	f.target = Highest(f.target, ref)
 	return f.settled()
 }
 
 // WithPause returns f after the node found that it did not run for a while.
 func (f Follower) WithPause() Follower {
 	f.confirmed = false
-	f.stale = true
+	f.fresh = false
 	return f
 }
 
-// settled ends staleness once the confirmed target is in force.
+// WithTrust returns f after the table could not be read and no fresh peer was
+// heard for so long that the newest version seen is taken as confirmed. Else
+// nodes that all were paused in an outage would wait for each other.
+func (f Follower) WithTrust() Follower {
+	f.confirmed = true
+	return f.settled()
+}
+
+// settled makes f fresh once the confirmed target is in force.
 func (f Follower) settled() Follower {
-	if f.confirmed && f.inForce == f.target {
-		f.stale = false
+	if f.confirmed && f.inForce.Version > 0 && f.inForce == f.target {
+		f.fresh = true
 	}
 	return f
 }
--- /dev/null
+++ b/internal/configsync/apply.go
@@ -0,0 +1,255 @@
+package configsync
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"guavapaddle/core/config"
+	"guavapaddle/core/config/head"
+	"guavapaddle/core/row"
+	"guavapaddle/io/table"
+)
+
+const (
+	applyRetryFirst = 100 * time.Millisecond
+	applyRetryMost  = 2 * time.Second
+	// settleTime bounds the reading after a decision, when the context given to
+	// Apply may have ended.
+	settleTime = 2 * time.Second
+)
+
+type (
+	// Applier applies documents. Its exported fields are set before Apply.
+	Applier struct {
+		Table    Table
+		Store    Store
+		Operator string        // who applies, for others to read
+		NewID    func() string // unique apply ids; random if nil
+		Base     uint64        // the version that the head must have, any if zero
+	}
+
+	// Applied is a document that was accepted.
+	Applied struct {
+		Head      head.Head
+		Unchanged bool      // the document was in force before, nothing was written
+		Newest    head.Head // accepted after Head, zero if Head is the newest
+	}
+
+	// attempt is one run of Apply.
+	attempt struct {
+		*Applier
+		doc *config.Document
+		id  string
+	}
+)
+
+// Apply stores doc and makes it the newest, trying until ctx ends. doc must be
+// valid. For errors see the package comment.
+func (a *Applier) Apply(ctx context.Context, doc *config.Document) (Applied, error) {
+	id := rand.Text()
+	if a.NewID != nil {
+		id = a.NewID()
+	}
+	return (&attempt{Applier: a, doc: doc, id: id}).run(ctx)
+}
+
+func (a *attempt) run(ctx context.Context) (Applied, error) {
+	body := a.doc.Canonical()
+	hash := config.HashBytes(body)
+	read, err := a.readHead(ctx)
+	if err != nil {
+		return Applied{}, &UnavailableError{Step: "read the head row", Err: err}
+	}
+	current, err := head.Parse(read)
+	if err != nil {
+		return Applied{}, &UnavailableError{Step: "read the head row", Err: err}
+	}
+	if a.Base != 0 && current.Version != a.Base {
+		return Applied{}, a.conflict(ctx, current, head.Head{})
+	}
+	if current.Hash == hash {
+		return Applied{Head: current, Unchanged: true}, nil
+	}
+	put := func() (struct{}, error) { return struct{}{}, a.Store.Put(ctx, BodyKey(hash), body) }
+	if _, err := retry(ctx, put); err != nil {
+		return Applied{}, &UnavailableError{Step: "store the body", Err: err}
+	}
+	p, err := head.Propose(read, hash, a.id, a.Operator, time.Now().UnixMilli())
+	if err != nil {
+		return Applied{}, &UnavailableError{Step: "read the head row", Err: err}
+	}
+	return a.commit(ctx, p)
+}
+
+// commit sends the proposal until its fate is known. Sending it again is safe:
+// its conditions hold at most once.
+func (a *attempt) commit(ctx context.Context, p head.Proposal) (Applied, error) {
+	sent := false // an earlier try may have taken effect
+	pause := newBackoff()
+	for {
+		result, err := a.Table.Transact(ctx, p.Tx)
+		if err == nil && result.Committed {
+			return Applied{Head: p.Head}, nil
+		}
+		if rival, ok := decided(result, p.Head.Version); err == nil && !sent && ok {
+			return Applied{}, a.conflict(ctx, rival, p.Head)
+		}
+		if table.KindOf(err) == table.Invalid {
+			return Applied{}, &UnavailableError{Step: "advance the head row", Err: err}
+		}
+		sent = sent || table.KindOf(err) == table.Uncertain
+		if err == nil || sent {
+			applied, j, settled := a.settle(ctx, p.Head)
+			if settled {
+				return applied, a.verdictError(ctx, j, p.Head)
+			}
+		}
+		if cause := wait(ctx, pause.NextBackOff()); cause != nil {
+			return Applied{}, unsettled(sent || err == nil, p.Head, firstError(err, cause))
+		}
+	}
+}
+
+// decided returns what was accepted in place of the given version, from the
+// rows in conflict.
+func decided(r row.Result, version uint64) (head.Head, bool) {
+	for _, key := range []string{head.HistoryKey(version), head.Key} {
+		for _, c := range r.Conflicts {
+			if h, err := head.Parse(c); c.Key == key && err == nil && h.Version >= version {
+				return h, true
+			}
+		}
+	}
+	return head.Head{}, false
+}
+
+// settle reads back what became of the proposal mine; settled is false if that
+// is not known yet.
+func (a *attempt) settle(ctx context.Context, mine head.Head) (applied Applied, j head.Judgement, settled bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	rows, err := a.Table.Read(ctx, head.Key, head.HistoryKey(mine.Version))
+	if err != nil {
+		return Applied{}, j, false
+	}
+	if j, err = head.Judge(mine, rows[0], rows[1]); err != nil {
+		return Applied{}, j, false
+	}
+	switch j.Verdict {
+	case head.Won:
+		return Applied{Head: mine}, j, true
+	case head.Superseded:
+		return Applied{Head: mine, Newest: j.Rival}, j, true
+	case head.Lost, head.Forgotten:
+		return Applied{}, j, true
+	default:
+		return Applied{}, j, false
+	}
+}
+
+func (a *attempt) verdictError(ctx context.Context, j head.Judgement, mine head.Head) error {
+	switch j.Verdict {
+	case head.Lost:
+		return a.conflict(ctx, j.Rival, mine)
+	case head.Forgotten:
+		return &UnknownError{Mine: mine, Err: errForgotten}
+	default:
+		return nil
+	}
+}
+
+// conflict returns a *ConflictError with what differs, if the winner's body
+// can be read.
+func (a *attempt) conflict(ctx context.Context, winner, mine head.Head) error {
+	e := &ConflictError{Winner: winner, Mine: mine}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	if theirs, err := Fetch(ctx, a.Store, winner.Hash); err == nil {
+		e.Changes = config.Diff(theirs, a.doc)
+	}
+	return e
+}
+
+func (a *attempt) readHead(ctx context.Context) (row.Row, error) {
+	return retry(ctx, func() (row.Row, error) {
+		rows, err := a.Table.Read(ctx, head.Key)
+		if err != nil {
+			return row.Row{}, err
+		}
+		return rows[0], nil
+	})
+}
+
+// Fetch reads the body with a hash from the store, checks and parses it.
+func Fetch(ctx context.Context, s Getter, hash string) (*config.Document, error) {
+	body, err := s.Get(ctx, BodyKey(hash))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(body, hash); err != nil {
+		return nil, err
+	}
+	return config.Parse(body)
+}
+
+// check returns a *HashError if body has another hash.
+func check(body []byte, hash string) error {
+	if got := config.HashBytes(body); got != hash {
+		return &HashError{Want: hash, Got: got}
+	}
+	return nil
+}
+
+func unsettled(sent bool, mine head.Head, err error) error {
+	if sent {
+		return &UnknownError{Mine: mine, Err: err}
+	}
+	return &UnavailableError{Step: "advance the head row", Err: err}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = applyRetryFirst
+	b.MaxInterval = applyRetryMost
+	return b
+}
+
+// retry repeats op until it succeeds or ctx ends; the error is op's last one.
+func retry[T any](ctx context.Context, op func() (T, error)) (T, error) {
+	var last error
+	v, err := backoff.Retry(ctx, func() (T, error) {
+		v, err := op()
+		if err != nil {
+			last = err
+		}
+		return v, err
+	}, backoff.WithBackOff(newBackoff()), backoff.WithMaxElapsedTime(0))
+	if err != nil && last != nil {
+		return v, last
+	}
+	return v, err
+}
+
+// wait waits for d and returns the cause if ctx ends before.
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/configsync/fetch.go
@@ -0,0 +1,125 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/config"
+	"guavapaddle/core/config/head"
+)
+
+// errNoPeer is the failure of a fetch when there is no peer to ask.
+var errNoPeer = eris.New("no live peer has the body")
+
+// fetchLoop fetches and puts in force whatever is newer than that in force.
+func (f *Follower) fetchLoop(ctx context.Context) error {
+	b := failBackoff()
+	for {
+		f.mu.Lock()
+		ref, behind := f.state.Want()
+		f.mu.Unlock()
+		if !behind {
+			b.Reset()
+			select {
+			case <-f.want:
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			}
+			continue
+		}
+		err := f.bring(ctx, ref)
+		if err == nil {
+			continue
+		}
+		f.Log.Warn("config-fetch", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.Error(err))
+		if err := waitOr(ctx, b.NextBackOff(), f.want); err != nil {
+			return err
+		}
+	}
+}
+
+// bring fetches the body of ref and puts it in force.
+func (f *Follower) bring(ctx context.Context, ref head.Ref) error {
+	body, source, err := f.fetch(ctx, ref.Hash)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Parse(body)
+	if err != nil {
+		f.Metrics.rejected.Inc()
+		return err
+	}
+	index := config.NewIndex(doc, ref.Version)
+	// OnChange goes first, so that a node that says it has a version serves it.
+	if f.OnChange != nil {
+		f.OnChange(index)
+	}
+	f.mu.Lock()
+	f.state = f.state.WithAdopted(ref)
+	f.body, f.index = body, index
+	f.mu.Unlock()
+	f.Metrics.version.Set(float64(ref.Version))
+	f.Log.Info("config-in-force", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.String("source", source))
+	return nil
+}
+
+// fetch gets the body with a hash from the store, else from peers.
+func (f *Follower) fetch(ctx context.Context, hash string) (body []byte, source string, err error) {
+	body, err = f.fetchFrom(ctx, fromStore, hash, func(ctx context.Context) ([]byte, error) {
+		return f.Store.Get(ctx, BodyKey(hash))
+	})
+	if err == nil {
+		return body, fromStore, nil
+	}
+	if peerBody, peerErr := f.fetchPeers(ctx, hash); peerErr == nil {
+		return peerBody, fromPeer, nil
+	}
+	return nil, "", err
+}
+
+// fetchFrom gets and checks a body from one source.
+func (f *Follower) fetchFrom(ctx context.Context, source, hash string, get func(context.Context) ([]byte, error)) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.FetchTimeout)
+	defer cancel()
+	body, err := get(ctx)
+	if err == nil {
+		err = check(body, hash)
+	}
+	f.Metrics.fetches.WithLabelValues(source, result(err)).Inc()
+	return body, err
+}
+
+// fetchPeers asks a few random peers at the same time and takes the first body
+// with the hash.
+func (f *Follower) fetchPeers(ctx context.Context, hash string) ([]byte, error) {
+	if f.Peers == nil {
+		return nil, errNoPeer
+	}
+	peers := slices.Clone(f.Peers())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), peersAsked)]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	bodies := make(chan []byte, len(peers))
+	for _, p := range peers {
+		go func() {
+			body, err := f.fetchFrom(ctx, fromPeer, hash, func(ctx context.Context) ([]byte, error) {
+				return p.FetchConfig(ctx, hash)
+			})
+			if err != nil {
+				body = nil
+			}
+			bodies <- body
+		}()
+	}
+	for range peers {
+		if body := <-bodies; body != nil {
+			return body, nil
+		}
+	}
+	return nil, errNoPeer
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,79 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"guavapaddle/core/outcome"
+)
+
+// Keys that stand in many lines.
+const (
+	requestKey  = "request-id"
+	customerKey = "customer"
+	kindKey     = "kind"
+	modelKey    = "model"
+	serverKey   = "server"
+	outcomeKey  = "outcome"
+	reasonKey   = "reason"
+	nodeKey     = "node"
+)
+
+// LevelError means that a level is not one that zap knows.
+type LevelError struct {
+	Level string
+	Err   error
+}
+
+// Error tells the level.
+func (e *LevelError) Error() string { return fmt.Sprintf("log level %q: %v", e.Level, e.Err) }
+
+// Unwrap returns the cause.
+func (e *LevelError) Unwrap() error { return e.Err }
+
+// New returns a logger that writes lines to w from a level on: "debug",
+// "info", "warn" or "error". The error is a *LevelError.
+func New(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, &LevelError{Level: level, Err: err}
+	}
+	encoder := zaplogfmt.NewEncoder(zapcore.EncoderConfig{
+		TimeKey:        "time",
+		LevelKey:       "level",
+		MessageKey:     "event",
+		LineEnding:     zapcore.DefaultLineEnding,
+		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	})
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), l)), nil
+}
+
+// Request returns the field that names a request.
+func Request(id string) zap.Field { return zap.String(requestKey, id) }
+
+// Customer returns the field that names a customer.
+func Customer(name string) zap.Field { return zap.String(customerKey, name) }
+
+// Kind returns the field that names a kind of work.
+func Kind(name string) zap.Field { return zap.String(kindKey, name) }
+
+// Model returns the field that names a model or adapter.
+func Model(name string) zap.Field { return zap.String(modelKey, name) }
+
+// Server returns the field that names a backend server.
+func Server(name string) zap.Field { return zap.String(serverKey, name) }
+
+// Outcome returns the field that tells how a request ended.
+func Outcome(o outcome.Outcome) zap.Field { return zap.String(outcomeKey, string(o)) }
+
+// Reason returns the field that tells why.
+func Reason(r outcome.Reason) zap.Field { return zap.String(reasonKey, string(r)) }
+
+// Node returns the field that names a node.
+func Node(name string) zap.Field { return zap.String(nodeKey, name) }
