--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavapaddle/core/forward"
@@ -36,6 +37,7 @@
 		// ResumeGrace is how long a generation goes on that nobody reads.
 		ResumeGrace time.Duration
 
+		active  atomic.Int64
 		mu      sync.Mutex
 		servers map[string]*server
 	}
@@ -140,6 +142,10 @@
 	return n
 }
 
+// Active returns how many generations run or linger, those of servers that the
+// node gave up included.
+func (d *Dispatcher) Active() int { return int(d.active.Load()) }
+
 // Do runs a job on a server that this node owns and passes the answer to sink.
 // The error is nil, a *engines.SinkError or an *outcome.Error.
 func (d *Dispatcher) Do(ctx context.Context, job forward.Job, sink engines.Sink) error {
@@ -149,6 +155,8 @@
 		e := outcome.Refuse(outcome.NoServer, (&NotOwned{Server: job.Server}).Error(), notOwnedRetry)
 		return e
 	}
+	d.active.Add(1)
+	defer d.active.Add(-1)
 	if job.Resume {
 		s.adopt(job.EngineID)
 		return d.run(ctx, s, engine, job, 0, sink)
--- /dev/null
+++ b/internal/node/plan.go
@@ -0,0 +1,328 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	rendezvous "github.com/dgryski/go-rendezvous"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/backend"
+	"guavapaddle/core/config"
+	"guavapaddle/core/place"
+	"guavapaddle/core/view"
+	"guavapaddle/internal/cluster"
+	"guavapaddle/io/peer"
+)
+
+const (
+	plannerKey    = "planner"
+	demandPeriod  = time.Second
+	demandStale   = 5 * time.Second
+	demandHalf    = 5 * time.Second // half-life of a demand estimate
+	defaultPeriod = time.Second
+	planTimeout   = time.Second
+)
+
+type (
+	// demand learns what callers of this node ask for.
+	demand struct {
+		mu    sync.Mutex
+		names map[string]*asked
+	}
+
+	asked struct {
+		count, urgent int // since the last report
+		rate, share   float64
+		seconds       float64
+		waiting       int
+	}
+
+	// demandReport is what a node tells the planner.
+	demandReport struct {
+		Demand []view.Demand `cbor:"1,keyasint"`
+	}
+
+	// planMessage is what the planner tells an owner.
+	planMessage struct {
+		Plan        map[string][]backend.Item `cbor:"1,keyasint"`
+		MayDropLast bool                      `cbor:"2,keyasint"`
+	}
+
+	// planner proposes the placement while this node is chosen for it.
+	planner struct {
+		node   *Node
+		policy place.Planner
+
+		mu      sync.Mutex
+		reports map[string]report
+		since   map[string]map[backend.Item]time.Time
+		used    map[string]time.Time // by name of model or adapter
+	}
+
+	report struct {
+		demand []view.Demand
+		at     time.Time
+	}
+)
+
+func newDemand() *demand { return &demand{names: map[string]*asked{}} }
+
+func (d *demand) of(name string) *asked {
+	a := d.names[name]
+	if a == nil {
+		a = &asked{}
+		d.names[name] = a
+	}
+	return a
+}
+
+// Asked implements entry.Demand.
+func (d *demand) Asked(name string, u config.Urgency) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.of(name)
+	a.count++
+	if u == config.Urgent {
+		a.urgent++
+	}
+}
+
+// Took implements entry.Demand.
+func (d *demand) Took(name string, seconds float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.of(name)
+	if a.seconds == 0 {
+		a.seconds = seconds
+	}
+	a.seconds += (seconds - a.seconds) / 8
+}
+
+// wanted counts requests that wait for a copy of an item.
+func (d *demand) wanted(i backend.Item, change int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.of(i.Name).waiting += change
+}
+
+// report returns the demand since the last report, which was period ago.
+func (d *demand) report(period time.Duration) []view.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	keep := 1 - period.Seconds()/(period.Seconds()+demandHalf.Seconds())
+	var out []view.Demand
+	for name, a := range d.names {
+		a.rate = keep*a.rate + (1-keep)*float64(a.count)/period.Seconds()
+		a.share = keep*a.share + (1-keep)*float64(a.urgent)/period.Seconds()
+		a.count, a.urgent = 0, 0
+		if a.rate < 1e-3 && a.waiting == 0 {
+			delete(d.names, name)
+			continue
+		}
+		out = append(out, view.Demand{Name: name, Rate: a.rate, Urgent: a.share, Seconds: a.seconds, Waiting: a.waiting})
+	}
+	return out
+}
+
+// run plans and reports demand until ctx ends.
+func (p *planner) run(ctx context.Context) {
+	t := time.NewTicker(demandPeriod)
+	defer t.Stop()
+	var planned time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		p.reportDemand(ctx)
+		x := p.node.follower.Index()
+		if x == nil || p.chosen() != p.node.settings.Name {
+			continue
+		}
+		if now := time.Now(); now.Sub(planned) >= period(x) {
+			planned = now
+			p.plan(ctx, now, x)
+		}
+	}
+}
+
+func period(x *config.Index) time.Duration {
+	if ms := x.Placement().PeriodMS; ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return defaultPeriod
+}
+
+// chosen returns the node that plans. Two nodes may differ about it for a
+// while; that costs moves, never safety.
+func (p *planner) chosen() string {
+	names := p.node.cluster.Working()
+	if len(names) == 0 {
+		return p.node.settings.Name
+	}
+	return rendezvous.New(names, xxhash.Sum64String).Lookup(plannerKey)
+}
+
+// reportDemand tells the planner what callers of this node asked for.
+func (p *planner) reportDemand(ctx context.Context) {
+	d := p.node.demand.report(demandPeriod)
+	to := p.chosen()
+	if to == p.node.settings.Name {
+		p.heard(to, d)
+		return
+	}
+	if len(d) > 0 {
+		go p.node.cluster.Tell(ctx, to, cluster.KindDemand, demandReport{Demand: d})
+	}
+}
+
+// heard takes in a node's demand.
+func (p *planner) heard(from string, d []view.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reports == nil {
+		p.reports = map[string]report{}
+		p.since = map[string]map[backend.Item]time.Time{}
+		p.used = map[string]time.Time{}
+	}
+	now := time.Now()
+	p.reports[from] = report{demand: d, at: now}
+	for _, one := range d {
+		p.used[one.Name] = now
+	}
+}
+
+// plan makes a plan and tells the owners.
+func (p *planner) plan(ctx context.Context, now time.Time, x *config.Index) {
+	in := p.input(now, x)
+	out := p.policy.Plan(now, in)
+	for _, m := range out.Moves {
+		p.node.log.Debug("proposed move", zap.String("server", m.Server), zap.String("item", m.Item.String()),
+			zap.String("op", string(m.Op)), zap.String("reason", string(m.Why)))
+	}
+	byOwner := map[string]planMessage{}
+	for _, v := range p.node.views.All() {
+		items, ok := out.Plan[v.Server]
+		if !ok || v.Owner == "" {
+			continue
+		}
+		m := byOwner[v.Owner]
+		if m.Plan == nil {
+			m = planMessage{Plan: map[string][]backend.Item{}, MayDropLast: out.MayDropLast}
+		}
+		m.Plan[v.Server] = items
+		byOwner[v.Owner] = m
+	}
+	for owner, m := range byOwner {
+		if owner == p.node.settings.Name {
+			p.node.follow(m)
+			continue
+		}
+		tell, cancel := context.WithTimeout(ctx, planTimeout)
+		go func() {
+			defer cancel()
+			p.node.cluster.Tell(tell, owner, cluster.KindPlan, m)
+		}()
+	}
+}
+
+// input gathers what a plan depends on.
+func (p *planner) input(now time.Time, x *config.Index) place.Input {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	doc := x.Document()
+	in := place.Input{Models: doc.Models, Adapters: doc.Adapters, Placement: doc.Placement}
+	for from, r := range p.reports {
+		if now.Sub(r.at) > demandStale {
+			delete(p.reports, from)
+			continue
+		}
+		in.Demand = append(in.Demand, r.demand...)
+	}
+	for _, s := range doc.Servers {
+		if s.Type == config.Engine {
+			in.Servers = append(in.Servers, p.server(now, s))
+		}
+	}
+	return in
+}
+
+// server describes one engine to the planner.
+func (p *planner) server(now time.Time, s config.BackendServer) place.Server {
+	v, _ := p.node.views.Get(s.Name)
+	out := place.Server{
+		Name:           s.Name,
+		DataCentre:     s.DataCentre,
+		MemoryBytes:    s.MemoryBytes,
+		KVReserveBytes: s.KVReserveBytes,
+		Slots:          s.Slots,
+		Reachable:      v.Reachable,
+		Leaving:        v.Leaving || p.node.views.Leaving(s.Name),
+	}
+	seen := map[backend.Item]time.Time{}
+	for _, i := range v.Resident {
+		since, ok := p.since[s.Name][i]
+		if !ok {
+			since = now
+		}
+		seen[i] = since
+		out.Resident = append(out.Resident, place.Copy{Item: i, Bytes: p.bytes(i), Since: since, Used: p.used[i.Name]})
+	}
+	if p.since != nil {
+		p.since[s.Name] = seen
+	}
+	for _, i := range v.Loading {
+		out.Loading = append(out.Loading, place.Copy{Item: i, Bytes: p.bytes(i), Since: now, Used: p.used[i.Name]})
+	}
+	return out
+}
+
+// bytes returns the size of an item by the configuration in force. A version
+// that is not declared any more counts as large as the one that is.
+func (p *planner) bytes(i backend.Item) int64 {
+	x := p.node.follower.Index()
+	if x == nil {
+		return 0
+	}
+	for _, m := range x.Document().Models {
+		if i.Base == "" && m.Name == i.Name {
+			return m.Bytes
+		}
+	}
+	for _, a := range x.Document().Adapters {
+		if a.Name == i.Name {
+			return a.Bytes
+		}
+	}
+	return 0
+}
+
+// follow passes a plan on to the owner part.
+func (n *Node) follow(m planMessage) {
+	for server, items := range m.Plan {
+		n.owner.SetPlan(server, items)
+	}
+}
+
+// message takes in what other nodes tell besides membership.
+func (n *Node) message(from string, f peer.Frame) {
+	switch f.Kind {
+	case cluster.KindDemand:
+		var r demandReport
+		if f.Decode(&r) == nil {
+			n.planner.heard(from, r.Demand)
+		}
+	case cluster.KindPlan:
+		var m planMessage
+		if f.Decode(&m) == nil {
+			n.follow(m)
+		}
+	}
+}
+
+// registerControl registers the counters of what control costs.
+func (n *Node) registerControl() {}
