--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -34,6 +34,9 @@
 	TokensSeen Reason = "tokens-seen"
 	// NotRepeatable means that the attempt may have run and must not run twice.
 	NotRepeatable Reason = "not-repeatable"
+	// NoKey means that the request was sent, must not run twice and came
+	// without an idempotency key: it is sent once, whatever became of it.
+	NoKey Reason = "no-key"
 	// Final means that another attempt would fail in the same way.
 	Final Reason = "final"
 	// Attempts means that the request had all its attempts.
@@ -138,8 +141,7 @@
 func final(r outcome.Reason) bool {
 	switch r {
 	case outcome.BackendRefused, outcome.BackendUnreachable, outcome.BackendLost,
-		outcome.BackendCut, outcome.BackendFailed, outcome.PeerLost, outcome.NoCopy,
-		outcome.NoServer, outcome.QueueFull:
+		outcome.BackendCut, outcome.BackendFailed, outcome.PeerLost, outcome.QueueFull:
 		return false
 	}
 	return true
--- a/core/suspect/mark.go
+++ b/core/suspect/mark.go
@@ -49,6 +49,16 @@
 	return n
 }
 
+// Trying tells whether a trial is charged whose end is not known.
+func (m Mark) Trying() bool {
+	for _, i := range m.Incidents {
+		if i.Trial != "" && !contains(m.Cleared, i) {
+			return true
+		}
+	}
+	return false
+}
+
 // WithIncident returns m with one more incident.
 func (m Mark) WithIncident(i Incident, expiresMS int64) Mark {
 	m.Incidents = union(m.Incidents, []Incident{i})
--- a/core/suspect/set.go
+++ b/core/suspect/set.go
@@ -48,7 +48,8 @@
 
 // Crash notes that a server crashed with requests in flight and returns their
 // marks, to be told to the other nodes at once. The same incident may be noted
-// by several nodes; it counts once.
+// by several nodes; it counts once. The charge of a request that was on trial
+// stays, so a second crash of the same server counts whatever its boot id.
 func (s *Set) Crash(now time.Time, i Incident, inflight []Fingerprint) []Mark {
 	out := make([]Mark, 0, len(inflight))
 	for _, fp := range inflight {
@@ -85,19 +86,14 @@
 	return m
 }
 
-// Crashed notes that the server of a trial crashed: the crash takes the place
-// of the charge. It returns the mark.
-func (s *Set) Crashed(now time.Time, fp Fingerprint, trial, crash Incident) Mark {
-	m := s.note(now, fp, crash).WithCleared(trial)
-	s.put(m)
-	return m
-}
-
 // Verdict tells what may be done with fp.
 func (s *Set) Verdict(now time.Time, fp Fingerprint) Verdict {
 	return s.mark(now, fp).verdict()
 }
 
+// Mark returns what is known against fp.
+func (s *Set) Mark(now time.Time, fp Fingerprint) Mark { return s.mark(now, fp) }
+
 // Merge takes over what others know and returns the number of marks that
 // changed.
 func (s *Set) Merge(now time.Time, marks []Mark) int {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -5,7 +5,12 @@
 	"net/http"
 	"time"
 
+	"guavapaddle/core/claim"
 	"guavapaddle/core/config"
+	"guavapaddle/core/outcome"
+	"guavapaddle/core/suspect"
+	"guavapaddle/internal/claims"
+	"guavapaddle/internal/suspects"
 )
 
 type (
@@ -15,7 +20,7 @@
 		Kind           config.Kind // its Repeatable decides how the call is treated
 		Service        string      // name of the plain service
 		Method         string
-		Path           string // escaped, below the service's path, with query if any
+		Path           string // escaped, whole as the caller sent it, with query if any
 		Header         http.Header
 		Body           []byte
 		IdempotencyKey string    // empty if the caller gave none
@@ -36,9 +41,8 @@
 	Servers interface {
 		// Pick returns a live server of the service that takes new work,
 		// those not in avoid first, and false if there is none at all. done is
-		// called once when the call has ended; ok is false if the server
-		// could not be reached or lost the call.
-		Pick(service string, avoid []string) (s config.BackendServer, done func(ok bool), found bool)
+		// called once when the call has ended, with nil or what Send returned.
+		Pick(service string, avoid []string) (s config.BackendServer, done func(*outcome.Error), found bool)
 	}
 
 	// Backend sends a call to a backend server, once, on a connection that
@@ -50,4 +54,27 @@
 		// other case.
 		Send(ctx context.Context, s config.BackendServer, r Request) (Answer, error)
 	}
+
+	// Claims keeps claims; *claims.Store is one.
+	Claims interface {
+		Claim(ctx context.Context, c claims.Call) (claims.Grant, error)
+		Finish(h claim.Held, a claim.Answer)
+		Lose(h claim.Held, r outcome.Reason)
+		Release(h claim.Held)
+	}
+
+	// Suspects decides which requests run that may crash servers;
+	// *suspects.Guard is one.
+	Suspects interface {
+		Begin(ctx context.Context, fp suspect.Fingerprint, server string, own bool) (suspects.Run, error)
+		Succeeded(r suspects.Run)
+		NotRun(r suspects.Run)
+		Crashed(ctx context.Context, r suspects.Run, bootID string)
+	}
+
+	// Prober tells whether a server takes connections, which one that crashed
+	// does not.
+	Prober interface {
+		Alive(ctx context.Context, s config.BackendServer) bool
+	}
 )
--- a/internal/claims/failure.go
+++ b/internal/claims/failure.go
@@ -1,4 +1,9 @@
 package claims
 
+import "guavapaddle/io/table"
+
 // notDone tells whether a failed transaction was surely not done.
-func notDone(error) bool { return false }
+func notDone(err error) bool {
+	k := table.KindOf(err)
+	return k == table.Unavailable || k == table.Invalid
+}
--- /dev/null
+++ b/internal/suspects/metrics.go
@@ -0,0 +1,23 @@
+package suspects
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts what a Guard does. A nil Metrics counts nothing.
+type Metrics struct{ events *prometheus.CounterVec }
+
+// NewMetrics returns counters that are registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{events: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "guavapaddle_suspects_total",
+		Help: "Events of requests that crash servers: crash, trial, trial-offline, cleared, busy, unwritten or refused-WHY.",
+	}, []string{"event"})}
+	r.MustRegister(m.events)
+	return m
+}
+
+// count counts one event.
+func (m *Metrics) count(event string) {
+	if m != nil {
+		m.events.WithLabelValues(event).Inc()
+	}
+}
