--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -82,27 +82,35 @@
 // Start begins to serve and returns the address. After Close it may be called
 // again: the engine then has a new boot id and nothing loaded.
 func (e *Engine) Start() (string, error) {
+	mux := http.NewServeMux()
+	mux.Handle("/engine/v1/", e.Handler())
+	mux.HandleFunc("POST /fault", e.Faults.ServeFault)
+	mux.Handle("GET /counters", e.Faults.Counters)
+	e.server = &fault.Server{Listen: e.Listen, Handler: mux}
+	e.Faults.Server = e.server
+	return e.server.Start()
+}
+
+// Handler starts the engine without a listener and returns its calls under its
+// faults. Close ends it.
+func (e *Engine) Handler() http.Handler {
 	if e.Faults.Counters == nil {
 		e.Faults.Counters = &fault.Counters{}
 	}
 	for _, name := range []string{"peak-memory-bytes", "runs", "orders", "stale-orders-refused", "overcommit-refused", "memory-violations", "crashes"} {
 		e.Faults.Counters.Add(name, 0)
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/engine/v1/", e.present(e.Faults.Wrap(e.calls())))
-	mux.HandleFunc("POST /fault", e.Faults.ServeFault)
-	mux.Handle("GET /counters", e.Faults.Counters)
-	e.server = &fault.Server{Listen: e.Listen, Handler: mux}
-	e.Faults.Server = e.server
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.restart()
-	e.mu.Unlock()
-	return e.server.Start()
+	return e.present(e.Faults.Wrap(e.calls()))
 }
 
 // Close stops serving, at once: streams break.
 func (e *Engine) Close() {
-	e.server.Close()
+	if e.server != nil {
+		e.server.Close()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.boot.cancel()
@@ -162,7 +170,9 @@
 	}
 	e.boot.cancel()
 	e.away = time.Now().Add(e.RestartAfter)
-	e.server.Break(nil)
+	if e.server != nil {
+		e.server.Break(nil)
+	}
 	e.restart()
 }
 
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, c.fail(NotSent, err)
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req) //nolint:bodyclose // the Stream closes it
 	if err != nil {
 		stage := NotSent
 		if t.abandon() {
--- a/io/jsonhttp/conn.go
+++ b/io/jsonhttp/conn.go
@@ -40,7 +40,7 @@
 	c.sealed = true
 	n := c.writes
 	c.mu.Unlock()
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return n
 }
 
