--- /dev/null
+++ b/io/engine/engine_test.go
@@ -0,0 +1,399 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/backend"
+	standin "guavapaddle/internal/standin/engine"
+	"guavapaddle/internal/standin/fault"
+	"guavapaddle/io/engine"
+)
+
+var (
+	model = backend.Item{Name: "m", Version: "1"}
+	other = backend.Item{Name: "n", Version: "1"}
+)
+
+// short bounds waits that a test wants to run out.
+var short = engine.StreamOptions{FirstTimeout: 200 * time.Millisecond, ProgressTimeout: 100 * time.Millisecond}
+
+// start starts an engine with a resident model and returns it with a client.
+func start(t *testing.T, e *standin.Engine) *engine.Client {
+	t.Helper()
+	e.Name = "e"
+	if e.MemoryBytes == 0 {
+		e.MemoryBytes = 100
+	}
+	if e.Step == 0 {
+		e.Step = time.Millisecond
+	}
+	address, err := e.Start()
+	require.NoError(t, err)
+	t.Cleanup(e.Close)
+	require.True(t, e.Preload(model, 10))
+	c := &engine.Client{Address: address}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// ask returns a request for n tokens.
+func ask(id string, n int) backend.Generate {
+	return backend.Generate{RequestID: id, Item: model, Prompt: "prompt of " + id, MaxTokens: n}
+}
+
+// drain reads a stream to its end and returns the tokens.
+func drain(s *engine.Stream) (tokens []string, finish string, err error) {
+	defer s.Close()
+	for {
+		e, err := s.Next()
+		if err != nil {
+			return tokens, "", err
+		}
+		if e.Finish != "" {
+			return tokens, e.Finish, nil
+		}
+		tokens = append(tokens, e.Token)
+	}
+}
+
+// whole makes a request and reads its answer.
+func whole(c *engine.Client, g backend.Generate) (tokens []string, err error) {
+	s, err := c.Generate(context.Background(), g, engine.StreamOptions{})
+	if err != nil {
+		return nil, err
+	}
+	tokens, _, err = drain(s)
+	return tokens, err
+}
+
+// TestGenerate checks a whole answer and its end.
+func TestGenerate(t *testing.T) {
+	c := start(t, &standin.Engine{})
+	s, err := c.Generate(t.Context(), ask("r", 5), engine.StreamOptions{})
+	require.NoError(t, err)
+	got, finish, err := drain(s)
+	require.NoError(t, err)
+	require.Equal(t, "length", finish)
+	require.Equal(t, standin.Answer(model, "prompt of r", 5), got)
+	_, err = s.Next()
+	require.Equal(t, io.EOF, err)
+}
+
+// TestInvariantRefusalIsNotRun checks that each refusal that proves that the
+// request did not run says so, that the engine did not run it, and that no
+// other failure says so.
+func TestInvariantRefusalIsNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		engine *standin.Engine
+		faults fault.Faults
+		item   backend.Item
+		kind   engine.Kind
+		notRun bool
+		runs   int64
+	}{
+		{"not resident", &standin.Engine{}, fault.Faults{}, other, engine.NotResident, true, 0},
+		{"leaving", &standin.Engine{}, fault.Faults{Leaving: true}, model, engine.Leaving, true, 0},
+		{"refuses", &standin.Engine{}, fault.Faults{Refuse: true}, model, engine.Leaving, true, 0},
+		{"down", &standin.Engine{}, fault.Faults{Down: true}, model, engine.Lost, false, 0},
+		{"answer dropped", &standin.Engine{}, fault.Faults{DropAnswers: 1}, model, engine.Lost, false, 1},
+		{"black hole", &standin.Engine{}, fault.Faults{BlackHole: true}, model, engine.Silent, false, 0},
+		{"late", &standin.Engine{}, fault.Faults{DelayMS: 60000}, model, engine.Silent, false, 1},
+		{"crash", &standin.Engine{}, fault.Faults{CrashOn: "prompt"}, model, engine.Lost, false, 0},
+		{"cut at once", &standin.Engine{}, fault.Faults{CutStreams: 1}, model, engine.Cut, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := start(t, c.engine)
+			c.engine.Faults.Put(c.faults)
+			g := ask("r", 3)
+			g.Item = c.item
+			s, err := client.Generate(t.Context(), g, short)
+			if err == nil {
+				_, _, err = drain(s)
+			}
+			require.Equal(t, c.kind, engine.KindOf(err), "%v", err)
+			require.Equal(t, c.notRun, engine.NotRun(err))
+			require.Eventually(t, func() bool { return c.engine.Faults.Counters.Get("runs") == c.runs }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// TestFull checks that a request which finds batch and queue full is affirmed
+// as not run.
+func TestFull(t *testing.T) {
+	e := &standin.Engine{Slots: 1, QueueBound: -1, Step: 10 * time.Millisecond}
+	c := start(t, e)
+	s, err := c.Generate(t.Context(), ask("long", 10000), engine.StreamOptions{})
+	require.NoError(t, err)
+	defer s.Close()
+	_, err = c.Generate(t.Context(), ask("more", 1), engine.StreamOptions{})
+	require.Equal(t, engine.Full, engine.KindOf(err))
+	require.True(t, engine.NotRun(err))
+}
+
+// TestInvariantNotSentWithoutListener checks that a request to an address where
+// nothing listens is known not to have run.
+func TestInvariantNotSentWithoutListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	c := &engine.Client{Address: l.Addr().String()}
+	_, err = c.Generate(t.Context(), ask("r", 1), short)
+	require.Equal(t, engine.NotSent, engine.KindOf(err))
+	require.True(t, engine.NotRun(err))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Generate(ctx, ask("r", 1), short)
+	require.True(t, engine.NotRun(err))
+}
+
+// TestInvariantStreamResumedWithoutGap breaks a stream in each way that leaves
+// the engine alive and checks that the rest of the answer is got on a new
+// connection, without a gap and without a second run.
+func TestInvariantStreamResumedWithoutGap(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults fault.Faults
+		kind   engine.Kind
+	}{
+		{"silent", fault.Faults{Silent: true}, engine.Silent},
+		{"down", fault.Faults{Down: true}, engine.Cut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &standin.Engine{Step: 5 * time.Millisecond}
+			client := start(t, e)
+			s, err := client.Generate(t.Context(), ask("r", 60), short)
+			require.NoError(t, err)
+			first, err := s.Next()
+			require.NoError(t, err)
+			e.Faults.Put(c.faults)
+			rest, _, err := drain(s)
+			require.Equal(t, c.kind, engine.KindOf(err), "%v", err)
+			require.False(t, engine.NotRun(err))
+			e.Faults.Put(fault.Faults{})
+			got := append([]string{first.Token}, rest...)
+			s, err = client.Resume(t.Context(), backend.Resume{RequestID: "r", Offset: len(got)}, short)
+			require.NoError(t, err)
+			rest, finish, err := drain(s)
+			require.NoError(t, err)
+			require.Equal(t, "length", finish)
+			require.Equal(t, standin.Answer(model, "prompt of r", 60), append(got, rest...))
+			require.EqualValues(t, 1, e.Faults.Counters.Get("runs"))
+		})
+	}
+}
+
+// TestResumeUnknown checks that a request which the engine does not know can't
+// be resumed, and that one which it knows can't be made again.
+func TestResumeUnknown(t *testing.T) {
+	c := start(t, &standin.Engine{})
+	_, err := c.Resume(t.Context(), backend.Resume{RequestID: "r"}, short)
+	require.Equal(t, engine.UnknownRequest, engine.KindOf(err))
+	_, err = whole(c, ask("r", 1))
+	require.NoError(t, err)
+	_, err = whole(c, ask("r", 1))
+	require.Equal(t, engine.Duplicate, engine.KindOf(err))
+	require.False(t, engine.NotRun(err))
+}
+
+// TestInvariantBadStreamIsNoAnswer feeds streams that are not the answer to the
+// request and checks that each gets a typed error.
+func TestInvariantBadStreamIsNoAnswer(t *testing.T) {
+	const token = `{"request-id":"r","offset":0,"token":" a"}` + "\n"
+	for _, c := range []struct {
+		name, body string
+		kind       engine.Kind
+	}{
+		{"empty", "", engine.Cut},
+		{"no finish", token, engine.Cut},
+		{"last line cut", token + `{"request-id":"r","offs`, engine.Cut},
+		{"finish cut short of its end", token + `{"request-id":"r","offset":1,"finish":"leng`, engine.Cut},
+		{"another request", `{"request-id":"q","offset":0,"token":" a"}` + "\n", engine.WrongRequest},
+		{"no request", `{"offset":0,"token":" a"}` + "\n", engine.WrongRequest},
+		{"another request later", token + `{"request-id":"q","offset":1,"finish":"stop"}` + "\n", engine.WrongRequest},
+		{"gap", token + `{"request-id":"r","offset":2,"token":" a"}` + "\n", engine.WrongOffset},
+		{"doubled", token + token, engine.WrongOffset},
+		{"finish too early", token + `{"request-id":"r","offset":3,"finish":"stop"}` + "\n", engine.WrongOffset},
+		{"neither token nor finish", `{"request-id":"r","offset":0}` + "\n", engine.Malformed},
+		{"both", `{"request-id":"r","offset":0,"token":" a","finish":"stop"}` + "\n", engine.Malformed},
+		{"not JSON", "hello\nhello\n", engine.Malformed},
+		{"endless line", `{"request-id":"` + strings.Repeat("x", 2<<20), engine.Malformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, c.body)
+			}))
+			defer server.Close()
+			client := &engine.Client{Address: server.Listener.Addr().String()}
+			s, err := client.Generate(t.Context(), ask("r", 2), short)
+			require.NoError(t, err)
+			_, finish, err := drain(s)
+			require.Equal(t, c.kind, engine.KindOf(err), "%v", err)
+			require.Empty(t, finish)
+			_, again := s.Next()
+			require.Equal(t, err, again)
+		})
+	}
+}
+
+// TestSlowReader checks that the time which the reader takes for itself does
+// not count as silence of the engine.
+func TestSlowReader(t *testing.T) {
+	c := start(t, &standin.Engine{})
+	s, err := c.Generate(t.Context(), ask("r", 5), engine.StreamOptions{ProgressTimeout: 50 * time.Millisecond})
+	require.NoError(t, err)
+	for range 6 {
+		_, err := s.Next()
+		require.NoError(t, err)
+		time.Sleep(60 * time.Millisecond)
+	}
+}
+
+// TestCallerGone checks that a stream ends when the caller's context ends or
+// another goroutine closes it, and that this is no fault of the engine.
+func TestCallerGone(t *testing.T) {
+	e := &standin.Engine{Step: 10 * time.Millisecond}
+	c := start(t, e)
+	for name, leave := range map[string]func(context.CancelFunc, *engine.Stream){
+		"cancel": func(cancel context.CancelFunc, _ *engine.Stream) { cancel() },
+		"close":  func(_ context.CancelFunc, s *engine.Stream) { s.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s, err := c.Generate(ctx, ask(name, 1000), engine.StreamOptions{})
+			require.NoError(t, err)
+			go leave(cancel, s)
+			_, _, err = drain(s)
+			require.Equal(t, engine.Cancelled, engine.KindOf(err), "%v", err)
+			require.NoError(t, c.Cancel(t.Context(), name))
+		})
+	}
+}
+
+// TestOrders checks the errors of orders and fences.
+func TestOrders(t *testing.T) {
+	e := &standin.Engine{ChecksOrders: true, ColdStart: time.Hour}
+	c := start(t, e)
+	inventory, err := c.Fence(t.Context(), 7)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, inventory.Fence)
+	require.Equal(t, []backend.ItemStatus{{Item: model, State: backend.Resident, Bytes: 10}}, inventory.Items)
+	_, err = c.Fence(t.Context(), 6)
+	var stale *engine.Error
+	require.True(t, errors.As(err, &stale))
+	require.Equal(t, engine.StaleFence, stale.Kind)
+	require.EqualValues(t, 7, stale.Fence)
+	adapter := backend.Item{Name: "a", Version: "1", Base: "absent"}
+	for _, c2 := range []struct {
+		order backend.Order
+		kind  engine.Kind
+		done  bool
+	}{
+		{backend.Order{OrderID: "1", Fence: 6, Op: backend.Load, Item: other, Bytes: 1}, engine.StaleFence, false},
+		{backend.Order{OrderID: "2", Fence: 7, Op: backend.Load, Item: other, Bytes: 91}, engine.NoSpace, false},
+		{backend.Order{OrderID: "3", Fence: 7, Op: backend.Load, Item: adapter, Bytes: 1}, engine.NoBase, false},
+		{backend.Order{OrderID: "4", Fence: 7, Op: backend.Load, Item: other, Bytes: 1}, "", false},
+		{backend.Order{OrderID: "4", Fence: 7, Op: backend.Load, Item: other, Bytes: 1}, "", false},
+		{backend.Order{OrderID: "5", Fence: 7, Op: backend.Unload, Item: other}, "", false},
+		{backend.Order{OrderID: "6", Fence: 7, Op: backend.Load, Item: other, Bytes: 1}, engine.InUse, false},
+		{backend.Order{OrderID: "7", Fence: 8, Op: backend.Unload, Item: model}, "", true},
+		{backend.Order{OrderID: "8", Fence: 7, Op: backend.Unload, Item: model}, engine.StaleFence, false},
+	} {
+		done, err := c.Order(t.Context(), c2.order)
+		require.Equal(t, c2.kind, engine.KindOf(err), "order %s: %v", c2.order.OrderID, err)
+		require.Equal(t, c2.done, done, "order %s", c2.order.OrderID)
+	}
+	e.Faults.Put(fault.Faults{DropAnswers: 1})
+	_, err = c.Order(t.Context(), backend.Order{OrderID: "9", Fence: 9, Op: backend.Unload, Item: model})
+	require.Equal(t, engine.Lost, engine.KindOf(err))
+}
+
+// TestInvariantLateAnswerReachesNoOther lets calls time out and checks that
+// the next call gets its own answer, on a connection of its own.
+func TestInvariantLateAnswerReachesNoOther(t *testing.T) {
+	e := &standin.Engine{}
+	c := start(t, e)
+	c.Timeout = 50 * time.Millisecond
+	_, err := c.State(t.Context())
+	require.NoError(t, err)
+	for i := range 5 {
+		e.Faults.Put(fault.Faults{DelayMS: 100})
+		_, err := c.State(t.Context())
+		require.Equal(t, engine.Lost, engine.KindOf(err))
+		_, err = c.Generate(t.Context(), ask(fmt.Sprint("late", i), 3), engine.StreamOptions{FirstTimeout: 10 * time.Millisecond})
+		require.Equal(t, engine.Silent, engine.KindOf(err))
+		e.Faults.Put(fault.Faults{})
+		id := fmt.Sprint("next", i)
+		got, err := whole(c, ask(id, 3))
+		require.NoError(t, err)
+		require.Equal(t, standin.Answer(model, "prompt of "+id, 3), got)
+		events, err := c.CacheEvents(t.Context(), 0)
+		require.NoError(t, err)
+		require.Empty(t, events.Events)
+	}
+}
+
+// TestInvariantAnswersLateAndOutOfOrder makes a thousand requests at once, many
+// with the same prompt and of three priorities, while streams break, and checks
+// that each gets its own whole answer: same prompts the same one, and nobody
+// another's.
+func TestInvariantAnswersLateAndOutOfOrder(t *testing.T) {
+	const requests = 1000
+	e := &standin.Engine{Slots: 100, QueueBound: requests, CacheBlocks: 100}
+	c := start(t, e)
+	e.Faults.Put(fault.Faults{DelayMS: 20, CutStreams: 300, CutAfter: 2})
+	var wg sync.WaitGroup
+	failures := make(chan error, requests)
+	for i := range requests {
+		g := backend.Generate{
+			RequestID: fmt.Sprintf("r%d", i), Item: model, Prompt: fmt.Sprintf("prompt %d", i%400),
+			MaxTokens: 1 + i%13, Priority: i % 3,
+		}
+		wg.Go(func() { failures <- persist(c, g) })
+	}
+	wg.Wait()
+	for range requests {
+		require.NoError(t, <-failures)
+	}
+	require.EqualValues(t, requests, e.Faults.Counters.Get("runs"))
+	require.EqualValues(t, 300, e.Faults.Counters.Get("streams-cut"))
+}
+
+// persist makes a request and resumes it until its answer is whole, and fails
+// if the answer is not that of its prompt.
+func persist(c *engine.Client, g backend.Generate) error {
+	s, err := c.Generate(context.Background(), g, engine.StreamOptions{})
+	var got []string
+	for {
+		if err != nil {
+			return err
+		}
+		tokens, finish, failed := drain(s)
+		got = append(got, tokens...)
+		if finish != "" {
+			break
+		}
+		if engine.KindOf(failed) != engine.Cut {
+			return failed
+		}
+		s, err = c.Resume(context.Background(), backend.Resume{RequestID: g.RequestID, Offset: len(got)}, engine.StreamOptions{})
+	}
+	want := standin.Answer(g.Item, g.Prompt, g.MaxTokens)
+	if strings.Join(got, "") != strings.Join(want, "") {
+		return fmt.Errorf("%s: got %q, want %q", g.RequestID, got, want)
+	}
+	return nil
+}
