--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -133,6 +133,14 @@
 		require.Equal(t, []backend.Item{a.Item(), in.Adapters[0].Item()}, out.Plan["s1"])
 		require.Equal(t, a.Item(), out.Moves[0].Item, "the model is loaded first")
 	})
+	t.Run("spare copies give way to an item without a copy", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a, b, model("c", 10)}, Servers: []place.Server{
+			server("s1", "d1", 16, a.Item()), server("s2", "d2", 16, a.Item()), server("s3", "d3", 16, b.Item()),
+		}}
+		out := (&place.Gain{}).Plan(now, in)
+		require.Empty(t, out.Unplaced)
+		require.Len(t, copies(out, a.Item()), 1)
+	})
 	t.Run("what fits nowhere is named", func(t *testing.T) {
 		in := place.Input{Models: []config.Model{model("huge", 100)}, Servers: []place.Server{server("s1", "d1", 40)}}
 		require.Equal(t, []backend.Item{{Name: "huge", Version: "1"}}, (&place.Gain{}).Plan(now, in).Unplaced)
@@ -142,24 +150,51 @@
 func TestInvariantReachableDuringVersionChange(t *testing.T) {
 	old := backend.Item{Name: "a", Version: "0"}
 	x := adapter("x", "a")
-	in := place.Input{
-		Models: []config.Model{model("a", 10)}, Adapters: []config.Adapter{x},
-		Servers: []place.Server{server("s1", "d1", 40, old), server("s2", "d1", 40)},
-	}
-	in.Servers[0].Resident = append(in.Servers[0].Resident, place.Copy{Item: x.Item(), Bytes: gb / 2})
-	for step := range 4 {
-		out := (&place.Gain{}).Plan(now, in)
-		oldStays := len(copies(out, old)) > 0
-		newServes := slices.ContainsFunc(in.Servers, func(s place.Server) bool {
-			return slices.ContainsFunc(s.Resident, func(c place.Copy) bool { return c.Item == in.Models[0].Item() })
+	for _, memory := range []int64{16, 40} {
+		t.Run(fmt.Sprint("server of ", memory), func(t *testing.T) {
+			in := place.Input{
+				Models: []config.Model{model("a", 10)}, Adapters: []config.Adapter{x},
+				Servers: []place.Server{server("s1", "d1", memory, old), server("s2", "d1", 40)},
+			}
+			in.Servers[0].Resident = append(in.Servers[0].Resident, place.Copy{Item: x.Item(), Bytes: gb / 2})
+			for range 6 {
+				out := (&place.Gain{}).Plan(now, in)
+				requireServed(t, in, out, "a")
+				requireServed(t, in, out, "x")
+				in = applySlowly(in, out)
+			}
+			out := (&place.Gain{}).Plan(now, in)
+			require.Empty(t, copies(out, old), "the old version is dropped in the end")
+			require.NotEmpty(t, copies(out, x.Item()))
+			require.Empty(t, out.Moves)
 		})
-		require.True(t, oldStays || newServes, "step %d: neither version serves", step)
-		require.NotEmpty(t, copies(out, x.Item()), "step %d: the adapter is gone", step)
-		in = apply(in, out)
 	}
-	out := (&place.Gain{}).Plan(now, in)
-	require.Empty(t, copies(out, old), "the old version is dropped in the end")
-	require.Empty(t, out.Moves)
+}
+
+// requireServed shows that some version of the name that is resident now stays.
+func requireServed(t require.TestingT, in place.Input, out place.Output, name string) {
+	for _, s := range in.Servers {
+		for _, c := range s.Resident {
+			if c.Item.Name == name && slices.Contains(out.Plan[s.Name], c.Item) {
+				return
+			}
+		}
+	}
+	require.Fail(t, "no copy stays", name)
+}
+
+// applySlowly carries out all drops and the first load of a plan.
+func applySlowly(in place.Input, out place.Output) place.Input {
+	loads := 0
+	for _, m := range out.Moves {
+		if m.Op != backend.Load {
+			continue
+		}
+		if loads++; loads > 1 {
+			out.Plan[m.Server] = slices.DeleteFunc(out.Plan[m.Server], func(i backend.Item) bool { return i == m.Item })
+		}
+	}
+	return apply(in, out)
 }
 
 // fleet draws an input whose servers hold items that fit.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -169,6 +169,20 @@
 		q.Offer(at(0), entry("u3", config.Urgent, 1, 0))
 		require.Empty(t, drain(q, at(0)), "urgent work holds every slot")
 	})
+	t.Run("two urgent entries cancel two entries", func(t *testing.T) {
+		q := queue.New(queue.Settings{Slots: 2, Reserve: -1, CancelToPreempt: true})
+		q.Offer(at(0), entry("d1", config.Deferrable, 1, 0))
+		q.Offer(at(0), entry("d2", config.Deferrable, 1, 0))
+		require.Len(t, drain(q, at(0)), 2)
+		var cancelled []string
+		for i := range 2 {
+			q.Offer(at(0), entry(fmt.Sprint("u", i), config.Urgent, 1, 0))
+			d, ok := q.Next(at(0))
+			require.True(t, ok)
+			cancelled = append(cancelled, d.Preempts)
+		}
+		require.Equal(t, []string{"d2", "d1"}, cancelled)
+	})
 	t.Run("gives way to urgent work, by engine priority", func(t *testing.T) {
 		q := queue.New(queue.Settings{Slots: 2, Reserve: -1})
 		q.Offer(at(0), entry("d1", config.Deferrable, 1, 0))
