--- a/internal/cli/environment.go
+++ b/internal/cli/environment.go
@@ -57,6 +57,8 @@
 		e.diff(),
 		e.status(),
 		e.explain(),
+		e.node(),
+		e.keys(),
 	}
 }
 
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,317 @@
+// Package lab starts a whole system in one process, over real sockets on the
+// loopback: the platform, model engines and plain services as stand-ins, and
+// nodes. The demonstration, the load tool and tests use it.
+//
+// # Usage
+//
+//	l := &lab.Lab{Document: document, Nodes: 2}
+//	if err := l.Start(ctx); err != nil { ... }
+//	defer l.Close()
+//	reply, err := http.Post("http://"+l.Callers[0]+"/v1/chat/completions", ...)
+//
+// Addresses in the document are replaced by those on which the stand-ins
+// listen.
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/config"
+	"guavapaddle/core/status"
+	"guavapaddle/internal/configsync"
+	"guavapaddle/internal/keys"
+	"guavapaddle/internal/node"
+	"guavapaddle/internal/standin/engine"
+	"guavapaddle/internal/standin/platform"
+	"guavapaddle/internal/standin/service"
+	"guavapaddle/io/object"
+	"guavapaddle/io/operator"
+	"guavapaddle/io/table"
+	"guavapaddle/io/vmlist"
+)
+
+const (
+	pollPeriod = 20 * time.Millisecond
+	anyPort    = "127.0.0.1:0"
+	applyer    = "lab"
+)
+
+type (
+	// Lab is a whole system. Its first fields are set before Start.
+	Lab struct {
+		Document *config.Document // whose servers' addresses are replaced
+		Nodes    int              // default 2
+		Platform *platform.Platform
+		// Engine changes the stand-in of a server before it starts; may be nil.
+		Engine func(e *engine.Engine, s config.BackendServer)
+		// Settings changes the settings of a node before it starts; may be nil.
+		Settings func(s *node.Settings)
+		Log      *zap.Logger // default none
+
+		Engines   map[string]*engine.Engine
+		Services  map[string]*service.Service
+		Callers   []string // address of each node
+		Operators []string // address of each node
+		Address   string   // of the platform
+
+		dir     string
+		running []*Process
+	}
+
+	// Process is one node of a lab.
+	Process struct {
+		Name string
+		stop context.CancelFunc
+		done chan error
+		once sync.Once
+	}
+
+	// NotReady tells that the system did not get ready in time.
+	NotReady struct{ What string }
+)
+
+// Error names what is missing.
+func (e *NotReady) Error() string { return "not ready in time: " + e.What }
+
+// Start starts everything and applies the document. Models load after it; see
+// WaitResident.
+func (l *Lab) Start(ctx context.Context) error {
+	if l.Nodes == 0 {
+		l.Nodes = 2
+	}
+	if l.Platform == nil {
+		l.Platform = &platform.Platform{}
+	}
+	if l.Log == nil {
+		l.Log = zap.NewNop()
+	}
+	var err error
+	if l.Address, err = l.Platform.Start(); err != nil {
+		return err
+	}
+	if err := l.startServers(); err != nil {
+		return err
+	}
+	if err := l.Apply(ctx, l.Document); err != nil {
+		return err
+	}
+	if err := l.startNodes(); err != nil {
+		return err
+	}
+	return l.waitReady(ctx)
+}
+
+// startServers starts the stand-ins of all backend servers.
+func (l *Lab) startServers() error {
+	l.Engines = map[string]*engine.Engine{}
+	l.Services = map[string]*service.Service{}
+	for i := range l.Document.Servers {
+		s := &l.Document.Servers[i]
+		var err error
+		switch s.Type {
+		case config.Engine:
+			e := &engine.Engine{
+				Name:          s.Name,
+				MemoryBytes:   s.MemoryBytes,
+				Slots:         s.Slots,
+				ChecksOrders:  s.ChecksOrders,
+				Step:          time.Duration(s.StepMS * float64(time.Millisecond)),
+				WeightAddress: l.Address,
+			}
+			if l.Engine != nil {
+				l.Engine(e, *s)
+			}
+			l.Engines[s.Name] = e
+			s.Address, err = e.Start()
+		case config.Service:
+			v := &service.Service{Name: s.Name}
+			l.Services[s.Name] = v
+			s.Address, err = v.Start()
+		}
+		if err != nil {
+			return eris.Wrapf(err, "start %s", s.Name)
+		}
+	}
+	return nil
+}
+
+// Apply applies a document as an operator does.
+func (l *Lab) Apply(ctx context.Context, doc *config.Document) error {
+	a := &configsync.Applier{
+		Table:    &table.Client{Address: l.Address},
+		Store:    &object.Client{Address: l.Address},
+		Operator: applyer,
+	}
+	_, err := a.Apply(ctx, doc)
+	return err
+}
+
+// startNodes starts the nodes, each of which has the first as its seed.
+func (l *Lab) startNodes() error {
+	dir, err := os.MkdirTemp("", "guavapaddle-lab-")
+	if err != nil {
+		return eris.Wrap(err, "lab")
+	}
+	l.dir = dir
+	names := make([]string, l.Nodes)
+	for i := range names {
+		names[i] = fmt.Sprintf("n%d", i+1)
+	}
+	if err := keys.Generate(dir, names); err != nil {
+		return err
+	}
+	places := dataCentres(l.Document)
+	for i, name := range names {
+		if err := l.startNode(name, places[i%len(places)]); err != nil {
+			return eris.Wrapf(err, "start %s", name)
+		}
+	}
+	return nil
+}
+
+// startNode starts one node and lists its VM.
+func (l *Lab) startNode(name, place string) error {
+	s := node.Settings{
+		Name: name, DataCentre: place,
+		Callers: anyPort, Peers: anyPort, Operators: anyPort,
+		Table: l.Address, Objects: l.Address, VMList: l.Address,
+		CA:   filepath.Join(l.dir, "ca.pem"),
+		Cert: filepath.Join(l.dir, name+".pem"),
+		Key:  filepath.Join(l.dir, name+".key"),
+		// The zero value of the others is not their default.
+		Policy: "home", Planner: "gain", LogLevel: "info",
+		Seed: uint64(len(l.running) + 1),
+	}
+	if l.Settings != nil {
+		l.Settings(&s)
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	n, err := node.New(s, l.Log)
+	if err != nil {
+		return err
+	}
+	a, err := n.Listen()
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Process{Name: name, stop: stop, done: make(chan error, 1)}
+	go func() { p.done <- n.Run(ctx) }()
+	l.running = append(l.running, p)
+	l.Callers = append(l.Callers, a.Callers)
+	l.Operators = append(l.Operators, a.Operators)
+	list := &vmlist.Client{Address: l.Address}
+	listing, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return list.Set(listing, vmlist.VM{Name: name, Address: a.Peers, Role: "node", DataCentre: place, State: vmlist.Live})
+}
+
+// dataCentres returns the data centres of a document's servers, in order.
+func dataCentres(d *config.Document) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, s := range d.Servers {
+		if !seen[s.DataCentre] {
+			seen[s.DataCentre] = true
+			out = append(out, s.DataCentre)
+		}
+	}
+	return out
+}
+
+// Status returns what a node knows.
+func (l *Lab) Status(ctx context.Context, node int) (status.Report, error) {
+	c := &operator.Client{Address: l.Operators[node]}
+	return c.Status(ctx)
+}
+
+// waitReady waits until all nodes know each other and are ready.
+func (l *Lab) waitReady(ctx context.Context) error {
+	return l.wait(ctx, "nodes", func() bool {
+		for i := range l.Operators {
+			r, err := l.Status(ctx, i)
+			if err != nil || !r.Ready || len(r.Nodes) != l.Nodes {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// WaitResident waits until every declared item serves somewhere by the views of
+// every node.
+func (l *Lab) WaitResident(ctx context.Context) error {
+	x := config.NewIndex(l.Document, 0)
+	return l.wait(ctx, "models", func() bool {
+		for i := range l.Operators {
+			r, err := l.Status(ctx, i)
+			if err != nil {
+				return false
+			}
+			for _, item := range x.Items() {
+				held := false
+				for _, s := range r.Servers {
+					held = held || s.Reachable && s.Holds(item)
+				}
+				if !held {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// wait polls a condition until it holds or ctx ends.
+func (l *Lab) wait(ctx context.Context, what string, holds func() bool) error {
+	t := time.NewTicker(pollPeriod)
+	defer t.Stop()
+	for !holds() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return &NotReady{What: what}
+		}
+	}
+	return nil
+}
+
+// StopNode shuts a node down gracefully and waits for its end.
+func (l *Lab) StopNode(i int) error {
+	p := l.running[i]
+	var err error
+	p.once.Do(func() {
+		p.stop()
+		err = <-p.done
+	})
+	return err
+}
+
+// Close stops everything.
+func (l *Lab) Close() {
+	var wg sync.WaitGroup
+	for i := range l.running {
+		wg.Go(func() { _ = l.StopNode(i) })
+	}
+	wg.Wait()
+	for _, e := range l.Engines {
+		e.Close()
+	}
+	for _, s := range l.Services {
+		s.Close()
+	}
+	l.Platform.Close()
+	if l.dir != "" {
+		_ = os.RemoveAll(l.dir)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,6 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/metrics"
 	"guavapaddle/internal/owner"
-	"guavapaddle/internal/services"
 	"guavapaddle/internal/trace"
 	"guavapaddle/internal/views"
 	"guavapaddle/io/caller"
@@ -73,6 +72,8 @@
 		dispatch *dispatch.Dispatcher
 		router   *generate.Router
 		claims   *claims.Store
+		pool     *call.Pool
+		services *call.Services
 		callers  *caller.Server
 		trace    *trace.Recorder
 		requests *metrics.Requests
@@ -239,12 +240,20 @@
 func (n *Node) buildEntry() {
 	n.limits = newLimits()
 	n.suspects = newSuspects()
-	picker := &services.Picker{Index: n.follower.Index, Leaving: n.views.Leaving}
+	n.pool = &call.Pool{}
+	n.services = &call.Services{}
 	e := &entry.Entry{
-		Index:    n.follower.Index,
-		Fresh:    n.follower.Fresh,
-		Router:   n.router,
-		Calls:    &call.Caller{Servers: picker, Backend: &services.Backend{}},
+		Index:  n.follower.Index,
+		Fresh:  n.follower.Fresh,
+		Router: n.router,
+		Calls: &call.Caller{
+			Servers: n.pool,
+			Backend: n.services,
+			Claims:  n.claims,
+			Seed:    n.settings.Seed,
+			Log:     n.log,
+			Metrics: call.NewMetrics(n.registry),
+		},
 		Limits:   n.limits,
 		Suspects: n.suspects,
 		Demand:   n.demand,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	defaultNotice  = 3 * time.Second
-	defaultReports = 2 * time.Second
+	defaultNotice = 3 * time.Second
 )
 
 type (
@@ -72,23 +71,23 @@
 
 // Check returns a *SettingsError for the first setting that can't be used.
 func (s *Settings) Check() error {
-	for name, v := range map[string]string{
-		"name": s.Name, "data-centre": s.DataCentre, "table": s.Table, "objects": s.Objects,
-		"ca": s.CA, "cert": s.Cert, "key": s.Key,
+	for _, f := range []struct{ name, value string }{
+		{"name", s.Name}, {"data-centre", s.DataCentre}, {"table", s.Table}, {"objects", s.Objects},
+		{"ca", s.CA}, {"cert", s.Cert}, {"key", s.Key},
 	} {
-		if v == "" {
-			return &SettingsError{Name: name, Reason: "is missing"}
+		if f.value == "" {
+			return &SettingsError{Name: f.name, Reason: "is missing"}
 		}
 	}
-	for name, v := range map[string]string{
-		"callers": s.Callers, "peers": s.Peers, "operators": s.Operators, "table": s.Table,
-		"objects": s.Objects, "vm-list": s.VMList,
+	for _, f := range []struct{ name, value string }{
+		{"callers", s.Callers}, {"peers", s.Peers}, {"operators", s.Operators}, {"table", s.Table},
+		{"objects", s.Objects}, {"vm-list", s.VMList},
 	} {
-		if v == "" && name == "vm-list" {
+		if f.value == "" && f.name == "vm-list" {
 			continue
 		}
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			return &SettingsError{Name: name, Reason: fmt.Sprintf("%q is not IP:port", v)}
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			return &SettingsError{Name: f.name, Reason: fmt.Sprintf("%q is not IP:port", f.value)}
 		}
 	}
 	for _, v := range s.seeds() {
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -55,6 +55,7 @@
 		now := time.Now()
 		n.publishViews(now)
 		n.hint()
+		n.poolServices()
 		if n.vms != nil && now.Sub(vmsAt) >= vmPeriod {
 			vmsAt = now
 			go n.readVMs(ctx)
@@ -118,6 +119,24 @@
 	return 1
 }
 
+// poolServices tells the pool which servers of plain services there are.
+func (n *Node) poolServices() {
+	x := n.follower.Index()
+	if x == nil {
+		return
+	}
+	var all []config.BackendServer
+	var addresses []string
+	for _, s := range x.Document().Servers {
+		if s.Type == config.Service {
+			all = append(all, s)
+			addresses = append(addresses, s.Address)
+		}
+	}
+	n.pool.Set(all, n.views.Leaving)
+	n.services.Keep(addresses)
+}
+
 // hint tells the follower which versions other nodes have, and the other nodes
 // which this one has.
 func (n *Node) hint() {
