Run a whole session of processes against a golden file

Two nodes, two engines, a service and the platform, each a process of its own: answers through either node, customers kept apart, a booking that lands once, a version change, graceful stops.

--- /dev/null
+++ b/internal/session/process.go
@@ -0,0 +1,208 @@
+package session
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	stopTimeout  = 60 * time.Second
+	readyEvent   = "listening"
+)
+
+var programs struct {
+	once sync.Once
+	dir  string
+	out  []byte
+	err  error
+}
+
+// Process is a process that this test started.
+type Process struct {
+	Name string
+
+	t     testing.TB
+	cmd   *exec.Cmd
+	args  []string
+	mu    sync.Mutex
+	lines []string
+	ready map[string]string
+	ended chan struct{}
+	code  int
+}
+
+// build builds the programs once and returns their directory.
+func build(t testing.TB) string {
+	programs.once.Do(func() {
+		programs.dir, programs.err = os.MkdirTemp("", "guavapaddle-session-")
+		if programs.err != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", programs.dir, "./cmd/guavapaddle", "./cmd/standin")
+		cmd.Dir = root(t)
+		programs.out, programs.err = cmd.CombinedOutput()
+	})
+	require.NoError(t, programs.err, string(programs.out))
+	return programs.dir
+}
+
+// Cleanup removes what was built. TestMain calls it.
+func Cleanup() {
+	if programs.dir != "" {
+		_ = os.RemoveAll(programs.dir)
+	}
+}
+
+// root returns the module's directory.
+func root(t testing.TB) string {
+	dir, err := os.Getwd()
+	require.NoError(t, err)
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir
+		}
+		parent := filepath.Dir(dir)
+		require.NotEqual(t, parent, dir, "no go.mod above the test")
+		dir = parent
+	}
+}
+
+// start runs a program and waits until it listens. The process is killed at
+// the end of the test if it still runs.
+func start(t testing.TB, name, program string, args ...string) *Process {
+	p := &Process{Name: name, t: t, args: append([]string{filepath.Join(build(t), program)}, args...)}
+	p.launch()
+	t.Cleanup(p.Kill)
+	return p
+}
+
+// launch starts the process.
+func (p *Process) launch() {
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	out, err := p.cmd.StdoutPipe()
+	require.NoError(p.t, err)
+	p.cmd.Stderr = os.Stderr
+	require.NoError(p.t, p.cmd.Start())
+	ready := make(chan map[string]string, 1)
+	p.ended = make(chan struct{})
+	go p.read(bufio.NewScanner(out), ready)
+	select {
+	case p.ready = <-ready:
+	case <-p.ended:
+		require.Fail(p.t, "process ended", "%s: %s", p.Name, p.Log())
+	case <-time.After(startTimeout):
+		require.Fail(p.t, "process does not listen", "%s: %s", p.Name, p.Log())
+	}
+}
+
+// read keeps the process's output and finds its addresses.
+func (p *Process) read(s *bufio.Scanner, ready chan<- map[string]string) {
+	s.Buffer(nil, 1<<20)
+	told := false
+	for s.Scan() {
+		line := s.Text()
+		p.mu.Lock()
+		p.lines = append(p.lines, line)
+		p.mu.Unlock()
+		f := fields(line)
+		if !told && f["event"] == readyEvent {
+			told = true
+			ready <- f
+		}
+	}
+	_ = p.cmd.Wait()
+	p.code = p.cmd.ProcessState.ExitCode()
+	close(p.ended)
+}
+
+// fields splits a logfmt line. Quoted values keep their spaces.
+func fields(line string) map[string]string {
+	out := map[string]string{}
+	for line != "" {
+		key, rest, ok := strings.Cut(strings.TrimLeft(line, " "), "=")
+		if !ok {
+			return out
+		}
+		value := rest
+		if strings.HasPrefix(rest, `"`) {
+			end := strings.Index(rest[1:], `"`)
+			if end < 0 {
+				return out
+			}
+			value, line = rest[1:end+1], rest[end+2:]
+		} else {
+			value, line, _ = strings.Cut(rest, " ")
+		}
+		out[key] = value
+	}
+	return out
+}
+
+// Address returns an address from the line that the process began with.
+func (p *Process) Address(field string) string { return p.ready[field] }
+
+// Log returns what the process has printed.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.lines, "\n")
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	require.NoError(p.t, p.cmd.Process.Signal(s))
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	select {
+	case <-p.ended:
+		return
+	default:
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// Terminate asks the process to stop and returns its exit code.
+func (p *Process) Terminate() int {
+	p.Signal(syscall.SIGTERM)
+	return p.Wait()
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait() int {
+	select {
+	case <-p.ended:
+	case <-time.After(stopTimeout):
+		require.Fail(p.t, "process does not end", "%s: %s", p.Name, p.Log())
+	}
+	return p.code
+}
+
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Restart starts a process anew, with the same arguments.
+func (p *Process) Restart() {
+	p.Kill()
+	p.launch()
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,78 @@
+package session_test
+
+import (
+	"net/http"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/session"
+)
+
+const (
+	chat   = "/v1/chat/completions"
+	prompt = `"messages":[{"role":"user","content":"Draft a worksite protection plan."}]`
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	session.Cleanup()
+	os.Exit(code)
+}
+
+// TestSession runs one whole session: two nodes, two engines, a service and
+// the platform, each a process of its own.
+func TestSession(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, session.Small(t, 2, 1), session.Options{})
+	s.StartNodes(2)
+	var r session.Transcript
+
+	r.Step("models that the customer crew may call")
+	r.Answer(s.Do(0, http.MethodGet, "/v1/models", ""))
+	r.Step("models that the customer rival may call")
+	r.Answer(s.Do(1, http.MethodGet, "/v1/models", "", "Authorization", "Bearer "+session.OtherKey))
+	r.Step("a key that nobody has")
+	r.Answer(s.Do(1, http.MethodGet, "/v1/models", "", "Authorization", "Bearer nobody"))
+
+	for node := range s.Nodes {
+		r.Step("a whole answer, asked of node %d", node+1)
+		r.Answer(s.Do(node, http.MethodPost, chat, `{"model":"drafter","max_tokens":3,`+prompt+`}`))
+		r.Step("a streamed answer of an adapter, asked of node %d", node+1)
+		r.Answer(s.Do(node, http.MethodPost, chat, `{"model":"shire-style","stream":true,"max_tokens":3,`+prompt+`}`))
+	}
+	r.Step("a model of another customer")
+	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":"drafter",`+prompt+`}`, "Authorization", "Bearer "+session.OtherKey))
+	r.Step("a body that is not JSON")
+	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":`))
+	r.Step("a kind that is not declared")
+	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":"drafter",`+prompt+`}`, "X-Kind", "none"))
+
+	r.Step("a booking")
+	r.Answer(s.Do(0, http.MethodPost, "/bookings/confirm", `{"section":"B12"}`, "Idempotency-Key", "k1"))
+	r.Step("the same booking through the other node")
+	var again session.Answer
+	s.Eventually("stored answer", func() bool {
+		again = s.Do(1, http.MethodPost, "/bookings/confirm", `{"section":"B12"}`, "Idempotency-Key", "k1")
+		return again.Status != http.StatusConflict
+	})
+	r.Answer(again)
+	r.Step("the same key with another body")
+	r.Answer(s.Do(1, http.MethodPost, "/bookings/confirm", `{"section":"B13"}`, "Idempotency-Key", "k1"))
+	require.Equal(t, 1, s.Runs("desk-1", "/bookings/confirm"))
+
+	r.Step("a configuration with a new version of drafter")
+	s.Document.Models[0].Version = "2"
+	code, out := s.Apply(s.Document)
+	require.Equal(t, 0, code, out)
+	r.Text(out)
+	s.WaitResident()
+	r.Step("the new version answers")
+	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":"drafter","max_tokens":3,`+prompt+`}`))
+	r.Step("both nodes are stopped")
+	for _, n := range s.Nodes {
+		require.Equal(t, 0, n.Terminate(), n.Log())
+	}
+	r.Compare(t, "session")
+}
--- /dev/null
+++ b/internal/session/system.go
@@ -0,0 +1,343 @@
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/config"
+	"guavapaddle/core/status"
+	"guavapaddle/internal/keys"
+	"guavapaddle/io/operator"
+	"guavapaddle/io/vmlist"
+)
+
+const (
+	// Key is the key of the customer "crew" in Small.
+	Key = "crew-key"
+	// OtherKey is the key of the customer "rival" in Small.
+	OtherKey = "rival-key"
+
+	pollPeriod  = 20 * time.Millisecond
+	waitTimeout = 30 * time.Second
+	nodeNotice  = "200ms"
+)
+
+type (
+	// Options change what New starts.
+	Options struct {
+		Platform []string            // further flags of the platform
+		Engine   map[string][]string // further flags by server, "" for all
+		Service  []string            // further flags of services
+		Node     []string            // further flags of nodes
+	}
+
+	// System is a whole system of processes.
+	System struct {
+		Document *config.Document
+		Platform *Process
+		Servers  map[string]*Process
+		Nodes    []*Process
+
+		t       testing.TB
+		options Options
+		dir     string
+		file    string
+	}
+
+	// Answer is what a caller got.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   string
+		Err    error // the connection broke
+	}
+)
+
+// New starts platform and backend servers, puts their addresses into doc and
+// applies it.
+func New(t testing.TB, doc *config.Document, o Options) *System {
+	s := &System{Document: doc, Servers: map[string]*Process{}, t: t, options: o, dir: t.TempDir()}
+	s.Platform = start(t, "platform", "standin", append([]string{"platform", "-listen", "127.0.0.1:0"}, o.Platform...)...)
+	for i := range doc.Servers {
+		b := &doc.Servers[i]
+		s.Servers[b.Name] = s.startServer(*b)
+		b.Address = s.Servers[b.Name].Address("address")
+	}
+	s.file = filepath.Join(s.dir, "document.json")
+	code, out := s.Apply(doc)
+	require.Equal(t, 0, code, out)
+	return s
+}
+
+func (s *System) startServer(b config.BackendServer) *Process {
+	if b.Type == config.Service {
+		args := append([]string{"service", "-listen", "127.0.0.1:0", "-name", b.Name}, s.options.Service...)
+		return start(s.t, b.Name, "standin", args...)
+	}
+	args := []string{
+		"engine", "-listen", "127.0.0.1:0", "-name", b.Name,
+		"-memory-bytes", strconv.FormatInt(b.MemoryBytes, 10),
+		"-slots", strconv.Itoa(b.Slots),
+		"-step", (time.Duration(b.StepMS * float64(time.Millisecond))).String(),
+		"-checks-orders=" + strconv.FormatBool(b.ChecksOrders),
+		"-weights", s.Platform.Address("address"),
+	}
+	args = append(args, s.options.Engine[""]...)
+	return start(s.t, b.Name, "standin", append(args, s.options.Engine[b.Name]...)...)
+}
+
+// StartNodes starts n nodes and waits until all are ready and know each other,
+// and every declared item serves.
+func (s *System) StartNodes(n int) {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = "n" + strconv.Itoa(i+1)
+	}
+	require.NoError(s.t, keys.Generate(s.dir, names))
+	for i := range names {
+		s.Nodes = append(s.Nodes, s.startNode(i))
+	}
+	s.WaitNodes(n)
+	s.WaitResident()
+}
+
+func (s *System) startNode(i int) *Process {
+	name := "n" + strconv.Itoa(i+1)
+	b := s.Document.Servers[i%len(s.Document.Servers)]
+	platform := s.Platform.Address("address")
+	settings := map[string]string{
+		"name": name, "data-centre": b.DataCentre,
+		"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0",
+		"table": platform, "objects": platform, "vm-list": platform,
+		"ca": filepath.Join(s.dir, "ca.pem"), "cert": filepath.Join(s.dir, name+".pem"), "key": filepath.Join(s.dir, name+".key"),
+		"notice": nodeNotice, "seed": strconv.Itoa(i + 1),
+	}
+	body, err := json.Marshal(settings)
+	require.NoError(s.t, err)
+	file := filepath.Join(s.dir, name+".json")
+	require.NoError(s.t, os.WriteFile(file, body, 0o600))
+	p := start(s.t, name, "guavapaddle", append([]string{"node", "-settings", file}, s.options.Node...)...)
+	s.listNode(p, b.DataCentre)
+	return p
+}
+
+// listNode puts a node on the VM list.
+func (s *System) listNode(p *Process, place string) {
+	c := &vmlist.Client{Address: s.Platform.Address("address")}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	vm := vmlist.VM{Name: p.Name, Address: p.Address("peers"), Role: "node", DataCentre: place, State: vmlist.Live}
+	require.NoError(s.t, c.Set(ctx, vm))
+}
+
+// RestartNode starts a node anew at once after a kill, with new addresses.
+func (s *System) RestartNode(i int) {
+	s.Nodes[i].Restart()
+	s.listNode(s.Nodes[i], s.Document.Servers[i%len(s.Document.Servers)].DataCentre)
+}
+
+// Apply applies a document by the operators' command and returns its exit code
+// and output. It waits for the nodes that run.
+func (s *System) Apply(doc *config.Document) (int, string) {
+	body, err := json.Marshal(doc)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(s.file, body, 0o600))
+	platform := s.Platform.Address("address")
+	args := []string{"apply", "-file", s.file, "-table", platform, "-object-store", platform}
+	if len(s.Nodes) == 0 {
+		args = append(args, "-wait", "0")
+	} else {
+		args = append(args, "-nodes", s.operators())
+	}
+	return s.Command(args...)
+}
+
+func (s *System) operators() string {
+	var all []string
+	for _, n := range s.Nodes {
+		if !n.Ended() {
+			all = append(all, n.Address("operators"))
+		}
+	}
+	return strings.Join(all, ",")
+}
+
+// Command runs guavapaddle with arguments to its end and returns the exit code
+// and what it printed, without its progress if it succeeded.
+func (s *System) Command(args ...string) (int, string) {
+	cmd := exec.Command(filepath.Join(build(s.t), "guavapaddle"), args...)
+	var out, progress bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &progress
+	err := cmd.Run()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		require.NoError(s.t, err)
+	}
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		return code, out.String() + progress.String()
+	}
+	return 0, out.String()
+}
+
+// Status returns what a node knows.
+func (s *System) Status(node int) (status.Report, error) {
+	c := &operator.Client{Address: s.Nodes[node].Address("operators"), Timeout: time.Second}
+	return c.Status(context.Background())
+}
+
+// WaitNodes waits until every running node is ready and knows n live nodes.
+func (s *System) WaitNodes(n int) {
+	s.Eventually("nodes", func() bool {
+		return s.everyNode(func(r status.Report) bool {
+			live := 0
+			for _, m := range r.Nodes {
+				if m.State == status.Live {
+					live++
+				}
+			}
+			return r.Ready && live == n
+		})
+	})
+}
+
+// WaitResident waits until every declared item serves by every node's view.
+func (s *System) WaitResident() {
+	x := config.NewIndex(s.Document, 0)
+	s.Eventually("items", func() bool {
+		return s.everyNode(func(r status.Report) bool {
+			for _, i := range x.Items() {
+				held := false
+				for _, v := range r.Servers {
+					held = held || v.Reachable && v.Holds(i)
+				}
+				if !held {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// everyNode tells whether what every running node reports holds.
+func (s *System) everyNode(holds func(r status.Report) bool) bool {
+	for i, n := range s.Nodes {
+		if n.Ended() {
+			continue
+		}
+		r, err := s.Status(i)
+		if err != nil || !holds(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// Eventually waits until a condition holds, and fails the test if it doesn't
+// within a bound that no sound system comes near.
+func (s *System) Eventually(what string, holds func() bool) {
+	s.t.Helper()
+	end := time.Now().Add(waitTimeout)
+	for !holds() {
+		if time.Now().After(end) {
+			for _, n := range s.Nodes {
+				s.t.Logf("%s:\n%s", n.Name, n.Log())
+			}
+			require.Fail(s.t, "does not come about", what)
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+// Owner returns the index of the node that owns a server by node's view, -1 if
+// none does.
+func (s *System) Owner(node int, server string) int {
+	r, err := s.Status(node)
+	require.NoError(s.t, err)
+	for _, v := range r.Servers {
+		for i, n := range s.Nodes {
+			if v.Server == server && v.Owner == n.Name {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Do sends a request to a node as a caller and returns the whole answer. header
+// holds names and values in turn; the key is Key unless it is given.
+func (s *System) Do(node int, method, path, body string, header ...string) Answer {
+	resp, err := s.Open(node, method, path, body, header...)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(b), Err: err}
+}
+
+// Open sends a request to a node as a caller, on a connection of its own, and
+// returns when the answer begins.
+func (s *System) Open(node int, method, path, body string, header ...string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+s.Nodes[node].Address("callers")+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+Key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	req.GetBody = nil
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(req)
+}
+
+// Fault sets the faults of a stand-in.
+func (s *System) Fault(p *Process, path string, faults string) {
+	resp, err := http.Post("http://"+p.Address("address")+path, "application/json", strings.NewReader(faults))
+	require.NoError(s.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(s.t, 2, resp.StatusCode/100, faults)
+}
+
+// Counters returns the counters of a stand-in.
+func (s *System) Counters(p *Process) map[string]int64 {
+	out := map[string]int64{}
+	s.get(p, "/counters", &out)
+	return out
+}
+
+// Runs returns how often a service ran requests with a path by its own journal.
+func (s *System) Runs(server, path string) int {
+	var j struct {
+		Runs []struct {
+			Path  string `json:"path"`
+			Count int    `json:"count"`
+		} `json:"runs"`
+	}
+	s.get(s.Servers[server], "/journal", &j)
+	n := 0
+	for _, r := range j.Runs {
+		if r.Path == path {
+			n += r.Count
+		}
+	}
+	return n
+}
+
+func (s *System) get(p *Process, path string, v any) {
+	resp, err := http.Get("http://" + p.Address("address") + path)
+	require.NoError(s.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(v), fmt.Sprintf("%s %s", p.Name, path))
+}
--- /dev/null
+++ b/internal/session/transcript.go
@@ -0,0 +1,94 @@
+package session
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	goldenMode = 0o644
+	goldenDir  = "testdata"
+)
+
+var (
+	update = flag.Bool("update", false, "rewrite golden files")
+
+	// masks replace what differs between runs.
+	masks = []struct {
+		pattern *regexp.Regexp
+		with    string
+	}{
+		{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+		{regexp.MustCompile(`\b[0-9a-f]{24}\b`), "REQUEST"},
+		{regexp.MustCompile(`\b[0-9a-f]{64}\b`), "HASH"},
+		{regexp.MustCompile(`\b[0-9a-f]{16,32}\b`), "ID"},
+		{regexp.MustCompile(`\bgpu-\d+\b`), "GPU"},
+	}
+
+	// shown are the headers of an answer that a transcript shows.
+	shown = []string{"Content-Type", "Retry-After", "X-Outcome", "X-Reason", "X-Stored-Answer"}
+)
+
+// Transcript is what callers and operators saw, in order.
+type Transcript struct{ b strings.Builder }
+
+// Step begins a step.
+func (r *Transcript) Step(format string, args ...any) {
+	fmt.Fprintf(&r.b, "\n## "+format+"\n", args...)
+}
+
+// Answer notes an answer.
+func (r *Transcript) Answer(a Answer) {
+	if a.Err != nil {
+		fmt.Fprintf(&r.b, "connection broke\n")
+	}
+	if a.Status == 0 {
+		return
+	}
+	fmt.Fprintf(&r.b, "%d\n", a.Status)
+	for _, name := range shown {
+		if v := a.Header.Get(name); v != "" {
+			fmt.Fprintf(&r.b, "%s: %s\n", name, v)
+		}
+	}
+	r.Text(a.Body)
+}
+
+// Text notes lines.
+func (r *Transcript) Text(s string) {
+	for _, line := range strings.Split(strings.TrimSpace(s), "\n") {
+		if line = strings.TrimRight(line, " \r"); line != "" {
+			r.b.WriteString("  " + line + "\n")
+		}
+	}
+}
+
+// String returns the transcript with volatile parts masked.
+func (r *Transcript) String() string {
+	s := r.b.String()
+	for _, m := range masks {
+		s = m.pattern.ReplaceAllString(s, m.with)
+	}
+	return strings.TrimLeft(s, "\n")
+}
+
+// Compare compares the transcript with a golden file, or rewrites it.
+func (r *Transcript) Compare(t testing.TB, name string) {
+	file := filepath.Join(goldenDir, name+".golden")
+	got := r.String()
+	if *update {
+		require.NoError(t, os.MkdirAll(goldenDir, 0o755))
+		require.NoError(t, os.WriteFile(file, []byte(got), goldenMode))
+		return
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
+}
