--- /dev/null
+++ b/io/service/service_test.go
@@ -0,0 +1,251 @@
+package service_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/standin/fault"
+	standin "guavapaddle/internal/standin/service"
+	"guavapaddle/io/service"
+)
+
+// start starts a plain service and returns it with a client.
+func start(t *testing.T) (*standin.Service, *service.Client) {
+	t.Helper()
+	s := &standin.Service{Name: "s"}
+	address, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	c := &service.Client{Address: address, Timeout: 5 * time.Second}
+	t.Cleanup(c.Close)
+	return s, c
+}
+
+// confirm returns a booking confirmation, which may not be repeated.
+func confirm(id string) service.Request {
+	return service.Request{Method: http.MethodPost, Path: "/bookings/confirm", RequestID: id,
+		IdempotencyKey: "key-" + id, Body: []byte(`{"booking":"` + id + `"}`)}
+}
+
+// runs returns how often anything ran.
+func runs(s *standin.Service) int {
+	n := 0
+	for _, r := range s.Journal() {
+		n += r.Count
+	}
+	return n
+}
+
+// TestInvariantCallRunsAtMostOnce makes calls that may not be repeated to a
+// server that breaks in each way after it has run them, and checks that none
+// runs twice and that none that ran is said not to have run.
+func TestInvariantCallRunsAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults fault.Faults
+		kind   service.Kind // of the failure, empty if there is none
+		runs   int          // of two calls
+	}{
+		{"sound", fault.Faults{}, "", 2},
+		{"closes reused connections", fault.Faults{CloseReused: true}, "", 2},
+		{"drops answers", fault.Faults{DropAnswers: 2}, service.Lost, 2},
+		{"down", fault.Faults{Down: true}, service.Lost, 0},
+		{"refuses", fault.Faults{Refuse: true}, service.Refused, 0},
+		{"leaving", fault.Faults{Leaving: true}, service.Refused, 0},
+		{"black hole", fault.Faults{BlackHole: true}, service.Timeout, 0},
+		{"late", fault.Faults{DelayMS: 60000}, service.Timeout, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, client := start(t)
+			s.Faults.Put(c.faults)
+			if c.kind == service.Timeout {
+				client.Timeout = 100 * time.Millisecond
+			}
+			for _, id := range []string{"a", "b"} {
+				resp, err := client.Do(t.Context(), confirm(id))
+				require.Equal(t, c.kind, service.KindOf(err), "%v", err)
+				require.Equal(t, c.kind == service.Refused, service.NotRun(err))
+				if err == nil {
+					require.Equal(t, http.StatusOK, resp.Status)
+				}
+			}
+			require.Equal(t, c.runs, runs(s))
+			for _, r := range s.Journal() {
+				require.Equal(t, 1, r.Count)
+			}
+		})
+	}
+}
+
+// TestReusedConnectionReplays shows what the client avoids: a transport of
+// net/http that reuses connections and may read the body again runs a call
+// twice when the server closes the connection. Were this to pass without a
+// second run, the test of the client would prove nothing.
+func TestReusedConnectionReplays(t *testing.T) {
+	s, c := start(t)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	s.Faults.Put(fault.Faults{CloseReused: true})
+	for _, id := range []string{"a", "b"} {
+		r := confirm(id)
+		req, err := http.NewRequestWithContext(t.Context(), r.Method, "http://"+c.Address+r.Path, strings.NewReader(string(r.Body)))
+		require.NoError(t, err)
+		req.Header.Set(service.KeyHeader, r.IdempotencyKey)
+		req.Header.Set(service.RequestIDHeader, id)
+		resp, err := transport.RoundTrip(req)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, resp.Body.Close())
+	}
+	journal := s.Journal()
+	require.Len(t, journal, 2)
+	require.Equal(t, 1, journal[0].Count)
+	require.Equal(t, 2, journal[1].Count)
+}
+
+// TestInvariantRepeatableIsNotReplayed checks that the connection that a
+// repeatable call with a body uses again leads to no second run below the
+// client.
+func TestInvariantRepeatableIsNotReplayed(t *testing.T) {
+	s, c := start(t)
+	s.Faults.Put(fault.Faults{CloseReused: true})
+	for i, id := range []string{"a", "b"} {
+		r := confirm(id)
+		r.Repeatable = true
+		_, err := c.Do(t.Context(), r)
+		if i == 1 {
+			require.Equal(t, service.Lost, service.KindOf(err))
+		}
+	}
+	require.Equal(t, 2, runs(s))
+}
+
+// TestInvariantNotSent checks that a call to an address where nothing listens,
+// and one whose context has ended, are known not to have run.
+func TestInvariantNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	c := &service.Client{Address: l.Addr().String()}
+	_, err = c.Do(t.Context(), confirm("a"))
+	require.True(t, service.NotRun(err))
+	s, c := start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Do(ctx, confirm("a"))
+	require.True(t, service.NotRun(err))
+	require.Zero(t, runs(s))
+}
+
+// TestInvariantCancelledCallIsHonest cancels calls at all moments and checks
+// that none which is said not to have run did run, then or later.
+func TestInvariantCancelledCallIsHonest(t *testing.T) {
+	s, c := start(t)
+	const calls = 400
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	notRun := map[string]bool{}
+	for i := range calls {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i*10)*time.Microsecond)
+			defer cancel()
+			id := fmt.Sprint(i)
+			_, err := c.Do(ctx, confirm(id))
+			mu.Lock()
+			defer mu.Unlock()
+			notRun[id] = service.NotRun(err)
+		})
+	}
+	wg.Wait()
+	_, err := c.Do(t.Context(), confirm("last"))
+	require.NoError(t, err)
+	s.Close()
+	for _, r := range s.Journal() {
+		require.False(t, notRun[r.RequestID], "request %s ran", r.RequestID)
+		require.Equal(t, 1, r.Count)
+	}
+}
+
+// TestInvariantForeignAnswer checks that an answer which does not echo the
+// request's id is an error.
+func TestInvariantForeignAnswer(t *testing.T) {
+	for _, id := range []string{"", "b"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(service.RequestIDHeader, id)
+		}))
+		defer server.Close()
+		c := &service.Client{Address: server.Listener.Addr().String()}
+		resp, err := c.Do(t.Context(), confirm("a"))
+		require.Equal(t, service.WrongRequest, service.KindOf(err))
+		require.False(t, service.NotRun(err))
+		require.Empty(t, resp)
+	}
+}
+
+// TestInvariantCutAnswer checks that an answer which ends early is an error.
+func TestInvariantCutAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(service.RequestIDHeader, "a")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	}))
+	defer server.Close()
+	c := &service.Client{Address: server.Listener.Addr().String()}
+	_, err := c.Do(t.Context(), confirm("a"))
+	require.Equal(t, service.Lost, service.KindOf(err))
+}
+
+// TestInvariantOwnAnswer makes lookups at once while answers are late and some
+// calls time out, and checks that each gets its own record or an error.
+func TestInvariantOwnAnswer(t *testing.T) {
+	s, c := start(t)
+	c.Timeout = 30 * time.Millisecond
+	var wg sync.WaitGroup
+	for i := range 300 {
+		if i%100 == 0 {
+			s.Faults.Put(fault.Faults{DelayMS: int64(i % 200)})
+		}
+		wg.Go(func() {
+			path := fmt.Sprintf("/records/%d", i)
+			resp, err := c.Do(context.Background(), service.Request{Method: http.MethodGet, Path: path, RequestID: fmt.Sprint(i), Repeatable: true})
+			if err != nil {
+				return
+			}
+			var got standin.Reply
+			if json.Unmarshal(resp.Body, &got) != nil || got.Path != path {
+				t.Errorf("got %s for %s", resp.Body, path)
+			}
+		})
+	}
+	wg.Wait()
+	s.Faults.Put(fault.Faults{})
+	load, err := c.Load(t.Context())
+	require.NoError(t, err)
+	require.Zero(t, load.Running)
+}
+
+// TestSilentConnection checks that a connection which has gone silent costs one
+// call at most and that the next one opens another.
+func TestSilentConnection(t *testing.T) {
+	s, c := start(t)
+	c.Timeout = 200 * time.Millisecond
+	get := service.Request{Method: http.MethodGet, Path: "/records/1", RequestID: "a", Repeatable: true}
+	_, err := c.Do(t.Context(), get)
+	require.NoError(t, err)
+	s.Faults.Put(fault.Faults{Silent: true})
+	_, err = c.Do(t.Context(), get)
+	require.Equal(t, service.Timeout, service.KindOf(err))
+	_, err = c.Do(t.Context(), get)
+	require.NoError(t, err)
+}
