Spare the connection that sets a fault; test bounds, capacity and memory

Cause: a fault that meets open connections also broke or silenced the one on which it was set, if that had carried a call before, so its setter saw a timeout.

--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -77,8 +77,10 @@
 	return s.faults.CutAfter, take(&s.faults.CutStreams)
 }
 
-// ServeFault sets the faults in force from the body of the request.
+// ServeFault sets the faults in force from the body of the request. They do not
+// meet the connection that the request came on.
 func (s *Set) ServeFault(w http.ResponseWriter, r *http.Request) {
+	Spare(r)
 	var f Faults
 	if ReadJSON(w, r, &f) {
 		s.Put(f)
@@ -86,6 +88,14 @@
 	}
 }
 
+// Spare keeps faults that meet open connections off the one that r came on,
+// until a further call comes on it.
+func Spare(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.use(nil)
+	}
+}
+
 // Wrap returns h under the faults in force.
 func (s *Set) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -50,6 +50,7 @@
 	mux.Handle("/vms/v1/", p.VMs.Handler())
 	mux.Handle("GET /counters", &p.Counters)
 	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		fault.Spare(r)
 		var f fault.Faults
 		if fault.ReadJSON(w, r, &f) {
 			p.Put(f)
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -248,6 +249,19 @@
 	}
 }
 
+// TestInvariantStatusIsNoProof checks that a refusal without the header that
+// affirms it does not prove that the request did not run.
+func TestInvariantStatusIsNoProof(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadGateway} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		defer server.Close()
+		c := &engine.Client{Address: server.Listener.Addr().String()}
+		_, err := c.Generate(t.Context(), ask("r", 1), short)
+		require.Equal(t, engine.Failed, engine.KindOf(err))
+		require.False(t, engine.NotRun(err))
+	}
+}
+
 // TestSlowReader checks that the time which the reader takes for itself does
 // not count as silence of the engine.
 func TestSlowReader(t *testing.T) {
@@ -321,6 +335,40 @@
 	require.Equal(t, engine.Lost, engine.KindOf(err))
 }
 
+// TestInvariantMemoryNeverOvercommitted gives an engine random orders from many
+// sides, late, lost and repeated, and checks that it never has more in memory
+// than it has.
+func TestInvariantMemoryNeverOvercommitted(t *testing.T) {
+	for seed := range uint64(3) {
+		e := &standin.Engine{MemoryBytes: 100, ChecksOrders: seed == 0, ColdStart: time.Millisecond}
+		c := start(t, e)
+		var wg sync.WaitGroup
+		for worker := range uint64(8) {
+			wg.Go(func() {
+				random := rand.New(rand.NewPCG(seed, worker))
+				for range 100 {
+					o := backend.Order{OrderID: fmt.Sprint(random.IntN(400)), Op: backend.Load, Bytes: 1 + random.Int64N(60),
+						Item: backend.Item{Name: "m", Version: fmt.Sprint(random.IntN(6))}}
+					if random.IntN(3) == 0 {
+						o.Op = backend.Unload
+					}
+					if random.IntN(10) == 0 {
+						e.Faults.Put(fault.Faults{LoseOrders: random.IntN(3), OrderDelayMS: random.Int64N(5)})
+					}
+					_, err := c.Order(context.Background(), o)
+					if k := engine.KindOf(err); k != "" && k != engine.NoSpace && k != engine.InUse {
+						t.Errorf("order: %v", err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		require.LessOrEqual(t, e.Faults.Counters.Get("peak-memory-bytes"), int64(100))
+		require.Positive(t, e.Faults.Counters.Get("overcommit-refused"))
+		require.Zero(t, e.Faults.Counters.Get("memory-violations"))
+	}
+}
+
 // TestInvariantLateAnswerReachesNoOther lets calls time out and checks that
 // the next call gets its own answer, on a connection of its own.
 func TestInvariantLateAnswerReachesNoOther(t *testing.T) {
