--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -82,9 +82,11 @@
 	slices.Sort(names)
 	var changes []Change
 	for _, n := range names {
-		at := join(path, n)
+		var at string
 		if list {
 			at = path + "[" + n + "]"
+		} else {
+			at = join(path, n)
 		}
 		old, inA := a[n]
 		replacement, inB := b[n]
--- a/core/config/shape.go
+++ b/core/config/shape.go
@@ -15,6 +15,8 @@
 	rootPath = "$"
 	// optionalTag marks fields that may be absent.
 	optionalTag = "optional"
+	// plainName holds the characters of names that need no quotes in a path.
+	plainName = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
 )
 
 // shape compares the tokens of a document with the types of this package. It
@@ -171,7 +173,12 @@
 	return name
 }
 
+// join returns the path of a name below path; names that could be taken for
+// something else are quoted.
 func join(path, name string) string {
+	if strings.Trim(name, plainName) != "" || name == "" {
+		name = strconv.Quote(name)
+	}
 	if path == "" {
 		return name
 	}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -104,7 +104,11 @@
 		c.int(p+".load-peak-bytes", a.LoadPeakBytes, zeroBytesBound)
 		c.int(p+".min-copies", int64(a.MinCopies), copiesBound)
 		base, ok := c.models[a.Model]
-		c.reference(p+".model", a.Model, "model", ok)
+		if _, isAdapter := c.adapters[a.Model]; isAdapter && !ok {
+			c.add(p+".model", UnknownReference, "%q is an adapter, a model is required", a.Model)
+		} else {
+			c.reference(p+".model", a.Model, "model", ok)
+		}
 		if ok && a.MinCopies > c.doc.Models[base].MinCopies {
 			c.add(p+".min-copies", TooManyCopies, "%d copies beside %d copies of model %q", a.MinCopies, c.doc.Models[base].MinCopies, a.Model)
 		}
