Leave room for a version change of any model

Cause: the capacity check kept room for the copy with the largest sum of size and load peak, which does not cover a smaller copy beside a larger peak. Before: engine of 26, model 10 with peak 0 and model 5 with peak 6 were accepted (TestCapacity/a_small_model_with_a_large_peak failed). After: refused.

--- a/core/config/capacity.go
+++ b/core/config/capacity.go
@@ -53,36 +53,62 @@
 // engines' memory at the same time, with the KV reserve of each engine, the
 // largest load peak of what an engine holds (an engine loads one item at a
 // time), each adapter beside a copy of its model, copies of a model on
-// different engines, and room for one more copy of the largest model with its
+// different engines, and room for one more copy of any one model with its
 // adapters, which a version change needs.
 //
-// The sum is exact. The placement is found by two heuristics of bin packing in
+// The sum is exact. For each model that may need the most room, a placement of
+// all and of its further copy is looked for by two heuristics of bin packing in
 // decreasing order of size, best fit and worst fit; a document for which both
-// fail is refused although a cleverer placement might exist.
+// fail is refused although a cleverer placement might exist. That one placement
+// has room for each of several such models is not shown.
 func (c *checker) checkCapacity() {
 	bins, memory, reserve := c.bins()
 	if c.tooLarge(bins) || len(c.doc.Models) == 0 {
 		return
 	}
 	units := c.units()
-	spare := slices.MaxFunc(units, bySize)
-	units = append(units, unit{label: "room for a version change of " + spare.label, bytes: spare.bytes, peak: spare.peak})
-	d := c.demand(spare)
+	spares := largest(units)
+	d := c.demand(spares[0])
 	arithmetic := fmt.Sprintf("least copies need %d bytes (models %d + adapters %d + a version change %d), engines have %d (memory %d - KV reserve %d)",
 		d.total(), d.models, d.adapters, d.spare, memory-reserve, memory, reserve)
 	if d.total() > memory-reserve {
 		c.add(rootPath, CapacityExceeded, "%s: %d too many", arithmetic, d.total()-(memory-reserve))
 		return
 	}
-	left, free, ok := pack(units, bins, func(a, b int64) bool { return a < b })
-	if ok {
-		return
+	for _, spare := range spares {
+		if left, free, ok := place(append(slices.Clone(units), spare), bins); !ok {
+			c.add(rootPath, CapacityFragmented, "%s, but no placement was found: %s needs %d bytes and %d while loading on one engine, the most that is left on one is %d",
+				arithmetic, left.label, left.bytes, left.peak, free)
+			return
+		}
 	}
-	if _, _, ok = pack(units, bins, func(a, b int64) bool { return a > b }); ok {
-		return
+}
+
+// largest returns the further copies that a version change may need, leaving
+// out those that fit wherever another one does. The first needs the most room.
+func largest(units []unit) []unit {
+	order := slices.Clone(units)
+	slices.SortStableFunc(order, func(a, b unit) int { return bySize(b, a) })
+	var spares []unit
+	for _, u := range order {
+		covered := func(s unit) bool { return s.bytes >= u.bytes && s.peak >= u.peak }
+		if !slices.ContainsFunc(spares, covered) {
+			spares = append(spares, unit{label: "room for a version change of " + u.label, bytes: u.bytes, peak: u.peak})
+		}
+	}
+	return spares
+}
+
+// place tries to place the units by best fit, then by worst fit. If one fits
+// nowhere it returns that unit and the most room that was left on one bin.
+func place(units []unit, bins []bin) (left unit, free int64, ok bool) {
+	left, free, ok = pack(units, bins, func(a, b int64) bool { return a < b })
+	if !ok {
+		if _, _, ok = pack(units, bins, func(a, b int64) bool { return a > b }); ok {
+			return unit{}, 0, true
+		}
 	}
-	c.add(rootPath, CapacityFragmented, "%s, but no placement was found: %s needs %d bytes and %d while loading on one engine, the most that is left on one is %d",
-		arithmetic, left.label, left.bytes, left.peak, free)
+	return left, free, ok
 }
 
 // bins returns the engines, and the sums of their memories and KV reserves.
