Let only answers to questions asked since a pause confirm the head

Cause: a node that was paused admits requests once it has heard the head again, but an answer or hint from before the pause can lie in its socket and be read after. Ruled out: gossip hints as confirmation, which carry no question; they only tell what to fetch.

--- a/core/config/head/doc.go
+++ b/core/config/head/doc.go
@@ -21,7 +21,9 @@
 //
 // A node keeps a Follower, an immutable value that only moves forward:
 //
-//	f, err = f.WithRead(ref)
+//	t := f.Ticket()
+//	read the head row
+//	f, err = f.WithRead(t, ref)
 //	if ref, ok := f.Want(); ok { fetch the body of ref.Hash }
 //	f = f.WithAdopted(ref)
 package head
--- a/core/config/head/follower.go
+++ b/core/config/head/follower.go
@@ -3,6 +3,10 @@
 import "fmt"
 
 type (
+	// Ticket tells when a question was asked. An answer to a question from
+	// before a pause is old and confirms nothing.
+	Ticket uint64
+
 	// Follower is what one node knows of the head. It is immutable; the zero
 	// Follower is that of a node that just started. The version in force never
 	// falls.
@@ -11,6 +15,7 @@
 		target    Ref
 		confirmed bool // the target was confirmed since the start or last pause
 		fresh     bool // a confirmed target was adopted since then
+		pauses    Ticket
 	}
 
 	// ForkError means that two documents claim the same version. The one known
@@ -40,31 +45,40 @@
 // new version stays fresh while it fetches it.
 func (f Follower) Fresh() bool { return f.fresh }
 
+// Ticket is to be taken before a question is sent.
+func (f Follower) Ticket() Ticket { return f.pauses }
+
 // WithRead returns f after ref was read from the head row, the zero Ref if the
-// row is absent. A lower version than the newest seen changes no version: the
-// version in force never falls. The error is a *ForkError.
-func (f Follower) WithRead(ref Ref) (Follower, error) {
-	if f.target.forks(ref) {
-		return f, &ForkError{Known: f.target, Other: ref}
+// row is absent; t was taken before the reading. A lower version than the
+// newest seen changes no version: the version in force never falls. The error
+// is a *ForkError.
+func (f Follower) WithRead(t Ticket, ref Ref) (Follower, error) {
+	f, err := f.WithHint(ref)
+	if err == nil && t == f.pauses {
+		f.confirmed = true
 	}
-	f.target = Highest(f.target, ref)
-	f.confirmed = true
-	return f.settled(), nil
+	return f.settled(), err
 }
 
-// WithHeard returns f after a peer told that ref is in force there. It confirms
-// only if the peer was fresh itself and isn't behind. The error is a
-// *ForkError.
-func (f Follower) WithHeard(ref Ref, fresh bool) (Follower, error) {
+// WithAnswer returns f after a peer, asked when t was taken, answered that ref
+// is in force there. It confirms only if the peer was fresh itself; what it
+// answers then may be lower than what f has seen. The error is a *ForkError.
+func (f Follower) WithAnswer(t Ticket, ref Ref, fresh bool) (Follower, error) {
+	f, err := f.WithHint(ref)
+	if err == nil && fresh && t == f.pauses {
+		f.confirmed = true
+	}
+	return f.settled(), err
+}
+
+// WithHint returns f after it was told, nobody knows how long ago, that ref was
+// accepted. It confirms nothing. The error is a *ForkError.
+func (f Follower) WithHint(ref Ref) (Follower, error) {
 	if f.target.forks(ref) {
 		return f, &ForkError{Known: f.target, Other: ref}
 	}
-	if ref.Version == 0 || ref.Version < f.target.Version {
-		return f, nil
-	}
-	f.target = ref
-	f.confirmed = f.confirmed || fresh
-	return f.settled(), nil
+	f.target = Highest(f.target, ref)
+	return f, nil
 }
 
 // forks tells whether o is another document of the same version.
@@ -85,14 +99,18 @@
 func (f Follower) WithPause() Follower {
 	f.confirmed = false
 	f.fresh = false
+	f.pauses++
 	return f
 }
 
-// WithTrust returns f after the table could not be read and no fresh peer was
-// heard for so long that the newest version seen is taken as confirmed. Else
-// nodes that all were paused in an outage would wait for each other.
-func (f Follower) WithTrust() Follower {
-	f.confirmed = true
+// WithTrust returns f after it takes the newest version seen as confirmed,
+// asked when t was taken: because all other nodes answered and none is fresh,
+// or because neither table nor a fresh peer answered for long. Else nodes that
+// all were paused in an outage would wait for each other.
+func (f Follower) WithTrust(t Ticket) Follower {
+	if t == f.pauses {
+		f.confirmed = true
+	}
 	return f.settled()
 }
 
--- a/internal/configsync/doc.go
+++ b/internal/configsync/doc.go
@@ -19,10 +19,17 @@
 //
 //	f := &configsync.Follower{Table: t, Store: s, Peers: peers, OnChange: use}
 //	go f.Run(ctx)
-//	f.Hint(version, hash, fresh) // from each digest of a peer
+//	f.Hint(version, hash) // from each digest of a peer
 //	admit := f.Fresh()
 //
 // The head is polled slowly, as peers tell of new versions within a gossip
 // round; the period grows with the number of nodes so that all nodes together
 // stay below Follower.MaxReads reads a second.
+//
+// After its start and after a pause of its process a node is not fresh until
+// the head was read or a fresh peer answered, in reply to a question asked
+// since. If the table is down and all peers answer without being fresh, or
+// nobody answers for Follower.TrustAfter, it takes the newest version that it
+// knows: nodes that were all paused in an outage would else wait for each
+// other.
 package configsync
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -12,6 +10,9 @@
 	"guavapaddle/core/config/head"
 )
 
+// fetchedFrom is how many peers are asked for a body at once.
+const fetchedFrom = 3
+
 // errNoPeer is the failure of a fetch when there is no peer to ask.
 var errNoPeer = eris.New("no live peer has the body")
 
@@ -96,12 +97,7 @@
 // fetchPeers asks a few random peers at the same time and takes the first body
 // with the hash.
 func (f *Follower) fetchPeers(ctx context.Context, hash string) ([]byte, error) {
-	if f.Peers == nil {
-		return nil, errNoPeer
-	}
-	peers := slices.Clone(f.Peers())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(len(peers), peersAsked)]
+	peers, _ := f.somePeers(fetchedFrom)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bodies := make(chan []byte, len(peers))
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -31,7 +31,6 @@
 
 	jitter         = 0.2 // share of the period
 	ticksPerPause  = 5
-	peersAsked     = 3
 	failRetryFirst = 200 * time.Millisecond
 	failRetryMost  = 10 * time.Second
 )
@@ -57,6 +56,7 @@
 		once sync.Once
 		read chan struct{} // wakes the reading of the head
 		want chan struct{} // wakes the fetching of a body
+		ask  chan struct{} // wakes the asking of peers
 
 		mu       sync.Mutex
 		state    head.Follower
@@ -71,7 +71,7 @@
 // init fills in the defaults.
 func (f *Follower) init() {
 	f.once.Do(func() {
-		f.read, f.want = make(chan struct{}, 1), make(chan struct{}, 1)
+		f.read, f.want, f.ask = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 		f.Period = orDefault(f.Period, DefaultPeriod)
 		f.MaxPause = orDefault(f.MaxPause, DefaultMaxPause)
 		f.TrustAfter = orDefault(f.TrustAfter, DefaultTrustAfter)
@@ -106,18 +106,25 @@
 	g.Go(func() error { return f.readLoop(ctx) })
 	g.Go(func() error { return f.fetchLoop(ctx) })
 	g.Go(func() error { return f.tickLoop(ctx) })
+	g.Go(func() error { return f.askLoop(ctx) })
 	return g.Wait()
 }
 
-// Hint tells that a peer has a version in force. fresh tells whether the peer
-// was fresh when it said so; others can't confirm that nothing newer exists.
-func (f *Follower) Hint(version uint64, hash string, fresh bool) {
+// Hint tells that a peer has a version in force, however long ago it said so.
+func (f *Follower) Hint(version uint64, hash string) {
 	f.init()
 	f.learn(func(s head.Follower) (head.Follower, error) {
-		return s.WithHeard(head.Ref{Version: version, Hash: hash}, fresh)
+		return s.WithHint(head.Ref{Version: version, Hash: hash})
 	})
 }
 
+// Head returns what is in force and whether the node is fresh, to answer a
+// peer's ConfigHead.
+func (f *Follower) Head() (ref head.Ref, fresh bool) {
+	fresh = f.Fresh()
+	return f.InForce(), fresh
+}
+
 // Fresh tells whether the node may admit requests by its configuration: see
 // head.Follower.Fresh. It sees a pause of the process even before any timer
 // does.
@@ -205,7 +212,7 @@
 	}
 	trust := f.mayTrust(now)
 	if trust {
-		f.state = f.state.WithTrust()
+		f.state = f.state.WithTrust(f.state.Ticket())
 	}
 	version := f.state.Target().Version
 	f.mu.Unlock()
@@ -213,13 +220,18 @@
 		f.Metrics.pauses.Inc()
 		f.Log.Warn("config-stale", zap.Duration("pause", gap))
 		wake(f.read)
+		wake(f.ask)
 	}
 	if trust {
-		f.Metrics.trusted.Inc()
-		f.Log.Warn("config-trusted", zap.Uint64("version", version))
+		f.noteTrust(version)
 	}
 }
 
+func (f *Follower) noteTrust(version uint64) {
+	f.Metrics.trusted.Inc()
+	f.Log.Warn("config-trusted", zap.Uint64("version", version))
+}
+
 // gap returns the time since the last tick by the monotonic or the wall clock,
 // whichever says more: some pauses of a VM stop the monotonic clock.
 func (f *Follower) gap(now time.Time) time.Duration {
@@ -227,7 +239,7 @@
 }
 
 // mayTrust tells whether the newest version seen is to be taken as confirmed:
-// the table can't be read and nobody confirmed it for TrustAfter.
+// the table can't be read and no fresh peer answered for TrustAfter.
 func (f *Follower) mayTrust(now time.Time) bool {
 	_, behind := f.state.Want()
 	return !f.state.Fresh() && !f.tableUp && !behind &&
@@ -268,7 +280,17 @@
 	return time.Duration(float64(p) * (1 - jitter + 2*jitter*rand.Float64()))
 }
 
+// ticket is to be taken before a question is sent. A pause that no timer has
+// noticed yet is noticed here.
+func (f *Follower) ticket() head.Ticket {
+	f.tick(time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Ticket()
+}
+
 func (f *Follower) readHead(ctx context.Context) error {
+	ticket := f.ticket()
 	rows, err := f.Table.Read(ctx, head.Key)
 	var h head.Head
 	if err == nil {
@@ -285,7 +307,8 @@
 	if err != nil {
 		return err
 	}
-	f.learn(func(s head.Follower) (head.Follower, error) { return s.WithRead(h.Ref()) })
+	f.tick(time.Now())
+	f.learn(func(s head.Follower) (head.Follower, error) { return s.WithRead(ticket, h.Ref()) })
 	return nil
 }
 
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"guavapaddle/core/config/head"
 	"guavapaddle/core/row"
 )
 
@@ -32,9 +33,14 @@
 		Get(ctx context.Context, key string) ([]byte, error)
 	}
 
-	// Peer is another node that may have a body.
+	// Peer is another node. Both calls are questions that the peer answers when
+	// it gets them: an answer that was sent before may not be given.
 	Peer interface {
+		// FetchConfig returns the body with a hash: the peer's Follower.Body.
 		FetchConfig(ctx context.Context, hash string) ([]byte, error)
+		// ConfigHead returns what the peer has in force and whether it is
+		// fresh: the peer's Follower.Head.
+		ConfigHead(ctx context.Context) (ref head.Ref, fresh bool, err error)
 	}
 )
 
