--- a/internal/configsync/ask.go
+++ b/internal/configsync/ask.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"guavapaddle/core/config/head"
 )
@@ -51,7 +50,7 @@
 				return
 			}
 			answered[i] = true
-			f.tick(time.Now())
+			f.tick(f.Now())
 			f.learn(func(s head.Follower) (head.Follower, error) { return s.WithAnswer(ticket, ref, fresh) })
 		})
 	}
@@ -63,10 +62,10 @@
 
 // trust takes the newest version seen as confirmed if the table can't be read.
 func (f *Follower) trust(ticket head.Ticket) {
-	f.tick(time.Now())
+	f.tick(f.Now())
 	f.mu.Lock()
 	before := f.state
-	if !f.tableUp && f.state.Target().Version > 0 {
+	if f.table == tableDown && f.state.Target().Version > 0 {
 		f.state = f.state.WithTrust(ticket)
 	}
 	changed := f.state != before
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -35,6 +35,12 @@
 	failRetryMost  = 10 * time.Second
 )
 
+const (
+	tableUnknown tableState = iota
+	tableUp
+	tableDown
+)
+
 type (
 	// Follower keeps a node at the newest configuration. Its exported fields
 	// are set before Run.
@@ -45,13 +51,14 @@
 		Nodes    func() int                // how many nodes there are, one if nil
 		OnChange func(index *config.Index) // called in order of versions; must not call Run
 
-		Period       time.Duration // DefaultPeriod if zero
-		MaxReads     float64       // reads a second of all nodes, DefaultMaxReads if zero
-		MaxPause     time.Duration // DefaultMaxPause if zero
-		TrustAfter   time.Duration // DefaultTrustAfter if zero
-		FetchTimeout time.Duration // DefaultFetchTimeout if zero
-		Log          *zap.Logger   // none if nil
-		Metrics      *Metrics      // none if nil
+		Period       time.Duration    // DefaultPeriod if zero
+		MaxReads     float64          // reads a second of all nodes, DefaultMaxReads if zero
+		MaxPause     time.Duration    // DefaultMaxPause if zero
+		TrustAfter   time.Duration    // DefaultTrustAfter if zero
+		FetchTimeout time.Duration    // DefaultFetchTimeout if zero
+		Now          func() time.Time // clock by which pauses are noticed, time.Now if nil
+		Log          *zap.Logger      // none if nil
+		Metrics      *Metrics         // none if nil
 
 		once sync.Once
 		read chan struct{} // wakes the reading of the head
@@ -64,8 +71,11 @@
 		index    *config.Index
 		lastTick time.Time
 		staleAt  time.Time // start of staleness
-		tableUp  bool
+		table    tableState
 	}
+
+	// tableState is what the last read of the head row told of the table.
+	tableState int
 )
 
 // init fills in the defaults.
@@ -76,6 +86,9 @@
 		f.MaxPause = orDefault(f.MaxPause, DefaultMaxPause)
 		f.TrustAfter = orDefault(f.TrustAfter, DefaultTrustAfter)
 		f.FetchTimeout = orDefault(f.FetchTimeout, DefaultFetchTimeout)
+		if f.Now == nil {
+			f.Now = time.Now
+		}
 		if f.MaxReads == 0 {
 			f.MaxReads = DefaultMaxReads
 		}
@@ -98,7 +111,7 @@
 // Run follows the head until ctx ends and returns the cause.
 func (f *Follower) Run(ctx context.Context) error {
 	f.init()
-	now := time.Now()
+	now := f.Now()
 	f.mu.Lock()
 	f.lastTick, f.staleAt = now, now
 	f.mu.Unlock()
@@ -130,7 +143,7 @@
 // does.
 func (f *Follower) Fresh() bool {
 	f.init()
-	f.tick(time.Now())
+	f.tick(f.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.Fresh()
@@ -154,7 +167,7 @@
 func (f *Follower) TableUp() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tableUp
+	return f.table == tableUp
 }
 
 // Body returns the canonical body in force if it has the given hash, for
@@ -194,7 +207,7 @@
 		if err := wait(ctx, f.MaxPause/ticksPerPause); err != nil {
 			return err
 		}
-		f.tick(time.Now())
+		f.tick(f.Now())
 	}
 }
 
@@ -242,7 +255,7 @@
 // the table can't be read and no fresh peer answered for TrustAfter.
 func (f *Follower) mayTrust(now time.Time) bool {
 	_, behind := f.state.Want()
-	return !f.state.Fresh() && !f.tableUp && !behind &&
+	return !f.state.Fresh() && f.table == tableDown && !behind &&
 		f.state.InForce().Version > 0 && now.Sub(f.staleAt) >= f.TrustAfter
 }
 
@@ -283,7 +296,7 @@
 // ticket is to be taken before a question is sent. A pause that no timer has
 // noticed yet is noticed here.
 func (f *Follower) ticket() head.Ticket {
-	f.tick(time.Now())
+	f.tick(f.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state.Ticket()
@@ -298,8 +311,12 @@
 	}
 	f.Metrics.reads.WithLabelValues(result(err)).Inc()
 	f.mu.Lock()
-	changed := f.tableUp != (err == nil)
-	f.tableUp = err == nil
+	before := f.table
+	f.table = tableUp
+	if err != nil {
+		f.table = tableDown
+	}
+	changed := f.table != before
 	f.mu.Unlock()
 	if changed {
 		f.Log.Info("config-table", zap.Bool("up", err == nil), zap.Error(err))
@@ -307,7 +324,7 @@
 	if err != nil {
 		return err
 	}
-	f.tick(time.Now())
+	f.tick(f.Now())
 	f.learn(func(s head.Follower) (head.Follower, error) { return s.WithRead(ticket, h.Ref()) })
 	return nil
 }
