--- a/internal/configsync/apply_test.go
+++ b/internal/configsync/apply_test.go
@@ -35,6 +35,7 @@
 		{"all is well", nil},
 		{"answer lost", []int{answerLost}},
 		{"call lost", []int{callLost}},
+		{"call late", []int{late}},
 		{"refused, then lost", []int{refused, callLost, answerLost}},
 	}
 	for _, tt := range tests {
@@ -145,7 +146,7 @@
 }
 
 // TestInvariantOperatorsRaceOnPlatform lets eight operators apply at the same
-// time while three of four transactions fail in some way.
+// time while four of five transactions fail in some way.
 func TestInvariantOperatorsRaceOnPlatform(t *testing.T) {
 	const operators, rounds = 8, 20
 	for seed := range int64(rounds) {
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -23,6 +23,7 @@
 	answerLost        // done, but the answer is lost
 	callLost          // not done, which the caller can't know
 	refused           // not done, which the caller is told
+	late              // done at the next transaction, which the caller can't know
 )
 
 // platform is a table and an object store in memory, with faults.
@@ -33,13 +34,14 @@
 	objects  map[string][]byte
 	history  []head.Head
 
-	down    bool
-	fates   []int         // of the next transactions, answered after these
-	random  *rand.Rand    // draws fates if set
-	before  func()        // runs once before the next transaction
-	reads   int           // of the table
-	gets    int           // of the object store
-	silence chan struct{} // reads wait for it if set
+	down     bool
+	onTheWay []row.Tx      // late transactions
+	fates    []int         // of the next transactions, answered after these
+	random   *rand.Rand    // draws fates if set
+	before   func()        // runs once before the next transaction
+	reads    int           // of the table
+	gets     int           // of the object store
+	silence  chan struct{} // reads wait for it if set
 }
 
 func newPlatform() *platform {
@@ -62,7 +64,7 @@
 
 func (p *platform) fate() int {
 	if p.random != nil {
-		return p.random.Intn(refused + 1)
+		return p.random.Intn(late + 1)
 	}
 	if len(p.fates) == 0 {
 		return answered
@@ -88,7 +90,14 @@
 		return row.Result{}, unavailable()
 	case f == callLost:
 		return row.Result{}, uncertain()
+	case f == late:
+		p.onTheWay = append(p.onTheWay, tx)
+		return row.Result{}, uncertain()
+	}
+	for _, earlier := range p.onTheWay {
+		p.commit(earlier)
 	}
+	p.onTheWay = nil
 	result := p.commit(tx)
 	if f == answerLost {
 		return row.Result{}, uncertain()
@@ -180,16 +189,20 @@
 	return doc
 }
 
-// apply makes document n the newest, past all faults.
+// apply makes document n the newest.
 func (p *platform) apply(t testing.TB, n int) head.Ref {
 	t.Helper()
-	p.mu.Lock()
-	down := p.down
-	p.down = false
-	p.mu.Unlock()
 	a := &configsync.Applier{Table: p, Store: p, Operator: "setup"}
 	applied, err := a.Apply(t.Context(), document(n))
 	require.NoError(t, err)
-	p.set(func() { p.down = down })
 	return applied.Head.Ref()
 }
+
+// applySilently does so while others' readings stay unanswered.
+func (p *platform) applySilently(t testing.TB, n int) head.Ref {
+	t.Helper()
+	var silence chan struct{}
+	p.set(func() { silence, p.silence = p.silence, nil })
+	defer p.set(func() { p.silence = silence })
+	return p.apply(t, n)
+}
