--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -38,6 +38,8 @@
 	KeyRequired Reason = "key-required"
 	// InProgress means that the same call is running elsewhere.
 	InProgress Reason = "in-progress"
+	// AnswerLost means that the call ran and its stored answer can't be read.
+	AnswerLost Reason = "answer-lost"
 	// CustomerLimit means that the customer is over its share.
 	CustomerLimit Reason = "customer-limit"
 	// QueueFull means that the queue is at its bound.
@@ -72,6 +74,8 @@
 	BackendLost Reason = "backend-lost"
 	// BackendCut means that an answer ended without its end marker.
 	BackendCut Reason = "backend-cut"
+	// PeerUnreachable means that no connection to another node could be opened.
+	PeerUnreachable Reason = "peer-unreachable"
 	// PeerLost means that the connection to another node broke.
 	PeerLost Reason = "peer-lost"
 	// CallerGone means that the caller closed its connection.
