Let a node ask its peers for the configuration's head

The flag of the object store is -objects in all commands now, as in node, so that one environment and settings file serves all.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -36,7 +36,7 @@
   6  unknown: sent, and may take effect
 
 EXAMPLES
-  guavapaddle apply -file corella.json -table 10.0.0.1:9000 -object-store 10.0.0.1:9000 -nodes 10.0.0.11:7001,10.0.0.12:7001
+  guavapaddle apply -file corella.json -table 10.0.0.1:9000 -objects 10.0.0.1:9000 -nodes 10.0.0.11:7001,10.0.0.12:7001
   guavapaddle apply -file corella.json -base 41 -operator kim -settings ops.json
   guavapaddle apply -file corella.json -settings ops.json -output json`
 
--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -10,7 +10,7 @@
 )
 
 const diffHelp = `Shows what a document would change: against the newest accepted document
-(flags -table and -object-store), against the one that a node has in force
+(flags -table and -objects), against the one that a node has in force
 (flag -nodes), or against another file (flag -against). Entries are named, as
 in models["drafter"].version. The order of entries doesn't matter, apart from
 the calls of a service.
@@ -24,7 +24,7 @@
 EXAMPLES
   guavapaddle diff -file new.json -against old.json
   guavapaddle diff -file new.json -nodes 10.0.0.11:7001
-  guavapaddle diff -file new.json -table 10.0.0.1:9000 -object-store 10.0.0.1:9000 -output json`
+  guavapaddle diff -file new.json -table 10.0.0.1:9000 -objects 10.0.0.1:9000 -output json`
 
 type (
 	// diffCommand is a run of diff.
@@ -104,7 +104,7 @@
 		}
 		return c.nodes.inForce(ctx)
 	default:
-		return nil, 0, &UsageError{Problem: "one of -against, -nodes, or -table with -object-store is required"}
+		return nil, 0, &UsageError{Problem: "one of -against, -nodes, or -table with -objects is required"}
 	}
 }
 
--- a/internal/cli/environment.go
+++ b/internal/cli/environment.go
@@ -35,7 +35,7 @@
 
 EXAMPLES
   guavapaddle validate -file corella.json
-  guavapaddle apply -file corella.json -table 10.0.0.1:9000 -object-store 10.0.0.1:9000 -nodes 10.0.0.11:7001
+  guavapaddle apply -file corella.json -table 10.0.0.1:9000 -objects 10.0.0.1:9000 -nodes 10.0.0.11:7001
   guavapaddle status -nodes 10.0.0.11:7001,10.0.0.12:7001
   guavapaddle COMMAND -help`
 
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -20,7 +20,7 @@
 // define defines the flags.
 func (p *platform) define(fs *flag.FlagSet) {
 	fs.StringVar(&p.tableAddress, "table", "", "`address` (IP:port) of the table service")
-	fs.StringVar(&p.storeAddress, "object-store", "", "`address` (IP:port) of the object store")
+	fs.StringVar(&p.storeAddress, "objects", "", "`address` (IP:port) of the object store")
 }
 
 // given tells whether both addresses are given.
@@ -28,7 +28,7 @@
 
 func (p *platform) require() error {
 	if !p.given() {
-		return &UsageError{Problem: "flags -table and -object-store are required"}
+		return &UsageError{Problem: "flags -table and -objects are required"}
 	}
 	return nil
 }
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -22,14 +22,6 @@
 		last   time.Time
 		ended  bool
 	}
-
-	configRequest struct {
-		Hash string `cbor:"1,keyasint"`
-	}
-
-	configReply struct {
-		Body []byte `cbor:"1,keyasint"`
-	}
 )
 
 // call serves one call of another node.
@@ -194,45 +186,3 @@
 	}
 	s.Cancel()
 }
-
-// serveConfig gives another node the body of a configuration.
-func (c *Cluster) serveConfig(f peer.Frame, s *peer.Stream) {
-	var q configRequest
-	if f.Decode(&q) != nil {
-		return
-	}
-	body, ok := c.Config(q.Hash)
-	if !ok {
-		return
-	}
-	reply, err := peer.Encode(KindConfig, configReply{Body: body})
-	if err == nil && s.Write(reply) == nil {
-		_ = s.Close()
-		s.Drain(sendTimeout)
-	}
-}
-
-// FetchConfig asks a node for the body of a configuration.
-func (c *Cluster) FetchConfig(ctx context.Context, node, hash string) ([]byte, error) {
-	n, ok := c.Node(node)
-	if !ok {
-		return nil, &peer.Error{Kind: peer.Unreachable, Peer: node}
-	}
-	f, err := peer.Encode(KindConfig, configRequest{Hash: hash})
-	if err != nil {
-		return nil, err
-	}
-	s, err := c.Endpoint.Open(ctx, n.Address, f)
-	if err != nil {
-		return nil, err
-	}
-	defer s.Cancel()
-	stop := context.AfterFunc(ctx, s.Cancel)
-	defer stop()
-	f, err = s.Read()
-	if err != nil {
-		return nil, err
-	}
-	var r configReply
-	return r.Body, f.Decode(&r)
-}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/config/head"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/member"
 	"guavapaddle/core/view"
@@ -78,8 +79,11 @@
 		OnMessage func(from string, f peer.Frame)
 		// Config returns the body of the configuration with a hash.
 		Config func(hash string) ([]byte, bool)
-		Log    *zap.Logger
-		Seed   uint64
+		// ConfigHead returns the configuration in force, and whether this node
+		// is sure that there is none newer.
+		ConfigHead func() (ref head.Ref, fresh bool)
+		Log        *zap.Logger
+		Seed       uint64
 
 		mu    sync.Mutex
 		state *member.State
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,14 +194,15 @@
 			DataCentre:  n.settings.DataCentre,
 			Incarnation: incarnation,
 		},
-		Endpoint:  &peer.Endpoint{Address: n.settings.Peers, TLS: n.keys},
-		Seeds:     n.seeds,
-		Local:     n.dispatch,
-		OnView:    n.viewed,
-		OnMessage: n.message,
-		Config:    n.follower.Body,
-		Log:       n.log,
-		Seed:      n.settings.Seed,
+		Endpoint:   &peer.Endpoint{Address: n.settings.Peers, TLS: n.keys},
+		Seeds:      n.seeds,
+		Local:      n.dispatch,
+		OnView:     n.viewed,
+		OnMessage:  n.message,
+		Config:     n.follower.Body,
+		ConfigHead: n.follower.Head,
+		Log:        n.log,
+		Seed:       n.settings.Seed,
 	}
 }
 
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/config"
+	"guavapaddle/core/config/head"
 	"guavapaddle/core/member"
 	"guavapaddle/core/status"
 	"guavapaddle/core/view"
@@ -144,7 +145,7 @@
 	ref := n.follower.InForce()
 	for _, m := range n.cluster.Nodes() {
 		if m.Name != n.settings.Name && m.Status == member.Alive && m.ConfigVersion > 0 {
-			n.follower.Hint(m.ConfigVersion, m.ConfigHash, m.Fresh)
+			n.follower.Hint(m.ConfigVersion, m.ConfigHash)
 		}
 		if m.Name == n.settings.Name && (m.Fresh != fresh || m.ConfigVersion != ref.Version) {
 			n.cluster.Update(func(s *member.Node) {
@@ -245,6 +246,11 @@
 	return p.node.cluster.FetchConfig(ctx, p.name, hash)
 }
 
+// ConfigHead implements configsync.Peer.
+func (p *configPeer) ConfigHead(ctx context.Context) (ref head.Ref, fresh bool, err error) {
+	return p.node.cluster.AskConfigHead(ctx, p.name)
+}
+
 // Status implements operator.Reporter.
 func (n *Node) Status() status.Report {
 	ref := n.follower.InForce()
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -156,7 +156,7 @@
 	require.NoError(s.t, err)
 	require.NoError(s.t, os.WriteFile(s.file, body, 0o600))
 	platform := s.Platform.Address("address")
-	args := []string{"apply", "-file", s.file, "-table", platform, "-object-store", platform}
+	args := []string{"apply", "-file", s.file, "-table", platform, "-objects", platform}
 	if len(s.Nodes) == 0 {
 		args = append(args, "-wait", "0")
 	} else {
