--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// DefaultCapacity is how many events a Recorder keeps: at 250 requests a
-	// second and 6 events each about ten seconds, in about 6 MB.
+	// DefaultCapacity is how many events a Recorder keeps: about seven minutes
+	// at 6 requests a second and node and 6 events each.
 	DefaultCapacity = 16384
 	// DefaultPerRequest bounds the events of one request, so that one that is
 	// retried without end can't push out all others.
