Prove the memory ledger with two owners under random failures

Found by the property test and mended: a load that failed was taken for done for good, so a doubled copy loaded again (110 of 100 bytes); the peak of a load that was resident but unsettled was given back, so a restart of the engine could bring it twice; an owner in a table outage raised its old fence on an engine that had restarted and forgotten a rival's.

--- a/core/ledger/doc.go
+++ b/core/ledger/doc.go
@@ -27,7 +27,8 @@
 //
 // # Assumptions
 //
-// An engine does an order id at most once a boot. A server that checks compares
+// An engine that has done a load does the same order id no more in that boot;
+// of a load that failed nothing is assumed. A server that checks compares
 // the fencing number when the order takes effect. On a server that doesn't,
 // an order takes effect within its lifetime after its sender checked the lease,
 // or never. A connection does not outlive the engine's process.
--- a/core/ledger/entry.go
+++ b/core/ledger/entry.go
@@ -56,7 +56,7 @@
 		returned  time.Duration // end of the last call
 		inherited bool          // the order is an earlier owner's
 		until     time.Duration // end of an inherited order's lifetime
-		seen      bool          // in an inventory since the order
+		seen      bool          // a load's item was in the last inventory
 	}
 
 	// Record is an unsettled order as kept in the table for the next owner.
@@ -67,9 +67,11 @@
 	}
 )
 
-// Held returns the bytes that the entry holds.
+// Held returns the bytes that the entry holds. An unsettled load holds those of
+// its peak even when the item is resident: it could be done again in a new boot.
 func (e Entry) Held() int64 {
-	if e.State == Resident || e.State == Unloading || e.Order.Op == backend.Unload {
+	settled := e.Order.Op != backend.Load && (e.State == Resident || e.State == Unloading)
+	if settled || e.Order.Op == backend.Unload {
 		return e.Cost.Bytes
 	}
 	return e.Cost.Bytes + e.Cost.Peak
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -394,13 +394,13 @@
 	case !e.pending(), e.Order.Op == backend.Unload:
 		// It was there, and nothing can bring it back.
 		delete(l.entries, e.Item)
-	case e.seen && e.open == 0 && began > e.returned && !(e.inherited && e.resent()):
-		// The load took effect and ended otherwise; the engine does it once.
-		delete(l.entries, e.Item)
 	case e.State == Reserved:
 	case l.void(began, e):
 		delete(l.entries, e.Item)
-	case e.State == Resident:
+	case e.seen || e.State == Resident:
+		// The load failed. An engine may forget that it had the order, so that
+		// another copy of it would load again.
+		e.seen = false
 		e.to(now, Uncertain)
 	}
 }
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -122,8 +122,12 @@
 	w.o.release(ctx, w.name, reason)
 }
 
-// adopt starts the ledger under a new epoch.
+// adopt starts the ledger under a new epoch. It needs a running lease: an engine
+// that restarted may have forgotten that a rival raised the fence.
 func (w *worker) adopt(ctx context.Context, epoch uint64) {
+	if running, _ := w.o.mayOrder(w.name); !running {
+		return
+	}
 	r := w.o.row(w.name)
 	taken := w.o.now()
 	var records []ledger.Record
