--- /dev/null
+++ b/internal/report/compare.go
@@ -0,0 +1,124 @@
+package report
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+)
+
+type (
+	// Spread is the median of a figure over several seeds, with the least and
+	// the most.
+	Spread struct {
+		Median float64 `json:"median"`
+		Least  float64 `json:"least"`
+		Most   float64 `json:"most"`
+	}
+
+	// Row sums up the runs of one setting over several seeds.
+	Row struct {
+		Deployment string `json:"deployment"`
+		Policy     string `json:"policy"`
+		Planner    string `json:"planner"`
+		Fault      string `json:"fault"`
+		Runs       int    `json:"runs"`
+
+		Load           float64 `json:"load"`
+		MovePrice      float64 `json:"move-price"`
+		All            Spread  `json:"attainment"`
+		OfBound        Spread  `json:"share-of-bound"`
+		Urgent         Spread  `json:"urgent-attainment"`
+		Value          Spread  `json:"value-attainment"`
+		PerAccelerator Spread  `json:"met-per-accelerator-second"`
+		WorstCustomer  Spread  `json:"worst-customer-attainment"`
+		FirstToken95   Spread  `json:"first-token-p95-ms"`
+		Between95      Spread  `json:"between-tokens-p95-ms"`
+		Moves          Spread  `json:"moves"`
+	}
+
+	// Comparison has one row for each setting, in the order of the runs.
+	Comparison struct {
+		Rows []Row `json:"rows"`
+	}
+
+	// key tells settings apart.
+	key struct {
+		deployment, policy, planner, fault string
+		load, price                        float64
+	}
+)
+
+// Compare sums up runs that differ in nothing but their seed.
+func Compare(runs []*Summary) *Comparison {
+	var order []key
+	groups := map[key][]*Summary{}
+	for _, s := range runs {
+		m := s.Meta
+		k := key{m.Deployment, m.Policy, m.Planner, m.Fault, m.Load, m.MovePrice}
+		if groups[k] == nil {
+			order = append(order, k)
+		}
+		groups[k] = append(groups[k], s)
+	}
+	c := &Comparison{}
+	for _, k := range order {
+		c.Rows = append(c.Rows, row(k, groups[k]))
+	}
+	return c
+}
+
+func row(k key, runs []*Summary) Row {
+	of := func(f func(*Summary) float64) Spread {
+		values := make([]float64, 0, len(runs))
+		for _, s := range runs {
+			values = append(values, f(s))
+		}
+		return spread(values)
+	}
+	return Row{
+		Deployment: k.deployment, Policy: k.policy, Planner: k.planner, Fault: k.fault, Load: k.load, MovePrice: k.price, Runs: len(runs),
+		All:            of(func(s *Summary) float64 { return s.All.Attainment }),
+		OfBound:        of(func(s *Summary) float64 { return s.All.OfBound }),
+		Urgent:         of(func(s *Summary) float64 { return s.Urgent.Attainment }),
+		Value:          of(func(s *Summary) float64 { return s.ValueAttainment }),
+		PerAccelerator: of(func(s *Summary) float64 { return s.PerAccelerator }),
+		WorstCustomer:  of(func(s *Summary) float64 { return s.WorstCustomer }),
+		FirstToken95:   of(func(s *Summary) float64 { return s.All.FirstToken.P95 }),
+		Between95:      of(func(s *Summary) float64 { return s.All.Between.P95 }),
+		Moves:          of(func(s *Summary) float64 { return float64(s.Moves) }),
+	}
+}
+
+// spread returns the median, the least and the most of at least one value.
+func spread(values []float64) Spread {
+	slices.SortFunc(values, cmp.Compare[float64])
+	n := len(values)
+	return Spread{Median: (values[(n-1)/2] + values[n/2]) / 2, Least: values[0], Most: values[n-1]}
+}
+
+// WriteJSON writes the comparison as one JSON object.
+func (c *Comparison) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(c)
+}
+
+// WriteTable writes the comparison for a terminal, medians with least and most.
+func (c *Comparison) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tplanner\tfault\tload\tprice\truns\tattainment\tof bound\turgent\tvalue\tmet/acc s\tworst customer\tfirst p95 ms\tbetween p95 ms\tmoves")
+	for _, r := range c.Rows {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.2f\t%g\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Deployment, r.Policy, r.Planner,
+			orNone(r.Fault), r.Load, r.MovePrice, r.Runs, r.All.format(3), r.OfBound.format(3), r.Urgent.format(3), r.Value.format(3),
+			r.PerAccelerator.format(2), r.WorstCustomer.format(2), r.FirstToken95.format(0), r.Between95.format(0), r.Moves.format(0))
+	}
+	return t.Flush()
+}
+
+// format returns "median [least-most]" with the given decimals.
+func (s Spread) format(decimals int) string {
+	return fmt.Sprintf("%.*f [%.*f-%.*f]", decimals, s.Median, decimals, s.Least, decimals, s.Most)
+}
