--- /dev/null
+++ b/cmd/bench/compare.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot/plotter"
+
+	"guavapaddle/core/route"
+	"guavapaddle/internal/report"
+)
+
+const dirMode = 0o755
+
+// comparison runs several policies, prices and seeds side by side.
+type comparison struct {
+	common
+	policies, planner, seeds, prices, curve, dir string
+}
+
+func (c *comparison) register(f *flag.FlagSet) {
+	c.common.register(f)
+	f.StringVar(&c.policies, "policies", strings.Join(route.Names(), ","), "routing policies, by commas")
+	f.StringVar(&c.planner, "planner", "", "placement of all; default by policy")
+	f.StringVar(&c.seeds, "seeds", "1,2,3", "seeds, by commas")
+	f.StringVar(&c.prices, "prices", "0", "prices of a move, by commas; 0 for the deployment's, negative for none")
+	f.StringVar(&c.curve, "curve", "", "file for a plot of attainment against moves")
+	f.StringVar(&c.dir, "dir", "", "directory for the result and plot of each run")
+}
+
+func (c *comparison) run(ctx context.Context, out io.Writer) error {
+	seeds, err := numbers[uint64](c.seeds, func(s string) (uint64, error) { return strconv.ParseUint(s, 10, 64) })
+	if err != nil {
+		return err
+	}
+	prices, err := numbers[float64](c.prices, func(s string) (float64, error) { return strconv.ParseFloat(s, 64) })
+	if err != nil {
+		return err
+	}
+	var runs []*report.Summary
+	for _, price := range prices {
+		for _, policy := range strings.Split(c.policies, ",") {
+			for _, seed := range seeds {
+				r, err := c.one(ctx, policy, seed, price)
+				if err != nil {
+					return err
+				}
+				runs = append(runs, r)
+			}
+		}
+	}
+	all := report.Compare(runs)
+	if c.curve != "" {
+		if err := writeCurve(c.curve, c.deployment, all); err != nil {
+			return err
+		}
+	}
+	return write(out, c.output, all)
+}
+
+// one runs once, and keeps the result if there is a directory for it.
+func (c *comparison) one(ctx context.Context, policy string, seed uint64, price float64) (*report.Summary, error) {
+	set, err := c.settings(policy, c.planner, seed, price)
+	if err != nil {
+		return nil, err
+	}
+	r, err := set.Run(ctx)
+	if err != nil || c.dir == "" {
+		return r, err
+	}
+	if err := os.MkdirAll(c.dir, dirMode); err != nil {
+		return nil, err
+	}
+	name := filepath.Join(c.dir, fmt.Sprintf("%s-%s-%g-%s-%d", c.deployment, policy, price, c.fault, seed))
+	f, err := os.Create(name + ".json")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	if err := r.WriteJSON(f); err != nil {
+		return nil, err
+	}
+	return r, r.WritePlot(name + ".png")
+}
+
+// writeCurve draws one line for each policy.
+func writeCurve(file, title string, c *report.Comparison) error {
+	var names []string
+	lines := map[string]plotter.XYs{}
+	for _, r := range c.Rows {
+		if lines[r.Policy] == nil {
+			names = append(names, r.Policy)
+		}
+		lines[r.Policy] = append(lines[r.Policy], plotter.XY{X: r.Moves.Median, Y: r.All.Median})
+	}
+	return report.WriteCurve(file, title, names, lines)
+}
+
+// numbers reads a list of numbers.
+func numbers[T any](list string, read func(string) (T, error)) ([]T, error) {
+	var out []T
+	for _, s := range strings.Split(list, ",") {
+		n, err := read(strings.TrimSpace(s))
+		if err != nil {
+			return nil, &UsageError{Text: "not a number: " + s}
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
