--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -23,6 +23,8 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
+
+	"guavapaddle/internal/experiment"
 )
 
 const envPrefix = "GUAVAPADDLE_BENCH"
@@ -34,6 +36,7 @@
 func (e *UsageError) Error() string { return e.Text }
 
 func main() {
+	experiment.RunNode()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := command(ctx, os.Args[1:], os.Stdout)
--- a/cmd/bench/single.go
+++ b/cmd/bench/single.go
@@ -30,6 +30,7 @@
 		nodes      int
 		scale      float64
 		output     string
+		logs       string
 	}
 
 	// single runs once.
@@ -50,6 +51,7 @@
 	f.DurationVar(&c.duration, "duration", 30*time.Second, "time in which requests arrive")
 	f.IntVar(&c.nodes, "nodes", 8, "nodes")
 	f.Float64Var(&c.scale, "scale", 1, "factor of engines, models, adapters and customers")
+	f.StringVar(&c.logs, "logs", "", "directory for the nodes' logs")
 	f.StringVar(&c.output, "output", outputTable, "table or json")
 }
 
@@ -64,7 +66,7 @@
 	}
 	return experiment.Settings{
 		Deployment: d.Scaled(c.scale), Policy: policy, Planner: planner, Fault: c.fault, Seed: seed,
-		Load: c.load, Duration: c.duration, Nodes: c.nodes, MovePrice: price,
+		Load: c.load, Duration: c.duration, Nodes: c.nodes, MovePrice: price, LogDir: c.logs,
 	}, nil
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os/exec"
 	"slices"
 	"sync"
 	"syscall"
@@ -25,6 +26,8 @@
 	// warm is the time between readiness and the first request, in which nodes
 	// hear of all servers and the first plan is made.
 	warm = 3 * time.Second
+	// notice is the nodes' notice before a planned stop, at the end of a run.
+	notice = 10 * time.Millisecond
 	// loadBase is the part of a load that does not depend on its bytes.
 	loadBase = 200 * time.Millisecond
 	// cacheBlocks is the prefix cache of an engine, in blocks of 64 bytes of
@@ -41,6 +44,8 @@
 	start    time.Time
 	balancer *balancer
 
+	processes []*exec.Cmd // nodes
+
 	mu   sync.Mutex
 	late []time.Duration // of the load tool's own sends
 }
@@ -92,7 +97,10 @@
 				e.Preload(i, bytes[i])
 			}
 		},
-		Settings: func(n *node.Settings) { n.Policy, n.Planner = r.set.Policy, r.set.Planner },
+		Settings: func(n *node.Settings) {
+			n.Policy, n.Planner, n.Notice = r.set.Policy, r.set.Planner, notice
+		},
+		Spawn: r.spawn,
 	}
 }
 
--- a/internal/experiment/settings.go
+++ b/internal/experiment/settings.go
@@ -41,6 +41,7 @@
 		Duration   time.Duration // of the arrivals, default 30 s
 		Nodes      int           // default 8
 		MovePrice  float64       // default the deployment's; negative for zero
+		LogDir     string        // directory for the nodes' logs, default none
 	}
 
 	// SettingError tells that a setting has no such value.
--- /dev/null
+++ b/internal/experiment/spawn.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapaddle/internal/cli"
+	"guavapaddle/internal/lab"
+	"guavapaddle/internal/node"
+)
+
+const (
+	nodeVariable   = "GUAVAPADDLE_EXPERIMENT_NODE"
+	eventKey       = "event"
+	listeningEvent = "listening"
+	listenTimeout  = 10 * time.Second
+	maxLogLine     = 1 << 16
+)
+
+// RunNode runs the command line of guavapaddle and ends the process if this
+// process was started by an experiment to be a node. Programs and tests that
+// run experiments call it first.
+func RunNode() {
+	if os.Getenv(nodeVariable) == "" {
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	e := &cli.Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr}
+	code := e.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
+// spawn starts a node as a process of its own, so that it can be lost as a VM
+// is lost, and its processor time and memory be told from the stand-ins'.
+func (r *run) spawn(s node.Settings) (*lab.Process, node.Addresses, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, node.Addresses{}, eris.Wrap(err, "own program")
+	}
+	cmd := exec.Command(program, arguments(s)...)
+	cmd.Env = append(os.Environ(), nodeVariable+"=1")
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, node.Addresses{}, eris.Wrap(err, "node output")
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, node.Addresses{}, eris.Wrap(err, "start node")
+	}
+	listening, done := make(chan node.Addresses, 1), make(chan error, 1)
+	log := r.logFile(s.Name)
+	go func() {
+		follow(out, listening, log)
+		done <- cmd.Wait()
+	}()
+	r.processes = append(r.processes, cmd)
+	p := &lab.Process{
+		Name: s.Name, Done: done,
+		Stop: func() { _ = cmd.Process.Signal(syscall.SIGTERM) },
+		Kill: func() { _ = cmd.Process.Kill() },
+	}
+	select {
+	case a, ok := <-listening:
+		if ok {
+			return p, a, nil
+		}
+		return nil, a, &StartError{Part: s.Name, Err: eris.New("it ended")}
+	case <-time.After(listenTimeout):
+		p.Kill()
+		return nil, node.Addresses{}, &StartError{Part: s.Name, Err: eris.New("it does not listen")}
+	}
+}
+
+// arguments returns the command line of a node.
+func arguments(s node.Settings) []string {
+	return []string{
+		"node", "-name", s.Name, "-data-centre", s.DataCentre, "-callers", s.Callers, "-peers", s.Peers,
+		"-operators", s.Operators, "-table", s.Table, "-objects", s.Objects, "-vm-list", s.VMList,
+		"-ca", s.CA, "-cert", s.Cert, "-key", s.Key, "-policy", s.Policy, "-planner", s.Planner,
+		"-notice", s.Notice.String(), "-seed", strconv.FormatUint(s.Seed, 10), "-log-level", s.LogLevel,
+	}
+}
+
+// follow reads a node's log to its end, tells its addresses and copies the log.
+func follow(out io.Reader, listening chan<- node.Addresses, log io.Writer) {
+	defer close(listening)
+	s := bufio.NewScanner(out)
+	s.Buffer(make([]byte, 0, maxLogLine), maxLogLine)
+	told := false
+	for s.Scan() {
+		line := s.Text()
+		if !told && field(line, eventKey) == listeningEvent {
+			told = true
+			listening <- node.Addresses{
+				Callers: field(line, "callers"), Peers: field(line, "peers"), Operators: field(line, "operators"),
+			}
+		}
+		_, _ = io.WriteString(log, line+"\n")
+	}
+	_, _ = io.Copy(io.Discard, out)
+}
+
+// field returns the value of a field in a line key=value, if it has no spaces.
+func field(line, key string) string {
+	for _, f := range strings.Fields(line) {
+		if v, ok := strings.CutPrefix(f, key+"="); ok {
+			return v
+		}
+	}
+	return ""
+}
+
+// logFile returns where a node's log goes.
+func (r *run) logFile(name string) io.Writer {
+	if r.set.LogDir == "" {
+		return io.Discard
+	}
+	f, err := os.Create(r.set.LogDir + "/" + name + ".log")
+	if err != nil {
+		return io.Discard
+	}
+	return f
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -52,9 +52,14 @@
 		Platform *platform.Platform
 		// Engine changes the stand-in of a server before it starts; may be nil.
 		Engine func(e *engine.Engine, s config.BackendServer)
+		// Started is told of each engine that has started, before any node
+		// has; may be nil.
+		Started func(e *engine.Engine, s config.BackendServer)
 		// Settings changes the settings of a node before it starts; may be nil.
 		Settings func(s *node.Settings)
-		Log      *zap.Logger // default none
+		// Spawn starts a node some other way than in this process; may be nil.
+		Spawn func(s node.Settings) (*Process, node.Addresses, error)
+		Log   *zap.Logger // default none
 
 		Engines   map[string]*engine.Engine
 		Services  map[string]*service.Service
@@ -69,8 +74,9 @@
 	// Process is one node of a lab.
 	Process struct {
 		Name string
-		stop context.CancelFunc
-		done chan error
+		Stop func()       // begins a graceful shutdown
+		Kill func()       // ends it at once; nil for a node in this process
+		Done <-chan error // gets one value at the end
 		once sync.Once
 	}
 
@@ -130,7 +136,9 @@
 				l.Engine(e, *s)
 			}
 			l.Engines[s.Name] = e
-			s.Address, err = e.Start()
+			if s.Address, err = e.Start(); err == nil && l.Started != nil {
+				l.Started(e, *s)
+			}
 		case config.Service:
 			v := &service.Service{Name: s.Name}
 			l.Services[s.Name] = v
@@ -196,17 +204,14 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
-	n, err := node.New(s, l.Log)
-	if err != nil {
-		return err
+	spawn := l.Spawn
+	if spawn == nil {
+		spawn = l.runNode
 	}
-	a, err := n.Listen()
+	p, a, err := spawn(s)
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	p := &Process{Name: name, stop: stop, done: make(chan error, 1)}
-	go func() { p.done <- n.Run(ctx) }()
 	l.running = append(l.running, p)
 	l.Callers = append(l.Callers, a.Callers)
 	l.Operators = append(l.Operators, a.Operators)
@@ -216,6 +221,22 @@
 	return list.Set(listing, vmlist.VM{Name: name, Address: a.Peers, Role: "node", DataCentre: place, State: vmlist.Live})
 }
 
+// runNode runs a node in this process.
+func (l *Lab) runNode(s node.Settings) (*Process, node.Addresses, error) {
+	n, err := node.New(s, l.Log)
+	if err != nil {
+		return nil, node.Addresses{}, err
+	}
+	a, err := n.Listen()
+	if err != nil {
+		return nil, a, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	return &Process{Name: s.Name, Stop: stop, Done: done}, a, nil
+}
+
 // dataCentres returns the data centres of a document's servers, in order.
 func dataCentres(d *config.Document) []string {
 	var out []string
@@ -291,12 +312,22 @@
 	p := l.running[i]
 	var err error
 	p.once.Do(func() {
-		p.stop()
-		err = <-p.done
+		p.Stop()
+		err = <-p.Done
 	})
 	return err
 }
 
+// KillNode ends a node at once, as if its VM were lost. It panics for a node in
+// this process.
+func (l *Lab) KillNode(i int) {
+	p := l.running[i]
+	p.once.Do(func() {
+		p.Kill()
+		<-p.Done
+	})
+}
+
 // Close stops everything.
 func (l *Lab) Close() {
 	var wg sync.WaitGroup
