--- a/cmd/bench/compare.go
+++ b/cmd/bench/compare.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/plot/plotter"
 
 	"guavapaddle/core/route"
@@ -22,6 +23,14 @@
 type comparison struct {
 	common
 	policies, planner, seeds, prices, curve, dir string
+	parallel                                     int
+}
+
+// job is one run of a comparison.
+type job struct {
+	policy string
+	seed   uint64
+	price  float64
 }
 
 func (c *comparison) register(f *flag.FlagSet) {
@@ -31,6 +40,7 @@
 	f.StringVar(&c.seeds, "seeds", "1,2,3", "seeds, by commas")
 	f.StringVar(&c.prices, "prices", "0", "prices of a move, by commas; 0 for the deployment's, negative for none")
 	f.StringVar(&c.curve, "curve", "", "file for a plot of attainment against moves")
+	f.IntVar(&c.parallel, "parallel", 1, "runs at the same time; more than one needs spare processors")
 	f.StringVar(&c.dir, "dir", "", "directory for the result and plot of each run")
 }
 
@@ -43,18 +53,27 @@
 	if err != nil {
 		return err
 	}
-	var runs []*report.Summary
+	var jobs []job
 	for _, price := range prices {
 		for _, policy := range strings.Split(c.policies, ",") {
 			for _, seed := range seeds {
-				r, err := c.one(ctx, policy, seed, price)
-				if err != nil {
-					return err
-				}
-				runs = append(runs, r)
+				jobs = append(jobs, job{policy, seed, price})
 			}
 		}
 	}
+	runs := make([]*report.Summary, len(jobs))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(max(1, c.parallel))
+	for i, j := range jobs {
+		group.Go(func() error {
+			r, err := c.one(ctx, j.policy, j.seed, j.price)
+			runs[i] = r
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
 	all := report.Compare(runs)
 	if c.curve != "" {
 		if err := writeCurve(c.curve, c.deployment, all); err != nil {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -73,7 +73,9 @@
 	}
 	cpu := cpuSeconds()
 	r.send(ctx, met)
-	return r.recorder.Summary(r.meta(cpuSeconds() - cpu)), nil
+	cpu = cpuSeconds() - cpu
+	r.lab.Close() // gracefully, which ends the nodes' processor time
+	return r.recorder.Summary(r.meta(cpu)), nil
 }
 
 // build sets the system up.
@@ -160,6 +162,14 @@
 		Seed: r.set.Seed, Load: r.set.Load, Duration: r.set.Duration, MovePrice: r.set.MovePrice,
 		Nodes: r.set.Nodes, Accelerators: r.set.Deployment.Engines, CPUSeconds: cpu,
 	}
+	for _, p := range r.processes {
+		if p.ProcessState != nil {
+			m.NodeCPUSeconds += (p.ProcessState.UserTime() + p.ProcessState.SystemTime()).Seconds()
+		}
+		if u, ok := p.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			m.NodeMemory = max(m.NodeMemory, u.Maxrss*1024)
+		}
+	}
 	if n := len(r.late); n > 0 {
 		m.SentLate = r.late[n*99/100]
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -69,6 +69,7 @@
 
 		dir     string
 		running []*Process
+		closing sync.Once
 	}
 
 	// Process is one node of a lab.
@@ -328,8 +329,10 @@
 	})
 }
 
-// Close stops everything.
-func (l *Lab) Close() {
+// Close stops everything. A second call does nothing.
+func (l *Lab) Close() { l.closing.Do(l.close) }
+
+func (l *Lab) close() {
 	var wg sync.WaitGroup
 	for i := range l.running {
 		wg.Go(func() { _ = l.StopNode(i) })
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -57,7 +57,10 @@
 		Nodes        int           `json:"nodes"`
 		Accelerators int           `json:"accelerators"`
 		SentLate     time.Duration `json:"sent-late-p99-ns"` // by the load tool itself
-		CPUSeconds   float64       `json:"cpu-seconds"`      // of the whole process
+		CPUSeconds   float64       `json:"cpu-seconds"`      // of load tool and stand-ins
+
+		NodeCPUSeconds float64 `json:"node-cpu-seconds"`  // of all nodes, start and stop included
+		NodeMemory     int64   `json:"node-memory-bytes"` // largest resident set of a node
 	}
 
 	// Recorder collects requests and moves. It is safe for concurrent use.
@@ -112,7 +115,6 @@
 		Moves           int            `json:"moves"`
 		Reasons         map[string]int `json:"reasons"`
 		Series          []Point        `json:"series"`
-		Nodes           map[string]any `json:"nodes,omitempty"` // counters of the nodes
 	}
 
 	// tally sums up requests.
