--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -18,6 +18,7 @@
 	// answering writes the replies of one job to the node that forwarded it.
 	answering struct {
 		stream *peer.Stream
+		read   chan struct{} // closed when the asker has closed its side
 		mu     sync.Mutex
 		last   time.Time
 		ended  bool
@@ -51,7 +52,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &answering{stream: s, last: time.Now()}
+	a := &answering{stream: s, read: make(chan struct{}), last: time.Now()}
 	go a.watch(cancel)
 	go a.heartbeat(ctx, c.Local, job.Server)
 	err := c.Local.Do(ctx, job, a.write)
@@ -61,15 +62,20 @@
 	a.end(c.Local, job.Server, err)
 }
 
-// watch ends the job when the asker cancels it.
+// watch ends the job when the asker cancels it. It alone reads the stream.
 func (a *answering) watch(cancel context.CancelCauseFunc) {
-	f, err := a.stream.Read()
-	if err == nil && f.Kind == KindCancel {
-		cancel(dispatch.ErrCancelled)
-		return
-	}
-	if !errors.Is(err, io.EOF) {
-		cancel(err)
+	defer close(a.read)
+	for {
+		f, err := a.stream.Read()
+		switch {
+		case errors.Is(err, io.EOF):
+			return
+		case err != nil:
+			cancel(err)
+			return
+		case f.Kind == KindCancel:
+			cancel(dispatch.ErrCancelled)
+		}
 	}
 }
 
@@ -115,7 +121,8 @@
 	}
 	if a.write(last) == nil {
 		_ = a.stream.Close()
-		a.stream.Drain(sendTimeout)
+		a.stream.ReadBy(time.Now().Add(sendTimeout))
+		<-a.read
 	}
 }
 
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -322,7 +322,11 @@
 // Close ends the own side of the stream.
 func (s *Stream) Close() error { return s.s.Close() }
 
-// Drain waits until the peer has closed its side, at most for d.
+// ReadBy makes Read fail from a time on, one under way included.
+func (s *Stream) ReadBy(at time.Time) { _ = s.s.SetReadDeadline(at) }
+
+// Drain waits until the peer has closed its side, at most for d. No
+// other goroutine may read.
 func (s *Stream) Drain(d time.Duration) {
 	_ = s.s.SetReadDeadline(time.Now().Add(d))
 	for {
