--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -109,6 +109,7 @@
 		server  string
 		owner   string
 		why     string // reason of the last choice
+		bypass  bool   // the owner is not known for sure: go to the engine
 	}
 )
 
@@ -263,9 +264,9 @@
 		return a.emit(reply, forward.Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server})
 	}
 	switch {
-	case r.Forward && a.owner == r.Self:
+	case r.Forward && a.owner == r.Self && !a.bypass:
 		return r.Local.Do(ctx, job, sink)
-	case r.Forward && a.owner != "":
+	case r.Forward && a.owner != "" && !a.bypass:
 		err := r.Owners.Do(ctx, a.owner, job, sink)
 		if e := outcome.From(err); e == nil || e.Reason != outcome.PeerUnreachable {
 			return err
@@ -307,6 +308,10 @@
 	if e.Outcome == outcome.RefusedNotRun && e.Reason == outcome.NoServer && a.free < freeAttempts {
 		a.free++
 		clear(a.exclude)
+		if !a.bypass {
+			a.bypass = true // the server may well serve; only its owner changed
+			return true, nil
+		}
 		return true, a.pause(ctx, a.free+1)
 	}
 	a.count++
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -19,7 +19,7 @@
 
 const (
 	publishPeriod = 50 * time.Millisecond
-	loadPeriod    = 500 * time.Millisecond // between views that differ in load only
+	loadPeriod    = 3 * time.Second // between views that differ in load only
 	vmPeriod      = time.Second
 	keysPeriod    = 10 * time.Second
 	drainPoll     = 20 * time.Millisecond
