--- /dev/null
+++ b/internal/claims/store_test.go
@@ -0,0 +1,305 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/claim"
+	"guavapaddle/core/outcome"
+	"guavapaddle/internal/claims"
+	"guavapaddle/internal/tabletest"
+)
+
+// objects is an object store in memory.
+type objects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+	down bool
+}
+
+func (o *objects) Put(_ context.Context, key string, body []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return context.DeadlineExceeded
+	}
+	o.data[key] = body
+	return nil
+}
+
+func (o *objects) Get(_ context.Context, key string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b, found := o.data[key]; found && !o.down {
+		return b, nil
+	}
+	return nil, context.DeadlineExceeded
+}
+
+// inBubble runs f with fake time and a store on a table.
+func inBubble(t *testing.T, f func(t *testing.T, table *tabletest.Table, s *claims.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		table := tabletest.New()
+		s := store(t, table, "n1")
+		f(t, table, s)
+	})
+}
+
+// store returns a store that runs until the test ends.
+func store(t *testing.T, table claims.Table, node string) *claims.Store {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &claims.Store{Table: table, Objects: &objects{data: map[string][]byte{}}, Node: node, Incarnation: 1}
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return s
+}
+
+// booking returns the call of a key.
+func booking(key string) claims.Call {
+	return claims.Call{Customer: "corella", Key: key, BodyHash: "h", RequestID: "r-" + key, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+// refused demands that err is a refusal because the table is down.
+func refused(t *testing.T, err error) {
+	t.Helper()
+	require.Error(t, err)
+	require.Equal(t, outcome.RefusedNotRun, outcome.From(err).Outcome)
+	require.Equal(t, outcome.TableDown, outcome.From(err).Reason)
+	require.NotZero(t, outcome.From(err).RetryAfter)
+}
+
+func TestManyClaimsGoInFewTransactions(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		const calls = 500
+		var wg sync.WaitGroup
+		for i := range calls {
+			time.Sleep(2 * time.Millisecond)
+			wg.Go(func() {
+				g, err := s.Claim(t.Context(), booking(fmt.Sprint(i)))
+				require.NoError(t, err)
+				s.Finish(g.Held, claim.Answer{Status: 200})
+			})
+		}
+		wg.Wait()
+		require.Zero(t, s.Flush(t.Context()))
+		require.LessOrEqual(t, table.Transactions(), 53, "500 calls a second, 50 transactions a second")
+	})
+}
+
+func TestIdleNodeClaimsAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *tabletest.Table, s *claims.Store) {
+		begin := time.Now()
+		_, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		require.Equal(t, begin, time.Now())
+	})
+}
+
+func TestConflictFailsItsClaimOnly(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		other := store(t, table, "n2")
+		_, err := other.Claim(t.Context(), booking("3"))
+		require.NoError(t, err)
+		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Delay: 10 * time.Millisecond} })
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				g, err := s.Claim(t.Context(), booking(fmt.Sprint(i)))
+				if i == 3 {
+					require.Equal(t, outcome.InProgress, outcome.From(err).Reason)
+					return
+				}
+				require.NoError(t, err)
+				require.NotZero(t, g.Held.Revision)
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// TestInvariantAtMostOnceLostInsertAnswer: the attempt id tells the holder that
+// its insert took effect although the answer was lost, and a second asker that
+// it did not claim.
+func TestInvariantAtMostOnceLostInsertAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		table.SetFault(func(c tabletest.Call) tabletest.Fault { return tabletest.Fault{LoseAnswer: c.Write} })
+		g, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		require.NotZero(t, g.Held.Revision)
+		_, err = store(t, table, "n2").Claim(t.Context(), booking("a"))
+		require.Equal(t, outcome.InProgress, outcome.From(err).Reason)
+		require.Equal(t, outcome.Unknown, outcome.From(err).Outcome)
+	})
+}
+
+func TestTableDownRefusesAtOnce(t *testing.T) {
+	for name, fault := range map[string]tabletest.Fault{
+		"refuses":        {Refuse: true},
+		"breaks":         {Lose: true},
+		"answers not":    {Hang: true},
+		"too slow":       {Delay: 10 * time.Second},
+		"takes and dies": {LoseAnswer: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+				table.SetFault(func(tabletest.Call) tabletest.Fault { return fault })
+				begin := time.Now()
+				_, err := s.Claim(t.Context(), booking("a"))
+				refused(t, err)
+				require.LessOrEqual(t, time.Since(begin), 2*claims.DefaultTimeout)
+				begin, n := time.Now(), table.Transactions()
+				for i := range 100 {
+					_, err = s.Claim(t.Context(), booking(fmt.Sprint(i)))
+					refused(t, err)
+				}
+				require.Equal(t, begin, time.Now(), "no wait while the table is known to be down")
+				require.Equal(t, n, table.Transactions())
+				table.SetFault(nil)
+				time.Sleep(10 * time.Second)
+				g, err := s.Claim(t.Context(), booking("a"))
+				require.NoError(t, err, "a repeat runs once the table is back")
+				require.NotZero(t, g.Held.Revision)
+			})
+		})
+	}
+}
+
+// TestInvariantRefusedNotRunLateInsert: an insert whose caller was told not run
+// and which reaches the table seconds later does not keep a repeat, through
+// any node, from running, nor lets two run.
+func TestInvariantRefusedNotRunLateInsert(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		table.SetFault(func(c tabletest.Call) tabletest.Fault {
+			if c.Write {
+				return tabletest.Fault{Late: 3 * time.Second}
+			}
+			return tabletest.Fault{Hang: true}
+		})
+		_, err := s.Claim(t.Context(), booking("a"))
+		refused(t, err)
+		time.Sleep(time.Second)
+		table.SetFault(nil)
+		time.Sleep(5 * time.Second) // settled before or after the insert arrived
+		other := store(t, table, "n2")
+		g, err := other.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		other.Finish(g.Held, claim.Answer{Status: 201, Body: []byte("booked")})
+		require.Zero(t, other.Flush(t.Context()))
+		again, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		require.Equal(t, []byte("booked"), again.Stored.Body)
+	})
+}
+
+// TestGivenUpInsertIsReleased: the table hangs until after the caller's wait
+// and the insert then took effect.
+func TestGivenUpInsertIsReleased(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		s.Wait = 100 * time.Millisecond
+		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Delay: 300 * time.Millisecond} })
+		_, err := s.Claim(t.Context(), booking("a"))
+		refused(t, err)
+		table.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		_, err = s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+	})
+}
+
+func TestReleasedCallMayBeClaimedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		g, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		s.Release(g.Held)
+		_, err = store(t, table, "n2").Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+	})
+}
+
+// TestAnswersOutliveAnOutage: an answer that can't be stored is kept and stored
+// when the table is back.
+func TestAnswersOutliveAnOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		g, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		lost, err := s.Claim(t.Context(), booking("b"))
+		require.NoError(t, err)
+		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Hang: true} })
+		s.Finish(g.Held, claim.Answer{Status: 200, Body: []byte("yes")})
+		s.Lose(lost.Held, outcome.BackendLost)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		require.Equal(t, 2, s.Flush(ctx))
+		table.SetFault(nil)
+		require.Zero(t, s.Flush(t.Context()))
+		again, err := store(t, table, "n2").Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		require.Equal(t, []byte("yes"), again.Stored.Body)
+		_, err = s.Claim(t.Context(), booking("b"))
+		require.Equal(t, outcome.BackendLost, outcome.From(err).Reason)
+		require.Equal(t, outcome.Unknown, outcome.From(err).Outcome)
+	})
+}
+
+func TestLargeAnswersGoToTheObjectStore(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		big := make([]byte, claim.DefaultInlineBytes+1)
+		big[7] = 1
+		g, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		s.Finish(g.Held, claim.Answer{Status: 200, Body: big})
+		require.Zero(t, s.Flush(t.Context()))
+		rows, err := table.Read(t.Context(), claim.Key("corella", "a"))
+		require.NoError(t, err)
+		require.Less(t, len(rows[0].Value), 2000)
+		again, err := s.Claim(t.Context(), booking("a"))
+		require.NoError(t, err)
+		require.Equal(t, big, again.Stored.Body)
+
+		s.Objects.(*objects).down = true
+		_, err = s.Claim(t.Context(), booking("a"))
+		require.Equal(t, outcome.AnswerLost, outcome.From(err).Reason)
+		require.Equal(t, outcome.FailedAfterStart, outcome.From(err).Outcome, "it ran")
+		b, err := s.Claim(t.Context(), booking("b"))
+		require.NoError(t, err)
+		s.Finish(b.Held, claim.Answer{Status: 200, Body: big})
+		require.Zero(t, s.Flush(t.Context()))
+		_, err = s.Claim(t.Context(), booking("b"))
+		require.Equal(t, outcome.AnswerLost, outcome.From(err).Reason)
+	})
+}
+
+func TestOldClaimsAreRemoved(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		for i := range 20 {
+			g, err := s.Claim(t.Context(), booking(fmt.Sprint(i)))
+			require.NoError(t, err)
+			if i%2 == 0 {
+				s.Release(g.Held)
+			} else {
+				s.Finish(g.Held, claim.Answer{Status: 200})
+			}
+		}
+		time.Sleep(23 * time.Hour)
+		again, err := s.Claim(t.Context(), booking("0"))
+		require.NoError(t, err)
+		s.Finish(again.Held, claim.Answer{Status: 202})
+		time.Sleep(2 * time.Hour)
+		left, err := table.Scan(t.Context(), claim.Prefix)
+		require.NoError(t, err)
+		require.Len(t, left, 1, "what was claimed an hour ago stays")
+		time.Sleep(24 * time.Hour)
+		for _, prefix := range []string{claim.Prefix, claim.BatchPrefix} {
+			left, err = table.Scan(t.Context(), prefix)
+			require.NoError(t, err)
+			require.Empty(t, left)
+		}
+	})
+}
