Prove the sealing of connections and the dropping of silent ones

Cause: four changes that break a mechanism were not caught by any test: a header half sent called not sent, a connection counted and not sealed, idle connections kept after a timeout, faults that meet the call that sets them.

--- a/internal/standin/table/table_test.go
+++ b/internal/standin/table/table_test.go
@@ -1,6 +1,7 @@
 package table_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -50,7 +51,8 @@
 		if err != nil {
 			return 0
 		}
-		defer func() { _ = resp.Body.Close() }()
+		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection is used again
+		_ = resp.Body.Close()
 		return resp.StatusCode
 	}
 	for _, c := range []struct {
--- a/io/jsonhttp/client_test.go
+++ b/io/jsonhttp/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -34,6 +35,39 @@
 	}
 }
 
+// TestInvariantHalfHeaderIsSent checks that a call counts as sent as soon as a
+// byte of its header may have left.
+func TestInvariantHalfHeaderIsSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_, _ = io.ReadFull(c, make([]byte, 1)) // the rest is never read
+			cancel()
+		}
+	}()
+	c := &jsonhttp.Client{Address: l.Addr().String(), Fresh: true}
+	header := http.Header{"X-Long": {strings.Repeat("x", 64<<20)}}
+	_, err = c.Do(ctx, jsonhttp.Call{Method: http.MethodPost, Path: "/", Header: header})
+	require.Equal(t, jsonhttp.Sent, jsonhttp.StageOf(err))
+}
+
+// TestInvariantSealedConnectionWritesNothing checks that the figure by which a
+// call is said not to be sent is final.
+func TestInvariantSealedConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	c := jsonhttp.NewConn(near)
+	require.Zero(t, c.Seal())
+	_, err := c.Write([]byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Zero(t, c.Seal())
+	n, err := far.Read(make([]byte, 1))
+	require.Zero(t, n)
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // TestAnswerBounds checks that an answer which is too long or no JSON is an
 // error.
 func TestAnswerBounds(t *testing.T) {
--- a/io/jsonhttp/doc.go
+++ b/io/jsonhttp/doc.go
@@ -10,9 +10,10 @@
 // nothing but calls without a body.
 //
 // Whether a byte was written is counted at the connection and not by
-// httptrace: its WroteHeaders comes after a large header has already left the
-// buffer. When a call fails the connection is sealed first, so a byte that was
-// not written by then never will be.
+// httptrace: its WroteHeaders comes after the first part of a large header has
+// left. When a call fails the connection is sealed first, so a byte that was
+// not written by then never will be; that does not rest on when the transport
+// itself closes the connection of a call that was given up.
 //
 // The package stands on net/http and not on nbhttp because the client of
 // nbhttp hands over whole bodies only, and streams have to be read as they
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -235,16 +235,20 @@
 	require.Zero(t, load.Running)
 }
 
-// TestSilentConnection checks that a connection which has gone silent costs one
-// call at most and that the next one opens another.
-func TestSilentConnection(t *testing.T) {
+// TestSilentConnections checks that connections which have gone silent while
+// they were idle cost one call at most: after it the next opens another.
+func TestSilentConnections(t *testing.T) {
 	s, c := start(t)
-	c.Timeout = 200 * time.Millisecond
+	c.Timeout = 500 * time.Millisecond
 	get := service.Request{Method: http.MethodGet, Path: "/records/1", RequestID: "a", Repeatable: true}
-	_, err := c.Do(t.Context(), get)
-	require.NoError(t, err)
+	s.Faults.Put(fault.Faults{DelayMS: 100})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { _, _ = c.Do(context.Background(), get) })
+	}
+	wg.Wait()
 	s.Faults.Put(fault.Faults{Silent: true})
-	_, err = c.Do(t.Context(), get)
+	_, err := c.Do(t.Context(), get)
 	require.Equal(t, service.Timeout, service.KindOf(err))
 	_, err = c.Do(t.Context(), get)
 	require.NoError(t, err)
