--- a/internal/standin/engine/calls.go
+++ b/internal/standin/engine/calls.go
@@ -101,7 +101,7 @@
 func (e *Engine) forget(b *boot, q *request) {
 	delete(b.requests, q.gen.RequestID)
 	b.memory.items[q.gen.Item].users--
-	b.memory.release(q.gen.Item)
+	e.release(b, q.gen.Item)
 }
 
 // serveResume streams the rest of an answer.
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -120,7 +120,7 @@
 		synctest.Wait()
 		require.Equal(t, http.StatusOK, order(h, load))
 		require.Equal(t, http.StatusOK, order(h, backend.Order{OrderID: "2", Op: backend.Unload, Item: model}))
-		order(h, load)
+		require.Equal(t, http.StatusOK, order(h, load))
 		synctest.Wait()
 		require.Empty(t, e.State().Inventory.Items)
 		require.EqualValues(t, 1, e.Faults.Counters.Get("loads"))
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -13,8 +13,9 @@
 	entry struct {
 		state   backend.ItemState
 		bytes   int64
-		users   int  // requests of the item that are not done
-		pending bool // its load still runs
+		users   int    // requests of the item that are not done
+		pending bool   // its load still runs
+		order   string // id of the order under way, empty if none
 	}
 
 	// memory is the accelerator memory of an engine.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -163,6 +163,7 @@
 		e.Faults.Counters.Add("overcommit-refused", 1)
 		return verdict{status: http.StatusInsufficientStorage}
 	}
+	b.memory.items[o.Item].order = o.OrderID
 	e.measure()
 	go e.fetch(b, o)
 	return verdict{status: http.StatusAccepted}
@@ -177,8 +178,8 @@
 	if o.Item.Base == "" && b.memory.adapters(o.Item.Name) && !b.memory.base(o.Item.Name, o.Item) {
 		return verdict{status: http.StatusConflict, refusal: ioengine.Refusal{Error: errorInUse}}
 	}
-	u.state = backend.Unloading
-	if b.memory.release(o.Item) {
+	u.state, u.order = backend.Unloading, o.OrderID
+	if e.release(b, o.Item) {
 		return verdict{status: http.StatusOK}
 	}
 	return verdict{status: http.StatusAccepted}
@@ -203,8 +204,22 @@
 	case u.state == backend.Loading:
 		e.Faults.Counters.Add("loads", 1)
 		u.state = backend.Resident
+		b.orders[o.OrderID] = true
 	}
-	b.memory.release(o.Item)
+	e.release(b, o.Item)
+}
+
+// release frees an item's bytes if nothing holds them any more, which ends its
+// unload, and tells whether it did.
+func (e *Engine) release(b *boot, i backend.Item) bool {
+	u, ok := b.memory.items[i]
+	if !ok || !b.memory.release(i) {
+		return false
+	}
+	if _, known := b.orders[u.order]; known {
+		b.orders[u.order] = true
+	}
+	return true
 }
 
 // wait takes the time of a load.
--- a/internal/standin/engine/steps.go
+++ b/internal/standin/engine/steps.go
@@ -101,7 +101,7 @@
 	b.ended = append(b.ended, r)
 	if u, ok := b.memory.items[r.gen.Item]; ok {
 		u.users--
-		b.memory.release(r.gen.Item)
+		e.release(b, r.gen.Item)
 	}
 	e.expire(b, now)
 }
