Carry bodies compressed

TestOperatorsSession failed once in a run of four packages: a read that apply's own timeout cut gave another message; the last error before that counts now.

--- a/core/config/shape.go
+++ b/core/config/shape.go
@@ -25,12 +25,16 @@
 type shape struct {
 	dec      *json.Decoder
 	problems []Problem
+	fields   map[reflect.Type]map[string]reflect.StructField // by JSON name
 }
 
 // checkShape returns every problem of the names and types of b, which must be
 // valid JSON.
 func checkShape(b []byte) []Problem {
-	s := &shape{dec: json.NewDecoder(bytes.NewReader(b))}
+	s := &shape{
+		dec:    json.NewDecoder(bytes.NewReader(b)),
+		fields: make(map[reflect.Type]map[string]reflect.StructField),
+	}
 	s.dec.UseNumber()
 	s.value(reflect.TypeFor[Document](), "")
 	return s.problems
@@ -66,7 +70,7 @@
 }
 
 func (s *shape) object(t reflect.Type, path string) {
-	fields := fieldsOf(t)
+	fields := s.fieldsOf(t)
 	seen := make(map[string]bool, len(fields))
 	for s.dec.More() {
 		name, _ := s.next().(string)
@@ -159,12 +163,17 @@
 	}
 }
 
-func fieldsOf(t reflect.Type) map[string]reflect.StructField {
+// fieldsOf returns the fields of struct type t by their JSON names.
+func (s *shape) fieldsOf(t reflect.Type) map[string]reflect.StructField {
+	if fields, ok := s.fields[t]; ok {
+		return fields
+	}
 	fields := make(map[string]reflect.StructField, t.NumField())
 	for i := range t.NumField() {
 		f := t.Field(i)
 		fields[jsonName(f)] = f
 	}
+	s.fields[t] = fields
 	return fields
 }
 
--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -73,7 +73,8 @@
 	if current.Hash == hash {
 		return Applied{Head: current, Unchanged: true}, nil
 	}
-	put := func() (struct{}, error) { return struct{}{}, a.Store.Put(ctx, BodyKey(hash), body) }
+	packed := pack(body)
+	put := func() (struct{}, error) { return struct{}{}, a.Store.Put(ctx, BodyKey(hash), packed) }
 	if _, err := retry(ctx, put); err != nil {
 		return Applied{}, &UnavailableError{Step: "store the body", Err: err}
 	}
@@ -185,24 +186,17 @@
 
 // Fetch reads the body with a hash from the store, checks and parses it.
 func Fetch(ctx context.Context, s Getter, hash string) (*config.Document, error) {
-	body, err := s.Get(ctx, BodyKey(hash))
+	packed, err := s.Get(ctx, BodyKey(hash))
 	if err != nil {
 		return nil, err
 	}
-	if err := check(body, hash); err != nil {
+	body, err := unpack(packed, hash)
+	if err != nil {
 		return nil, err
 	}
 	return config.Parse(body)
 }
 
-// check returns a *HashError if body has another hash.
-func check(body []byte, hash string) error {
-	if got := config.HashBytes(body); got != hash {
-		return &HashError{Want: hash, Got: got}
-	}
-	return nil
-}
-
 func unsettled(sent bool, mine head.Head, err error) error {
 	if sent {
 		return &UnknownError{Mine: mine, Err: err}
@@ -226,12 +220,13 @@
 	return b
 }
 
-// retry repeats op until it succeeds or ctx ends; the error is op's last one.
+// retry repeats op until it succeeds or ctx ends; the error is op's last one
+// before that.
 func retry[T any](ctx context.Context, op func() (T, error)) (T, error) {
 	var last error
 	v, err := backoff.Retry(ctx, func() (T, error) {
 		v, err := op()
-		if err != nil {
+		if err != nil && (last == nil || ctx.Err() == nil) {
 			last = err
 		}
 		return v, err
--- a/internal/configsync/errors.go
+++ b/internal/configsync/errors.go
@@ -36,6 +36,11 @@
 		Err  error
 	}
 
+	// BodyError means that a body can't be unpacked.
+	BodyError struct {
+		Err error
+	}
+
 	// HashError means that a body is not the one that its hash names.
 	HashError struct {
 		Want, Got string
@@ -66,3 +71,9 @@
 
 // Error tells both hashes.
 func (e *HashError) Error() string { return fmt.Sprintf("body has hash %s, not %s", e.Got, e.Want) }
+
+// Error tells the cause.
+func (e *BodyError) Error() string { return fmt.Sprintf("body can't be unpacked: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *BodyError) Unwrap() error { return e.Err }
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -61,7 +61,7 @@
 	}
 	f.mu.Lock()
 	f.state = f.state.WithAdopted(ref)
-	f.body, f.index = body, index
+	f.body, f.packed, f.index = body, pack(body), index
 	f.mu.Unlock()
 	f.Metrics.version.Set(float64(ref.Version))
 	f.Log.Info("config-in-force", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.String("source", source))
@@ -86,9 +86,10 @@
 func (f *Follower) fetchFrom(ctx context.Context, source, hash string, get func(context.Context) ([]byte, error)) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.FetchTimeout)
 	defer cancel()
-	body, err := get(ctx)
+	packed, err := get(ctx)
+	var body []byte
 	if err == nil {
-		err = check(body, hash)
+		body, err = unpack(packed, hash)
 	}
 	f.Metrics.fetches.WithLabelValues(source, result(err)).Inc()
 	return body, err
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -68,6 +68,7 @@
 		mu       sync.Mutex
 		state    head.Follower
 		body     []byte // canonical, of state.InForce
+		packed   []byte // the same as peers carry it
 		index    *config.Index
 		lastTick time.Time
 		staleAt  time.Time // start of staleness
@@ -170,8 +171,16 @@
 	return f.table == tableUp
 }
 
+// Packed returns the body in force, if it has the given hash, as a peer's
+// FetchConfig is to get it.
+func (f *Follower) Packed(hash string) ([]byte, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.packed, f.packed != nil && f.state.InForce().Hash == hash
+}
+
 // Body returns the canonical body in force if it has the given hash, for
-// peers that can't reach the object store.
+// operators.
 func (f *Follower) Body(hash string) ([]byte, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -36,7 +36,7 @@
 	if l.m.isCut() {
 		return nil, errPeerDown
 	}
-	body, ok := l.m.Body(hash)
+	body, ok := l.m.Packed(hash)
 	if !ok {
 		return nil, errPeerDown
 	}
@@ -192,10 +192,14 @@
 		m := start(t, p)
 		after(time.Second)
 		ref := p.apply(t, 2)
+		other := p.objects[configsync.BodyKey(document(1).Hash())]
 		good := p.objects[configsync.BodyKey(ref.Hash)]
-		p.set(func() { p.objects[configsync.BodyKey(ref.Hash)] = document(9).Canonical() })
+		p.set(func() { p.objects[configsync.BodyKey(ref.Hash)] = other })
 		after(10 * time.Second)
 		require.Equal(t, []uint64{1}, m.seen())
+		p.set(func() { p.objects[configsync.BodyKey(ref.Hash)] = []byte("not packed") })
+		after(20 * time.Second)
+		require.Equal(t, []uint64{1}, m.seen())
 		require.True(t, m.Fresh(), "it goes on under what it has")
 		p.set(func() { p.objects[configsync.BodyKey(ref.Hash)] = good })
 		after(20 * time.Second)
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -36,7 +36,7 @@
 	// Peer is another node. Both calls are questions that the peer answers when
 	// it gets them: an answer that was sent before may not be given.
 	Peer interface {
-		// FetchConfig returns the body with a hash: the peer's Follower.Body.
+		// FetchConfig returns the body with a hash: the peer's Follower.Packed.
 		FetchConfig(ctx context.Context, hash string) ([]byte, error)
 		// ConfigHead returns what the peer has in force and whether it is
 		// fresh: the peer's Follower.Head.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,7 @@
 		Local:      n.dispatch,
 		OnView:     n.viewed,
 		OnMessage:  n.message,
-		Config:     n.follower.Body,
+		Config:     n.follower.Packed,
 		ConfigHead: n.follower.Head,
 		Log:        n.log,
 		Seed:       n.settings.Seed,
