Refuse other sizes for a version in force

Cause: copies of name@version may be resident under the old bytes while the ledger reserves the new ones; a document that changes the bytes of a version was accepted. After: apply compares with the document that it replaces; a lost body is passed over, so that it can't block every later apply.

--- a/core/config/problem.go
+++ b/core/config/problem.go
@@ -51,6 +51,8 @@
 	Unreachable Code = "unreachable"
 	// TooManyCopies means that more copies are demanded than can be placed.
 	TooManyCopies Code = "too-many-copies"
+	// ImmutableVersion means that a version in force is given other properties.
+	ImmutableVersion Code = "immutable-version"
 	// ItemTooLarge means that an item fits on no engine even alone.
 	ItemTooLarge Code = "item-too-large"
 	// CapacityExceeded means that the least copies exceed the engines' memory.
--- a/internal/configsync/apply.go
+++ b/internal/configsync/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -10,6 +11,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/config/head"
 	"guavapaddle/core/row"
+	"guavapaddle/io/object"
 	"guavapaddle/io/table"
 )
 
@@ -47,7 +49,8 @@
 )
 
 // Apply stores doc and makes it the newest, trying until ctx ends. doc must be
-// valid. For errors see the package comment.
+// valid; if it can't replace the document in force the error is a
+// *config.InvalidError. For other errors see the package comment.
 func (a *Applier) Apply(ctx context.Context, doc *config.Document) (Applied, error) {
 	id := rand.Text()
 	if a.NewID != nil {
@@ -73,6 +76,9 @@
 	if current.Hash == hash {
 		return Applied{Head: current, Unchanged: true}, nil
 	}
+	if err := a.checkChange(ctx, current); err != nil {
+		return Applied{}, err
+	}
 	packed := pack(body)
 	put := func() (struct{}, error) { return struct{}{}, a.Store.Put(ctx, BodyKey(hash), packed) }
 	if _, err := retry(ctx, put); err != nil {
@@ -85,6 +91,48 @@
 	return a.commit(ctx, p)
 }
 
+// checkChange checks doc against the document that it replaces. The error is a
+// *config.InvalidError or an *UnavailableError. A body that is lost for good
+// can't be compared with and must not keep the next one out.
+func (a *attempt) checkChange(ctx context.Context, current head.Head) error {
+	if current.Version == 0 {
+		return nil
+	}
+	var lost error
+	old, err := retry(ctx, func() (*config.Document, error) {
+		old, err := Fetch(ctx, a.Store, current.Hash)
+		if isLost(err) {
+			lost, err = err, nil
+		}
+		return old, err
+	})
+	switch {
+	case lost != nil:
+		return nil
+	case err != nil:
+		return &UnavailableError{Step: "read the document in force", Err: err}
+	}
+	if problems := config.ValidateChange(old, a.doc); len(problems) > 0 {
+		return &config.InvalidError{Problems: problems}
+	}
+	return nil
+}
+
+// isLost tells whether err means that the store answered and has no such body
+// or a wrong one.
+func isLost(err error) bool {
+	if err == nil {
+		return false
+	}
+	if e, ok := errors.AsType[*object.Error](err); ok {
+		return e.Kind == object.NotFound
+	}
+	_, wrongHash := errors.AsType[*HashError](err)
+	_, unreadable := errors.AsType[*BodyError](err)
+	_, invalid := errors.AsType[*config.InvalidError](err)
+	return wrongHash || unreadable || invalid
+}
+
 // commit sends the proposal until its fate is known. Sending it again is safe:
 // its conditions hold at most once.
 func (a *attempt) commit(ctx context.Context, p head.Proposal) (Applied, error) {
--- a/internal/configsync/apply_test.go
+++ b/internal/configsync/apply_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/config"
 	"guavapaddle/core/config/head"
 	"guavapaddle/core/row"
 	"guavapaddle/internal/configsync"
@@ -145,6 +146,25 @@
 	})
 }
 
+func TestApplyRefusesOtherBytesOfAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		first := p.apply(t, 1)
+		doc := document(2)
+		doc.Models[0].Bytes++
+		a := &configsync.Applier{Table: p, Store: p}
+		_, err := a.Apply(t.Context(), doc)
+		var invalid *config.InvalidError
+		require.ErrorAs(t, err, &invalid)
+		require.Equal(t, config.ImmutableVersion, invalid.Problems[0].Code)
+		require.Len(t, p.accepted(), 1)
+
+		p.set(func() { p.objects[configsync.BodyKey(first.Hash)] = nil })
+		_, err = a.Apply(t.Context(), doc)
+		require.NoError(t, err, "a body that is lost can't be compared with")
+	})
+}
+
 // TestInvariantOperatorsRaceOnPlatform lets eight operators apply at the same
 // time while four of five transactions fail in some way.
 func TestInvariantOperatorsRaceOnPlatform(t *testing.T) {
