--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapaddle/core/forward"
+	"guavapaddle/core/member"
 	"guavapaddle/core/outcome"
 	"guavapaddle/internal/dispatch"
 	"guavapaddle/internal/engines"
@@ -46,6 +47,9 @@
 	defer cancel(nil)
 	a := &answering{stream: s, read: make(chan struct{}), last: time.Now()}
 	go a.watch(cancel)
+	if load, ok := c.Local.Load(job.Server); ok {
+		_ = a.write(forward.Reply{Load: &load}) // the job has arrived
+	}
 	go a.heartbeat(ctx, c.Local, job.Server)
 	err := c.Local.Do(ctx, job, a.write)
 	if _, gone := errors.AsType[*engines.SinkError](err); gone {
@@ -121,8 +125,8 @@
 // Do runs a job at its owner on another node.
 func (c *Cluster) Do(ctx context.Context, owner string, job forward.Job, sink engines.Sink) error {
 	n, ok := c.Node(owner)
-	if !ok {
-		return outcome.Refuse(outcome.PeerUnreachable, "no such node: "+owner, 0)
+	if !ok || n.Status != member.Alive {
+		return outcome.Refuse(outcome.PeerUnreachable, "no such live node: "+owner, 0)
 	}
 	f, err := peer.Encode(KindJob, job)
 	if err != nil {
@@ -132,14 +136,19 @@
 	if err != nil {
 		return c.notOpened(owner, err)
 	}
-	return follow(ctx, s, sink)
+	return follow(ctx, s, sink, func() { c.suspect(owner) })
+}
+
+// suspect tells the membership that a node makes no sign of life.
+func (c *Cluster) suspect(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Unreachable(time.Now(), name)
 }
 
 // notOpened judges a call that could not be opened.
 func (c *Cluster) notOpened(owner string, err error) error {
-	c.mu.Lock()
-	c.state.Unreachable(time.Now(), owner)
-	c.mu.Unlock()
+	c.suspect(owner)
 	if e, ok := errors.AsType[*peer.Error](err); ok && e.Kind == peer.Unreachable {
 		return outcome.Refuse(outcome.PeerUnreachable, owner, 0)
 	}
@@ -147,11 +156,15 @@
 }
 
 // follow passes the replies of a call to sink. A call that makes no sign of
-// life for ProgressTimeout is lost.
-func follow(ctx context.Context, s *peer.Stream, sink engines.Sink) error {
+// life for ArrivalTimeout at first, or for ProgressTimeout later, is lost, and
+// silent is called.
+func follow(ctx context.Context, s *peer.Stream, sink engines.Sink, silent func()) error {
 	unwatch := context.AfterFunc(ctx, func() { abandon(ctx, s) })
 	defer unwatch()
-	alive := time.AfterFunc(ProgressTimeout, s.Cancel)
+	alive := time.AfterFunc(ArrivalTimeout, func() {
+		silent()
+		s.Cancel()
+	})
 	defer alive.Stop()
 	finished := false
 	for {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -47,6 +47,9 @@
 )
 
 const (
+	// ArrivalTimeout is the longest silence of a call that was just sent: the
+	// owner answers at once that it has it.
+	ArrivalTimeout = 500 * time.Millisecond
 	// HeartbeatPeriod is the longest silence of a call that waits.
 	HeartbeatPeriod = time.Second
 	// ProgressTimeout is the silence after which a call is lost.
