Mark requests that crash engines; say not run only if no attempt ran

Marks are made by the entry node and, for all that ran beside, by the owner, are taken in by the other nodes before the caller is answered, and kept in the table. TestInvariantCrashingRequest (8 node processes, 5 engines): two engines lost, refused from then on. It first showed a false outcome: the answer of the first node said refused-not-run though the request had run twice; the router now remembers whether any attempt may have run.

--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -34,6 +34,10 @@
 		c.serveJob(ctx, f, s)
 	case KindConfig:
 		c.serveConfig(f, s)
+	case KindSuspect:
+		c.OnMessage(from, f)
+		_ = s.Close()
+		s.Drain(sendTimeout)
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -28,12 +28,9 @@
 		// Settings returns the queue settings of a server, may be nil.
 		Settings func(server string) queue.Settings
 		// OnLost is told that a server's engine broke off requests, with the
-		// fingerprints of those that ran; it returns whether the server
-		// crashed. It may be nil.
-		OnLost func(server string, running []string) bool
-		// OnSuccess is told the fingerprint of a request that ended well. It
-		// may be nil.
-		OnSuccess func(fingerprint string)
+		// fingerprints of those that ran. The request that was broken off is
+		// answered when it returns. It may be nil.
+		OnLost func(server string, running []string)
 		// ResumeGrace is how long a generation goes on that nobody reads.
 		ResumeGrace time.Duration
 
@@ -195,8 +192,6 @@
 	switch {
 	case gone:
 		return &engines.SinkError{Err: context.Canceled}
-	case err == nil && d.OnSuccess != nil:
-		d.OnSuccess(job.Fingerprint)
 	case err != nil:
 		d.lost(s, err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
+	"guavapaddle/core/suspect"
 	"guavapaddle/internal/call"
 	"guavapaddle/internal/dispatch"
 	"guavapaddle/internal/generate"
@@ -52,14 +53,6 @@
 		Admit(c config.Customer, k config.Kind, estimate float64) (settle func(actual float64), after time.Duration, ok bool)
 	}
 
-	// Suspects knows the requests that crashed backend servers.
-	Suspects interface {
-		// Admit tells whether a request may run and whether only alone.
-		Admit(ctx context.Context, fingerprint string) (alone bool, err error)
-		// Fingerprint tells requests apart.
-		Fingerprint(customer, model string, body []byte) string
-	}
-
 	// Demand learns what callers ask for.
 	Demand interface {
 		Asked(name string, u config.Urgency)
@@ -69,16 +62,15 @@
 	// Entry handles the requests of callers. Its fields are set before the
 	// first request.
 	Entry struct {
-		Index    func() *config.Index // nil if there is no configuration
-		Fresh    func() bool          // whether the configuration may be relied on
-		Router   Router
-		Calls    Calls
-		Limits   Limits
-		Suspects Suspects
-		Demand   Demand
-		Metrics  *metrics.Requests
-		Log      *zap.Logger
-		Note     func(requestID, event string, fields ...zap.Field) // for explain
+		Index   func() *config.Index // nil if there is no configuration
+		Fresh   func() bool          // whether the configuration may be relied on
+		Router  Router
+		Calls   Calls
+		Limits  Limits
+		Demand  Demand
+		Metrics *metrics.Requests
+		Log     *zap.Logger
+		Note    func(requestID, event string, fields ...zap.Field) // for explain
 	}
 
 	// request is what is known of one request while it runs.
@@ -182,12 +174,7 @@
 	}
 	tokens := 0
 	defer func() { settle(float64(tokens)) }()
-	q.Fingerprint = e.Suspects.Fingerprint(r.customer.Name, g.Model, g.Body)
-	alone, err := e.Suspects.Admit(ctx, q.Fingerprint)
-	if err != nil {
-		return err
-	}
-	q.Alone = alone
+	q.Fingerprint = suspect.Of(r.customer.Name, g.Model, g.Body)
 	ctx, stop := finalWithoutStream(ctx, g.Stream)
 	defer stop()
 	return e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -14,8 +14,10 @@
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/route"
+	"guavapaddle/core/suspect"
 	"guavapaddle/core/view"
 	"guavapaddle/internal/engines"
+	"guavapaddle/internal/suspects"
 )
 
 const (
@@ -24,6 +26,8 @@
 	// freeAttempts bounds attempts that only found out that the owner
 	// changed; they cost no server anything.
 	freeAttempts = 5
+	// busyAttempts bounds the search for a server to run a marked request on.
+	busyAttempts = 20
 	// maxResumes bounds the resumptions in a row.
 	maxResumes = 3
 )
@@ -39,7 +43,7 @@
 		MaxTokens   int
 		Deadline    time.Time
 		PrefixHash  uint64
-		Fingerprint string
+		Fingerprint suspect.Fingerprint
 		Alone       bool
 		Resume      *forward.Token // continue an earlier answer, nil for a new one
 	}
@@ -88,6 +92,8 @@
 		Policy     route.Policy
 		Forward    bool // send through the owner; false goes to engines directly
 		Retry      retry.Policy
+		Guard      Guard
+		Boot       func(ctx context.Context, server string) (string, error) // boot id of a server's engine
 		Note       func(Event)
 		Wanted     func(item backend.Item, waiting int) // change in requests waiting for a copy
 
@@ -109,6 +115,8 @@
 		server  string
 		owner   string
 		why     string // reason of the last choice
+		ran     bool   // an attempt may have run
+		crashed bool   // an attempt of this node crashed its server
 		bypass  bool   // the owner is not known for sure: go to the engine
 	}
 )
@@ -130,17 +138,25 @@
 		if err := a.pick(ctx); err != nil {
 			return err
 		}
-		err := a.send(ctx, false)
+		err := a.guarded(ctx)
 		if err == nil {
 			r.success(a.count)
 			return nil
 		}
-		if again, err := a.judge(ctx, err); !again {
-			return err
+		a.ran = a.ran || mayHaveRun(err)
+		if again, err := a.judge(ctx, err); !again && err != nil {
+			return a.failed(outcome.From(err))
+		} else if !again {
+			return nil
 		}
 	}
 }
 
+// mayHaveRun tells whether a failed attempt may have run.
+func mayHaveRun(err error) bool {
+	return !suspects.IsBusy(err) && outcome.From(err).Outcome != outcome.RefusedNotRun
+}
+
 // pick chooses server and owner, or waits for a copy.
 func (a *attempt) pick(ctx context.Context) error {
 	waiting := false
@@ -187,10 +203,10 @@
 
 // failed turns a refusal into a failure if an earlier attempt may have run.
 func (a *attempt) failed(e *outcome.Error) *outcome.Error {
-	if a.count == 0 {
+	if !a.ran || e.Outcome != outcome.RefusedNotRun {
 		return e
 	}
-	return outcome.Fail(e.Reason, e.Detail)
+	return &outcome.Error{Outcome: outcome.FailedAfterStart, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
 }
 
 // choose applies the policy to the servers that hold the item, and to those
@@ -290,6 +306,9 @@
 	if _, ok := errors.AsType[*engines.SinkError](err); ok {
 		return false, outcome.Fail(outcome.CallerGone, "")
 	}
+	if suspects.IsBusy(err) {
+		return a.busy(ctx)
+	}
 	e := outcome.From(err)
 	if ctx.Err() != nil {
 		return false, e
@@ -397,7 +416,7 @@
 		Offset:      a.offset,
 		Resume:      resume,
 		Alone:       a.q.Alone,
-		Fingerprint: a.q.Fingerprint,
+		Fingerprint: string(a.q.Fingerprint),
 	}
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -325,7 +325,7 @@
 	p := l.running[i]
 	p.once.Do(func() {
 		p.Kill()
-		<-p.Done
+		_ = <-p.Done
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/metrics"
 	"guavapaddle/internal/owner"
+	"guavapaddle/internal/suspects"
 	"guavapaddle/internal/trace"
 	"guavapaddle/internal/views"
 	"guavapaddle/io/caller"
@@ -79,7 +80,8 @@
 		requests *metrics.Requests
 		demand   *demand
 		limits   *limits
-		suspects *suspects
+		guard    *suspects.Guard
+		crashes  *crashes
 		planner  *planner
 		publish  publisher
 
@@ -142,6 +144,7 @@
 	n.buildFollower()
 	n.buildOwner(incarnation)
 	n.buildCluster(incarnation)
+	n.buildGuard()
 	n.buildRouter()
 	n.buildClaims(incarnation)
 	n.buildEntry()
@@ -168,10 +171,7 @@
 	n.dispatch = &dispatch.Dispatcher{
 		Engine:   n.engineOf,
 		Settings: n.queueSettings,
-		OnLost:   func(server string, running []string) bool { return n.suspects.lost(server, running) },
-		OnSuccess: func(fingerprint string) {
-			n.suspects.success(fingerprint)
-		},
+		OnLost:   func(server string, running []string) { n.crashes.lost(server, running) },
 	}
 	n.owner = &owner.Owner{
 		Node:        n.settings.Name,
@@ -181,7 +181,6 @@
 		Live:        func() []string { return n.cluster.Working() },
 		Known:       n.views.All,
 		Occupancy:   n.occupancy,
-		OnRestart:   func(server string) { n.suspects.restarted(server) },
 		Log:         n.log,
 		Metrics:     m,
 	}
@@ -221,12 +220,24 @@
 		Place:      n.dataCentreOf,
 		Policy:     policy,
 		Forward:    policy.Name() == route.NameHome,
+		Guard:      n.guard,
+		Boot:       n.boot,
 		Note:       n.decided,
 		Wanted:     n.demand.wanted,
 	}
 	n.router.Init(n.settings.Seed, &retry.Budget{})
 }
 
+func (n *Node) buildGuard() {
+	n.guard = &suspects.Guard{
+		Table:   n.table,
+		Spread:  n.spreadMarks,
+		Log:     n.log,
+		Metrics: suspects.NewMetrics(n.registry),
+	}
+	n.crashes = &crashes{node: n}
+}
+
 func (n *Node) buildClaims(incarnation uint64) {
 	n.claims = &claims.Store{
 		Table:       n.table,
@@ -240,7 +251,6 @@
 
 func (n *Node) buildEntry() {
 	n.limits = newLimits()
-	n.suspects = newSuspects()
 	n.pool = &call.Pool{}
 	n.services = &call.Services{}
 	e := &entry.Entry{
@@ -248,19 +258,20 @@
 		Fresh:  n.follower.Fresh,
 		Router: n.router,
 		Calls: &call.Caller{
-			Servers: n.pool,
-			Backend: n.services,
-			Claims:  n.claims,
-			Seed:    n.settings.Seed,
-			Log:     n.log,
-			Metrics: call.NewMetrics(n.registry),
+			Servers:  n.pool,
+			Backend:  n.services,
+			Claims:   n.claims,
+			Suspects: n.guard,
+			Prober:   n.services,
+			Seed:     n.settings.Seed,
+			Log:      n.log,
+			Metrics:  call.NewMetrics(n.registry),
 		},
-		Limits:   n.limits,
-		Suspects: n.suspects,
-		Demand:   n.demand,
-		Metrics:  n.requests,
-		Log:      n.log,
-		Note:     n.note,
+		Limits:  n.limits,
+		Demand:  n.demand,
+		Metrics: n.requests,
+		Log:     n.log,
+		Note:    n.note,
 	}
 	n.callers = &caller.Server{
 		Address: n.settings.Callers,
@@ -445,7 +456,6 @@
 
 var (
 	_ entry.Demand   = (*demand)(nil)
-	_ entry.Suspects = (*suspects)(nil)
 	_ entry.Limits   = (*limits)(nil)
 	_ generate.Views = (*views.Store)(nil)
 )
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -316,6 +316,8 @@
 		if f.Decode(&r) == nil {
 			n.planner.heard(from, r.Demand)
 		}
+	case cluster.KindSuspect:
+		n.marked(f)
 	case cluster.KindPlan:
 		var m planMessage
 		if f.Decode(&m) == nil {
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 
 	"guavapaddle/core/config"
 	"guavapaddle/core/limit"
-	"guavapaddle/core/suspect"
 )
 
 type (
@@ -20,9 +18,6 @@
 		mu     sync.Mutex
 		policy limit.Policy
 	}
-
-	// suspects applies core/suspect.
-	suspects struct{}
 )
 
 func newLimits() *limits { return &limits{policy: limit.NewByCost(limit.Settings{})} }
@@ -44,22 +39,6 @@
 
 func (l *limits) configure(*config.Index) {}
 
-func newSuspects() *suspects { return &suspects{} }
-
-// Admit implements entry.Suspects.
-func (s *suspects) Admit(context.Context, string) (bool, error) { return false, nil }
-
-// Fingerprint implements entry.Suspects.
-func (s *suspects) Fingerprint(customer, model string, body []byte) string {
-	return string(suspect.Of(customer, model, body))
-}
-
-func (s *suspects) lost(string, []string) bool { return false }
-
-func (s *suspects) success(string) {}
-
-func (s *suspects) restarted(string) {}
-
 // text returns the value of a log field as text.
 func text(f zap.Field) string {
 	switch f.Type {
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -51,7 +51,7 @@
 func (n *Node) housekeeping(ctx context.Context) {
 	t := time.NewTicker(publishPeriod)
 	defer t.Stop()
-	var vmsAt, keysAt time.Time
+	var vmsAt, keysAt, marksAt time.Time
 	for {
 		now := time.Now()
 		n.publishViews(now)
@@ -61,6 +61,10 @@
 			vmsAt = now
 			go n.readVMs(ctx)
 		}
+		if now.Sub(marksAt) >= marksPeriod {
+			marksAt = now
+			n.tellMarks(ctx)
+		}
 		if now.Sub(keysAt) >= keysPeriod {
 			keysAt = now
 			n.reloadKeys()
--- /dev/null
+++ b/internal/session/crash_test.go
@@ -0,0 +1,86 @@
+package session_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/session"
+)
+
+// TestInvariantCrashingRequest sends a request that ends every engine that runs
+// it through each of 8 nodes in turn. At most two engines are lost, the request
+// is refused with its reason from then on, and others are served.
+func TestInvariantCrashingRequest(t *testing.T) {
+	t.Parallel()
+	const nodes, engines = 8, 5
+	doc := session.Small(t, engines, 1)
+	for i := range doc.Models {
+		doc.Models[i].MinCopies = 4
+	}
+	s := session.New(t, doc, session.Options{})
+	s.StartNodes(nodes)
+	for i := range engines {
+		s.Fault(s.Servers[fmt.Sprintf("gpu-%d", i+1)], "/fault", `{"crash-on":"POISON"}`)
+	}
+	poison := `{"model":"drafter","max_tokens":20,"messages":[{"role":"user","content":"POISON"}]}`
+	var last session.Answer
+	for i := range nodes {
+		last = s.Do(i, http.MethodPost, chat, poison)
+		require.NoError(t, last.Err)
+		require.NotEqual(t, http.StatusOK, last.Status)
+		want := "refused-not-run"
+		if i == 0 {
+			want = "failed-after-start" // it ran, and crashed two engines
+		}
+		require.Equal(t, want, last.Header.Get("X-Outcome"), "node %d: %s", i+1, last.Body)
+	}
+	require.Equal(t, "crash-suspect", last.Header.Get("X-Reason"))
+	require.LessOrEqual(t, lostEngines(s), 2)
+	for i := range nodes {
+		a := s.Do(i, http.MethodPost, chat, `{"model":"drafter","max_tokens":3,`+prompt+`}`)
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+	}
+}
+
+// TestInvariantCrashNeighbours shows that requests that ran beside one that
+// crashed its engine are served.
+func TestInvariantCrashNeighbours(t *testing.T) {
+	t.Parallel()
+	doc := session.Small(t, 3, 1)
+	for i := range doc.Models {
+		doc.Models[i].MinCopies = 3
+	}
+	s := session.New(t, doc, session.Options{})
+	s.StartNodes(2)
+	for _, name := range []string{"gpu-1", "gpu-2", "gpu-3"} {
+		s.Fault(s.Servers[name], "/fault", `{"crash-on":"POISON"}`)
+	}
+	answers := make(chan session.Answer)
+	for i := range 6 {
+		body := fmt.Sprintf(`{"model":"drafter","max_tokens":150,"messages":[{"role":"user","content":"innocent %d"}]}`, i)
+		go func() { answers <- s.Do(i%2, http.MethodPost, chat, body) }()
+	}
+	time.Sleep(300 * time.Millisecond) // they run; nothing is proved by it
+	a := s.Do(0, http.MethodPost, chat, `{"model":"drafter","max_tokens":20,"messages":[{"role":"user","content":"POISON"}]}`)
+	require.NotEqual(t, http.StatusOK, a.Status)
+	for range 6 {
+		b := <-answers
+		require.NoError(t, b.Err)
+		require.Equal(t, http.StatusOK, b.Status, b.Body)
+	}
+	require.LessOrEqual(t, lostEngines(s), 2)
+}
+
+func lostEngines(s *session.System) int {
+	n := 0
+	for _, p := range s.Servers {
+		if p.Ended() {
+			n++
+		}
+	}
+	return n
+}
