Try again for free what reached no server; begin whole answers anew

Cause: a caller beside a crash got backend-lost (an answer that it had seen nothing of could not begin anew once a token had come to the entry node) or backend-unreachable (three attempts met the dead engines before their owners had noticed). Ruled out: the marks and the retry budget (retry decisions: attempts). Now whole answers are held until the finish, an engine that refuses connections is passed over for 1 s, and attempts that reached no server are not counted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -160,6 +160,7 @@
 		Deadline:   r.deadline,
 		PrefixHash: prefixHash(item.String(), g.Prompt),
 		Resume:     g.Resume,
+		Buffered:   !g.Stream,
 	}
 	err = e.admitted(ctx, g, q, r, emit)
 	e.ended(g.RequestID, r, err, zap.String("model", g.Model))
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -23,9 +23,12 @@
 const (
 	// copyRetry is what a caller is told when a model has no copy.
 	copyRetry = 2 * time.Second
-	// freeAttempts bounds attempts that only found out that the owner
-	// changed; they cost no server anything.
-	freeAttempts = 5
+	// freeAttempts bounds attempts that reached no server, because it is gone
+	// or its owner changed: they cost no server anything.
+	freeAttempts = 8
+	// unreachableRest is how long a server that could not be reached is passed
+	// over unless no other holds the item. Its owner notices within that time.
+	unreachableRest = time.Second
 	// busyAttempts bounds the search for a server to run a marked request on.
 	busyAttempts = 20
 	// maxResumes bounds the resumptions in a row.
@@ -45,6 +48,7 @@
 		PrefixHash  uint64
 		Fingerprint suspect.Fingerprint
 		Alone       bool
+		Buffered    bool           // the caller sees nothing before the finish
 		Resume      *forward.Token // continue an earlier answer, nil for a new one
 	}
 
@@ -101,6 +105,7 @@
 		random *rand.Rand
 		budget *retry.Budget
 		sent   route.Tracker
+		rest   map[string]time.Time // until when a server that could not be reached is passed over
 	}
 
 	// attempt is the state of one request in Do.
@@ -114,10 +119,11 @@
 		free    int // attempts that did not
 		server  string
 		owner   string
-		why     string // reason of the last choice
-		ran     bool   // an attempt may have run
-		crashed bool   // an attempt of this node crashed its server
-		bypass  bool   // the owner is not known for sure: go to the engine
+		why     string          // reason of the last choice
+		held    []forward.Reply // replies that a caller who waits for the whole will get
+		ran     bool            // an attempt may have run
+		crashed bool            // an attempt of this node crashed its server
+		bypass  bool            // the owner is not known for sure: go to the engine
 	}
 )
 
@@ -125,6 +131,7 @@
 func (r *Router) Init(seed uint64, budget *retry.Budget) {
 	r.random = rand.New(rand.NewPCG(seed, 0))
 	r.budget = budget
+	r.rest = map[string]time.Time{}
 }
 
 // Do generates the answer to q and passes it to emit.
@@ -245,6 +252,8 @@
 			OwnRecent:      r.sent.Recent(v.Server),
 		})
 	}
+	now := time.Now()
+	rested := r.passOver(now, cs)
 	q := route.Request{
 		Item:       item,
 		Urgency:    a.q.Kind.Urgency,
@@ -252,7 +261,13 @@
 		PrefixHash: a.q.PrefixHash,
 		Exclude:    a.exclude,
 	}
-	c, ok := r.Policy.Pick(time.Now(), q, cs, r.random)
+	c, ok := r.Policy.Pick(now, q, cs, r.random)
+	if !ok && len(rested) > 0 {
+		for _, i := range rested {
+			cs[i].Reachable = true
+		}
+		c, ok = r.Policy.Pick(now, q, cs, r.random)
+	}
 	if !ok {
 		return view.Server{}, false
 	}
@@ -277,7 +292,7 @@
 		if reply.Finish == "" {
 			a.offset = reply.Offset + 1
 		}
-		return a.emit(reply, forward.Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server})
+		return a.pass(reply)
 	}
 	switch {
 	case r.Forward && a.owner == r.Self && !a.bypass:
@@ -292,6 +307,25 @@
 	return a.direct(ctx, job, sink)
 }
 
+// pass gives a reply to the caller, or holds it until the finish if the caller
+// sees nothing before: a generation that fails halfway can then begin anew.
+func (a *attempt) pass(reply forward.Reply) error {
+	at := forward.Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server}
+	if !a.q.Buffered {
+		return a.emit(reply, at)
+	}
+	a.held = append(a.held, reply)
+	if reply.Finish == "" {
+		return nil
+	}
+	for _, r := range a.held {
+		if err := a.emit(r, at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // direct runs a job at the engine without its owner.
 func (a *attempt) direct(ctx context.Context, job forward.Job, sink engines.Sink) error {
 	e := a.r.Engine(a.server)
@@ -301,60 +335,6 @@
 	return engines.Run(ctx, e, job, 0, sink)
 }
 
-// judge decides what follows a failed attempt. It returns true to try again.
-func (a *attempt) judge(ctx context.Context, err error) (bool, error) {
-	if _, ok := errors.AsType[*engines.SinkError](err); ok {
-		return false, outcome.Fail(outcome.CallerGone, "")
-	}
-	if suspects.IsBusy(err) {
-		return a.busy(ctx)
-	}
-	e := outcome.From(err)
-	if ctx.Err() != nil {
-		return false, e
-	}
-	if e.Reason == outcome.PeerLost {
-		if err := a.resume(ctx, e); err != nil {
-			e = outcome.From(err)
-		} else {
-			return false, nil
-		}
-	}
-	if a.offset > 0 {
-		return false, e
-	}
-	a.exclude[a.server] = true
-	if e.Outcome == outcome.RefusedNotRun && e.Reason == outcome.NoServer && a.free < freeAttempts {
-		a.free++
-		clear(a.exclude)
-		if !a.bypass {
-			a.bypass = true // the server may well serve; only its owner changed
-			return true, nil
-		}
-		return true, a.pause(ctx, a.free+1)
-	}
-	a.count++
-	v := a.r.Retry.Decide(retry.Failure{
-		Attempt:    a.count,
-		Err:        e,
-		Started:    e.Outcome != outcome.RefusedNotRun,
-		Tokens:     a.offset,
-		Repeatable: a.q.Kind.Repeatable,
-		Remaining:  time.Until(a.q.Deadline),
-	})
-	if v.Action == retry.Again && !a.r.take() {
-		v = retry.Spent()
-	}
-	a.note("retry", string(v.Reason))
-	if v.Action != retry.Again {
-		return false, e
-	}
-	if v.Reason == retry.NotRun {
-		return true, nil
-	}
-	return true, a.pause(ctx, a.count+1)
-}
-
 // resume continues the generation at its server: through the owner, or
 // directly if the owner is lost. why is the failure so far.
 func (a *attempt) resume(ctx context.Context, why *outcome.Error) error {
