Split memory and prefix cache from the engine stand-in; one capacity limiter

TestCrash failed once in about ten runs: it looked at the same instant of fake time at which the step that crashes the engine begins.

--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -7,11 +7,10 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"guavapaddle/internal/standin/capacity"
 	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/object"
 	"guavapaddle/internal/standin/platform"
 	"guavapaddle/internal/standin/service"
-	"guavapaddle/internal/standin/table"
 	"guavapaddle/internal/standin/weights"
 )
 
@@ -21,10 +20,10 @@
 	p := &platform.Platform{}
 	fs := flag.NewFlagSet("platform", flag.ContinueOnError)
 	fs.StringVar(&p.Listen, "listen", "127.0.0.1:9000", "IP:port to listen on")
-	fs.Float64Var(&p.Table.WriteRate, "table-write-rate", table.DefaultWriteRate, "transactions a second; what is over waits")
-	fs.Float64Var(&p.Table.ReadRate, "table-read-rate", table.DefaultReadRate, "reads and scans a second; what is over waits")
-	fs.Float64Var(&p.Objects.WriteRate, "object-write-rate", object.DefaultWriteRate, "object writes a second; what is over waits")
-	fs.Float64Var(&p.Objects.ReadRate, "object-read-rate", object.DefaultReadRate, "object reads a second; what is over waits")
+	fs.Float64Var(&p.Table.WriteRate, "table-write-rate", capacity.DefaultWrites, "transactions a second; what is over waits")
+	fs.Float64Var(&p.Table.ReadRate, "table-read-rate", capacity.DefaultReads, "reads and scans a second; what is over waits")
+	fs.Float64Var(&p.Objects.WriteRate, "object-write-rate", capacity.DefaultWrites, "object writes a second; what is over waits")
+	fs.Float64Var(&p.Objects.ReadRate, "object-read-rate", capacity.DefaultReads, "object reads a second; what is over waits")
 	fs.Float64Var(&p.Weights.Rate, "weight-rate", weights.DefaultRate, "loads that start a second")
 	fs.IntVar(&p.Weights.FullSpeed, "weight-full-speed", weights.DefaultFullSpeed, "loads that run at full speed at once")
 	fs.DurationVar(&p.Weights.LoadTime, "weight-load-time", 0, "time of a load at full speed, besides its bytes")
--- a/internal/standin/engine/calls.go
+++ b/internal/standin/engine/calls.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -50,7 +51,7 @@
 		refuse(w, http.StatusBadRequest, "request-id and max-tokens")
 		return
 	}
-	g.MaxTokens = standard(g.MaxTokens, DefaultMaxTokens)
+	g.MaxTokens = cmp.Or(g.MaxTokens, DefaultMaxTokens)
 	e.mu.Lock()
 	b := e.boot
 	e.expire(b, time.Now())
@@ -76,7 +77,7 @@
 	case e.Faults.Faults().Leaving:
 		e.Faults.Counters.Add("refused-leaving", 1)
 		return http.StatusServiceUnavailable
-	case !b.memory.resident(q.gen.Item):
+	case !b.memory.Resident(q.gen.Item):
 		e.Faults.Counters.Add("refused-not-resident", 1)
 		return http.StatusNotFound
 	}
@@ -86,7 +87,7 @@
 		return http.StatusTooManyRequests
 	}
 	b.requests[q.gen.RequestID] = q
-	b.memory.items[q.gen.Item].users++
+	b.memory.Items[q.gen.Item].Users++
 	if pushed != nil {
 		e.Faults.Counters.Add("refused-pushed-out", 1)
 		e.forget(b, pushed)
@@ -100,7 +101,7 @@
 // forget drops a request that never started.
 func (e *Engine) forget(b *boot, q *request) {
 	delete(b.requests, q.gen.RequestID)
-	b.memory.items[q.gen.Item].users--
+	b.memory.Items[q.gen.Item].Users--
 	e.release(b, q.gen.Item)
 }
 
@@ -222,7 +223,7 @@
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	e.mu.Lock()
-	out := e.boot.cache.since(since, time.Now().Add(-e.CacheLag))
+	out := e.boot.cache.Since(since, time.Now().Add(-e.CacheLag))
 	e.mu.Unlock()
 	fault.WriteJSON(w, http.StatusOK, out)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -8,6 +9,8 @@
 	"time"
 
 	"guavapaddle/core/backend"
+	"guavapaddle/internal/standin/engine/memory"
+	"guavapaddle/internal/standin/engine/prefix"
 	"guavapaddle/internal/standin/fault"
 )
 
@@ -66,9 +69,9 @@
 		ctx      context.Context
 		cancel   context.CancelFunc
 		fence    uint64
-		memory   memory
+		memory   *memory.Memory
 		batch    batch
-		cache    *cache
+		cache    *prefix.Cache
 		orders   map[string]bool // order ids; true if done
 		requests map[string]*request
 		ended    []*request // in order of their end
@@ -129,11 +132,11 @@
 func (e *Engine) Preload(i backend.Item, bytes int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m := &e.boot.memory
-	if _, ok := m.items[i]; ok || !m.reserve(i, bytes) {
+	m := e.boot.memory
+	if _, ok := m.Items[i]; ok || !m.Reserve(i, bytes) {
 		return false
 	}
-	m.items[i].state, m.items[i].pending = backend.Resident, false
+	m.Items[i].State, m.Items[i].Pending = backend.Resident, false
 	e.measure()
 	return true
 }
@@ -148,15 +151,15 @@
 // inventory returns the engine's truth about itself.
 func (e *Engine) inventory() backend.Inventory {
 	return backend.Inventory{Server: e.Name, BootID: e.boot.id, Fence: e.boot.fence,
-		MemoryBytes: e.MemoryBytes, Items: e.boot.memory.status()}
+		MemoryBytes: e.MemoryBytes, Items: e.boot.memory.Status()}
 }
 
 // measure enters the memory in use in the counters. It counts a violation if
 // the engine has taken on more than it has, which would be its own fault.
 func (e *Engine) measure() {
-	m := &e.boot.memory
-	e.Faults.Counters.Max("peak-memory-bytes", m.peak)
-	if m.used > m.total {
+	m := e.boot.memory
+	e.Faults.Counters.Max("peak-memory-bytes", m.Peak)
+	if m.Used > m.Total {
 		e.Faults.Counters.Add("memory-violations", 1)
 	}
 }
@@ -180,16 +183,12 @@
 func (e *Engine) restart() {
 	e.boots++
 	ctx, cancel := context.WithCancel(context.Background())
-	bound := e.QueueBound
-	if bound == 0 {
-		bound = DefaultQueueBound
-	}
 	e.boot = &boot{
 		id:  fmt.Sprintf("%s-%d-%d", e.Name, time.Now().UnixNano(), e.boots),
 		ctx: ctx, cancel: cancel,
-		memory:   memory{total: e.MemoryBytes, items: map[backend.Item]*entry{}},
-		batch:    batch{slots: standard(e.Slots, DefaultSlots), bound: max(bound, 0)},
-		cache:    newCache(e.CacheBlocks, e.CacheLoss, e.Seed),
+		memory:   memory.New(e.MemoryBytes),
+		batch:    batch{slots: cmp.Or(e.Slots, DefaultSlots), bound: max(cmp.Or(e.QueueBound, DefaultQueueBound), 0)},
+		cache:    prefix.New(e.CacheBlocks, e.CacheLoss, e.Seed),
 		orders:   map[string]bool{},
 		requests: map[string]*request{},
 		wake:     make(chan struct{}, 1),
@@ -209,12 +208,3 @@
 		h.ServeHTTP(w, r)
 	})
 }
-
-// standard returns v, or s if v is zero.
-func standard[T comparable](v, s T) T {
-	var zero T
-	if v == zero {
-		return s
-	}
-	return v
-}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -17,6 +17,7 @@
 
 	"guavapaddle/core/backend"
 	"guavapaddle/internal/standin/engine"
+	"guavapaddle/internal/standin/engine/prefix"
 	"guavapaddle/internal/standin/fault"
 	ioengine "guavapaddle/io/engine"
 )
@@ -247,7 +248,7 @@
 	e := &engine.Engine{MemoryBytes: 100, Step: time.Millisecond, Prefill: time.Millisecond, CacheBlocks: 4, CacheLag: time.Hour, CacheLoss: 0.3, Seed: 5}
 	bench(t, e, func(t *testing.T, h http.Handler) {
 		require.True(t, e.Preload(model, 10))
-		prompt := strings.Repeat("x", 4*engine.BlockBytes)
+		prompt := strings.Repeat("x", 4*prefix.BlockBytes)
 		n := 0
 		took := func(prompt string) time.Duration {
 			n++
@@ -258,7 +259,7 @@
 		require.Equal(t, 64*time.Millisecond, took(prompt))
 		require.Equal(t, time.Millisecond, took(prompt))
 		require.Equal(t, 16*time.Millisecond, took(prompt[:192]+strings.Repeat("y", 64)))
-		took(strings.Repeat("z", 4*engine.BlockBytes))
+		took(strings.Repeat("z", 4*prefix.BlockBytes))
 		require.Equal(t, 64*time.Millisecond, took(prompt))
 		read := func() ioengine.CacheEvents {
 			var out ioengine.CacheEvents
@@ -355,6 +356,7 @@
 		}
 		synctest.Wait()
 		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
 		require.PanicsWithValue(t, http.ErrAbortHandler, func() { call(h, http.MethodGet, "/engine/v1/state", nil) })
 		time.Sleep(time.Second)
 		require.Equal(t, http.StatusOK, call(h, http.MethodGet, "/engine/v1/state", nil).Code)
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -138,16 +138,16 @@
 // satisfied tells whether what an order asks is so.
 func (e *Engine) satisfied(b *boot, o backend.Order) bool {
 	if o.Op == backend.Load {
-		return b.memory.resident(o.Item)
+		return b.memory.Resident(o.Item)
 	}
-	_, ok := b.memory.items[o.Item]
+	_, ok := b.memory.Items[o.Item]
 	return !ok
 }
 
 // load begins to load an item.
 func (e *Engine) load(b *boot, o backend.Order) verdict {
-	if u, ok := b.memory.items[o.Item]; ok {
-		switch u.state {
+	if u, ok := b.memory.Items[o.Item]; ok {
+		switch u.State {
 		case backend.Resident:
 			return verdict{status: http.StatusOK}
 		case backend.Loading:
@@ -156,14 +156,14 @@
 			return verdict{status: http.StatusConflict, refusal: ioengine.Refusal{Error: errorInUse}}
 		}
 	}
-	if o.Item.Base != "" && !b.memory.base(o.Item.Base, backend.Item{}) {
+	if o.Item.Base != "" && !b.memory.Base(o.Item.Base, backend.Item{}) {
 		return verdict{status: http.StatusConflict, refusal: ioengine.Refusal{Error: errorNoBase}}
 	}
-	if !b.memory.reserve(o.Item, o.Bytes) {
+	if !b.memory.Reserve(o.Item, o.Bytes) {
 		e.Faults.Counters.Add("overcommit-refused", 1)
 		return verdict{status: http.StatusInsufficientStorage}
 	}
-	b.memory.items[o.Item].order = o.OrderID
+	b.memory.Items[o.Item].Order = o.OrderID
 	e.measure()
 	go e.fetch(b, o)
 	return verdict{status: http.StatusAccepted}
@@ -171,14 +171,14 @@
 
 // unload begins to unload an item, or does it if nothing uses it.
 func (e *Engine) unload(b *boot, o backend.Order) verdict {
-	u, ok := b.memory.items[o.Item]
+	u, ok := b.memory.Items[o.Item]
 	if !ok {
 		return verdict{status: http.StatusOK}
 	}
-	if o.Item.Base == "" && b.memory.adapters(o.Item.Name) && !b.memory.base(o.Item.Name, o.Item) {
+	if o.Item.Base == "" && b.memory.Adapters(o.Item.Name) && !b.memory.Base(o.Item.Name, o.Item) {
 		return verdict{status: http.StatusConflict, refusal: ioengine.Refusal{Error: errorInUse}}
 	}
-	u.state, u.order = backend.Unloading, o.OrderID
+	u.State, u.Order = backend.Unloading, o.OrderID
 	if e.release(b, o.Item) {
 		return verdict{status: http.StatusOK}
 	}
@@ -194,16 +194,16 @@
 	if b.ctx.Err() != nil {
 		return
 	}
-	u := b.memory.items[o.Item]
-	u.pending = false
+	u := b.memory.Items[o.Item]
+	u.Pending = false
 	switch {
 	case err != nil:
 		e.Faults.Counters.Add("loads-failed", 1)
-		u.state = backend.Unloading
+		u.State = backend.Unloading
 		delete(b.orders, o.OrderID)
-	case u.state == backend.Loading:
+	case u.State == backend.Loading:
 		e.Faults.Counters.Add("loads", 1)
-		u.state = backend.Resident
+		u.State = backend.Resident
 		b.orders[o.OrderID] = true
 	}
 	e.release(b, o.Item)
@@ -212,12 +212,12 @@
 // release frees an item's bytes if nothing holds them any more, which ends its
 // unload, and tells whether it did.
 func (e *Engine) release(b *boot, i backend.Item) bool {
-	u, ok := b.memory.items[i]
-	if !ok || !b.memory.release(i) {
+	u, ok := b.memory.Items[i]
+	if !ok || !b.memory.Release(i) {
 		return false
 	}
-	if _, known := b.orders[u.order]; known {
-		b.orders[u.order] = true
+	if _, known := b.orders[u.Order]; known {
+		b.orders[u.Order] = true
 	}
 	return true
 }
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/prefix/prefix.go
@@ -1,4 +1,13 @@
-package engine
+// Package prefix is the prompt prefix cache of the engine stand-in. It keeps
+// hashes of prompt prefixes in bounded space, the least recently used go first,
+// and publishes what it stores and evicts with gaps. Time is an argument.
+//
+// # Usage
+//
+//	c := prefix.New(64, 0.1, seed)
+//	cached := c.Use(item.String(), prompt, now) // tokens that need no prefill
+//	events := c.Since(last, now.Add(-lag))
+package prefix
 
 import (
 	"container/list"
@@ -14,15 +23,16 @@
 	// BlockBytes is the length of prompt that one block of the prefix cache
 	// covers.
 	BlockBytes = 64
-	// bytesPerToken is how much of a prompt makes a token.
-	bytesPerToken = 4
-	maxEvents     = 1 << 14
+	// BytesPerToken is how much of a prompt makes a token.
+	BytesPerToken = 4
+
+	maxEvents = 1 << 14
 )
 
 type (
-	// cache holds the prompt prefixes whose processing can be saved, the least
+	// Cache holds the prompt prefixes whose processing can be saved, the least
 	// recently used go first.
-	cache struct {
+	Cache struct {
 		blocks int     // capacity
 		loss   float64 // part of the events that is never published
 		random *rand.Rand
@@ -40,15 +50,15 @@
 	}
 )
 
-// newCache returns an empty cache.
-func newCache(blocks int, loss float64, seed uint64) *cache {
-	return &cache{blocks: blocks, loss: loss, random: rand.New(rand.NewPCG(seed, 1)),
+// New returns an empty cache.
+func New(blocks int, loss float64, seed uint64) *Cache {
+	return &Cache{blocks: blocks, loss: loss, random: rand.New(rand.NewPCG(seed, 1)),
 		order: list.New(), index: map[uint64]*list.Element{}}
 }
 
-// PrefixHashes returns the hashes of the prefixes of a prompt that a cache
+// Hashes returns the hashes of the prefixes of a prompt that a cache
 // keeps: one for each whole block.
-func PrefixHashes(item, prompt string) []uint64 {
+func Hashes(item, prompt string) []uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(item + "\x00")
 	var out []uint64
@@ -60,13 +70,13 @@
 	return out
 }
 
-// use returns how many tokens of a prompt are in the cache and stores it all.
-func (c *cache) use(item, prompt string, now time.Time) (cached int) {
+// Use returns how many tokens of a prompt are in the cache and stores it all.
+func (c *Cache) Use(item, prompt string, now time.Time) (cached int) {
 	hit := true
-	for _, h := range PrefixHashes(item, prompt) {
+	for _, h := range Hashes(item, prompt) {
 		e, ok := c.index[h]
 		if hit = hit && ok; hit {
-			cached += BlockBytes / bytesPerToken
+			cached += BlockBytes / BytesPerToken
 		}
 		if ok {
 			c.order.MoveToFront(e)
@@ -78,7 +88,7 @@
 }
 
 // store puts a prefix in and evicts others for it.
-func (c *cache) store(h uint64, now time.Time) {
+func (c *Cache) store(h uint64, now time.Time) {
 	if c.blocks <= 0 {
 		return
 	}
@@ -93,7 +103,7 @@
 }
 
 // publish notes an event, or loses it.
-func (c *cache) publish(h uint64, stored bool, now time.Time) {
+func (c *Cache) publish(h uint64, stored bool, now time.Time) {
 	c.sequence++
 	if c.random.Float64() < c.loss {
 		return
@@ -104,8 +114,8 @@
 	}
 }
 
-// since returns the events after sequence n that happened by until.
-func (c *cache) since(n uint64, until time.Time) ioengine.CacheEvents {
+// Since returns the events after sequence n that happened by until.
+func (c *Cache) Since(n uint64, until time.Time) ioengine.CacheEvents {
 	out := ioengine.CacheEvents{Events: []ioengine.CacheEvent{}, Last: n}
 	for _, e := range c.events {
 		if e.at.After(until) {
--- a/internal/standin/engine/steps.go
+++ b/internal/standin/engine/steps.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
 	"guavapaddle/core/backend"
+	"guavapaddle/internal/standin/engine/prefix"
 )
 
 const maxSamples = 4096
@@ -62,7 +64,7 @@
 		e.admit(b, r, now)
 	}
 	n := len(b.batch.running)
-	step = standard(e.Step, DefaultStep) + time.Duration(max(n-1, 0))*e.StepSlope
+	step = cmp.Or(e.Step, DefaultStep) + time.Duration(max(n-1, 0))*e.StepSlope
 	b.report(now, step)
 	return step, n > 0
 }
@@ -74,8 +76,8 @@
 		r.started = true
 		e.Faults.Counters.Add("runs", 1)
 	}
-	tokens := (len(r.gen.Prompt) + bytesPerToken - 1) / bytesPerToken
-	cached := b.cache.use(r.gen.Item.String(), r.gen.Prompt, now)
+	tokens := (len(r.gen.Prompt) + prefix.BytesPerToken - 1) / prefix.BytesPerToken
+	cached := b.cache.Use(r.gen.Item.String(), r.gen.Prompt, now)
 	e.Faults.Counters.Add("prompt-tokens", int64(tokens))
 	e.Faults.Counters.Add("prompt-tokens-cached", int64(cached))
 	b.prefill = later(b.prefill, now).Add(time.Duration(tokens-cached) * e.Prefill)
@@ -99,8 +101,8 @@
 func (e *Engine) finished(b *boot, r *request, now time.Time) {
 	r.doneAt = now
 	b.ended = append(b.ended, r)
-	if u, ok := b.memory.items[r.gen.Item]; ok {
-		u.users--
+	if u, ok := b.memory.Items[r.gen.Item]; ok {
+		u.Users--
 		e.release(b, r.gen.Item)
 	}
 	e.expire(b, now)
@@ -108,7 +110,7 @@
 
 // expire forgets requests that can't be resumed any more.
 func (e *Engine) expire(b *boot, now time.Time) {
-	keep := standard(e.Retention, DefaultRetention)
+	keep := cmp.Or(e.Retention, DefaultRetention)
 	for len(b.ended) > 0 && now.Sub(b.ended[0].doneAt) > keep {
 		delete(b.requests, b.ended[0].gen.RequestID)
 		b.ended = b.ended[1:]
--- a/internal/standin/object/object.go
+++ b/internal/standin/object/object.go
@@ -8,31 +8,25 @@
 package object
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync"
 
 	"golang.org/x/time/rate"
 
+	"guavapaddle/internal/standin/capacity"
 	"guavapaddle/internal/standin/fault"
 )
 
-const (
-	// DefaultWriteRate is the bound of writes a second.
-	DefaultWriteRate = 500
-	// DefaultReadRate is the bound of reads a second.
-	DefaultReadRate = 2000
-
-	burst   = 50
-	maxBody = 64 << 20
-)
+const maxBody = 64 << 20
 
 // Store is a stand-in for the object store. Its exported fields are set before
 // Start or Handler.
 type Store struct {
 	Listen    string  // IP:port, a free port of 127.0.0.1 if empty
-	WriteRate float64 // writes a second, DefaultWriteRate if zero; what is over waits
-	ReadRate  float64 // reads a second, DefaultReadRate if zero; what is over waits
+	WriteRate float64 // writes a second, capacity.DefaultWrites if zero; what is over waits
+	ReadRate  float64 // reads a second, capacity.DefaultReads if zero; what is over waits
 	Faults    fault.Set
 
 	mu      sync.Mutex
@@ -61,8 +55,8 @@
 	if s.Faults.Counters == nil {
 		s.Faults.Counters = &fault.Counters{}
 	}
-	s.writes = limiter(s.WriteRate, DefaultWriteRate)
-	s.reads = limiter(s.ReadRate, DefaultReadRate)
+	s.writes = capacity.New(cmp.Or(s.WriteRate, capacity.DefaultWrites))
+	s.reads = capacity.New(cmp.Or(s.ReadRate, capacity.DefaultReads))
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /object/v1/{key...}", s.put)
 	mux.HandleFunc("GET /object/v1/{key...}", s.get)
@@ -101,11 +95,3 @@
 	}
 	_, _ = w.Write(body)
 }
-
-// limiter returns a limiter of n calls a second, or of standard if n is zero.
-func limiter(n, standard float64) *rate.Limiter {
-	if n == 0 {
-		n = standard
-	}
-	return rate.NewLimiter(rate.Limit(n), burst)
-}
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -1,31 +1,24 @@
 package table
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 
 	"golang.org/x/time/rate"
 
 	"guavapaddle/core/row"
+	"guavapaddle/internal/standin/capacity"
 	"guavapaddle/internal/standin/fault"
 	iotable "guavapaddle/io/table"
 )
 
-const (
-	// DefaultWriteRate is the bound of transactions a second.
-	DefaultWriteRate = 500
-	// DefaultReadRate is the bound of reads and scans a second.
-	DefaultReadRate = 2000
-
-	burst = 50
-)
-
 // Table is a stand-in for the table service. Its exported fields are set
 // before Start or Handler.
 type Table struct {
 	Listen      string  // IP:port, a free port of 127.0.0.1 if empty
-	WriteRate   float64 // transactions a second, DefaultWriteRate if zero; what is over waits
-	ReadRate    float64 // reads and scans a second, DefaultReadRate if zero; what is over waits
+	WriteRate   float64 // transactions a second, capacity.DefaultWrites if zero; what is over waits
+	ReadRate    float64 // reads and scans a second, capacity.DefaultReads if zero; what is over waits
 	KeepHistory bool    // History returns all committed transactions
 	Faults      fault.Set
 
@@ -54,8 +47,8 @@
 	if t.Faults.Counters == nil {
 		t.Faults.Counters = &fault.Counters{}
 	}
-	t.writes = limiter(t.WriteRate, DefaultWriteRate)
-	t.reads = limiter(t.ReadRate, DefaultReadRate)
+	t.writes = capacity.New(cmp.Or(t.WriteRate, capacity.DefaultWrites))
+	t.reads = capacity.New(cmp.Or(t.ReadRate, capacity.DefaultReads))
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /table/v1/transact", t.transact)
 	mux.HandleFunc("POST /table/v1/read", t.read)
@@ -109,11 +102,3 @@
 	t.Faults.Counters.Add("scans", 1)
 	fault.WriteJSON(w, http.StatusOK, iotable.Rows{Rows: t.store.scan(in.Prefix)})
 }
-
-// limiter returns a limiter of n calls a second, or of standard if n is zero.
-func limiter(n, standard float64) *rate.Limiter {
-	if n == 0 {
-		n = standard
-	}
-	return rate.NewLimiter(rate.Limit(n), burst)
-}
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -10,6 +10,7 @@
 package weights
 
 import (
+	"cmp"
 	"net/http"
 	"sync"
 	"time"
@@ -80,15 +81,8 @@
 	if s.Faults.Counters == nil {
 		s.Faults.Counters = &fault.Counters{}
 	}
-	r, full := s.Rate, s.FullSpeed
-	if r == 0 {
-		r = DefaultRate
-	}
-	if full == 0 {
-		full = DefaultFullSpeed
-	}
-	s.starts = rate.NewLimiter(rate.Limit(r), 1)
-	s.share = share{full: full, loads: map[*load]struct{}{}, last: time.Now()}
+	s.starts = rate.NewLimiter(rate.Limit(cmp.Or(s.Rate, DefaultRate)), 1)
+	s.share = share{full: cmp.Or(s.FullSpeed, DefaultFullSpeed), loads: map[*load]struct{}{}, last: time.Now()}
 	s.changed = make(chan struct{}, 1)
 	s.stop = make(chan struct{})
 	go s.run()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -137,7 +138,7 @@
 // ExportKV returns the KV cache of a request. Every failure is an *Error, of
 // kind UnknownRequest if there is no such request.
 func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.calls.Get(c.Address).Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: kvPath + url.PathEscape(requestID)})
 	if err != nil {
@@ -152,7 +153,7 @@
 // ImportKV gives an engine the KV cache of a request, which can be resumed
 // there from then on. Every failure is an *Error.
 func (c *Client) ImportKV(ctx context.Context, requestID string, kv []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.calls.Get(c.Address).Do(ctx, jsonhttp.Call{Method: http.MethodPut, Path: kvPath + url.PathEscape(requestID), Body: kv})
 	if err != nil {
@@ -164,17 +165,9 @@
 // Close closes unused connections. Streams go on.
 func (c *Client) Close() { c.calls.Get(c.Address).Close() }
 
-// timeout returns the bound of a call.
-func (c *Client) timeout() time.Duration {
-	if c.Timeout == 0 {
-		return DefaultTimeout
-	}
-	return c.Timeout
-}
-
 // call makes one bounded call.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (jsonhttp.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout())
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.calls.Get(c.Address).JSON(ctx, method, path, in, out)
 	if err != nil {
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -101,21 +102,15 @@
 
 // open sends a call whose answer is a stream.
 func (c *Client) open(ctx context.Context, path string, in any, id string, offset int, o StreamOptions) (*Stream, error) {
-	if o.FirstTimeout == 0 {
-		o.FirstTimeout = DefaultFirstTimeout
-	}
-	if o.ProgressTimeout == 0 {
-		o.ProgressTimeout = DefaultProgressTimeout
-	}
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, c.fail(NotSent, err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream{client: c, id: id, next: offset, progress: o.ProgressTimeout, ctx: ctx, cancel: cancel}
+	s := &Stream{client: c, id: id, next: offset, progress: cmp.Or(o.ProgressTimeout, DefaultProgressTimeout), ctx: ctx, cancel: cancel}
 	// The timer runs until the first event; Next sets it anew for each further
 	// one, so that the time that the reader takes for itself does not count.
-	s.timer = time.AfterFunc(o.FirstTimeout, func() { cancel(errSilent) })
+	s.timer = time.AfterFunc(cmp.Or(o.FirstTimeout, DefaultFirstTimeout), func() { cancel(errSilent) })
 	s.stream, err = c.streams.Fresh(c.Address).Open(ctx, jsonhttp.Call{
 		Method: http.MethodPost, Path: path, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}, "X-Request-Id": {id}},
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -102,10 +103,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	limit := c.MaxBody
-	if limit == 0 {
-		limit = DefaultMaxBody
-	}
+	limit := cmp.Or(c.MaxBody, DefaultMaxBody)
 	body, err := io.ReadAll(io.LimitReader(s.Body, limit+1))
 	if err != nil {
 		s.Abort()
@@ -164,15 +162,7 @@
 
 // init sets up the transport.
 func (c *Client) init() {
-	connect := c.ConnectTimeout
-	if connect == 0 {
-		connect = DefaultConnectTimeout
-	}
-	idle := c.IdleTimeout
-	if idle == 0 {
-		idle = DefaultIdleTimeout
-	}
-	dialer := &net.Dialer{Timeout: connect}
+	dialer := &net.Dialer{Timeout: cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			nc, err := dialer.DialContext(ctx, network, address)
@@ -183,7 +173,7 @@
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      c.Fresh,
-		IdleConnTimeout:        idle,
+		IdleConnTimeout:        cmp.Or(c.IdleTimeout, DefaultIdleTimeout),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -1,6 +1,7 @@
 package object
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -86,11 +87,7 @@
 
 // call makes one call and sorts its failure.
 func (c *Client) call(ctx context.Context, method, key string, body []byte, want int) ([]byte, error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.http.Get(c.Address).Do(ctx, jsonhttp.Call{Method: method, Path: prefix + url.PathEscape(key), Body: body})
 	if err != nil {
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -120,11 +121,7 @@
 
 // Do makes one call and returns its whole answer. Every failure is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, timeout, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, cmp.Or(c.Timeout, DefaultTimeout), errTimeout)
 	defer cancel()
 	a, err := c.http(r).Do(ctx, jsonhttp.Call{Method: r.Method, Path: r.Path, Header: header(r), Body: r.Body})
 	if err != nil {
@@ -143,11 +140,7 @@
 // an *Error.
 func (c *Client) Load(ctx context.Context) (backend.LoadReport, error) {
 	var out backend.LoadReport
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, timeout, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, cmp.Or(c.Timeout, DefaultTimeout), errTimeout)
 	defer cancel()
 	a, err := c.reused.Get(c.Address).JSON(ctx, http.MethodGet, LoadPath, nil, &out)
 	if err != nil {
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -121,11 +122,7 @@
 
 // call makes one call and sorts its failure.
 func (c *Client) call(ctx context.Context, path string, in, out any) error {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.http.Get(c.Address).JSON(ctx, http.MethodPost, path, in, out)
 	if err != nil {
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -1,6 +1,7 @@
 package vmlist
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -116,11 +117,7 @@
 
 // call makes one call and sorts its failure.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
 	a, err := c.http.Get(c.Address).JSON(ctx, method, path, in, out)
 	if err != nil {
