--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -52,7 +52,7 @@
 			return
 		case <-s.wake:
 		}
-		for batch := s.next(); len(batch) > 0; batch = s.next() {
+		for batch := s.next(ctx); len(batch) > 0; batch = s.next(ctx) {
 			select {
 			case <-ctx.Done():
 				return
@@ -99,14 +99,14 @@
 }
 
 // next takes the next batch from the queue: no key twice, within the bounds.
-func (s *Store) next() []*op {
+func (s *Store) next(ctx context.Context) []*op {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var batch, rest []*op
 	keys := map[string]bool{}
 	bytes := 0
 	for _, o := range s.queue {
-		if o.over || s.dropAbandoned(o) {
+		if o.over || s.dropAbandoned(ctx, o) {
 			continue
 		}
 		size := o.size()
@@ -125,14 +125,14 @@
 
 // dropAbandoned ends o if its caller waits no longer, and tells whether it did.
 // The lock is held.
-func (s *Store) dropAbandoned(o *op) bool {
+func (s *Store) dropAbandoned(ctx context.Context, o *op) bool {
 	if !o.abandoned {
 		return false
 	}
 	o.over = true
 	if o.unsure {
 		s.pending++
-		go s.settle(o.change, 0)
+		go s.settle(ctx, o.change, 0)
 	}
 	return true
 }
@@ -161,9 +161,9 @@
 	case err == nil && res.Committed:
 		s.Metrics.transaction(committed)
 		for _, o := range batch {
-			s.finish(o, ended{fate: claim.Took, row: row.Row{Key: o.change.Key, Revision: res.Revision}})
+			s.finish(ctx, o, ended{fate: claim.Took, row: row.Row{Key: o.change.Key, Revision: res.Revision}})
 		}
-	case err == nil && s.sortConflicts(batch, res.Conflicts):
+	case err == nil && s.sortConflicts(ctx, batch, res.Conflicts):
 		s.Metrics.transaction(conflict)
 	case err != nil && notDone(err):
 		s.Metrics.transaction(refused)
@@ -176,7 +176,7 @@
 
 // sortConflicts ends the ops whose rows are in conflict and queues the others
 // again. It returns false if no row concerns an op.
-func (s *Store) sortConflicts(batch []*op, conflicts []row.Row) bool {
+func (s *Store) sortConflicts(ctx context.Context, batch []*op, conflicts []row.Row) bool {
 	rows := map[string]row.Row{}
 	for _, r := range conflicts {
 		rows[r.Key] = r
@@ -187,7 +187,7 @@
 	}
 	for _, o := range batch {
 		if r, found := rows[o.change.Key]; found {
-			s.judge(o, r)
+			s.judge(ctx, o, r)
 		} else {
 			s.submit(o)
 		}
@@ -212,22 +212,22 @@
 		return
 	}
 	for i, o := range batch {
-		s.judge(o, rows[i])
+		s.judge(ctx, o, rows[i])
 	}
 }
 
 // judge ends o by the row as it is now, or queues it again if its fate is open:
 // to write it once more is safe, since only one of the copies can take effect.
-func (s *Store) judge(o *op, r row.Row) {
+func (s *Store) judge(ctx context.Context, o *op, r row.Row) {
 	fate, err := o.change.Fate(r)
 	switch {
 	case err != nil:
 		s.Log.Error("claim row not understood", zap.Error(err))
-		s.finish(o, ended{err: outcome.Refuse(outcome.Internal, err.Error(), 0)})
+		s.finish(ctx, o, ended{err: outcome.Refuse(outcome.Internal, err.Error(), 0)})
 	case fate == claim.Open:
 		s.submit(o)
 	default:
-		s.finish(o, ended{fate: fate, row: r})
+		s.finish(ctx, o, ended{fate: fate, row: r})
 	}
 }
 
@@ -238,7 +238,7 @@
 	s.markDown(ctx)
 	for _, o := range batch {
 		if !o.durable {
-			s.finish(o, s.tableDown("failed"))
+			s.finish(ctx, o, s.tableDown("failed"))
 			continue
 		}
 		o.tries++
@@ -290,7 +290,7 @@
 
 // finish ends o. An insert that may stand although its caller was told that the
 // call did not run is settled.
-func (s *Store) finish(o *op, e ended) {
+func (s *Store) finish(ctx context.Context, o *op, e ended) {
 	s.mu.Lock()
 	if o.over {
 		s.mu.Unlock()
@@ -306,12 +306,12 @@
 		s.Metrics.change(string(e.fate))
 	}
 	if o.settle {
-		s.settled(o, e)
+		s.settled(ctx, o, e)
 		return
 	}
 	if gone {
 		s.begin()
-		go s.settle(o.change, 0)
+		go s.settle(ctx, o.change, 0)
 	}
 	if o.done != nil {
 		o.done <- e
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -105,9 +105,9 @@
 		mu      sync.Mutex
 		queue   []*op
 		inserts map[string]*insertion // by row key
-		pending int           // changes that must take effect and have not yet
-		idle    chan struct{} // closed when pending is zero, nil if nobody waits
-		down    bool          // claims are refused until a read is answered
+		pending int                   // changes that must take effect and have not yet
+		idle    chan struct{}         // closed when pending is zero, nil if nobody waits
+		down    bool                  // claims are refused until a read is answered
 	}
 
 	// insertion is an insert of this node that others of the same row wait for.
