--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -196,7 +196,7 @@
 		Cert: filepath.Join(l.dir, name+".pem"),
 		Key:  filepath.Join(l.dir, name+".key"),
 		// The zero value of the others is not their default.
-		Policy: "home", Planner: "gain", LogLevel: "info",
+		Policy: "home", Planner: "gain", Limit: "cost", LogLevel: "info",
 		Seed: uint64(len(l.running) + 1),
 	}
 	if l.Settings != nil {
@@ -325,7 +325,9 @@
 	p := l.running[i]
 	p.once.Do(func() {
 		p.Kill()
-		_ = <-p.Done
+		if err := <-p.Done; err != nil {
+			l.Log.Warn("node failed", zap.Error(err))
+		}
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,7 +250,7 @@
 }
 
 func (n *Node) buildEntry() {
-	n.limits = newLimits()
+	n.limits = newLimits(n.settings.Limit)
 	n.pool = &call.Pool{}
 	n.services = &call.Services{}
 	e := &entry.Entry{
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -12,20 +12,40 @@
 	"guavapaddle/core/limit"
 )
 
-type (
-	// limits applies core/limit to the requests of this node.
-	limits struct {
-		mu     sync.Mutex
-		policy limit.Policy
-	}
+const (
+	// LimitCost limits customers by the estimated cost of their requests.
+	LimitCost = "cost"
+	// LimitRequests limits customers by the count of their requests.
+	LimitRequests = "requests"
+	// LimitNone limits nobody.
+	LimitNone = "none"
+
+	// limitSlack is how much more than its even part of all capacity a node
+	// takes on before it limits anybody, since callers reach nodes unevenly.
+	limitSlack = 1.5
+	// assumedTokens is the cost of a request that a count limits, in tokens.
+	assumedTokens = 128.0
 )
 
-func newLimits() *limits { return &limits{policy: limit.NewByCost(limit.Settings{})} }
+// limits applies core/limit to the requests of this node.
+type limits struct {
+	kind string
+
+	mu       sync.Mutex
+	policy   limit.Policy
+	capacity float64
+}
+
+// newLimits returns limits of one of the kinds above.
+func newLimits(kind string) *limits { return &limits{kind: kind} }
 
 // Admit implements entry.Limits.
 func (l *limits) Admit(c config.Customer, k config.Kind, estimate float64) (func(float64), time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.policy == nil {
+		return func(float64) {}, 0, true
+	}
 	r, ok, after := l.policy.Admit(time.Now(), c, k, estimate)
 	if !ok {
 		return nil, after, false
@@ -37,7 +57,42 @@
 	}, 0, true
 }
 
-func (l *limits) configure(*config.Index) {}
+// configure sets the node's part of the capacity of all engines, in tokens or
+// requests a second.
+func (l *limits) configure(x *config.Index, nodes int) {
+	tokens := 0.0
+	for _, s := range x.Document().Servers {
+		if s.Type == config.Engine && s.StepMS > 0 {
+			tokens += float64(s.Slots) * 1000 / s.StepMS
+		}
+	}
+	capacity := limitSlack * tokens / float64(max(1, nodes))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if capacity == l.capacity {
+		return
+	}
+	l.capacity = capacity
+	switch p := l.policy.(type) {
+	case *limit.ByCost:
+		p.Reconfigure(limit.Settings{Capacity: capacity})
+	case *limit.ByRequests:
+		p.Reconfigure(limit.Settings{Capacity: capacity / assumedTokens})
+	default:
+		l.policy = newPolicy(l.kind, capacity)
+	}
+}
+
+// newPolicy returns a policy of a kind, nil for none.
+func newPolicy(kind string, capacity float64) limit.Policy {
+	switch kind {
+	case LimitCost:
+		return limit.NewByCost(limit.Settings{Capacity: capacity})
+	case LimitRequests:
+		return limit.NewByRequests(limit.Settings{Capacity: capacity / assumedTokens})
+	}
+	return nil
+}
 
 // text returns the value of a log field as text.
 func text(f zap.Field) string {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -33,6 +33,7 @@
 		Seeds      string // IP:port of other nodes, separated by commas
 		Policy     string // of routing, see core/route
 		Planner    string // of placement, see core/place
+		Limit      string // of customers: cost, requests or none
 		Notice     time.Duration
 		Seed       uint64
 		LogLevel   string
@@ -64,6 +65,7 @@
 	f.StringVar(&s.Seeds, "seeds", "", "IP:port of other nodes, separated by commas; the VM list adds to them")
 	f.StringVar(&s.Policy, "policy", route.NameHome, "routing policy: "+strings.Join(route.Names(), ", "))
 	f.StringVar(&s.Planner, "planner", "gain", "placement policy: gain, static, lru")
+	f.StringVar(&s.Limit, "limit", LimitCost, "how customers are limited when overloaded: cost, requests, none")
 	f.DurationVar(&s.Notice, "notice", defaultNotice, "time from the loss of readiness to the refusal of new requests at a planned stop")
 	f.Uint64Var(&s.Seed, "seed", 0, "seed of random choices, 0 for a new one each start")
 	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
@@ -98,6 +100,11 @@
 	if _, err := route.New(s.Policy); err != nil {
 		return &SettingsError{Name: "policy", Reason: err.Error()}
 	}
+	switch s.Limit {
+	case LimitCost, LimitRequests, LimitNone:
+	default:
+		return &SettingsError{Name: "limit", Reason: fmt.Sprintf("%q is not cost, requests or none", s.Limit)}
+	}
 	if _, err := place.New(s.Planner); err != nil {
 		return &SettingsError{Name: "planner", Reason: err.Error()}
 	}
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -56,7 +56,7 @@
 		now := time.Now()
 		n.publishViews(now)
 		n.hint()
-		n.poolServices()
+		n.configure()
 		if n.vms != nil && now.Sub(vmsAt) >= vmPeriod {
 			vmsAt = now
 			go n.readVMs(ctx)
@@ -124,8 +124,9 @@
 	return 1
 }
 
-// poolServices tells the pool which servers of plain services there are.
-func (n *Node) poolServices() {
+// configure tells the parts that need no event what the configuration and the
+// count of nodes mean for them.
+func (n *Node) configure() {
 	x := n.follower.Index()
 	if x == nil {
 		return
@@ -138,6 +139,7 @@
 			addresses = append(addresses, s.Address)
 		}
 	}
+	n.limits.configure(x, len(n.cluster.Working()))
 	n.pool.Set(all, n.views.Leaving)
 	n.services.Keep(addresses)
 }
@@ -163,7 +165,6 @@
 func (n *Node) configured(x *config.Index) {
 	n.owner.SetDocument(*x.Document(), x.Version())
 	n.views.Keep(func(server string) bool { _, ok := x.Server(server); return ok })
-	n.limits.configure(x)
 	n.log.Info("configuration in force", zap.Uint64("version", x.Version()), zap.String("hash", x.Hash()))
 }
 
