--- /dev/null
+++ b/internal/session/stream_test.go
@@ -0,0 +1,189 @@
+package session_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/config"
+	"guavapaddle/internal/session"
+)
+
+const long = 300 // tokens, about two seconds
+
+// allCopies lets every engine hold every model.
+func allCopies(doc *config.Document) *config.Document {
+	engines := 0
+	for _, s := range doc.Servers {
+		if s.Type == config.Engine {
+			engines++
+		}
+	}
+	for i := range doc.Models {
+		doc.Models[i].MinCopies = engines
+	}
+	return doc
+}
+
+// notOwner returns a node that does not own the server of a stream.
+func notOwner(s *session.System, st *session.Stream) (owner, other int) {
+	server := st.Last[strings.LastIndex(st.Last, ".")+1:]
+	for i, n := range s.Nodes {
+		if n.Ended() {
+			continue
+		}
+		owner = s.Owner(i, server)
+		break
+	}
+	for i := range s.Nodes {
+		if i != owner && !s.Nodes[i].Ended() {
+			return owner, i
+		}
+	}
+	return owner, -1
+}
+
+// TestInvariantNodeKilledMidStream kills the entry node, and then the owner,
+// in the middle of streams. The caller gets each token once.
+func TestInvariantNodeKilledMidStream(t *testing.T) {
+	t.Parallel()
+	for _, victim := range []string{"entry", "owner", "owner frozen"} {
+		t.Run(victim, func(t *testing.T) {
+			t.Parallel()
+			s := session.New(t, allCopies(session.Small(t, 2, 1)), session.Options{})
+			s.StartNodes(3)
+			probe := s.Stream(0, session.Chat("drafter", "who owns", 2))
+			require.True(t, probe.Read(-1))
+			// A stream whose entry node is not its owner.
+			var st *session.Stream
+			var owner, entry int
+			for entry = range s.Nodes {
+				st = s.Stream(entry, session.Chat("drafter", "a long plan", long))
+				require.True(t, st.Read(10), st.Error)
+				if owner, _ = notOwner(s, st); owner != entry {
+					break
+				}
+				st.Close()
+			}
+			require.NotEqual(t, owner, entry)
+			switch victim {
+			case "entry":
+				s.Nodes[entry].Kill()
+				require.False(t, st.Read(-1))
+				_, third := notOwner(s, st)
+				s.Resume(st, third, session.Chat("drafter", "a long plan", long))
+			case "owner":
+				s.Nodes[owner].Kill()
+			case "owner frozen":
+				s.Nodes[owner].Signal(syscall.SIGSTOP)
+			}
+			require.True(t, st.Read(-1), "%v %s", st.Err, st.Error)
+			require.Equal(t, session.Expect("drafter@1", "a long plan", long), st.Tokens)
+		})
+	}
+}
+
+// TestInvariantServerKilledMidStream kills the engine in the middle of a
+// stream: the answer ends with an error, never as a short success.
+func TestInvariantServerKilledMidStream(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, allCopies(session.Small(t, 2, 1)), session.Options{})
+	s.StartNodes(2)
+	for node := range s.Nodes {
+		st := s.Stream(node, session.Chat("drafter", "cut", long))
+		require.True(t, st.Read(10), st.Error)
+		if node == 0 {
+			s.Servers[st.Last[strings.LastIndex(st.Last, ".")+1:]].Kill()
+			require.False(t, st.Read(-1))
+			require.False(t, st.Done)
+			require.Contains(t, st.Error, `"outcome":"failed-after-start"`)
+			continue
+		}
+		require.True(t, st.Read(-1), st.Error)
+	}
+}
+
+// TestInvariantStreamOfAnotherCustomer shows that a resume token is worth
+// nothing to another customer.
+func TestInvariantStreamOfAnotherCustomer(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, allCopies(session.Small(t, 1, 1)), session.Options{})
+	s.StartNodes(2)
+	st := s.Stream(0, session.Chat("checker", "secret", long))
+	require.True(t, st.Read(5))
+	a := s.Do(1, http.MethodPost, chat, session.Chat("checker", "secret", long),
+		"Authorization", "Bearer "+session.OtherKey, "Last-Event-ID", st.Last)
+	require.NotEqual(t, http.StatusOK, a.Status, a.Body)
+	require.NotContains(t, a.Body, session.Expect("checker@1", "secret", 6)[5])
+	require.True(t, st.Read(-1), st.Error)
+}
+
+// TestInvariantGracefulShutdown stops each of 8 nodes in turn under long
+// streams and short requests: nothing is cut off, and nothing is refused that
+// another node could serve, by callers that go elsewhere once a node says that
+// it is draining.
+func TestInvariantGracefulShutdown(t *testing.T) {
+	t.Parallel()
+	const nodes = 8
+	s := session.New(t, allCopies(session.Small(t, 3, 1)), session.Options{})
+	s.StartNodes(nodes)
+	for i := range nodes - 1 {
+		var wg sync.WaitGroup
+		streams := make([]*session.Stream, 6)
+		for k := range streams {
+			prompt := fmt.Sprintf("stream %d of node %d", k, i)
+			at := i // the node that stops
+			if k >= 3 {
+				at = nodes - 1
+			}
+			streams[k] = s.Stream(at, session.Chat("drafter", prompt, 150))
+			require.True(t, streams[k].Read(3), streams[k].Error)
+			wg.Go(func() { streams[k].Read(-1) })
+		}
+		code := -1
+		wg.Go(func() { code = s.Nodes[i].Terminate() })
+		for range 10 {
+			a := s.Do(nodes-1, http.MethodPost, chat, session.Whole("checker", "meanwhile", 4))
+			require.Equal(t, http.StatusOK, a.Status, a.Body)
+		}
+		wg.Wait()
+		require.Equal(t, 0, code, s.Nodes[i].Log())
+		for k, st := range streams {
+			require.True(t, st.Done, "node %d stream %d: %v %s", i, k, st.Err, st.Error)
+			require.Equal(t, session.Expect("drafter@1", fmt.Sprintf("stream %d of node %d", k, i), 150), st.Tokens)
+		}
+	}
+}
+
+// TestInvariantOwnAnswer asks 1,000 times at once, with same and different
+// prompts, through all nodes: each caller gets its own answer, whole.
+func TestInvariantOwnAnswer(t *testing.T) {
+	t.Parallel()
+	const callers = 1000
+	doc := allCopies(session.Small(t, 4, 1))
+	for i := range doc.Kinds {
+		doc.Kinds[i].DeadlineMS = 120_000
+	}
+	doc.Limits.QueuePerServer = callers
+	s := session.New(t, doc, session.Options{Engine: map[string][]string{"": {"-step", "1ms"}}})
+	s.StartNodes(3)
+	answers := make([]session.Answer, callers)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			answers[i] = s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", fmt.Sprint("prompt ", i/2), 1+i%7))
+		})
+	}
+	wg.Wait()
+	for i, a := range answers {
+		require.NoError(t, a.Err)
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+		want := strings.Join(session.Expect("drafter@1", fmt.Sprint("prompt ", i/2), 1+i%7), "")
+		require.Contains(t, a.Body, fmt.Sprintf(`"content":%q`, want))
+	}
+}
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -165,6 +165,18 @@
 	return s.Command(args...)
 }
 
+// ApplyBase applies a document as an operator who has seen a version, and waits
+// for the nodes that run.
+func (s *System) ApplyBase(operator string, doc *config.Document, base uint64) (int, string) {
+	body, err := json.Marshal(doc)
+	require.NoError(s.t, err)
+	file := filepath.Join(s.dir, operator+".json")
+	require.NoError(s.t, os.WriteFile(file, body, 0o600))
+	platform := s.Platform.Address("address")
+	return s.Command("apply", "-file", file, "-table", platform, "-object-store", platform, "-nodes", s.operators(),
+		"-operator", operator, "-base", strconv.FormatUint(base, 10))
+}
+
 func (s *System) operators() string {
 	var all []string
 	for _, n := range s.Nodes {
