--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -120,11 +120,15 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		require.Equal(t, http.StatusOK, order(h, load))
-		require.Equal(t, http.StatusOK, order(h, backend.Order{OrderID: "2", Op: backend.Unload, Item: model}))
+		unload := backend.Order{OrderID: "2", Op: backend.Unload, Item: model}
+		require.Equal(t, http.StatusOK, order(h, unload))
 		require.Equal(t, http.StatusOK, order(h, load))
 		synctest.Wait()
 		require.Empty(t, e.State().Inventory.Items)
 		require.EqualValues(t, 1, e.Faults.Counters.Get("loads"))
+		require.True(t, e.Preload(model, 10))
+		require.Equal(t, http.StatusOK, order(h, unload))
+		require.Equal(t, backend.Resident, state(e, model))
 	})
 }
 
