Take no failed resumption as proof that a request did not run

Cause: the header Guavapaddle-Not-Run and a connection that could not be opened speak of the call; on a resumption that is not the request, which has run. Before: TestInvariantFailedResumeIsNotNotRun fails. After: it passes.

--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -209,6 +209,23 @@
 	require.False(t, engine.NotRun(err))
 }
 
+// TestInvariantFailedResumeIsNotNotRun checks that no failure to resume a
+// request, which has run, is taken as proof that it did not run.
+func TestInvariantFailedResumeIsNotNotRun(t *testing.T) {
+	e := &standin.Engine{}
+	c := start(t, e)
+	_, err := whole(c, ask("r", 3))
+	require.NoError(t, err)
+	e.Faults.Put(fault.Faults{Refuse: true})
+	_, err = c.Resume(t.Context(), backend.Resume{RequestID: "r"}, short)
+	require.Equal(t, engine.Leaving, engine.KindOf(err))
+	require.False(t, engine.NotRun(err))
+	e.Close()
+	_, err = c.Resume(t.Context(), backend.Resume{RequestID: "r"}, short)
+	require.Equal(t, engine.NotSent, engine.KindOf(err))
+	require.False(t, engine.NotRun(err))
+}
+
 // TestInvariantBadStreamIsNoAnswer feeds streams that are not the answer to the
 // request and checks that each gets a typed error.
 func TestInvariantBadStreamIsNoAnswer(t *testing.T) {
--- a/io/engine/error.go
+++ b/io/engine/error.go
@@ -55,11 +55,13 @@
 
 // Error is the failure of a call to an engine.
 type Error struct {
-	Kind     Kind
-	Address  string
-	Fence    uint64 // highest fencing number seen, for StaleFence
-	affirmed bool   // the engine said that the request did not run
-	Err      error  // cause, may be nil
+	Kind    Kind
+	Address string
+	Fence   uint64 // highest fencing number seen, for StaleFence
+	Err     error  // cause, may be nil
+
+	affirmed bool // the engine said that the call did not run
+	resumed  bool // the call was to resume a request, which has run before
 }
 
 // Error returns kind, address and cause in one line.
@@ -73,8 +75,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// NotRun tells whether the request certainly did not run.
-func (e *Error) NotRun() bool { return e.Kind == NotSent || e.affirmed }
+// NotRun tells whether the request certainly did not run. It is false for every
+// failure to resume one.
+func (e *Error) NotRun() bool { return !e.resumed && (e.Kind == NotSent || e.affirmed) }
 
 // KindOf returns the kind of the *Error inside err, empty if err is nil. For
 // other errors it is Cancelled if a context ended and Failed otherwise.
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -63,13 +63,23 @@
 // the latest after FirstTimeout. Every failure is an *Error whose NotRun tells
 // whether the request certainly did not run. The stream ends when ctx ends.
 func (c *Client) Generate(ctx context.Context, g backend.Generate, o StreamOptions) (*Stream, error) {
-	return c.open(ctx, generatePath, g, g.RequestID, 0, o)
+	s, e := c.open(ctx, generatePath, g, g.RequestID, 0, o)
+	if e != nil {
+		return nil, e
+	}
+	return s, nil
 }
 
 // Resume returns the rest of an answer from r.Offset on. Every failure is an
-// *Error, of kind UnknownRequest if the engine does not know the request.
+// *Error, of kind UnknownRequest if the engine does not know the request, and
+// none proves that the request did not run.
 func (c *Client) Resume(ctx context.Context, r backend.Resume, o StreamOptions) (*Stream, error) {
-	return c.open(ctx, resumePath, r, r.RequestID, r.Offset, o)
+	s, e := c.open(ctx, resumePath, r, r.RequestID, r.Offset, o)
+	if e != nil {
+		e.resumed = true
+		return nil, e
+	}
+	return s, nil
 }
 
 // Next returns the next event; the one with Finish is the last. Every failure
@@ -101,7 +111,7 @@
 func (s *Stream) Close() { s.shut(errClosed) }
 
 // open sends a call whose answer is a stream.
-func (c *Client) open(ctx context.Context, path string, in any, id string, offset int, o StreamOptions) (*Stream, error) {
+func (c *Client) open(ctx context.Context, path string, in any, id string, offset int, o StreamOptions) (*Stream, *Error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, c.fail(NotSent, err)
