Take no foreign refusal as proof that a call did not run

Cause: the client believed an affirmed 503 before it looked at the echoed request id, so the refusal of another call would have counted for this one. Before: the case foreign-refusal of TestInvariantForeignAnswer fails. After: all cases pass.

--- a/io/service/service.go
+++ b/io/service/service.go
@@ -92,6 +92,9 @@
 
 // Error returns kind, address and cause in one line.
 func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("service: %s: %s", e.Kind, e.Address)
+	}
 	return fmt.Sprintf("service: %s: %s: %v", e.Kind, e.Address, e.Err)
 }
 
@@ -127,11 +130,13 @@
 	if err != nil {
 		return Response{}, c.failed(ctx, err)
 	}
-	if a.Status == http.StatusServiceUnavailable && a.Header.Get(NotRunHeader) == "1" {
-		return Response{}, c.fail(Refused, eris.Errorf("status %d", a.Status))
+	echo := a.Header.Get(RequestIDHeader)
+	refused := a.Status == http.StatusServiceUnavailable && a.Header.Get(NotRunHeader) == "1"
+	if echo != r.RequestID && (echo != "" || !refused) {
+		return Response{}, c.fail(WrongRequest, eris.Errorf("answer of %q to %q", echo, r.RequestID))
 	}
-	if got := a.Header.Get(RequestIDHeader); got != r.RequestID {
-		return Response{}, c.fail(WrongRequest, eris.Errorf("answer of %q to %q", got, r.RequestID))
+	if refused {
+		return Response{}, c.fail(Refused, nil)
 	}
 	return Response{Status: a.Status, Header: a.Header, Body: a.Body}, nil
 }
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -24,12 +24,18 @@
 func start(t *testing.T) (*standin.Service, *service.Client) {
 	t.Helper()
 	s := &standin.Service{Name: "s"}
+	return s, serve(t, s)
+}
+
+// serve starts s and returns a client of it.
+func serve(t *testing.T, s *standin.Service) *service.Client {
+	t.Helper()
 	address, err := s.Start()
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	c := &service.Client{Address: address, Timeout: 5 * time.Second}
 	t.Cleanup(c.Close)
-	return s, c
+	return c
 }
 
 // confirm returns a booking confirmation, which may not be repeated.
@@ -178,21 +184,51 @@
 }
 
 // TestInvariantForeignAnswer checks that an answer which does not echo the
-// request's id is an error.
+// request's id is an error, and no proof that the call did not run if it is the
+// refusal of another.
 func TestInvariantForeignAnswer(t *testing.T) {
-	for _, id := range []string{"", "b"} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(service.RequestIDHeader, id)
-		}))
-		defer server.Close()
-		c := &service.Client{Address: server.Listener.Addr().String()}
-		resp, err := c.Do(t.Context(), confirm("a"))
-		require.Equal(t, service.WrongRequest, service.KindOf(err))
-		require.False(t, service.NotRun(err))
-		require.Empty(t, resp)
+	for _, c := range []struct {
+		name, echo string
+		status     int
+		notRun     string
+		kind       service.Kind
+	}{
+		{"none", "", http.StatusOK, "", service.WrongRequest},
+		{"foreign", "b", http.StatusOK, "", service.WrongRequest},
+		{"foreign refusal", "b", http.StatusServiceUnavailable, "1", service.WrongRequest},
+		{"refusal", "", http.StatusServiceUnavailable, "1", service.Refused},
+		{"not affirmed", "a", http.StatusServiceUnavailable, "", ""},
+		{"affirmed with another status", "a", http.StatusInternalServerError, "1", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(service.RequestIDHeader, c.echo)
+				w.Header().Set(service.NotRunHeader, c.notRun)
+				w.WriteHeader(c.status)
+			}))
+			defer server.Close()
+			client := &service.Client{Address: server.Listener.Addr().String()}
+			_, err := client.Do(t.Context(), confirm("a"))
+			require.Equal(t, c.kind, service.KindOf(err))
+			require.Equal(t, c.kind == service.Refused, service.NotRun(err))
+		})
 	}
 }
 
+// TestSlots checks that a server without a free slot is said not to have run
+// the call.
+func TestSlots(t *testing.T) {
+	s := &standin.Service{Work: time.Second, Slots: 1}
+	c := serve(t, s)
+	var wg sync.WaitGroup
+	wg.Go(func() { _, _ = c.Do(context.Background(), confirm("first")) })
+	require.Eventually(t, func() bool { return runs(s) == 1 }, 5*time.Second, time.Millisecond)
+	_, err := c.Do(t.Context(), confirm("second"))
+	require.Equal(t, service.Refused, service.KindOf(err))
+	wg.Wait()
+	require.Equal(t, 1, runs(s))
+}
+
 // TestInvariantCutAnswer checks that an answer which ends early is an error.
 func TestInvariantCutAnswer(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
