--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -103,12 +103,9 @@
 	return true
 }
 
-// live returns the names of the live nodes, this one among them, in order.
+// live returns the names of the live nodes in order.
 func (o *Owner) live() []string {
 	live := slices.Clone(o.Live())
-	if !slices.Contains(live, o.Node) {
-		live = append(live, o.Node)
-	}
 	slices.Sort(live)
 	return live
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -53,7 +53,9 @@
 		Incarnation string // unique to this start of the node
 		Table       Table
 		Engine      func(address string) Engine // called once for each address in use
-		Live        func() []string             // names of the live nodes
+		// Live returns the names of the live nodes. A node that is not among
+		// them, as one that is stopping, hands its servers over.
+		Live func() []string
 
 		// Known returns what is known of all servers, to find other copies of
 		// an item; LastCopy may veto an unload. Without both nothing that is
