--- a/core/place/baseline.go
+++ b/core/place/baseline.go
@@ -112,8 +112,9 @@
 func (s *state) loadLRU(item int) {
 	best, found := candidate{}, false
 	var oldest time.Time
+	pending := s.pendingOn(item)
 	for j := range s.servers {
-		if s.holds(j, item) {
+		if s.holds(j, item) || pending >= 0 && j != pending {
 			continue
 		}
 		evict, used, ok := s.leastRecent(j, item)
--- a/core/place/gain.go
+++ b/core/place/gain.go
@@ -12,6 +12,9 @@
 const (
 	defaultTarget       = 0.75
 	defaultSpare        = 0.05
+	defaultBurst        = 10.0
+	defaultBurstShare   = 0.1
+	defaultBurstSlots   = 4.0
 	defaultHorizon      = 30 * time.Second
 	defaultUrgentWeight = 4.0
 	defaultMaxMoves     = 4
@@ -27,6 +30,15 @@
 	// Spare is the share of an item's requests that a second copy is assumed
 	// to save from bursts and losses, default 0.05. It halves with each copy.
 	Spare float64
+	// Burst is how many times an item's requests may rise without warning,
+	// default 10.
+	Burst float64
+	// BurstShare is the share of time that an item is assumed to be in a burst,
+	// default 0.1; negative for none.
+	BurstShare float64
+	// BurstSlots is how many slots of a server a burst is assumed to find free,
+	// default 4.
+	BurstSlots float64
 	// Horizon is the time over which a copy must earn the price of its move,
 	// default 30 s.
 	Horizon time.Duration
@@ -55,6 +67,7 @@
 	set := p.withDefaults()
 	s := newState(now, in, set)
 	s.keepPresent()
+	set.placePrevious(s)
 	set.placeRequired(s)
 	set.placeGains(s)
 	return s.output()
@@ -68,6 +81,16 @@
 	if set.Spare <= 0 {
 		set.Spare = defaultSpare
 	}
+	if set.Burst <= 0 {
+		set.Burst = defaultBurst
+	}
+	if set.BurstShare == 0 {
+		set.BurstShare = defaultBurstShare
+	}
+	set.BurstShare = max(0, set.BurstShare)
+	if set.BurstSlots <= 0 {
+		set.BurstSlots = defaultBurstSlots
+	}
 	if set.Horizon <= 0 {
 		set.Horizon = defaultHorizon
 	}
@@ -269,10 +292,29 @@
 			lacking -= s.items[h.item].bytes
 		}
 	}
-	slices.Sort(evict)
+	evict, loss = p.prune(s, j, evict, loss, -lacking)
 	return evict, loss, lacking <= 0
 }
 
+// prune takes out of evict the copies whose bytes turned out not to be needed,
+// given how many bytes more than needed would be free.
+func (p *Gain) prune(s *state, j int, evict []int, loss float64, spare int64) ([]int, float64) {
+	items := s.servers[j].items
+	kept := evict[:0]
+	for _, k := range evict {
+		i := &s.items[items[k].item]
+		needed := i.base >= 0 && slices.ContainsFunc(evict, func(o int) bool { return items[o].item == i.base })
+		if !needed && i.base >= 0 && i.bytes <= spare {
+			spare -= i.bytes
+			loss -= p.loss(s, j, items[k].item)
+			continue
+		}
+		kept = append(kept, k)
+	}
+	slices.Sort(kept)
+	return kept, loss
+}
+
 // options returns what may be dropped on server j, the least loss per byte
 // first. They are kept until the server's items change; that other servers'
 // loads change meanwhile is left out.
@@ -298,7 +340,9 @@
 			sv.options = append(sv.options, o)
 		}
 	}
-	slices.SortStableFunc(sv.options, func(a, b option) int { return cmp.Compare(a.perByte, b.perByte) })
+	slices.SortStableFunc(sv.options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.perByte, b.perByte), cmp.Compare(len(a.places), len(b.places)))
+	})
 	return sv.options
 }
 
--- a/core/place/marginal.go
+++ b/core/place/marginal.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// underWay returns the loads that the servers have begun.
+// underWay returns the loads that the servers have begun or are to begin.
 func (s *state) underWay() int {
-	n := 0
+	n := s.pending
 	for j := range s.servers {
 		n += len(s.servers[j].Loading)
 	}
@@ -115,7 +115,24 @@
 	if share := i.load / float64(len(i.on)+1); share > headroom {
 		fit = headroom / share
 	}
-	return i.value * (over + p.Spare*math.Pow(0.5, float64(len(i.on)-1))) * fit
+	return i.value * (over + p.spare(i, len(i.on))) * fit
+}
+
+// spare returns the part of an item's requests that the copy after the n-th is
+// assumed to save from the loss of a server and from a burst.
+func (p *Gain) spare(i *itemState, n int) float64 {
+	loss := p.Spare * math.Pow(0.5, float64(n-1))
+	return loss + p.BurstShare*p.Burst*(p.short(i, n)-p.short(i, n+1))
+}
+
+// short returns the part of an item's requests in a burst for which n copies
+// have no slots, each having BurstSlots free.
+func (p *Gain) short(i *itemState, n int) float64 {
+	load := p.Burst * i.load
+	if load <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(n)*p.BurstSlots/load)
 }
 
 // overload returns the share of an item's requests for which its servers have
@@ -146,5 +163,5 @@
 			over += max(0, (more-s.headroom(k, p.Target))/load)
 		}
 	}
-	return i.value * (over/float64(rest) + p.Spare*math.Pow(0.5, float64(rest-1)))
+	return i.value * (over/float64(rest) + p.spare(i, rest))
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -141,6 +141,50 @@
 		require.Empty(t, out.Unplaced)
 		require.Len(t, copies(out, a.Item()), 1)
 	})
+	t.Run("a proposed load stays where room was made for it", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a, b}, Servers: []place.Server{
+			server("s1", "d1", 16, a.Item()), server("s2", "d1", 16, b.Item()), server("s3", "d1", 16, b.Item()), server("s4", "d1", 16, b.Item()),
+		}, Demand: []view.Demand{{Name: "a", Rate: 3, Urgent: 3, Seconds: 1}}, Placement: config.Placement{MovePrice: 5}}
+		plan := (&place.Gain{BurstShare: -1}).Plan
+		out := plan(now, in)
+		var load place.Move
+		for _, m := range out.Moves {
+			if m.Op == backend.Load && load.Server == "" {
+				load = m
+			}
+		}
+		require.Equal(t, a.Item(), load.Item)
+		in.Previous = out.Plan
+		for j := range in.Servers {
+			if in.Servers[j].Name == load.Server {
+				in.Servers[j].Resident = nil // it has made room and has not begun to load
+			}
+		}
+		in.Demand[0].Rate, in.Demand[0].Urgent = 0.5, 0.5 // worth half the price
+		again := plan(now, in)
+		require.Equal(t, []backend.Item{a.Item()}, again.Plan[load.Server])
+		in.Demand[0].Rate, in.Demand[0].Urgent = 0.1, 0.1
+		gone := plan(now, in)
+		require.NotContains(t, gone.Plan[load.Server], a.Item(), "its gain is gone")
+	})
+	t.Run("adapters stay that need not go", func(t *testing.T) {
+		x := adapter("x", "b")
+		in := place.Input{Models: []config.Model{a, b, model("c", 9)}, Adapters: []config.Adapter{x}, Servers: []place.Server{
+			server("s1", "d1", 27, b.Item(), a.Item()), server("s2", "d2", 27, b.Item(), a.Item()),
+		}}
+		for j := range in.Servers {
+			in.Servers[j].Resident = append(in.Servers[j].Resident, place.Copy{Item: x.Item(), Bytes: gb / 2})
+		}
+		out := (&place.Gain{}).Plan(now, in)
+		require.Empty(t, out.Unplaced)
+		drops := 0
+		for _, m := range out.Moves {
+			if m.Op == backend.Unload {
+				drops++
+			}
+		}
+		require.Equal(t, 1, drops, "%v", out.Moves)
+	})
 	t.Run("what fits nowhere is named", func(t *testing.T) {
 		in := place.Input{Models: []config.Model{model("huge", 100)}, Servers: []place.Server{server("s1", "d1", 40)}}
 		require.Equal(t, []backend.Item{{Name: "huge", Version: "1"}}, (&place.Gain{}).Plan(now, in).Unplaced)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -75,6 +75,10 @@
 		Servers   []Server
 		Demand    []view.Demand // of all nodes; rates of the same name add up
 		Placement config.Placement
+		// Previous is the plan before this one, nil if there is none. A load
+		// that it proposed and that has not begun is proposed again unless its
+		// gain is gone, so that room which was made for it is not given away.
+		Previous map[string][]backend.Item
 	}
 
 	// Move is a copy that is to be loaded or dropped.
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -62,6 +62,7 @@
 		servers []serverState
 		moves   []Move
 		drops   []Move
+		pending int // loads for gain that the previous plan proposed
 	}
 )
 
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -347,6 +347,10 @@
 	q.alone = w.Alone
 	return Dispatch{
 		Entry: w.Entry, Waited: now.Sub(w.arrived),
-		Priority: topPriority - classOf(w.Urgency),
+		Priority: Priority(w.Urgency),
 	}
 }
+
+// Priority returns the priority at the engine of work of urgency u, for
+// backend.Generate: higher goes first.
+func Priority(u config.Urgency) int { return topPriority - classOf(u) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,6 +181,7 @@
 		return outcome.Refuse(outcome.CustomerLimit, r.customer.Name, after)
 	}
 	tokens := 0
+	var first time.Time
 	defer func() { settle(float64(tokens)) }()
 	q.Fingerprint = e.Suspects.Fingerprint(r.customer.Name, g.Model, g.Body)
 	alone, err := e.Suspects.Admit(ctx, q.Fingerprint)
@@ -190,13 +191,18 @@
 	q.Alone = alone
 	ctx, stop := finalWithoutStream(ctx, g.Stream)
 	defer stop()
-	return e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
+	err = e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
 		if tokens == 0 {
-			e.Metrics.First(r.kind.Name, time.Since(r.started))
+			first = time.Now()
+			e.Metrics.First(r.kind.Name, first.Sub(r.started))
 		}
 		tokens++
 		return emit(reply, at)
 	})
+	if err == nil && q.Resume == nil {
+		e.Demand.Took(g.Model, time.Since(first).Seconds())
+	}
+	return err
 }
 
 // finalWithoutStream makes the end of ctx a cancellation for good if the answer
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -12,6 +12,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
+	"guavapaddle/core/queue"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/route"
 	"guavapaddle/core/view"
@@ -282,7 +283,7 @@
 	if e == nil {
 		return outcome.Refuse(outcome.NoServer, a.server, copyRetry)
 	}
-	return engines.Run(ctx, e, job, 0, sink)
+	return engines.Run(ctx, e, job, queue.Priority(job.Urgency), sink)
 }
 
 // judge decides what follows a failed attempt. It returns true to try again.
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -60,6 +60,8 @@
 		reports map[string]report
 		since   map[string]map[backend.Item]time.Time
 		used    map[string]time.Time // by name of model or adapter
+
+		previous map[string][]backend.Item // the last plan, nil if another node made it
 	}
 
 	report struct {
@@ -141,6 +143,7 @@
 		p.reportDemand(ctx)
 		x := p.node.follower.Index()
 		if x == nil || p.chosen() != p.node.settings.Name {
+			p.previous = nil
 			continue
 		}
 		if now := time.Now(); now.Sub(planned) >= period(x) {
@@ -199,7 +202,9 @@
 // plan makes a plan and tells the owners.
 func (p *planner) plan(ctx context.Context, now time.Time, x *config.Index) {
 	in := p.input(now, x)
+	in.Previous = p.previous
 	out := p.policy.Plan(now, in)
+	p.previous = out.Plan
 	for _, m := range out.Moves {
 		p.node.log.Debug("proposed move", zap.String("server", m.Server), zap.String("item", m.Item.String()),
 			zap.String("op", string(m.Op)), zap.String("reason", string(m.Why)))
