--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,7 +179,7 @@
 	q.Fingerprint = suspect.Of(r.customer.Name, g.Model, g.Body)
 	ctx, stop := finalWithoutStream(ctx, g.Stream)
 	defer stop()
-	err = e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
+	err := e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
 		if tokens == 0 {
 			first = time.Now()
 			e.Metrics.First(r.kind.Name, first.Sub(r.started))
