--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -167,6 +167,14 @@
 		gone := plan(now, in)
 		require.NotContains(t, gone.Plan[load.Server], a.Item(), "its gain is gone")
 	})
+	t.Run("a copy that a burst would need stays", func(t *testing.T) {
+		in := place.Input{Models: []config.Model{a, b}, Servers: []place.Server{
+			server("s1", "d1", 16, a.Item()), server("s2", "d2", 16, a.Item()), server("s3", "d1", 16, b.Item()), server("s4", "d2", 16, b.Item()),
+		}, Demand: []view.Demand{{Name: "a", Rate: 0.4, Urgent: 0.4, Seconds: 2}, {Name: "b", Rate: 1.2, Urgent: 1.2, Seconds: 5}}}
+		blind := (&place.Gain{BurstShare: -1}).Plan(now, in)
+		require.Len(t, copies(blind, a.Item()), 1)
+		require.Len(t, copies((&place.Gain{}).Plan(now, in), a.Item()), 2)
+	})
 	t.Run("adapters stay that need not go", func(t *testing.T) {
 		x := adapter("x", "b")
 		in := place.Input{Models: []config.Model{a, b, model("c", 9)}, Adapters: []config.Adapter{x}, Servers: []place.Server{
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -23,9 +23,6 @@
 
 const (
 	startTimeout = 60 * time.Second
-	// warm is the time between readiness and the first request, in which nodes
-	// hear of all servers and the first plan is made.
-	warm = 3 * time.Second
 	// notice is the nodes' notice before a planned stop, at the end of a run.
 	notice = 10 * time.Millisecond
 	// loadBase is the part of a load that does not depend on its bytes.
@@ -68,7 +65,7 @@
 	if err := r.lab.WaitResident(starting); err != nil {
 		return nil, &StartError{Part: "models", Err: err}
 	}
-	if !pause(ctx, warm) {
+	if !pause(ctx, set.Warm) {
 		return nil, &StartError{Part: "load", Err: ctx.Err()}
 	}
 	cpu := cpuSeconds()
--- a/internal/experiment/settings.go
+++ b/internal/experiment/settings.go
@@ -26,6 +26,9 @@
 	defaultNodes    = 8
 	defaultLoad     = 0.8
 	defaultDuration = 30 * time.Second
+	// defaultWarm is the time in which nodes hear of all servers and the first
+	// plan is made.
+	defaultWarm = 3 * time.Second
 )
 
 type (
@@ -40,6 +43,7 @@
 		Load       float64       // mean work as a part of the capacity, default 0.8
 		Duration   time.Duration // of the arrivals, default 30 s
 		Nodes      int           // default 8
+		Warm       time.Duration // between readiness and the first request, default 3 s
 		MovePrice  float64       // default the deployment's; negative for zero
 		LogDir     string        // directory for the nodes' logs, default none
 	}
@@ -102,6 +106,7 @@
 	s.Load = cmp.Or(s.Load, defaultLoad)
 	s.Duration = cmp.Or(s.Duration, defaultDuration)
 	s.Nodes = cmp.Or(s.Nodes, defaultNodes)
+	s.Warm = cmp.Or(s.Warm, defaultWarm)
 	s.MovePrice = cmp.Or(s.MovePrice, s.Deployment.Placement.MovePrice)
 	s.MovePrice = max(0, s.MovePrice)
 	s.Deployment.Placement.MovePrice = s.MovePrice
