--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -12,6 +12,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
+	"guavapaddle/core/queue"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/route"
 	"guavapaddle/core/suspect"
@@ -332,7 +333,7 @@
 	if e == nil {
 		return outcome.Refuse(outcome.NoServer, a.server, copyRetry)
 	}
-	return engines.Run(ctx, e, job, 0, sink)
+	return engines.Run(ctx, e, job, queue.Priority(job.Urgency), sink)
 }
 
 // resume continues the generation at its server: through the owner, or
