--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,8 @@
 	NoConfig Reason = "no-config"
 	// Draining means that the node is shutting down.
 	Draining Reason = "draining"
+	// ServerLeaving means that the backend server takes no new work.
+	ServerLeaving Reason = "server-leaving"
 	// CrashSuspect means that the request crashed backend servers before.
 	CrashSuspect Reason = "crash-suspect"
 	// RetryBudget means that the retry budget is spent.
--- a/internal/engines/client.go
+++ b/internal/engines/client.go
@@ -46,7 +46,7 @@
 	case kind == engine.Full && notRun:
 		return NotRun, outcome.QueueFull, fullRetry
 	case kind == engine.Leaving && notRun:
-		return NotRun, outcome.Draining, leavingRetry
+		return NotRun, outcome.ServerLeaving, leavingRetry
 	case notRun:
 		return NotRun, outcome.BackendRefused, fullRetry
 	case kind == engine.UnknownRequest:
--- a/internal/generate/judge.go
+++ b/internal/generate/judge.go
@@ -55,10 +55,10 @@
 			return true, nil
 		}
 		return true, a.pause(ctx, a.free+1)
-	case outcome.BackendUnreachable:
+	case outcome.BackendUnreachable, outcome.ServerLeaving:
 		a.free++
 		a.r.unreachable(a.server)
-		a.note("retry", string(outcome.BackendUnreachable))
+		a.note("retry", string(e.Reason))
 		if a.free == 1 {
 			return true, nil
 		}
@@ -90,7 +90,7 @@
 	return true, a.pause(ctx, a.count+1)
 }
 
-// unreachable notes that a server could not be reached.
+// unreachable notes that a server could not be reached or takes no new work.
 func (r *Router) unreachable(server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/session/platform_test.go
+++ b/internal/session/platform_test.go
@@ -72,7 +72,7 @@
 	for i := range operators {
 		wg.Go(func() {
 			doc := *s.Document
-			doc.Placement.MovePrice = float64(i + 1)
+			doc.Placement.MovePrice = float64(i + 100) // none is the one in force
 			codes[i], outs[i] = s.ApplyBase(fmt.Sprint("operator-", i), &doc, 1)
 		})
 	}
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -173,7 +173,7 @@
 	file := filepath.Join(s.dir, operator+".json")
 	require.NoError(s.t, os.WriteFile(file, body, 0o600))
 	platform := s.Platform.Address("address")
-	return s.Command("apply", "-file", file, "-table", platform, "-object-store", platform, "-nodes", s.operators(),
+	return s.Command("apply", "-file", file, "-table", platform, "-objects", platform, "-nodes", s.operators(),
 		"-operator", operator, "-base", strconv.FormatUint(base, 10))
 }
 
