--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -21,6 +21,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -31,6 +32,7 @@
 	"guavapaddle/core/member"
 	"guavapaddle/core/view"
 	"guavapaddle/internal/engines"
+	"guavapaddle/internal/metrics"
 	"guavapaddle/io/peer"
 )
 
@@ -85,8 +87,13 @@
 		// ConfigHead returns the configuration in force, and whether this node
 		// is sure that there is none newer.
 		ConfigHead func() (ref head.Ref, fresh bool)
-		Log        *zap.Logger
-		Seed       uint64
+		// Spent returns a function that counts the time since as control
+		// work of a kind; may be nil.
+		Spent func(w metrics.Work) func()
+		Log   *zap.Logger
+		Seed  uint64
+
+		viewsOut, viewsIn atomic.Uint64 // bytes of views in messages
 
 		mu    sync.Mutex
 		state *member.State
@@ -129,6 +136,7 @@
 
 // step advances the membership state.
 func (c *Cluster) step(now time.Time, joined *time.Time) []member.Send {
+	defer c.spent(metrics.Membership)()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []member.Send
@@ -144,20 +152,49 @@
 
 func (c *Cluster) sendAll(ctx context.Context, all []member.Send) {
 	for _, s := range all {
-		go c.send(ctx, s.Address, KindMember, s.Message)
+		go c.sendMember(ctx, s)
+	}
+}
+
+// sendMember gives one message of the membership to its address.
+func (c *Cluster) sendMember(ctx context.Context, s member.Send) {
+	if c.send(ctx, s.Address, KindMember, s.Message) {
+		c.viewsOut.Add(entryBytes(s.Message.Entries))
 	}
 }
 
-// send gives one message to an address, best effort.
-func (c *Cluster) send(ctx context.Context, address string, k peer.Kind, v any) {
+// send gives one message to an address, best effort, and tells whether it was
+// given to a connection.
+func (c *Cluster) send(ctx context.Context, address string, k peer.Kind, v any) bool {
 	f, err := peer.Encode(k, v)
 	if err != nil {
 		c.Log.Error("encode", zap.Error(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	_ = c.Endpoint.Send(ctx, address, f) // probes find out who is unreachable
+	return c.Endpoint.Send(ctx, address, f) == nil // probes find out who is unreachable
+}
+
+// entryBytes returns the bytes of keys and values of entries.
+func entryBytes(all []member.Entry) uint64 {
+	n := 0
+	for _, e := range all {
+		n += len(e.Key) + len(e.Value)
+	}
+	return uint64(n)
+}
+
+// ViewBytes returns how many bytes of views were sent and received since the
+// start. They are part of the traffic of KindMember.
+func (c *Cluster) ViewBytes() (sent, received uint64) { return c.viewsOut.Load(), c.viewsIn.Load() }
+
+// spent is Spent, or does nothing.
+func (c *Cluster) spent(w metrics.Work) func() {
+	if c.Spent == nil {
+		return func() {}
+	}
+	return c.Spent(w)
 }
 
 // Tell sends v to a node by name, best effort.
@@ -219,21 +256,31 @@
 		c.OnMessage(from, f)
 		return
 	}
-	var m member.Message
-	if err := f.Decode(&m); err != nil {
-		c.Log.Warn("message refused", zap.String("from", from), zap.Error(err))
+	m, out, ok := c.receive(from, f)
+	if !ok {
 		return
 	}
-	c.mu.Lock()
-	out := c.state.Receive(time.Now(), m)
-	c.mu.Unlock()
 	c.views(m.Entries)
 	c.restarted(m)
 	c.sendAll(context.Background(), out)
 }
 
+// receive decodes a message of the membership and takes it in.
+func (c *Cluster) receive(from string, f peer.Frame) (m member.Message, out []member.Send, ok bool) {
+	defer c.spent(metrics.Membership)()
+	if err := f.Decode(&m); err != nil {
+		c.Log.Warn("message refused", zap.String("from", from), zap.Error(err))
+		return m, nil, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return m, c.state.Receive(time.Now(), m), true
+}
+
 // views passes on the views in entries that were received.
 func (c *Cluster) views(entries []member.Entry) {
+	defer c.spent(metrics.Views)()
+	c.viewsIn.Add(entryBytes(entries))
 	for _, e := range entries {
 		var v view.Server
 		if cbor.Unmarshal(e.Value, &v) == nil && e.Key == serverPrefix+v.Server {
@@ -309,7 +356,7 @@
 	c.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, s := range out {
-		wg.Go(func() { c.send(ctx, s.Address, KindMember, s.Message) })
+		wg.Go(func() { c.sendMember(ctx, s) })
 	}
 	wg.Wait()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -259,6 +259,7 @@
 
 // Ended implements caller.Handler.
 func (e *Entry) Ended(requestID string, started time.Time, err error) {
+	e.Metrics.Answered(err)
 	f := outcome.From(err)
 	if f == nil {
 		e.Note(requestID, "answered", zap.String("outcome", string(outcome.Done)))
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -99,6 +99,15 @@
 	return p.cert.Leaf.Subject.CommonName
 }
 
+// Expires returns when the loaded certificate ends, the zero time before Load.
+func (f *Files) Expires() time.Time {
+	p := f.loaded.Load()
+	if p == nil || p.cert.Leaf == nil {
+		return time.Time{}
+	}
+	return p.cert.Leaf.NotAfter
+}
+
 // Server returns settings that demand a certificate of the authority.
 func (f *Files) Server() *tls.Config {
 	p := f.loaded.Load()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,7 @@
 	whole   *prometheus.HistogramVec // seconds to the end, by kind
 	missed  *prometheus.CounterVec   // done after the deadline, by kind
 	open    prometheus.Gauge
+	answers *prometheus.CounterVec // by outcome and reason, whether the kind is known or not
 }
 
 // New returns counters at zero.
@@ -57,12 +58,16 @@
 			Namespace: namespace, Name: "open_requests",
 			Help: "Requests that are open.",
 		}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answers_total",
+			Help: "Answers to callers by outcome and reason, refusals before the kind is known included.",
+		}, []string{"outcome", "reason"}),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (r *Requests) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{r.ended, r.retries, r.first, r.whole, r.missed, r.open}
+	return []prometheus.Collector{r.ended, r.retries, r.first, r.whole, r.missed, r.open, r.answers}
 }
 
 // Begin counts a request as open.
@@ -84,6 +89,16 @@
 	}
 }
 
+// Answered counts an answer, also one that no part but the listener saw; err is
+// nil for done.
+func (r *Requests) Answered(err error) {
+	if e := outcome.From(err); e != nil {
+		r.answers.WithLabelValues(string(e.Outcome), string(e.Reason)).Inc()
+		return
+	}
+	r.answers.WithLabelValues(string(outcome.Done), "").Inc()
+}
+
 // First times the first token of a request.
 func (r *Requests) First(kind string, took time.Duration) {
 	r.first.WithLabelValues(kind).Observe(took.Seconds())
--- a/internal/node/crash.go
+++ b/internal/node/crash.go
@@ -9,6 +9,7 @@
 
 	"guavapaddle/core/suspect"
 	"guavapaddle/internal/cluster"
+	"guavapaddle/internal/metrics"
 	"guavapaddle/io/peer"
 )
 
@@ -89,6 +90,7 @@
 
 // marked takes marks in that another node tells.
 func (n *Node) marked(f peer.Frame) {
+	defer n.control.Time(metrics.Marks)()
 	var b marksBody
 	if f.Decode(&b) == nil && len(b.Marks) <= marksTooLarge {
 		n.guard.Merge(b.Marks)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 		callers  *caller.Server
 		trace    *trace.Recorder
 		requests *metrics.Requests
+		control  *metrics.Control
+		platform platformTraffic
 		demand   *demand
 		limits   *limits
 		guard    *suspects.Guard
@@ -123,15 +125,16 @@
 		log:      log.With(zap.String("node", s.Name)),
 		keys:     files,
 		registry: prometheus.NewRegistry(),
-		table:    &table.Client{Address: s.Table},
-		objects:  &object.Client{Address: s.Objects},
 		views:    views.New(),
 		trace:    &trace.Recorder{Node: s.Name},
 		requests: metrics.New(),
+		control:  metrics.NewControl(),
 		engines:  map[string]*engine.Client{},
 	}
+	n.table = &table.Client{Address: s.Table, Traffic: &n.platform.table}
+	n.objects = &object.Client{Address: s.Objects, Traffic: &n.platform.objects}
 	if s.VMList != "" {
-		n.vms = &vmlist.Client{Address: s.VMList}
+		n.vms = &vmlist.Client{Address: s.VMList, Traffic: &n.platform.vms}
 	}
 	n.build()
 	return n, nil
@@ -200,6 +203,7 @@
 		OnMessage:  n.message,
 		Config:     n.follower.Packed,
 		ConfigHead: n.follower.Head,
+		Spent:      n.control.Time,
 		Log:        n.log,
 		Seed:       n.settings.Seed,
 	}
@@ -375,7 +379,7 @@
 	defer n.mu.Unlock()
 	c := n.engines[address]
 	if c == nil {
-		c = &engine.Client{Address: address}
+		c = &engine.Client{Address: address, Traffic: &n.platform.engines}
 		n.engines[address] = c
 	}
 	return c
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -14,6 +14,7 @@
 	"guavapaddle/core/place"
 	"guavapaddle/core/view"
 	"guavapaddle/internal/cluster"
+	"guavapaddle/internal/metrics"
 	"guavapaddle/io/peer"
 )
 
@@ -185,6 +186,7 @@
 
 // heard takes in a node's demand.
 func (p *planner) heard(from string, d []view.Demand) {
+	defer p.node.control.Time(metrics.Demand)()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.reports == nil {
@@ -201,6 +203,7 @@
 
 // plan makes a plan and tells the owners.
 func (p *planner) plan(ctx context.Context, now time.Time, x *config.Index) {
+	defer p.node.control.Time(metrics.Plans)()
 	in := p.input(now, x)
 	in.Previous = p.previous
 	out := p.policy.Plan(now, in)
@@ -330,6 +333,3 @@
 		}
 	}
 }
-
-// registerControl registers the counters of what control costs.
-func (n *Node) registerControl() {}
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -15,6 +15,7 @@
 	"guavapaddle/core/status"
 	"guavapaddle/core/view"
 	"guavapaddle/internal/configsync"
+	"guavapaddle/internal/metrics"
 	"guavapaddle/io/vmlist"
 )
 
@@ -55,8 +56,7 @@
 	for {
 		now := time.Now()
 		n.publishViews(now)
-		n.hint()
-		n.configure()
+		n.followConfig()
 		if n.vms != nil && now.Sub(vmsAt) >= vmPeriod {
 			vmsAt = now
 			go n.readVMs(ctx)
@@ -77,9 +77,17 @@
 	}
 }
 
+// followConfig tells other parts and nodes what configuration is in force.
+func (n *Node) followConfig() {
+	defer n.control.Time(metrics.Configuration)()
+	n.hint()
+	n.configure()
+}
+
 // publishViews spreads what changed of the owned servers, and makes the
 // dispatcher serve just those.
 func (n *Node) publishViews(now time.Time) {
+	defer n.control.Time(metrics.Views)()
 	if n.publish.last == nil {
 		n.publish.last = map[string]published{}
 	}
@@ -163,6 +171,7 @@
 
 // configured takes a new configuration into use.
 func (n *Node) configured(x *config.Index) {
+	defer n.control.Time(metrics.Configuration)()
 	n.owner.SetDocument(*x.Document(), x.Version())
 	n.views.Keep(func(server string) bool { _, ok := x.Server(server); return ok })
 	n.log.Info("configuration in force", zap.Uint64("version", x.Version()), zap.String("hash", x.Hash()))
@@ -267,6 +276,7 @@
 		ConfigHash:    ref.Hash,
 		TableUp:       n.follower.TableUp(),
 		Servers:       n.views.All(),
+		Leases:        n.owner.Leases(),
 	}
 	for _, m := range n.cluster.Nodes() {
 		s := status.Node{Name: m.Name, Address: m.Operator, DataCentre: m.DataCentre, State: status.Live, ConfigVersion: m.ConfigVersion}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -36,6 +36,11 @@
 	return []prometheus.Collector{m.Orders, m.Moves, m.Refused, m.Leases, m.Restarts, m.Memory}
 }
 
+// forget drops what is told of a server that is no longer owned.
+func (m *Metrics) forget(server string) {
+	m.Memory.DeletePartialMatch(prometheus.Labels{"server": server})
+}
+
 func (m *Metrics) lease(event string) { m.Leases.WithLabelValues(event).Inc() }
 
 func (m *Metrics) refused(r Reason) { m.Refused.WithLabelValues(string(r)).Inc() }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -231,6 +231,7 @@
 	}
 	delete(o.workers, server)
 	delete(o.views, server)
+	o.Metrics.forget(server)
 	return true
 }
 
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -36,8 +36,9 @@
 	// Client makes calls to one engine. Its exported fields are set before the
 	// first call. It is safe for concurrent use.
 	Client struct {
-		Address string        // IP:port
-		Timeout time.Duration // of calls other than streams, DefaultTimeout if zero
+		Address string            // IP:port
+		Timeout time.Duration     // of calls other than streams, DefaultTimeout if zero
+		Traffic *jsonhttp.Traffic // counts the bytes of calls other than streams, may be nil
 
 		calls   jsonhttp.Lazy // reuses connections
 		streams jsonhttp.Lazy // a connection for each stream
@@ -140,7 +141,7 @@
 func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	a, err := c.calls.Get(c.Address).Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: kvPath + url.PathEscape(requestID)})
+	a, err := c.calls.Counted(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: kvPath + url.PathEscape(requestID)})
 	if err != nil {
 		return nil, c.lost(err)
 	}
@@ -155,7 +156,7 @@
 func (c *Client) ImportKV(ctx context.Context, requestID string, kv []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	a, err := c.calls.Get(c.Address).Do(ctx, jsonhttp.Call{Method: http.MethodPut, Path: kvPath + url.PathEscape(requestID), Body: kv})
+	a, err := c.calls.Counted(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodPut, Path: kvPath + url.PathEscape(requestID), Body: kv})
 	if err != nil {
 		return c.lost(err)
 	}
@@ -163,13 +164,13 @@
 }
 
 // Close closes unused connections. Streams go on.
-func (c *Client) Close() { c.calls.Get(c.Address).Close() }
+func (c *Client) Close() { c.calls.Counted(c.Address, c.Traffic).Close() }
 
 // call makes one bounded call.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (jsonhttp.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	a, err := c.calls.Get(c.Address).JSON(ctx, method, path, in, out)
+	a, err := c.calls.Counted(c.Address, c.Traffic).JSON(ctx, method, path, in, out)
 	if err != nil {
 		return a, c.lost(err)
 	}
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -41,6 +41,7 @@
 		IdleTimeout    time.Duration // DefaultIdleTimeout if zero
 		MaxBody        int64         // bytes, DefaultMaxBody if zero
 		Fresh          bool          // a new connection for each call
+		Traffic        *Traffic      // counts the bytes on its connections, may be nil
 
 		once      sync.Once
 		transport *http.Transport
@@ -169,7 +170,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: nc}, nil
+			return &conn{Conn: nc, traffic: c.Traffic}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      c.Fresh,
--- a/io/jsonhttp/conn.go
+++ b/io/jsonhttp/conn.go
@@ -9,9 +9,10 @@
 // conn is a connection that knows whether anything was written to it.
 type conn struct {
 	net.Conn
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+	traffic *Traffic // may be nil
+	mu      sync.Mutex
+	writes  uint64
+	sealed  bool
 }
 
 // Write writes b unless the connection is sealed.
@@ -23,7 +24,16 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.traffic.add(n, 0)
+	return n, err
+}
+
+// Read reads into b.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.add(0, n)
+	return n, err
 }
 
 // count returns how often something was written.
--- a/io/jsonhttp/lazy.go
+++ b/io/jsonhttp/lazy.go
@@ -10,8 +10,11 @@
 }
 
 // Get returns a client for address that reuses connections.
-func (l *Lazy) Get(address string) *Client {
-	l.once.Do(func() { l.client = &Client{Address: address} })
+func (l *Lazy) Get(address string) *Client { return l.Counted(address, nil) }
+
+// Counted is Get for a client that counts its bytes in t, unless that is nil.
+func (l *Lazy) Counted(address string, t *Traffic) *Client {
+	l.once.Do(func() { l.client = &Client{Address: address, Traffic: t} })
 	return l.client
 }
 
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -37,8 +37,9 @@
 	// Client makes calls to the object store. Its exported fields are set
 	// before the first call. It is safe for concurrent use.
 	Client struct {
-		Address string        // IP:port
-		Timeout time.Duration // of each call, DefaultTimeout if zero
+		Address string            // IP:port
+		Timeout time.Duration     // of each call, DefaultTimeout if zero
+		Traffic *jsonhttp.Traffic // counts the bytes of calls, may be nil
 
 		http jsonhttp.Lazy
 	}
@@ -83,13 +84,13 @@
 }
 
 // Close closes unused connections.
-func (c *Client) Close() { c.http.Get(c.Address).Close() }
+func (c *Client) Close() { c.http.Counted(c.Address, c.Traffic).Close() }
 
 // call makes one call and sorts its failure.
 func (c *Client) call(ctx context.Context, method, key string, body []byte, want int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	a, err := c.http.Get(c.Address).Do(ctx, jsonhttp.Call{Method: method, Path: prefix + url.PathEscape(key), Body: body})
+	a, err := c.http.Counted(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: method, Path: prefix + url.PathEscape(key), Body: body})
 	if err != nil {
 		kind := Uncertain
 		if jsonhttp.StageOf(err) == jsonhttp.NotSent {
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -43,8 +43,8 @@
 		WriteTimeout time.Duration // a peer that takes nothing for so long is lost, default 3 s
 
 		transport *quic.Transport
-		sent      atomic.Uint64
-		received  atomic.Uint64
+		frames    traffic
+		datagrams atomic.Uint64
 
 		mu    sync.Mutex
 		conns map[string]*dialled
@@ -81,7 +81,7 @@
 	e.IdleTimeout = orDefault(e.IdleTimeout, defaultIdle)
 	e.DialTimeout = orDefault(e.DialTimeout, defaultDial)
 	e.WriteTimeout = orDefault(e.WriteTimeout, defaultWrite)
-	e.transport = &quic.Transport{Conn: c}
+	e.transport = &quic.Transport{Conn: &counted{UDPConn: c, sent: &e.datagrams}}
 	e.conns = map[string]*dialled{}
 	return c.LocalAddr().String(), nil
 }
@@ -133,7 +133,7 @@
 		e.drop(address, c)
 		return &Error{Kind: Lost, Peer: address, Err: err}
 	}
-	e.sent.Add(uint64(len(f.Body)))
+	e.frames.countSent(f)
 	return s.Close()
 }
 
@@ -159,10 +159,6 @@
 	return s, nil
 }
 
-// Bytes returns how many bytes of messages, without calls, were sent and
-// received since the start.
-func (e *Endpoint) Bytes() (sent, received uint64) { return e.sent.Load(), e.received.Load() }
-
 // connection returns the open connection to address or dials one; callers that
 // come while it is being dialled share it.
 func (e *Endpoint) connection(ctx context.Context, address string) (*quic.Conn, error) {
@@ -274,7 +270,7 @@
 		s.CancelRead(0)
 		return
 	}
-	e.received.Add(uint64(len(f.Body)))
+	e.frames.countReceived(f)
 	e.OnMessage(from, f)
 }
 
@@ -307,6 +303,7 @@
 	if err := WriteFrame(s.s, f); err != nil {
 		return s.fail(err)
 	}
+	s.e.frames.countSent(f)
 	return nil
 }
 
@@ -316,6 +313,7 @@
 	if err != nil {
 		return Frame{}, s.fail(err)
 	}
+	s.e.frames.countReceived(f)
 	return f, nil
 }
 
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -78,8 +78,9 @@
 	// Client makes calls to the list. Its exported fields are set before the
 	// first call. It is safe for concurrent use.
 	Client struct {
-		Address string        // IP:port
-		Timeout time.Duration // of each call, DefaultTimeout if zero
+		Address string            // IP:port
+		Timeout time.Duration     // of each call, DefaultTimeout if zero
+		Traffic *jsonhttp.Traffic // counts the bytes of calls, may be nil
 
 		http jsonhttp.Lazy
 	}
@@ -113,13 +114,13 @@
 }
 
 // Close closes unused connections.
-func (c *Client) Close() { c.http.Get(c.Address).Close() }
+func (c *Client) Close() { c.http.Counted(c.Address, c.Traffic).Close() }
 
 // call makes one call and sorts its failure.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	a, err := c.http.Get(c.Address).JSON(ctx, method, path, in, out)
+	a, err := c.http.Counted(c.Address, c.Traffic).JSON(ctx, method, path, in, out)
 	if err != nil {
 		kind := Uncertain
 		if jsonhttp.StageOf(err) == jsonhttp.NotSent {
