--- a/core/ledger/invariant_test.go
+++ b/core/ledger/invariant_test.go
@@ -200,6 +200,78 @@
 	})
 }
 
+// TestInvariantMemoryNeverOvercommittedRestartWhileOwnerPaused: the engine
+// restarts while an earlier owner's order is checked and not sent; the new boot
+// proves nothing about it.
+func TestInvariantMemoryNeverOvercommittedRestartWhileOwnerPaused(t *testing.T) {
+	w, a, b := owned(t, false)
+	a.give(items[0], fate{unsent: 29 * time.Second})
+	w.takeOver(t, b)
+	w.engine.restart()
+	w.fill(b)
+	w.advance(20 * time.Second)
+	require.NotNil(t, w.engine.items[items[0]])
+	require.LessOrEqual(t, w.engine.peak, int64(capacity))
+}
+
+// TestHoldsWhatIsNotProved: cases in which an entry looks settled and isn't.
+func TestHoldsWhatIsNotProved(t *testing.T) {
+	item := items[0]
+	inventory := func(states ...backend.ItemState) backend.Inventory {
+		inv := backend.Inventory{BootID: "b"}
+		for _, s := range states {
+			inv.Items = append(inv.Items, backend.ItemStatus{Item: item, State: s, Bytes: 40})
+		}
+		return inv
+	}
+	sent := func() (*ledger.Ledger, string) {
+		l := ledger.New(ledger.Settings{Server: server, Capacity: capacity, Lifetime: lifetime, Cost: cost})
+		l.Adopt(0, 1, inventory(), nil)
+		o, err := l.Reserve(1, backend.Load, item, cost(item), nil)
+		require.NoError(t, err)
+		l.Sending(2, o.OrderID)
+		return l, o.OrderID
+	}
+	t.Run("refused the second time", func(t *testing.T) {
+		l, id := sent()
+		l.Answered(3, id, ledger.Unknown)
+		_, ok := l.Resend(item)
+		require.True(t, ok)
+		l.Sending(4, id)
+		l.Answered(5, id, ledger.NotDone)
+		require.Equal(t, int64(45), l.Free(), "the first call may yet arrive")
+	})
+	t.Run("refused the first time", func(t *testing.T) {
+		l, id := sent()
+		l.Answered(3, id, ledger.NotDone)
+		require.Equal(t, int64(capacity), l.Free())
+	})
+	t.Run("resident while a call is open", func(t *testing.T) {
+		l, id := sent()
+		l.Observe(3, 4, inventory(backend.Resident))
+		require.Equal(t, int64(45), l.Free(), "a restart now could bring the load's peak again")
+		_, err := l.Reserve(5, backend.Unload, item, ledger.Cost{}, nil)
+		require.ErrorContains(t, err, string(ledger.Unsettled))
+		l.Answered(6, id, ledger.Accepted)
+		l.Observe(7, 8, inventory(backend.Resident))
+		require.Equal(t, int64(60), l.Free())
+	})
+	t.Run("inherited and sent twice", func(t *testing.T) {
+		l, id := sent()
+		l.Answered(3, id, ledger.Unknown)
+		l.Resend(item)
+		records := l.Records()
+		require.True(t, records[0].Resent)
+		next := ledger.New(ledger.Settings{Server: server, Capacity: capacity, Lifetime: lifetime, Cost: cost})
+		next.Adopt(10, 2, inventory(backend.Resident), records)
+		_, err := next.Reserve(11, backend.Unload, item, ledger.Cost{}, nil)
+		require.ErrorContains(t, err, string(ledger.Unsettled))
+		next.Observe(10+lifetime, 11+lifetime, inventory(backend.Resident))
+		_, err = next.Reserve(12+lifetime, backend.Unload, item, ledger.Cost{}, nil)
+		require.NoError(t, err)
+	})
+}
+
 // TestUncertainOrderEnds: what the lifetime settles is free again after it, and
 // not before.
 func TestUncertainOrderEnds(t *testing.T) {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -54,6 +54,7 @@
 		loading int
 		stale   int
 		late    time.Duration // orders take effect so much later
+		slow    time.Duration // from taking an inventory to its arrival
 		unloads []backend.Item
 		served  func() // called after each change
 	}
@@ -65,6 +66,7 @@
 		engines map[string]*fakeEngine
 		doc     config.Document
 		nodes   []*node
+		old     []view.Server // what nodes know of servers, if not nil
 	}
 
 	node struct {
@@ -199,8 +201,10 @@
 func (e nodeEngine) State(context.Context) (backend.State, error) {
 	e.n.wait()
 	e.e.mu.Lock()
-	defer e.e.mu.Unlock()
-	return backend.State{Inventory: e.e.inventory(), Leaving: e.e.leaving}, nil
+	s, slow := backend.State{Inventory: e.e.inventory(), Leaving: e.e.leaving}, e.e.slow
+	e.e.mu.Unlock()
+	time.Sleep(slow)
+	return s, nil
 }
 
 func (e nodeEngine) Fence(_ context.Context, fence uint64) (backend.Inventory, error) {
@@ -377,6 +381,9 @@
 
 // known returns the newest view of each server.
 func (c *cluster) known() []view.Server {
+	if c.old != nil {
+		return c.old
+	}
 	newest := map[string]view.Server{}
 	for _, n := range c.nodes {
 		for _, v := range n.Views() {
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -287,19 +286,14 @@
 	o.Metrics.lease("released")
 }
 
-// releaseAll frees all servers and ends the session.
+// releaseAll ends the session, which frees all servers at once.
 func (o *Owner) releaseAll(ctx context.Context) {
-	o.mu.Lock()
-	names := slices.Collect(maps.Keys(o.catalog.servers))
-	o.mu.Unlock()
-	slices.Sort(names)
-	for _, name := range names {
-		o.release(ctx, name, "stop")
-	}
 	o.mu.Lock()
 	tx, ok := o.book.End()
 	o.mu.Unlock()
 	if ok {
 		o.transact(ctx, tx)
+		o.Log.Info("session ended", zap.String("node", o.Node), zap.String("reason", "stop"))
+		o.Metrics.lease("ended")
 	}
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -110,6 +110,24 @@
 	})
 }
 
+// TestInvariantMemoryNeverOvercommittedFenceBeforeInventory: the new owner has
+// given no order yet, and the old one's order is refused all the same.
+func TestInvariantMemoryNeverOvercommittedFenceBeforeInventory(t *testing.T) {
+	run(t, true, 1, func(c *cluster) {
+		a, b := c.start("n1", "n1"), c.start("n2", "n1")
+		time.Sleep(5 * time.Second)
+		sent := a.setTrap()
+		a.SetPlan("e0", []backend.Item{model("a")})
+		<-sent
+		b.setLive("n2")
+		time.Sleep(25 * time.Second)
+		a.thaw()
+		time.Sleep(5 * time.Second)
+		require.Equal(c.t, 1, c.engines["e0"].stale)
+		c.resident("e0")
+	})
+}
+
 // TestInvariantMemoryNeverOvercommittedOrderArrivesLate: each load order arrives
 // 29 s late, when its item has been given up for others.
 func TestInvariantMemoryNeverOvercommittedOrderArrivesLate(t *testing.T) {
@@ -172,6 +190,10 @@
 		c.plan(one, model("a"), model("b"))
 		c.plan(two, model("a"), model("b"))
 		time.Sleep(20 * time.Second)
+		for _, e := range c.engines {
+			e.set(func() { e.slow = 500 * time.Millisecond })
+		}
+		c.old = c.known() // from now on views are old
 		c.plan(one, model("c"), model("d"))
 		c.plan(two, model("c"), model("d"))
 		time.Sleep(120 * time.Second)
