--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -77,6 +77,7 @@
 		mu     sync.Mutex
 		frozen chan struct{} // calls wait while it is not nil
 		live   []string
+		cut    bool          // from the table
 		trap   chan struct{} // closed by the next order, which freezes the node
 	}
 
@@ -114,6 +115,12 @@
 	}
 }
 
+func (n *node) isCut() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut
+}
+
 // setTrap lets the node's next order freeze it before it is sent; the returned
 // channel is closed then.
 func (n *node) setTrap() <-chan struct{} {
@@ -149,7 +156,7 @@
 	f := t.n.c.table
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if f.down || t.n.isCut() {
 		return row.Result{}, &table.Error{Kind: table.Unavailable, Err: errDown}
 	}
 	r := f.commit(tx)
@@ -187,7 +194,7 @@
 	f := t.n.c.table
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if f.down || t.n.isCut() {
 		return nil, &table.Error{Kind: table.Unavailable, Err: errDown}
 	}
 	out := make([]row.Row, len(keys))
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -110,6 +110,26 @@
 	})
 }
 
+// TestInvariantMemoryNeverOvercommittedOwnerCutOffFromTable: an owner that can't
+// reach the table, while its rival can, learns from the engine that it is not
+// the owner, and sends no order.
+func TestInvariantMemoryNeverOvercommittedOwnerCutOffFromTable(t *testing.T) {
+	both(t, 1, func(c *cluster, _ bool) {
+		a, b := c.start("n1", "n1"), c.start("n2", "n1")
+		time.Sleep(5 * time.Second)
+		a.mu.Lock()
+		a.cut = true
+		a.mu.Unlock()
+		b.setLive("n2")
+		b.SetPlan("e0", []backend.Item{model("c"), model("d")})
+		time.Sleep(20 * time.Second)
+		a.SetPlan("e0", []backend.Item{model("a"), model("b")})
+		time.Sleep(20 * time.Second)
+		c.resident("e0", model("c"), model("d"))
+		require.Zero(c.t, c.engines["e0"].stale)
+	})
+}
+
 // TestInvariantMemoryNeverOvercommittedFenceBeforeInventory: the new owner has
 // given no order yet, and the old one's order is refused all the same.
 func TestInvariantMemoryNeverOvercommittedFenceBeforeInventory(t *testing.T) {
