--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -71,7 +71,13 @@
 	return "http://" + address
 }
 
-func post(t testing.TB, url, body string, header ...string) (*http.Response, string) {
+// reply is a whole answer.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func post(t testing.TB, url, body string, header ...string) (reply, string) {
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	require.NoError(t, err)
 	for i := 0; i+1 < len(header); i += 2 {
@@ -82,7 +88,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
-	return resp, string(b)
+	return reply{StatusCode: resp.StatusCode, Header: resp.Header}, string(b)
 }
 
 func TestBodies(t *testing.T) {
