Store an answer before its caller hears it; explain claims and leases

Cause: claims.Store.Finish returned at once, so a repeat of a booking right after its 200 met the claim row still in state claimed and was told in-progress; explain named no lease epoch and no claim. Mended: Finish waits at most 150 ms for its write, not at all while the table is known to be down; the write itself goes on as before. A claim of a node that is known dead is unknown at once (Store.Dead is now set). Explain shows row, revision and attempt of a claim, every send, and server, owner and epoch of a forwarded request at both nodes. Before: TestInvariantAnswerStoredBeforeCallerHears in-progress for every repeat. After: stored answer; 150 ms exactly with a table that hangs.

--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -37,6 +37,8 @@
 		Seed     uint64       // of the jitter between attempts
 		Log      *zap.Logger  // may be nil
 		Metrics  *Metrics     // may be nil
+		// Note is told what decided about a call, for explain; it may be nil.
+		Note func(requestID, event string, fields ...zap.Field)
 
 		once sync.Once
 		mu   sync.Mutex
@@ -90,25 +92,37 @@
 // claimed carries out a call that runs at most once under its key.
 func (c *Caller) claimed(ctx context.Context, t *try) (Answer, error) {
 	r := t.r
+	row := claim.Key(r.Customer, r.IdempotencyKey)
 	g, err := c.Claims.Claim(ctx, claims.Call{
 		Customer: r.Customer, Key: r.IdempotencyKey, RequestID: r.RequestID, Deadline: r.Deadline,
 		BodyHash: claim.BodyHash(r.Service, r.Method, r.Path, r.Body),
 	})
 	if err != nil {
+		e := outcome.From(err)
+		c.Note(r.RequestID, "claim-refused", zap.String("row", row), zap.String("outcome", string(e.Outcome)),
+			zap.String("reason", string(e.Reason)), zap.String("detail", e.Detail))
 		return Answer{}, err
 	}
 	if g.Stored != nil {
+		c.Note(r.RequestID, "stored-answer", zap.String("row", row), zap.Int("status", g.Stored.Status))
 		return Answer{Status: g.Stored.Status, Header: http.Header(g.Stored.Header), Body: g.Stored.Body, Stored: true}, nil
 	}
+	c.Note(r.RequestID, "claimed", zap.String("row", row), zap.Uint64("revision", g.Held.Revision),
+		zap.String("attempt", g.Held.Claim.Attempt))
 	a, err := t.run(ctx)
+	end := claim.Done
 	switch e := outcome.From(err); {
 	case e == nil:
 		c.Claims.Finish(g.Held, claim.Answer{Status: a.Status, Header: a.Header, Body: a.Body})
 	case e.Outcome == outcome.RefusedNotRun:
+		end = claim.Released
 		c.Claims.Release(g.Held)
 	default:
+		end = claim.Unknown
 		c.Claims.Lose(g.Held, e.Reason)
 	}
+	c.Note(r.RequestID, "claim-ended", zap.String("row", row), zap.String("attempt", g.Held.Claim.Attempt),
+		zap.String("state", string(end)))
 	return a, err
 }
 
@@ -117,6 +131,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Note == nil {
+		c.Note = func(string, string, ...zap.Field) {}
+	}
 	c.rand = rand.New(rand.NewPCG(c.Seed, c.Seed))
 }
 
--- a/internal/call/try.go
+++ b/internal/call/try.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"guavapaddle/core/config"
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/retry"
@@ -89,6 +91,7 @@
 	a, err := t.c.Backend.Send(send, p.server, t.r)
 	cancel()
 	e = outcome.From(err)
+	t.note(p.server.Name, e)
 	p.done(e)
 	t.tell(ctx, p, e)
 	if e != nil {
@@ -102,6 +105,17 @@
 	return a, nil
 }
 
+// note tells how an attempt at a server ended.
+func (t *try) note(server string, e *outcome.Error) {
+	fields := []zap.Field{zap.String("server", server), zap.Int("attempt", t.n)}
+	if e == nil {
+		fields = append(fields, zap.String("outcome", string(outcome.Done)))
+	} else {
+		fields = append(fields, zap.String("outcome", string(e.Outcome)), zap.String("reason", string(e.Reason)))
+	}
+	t.c.Note(t.r.RequestID, "sent", fields...)
+}
+
 // pick picks a server on which t may run.
 func (t *try) pick(ctx context.Context) (place, *outcome.Error) {
 	avoid := slices.Clone(t.avoid)
--- a/internal/claims/batch.go
+++ b/internal/claims/batch.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// await waits until o has ended, at most for d.
+func (o *op) await(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-o.done:
+	case <-t.C:
+	}
+}
+
 // begin notes that one more change must take effect.
 func (s *Store) begin() {
 	s.mu.Lock()
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -32,6 +32,9 @@
 	DefaultInFlight = 4
 	// DefaultMaxQueue is the most changes that wait.
 	DefaultMaxQueue = 8192
+	// DefaultAnswerWait bounds how long Finish waits for the table, so that a
+	// repeat right after the answer finds it stored.
+	DefaultAnswerWait = 150 * time.Millisecond
 	// DefaultSweepPeriod is the time between removals of old claims.
 	DefaultSweepPeriod = 15 * time.Second
 )
@@ -90,6 +93,7 @@
 		Timeout       time.Duration
 		Wait          time.Duration
 		Pause         time.Duration
+		AnswerWait    time.Duration
 		MaxBatch      int
 		MaxBatchBytes int
 		InFlight      int
@@ -159,14 +163,23 @@
 	return Grant{}, outcome.Unsure(outcome.InProgress, "many callers claim this key at once")
 }
 
-// Finish stores the answer of a call that h's holder sent. It returns at once;
-// the answer is written until it takes effect.
+// Finish stores the answer of a call that h's holder sent. It waits for the
+// table for at most AnswerWait, and not at all while the table is down; the
+// answer is written until it takes effect.
 func (s *Store) Finish(h claim.Held, a claim.Answer) {
 	s.once.Do(s.init)
 	s.begin()
+	o := &op{durable: true, done: make(chan ended, 1)}
 	go func() {
-		s.submit(&op{change: h.Finish(s.outsource(h, a)), durable: true})
+		o.change = h.Finish(s.outsource(h, a))
+		s.submit(o)
 	}()
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if !down {
+		o.await(s.AnswerWait)
+	}
 }
 
 // Lose records that the call was sent and its answer lost for reason r. It
@@ -185,12 +198,7 @@
 	s.begin()
 	o := &op{change: h.Release(), durable: true, done: make(chan ended, 1)}
 	s.submit(o)
-	t := time.NewTimer(s.Timeout)
-	defer t.Stop()
-	select {
-	case <-o.done:
-	case <-t.C:
-	}
+	o.await(s.Timeout)
 }
 
 // Flush waits until all answers and releases have taken effect, or ctx ends. It
@@ -323,6 +331,7 @@
 	def(&s.Timeout, DefaultTimeout)
 	def(&s.Wait, DefaultWait)
 	def(&s.Pause, DefaultPause)
+	def(&s.AnswerWait, DefaultAnswerWait)
 	def(&s.MaxBatch, DefaultMaxBatch)
 	def(&s.MaxBatchBytes, DefaultMaxBatchBytes)
 	def(&s.InFlight, DefaultInFlight)
--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -335,3 +335,31 @@
 		}
 	})
 }
+
+// TestInvariantAnswerStoredBeforeCallerHears: a repeat right after the answer,
+// through another node, gets the stored answer, as long as the table answers
+// in its usual time. A table that is slow or down holds no answer for longer
+// than AnswerWait.
+func TestInvariantAnswerStoredBeforeCallerHears(t *testing.T) {
+	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
+		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Delay: 20 * time.Millisecond} })
+		other := store(t, table, "n2")
+		for i := range 20 {
+			key := fmt.Sprint("k", i)
+			g, err := s.Claim(t.Context(), booking(key))
+			require.NoError(t, err)
+			s.Finish(g.Held, claim.Answer{Status: 200})
+			again, err := other.Claim(t.Context(), booking(key))
+			require.NoError(t, err)
+			require.NotNil(t, again.Stored)
+		}
+		g, err := s.Claim(t.Context(), booking("slow"))
+		require.NoError(t, err)
+		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Hang: true} })
+		begin := time.Now()
+		s.Finish(g.Held, claim.Answer{Status: 200})
+		require.Equal(t, claims.DefaultAnswerWait, time.Since(begin))
+		table.SetFault(nil)
+		flush(t, s)
+	})
+}
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -82,6 +82,7 @@
 		Event     string // "pick", "retry", "resume", "wait", "end"
 		Server    string
 		Owner     string
+		Epoch     uint64 // of the owner's lease by the view that was used, zero if unknown
 		Reason    string
 	}
 
@@ -120,6 +121,7 @@
 		free    int // attempts that did not
 		server  string
 		owner   string
+		epoch   uint64          // of the owner's lease
 		why     string          // reason of the last choice
 		held    []forward.Reply // replies that a caller who waits for the whole will get
 		ran     bool            // an attempt may have run
@@ -176,7 +178,7 @@
 	for {
 		changed := a.r.Views.Changed()
 		if s, ok := a.choose(); ok {
-			a.server, a.owner = s.Server, s.Owner
+			a.server, a.owner, a.epoch = s.Server, s.Owner, s.Epoch
 			a.note("pick", a.why)
 			return nil
 		}
@@ -339,7 +341,7 @@
 // resume continues the generation at its server: through the owner, or
 // directly if the owner is lost. why is the failure so far.
 func (a *attempt) resume(ctx context.Context, why *outcome.Error) error {
-	a.owner = a.r.ownerOf(a.server)
+	a.owner, a.epoch = a.r.ownerOf(a.server)
 	for range maxResumes {
 		if why.Reason == outcome.PeerLost || why.Reason == outcome.NoServer {
 			a.owner = ""
@@ -414,17 +416,18 @@
 }
 
 func (a *attempt) note(event, reason string) {
-	a.r.Note(Event{RequestID: a.q.ID, Event: event, Server: a.server, Owner: a.owner, Reason: reason})
+	a.r.Note(Event{RequestID: a.q.ID, Event: event, Server: a.server, Owner: a.owner, Epoch: a.epoch, Reason: reason})
 }
 
-// ownerOf returns the owner of a server by the views, empty if unknown.
-func (r *Router) ownerOf(server string) string {
+// ownerOf returns the owner of a server and the epoch of its lease by the
+// views, empty if unknown.
+func (r *Router) ownerOf(server string) (string, uint64) {
 	for _, v := range r.Views.All() {
 		if v.Server == server {
-			return v.Owner
+			return v.Owner, v.Epoch
 		}
 	}
-	return ""
+	return "", 0
 }
 
 // Seen notes that a newer view or load of a server arrived.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,7 +195,7 @@
 		},
 		Endpoint:   &peer.Endpoint{Address: n.settings.Peers, TLS: n.keys},
 		Seeds:      n.seeds,
-		Local:      n.dispatch,
+		Local:      &forwarded{Dispatcher: n.dispatch, node: n},
 		OnView:     n.viewed,
 		OnMessage:  n.message,
 		Config:     n.follower.Packed,
@@ -214,7 +214,7 @@
 		Self:       n.settings.Name,
 		DataCentre: n.settings.DataCentre,
 		Views:      n.views,
-		Local:      n.dispatch,
+		Local:      &forwarded{Dispatcher: n.dispatch, node: n},
 		Owners:     n.cluster,
 		Engine:     n.engineOf,
 		Place:      n.dataCentreOf,
@@ -244,11 +244,18 @@
 		Objects:     n.objects,
 		Node:        n.settings.Name,
 		Incarnation: incarnation,
+		Dead:        n.died,
 		Log:         n.log,
 		Metrics:     claims.NewMetrics(n.registry),
 	}
 }
 
+// died tells whether an incarnation of a node is known to have ended.
+func (n *Node) died(name string, incarnation uint64) bool {
+	m, ok := n.cluster.Node(name)
+	return ok && (m.Incarnation > incarnation || m.Incarnation == incarnation && m.Status >= member.Dead)
+}
+
 func (n *Node) buildEntry() {
 	n.limits = newLimits(n.settings.Limit)
 	n.pool = &call.Pool{}
@@ -266,6 +273,7 @@
 			Seed:     n.settings.Seed,
 			Log:      n.log,
 			Metrics:  call.NewMetrics(n.registry),
+			Note:     n.note,
 		},
 		Limits:  n.limits,
 		Demand:  n.demand,
@@ -432,7 +440,8 @@
 
 // decided notes a decision of the router.
 func (n *Node) decided(e generate.Event) {
-	n.note(e.RequestID, e.Event, zap.String("server", e.Server), zap.String("owner", e.Owner), zap.String("reason", e.Reason))
+	n.note(e.RequestID, e.Event, zap.String("server", e.Server), zap.String("owner", e.Owner),
+		zap.Uint64("epoch", e.Epoch), zap.String("reason", e.Reason))
 	if e.Event != "pick" {
 		n.requests.Retry(e.Event, e.Reason)
 	}
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -101,6 +101,8 @@
 		return f.String
 	case zapcore.DurationType:
 		return time.Duration(f.Integer).String()
+	case zapcore.BoolType:
+		return strconv.FormatBool(f.Integer == 1)
 	default:
 		return strconv.FormatInt(f.Integer, 10)
 	}
