--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -179,7 +179,7 @@
 				}
 				time.Sleep(time.Second)
 				require.Equal(t, !resumed, f.isCancelled("r"))
-				<-done
+				require.Error(t, <-done)
 				require.Zero(t, d.Busy())
 			})
 		})
@@ -196,7 +196,7 @@
 		go func() { done <- d.Do(ctx, job("r", 400), discard) }()
 		time.Sleep(20 * step)
 		cancel(dispatch.ErrCancelled)
-		<-done
+		require.Error(t, <-done)
 		require.True(t, f.isCancelled("r"))
 	})
 }
--- a/internal/session/stream.go
+++ b/internal/session/stream.go
@@ -50,7 +50,7 @@
 
 // Stream sends a streamed request and returns when its answer begins.
 func (s *System) Stream(node int, body string, header ...string) *Stream {
-	resp, err := s.Open(node, http.MethodPost, "/v1/chat/completions", body, header...)
+	resp, err := s.Open(node, http.MethodPost, "/v1/chat/completions", body, header...) //nolint:bodyclose // Stream.Close closes it
 	if err != nil {
 		return &Stream{Err: err}
 	}
