--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -54,6 +54,7 @@
 		loading int
 		stale   int
 		late    time.Duration // orders take effect so much later
+		slow    time.Duration // from taking an inventory to its arrival
 		unloads []backend.Item
 		served  func() // called after each change
 	}
@@ -65,6 +66,7 @@
 		engines map[string]*fakeEngine
 		doc     config.Document
 		nodes   []*node
+		old     []view.Server // what nodes know of servers, if not nil
 	}
 
 	node struct {
@@ -75,6 +77,7 @@
 		mu     sync.Mutex
 		frozen chan struct{} // calls wait while it is not nil
 		live   []string
+		cut    bool          // from the table
 		trap   chan struct{} // closed by the next order, which freezes the node
 	}
 
@@ -112,6 +115,12 @@
 	}
 }
 
+func (n *node) isCut() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut
+}
+
 // setTrap lets the node's next order freeze it before it is sent; the returned
 // channel is closed then.
 func (n *node) setTrap() <-chan struct{} {
@@ -147,7 +156,7 @@
 	f := t.n.c.table
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if f.down || t.n.isCut() {
 		return row.Result{}, &table.Error{Kind: table.Unavailable, Err: errDown}
 	}
 	r := f.commit(tx)
@@ -185,7 +194,7 @@
 	f := t.n.c.table
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down {
+	if f.down || t.n.isCut() {
 		return nil, &table.Error{Kind: table.Unavailable, Err: errDown}
 	}
 	out := make([]row.Row, len(keys))
@@ -199,8 +208,10 @@
 func (e nodeEngine) State(context.Context) (backend.State, error) {
 	e.n.wait()
 	e.e.mu.Lock()
-	defer e.e.mu.Unlock()
-	return backend.State{Inventory: e.e.inventory(), Leaving: e.e.leaving}, nil
+	s, slow := backend.State{Inventory: e.e.inventory(), Leaving: e.e.leaving}, e.e.slow
+	e.e.mu.Unlock()
+	time.Sleep(slow)
+	return s, nil
 }
 
 func (e nodeEngine) Fence(_ context.Context, fence uint64) (backend.Inventory, error) {
@@ -377,6 +388,9 @@
 
 // known returns the newest view of each server.
 func (c *cluster) known() []view.Server {
+	if c.old != nil {
+		return c.old
+	}
 	newest := map[string]view.Server{}
 	for _, n := range c.nodes {
 		for _, v := range n.Views() {
