--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,165 @@
+// Command measure measures what control costs a node: it runs whole nodes at
+// several sizes and fits a line to each figure.
+//
+// # Usage
+//
+//	measure -vary ray -at 8,16,32,64
+//	measure -vary servers -at 10,20,50,100 -nodes 8
+//	measure -vary models -at 50,200,600,1200 -servers 40 -output json
+//
+// Each point is a process with all nodes in it, and another with the stand-ins.
+// See package guavapaddle/internal/measure.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+
+	"guavapaddle/internal/measure"
+)
+
+const (
+	envPrefix       = "GUAVAPADDLE_MEASURE"
+	pointCommand    = "point"
+	standInsCommand = "stand-ins"
+)
+
+// options is the command line.
+type options struct {
+	size    measure.Size
+	set     measure.Settings
+	vary    string
+	at      string
+	output  string
+	busiest bool
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command(ctx, os.Args[1:], os.Stdin, os.Stdout)
+	stop()
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// command runs the tool, or the part of it that the first argument names.
+func command(ctx context.Context, args []string, in io.Reader, out io.Writer) error {
+	part := ""
+	if len(args) > 0 && (args[0] == pointCommand || args[0] == standInsCommand) {
+		part, args = args[0], args[1:]
+	}
+	o, err := parse(args)
+	if err != nil {
+		return err
+	}
+	switch part {
+	case standInsCommand:
+		return measure.StandIns(ctx, o.size, in, out)
+	case pointCommand:
+		return o.point(ctx, out)
+	}
+	return o.sweep(ctx, out)
+}
+
+// parse reads flags and environment.
+func parse(args []string) (*options, error) {
+	o := &options{size: measure.Size{Nodes: 8, Servers: 16, Models: 50, Adapters: 150, Customers: 20}}
+	fs := flag.NewFlagSet("measure", flag.ContinueOnError)
+	o.size.Register(fs)
+	fs.StringVar(&o.vary, "vary", string(measure.Ray), "what varies: nodes, servers, models, customers, rate or ray (nodes with two servers each)")
+	fs.StringVar(&o.at, "at", "8,16,32,64", "values of it")
+	fs.StringVar(&o.output, "output", "table", "table or json")
+	fs.BoolVar(&o.busiest, "busiest", false, "show the busiest node's figures too")
+	fs.DurationVar(&o.set.Ready, "ready", 40*time.Second, "the longest start")
+	fs.DurationVar(&o.set.Settle, "settle", 8*time.Second, "from ready to the first window")
+	fs.DurationVar(&o.set.Window, "window", 4*time.Second, "length of a window")
+	fs.IntVar(&o.set.Windows, "windows", 3, "windows, of which the median counts")
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+		return nil, err
+	}
+	switch {
+	case fs.NArg() > 0:
+		return nil, &measure.UsageError{Text: "unexpected argument " + fs.Arg(0)}
+	case o.output != "table" && o.output != "json":
+		return nil, &measure.UsageError{Text: fmt.Sprintf("no output %q", o.output)}
+	case o.set.Windows < 1 || o.set.Window <= 0:
+		return nil, &measure.UsageError{Text: "windows must be positive"}
+	}
+	return o, o.size.Check()
+}
+
+// point measures one size in this process.
+func (o *options) point(ctx context.Context, out io.Writer) error {
+	program, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "own program")
+	}
+	o.set.StandIns = []string{program, standInsCommand}
+	p, err := measure.Run(ctx, o.size, o.set)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(out).Encode(p)
+}
+
+// sweep measures each size in a process of its own.
+func (o *options) sweep(ctx context.Context, out io.Writer) error {
+	at, err := measure.Values(o.at)
+	if err != nil {
+		return err
+	}
+	var points []measure.Point
+	for _, v := range at {
+		s, err := o.size.With(measure.Dimension(o.vary), v)
+		if err != nil {
+			return err
+		}
+		p, err := o.run(ctx, s)
+		if err != nil {
+			return eris.Wrapf(err, "%s %d", o.vary, v)
+		}
+		points = append(points, p)
+	}
+	s := measure.NewSweep(measure.Dimension(o.vary), at, points)
+	if o.output == "json" {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(s)
+	}
+	return s.Table(out, o.busiest)
+}
+
+// run measures a size in a process of its own.
+func (o *options) run(ctx context.Context, s measure.Size) (measure.Point, error) {
+	var p measure.Point
+	program, err := os.Executable()
+	if err != nil {
+		return p, eris.Wrap(err, "own program")
+	}
+	args := append([]string{pointCommand,
+		"-ready", o.set.Ready.String(), "-settle", o.set.Settle.String(),
+		"-window", o.set.Window.String(), "-windows", strconv.Itoa(o.set.Windows),
+	}, s.Flags()...)
+	cmd := exec.CommandContext(ctx, program, args...)
+	cmd.Stderr = os.Stderr
+	text, err := cmd.Output()
+	if err != nil {
+		return p, eris.Wrap(err, "point")
+	}
+	return p, eris.Wrap(json.Unmarshal(text, &p), "point")
+}
--- /dev/null
+++ b/internal/measure/callers.go
@@ -0,0 +1,54 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+const (
+	callTokens  = 32
+	idlePerHost = 64
+)
+
+// call sends requests at the size's rate to random nodes until ctx ends.
+// Answers are read and not looked at.
+func call(ctx context.Context, s Size, nodes []string) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost}, Timeout: deadlineMS * time.Millisecond}
+	random := rand.New(rand.NewPCG(1, 1))
+	t := time.NewTicker(time.Duration(float64(time.Second) / s.Rate))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		customer := random.IntN(s.Customers)
+		model := ModelName((customer + random.IntN(min(modelsEach, s.Models))) % s.Models)
+		go one(ctx, client, nodes[random.IntN(len(nodes))], Key(customer), model)
+	}
+}
+
+// one sends one request.
+func one(ctx context.Context, client *http.Client, node, key, model string) {
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": "p", "max_tokens": callTokens})
+	if err != nil {
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	a, err := client.Do(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, a.Body)
+	_ = a.Body.Close()
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -49,6 +49,9 @@
 	cluster.KindSuspect: metrics.Marks,
 }
 
+// Gatherer gives the metrics of the node.
+func (n *Node) Gatherer() prometheus.Gatherer { return n.registry }
+
 // registerControl registers what control costs and the state of the node.
 func (n *Node) registerControl() {
 	n.registry.MustRegister(n.control.Collectors()...)
