--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -144,7 +144,7 @@
 	for i := range s.Servers {
 		d.Servers = append(d.Servers, config.BackendServer{
 			Name: fmt.Sprintf("engine-%03d", i), Type: config.Engine, Address: addresses[i],
-			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres+1), MemoryBytes: s.memory(), KVReserveBytes: kvReserve,
+			DataCentre: fmt.Sprintf("dc-%d", i%dataCentres+1), MemoryBytes: kvReserve, KVReserveBytes: kvReserve,
 			ChecksOrders: true, OrderLifetimeMS: orderLifetime, Slots: slots, StepMS: stepMS,
 		})
 	}
@@ -159,17 +159,14 @@
 		}
 		d.Customers = append(d.Customers, c)
 	}
+	// Just enough memory for what is there from the start, so that nothing
+	// moves while control is measured.
+	for _, p := range s.placement(d) {
+		d.Servers[p.server].MemoryBytes += p.bytes
+	}
 	return d
 }
 
-// memory returns the bytes of a server, just enough for its part of all items,
-// so that nothing moves while control is measured.
-func (s Size) memory() int64 {
-	models := (s.Models + s.Servers - 1) / s.Servers
-	adapters := models * ((s.Adapters + s.Models - 1) / s.Models)
-	return kvReserve + int64(models)*modelBytes + int64(adapters)*adapterBytes
-}
-
 // placed is an item and the server that has it from the start.
 type placed struct {
 	item   backend.Item
