Bound what membership costs a node as nodes and records grow

Cause: pushes and probes went to random nodes, so at 350 nodes each pair meets every 35 s, beyond the 30 s after which a connection ends: handshakes without end; each record was pushed 3 log2(n+1) times by every node, 27 copies to each at 350; and a comparison carries all versions, 950 records of 25 bytes, every 10 s.

Now a node has at most 8 neighbours (successors in 8 rings), pushes log2(n+1)+2 times, and compares every max(10 s, 50 ms a record).

Ruled out: a longer idle timeout (700 connections a node, 40 kB each).

Test: TestNeighboursAreFew, which showed 85 peers in 30 s of 100 nodes before.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -27,7 +27,8 @@
 	loss   float64
 	cut    func(from, to string) bool // may be nil
 	queue  []member.Send
-	count  int // messages
+	count  int                 // messages
+	sent   func(m member.Send) // told each, may be nil
 }
 
 func newNetwork(n int, seed uint64) *network {
@@ -72,6 +73,9 @@
 			w.queue = w.queue[1:]
 			to := w.states[m.Address]
 			w.count++
+			if w.sent != nil {
+				w.sent(m)
+			}
 			if to == nil || w.down[m.Address] || w.rng.Float64() < w.loss ||
 				w.cut != nil && w.cut(m.Message.From.Address, m.Address) {
 				continue
@@ -102,14 +106,46 @@
 }
 
 func TestDeadNodeIsFound(t *testing.T) {
-	w := newNetwork(8, 2)
-	w.run(12 * time.Second)
-	w.down[address(5)] = true
-	w.run(12 * time.Second)
-	require.True(t, w.all(func(s *member.State) bool { return len(s.Live()) == 7 }))
-	w.start(5, 2)
-	w.run(15 * time.Second)
-	require.True(t, w.all(func(s *member.State) bool { return len(s.Live()) == 8 }))
+	for _, n := range []int{8, 64} {
+		t.Run(fmt.Sprintf("%d nodes", n), func(t *testing.T) {
+			w := newNetwork(n, 2)
+			w.run(15 * time.Second)
+			w.down[address(5)] = true
+			w.run(12 * time.Second)
+			require.True(t, w.all(func(s *member.State) bool { return len(s.Live()) == n-1 }))
+			w.start(5, 2)
+			w.run(15 * time.Second)
+			require.True(t, w.all(func(s *member.State) bool { return len(s.Live()) == n }))
+		})
+	}
+}
+
+// TestNeighboursAreFew shows that a node probes and pushes to few others, and
+// that each is probed, however many nodes there are.
+func TestNeighboursAreFew(t *testing.T) {
+	w := newNetwork(100, 7)
+	w.run(time.Minute)
+	peers, probed := map[string]map[string]bool{}, map[string]bool{}
+	w.sent = func(m member.Send) {
+		from := m.Message.From.Address
+		if m.Message.Type != member.Ping && m.Message.Type != member.Gossip {
+			return
+		}
+		if peers[from] == nil {
+			peers[from] = map[string]bool{}
+		}
+		peers[from][m.Address] = true
+		probed[m.Address] = probed[m.Address] || m.Message.Type == member.Ping
+	}
+	for i := range 30 {
+		w.states[address(i)].Put(member.Entry{Key: fmt.Sprint("k", i), Major: 1})
+		w.run(time.Second)
+	}
+	require.Len(t, probed, 100)
+	for from, to := range peers {
+		require.LessOrEqual(t, len(to), 12, from) // 8, and answers to the few comparisons
+		require.GreaterOrEqual(t, len(to), 6, from)
+	}
 }
 
 // TestInvariantLeavingSpreads shows that what one node learns is everywhere in
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -26,6 +26,8 @@
 		hot      changes
 		names    []string // of nodes, sorted; nil if stale
 		order    []string // names left to probe in this round
+		ring     []string // neighbours of the live nodes that ringKey stands for
+		ringKey  uint64
 		probe    probe
 		relayed  map[uint64]relay
 		seeds    []string // addresses from outside
@@ -202,7 +204,7 @@
 
 // heat makes a record spread.
 func (s *State) heat(key string) {
-	s.hot.put(key, s.settings.Retransmit*bits.Len(uint(len(s.nodes)+1)))
+	s.hot.put(key, s.settings.Retransmit*bits.Len(uint(len(s.nodes)+1))+spareRetransmits)
 }
 
 // send fills in the sender.
--- a/core/member/tick.go
+++ b/core/member/tick.go
@@ -21,7 +21,7 @@
 		out = s.push(out)
 	}
 	if !now.Before(s.next.sync) {
-		s.next.sync = now.Add(s.settings.SyncPeriod)
+		s.next.sync = now.Add(s.syncPeriod())
 		out = s.startSync(out)
 	}
 	if !now.Before(s.next.join) {
@@ -69,6 +69,12 @@
 	return max(s.settings.SuspectTimeout, time.Duration(2*rounds)*s.settings.GossipPeriod)
 }
 
+// syncPeriod grows with the count of records, whose versions a comparison
+// carries, so that comparing costs no more in a large system.
+func (s *State) syncPeriod() time.Duration {
+	return max(s.settings.SyncPeriod, time.Duration(len(s.nodes)+len(s.entries))*syncPerRecord)
+}
+
 // startProbe pings the next node of a shuffled round.
 func (s *State) startProbe(now time.Time, out []Send) []Send {
 	if s.probe.target != "" && !s.probe.done {
@@ -103,12 +109,23 @@
 			}
 			return name
 		}
-		s.order = slices.Clone(s.sorted())
+		s.order = append(slices.Clone(s.neighbours()), s.dead()...)
 		s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
 	}
 	return ""
 }
 
+// dead returns the nodes that count as dead, each of which may be back.
+func (s *State) dead() []string {
+	var out []string
+	for _, name := range s.sorted() {
+		if s.nodes[name].node.Status == Dead {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // continueProbe asks other nodes to ping the target once it is late.
 func (s *State) continueProbe(now time.Time, out []Send) []Send {
 	p := &s.probe
@@ -142,7 +159,7 @@
 	if s.hot.len() == 0 {
 		return out
 	}
-	for _, name := range s.sample(s.settings.Fanout, "") {
+	for _, name := range s.some(s.neighbours(), s.settings.Fanout, "") {
 		m := s.loaded(Message{Type: Gossip})
 		if len(m.Nodes)+len(m.Entries) == 0 {
 			break
@@ -163,13 +180,17 @@
 
 // sample returns up to k random live names without one.
 func (s *State) sample(k int, without string) []string {
-	all := s.sorted()
+	return s.some(s.liveNames(), k, without)
+}
+
+// some returns up to k random names of all without one.
+func (s *State) some(all []string, k int, without string) []string {
 	var names []string
 	for _, i := range s.rng.Perm(len(all)) {
 		if len(names) == k {
 			break
 		}
-		if all[i] != without && s.nodes[all[i]].node.Status <= Suspect {
+		if all[i] != without {
 			names = append(names, all[i])
 		}
 	}
--- a/core/member/types.go
+++ b/core/member/types.go
@@ -44,7 +44,10 @@
 	defaultSyncPeriod     = 10 * time.Second
 	defaultForget         = time.Minute
 	defaultFanout         = 2
-	defaultRetransmit     = 3
+	defaultRetransmit     = 1
+	defaultNeighbours     = 8
+	spareRetransmits      = 2 // beyond what the count of nodes asks for
+	syncPerRecord         = 50 * time.Millisecond
 	defaultIndirect       = 2
 	defaultMessageBytes   = 1100
 	deadProbeShare        = 8 // one probe in so many goes to a dead node
@@ -109,10 +112,11 @@
 		SuspectTimeout time.Duration // from suspect to dead, default 2 s
 		GossipPeriod   time.Duration // between pushes of changes, default 200 ms
 		JoinPeriod     time.Duration // between tries to reach seeds that are not live, default 2 s
-		SyncPeriod     time.Duration // between full comparisons, default 10 s
+		SyncPeriod     time.Duration // between full comparisons, default 10 s, longer for more than 200 records
 		Forget         time.Duration // until a dead node is dropped, default 1 min
 		Fanout         int           // peers a push goes to, default 2
-		Retransmit     int           // pushes a change, times log2(n+1), default 3
+		Retransmit     int           // pushes a change, times log2(n+1) and two more, default 1
+		Neighbours     int           // nodes that a node probes and pushes to, default 8
 		Indirect       int           // peers asked to ping for us, default 2
 		MessageBytes   int           // size of pushed changes a message, default 1100
 	}
@@ -148,6 +152,7 @@
 	orDuration(&s.Forget, defaultForget)
 	orInt(&s.Fanout, defaultFanout)
 	orInt(&s.Retransmit, defaultRetransmit)
+	orInt(&s.Neighbours, defaultNeighbours)
 	orInt(&s.Indirect, defaultIndirect)
 	orInt(&s.MessageBytes, defaultMessageBytes)
 	return s
