Bound what VM list, plans, views of load, polls and configuration cost a node

The VM list is read less often the longer it is beyond 40 VMs; the first node to see a VM leave tells the others in its own record. Plans are told when they change, each 2 s while a server does not follow and each minute if it does. Views that differ in load only are spaced by 50 ms a server. An engine with nothing to do for its owner is polled each second; a new plan or document wakes its worker at once. The configuration is checked each 250 ms.

Ruled out: a few nodes that read the VM list each second (100 kB/s for them); entries for leaving VMs that several nodes write (no order between writers).

--- a/core/member/types.go
+++ b/core/member/types.go
@@ -68,6 +68,8 @@
 		ConfigVersion uint64 `cbor:"9,keyasint"`
 		ConfigHash    string `cbor:"10,keyasint"`
 		Fresh         bool   `cbor:"11,keyasint"` // the configuration was confirmed since the last pause
+		// Noticed names the VMs that the node was the first to see leave.
+		Noticed []string `cbor:"12,keyasint,omitempty"`
 	}
 
 	// Entry is a small value that nodes spread. Of two entries of one key the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,9 @@
 		mu        sync.Mutex
 		engines   map[string]*engine.Client // by address
 		vmSeeds   []string                  // nodes by the VM list
+		listedVMs int                       // count of the VM list
+
+		vmsLeaving []string // by the own reading of the VM list
 	}
 
 	// Addresses are where a node listens.
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	demandHalf    = 5 * time.Second // half-life of a demand estimate
 	defaultPeriod = time.Second
 	planTimeout   = time.Second
+
+	planRepeat     = time.Minute     // until an owner is told again what it follows
+	planUnfollowed = 2 * time.Second // until an owner is told again what it does not follow yet
 )
 
 type (
@@ -63,6 +67,14 @@
 		used    map[string]time.Time // by name of model or adapter
 
 		previous map[string][]backend.Item // the last plan, nil if another node made it
+		told     map[string]toldPlan       // by server
+	}
+
+	// toldPlan is what was told last of a server.
+	toldPlan struct {
+		owner string
+		items []backend.Item
+		at    time.Time
 	}
 
 	report struct {
@@ -144,7 +156,7 @@
 		p.reportDemand(ctx)
 		x := p.node.follower.Index()
 		if x == nil || p.chosen() != p.node.settings.Name {
-			p.previous = nil
+			p.previous, p.told = nil, nil
 			continue
 		}
 		if now := time.Now(); now.Sub(planned) >= period(x) {
@@ -215,7 +227,7 @@
 	byOwner := map[string]planMessage{}
 	for _, v := range p.node.views.All() {
 		items, ok := out.Plan[v.Server]
-		if !ok || v.Owner == "" {
+		if !ok || v.Owner == "" || !p.due(now, v, items) {
 			continue
 		}
 		m := byOwner[v.Owner]
@@ -238,6 +250,25 @@
 	}
 }
 
+// due tells whether a server's owner is to be told its plan: one that differs
+// from what the owner was told last, or that the server does not yet follow, or
+// that was told long ago, since messages get lost.
+func (p *planner) due(now time.Time, v view.Server, items []backend.Item) bool {
+	last, ok := p.told[v.Server]
+	repeat := planRepeat
+	if slices.ContainsFunc(items, func(i backend.Item) bool { return !v.Holds(i) }) {
+		repeat = planUnfollowed
+	}
+	if ok && last.owner == v.Owner && now.Sub(last.at) < repeat && slices.Equal(last.items, items) {
+		return false
+	}
+	if p.told == nil {
+		p.told = map[string]toldPlan{}
+	}
+	p.told[v.Server] = toldPlan{owner: v.Owner, items: items, at: now}
+	return true
+}
+
 // input gathers what a plan depends on.
 func (p *planner) input(now time.Time, x *config.Index) place.Input {
 	p.mu.Lock()
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -21,8 +21,12 @@
 
 const (
 	publishPeriod = 50 * time.Millisecond
-	loadPeriod    = 3 * time.Second // between views that differ in load only
-	vmPeriod      = time.Second
+	configPeriod  = 250 * time.Millisecond
+	loadPeriod    = 3 * time.Second        // between views that differ in load only, at least
+	loadShare     = 50 * time.Millisecond  // the same for each server that is known
+	vmPeriod      = time.Second            // between readings of the VM list, at least
+	vmShare       = 100 * time.Millisecond // the same for each VM that is listed beyond vmFew
+	vmFew         = 40
 	keysPeriod    = 10 * time.Second
 	drainPoll     = 20 * time.Millisecond
 	flushTimeout  = 5 * time.Second
@@ -52,12 +56,15 @@
 func (n *Node) housekeeping(ctx context.Context) {
 	t := time.NewTicker(publishPeriod)
 	defer t.Stop()
-	var vmsAt, keysAt, marksAt time.Time
+	var configAt, vmsAt, keysAt, marksAt time.Time
 	for {
 		now := time.Now()
 		n.publishViews(now)
-		n.followConfig()
-		if n.vms != nil && now.Sub(vmsAt) >= vmPeriod {
+		if now.Sub(configAt) >= configPeriod {
+			configAt = now
+			n.followConfig()
+		}
+		if n.vms != nil && now.Sub(vmsAt) >= n.vmsPeriod() {
 			vmsAt = now
 			go n.readVMs(ctx)
 		}
@@ -82,6 +89,7 @@
 	defer n.control.Time(metrics.Configuration)()
 	n.hint()
 	n.configure()
+	n.notice()
 }
 
 // publishViews spreads what changed of the owned servers, and makes the
@@ -92,6 +100,7 @@
 		n.publish.last = map[string]published{}
 	}
 	owned := map[string]bool{}
+	loadPeriod := n.loadsPeriod()
 	for _, v := range n.owner.Views() {
 		owned[v.Server] = true
 		n.dispatch.Own(v.Server, n.slotsOf(v.Server))
@@ -184,7 +193,7 @@
 		return // it lags anyway; what is known stays
 	}
 	n.mu.Lock()
-	n.vmSeeds = nil
+	n.vmSeeds, n.listedVMs = nil, len(list)
 	var leaving []string
 	for _, vm := range list {
 		if vm.Role == roleNode {
@@ -194,7 +203,23 @@
 		}
 	}
 	n.mu.Unlock()
-	n.views.SetLeaving(leaving)
+	n.noticeRead(leaving)
+}
+
+// vmsPeriod is the time between readings of the VM list. It grows with the
+// list, so that a node reads no more bytes a second in a large system; the
+// first node to read of a VM that leaves tells the others.
+func (n *Node) vmsPeriod() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(vmPeriod, time.Duration(n.listedVMs-vmFew)*vmShare)
+}
+
+// loadsPeriod is the time between views that differ in load only. It grows with
+// the count of servers, whose views all reach every node; answers tell the load
+// of the servers that a node uses in between.
+func (n *Node) loadsPeriod() time.Duration {
+	return max(loadPeriod, time.Duration(n.views.Len())*loadShare)
 }
 
 // seeds returns the addresses of nodes from settings and VM list.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,6 +20,9 @@
 const (
 	// DefaultPoll is the time between two polls of an engine.
 	DefaultPoll = 250 * time.Millisecond
+	// DefaultQuietPoll is the time between two polls of an engine that answers
+	// and has nothing to do for its owner.
+	DefaultQuietPoll = time.Second
 	// DefaultTick is the time between two ticks of the keeper.
 	DefaultTick = 200 * time.Millisecond
 	// DefaultHandOver is how long another node must be the wanted owner
@@ -73,6 +76,7 @@
 
 		Lease       lease.Settings // TTL, Margin and MaxPause; names are filled in
 		Poll        time.Duration  // DefaultPoll if zero, each jittered by a fifth
+		QuietPoll   time.Duration  // DefaultQuietPoll if zero, but never below Poll
 		Tick        time.Duration  // DefaultTick if zero
 		HandOver    time.Duration  // DefaultHandOver if zero
 		Patience    time.Duration  // DefaultPatience if zero
@@ -99,6 +103,8 @@
 func (o *Owner) init() {
 	o.once.Do(func() {
 		setDefault(&o.Poll, DefaultPoll)
+		setDefault(&o.QuietPoll, DefaultQuietPoll)
+		o.QuietPoll = max(o.QuietPoll, o.Poll)
 		setDefault(&o.Tick, DefaultTick)
 		setDefault(&o.HandOver, DefaultHandOver)
 		setDefault(&o.Patience, DefaultPatience)
@@ -142,6 +148,9 @@
 		return
 	}
 	o.catalog, o.version = newCatalog(doc), version
+	for _, w := range o.workers {
+		w.wake()
+	}
 }
 
 // SetPlan sets the items that a server should hold, most important first. A
@@ -151,6 +160,9 @@
 	o.init()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if w := o.workers[server]; w != nil && !slices.Equal(o.plans[server], want) {
+		w.wake()
+	}
 	o.plans[server] = slices.Clone(want)
 }
 
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,7 @@
 	sequence uint64 // of the view
 	bumped   time.Duration
 
+	woken   chan struct{}
 	rest    map[backend.Item]time.Duration // no order before
 	said    map[backend.Item]Reason        // last refusal logged
 	orders  map[backend.Item]backend.Order // sent, not yet seen done
@@ -51,6 +53,7 @@
 	return &worker{
 		o: o, name: name, log: o.Log.With(zap.String("server", name)),
 		ledger:  ledger.New(ledger.Settings{Server: name}),
+		woken:   make(chan struct{}, 1),
 		rest:    map[backend.Item]time.Duration{},
 		said:    map[backend.Item]Reason{},
 		orders:  map[backend.Item]backend.Order{},
@@ -68,15 +71,53 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+		case <-w.woken:
 		}
 		if !w.step(ctx) && w.o.retire(w.name) {
 			w.endSlots(ctx)
 			return
 		}
-		timer.Reset(jitter(w.o.Poll))
+		timer.Reset(jitter(w.period()))
 	}
 }
 
+// wake makes the next round begin at once.
+func (w *worker) wake() {
+	select {
+	case w.woken <- struct{}{}:
+	default:
+	}
+}
+
+// period returns the time to the next round. A server that answers, with no
+// order on its way and nothing left to do of its plan, is polled less often.
+func (w *worker) period() time.Duration {
+	if w.misses > 0 || len(w.orders) > 0 || !w.fenced || !w.settled() {
+		return w.o.Poll
+	}
+	return w.o.QuietPoll
+}
+
+// settled tells whether the server holds just what it should, with nothing on
+// its way.
+func (w *worker) settled() bool {
+	serving := w.ledger.Serving()
+	if len(serving) != len(w.ledger.Entries()) {
+		return false
+	}
+	for _, i := range w.o.plan(w.name) {
+		if !slices.Contains(serving, i) {
+			return false
+		}
+	}
+	for _, i := range serving {
+		if !w.catalog.current(i) {
+			return false
+		}
+	}
+	return true
+}
+
 // step makes one round; false means that the server is not this node's.
 func (w *worker) step(ctx context.Context) bool {
 	epoch, held := w.o.epochOf(w.name)
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -10,6 +10,7 @@
 package views
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -72,8 +73,10 @@
 	for _, n := range names {
 		leaving[n] = true
 	}
-	s.leaving = leaving
-	s.touch()
+	if !maps.Equal(s.leaving, leaving) {
+		s.leaving = leaving
+		s.touch()
+	}
 }
 
 // Leaving tells whether a server is known to leave by any source.
@@ -112,6 +115,13 @@
 	return all
 }
 
+// Len returns how many servers are known.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.views)
+}
+
 // Get returns the view of a server.
 func (s *Store) Get(server string) (view.Server, bool) {
 	s.mu.Lock()
