--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -36,9 +36,9 @@
 
 // Item is one version of a model or of an adapter.
 type Item struct {
-	Name    string `json:"name"`
-	Version string `json:"version"`
-	Base    string `json:"base,omitempty"` // an adapter's model; empty for a model
+	Name    string `json:"name" cbor:"1,keyasint"`
+	Version string `json:"version" cbor:"2,keyasint"`
+	Base    string `json:"base,omitempty" cbor:"3,keyasint,omitempty"` // an adapter's model; empty for a model
 }
 
 // String returns "name@version", or "base+name@version" for an adapter.
--- /dev/null
+++ b/core/lease/bench_test.go
@@ -0,0 +1,42 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"guavapaddle/core/lease"
+	"guavapaddle/core/row"
+)
+
+// BenchmarkRenew renews a session that owns n servers: one transaction of one row
+// however many there are.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []int{1, 8, 64, 600} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			book := lease.NewBook(lease.Settings{Node: "node-001", Incarnation: "1"})
+			revision := uint64(1)
+			now := time.Duration(0)
+			book.Committed(now, book.Renew(now), revision)
+			for i := range n {
+				name := fmt.Sprintf("engine-%03d", i)
+				book.Observe(now, absent(lease.ServerKey(name)))
+				tx, ok := book.Take(now, name, 0)
+				if !ok {
+					b.Fatal("not taken")
+				}
+				revision++
+				book.Committed(now, tx, revision)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Second
+				revision++
+				book.Committed(now, book.Renew(now), revision)
+			}
+		})
+	}
+}
+
+// absent is the reading of a row that is not there.
+func absent(key string) row.Row { return row.Row{Key: key} }
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -21,12 +21,17 @@
 
 const (
 	plannerKey    = "planner"
-	demandPeriod  = time.Second
-	demandStale   = 5 * time.Second
-	demandHalf    = 5 * time.Second // half-life of a demand estimate
+	plannerTick   = time.Second
+	demandPeriod  = time.Second           // between reports of demand, at least
+	demandShare   = 20 * time.Millisecond // the same for each node
+	demandLosses  = 5                     // reports that may get lost before a node counts as without demand
+	demandHalf    = 5 * time.Second       // half-life of a demand estimate
 	defaultPeriod = time.Second
 	planTimeout   = time.Second
 
+	// planRest is how many times as long as a plan took the next one waits, so
+	// that planning takes a hundredth of a processor at most.
+	planRest       = 100
 	planRepeat     = time.Minute     // until an owner is told again what it follows
 	planUnfollowed = 2 * time.Second // until an owner is told again what it does not follow yet
 )
@@ -144,24 +149,30 @@
 
 // run plans and reports demand until ctx ends.
 func (p *planner) run(ctx context.Context) {
-	t := time.NewTicker(demandPeriod)
+	t := time.NewTicker(plannerTick)
 	defer t.Stop()
 	var planned time.Time
+	var took time.Duration // by the last plan
+	reported := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		p.reportDemand(ctx)
+		if since := time.Since(reported); since >= p.demandPeriod()-plannerTick/2 {
+			reported = time.Now()
+			p.reportDemand(ctx, since)
+		}
 		x := p.node.follower.Index()
 		if x == nil || p.chosen() != p.node.settings.Name {
 			p.previous, p.told = nil, nil
 			continue
 		}
-		if now := time.Now(); now.Sub(planned) >= period(x) {
+		if now := time.Now(); now.Sub(planned) >= max(period(x), took*planRest) {
 			planned = now
 			p.plan(ctx, now, x)
+			took = time.Since(now)
 		}
 	}
 }
@@ -184,8 +195,8 @@
 }
 
 // reportDemand tells the planner what callers of this node asked for.
-func (p *planner) reportDemand(ctx context.Context) {
-	d := p.node.demand.report(demandPeriod)
+func (p *planner) reportDemand(ctx context.Context, since time.Duration) {
+	d := p.node.demand.report(since)
 	to := p.chosen()
 	if to == p.node.settings.Name {
 		p.heard(to, d)
@@ -196,6 +207,12 @@
 	}
 }
 
+// demandPeriod is the time between reports. It grows with the count of nodes, all
+// of which report to one.
+func (p *planner) demandPeriod() time.Duration {
+	return max(demandPeriod, time.Duration(len(p.node.cluster.Working()))*demandShare)
+}
+
 // heard takes in a node's demand.
 func (p *planner) heard(from string, d []view.Demand) {
 	defer p.node.control.Time(metrics.Demand)()
@@ -271,27 +288,29 @@
 
 // input gathers what a plan depends on.
 func (p *planner) input(now time.Time, x *config.Index) place.Input {
+	stale := demandLosses * p.demandPeriod()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	doc := x.Document()
 	in := place.Input{Models: doc.Models, Adapters: doc.Adapters, Placement: doc.Placement}
 	for from, r := range p.reports {
-		if now.Sub(r.at) > demandStale {
+		if now.Sub(r.at) > stale {
 			delete(p.reports, from)
 			continue
 		}
 		in.Demand = append(in.Demand, r.demand...)
 	}
+	bytes := sizesOf(doc)
 	for _, s := range doc.Servers {
 		if s.Type == config.Engine {
-			in.Servers = append(in.Servers, p.server(now, s))
+			in.Servers = append(in.Servers, p.server(now, s, bytes))
 		}
 	}
 	return in
 }
 
 // server describes one engine to the planner.
-func (p *planner) server(now time.Time, s config.BackendServer) place.Server {
+func (p *planner) server(now time.Time, s config.BackendServer, bytes sizes) place.Server {
 	v, _ := p.node.views.Get(s.Name)
 	out := place.Server{
 		Name:           s.Name,
@@ -309,35 +328,38 @@
 			since = now
 		}
 		seen[i] = since
-		out.Resident = append(out.Resident, place.Copy{Item: i, Bytes: p.bytes(i), Since: since, Used: p.used[i.Name]})
+		out.Resident = append(out.Resident, place.Copy{Item: i, Bytes: bytes.of(i), Since: since, Used: p.used[i.Name]})
 	}
 	if p.since != nil {
 		p.since[s.Name] = seen
 	}
 	for _, i := range v.Loading {
-		out.Loading = append(out.Loading, place.Copy{Item: i, Bytes: p.bytes(i), Since: now, Used: p.used[i.Name]})
+		out.Loading = append(out.Loading, place.Copy{Item: i, Bytes: bytes.of(i), Since: now, Used: p.used[i.Name]})
 	}
 	return out
 }
 
-// bytes returns the size of an item by the configuration in force. A version
-// that is not declared any more counts as large as the one that is.
-func (p *planner) bytes(i backend.Item) int64 {
-	x := p.node.follower.Index()
-	if x == nil {
-		return 0
+// sizes are the bytes of models and adapters by the configuration in force. A
+// version that is not declared any more counts as large as the one that is.
+type sizes struct{ models, adapters map[string]int64 }
+
+func sizesOf(d *config.Document) sizes {
+	s := sizes{models: make(map[string]int64, len(d.Models)), adapters: make(map[string]int64, len(d.Adapters))}
+	for _, m := range d.Models {
+		s.models[m.Name] = m.Bytes
 	}
-	for _, m := range x.Document().Models {
-		if i.Base == "" && m.Name == i.Name {
-			return m.Bytes
-		}
+	for _, a := range d.Adapters {
+		s.adapters[a.Name] = a.Bytes
 	}
-	for _, a := range x.Document().Adapters {
-		if a.Name == i.Name {
-			return a.Bytes
-		}
+	return s
+}
+
+// of returns the bytes of an item, zero if it is not declared.
+func (s sizes) of(i backend.Item) int64 {
+	if i.Base != "" {
+		return s.adapters[i.Name]
 	}
-	return 0
+	return s.models[i.Name]
 }
 
 // follow passes a plan on to the owner part.
