--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -159,11 +159,13 @@
 		}
 		d.Customers = append(d.Customers, c)
 	}
-	// Just enough memory for what is there from the start, so that nothing
-	// moves while control is measured.
+	// Just enough memory for what is there from the start and for the change
+	// of one version, so that next to nothing moves while control is measured.
 	for _, p := range s.placement(d) {
 		d.Servers[p.server].MemoryBytes += p.bytes
 	}
+	adapters := (s.Adapters + s.Models - 1) / s.Models
+	d.Servers[s.Servers-1].MemoryBytes += modelBytes + int64(adapters)*adapterBytes
 	return d
 }
 
