--- a/core/suspect/invariant_test.go
+++ b/core/suspect/invariant_test.go
@@ -46,7 +46,7 @@
 		plan    suspect.Plan
 		own     bool         // crashed at this node
 		waits   map[int]bool // nodes that have yet to know
-		crashes int // of servers that ran it
+		crashes int          // of servers that ran it
 		refused int
 		served  int
 	}
