--- /dev/null
+++ b/core/limit/limit_test.go
@@ -0,0 +1,214 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/config"
+	"guavapaddle/core/limit"
+)
+
+var (
+	start  = time.UnixMilli(1_800_000_000_000)
+	urgent = config.Kind{Name: "live", Urgency: config.Urgent}
+	normal = config.Kind{Name: "desk", Urgency: config.Normal}
+	later  = config.Kind{Name: "batch", Urgency: config.Deferrable}
+)
+
+// customer returns a customer.
+func customer(name string, weight float64) config.Customer {
+	return config.Customer{Name: name, Weight: weight}
+}
+
+// load lets customers ask at their rates, in units a second, of requests of
+// cost units, for the given seconds. It returns the units admitted to each.
+func load(p limit.Policy, seconds int, cost float64, kind config.Kind, rates map[string]float64, weights map[string]float64) map[string]float64 {
+	r := rand.New(rand.NewPCG(1, 1))
+	got := map[string]float64{}
+	const tick = 10 * time.Millisecond
+	for now := start; now.Before(start.Add(time.Duration(seconds) * time.Second)); now = now.Add(tick) {
+		for _, name := range []string{"a", "b", "c"} {
+			want := rates[name] * tick.Seconds() / cost
+			n := int(want)
+			if r.Float64() < want-float64(n) {
+				n++
+			}
+			for range n {
+				if res, ok, _ := p.Admit(now, customer(name, weights[name]), kind, cost); ok {
+					p.Settle(now, res, cost)
+					got[name] += cost
+				}
+			}
+		}
+	}
+	return got
+}
+
+func TestShares(t *testing.T) {
+	const seconds, capacity = 120, 100.0
+	for name, c := range map[string]struct {
+		rates, weights, want map[string]float64 // units a second
+	}{
+		"below capacity nobody is limited": {
+			map[string]float64{"a": 80, "b": 5}, map[string]float64{"a": 1, "b": 9}, map[string]float64{"a": 80, "b": 5}},
+		"equal weights share equally": {
+			map[string]float64{"a": 500, "b": 500}, map[string]float64{"a": 1, "b": 1}, map[string]float64{"a": 50, "b": 50}},
+		"shares follow weights": {
+			map[string]float64{"a": 500, "b": 500}, map[string]float64{"a": 3, "b": 1}, map[string]float64{"a": 75, "b": 25}},
+		"what one leaves the others get": {
+			map[string]float64{"a": 500, "b": 500, "c": 10}, map[string]float64{"a": 1, "b": 1, "c": 2}, map[string]float64{"a": 45, "b": 45, "c": 10}},
+		"a burst does not reach others": {
+			map[string]float64{"a": 5000, "b": 30}, map[string]float64{"a": 1, "b": 1}, map[string]float64{"a": 70, "b": 30}},
+	} {
+		for policy, p := range map[string]limit.Policy{
+			"cost":     limit.NewByCost(limit.Settings{Capacity: capacity, NormalPart: 1}),
+			"requests": limit.NewByRequests(limit.Settings{Capacity: capacity, NormalPart: 1}),
+		} {
+			t.Run(name+" by "+policy, func(t *testing.T) {
+				got := load(p, seconds, 1, normal, c.rates, c.weights)
+				for who, want := range c.want {
+					// A window's worth of the capacity is taken at the start.
+					require.InDelta(t, want, got[who]/seconds, want*0.12+1, who)
+				}
+			})
+		}
+	}
+}
+
+// TestCostCountsFanOut is the paper's case: a small request that costs much is
+// refused by cost and let through by count.
+func TestCostCountsFanOut(t *testing.T) {
+	const window = 10.0
+	cost := limit.NewByCost(limit.Settings{Capacity: 100 / window, NormalPart: 1})
+	count := limit.NewByRequests(limit.Settings{Capacity: 100 / window, NormalPart: 1})
+	c := customer("northstar", 1)
+	r, ok, _ := cost.Admit(start, c, normal, 40)
+	require.True(t, ok)
+	cost.Settle(start, r, 40)
+	large, ok, _ := cost.Admit(start, c, normal, 30)
+	require.True(t, ok)
+	_, ok, after := cost.Admit(start, c, normal, 36)
+	require.False(t, ok, "40 settled and 30 reserved leave 30")
+	require.Greater(t, after, time.Duration(0))
+	cost.Settle(start, large, 24)
+	small, ok, _ := cost.Admit(start, c, normal, 36)
+	require.True(t, ok, "24 instead of 30: 36 are left")
+
+	cost.Settle(start, large, 24)
+	cost.Settle(start, large, -1000)
+	_, ok, _ = cost.Admit(start, c, normal, 1)
+	require.False(t, ok, "a reservation is settled once")
+	cost.Settle(start, small, 72)
+	_, ok, _ = cost.Admit(start, c, normal, 1)
+	require.False(t, ok, "more than estimated counts too")
+	for _, estimate := range []float64{40, 30, 36} {
+		_, ok, _ = count.Admit(start, c, normal, estimate)
+		require.True(t, ok)
+	}
+}
+
+// TestUnsettledStaysReserved: what is not proven to be unused is not given back
+// by the clock.
+func TestUnsettledStaysReserved(t *testing.T) {
+	p := limit.NewByCost(limit.Settings{Capacity: 10, NormalPart: 1})
+	r, ok, _ := p.Admit(start, customer("a", 1), normal, 100)
+	require.True(t, ok)
+	_, ok, _ = p.Admit(start.Add(24*time.Hour), customer("a", 1), normal, 10)
+	require.False(t, ok)
+	require.Equal(t, 1, p.Open())
+	p.Settle(start.Add(24*time.Hour), r, 0)
+	_, ok, _ = p.Admit(start.Add(24*time.Hour), customer("a", 1), normal, 10)
+	require.True(t, ok)
+}
+
+func TestUrgentFindsRoom(t *testing.T) {
+	p := limit.NewByRequests(limit.Settings{Capacity: 100})
+	got := load(p, 60, 1, later, map[string]float64{"a": 1000}, nil)
+	require.InDelta(t, 80, got["a"]/60, 15)
+	end := start.Add(time.Minute)
+	for ok := true; ok; {
+		_, ok, _ = p.Admit(end, customer("a", 1), later, 1)
+	}
+	for range 100 {
+		_, ok, _ := p.Admit(end, customer("a", 1), urgent, 1)
+		require.True(t, ok)
+	}
+}
+
+func TestRetryAfterTellsTheTruth(t *testing.T) {
+	p := limit.NewByCost(limit.Settings{Capacity: 100, NormalPart: 1})
+	c := customer("a", 1)
+	now := start
+	for ok := true; ok; {
+		var r limit.Reservation
+		r, ok, _ = p.Admit(now, c, normal, 10)
+		if ok {
+			p.Settle(now, r, 10)
+		}
+	}
+	_, _, after := p.Admit(now, c, normal, 10)
+	require.GreaterOrEqual(t, after, limit.MinRetryAfter)
+	require.LessOrEqual(t, after, limit.MaxRetryAfter)
+	_, ok, _ := p.Admit(now.Add(after+time.Millisecond), c, normal, 10)
+	require.True(t, ok)
+}
+
+func TestRules(t *testing.T) {
+	p := limit.NewByRequests(limit.Settings{Rules: []limit.Rule{
+		{Customer: "*", Kind: "batch", Rate: 2},
+		{Customer: "a", Kind: "*", Rate: 5},
+	}})
+	admitted := func(name string, k config.Kind) int {
+		n := 0
+		for range 1000 {
+			if r, ok, _ := p.Admit(start, customer(name, 1), k, 1); ok {
+				p.Settle(start, r, 1)
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 20, admitted("b", later), "two a second over ten seconds")
+	require.Equal(t, 20, admitted("c", later), "each customer on its own")
+	require.Equal(t, 1000, admitted("b", normal))
+	require.Equal(t, 20, admitted("a", later))
+	require.Equal(t, 30, admitted("a", normal), "all kinds together")
+}
+
+// TestLargeRequestIsNotLockedOut: one that exceeds its whole share is taken on
+// when nothing else is in use.
+func TestLargeRequestIsNotLockedOut(t *testing.T) {
+	p := limit.NewByCost(limit.Settings{Capacity: 1})
+	_, ok, _ := p.Admit(start, customer("a", 1), normal, 500)
+	require.True(t, ok)
+	_, ok, _ = p.Admit(start, customer("a", 1), normal, 500)
+	require.False(t, ok)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, customers := range []int{10, 1000} {
+		for name, capacity := range map[string]float64{"free": 1e9, "overloaded": 1} {
+			b.Run(fmt.Sprint(customers, " customers ", name), func(b *testing.B) {
+				p := limit.NewByCost(limit.Settings{Capacity: capacity})
+				var all []config.Customer
+				for i := range customers {
+					all = append(all, customer(fmt.Sprint("c", i), 1))
+					r, _, _ := p.Admit(start, all[i], normal, 100)
+					p.Settle(start, r, 100)
+				}
+				now := start
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Microsecond)
+					if r, ok, _ := p.Admit(now, all[i%customers], normal, 1); ok {
+						p.Settle(now, r, 1)
+					}
+				}
+			})
+		}
+	}
+}
