--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -130,11 +130,13 @@
 	got := load(p, 60, 1, later, map[string]float64{"a": 1000}, nil)
 	require.InDelta(t, 80, got["a"]/60, 15)
 	end := start.Add(time.Minute)
-	for ok := true; ok; {
-		_, ok, _ = p.Admit(end, customer("a", 1), later, 1)
+	for range 1000 {
+		p.Admit(end, customer("a", 1), later, 1)
 	}
+	_, ok, _ := p.Admit(end, customer("a", 1), later, 1)
+	require.False(t, ok)
 	for range 100 {
-		_, ok, _ := p.Admit(end, customer("a", 1), urgent, 1)
+		_, ok, _ = p.Admit(end, customer("a", 1), urgent, 1)
 		require.True(t, ok)
 	}
 }
@@ -143,17 +145,18 @@
 	p := limit.NewByCost(limit.Settings{Capacity: 100, NormalPart: 1})
 	c := customer("a", 1)
 	now := start
-	for ok := true; ok; {
-		var r limit.Reservation
-		r, ok, _ = p.Admit(now, c, normal, 10)
-		if ok {
+	for range 200 {
+		if r, ok, _ := p.Admit(now, c, normal, 10); ok {
 			p.Settle(now, r, 10)
 		}
 	}
-	_, _, after := p.Admit(now, c, normal, 10)
+	_, ok, after := p.Admit(now, c, normal, 200)
+	require.False(t, ok)
 	require.GreaterOrEqual(t, after, limit.MinRetryAfter)
 	require.LessOrEqual(t, after, limit.MaxRetryAfter)
-	_, ok, _ := p.Admit(now.Add(after+time.Millisecond), c, normal, 10)
+	_, ok, _ = p.Admit(now.Add(after*9/10), c, normal, 200)
+	require.False(t, ok, "not much too late")
+	_, ok, _ = p.Admit(now.Add(after+time.Millisecond), c, normal, 200)
 	require.True(t, ok)
 }
 
