Run generations of kinds that may not be repeated at most once

A chat of a kind that may not be repeated ran again when its caller repeated it with the same Idempotency-Key: TestInvariantGenerationAtMostOnce showed several runs and no refusal of another body under the key. It is claimed like a call of a plain service now; its answer is stored before its finish is passed on. The time of the first token is taken where it arrives, since whole answers are held.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 		Fresh   func() bool          // whether the configuration may be relied on
 		Router  Router
 		Calls   Calls
+		Claims  Claims
 		Limits  Limits
 		Demand  Demand
 		Metrics *metrics.Requests
@@ -174,25 +175,33 @@
 		return outcome.Refuse(outcome.CustomerLimit, r.customer.Name, after)
 	}
 	tokens := 0
-	var first time.Time
 	defer func() { settle(float64(tokens)) }()
+	var first time.Time
+	q.Started = func() {
+		first = time.Now()
+		e.Metrics.First(r.kind.Name, first.Sub(r.started))
+	}
 	q.Fingerprint = suspect.Of(r.customer.Name, g.Model, g.Body)
-	ctx, stop := finalWithoutStream(ctx, g.Stream)
-	defer stop()
-	err := e.Router.Do(ctx, q, func(reply forward.Reply, at forward.Token) error {
-		if tokens == 0 {
-			first = time.Now()
-			e.Metrics.First(r.kind.Name, first.Sub(r.started))
-		}
+	err := e.run(ctx, g, q, func(reply forward.Reply, at forward.Token) error {
 		tokens++
 		return emit(reply, at)
 	})
-	if err == nil && q.Resume == nil {
+	if err == nil && q.Resume == nil && !first.IsZero() {
 		e.Demand.Took(g.Model, time.Since(first).Seconds())
 	}
 	return err
 }
 
+// run runs a generation, once only if its kind and its caller ask for it.
+func (e *Entry) run(ctx context.Context, g caller.Generation, q generate.Request, emit forward.Emit) error {
+	if !q.Kind.Repeatable && g.Key != "" && g.Resume == nil {
+		return e.once(ctx, g, q, emit)
+	}
+	ctx, stop := finalWithoutStream(ctx, g.Stream)
+	defer stop()
+	return e.Router.Do(ctx, q, emit)
+}
+
 // finalWithoutStream makes the end of ctx a cancellation for good if the answer
 // is not streamed, since a caller can't come back for the rest of it.
 func finalWithoutStream(ctx context.Context, stream bool) (context.Context, func()) {
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -49,6 +49,7 @@
 		PrefixHash  uint64
 		Fingerprint suspect.Fingerprint
 		Alone       bool
+		Started     func()         // called at the first token, may be nil
 		Buffered    bool           // the caller sees nothing before the finish
 		Resume      *forward.Token // continue an earlier answer, nil for a new one
 	}
@@ -292,6 +293,10 @@
 		if reply.Token == "" && reply.Finish == "" {
 			return nil
 		}
+		if !a.began && a.q.Started != nil {
+			a.q.Started()
+		}
+		a.began = true
 		if reply.Finish == "" {
 			a.offset = reply.Offset + 1
 		}
--- a/internal/session/document.go
+++ b/internal/session/document.go
@@ -41,7 +41,7 @@
   "deployment": "small",
   "customers": [
     {"name": "crew", "key-hashes": ["CREW"], "models": ["*"], "services": ["bookings"],
-     "kinds": ["live-desk", "overnight-draft", "booking-confirm", "booking-cancel", "booking-read"],
+     "kinds": ["live-desk", "overnight-draft", "signed-plan", "booking-confirm", "booking-cancel", "booking-read"],
      "default-kind": "live-desk", "weight": 1},
     {"name": "rival", "key-hashes": ["RIVAL"], "models": ["checker"], "services": ["bookings"],
      "kinds": ["live-desk", "booking-confirm", "booking-cancel", "booking-read"],
@@ -50,6 +50,7 @@
   "kinds": [
     {"name": "live-desk", "urgency": "urgent", "value": 10, "deadline-ms": 15000, "repeatable": true},
     {"name": "overnight-draft", "urgency": "deferrable", "value": 1, "deadline-ms": 120000, "repeatable": true},
+    {"name": "signed-plan", "urgency": "urgent", "value": 10, "deadline-ms": 15000, "repeatable": false},
     {"name": "booking-confirm", "urgency": "urgent", "value": 10, "deadline-ms": 10000, "repeatable": false},
     {"name": "booking-cancel", "urgency": "urgent", "value": 10, "deadline-ms": 10000, "repeatable": false},
     {"name": "booking-read", "urgency": "normal", "value": 2, "deadline-ms": 10000, "repeatable": true}
--- a/internal/session/stream_test.go
+++ b/internal/session/stream_test.go
@@ -187,3 +187,49 @@
 		require.Contains(t, a.Body, fmt.Sprintf(`"content":%q`, want))
 	}
 }
+
+// TestInvariantGenerationAtMostOnce sends a generation that may not be repeated
+// through all nodes at once with one key. It runs once, and everybody gets its
+// answer or is told that it is in progress; another body with the key is
+// refused.
+func TestInvariantGenerationAtMostOnce(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, allCopies(session.Small(t, 2, 1)), session.Options{})
+	s.StartNodes(3)
+	header := []string{"X-Kind", "signed-plan", "Idempotency-Key", "plan-7"}
+	before := runs(s)
+	answers := make([]session.Answer, 9)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() { answers[i] = s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", "sign", 30), header...) })
+	}
+	wg.Wait()
+	want := strings.Join(session.Expect("drafter@1", "sign", 30), "")
+	done := 0
+	for _, a := range answers {
+		require.NoError(t, a.Err)
+		if a.Status == http.StatusOK {
+			require.Contains(t, a.Body, want)
+			done++
+			continue
+		}
+		require.Equal(t, "in-progress", a.Header.Get("X-Reason"), a.Body)
+	}
+	require.Positive(t, done)
+	again := s.Stream(2, session.Chat("drafter", "sign", 30), header...)
+	require.False(t, again.Read(-1), "another body under the same key")
+	require.Equal(t, http.StatusUnprocessableEntity, again.Status)
+	stored := s.Do(2, http.MethodPost, chat, session.Whole("drafter", "sign", 30), header...)
+	require.Equal(t, http.StatusOK, stored.Status)
+	require.Contains(t, stored.Body, want)
+	require.Equal(t, before+1, runs(s))
+}
+
+// runs returns how many generations all engines have run.
+func runs(s *session.System) int64 {
+	n := int64(0)
+	for _, p := range s.Servers {
+		n += s.Counters(p)["runs"]
+	}
+	return n
+}
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -153,6 +153,7 @@
 		Prompt:    p.prompt,
 		MaxTokens: p.maxTokens,
 		Stream:    p.stream,
+		Key:       r.Header.Get("Idempotency-Key"),
 		Body:      body,
 	}
 	var err error
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -38,6 +38,7 @@
 		Prompt    string
 		MaxTokens int
 		Stream    bool
+		Key       string         // idempotency key, may be empty
 		Resume    *forward.Token // nil for a new answer
 		Body      []byte         // as it came, for the fingerprint
 	}
