--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,8 @@
 	NoConfig Reason = "no-config"
 	// Draining means that the node is shutting down.
 	Draining Reason = "draining"
+	// ServerLeaving means that the backend server takes no new work.
+	ServerLeaving Reason = "server-leaving"
 	// CrashSuspect means that the request crashed backend servers before.
 	CrashSuspect Reason = "crash-suspect"
 	// RetryBudget means that the retry budget is spent.
@@ -74,6 +76,8 @@
 	BackendLost Reason = "backend-lost"
 	// BackendCut means that an answer ended without its end marker.
 	BackendCut Reason = "backend-cut"
+	// PeerUnreachable means that no connection to another node could be opened.
+	PeerUnreachable Reason = "peer-unreachable"
 	// PeerLost means that the connection to another node broke.
 	PeerLost Reason = "peer-lost"
 	// CallerGone means that the caller closed its connection.
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -62,13 +63,23 @@
 // the latest after FirstTimeout. Every failure is an *Error whose NotRun tells
 // whether the request certainly did not run. The stream ends when ctx ends.
 func (c *Client) Generate(ctx context.Context, g backend.Generate, o StreamOptions) (*Stream, error) {
-	return c.open(ctx, generatePath, g, g.RequestID, 0, o)
+	s, e := c.open(ctx, generatePath, g, g.RequestID, 0, o)
+	if e != nil {
+		return nil, e
+	}
+	return s, nil
 }
 
 // Resume returns the rest of an answer from r.Offset on. Every failure is an
-// *Error, of kind UnknownRequest if the engine does not know the request.
+// *Error, of kind UnknownRequest if the engine does not know the request, and
+// none proves that the request did not run.
 func (c *Client) Resume(ctx context.Context, r backend.Resume, o StreamOptions) (*Stream, error) {
-	return c.open(ctx, resumePath, r, r.RequestID, r.Offset, o)
+	s, e := c.open(ctx, resumePath, r, r.RequestID, r.Offset, o)
+	if e != nil {
+		e.resumed = true
+		return nil, e
+	}
+	return s, nil
 }
 
 // Next returns the next event; the one with Finish is the last. Every failure
@@ -100,22 +111,16 @@
 func (s *Stream) Close() { s.shut(errClosed) }
 
 // open sends a call whose answer is a stream.
-func (c *Client) open(ctx context.Context, path string, in any, id string, offset int, o StreamOptions) (*Stream, error) {
-	if o.FirstTimeout == 0 {
-		o.FirstTimeout = DefaultFirstTimeout
-	}
-	if o.ProgressTimeout == 0 {
-		o.ProgressTimeout = DefaultProgressTimeout
-	}
+func (c *Client) open(ctx context.Context, path string, in any, id string, offset int, o StreamOptions) (*Stream, *Error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, c.fail(NotSent, err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream{client: c, id: id, next: offset, progress: o.ProgressTimeout, ctx: ctx, cancel: cancel}
+	s := &Stream{client: c, id: id, next: offset, progress: cmp.Or(o.ProgressTimeout, DefaultProgressTimeout), ctx: ctx, cancel: cancel}
 	// The timer runs until the first event; Next sets it anew for each further
 	// one, so that the time that the reader takes for itself does not count.
-	s.timer = time.AfterFunc(o.FirstTimeout, func() { cancel(errSilent) })
+	s.timer = time.AfterFunc(cmp.Or(o.FirstTimeout, DefaultFirstTimeout), func() { cancel(errSilent) })
 	s.stream, err = c.streams.Fresh(c.Address).Open(ctx, jsonhttp.Call{
 		Method: http.MethodPost, Path: path, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}, "X-Request-Id": {id}},
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -91,6 +92,9 @@
 
 // Error returns kind, address and cause in one line.
 func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("service: %s: %s", e.Kind, e.Address)
+	}
 	return fmt.Sprintf("service: %s: %s: %v", e.Kind, e.Address, e.Err)
 }
 
@@ -120,21 +124,19 @@
 
 // Do makes one call and returns its whole answer. Every failure is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, timeout, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, cmp.Or(c.Timeout, DefaultTimeout), errTimeout)
 	defer cancel()
 	a, err := c.http(r).Do(ctx, jsonhttp.Call{Method: r.Method, Path: r.Path, Header: header(r), Body: r.Body})
 	if err != nil {
 		return Response{}, c.failed(ctx, err)
 	}
-	if a.Status == http.StatusServiceUnavailable && a.Header.Get(NotRunHeader) == "1" {
-		return Response{}, c.fail(Refused, eris.Errorf("status %d", a.Status))
+	echo := a.Header.Get(RequestIDHeader)
+	refused := a.Status == http.StatusServiceUnavailable && a.Header.Get(NotRunHeader) == "1"
+	if echo != r.RequestID && (echo != "" || !refused) {
+		return Response{}, c.fail(WrongRequest, eris.Errorf("answer of %q to %q", echo, r.RequestID))
 	}
-	if got := a.Header.Get(RequestIDHeader); got != r.RequestID {
-		return Response{}, c.fail(WrongRequest, eris.Errorf("answer of %q to %q", got, r.RequestID))
+	if refused {
+		return Response{}, c.fail(Refused, nil)
 	}
 	return Response{Status: a.Status, Header: a.Header, Body: a.Body}, nil
 }
@@ -143,11 +145,7 @@
 // an *Error.
 func (c *Client) Load(ctx context.Context) (backend.LoadReport, error) {
 	var out backend.LoadReport
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = DefaultTimeout
-	}
-	ctx, cancel := context.WithTimeoutCause(ctx, timeout, errTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, cmp.Or(c.Timeout, DefaultTimeout), errTimeout)
 	defer cancel()
 	a, err := c.reused.Get(c.Address).JSON(ctx, http.MethodGet, LoadPath, nil, &out)
 	if err != nil {
