--- a/core/lease/book.go
+++ b/core/lease/book.go
@@ -33,6 +33,7 @@
 	Book struct {
 		set      Settings
 		serial   uint64 // of the session within the incarnation
+		id       string // of the session
 		own      session
 		others   map[string]sighting // by session
 		servers  map[string]server
@@ -84,13 +85,12 @@
 }
 
 // ID returns the id of the node's present session.
-func (b *Book) ID() string {
-	return b.set.Node + "/" + b.set.Incarnation + "/" + strconv.FormatUint(b.serial, 10)
-}
+func (b *Book) ID() string { return b.id }
 
 // Restart gives up the present session, and all servers with it, for a new one.
 func (b *Book) Restart() {
 	b.serial++
+	b.id = b.set.Node + "/" + b.set.Incarnation + "/" + strconv.FormatUint(b.serial, 10)
 	b.own = session{begun: map[uint64]time.Duration{}}
 }
 
@@ -114,9 +114,11 @@
 	return paused
 }
 
-// RenewDue tells whether the session should be renewed now.
+// RenewDue tells whether the session should be renewed now: each third of its
+// time to live, and at once after a gap.
 func (b *Book) RenewDue(now time.Duration) bool {
-	return !b.own.tried || b.stale || now-b.own.last >= b.set.TTL/renewalsPerTTL
+	afterGap := b.stale && b.own.last < b.gap
+	return !b.own.tried || afterGap || now-b.own.last >= b.set.TTL/renewalsPerTTL
 }
 
 // Renew returns the transaction that creates or renews the session. It must be
--- a/core/ledger/invariant_test.go
+++ b/core/ledger/invariant_test.go
@@ -14,7 +14,7 @@
 	"guavapaddle/core/row"
 )
 
-const steps = 1500
+const steps = 2500
 
 // TestInvariantMemoryNeverOvercommitted drives two owners of one server through
 // random failures. The model engine measures its memory itself and never
@@ -24,11 +24,11 @@
 		t.Run(name, func(t *testing.T) {
 			loads, epochs := 0, uint64(0)
 			rapid.Check(t, func(t *rapid.T) {
-				w := newWorld(checks)
-				r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-				for range steps {
-					w.step(r)
-					require.LessOrEqual(t, w.engine.peak, int64(capacity), "memory in use; trace:\n%s", strings.Join(w.trace, "\n"))
+				seed := rapid.Uint64().Draw(t, "seed")
+				w := live(checks, seed, false)
+				if w.engine.peak > capacity {
+					w = live(checks, seed, true)
+					t.Fatalf("%d of %d bytes in use; trace:\n%s", w.engine.peak, capacity, strings.Join(w.trace, "\n"))
 				}
 				loads += w.engine.loads
 				epochs += max(w.nodes[0].ledger.Epoch(), w.nodes[1].ledger.Epoch())
@@ -40,6 +40,17 @@
 	}
 }
 
+// live runs a world until it ends or memory is overcommitted.
+func live(checks bool, seed uint64, traced bool) *world {
+	w := newWorld(checks)
+	w.traced = traced
+	r := rand.New(rand.NewPCG(seed, 1))
+	for i := 0; i < steps && w.engine.peak <= capacity; i++ {
+		w.step(r)
+	}
+	return w
+}
+
 // step does one thing at random and passes some time.
 func (w *world) step(r *rand.Rand) {
 	w.advance(upTo(r, 500*time.Millisecond))
@@ -258,6 +269,20 @@
 		l.Observe(7, 8, inventory(backend.Resident))
 		require.Equal(t, int64(60), l.Free())
 	})
+	t.Run("call that may have reached the new boot", func(t *testing.T) {
+		l, id := sent()
+		l.Observe(3, 4, inventory())
+		l.Answered(5, id, ledger.Unknown)
+		require.True(t, l.Observe(6, 7, backend.Inventory{BootID: "c"}))
+		require.Equal(t, int64(45), l.Free())
+	})
+	t.Run("call that ended before the restart", func(t *testing.T) {
+		l, id := sent()
+		l.Answered(3, id, ledger.Unknown)
+		l.Observe(4, 5, inventory())
+		require.True(t, l.Observe(6, 7, backend.Inventory{BootID: "c"}))
+		require.Equal(t, int64(capacity), l.Free())
+	})
 	t.Run("inherited and sent twice", func(t *testing.T) {
 		l, id := sent()
 		l.Answered(3, id, ledger.Unknown)
--- a/core/ledger/world_test.go
+++ b/core/ledger/world_test.go
@@ -51,6 +51,7 @@
 		engine   modelEngine
 		nodes    []*node
 		lifetime time.Duration // stated for the server
+		traced   bool
 		trace    []string
 	}
 
@@ -111,6 +112,9 @@
 
 // note adds to the trace that a failure prints.
 func (w *world) note(format string, args ...any) {
+	if !w.traced {
+		return
+	}
 	w.trace = append(w.trace, fmt.Sprintf("%v ", w.now)+fmt.Sprintf(format, args...))
 }
 
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -54,6 +54,7 @@
 		loading int
 		stale   int
 		late    time.Duration // orders take effect so much later
+		raised  func(uint64)  // called when the fence was raised
 		slow    time.Duration // from taking an inventory to its arrival
 		unloads []backend.Item
 		served  func() // called after each change
@@ -78,7 +79,9 @@
 		frozen chan struct{} // calls wait while it is not nil
 		live   []string
 		cut    bool          // from the table
+		apart  bool          // from the engines
 		trap   chan struct{} // closed by the next order, which freezes the node
+		record chan struct{} // closed by the next order kept in a row, likewise
 	}
 
 	nodeTable struct{ n *node }
@@ -121,6 +124,19 @@
 	return n.cut
 }
 
+func (n *node) isApart() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.apart
+}
+
+// isolate cuts the node off from the table, the engines or both.
+func (n *node) isolate(table, engines bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut, n.apart = table, engines
+}
+
 // setTrap lets the node's next order freeze it before it is sent; the returned
 // channel is closed then.
 func (n *node) setTrap() <-chan struct{} {
@@ -130,12 +146,12 @@
 	return n.trap
 }
 
-func (n *node) spring() {
+func (n *node) spring(trap *chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.trap != nil {
-		close(n.trap)
-		n.trap, n.frozen = nil, make(chan struct{})
+	if *trap != nil {
+		close(*trap)
+		*trap, n.frozen = nil, make(chan struct{})
 	}
 }
 
@@ -153,10 +169,18 @@
 
 func (t nodeTable) Transact(_ context.Context, tx row.Tx) (row.Result, error) {
 	t.n.wait()
-	f := t.n.c.table
+	r, err := t.n.c.table.transact(t.n, tx)
+	if strings.Contains(string(tx.Writes[0].Value), `"order-id"`) {
+		t.n.spring(&t.n.record)
+		t.n.wait()
+	}
+	return r, err
+}
+
+func (f *fakeTable) transact(n *node, tx row.Tx) (row.Result, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.down || t.n.isCut() {
+	if f.down || n.isCut() {
 		return row.Result{}, &table.Error{Kind: table.Unavailable, Err: errDown}
 	}
 	r := f.commit(tx)
@@ -207,6 +231,9 @@
 
 func (e nodeEngine) State(context.Context) (backend.State, error) {
 	e.n.wait()
+	if e.n.isApart() {
+		return backend.State{}, &engine.Error{Kind: engine.NotSent}
+	}
 	e.e.mu.Lock()
 	s, slow := backend.State{Inventory: e.e.inventory(), Leaving: e.e.leaving}, e.e.slow
 	e.e.mu.Unlock()
@@ -216,16 +243,22 @@
 
 func (e nodeEngine) Fence(_ context.Context, fence uint64) (backend.Inventory, error) {
 	e.n.wait()
+	if e.n.isApart() {
+		return backend.Inventory{}, &engine.Error{Kind: engine.NotSent}
+	}
 	e.e.mu.Lock()
 	defer e.e.mu.Unlock()
 	if !e.e.raise(fence) {
 		return backend.Inventory{}, &engine.Error{Kind: engine.StaleFence, Fence: e.e.fence}
 	}
+	if e.e.raised != nil {
+		e.e.raised(fence)
+	}
 	return e.e.inventory(), nil
 }
 
 func (e nodeEngine) Order(_ context.Context, o backend.Order) (bool, error) {
-	e.n.spring()
+	e.n.spring(&e.n.trap)
 	e.n.wait()
 	e.e.mu.Lock()
 	late := e.e.late
--- a/internal/owner/keeper.go
+++ b/internal/owner/keeper.go
@@ -16,6 +16,10 @@
 	"guavapaddle/io/table"
 )
 
+// lookInOutage is the time between two looks for free servers while the table
+// doesn't answer.
+const lookInOutage = time.Second
+
 // tick notes the passing of time, apart from all calls that may take long.
 func (o *Owner) tick() {
 	o.mu.Lock()
@@ -109,15 +113,21 @@
 	return live
 }
 
-// wanted returns the names of the engine servers that this node should own.
+// wanted returns the names of the engine servers that this node should own. It
+// is worked out anew only when the live nodes or the declared servers change.
 func (o *Owner) wanted() map[string]bool {
-	ring := rendezvous.New(o.live(), xxhash.Sum64String)
+	live, known := o.live(), o.known()
+	if o.division.known == known && slices.Equal(o.division.live, live) {
+		return o.division.wanted
+	}
+	ring := rendezvous.New(live, xxhash.Sum64String)
 	out := map[string]bool{}
-	for name := range o.known().servers {
+	for name := range known.servers {
 		if ring.Lookup(name) == o.Node {
 			out[name] = true
 		}
 	}
+	o.division = division{live: live, known: known, wanted: out}
 	return out
 }
 
@@ -149,10 +159,12 @@
 func (o *Owner) takeWanted(ctx context.Context, wanted map[string]bool) {
 	var missing, keys []string
 	o.mu.Lock()
-	if !o.book.Alive() {
+	now := o.now()
+	if !o.book.Alive() || (o.down && now-o.looked < lookInOutage) {
 		o.mu.Unlock()
 		return
 	}
+	o.looked = now
 	for name := range wanted {
 		if _, held := o.book.Held(name); !held {
 			missing = append(missing, name)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -72,6 +72,10 @@
 		return w.refuse(item, backend.Load, Undeclared)
 	}
 	order, err := w.ledger.Reserve(w.o.now(), backend.Load, item, cost, nil)
+	if reasonOf(err) == Reason(ledger.NoMemory) {
+		w.o.Metrics.refused(Reason(ledger.NoMemory))
+		return Reason(ledger.NoMemory) // makeRoom says more
+	}
 	if err != nil {
 		return w.refuse(item, backend.Load, reasonOf(err))
 	}
@@ -267,8 +271,7 @@
 		sum += e.Held()
 	}
 	if sum < missing {
-		w.refuse(item, backend.Load, Protected)
-		return false
+		candidates = nil
 	}
 	slices.SortStableFunc(candidates, func(a, b ledger.Entry) int { return w.evictOrder(a, b) })
 	for _, e := range candidates {
@@ -279,6 +282,9 @@
 			missing -= e.Held()
 		}
 	}
+	if missing > 0 {
+		w.refuse(item, backend.Load, Protected)
+	}
 	return missing <= 0
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"guavapaddle/core/backend"
@@ -78,20 +79,29 @@
 		Patience    time.Duration  // DefaultPatience if zero
 		CallTimeout time.Duration  // DefaultCallTimeout if zero
 
-		epoch   time.Time // monotonic times count from here
-		once    sync.Once
-		claims  *claims
-		mu      sync.Mutex // guards all below
-		book    *lease.Book
-		catalog *catalog
-		version uint64
-		workers map[string]*worker
-		plans   map[string][]backend.Item
-		views   map[string]view.Server
-		engines map[string]Engine
-		unowned map[string]time.Duration // since when another node is the wanted owner
-		down    bool                     // the last call to the table failed
-		held    map[string]uint64        // epochs already logged as acquired
+		epoch    time.Time // monotonic times count from here
+		once     sync.Once
+		claims   *claims
+		division division   // of the loop that takes servers
+		mu       sync.Mutex // guards all below
+		book     *lease.Book
+		catalog  *catalog
+		version  uint64
+		workers  map[string]*worker
+		plans    map[string][]backend.Item
+		views    map[string]view.Server
+		engines  map[string]Engine
+		unowned  map[string]time.Duration // since when another node is the wanted owner
+		down     bool                     // the last call to the table failed
+		looked   time.Duration            // when free servers were last looked for
+		held     map[string]uint64        // epochs already logged as acquired
+	}
+
+	// division is which servers the node should own, and from what this follows.
+	division struct {
+		live   []string
+		known  *catalog
+		wanted map[string]bool
 	}
 )
 
@@ -231,6 +241,7 @@
 	}
 	delete(o.workers, server)
 	delete(o.views, server)
+	o.Metrics.Memory.DeletePartialMatch(prometheus.Labels{"server": server})
 	return true
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -117,9 +117,7 @@
 	both(t, 1, func(c *cluster, _ bool) {
 		a, b := c.start("n1", "n1"), c.start("n2", "n1")
 		time.Sleep(5 * time.Second)
-		a.mu.Lock()
-		a.cut = true
-		a.mu.Unlock()
+		a.isolate(true, false)
 		b.setLive("n2")
 		b.SetPlan("e0", []backend.Item{model("c"), model("d")})
 		time.Sleep(20 * time.Second)
@@ -130,6 +128,73 @@
 	})
 }
 
+// TestInvariantMemoryNeverOvercommittedRivalWhilePolling: while the table is out
+// of its reach, an owner waits for the answer to a poll, and a rival raises the
+// fence; the owner asks again before it sends.
+func TestInvariantMemoryNeverOvercommittedRivalWhilePolling(t *testing.T) {
+	run(t, true, 1, func(c *cluster) {
+		a, b, e := c.start("n1", "n1"), c.start("n2", "n1"), c.engines["e0"]
+		time.Sleep(5 * time.Second)
+		e.set(func() {
+			e.slow = 3 * time.Second
+			e.raised = func(fence uint64) {
+				if fence == 2 {
+					a.SetPlan("e0", []backend.Item{model("a")})
+				}
+			}
+		})
+		a.isolate(true, false)
+		b.setLive("n2")
+		time.Sleep(25 * time.Second)
+		require.Len(c.t, b.owns(), 1)
+		require.Zero(c.t, e.stale, "an order that the engine had to refuse")
+	})
+}
+
+// TestInvariantMemoryNeverOvercommittedOldFenceInNewBoot: an owner that lost its
+// lease before it could reach the engine reaches it when the engine has just
+// restarted and forgotten the rival's fence.
+func TestInvariantMemoryNeverOvercommittedOldFenceInNewBoot(t *testing.T) {
+	run(t, true, 1, func(c *cluster) {
+		a, b, e := c.start("n1", "n1"), c.start("n2", "n1"), c.engines["e0"]
+		a.isolate(false, true)
+		a.SetPlan("e0", []backend.Item{model("a")})
+		time.Sleep(5 * time.Second)
+		a.isolate(true, true)
+		b.setLive("n2")
+		time.Sleep(25 * time.Second)
+		require.Len(c.t, b.owns(), 1)
+		e.set(func() { e.slow = 3 * time.Second }) // the rival learns of it late
+		time.Sleep(4 * time.Second)
+		e.restart()
+		a.isolate(true, false)
+		time.Sleep(10 * time.Second)
+		c.resident("e0")
+	})
+}
+
+// TestInvariantMemoryNeverOvercommittedPausedAfterRecord: an owner keeps an order
+// in the row of a server that doesn't check, is paused for longer than the
+// order's lifetime, and wakes before it has checked its lease.
+func TestInvariantMemoryNeverOvercommittedPausedAfterRecord(t *testing.T) {
+	run(t, false, 1, func(c *cluster) {
+		a, b := c.start("n1", "n1"), c.start("n2", "n1")
+		time.Sleep(5 * time.Second)
+		a.mu.Lock()
+		a.record = make(chan struct{})
+		kept := a.record
+		a.mu.Unlock()
+		a.SetPlan("e0", []backend.Item{model("a"), model("b")})
+		<-kept
+		b.setLive("n2")
+		b.SetPlan("e0", []backend.Item{model("c"), model("d")})
+		time.Sleep(60 * time.Second)
+		a.thaw()
+		time.Sleep(10 * time.Second)
+		c.resident("e0", model("c"), model("d"))
+	})
+}
+
 // TestInvariantMemoryNeverOvercommittedFenceBeforeInventory: the new owner has
 // given no order yet, and the old one's order is refused all the same.
 func TestInvariantMemoryNeverOvercommittedFenceBeforeInventory(t *testing.T) {
