--- a/core/place/gain.go
+++ b/core/place/gain.go
@@ -45,7 +45,8 @@
 	// UrgentWeight is how much more an urgent request counts, default 4.
 	UrgentWeight float64
 	// MaxMoves bounds the loads for gain that are under way at the same time,
-	// default 4. Loads that are required are not bounded.
+	// default Input.Loads, or 4 if that is zero. Loads that are required are
+	// not bounded.
 	MaxMoves int
 }
 
@@ -65,6 +66,9 @@
 // Plan returns the plan. It is a function of its arguments alone.
 func (p *Gain) Plan(now time.Time, in Input) Output {
 	set := p.withDefaults()
+	if p.MaxMoves <= 0 && in.Loads > 0 {
+		set.MaxMoves = in.Loads
+	}
 	s := newState(now, in, set)
 	s.keepPresent()
 	set.placePrevious(s)
--- a/core/place/planner.go
+++ b/core/place/planner.go
@@ -75,6 +75,7 @@
 		Servers   []Server
 		Demand    []view.Demand // of all nodes; rates of the same name add up
 		Placement config.Placement
+		Loads     int // at once at the weight store's full speed, zero if unknown
 		// Previous is the plan before this one, nil if there is none. A load
 		// that it proposed and that has not begun is proposed again unless its
 		// gain is gone, so that room which was made for it is not given away.
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -240,7 +240,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	doc := x.Document()
-	in := place.Input{Models: doc.Models, Adapters: doc.Adapters, Placement: doc.Placement}
+	in := place.Input{Models: doc.Models, Adapters: doc.Adapters, Placement: doc.Placement, Loads: doc.Limits.WeightLoads}
 	for from, r := range p.reports {
 		if now.Sub(r.at) > demandStale {
 			delete(p.reports, from)
@@ -269,15 +269,16 @@
 		Leaving:        v.Leaving || p.node.views.Leaving(s.Name),
 	}
 	seen := map[backend.Item]time.Time{}
+	known, before := p.since[s.Name]
 	for _, i := range v.Resident {
-		since, ok := p.since[s.Name][i]
-		if !ok {
-			since = now
+		since, ok := known[i]
+		if !ok && before {
+			since = now // what was there at the first look may be old
 		}
 		seen[i] = since
 		out.Resident = append(out.Resident, place.Copy{Item: i, Bytes: p.bytes(i), Since: since, Used: p.used[i.Name]})
 	}
-	if p.since != nil {
+	if p.since != nil && v.Server != "" {
 		p.since[s.Name] = seen
 	}
 	for _, i := range v.Loading {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -307,7 +307,8 @@
 			return false
 		}
 	}
-	return !w.catalog.current(e.Item) || w.o.now()-e.Since >= w.catalog.minStay
+	young := e.Since > w.adopted && w.o.now()-e.Since < w.catalog.minStay
+	return !w.catalog.current(e.Item) || !young
 }
 
 // unloadStale unloads versions that are no longer declared.
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -39,6 +39,7 @@
 	leaving  bool
 	sequence uint64 // of the view
 	bumped   time.Duration
+	adopted  time.Duration // first inventory; what was there then may be old
 
 	rest    map[backend.Item]time.Duration // no order before
 	said    map[backend.Item]Reason        // last refusal logged
@@ -147,6 +148,9 @@
 	}
 	w.ledger.Adopt(taken, epoch, inv, records)
 	w.fenced = true
+	if w.adopted == 0 {
+		w.adopted = w.o.now()
+	}
 	w.log.Info("inventory adopted", zap.Uint64("epoch", epoch), zap.String("boot-id", inv.BootID),
 		zap.Int("items", len(inv.Items)), zap.Int("inherited", len(records)), zap.Int64("free-bytes", w.ledger.Free()))
 }
