--- a/core/queue/doc.go
+++ b/core/queue/doc.go
@@ -1,10 +1,11 @@
 // Package queue decides, for one backend server, which request runs next and
 // which is refused.
 //
-// Waiting requests are ordered by urgency, then by value, then by deadline. A
-// request that has waited long is treated as of the next higher urgency, and
-// one dispatch in AgedEvery goes to the one that has waited longest, so that
-// deferrable work moves under a constant stream of urgent work.
+// Waiting requests are ordered by urgency, then by the value of their kind for
+// each second of service (Smith 1956), then by deadline. A request that has
+// waited long is treated as of the next higher urgency, and one dispatch in
+// AgedEvery goes to the one that has waited longest, so that deferrable work
+// moves under a constant stream of urgent work.
 //
 // A request is admitted only if it can end before its deadline by the state of
 // the queue: the work ahead of it, what runs, and the service time learned from
--- a/core/queue/estimate.go
+++ b/core/queue/estimate.go
@@ -1,11 +1,17 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"guavapaddle/core/config"
 )
 
+const (
+	stepsPerDoubling = 2
+	leastSeconds     = 0.001
+)
+
 // mean is an exponentially weighted mean.
 type mean struct {
 	value float64
@@ -19,10 +25,11 @@
 	all      mean            // seconds a request
 	perToken mean            // seconds a token, all kinds
 	kinds    map[string]mean // seconds a token, or a request without tokens, by kind
+	whole    map[string]mean // seconds a request, by kind
 }
 
 func newEstimator(set Settings) estimator {
-	return estimator{assumed: set.Seconds, step: set.StepSeconds, kinds: map[string]mean{}}
+	return estimator{assumed: set.Seconds, step: set.StepSeconds, kinds: map[string]mean{}, whole: map[string]mean{}}
 }
 
 // add returns the mean with one more value.
@@ -37,6 +44,7 @@
 // learn takes in the service time of a request of a kind.
 func (e *estimator) learn(kind string, tokens int, seconds float64) {
 	e.all = e.all.add(seconds)
+	e.whole[kind] = e.whole[kind].add(seconds)
 	unit := seconds
 	if tokens > 0 {
 		unit = seconds / float64(tokens)
@@ -65,6 +73,22 @@
 	}
 }
 
+// worth returns the step of an entry's value for each second of service, by the
+// mean of its kind. A step is a factor of the square root of two, so that
+// entries of one kind share a step and go by their deadlines.
+func (e *estimator) worth(w Entry) int {
+	seconds := e.assumed
+	if m := e.whole[w.Kind]; m.known {
+		seconds = m.value
+	} else if w.Tokens > 0 {
+		seconds = e.seconds(w.Kind, w.Tokens)
+	}
+	if w.Value <= 0 {
+		return math.MinInt
+	}
+	return int(math.Round(stepsPerDoubling * math.Log2(w.Value/max(seconds, leastSeconds))))
+}
+
 // kindKey keeps requests with and without a token count apart.
 func kindKey(kind string, tokens int) string {
 	if tokens > 0 {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -204,7 +204,7 @@
 	q.sequence++
 	w := &waiting{
 		Entry: e, seconds: q.learned.seconds(e.Kind, e.Tokens), arrived: now, class: classOf(e.Urgency),
-		sequence: q.sequence, ageAt: now.Add(q.set.AgeAfter), expiryIndex: -1, ageIndex: -1,
+		worth: q.learned.worth(e), sequence: q.sequence, ageAt: now.Add(q.set.AgeAfter), expiryIndex: -1, ageIndex: -1,
 	}
 	if !e.Deadline.IsZero() {
 		w.latestStart = e.Deadline.Add(-q.needed(w.seconds))
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -47,6 +47,9 @@
 		{"value within urgency", []queue.Entry{
 			entry("low", config.Normal, 1, 10), entry("high", config.Normal, 2, 90),
 		}, []string{"high", "low"}},
+		{"short work of a little less value first", []queue.Entry{
+			{ID: "long", Kind: "long", Urgency: config.Normal, Value: 10, Tokens: 90}, {ID: "short", Kind: "short", Urgency: config.Normal, Value: 8, Tokens: 30},
+		}, []string{"short", "long"}},
 		{"deadline within value", []queue.Entry{
 			entry("none", config.Normal, 1, 0), entry("late", config.Normal, 1, 90), entry("soon", config.Normal, 1, 50),
 		}, []string{"soon", "late", "none"}},
--- a/core/queue/tree.go
+++ b/core/queue/tree.go
@@ -13,6 +13,7 @@
 	seconds     float64 // estimated service time
 	arrived     time.Time
 	class       int // 0 is the most urgent; falls with age
+	worth       int // step of its kind's value for each second of service
 	sequence    uint64
 	latestStart time.Time // zero if the entry has no deadline
 	ageAt       time.Time // when class falls next
@@ -52,8 +53,8 @@
 	if a.class != b.class {
 		return a.class < b.class
 	}
-	if a.Value != b.Value {
-		return a.Value > b.Value
+	if a.worth != b.worth {
+		return a.worth > b.worth
 	}
 	if !a.Deadline.Equal(b.Deadline) {
 		if a.Deadline.IsZero() || b.Deadline.IsZero() {
