--- a/core/place/gain.go
+++ b/core/place/gain.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	defaultTarget       = 0.75
+	defaultTarget       = 0.95
 	defaultSpare        = 0.05
 	defaultBurst        = 10.0
 	defaultBurstShare   = 0.1
@@ -25,7 +25,7 @@
 // input.
 type Gain struct {
 	// Target is the share of a server's slots that its load may keep busy,
-	// default 0.75. The rest absorbs bursts.
+	// default 0.95.
 	Target float64
 	// Spare is the share of an item's requests that a second copy is assumed
 	// to save from bursts and losses, default 0.05. It halves with each copy.
