Let the LRU baseline load more copies of what is in demand

Cause: every run begins with all items resident, so that nothing ever waited for a copy and the baseline made no move: it was round-robin over fixed copies.

--- a/core/place/baseline.go
+++ b/core/place/baseline.go
@@ -13,11 +13,15 @@
 	// demand, and replaces nothing that a lost server held: a baseline.
 	Static struct{}
 
-	// LRU loads an item on the first demand and drops what was used least
-	// recently to have room, last copies included: a baseline.
+	// LRU loads an item when requests wait for it or when it is asked for more
+	// than its copies can carry with lruShare of their slots, and drops what
+	// was used least recently to have room, last copies included: a baseline.
 	LRU struct{}
 )
 
+// lruShare is the part of a server's slots that LRU takes one item to get.
+const lruShare = 0.5
+
 // Name returns "static".
 func (Static) Name() string { return NameStatic }
 
@@ -73,13 +77,13 @@
 // Name returns "lru".
 func (LRU) Name() string { return NameLRU }
 
-// Plan keeps what is there and loads one copy of each item that requests wait
-// for, on the server where room costs the longest unused copies.
+// Plan keeps what is there and loads one copy of each item that is in demand,
+// on the server where room costs the longest unused copies.
 func (LRU) Plan(now time.Time, in Input) Output {
 	s := newState(now, in, Gain{UrgentWeight: defaultUrgentWeight})
 	s.keepPresent()
 	for _, i := range s.byWaiting() {
-		if s.items[i].waiting > 0 && !s.isLoading(i) {
+		if s.inDemand(i) && !s.isLoading(i) {
 			s.loadLRU(i)
 		}
 	}
@@ -89,6 +93,17 @@
 	return out
 }
 
+// inDemand tells whether requests wait for an item, or more come than half of
+// the slots of its servers can carry.
+func (s *state) inDemand(item int) bool {
+	i := &s.items[item]
+	slots := 0
+	for _, j := range i.on {
+		slots += s.servers[j].Slots
+	}
+	return i.waiting > 0 || i.load > lruShare*float64(slots)
+}
+
 // byWaiting returns the declared items, those that most requests wait for first.
 func (s *state) byWaiting() []int {
 	order := s.bySize()
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -408,6 +408,9 @@
 	out := place.LRU{}.Plan(now, in)
 	require.True(t, out.MayDropLast)
 	require.Equal(t, []backend.Item{a.Item(), c.Item()}, out.Plan["s1"])
+	in.Demand = []view.Demand{{Name: "a", Rate: 10, Seconds: 1}} // more than 4 of 8 slots
+	in.Servers = append(in.Servers, server("s2", "d1", 26, b.Item(), c.Item()))
+	require.Contains(t, place.LRU{}.Plan(now, in).Plan["s2"], a.Item())
 	in.Demand = nil
 	require.Empty(t, place.LRU{}.Plan(now, in).Moves)
 }
