--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -53,9 +53,12 @@
 }
 
 // store returns a store that runs until the test ends.
-func store(t *testing.T, table claims.Table, node string) *claims.Store {
+func store(t *testing.T, table claims.Table, node string, set ...func(s *claims.Store)) *claims.Store {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &claims.Store{Table: table, Objects: &objects{data: map[string][]byte{}}, Node: node, Incarnation: 1}
+	for _, f := range set {
+		f(s)
+	}
 	done := make(chan struct{})
 	go func() { s.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
@@ -233,8 +236,9 @@
 // TestGivenUpInsertIsReleased: the table hangs until after the caller's wait
 // and the insert then took effect.
 func TestGivenUpInsertIsReleased(t *testing.T) {
-	inBubble(t, func(t *testing.T, table *tabletest.Table, s *claims.Store) {
-		s.Wait = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		table := tabletest.New()
+		s := store(t, table, "n1", func(s *claims.Store) { s.Wait = 100 * time.Millisecond })
 		table.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Fault{Delay: 300 * time.Millisecond} })
 		_, err := s.Claim(t.Context(), booking("a"))
 		refused(t, err)
