--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/status"
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/standin/service"
 	"guavapaddle/io/operator"
 	"guavapaddle/io/vmlist"
 )
@@ -50,6 +52,7 @@
 		Platform *Process
 		Servers  map[string]*Process
 		Nodes    []*Process
+		Table    string // address that nodes use, the platform's if empty
 
 		t       testing.TB
 		options Options
@@ -118,10 +121,11 @@
 	name := "n" + strconv.Itoa(i+1)
 	b := s.Document.Servers[i%len(s.Document.Servers)]
 	platform := s.Platform.Address("address")
+	table := cmp.Or(s.Table, platform)
 	settings := map[string]string{
 		"name": name, "data-centre": b.DataCentre,
 		"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0",
-		"table": platform, "objects": platform, "vm-list": platform,
+		"table": table, "objects": platform, "vm-list": platform,
 		"ca": filepath.Join(s.dir, "ca.pem"), "cert": filepath.Join(s.dir, name+".pem"), "key": filepath.Join(s.dir, name+".key"),
 		"notice": nodeNotice, "seed": strconv.Itoa(i + 1),
 	}
@@ -329,14 +333,22 @@
 	return out
 }
 
+// Journal returns what ran at the services that run, by their own journals.
+func (s *System) Journal() []service.Run {
+	var all []service.Run
+	for _, b := range s.Document.Servers {
+		if p := s.Servers[b.Name]; b.Type == config.Service && !p.Ended() {
+			var j service.Journal
+			s.get(p, "/journal", &j)
+			all = append(all, j.Runs...)
+		}
+	}
+	return all
+}
+
 // Runs returns how often a service ran requests with a path by its own journal.
 func (s *System) Runs(server, path string) int {
-	var j struct {
-		Runs []struct {
-			Path  string `json:"path"`
-			Count int    `json:"count"`
-		} `json:"runs"`
-	}
+	var j service.Journal
 	s.get(s.Servers[server], "/journal", &j)
 	n := 0
 	for _, r := range j.Runs {
@@ -347,6 +359,18 @@
 	return n
 }
 
+// Ran returns how many requests began to run at all backend servers that run,
+// by their own counters.
+func (s *System) Ran() int64 {
+	n := int64(0)
+	for _, p := range s.Servers {
+		if !p.Ended() {
+			n += s.Counters(p)["runs"]
+		}
+	}
+	return n
+}
+
 func (s *System) get(p *Process, path string, v any) {
 	resp, err := http.Get("http://" + p.Address("address") + path)
 	require.NoError(s.t, err)
