--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -140,10 +140,18 @@
 
 // listNode puts a node on the VM list.
 func (s *System) listNode(p *Process, place string) {
+	s.set(vmlist.VM{Name: p.Name, Address: p.Address("peers"), Role: "node", DataCentre: place, State: vmlist.Live})
+}
+
+// SetVM sets the state of a backend server's VM on the platform's list.
+func (s *System) SetVM(server string, role vmlist.Role, state vmlist.State) {
+	s.set(vmlist.VM{Name: server, Address: s.Servers[server].Address("address"), Role: role, State: state})
+}
+
+func (s *System) set(vm vmlist.VM) {
 	c := &vmlist.Client{Address: s.Platform.Address("address")}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	vm := vmlist.VM{Name: p.Name, Address: p.Address("peers"), Role: "node", DataCentre: place, State: vmlist.Live}
 	require.NoError(s.t, c.Set(ctx, vm))
 }
 
