Renew a connection between nodes that has gone silent

Cause: a QUIC connection on which packets were lost for good stayed in use until its idle timeout of 30 s: every call that was forwarded to that node waited 500 ms for a sign of arrival and then went another way, and probes of the membership went over the same connection. Mended: peer.Endpoint.Renew lets the next use dial anew; the cluster calls it when a call makes no sign of life and when a probe is late (member.State.Late). The old connection is not closed, so a node that is only slow keeps its streams. Ruled out: a shorter idle timeout, since nodes that speak rarely would pay a handshake for each message.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -207,3 +207,15 @@
 		})
 	}
 }
+
+// TestLateNodeIsNamed: a node whose answer to a probe is late is named once, so
+// that its connection is renewed.
+func TestLateNodeIsNamed(t *testing.T) {
+	w := newNetwork(3, 1)
+	w.run(20 * time.Second)
+	require.Empty(t, w.states[address(0)].Late())
+	w.down[address(1)] = true
+	w.run(20 * time.Second)
+	require.Contains(t, w.states[address(0)].Late(), address(1))
+	require.NotContains(t, w.states[address(0)].Late(), address(1))
+}
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -31,6 +31,7 @@
 		seeds    []string // addresses from outside
 		sequence uint64
 		next     schedule
+		late     []string // addresses, see Late
 	}
 
 	peer struct {
--- a/core/member/tick.go
+++ b/core/member/tick.go
@@ -116,6 +116,9 @@
 		return out
 	}
 	p.indirect = true
+	if t := s.nodes[p.target]; t != nil {
+		s.late = append(s.late, t.node.Address)
+	}
 	for _, name := range s.sample(s.settings.Indirect, p.target) {
 		m := Message{Type: PingRequest, Sequence: p.sequence, Target: p.target}
 		out = append(out, s.send(s.nodes[name].node.Address, m))
@@ -137,6 +140,15 @@
 // it a suspect at once. The node refutes if it lives.
 func (s *State) Unreachable(now time.Time, name string) { s.suspect(now, name) }
 
+// Late returns the addresses of nodes whose answers have become late since the
+// last call. The connections to them may have gone silent although the nodes
+// live, so what is sent to them next should go over new ones.
+func (s *State) Late() []string {
+	all := s.late
+	s.late = nil
+	return all
+}
+
 // push sends changed records to a few random peers.
 func (s *State) push(out []Send) []Send {
 	if s.hot.len() == 0 {
--- a/internal/cluster/calls.go
+++ b/internal/cluster/calls.go
@@ -140,7 +140,10 @@
 	if err != nil {
 		return c.notOpened(owner, err)
 	}
-	return follow(ctx, s, sink, func() { c.suspect(owner) })
+	return follow(ctx, s, sink, func() {
+		c.suspect(owner)
+		c.Endpoint.Renew(n.Address)
+	})
 }
 
 // suspect tells the membership that a node makes no sign of life.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -139,7 +139,11 @@
 		*joined = now
 		c.state.SetSeeds(c.Seeds())
 	}
-	return append(out, c.state.Tick(now)...)
+	out = append(out, c.state.Tick(now)...)
+	for _, address := range c.state.Late() {
+		c.Endpoint.Renew(address)
+	}
+	return out
 }
 
 func (c *Cluster) sendAll(ctx context.Context, all []member.Send) {
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -219,6 +219,27 @@
 	}
 }
 
+// Renew makes the next use of an address dial anew, because the connection may
+// have gone silent. What still goes over the old one goes on; it ends after
+// IdleTimeout if it is silent.
+func (e *Endpoint) Renew(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d := e.conns[address]; d != nil && d.opened() {
+		delete(e.conns, address)
+	}
+}
+
+// opened tells whether a dial has ended.
+func (d *dialled) opened() bool {
+	select {
+	case <-d.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // Forget closes the connection to an address, whose process began anew.
 func (e *Endpoint) Forget(address string) {
 	e.mu.Lock()
