--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -128,6 +128,7 @@
 		ran     bool            // an attempt may have run
 		crashed bool            // an attempt of this node crashed its server
 		bypass  bool            // the owner is not known for sure: go to the engine
+		began   bool            // a first token has come
 	}
 )
 
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -23,6 +23,7 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/standin/service"
 	"guavapaddle/io/operator"
+	"guavapaddle/io/table"
 	"guavapaddle/io/vmlist"
 )
 
@@ -121,11 +122,11 @@
 	name := "n" + strconv.Itoa(i+1)
 	b := s.Document.Servers[i%len(s.Document.Servers)]
 	platform := s.Platform.Address("address")
-	table := cmp.Or(s.Table, platform)
+	through := cmp.Or(s.Table, platform)
 	settings := map[string]string{
 		"name": name, "data-centre": b.DataCentre,
 		"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0",
-		"table": table, "objects": platform, "vm-list": platform,
+		"table": through, "objects": platform, "vm-list": platform,
 		"ca": filepath.Join(s.dir, "ca.pem"), "cert": filepath.Join(s.dir, name+".pem"), "key": filepath.Join(s.dir, name+".key"),
 		"notice": nodeNotice, "seed": strconv.Itoa(i + 1),
 	}
@@ -189,6 +190,20 @@
 		"-operator", operator, "-base", strconv.FormatUint(base, 10))
 }
 
+// ApplyFrom applies a document and waits for one node, while others are frozen.
+func (s *System) ApplyFrom(node int, doc *config.Document) {
+	body, err := json.Marshal(doc)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(s.file, body, 0o600))
+	platform := s.Platform.Address("address")
+	code, out := s.Command("apply", "-file", s.file, "-table", platform, "-objects", platform, "-wait", "0")
+	require.Equal(s.t, 0, code, out)
+	s.Eventually("the configuration on one node", func() bool {
+		r, err := s.Status(node)
+		return err == nil && r.ConfigHash == doc.Hash()
+	})
+}
+
 func (s *System) operators() string {
 	var all []string
 	for _, n := range s.Nodes {
@@ -279,12 +294,26 @@
 			for _, n := range s.Nodes {
 				s.t.Logf("%s:\n%s", n.Name, n.Log())
 			}
+			s.logRows("owner/")
 			require.Fail(s.t, "does not come about", what)
 		}
 		time.Sleep(pollPeriod)
 	}
 }
 
+// logRows logs the rows of the table whose key begins with a prefix.
+func (s *System) logRows(prefix string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	rows, err := (&table.Client{Address: s.Platform.Address("address")}).Scan(ctx, prefix)
+	for _, r := range rows {
+		s.t.Logf("%s at %d: %s", r.Key, r.Revision, r.Value)
+	}
+	if err != nil {
+		s.t.Log(err)
+	}
+}
+
 // Owner returns the index of the node that owns a server by node's view, -1 if
 // none does.
 func (s *System) Owner(node int, server string) int {
