--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,7 +21,9 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/status"
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/standin/service"
 	"guavapaddle/io/operator"
+	"guavapaddle/io/table"
 	"guavapaddle/io/vmlist"
 )
 
@@ -50,6 +53,7 @@
 		Platform *Process
 		Servers  map[string]*Process
 		Nodes    []*Process
+		Table    string // address that nodes use, the platform's if empty
 
 		t       testing.TB
 		options Options
@@ -118,10 +122,11 @@
 	name := "n" + strconv.Itoa(i+1)
 	b := s.Document.Servers[i%len(s.Document.Servers)]
 	platform := s.Platform.Address("address")
+	through := cmp.Or(s.Table, platform)
 	settings := map[string]string{
 		"name": name, "data-centre": b.DataCentre,
 		"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0",
-		"table": platform, "objects": platform, "vm-list": platform,
+		"table": through, "objects": platform, "vm-list": platform,
 		"ca": filepath.Join(s.dir, "ca.pem"), "cert": filepath.Join(s.dir, name+".pem"), "key": filepath.Join(s.dir, name+".key"),
 		"notice": nodeNotice, "seed": strconv.Itoa(i + 1),
 	}
@@ -136,10 +141,18 @@
 
 // listNode puts a node on the VM list.
 func (s *System) listNode(p *Process, place string) {
+	s.set(vmlist.VM{Name: p.Name, Address: p.Address("peers"), Role: "node", DataCentre: place, State: vmlist.Live})
+}
+
+// SetVM sets the state of a backend server's VM on the platform's list.
+func (s *System) SetVM(server string, role vmlist.Role, state vmlist.State) {
+	s.set(vmlist.VM{Name: server, Address: s.Servers[server].Address("address"), Role: role, State: state})
+}
+
+func (s *System) set(vm vmlist.VM) {
 	c := &vmlist.Client{Address: s.Platform.Address("address")}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	vm := vmlist.VM{Name: p.Name, Address: p.Address("peers"), Role: "node", DataCentre: place, State: vmlist.Live}
 	require.NoError(s.t, c.Set(ctx, vm))
 }
 
@@ -177,6 +190,20 @@
 		"-operator", operator, "-base", strconv.FormatUint(base, 10))
 }
 
+// ApplyFrom applies a document and waits for one node, while others are frozen.
+func (s *System) ApplyFrom(node int, doc *config.Document) {
+	body, err := json.Marshal(doc)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(s.file, body, 0o600))
+	platform := s.Platform.Address("address")
+	code, out := s.Command("apply", "-file", s.file, "-table", platform, "-objects", platform, "-wait", "0")
+	require.Equal(s.t, 0, code, out)
+	s.Eventually("the configuration on one node", func() bool {
+		r, err := s.Status(node)
+		return err == nil && r.ConfigHash == doc.Hash()
+	})
+}
+
 func (s *System) operators() string {
 	var all []string
 	for _, n := range s.Nodes {
@@ -267,12 +294,26 @@
 			for _, n := range s.Nodes {
 				s.t.Logf("%s:\n%s", n.Name, n.Log())
 			}
+			s.logRows("owner/")
 			require.Fail(s.t, "does not come about", what)
 		}
 		time.Sleep(pollPeriod)
 	}
 }
 
+// logRows logs the rows of the table whose key begins with a prefix.
+func (s *System) logRows(prefix string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	rows, err := (&table.Client{Address: s.Platform.Address("address")}).Scan(ctx, prefix)
+	for _, r := range rows {
+		s.t.Logf("%s at %d: %s", r.Key, r.Revision, r.Value)
+	}
+	if err != nil {
+		s.t.Log(err)
+	}
+}
+
 // Owner returns the index of the node that owns a server by node's view, -1 if
 // none does.
 func (s *System) Owner(node int, server string) int {
@@ -329,14 +370,22 @@
 	return out
 }
 
+// Journal returns what ran at the services that run, by their own journals.
+func (s *System) Journal() []service.Run {
+	var all []service.Run
+	for _, b := range s.Document.Servers {
+		if p := s.Servers[b.Name]; b.Type == config.Service && !p.Ended() {
+			var j service.Journal
+			s.get(p, "/journal", &j)
+			all = append(all, j.Runs...)
+		}
+	}
+	return all
+}
+
 // Runs returns how often a service ran requests with a path by its own journal.
 func (s *System) Runs(server, path string) int {
-	var j struct {
-		Runs []struct {
-			Path  string `json:"path"`
-			Count int    `json:"count"`
-		} `json:"runs"`
-	}
+	var j service.Journal
 	s.get(s.Servers[server], "/journal", &j)
 	n := 0
 	for _, r := range j.Runs {
@@ -347,6 +396,18 @@
 	return n
 }
 
+// Ran returns how many requests began to run at all backend servers that run,
+// by their own counters.
+func (s *System) Ran() int64 {
+	n := int64(0)
+	for _, p := range s.Servers {
+		if !p.Ended() {
+			n += s.Counters(p)["runs"]
+		}
+	}
+	return n
+}
+
 func (s *System) get(p *Process, path string, v any) {
 	resp, err := http.Get("http://" + p.Address("address") + path)
 	require.NoError(s.t, err)
