--- a/core/place/gain.go
+++ b/core/place/gain.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	defaultTarget       = 0.75
+	defaultTarget       = 0.95
 	defaultSpare        = 0.05
 	defaultBurst        = 10.0
 	defaultBurstShare   = 0.1
@@ -25,7 +25,7 @@
 // input.
 type Gain struct {
 	// Target is the share of a server's slots that its load may keep busy,
-	// default 0.75. The rest absorbs bursts.
+	// default 0.95.
 	Target float64
 	// Spare is the share of an item's requests that a second copy is assumed
 	// to save from bursts and losses, default 0.05. It halves with each copy.
@@ -45,7 +45,8 @@
 	// UrgentWeight is how much more an urgent request counts, default 4.
 	UrgentWeight float64
 	// MaxMoves bounds the loads for gain that are under way at the same time,
-	// default 4. Loads that are required are not bounded.
+	// default Input.Loads, or 4 if that is zero. Loads that are required are
+	// not bounded.
 	MaxMoves int
 }
 
@@ -65,6 +66,9 @@
 // Plan returns the plan. It is a function of its arguments alone.
 func (p *Gain) Plan(now time.Time, in Input) Output {
 	set := p.withDefaults()
+	if p.MaxMoves <= 0 && in.Loads > 0 {
+		set.MaxMoves = in.Loads
+	}
 	s := newState(now, in, set)
 	s.keepPresent()
 	set.placePrevious(s)
--- a/internal/session/process.go
+++ b/internal/session/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -31,14 +32,15 @@
 type Process struct {
 	Name string
 
-	t     testing.TB
-	cmd   *exec.Cmd
-	args  []string
-	mu    sync.Mutex
-	lines []string
-	ready map[string]string
-	ended chan struct{}
-	code  int
+	t      testing.TB
+	cmd    *exec.Cmd
+	args   []string
+	mu     sync.Mutex
+	lines  []string
+	errors lockedBuffer // standard error
+	ready  map[string]string
+	ended  chan struct{}
+	code   int
 }
 
 // build builds the programs once and returns their directory.
@@ -91,7 +93,9 @@
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	out, err := p.cmd.StdoutPipe()
 	require.NoError(p.t, err)
-	p.cmd.Stderr = os.Stderr
+	p.cmd.Stderr = &p.errors
+	// A test that panics or times out leaves no process behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(p.t, p.cmd.Start())
 	ready := make(chan map[string]string, 1)
 	p.ended = make(chan struct{})
@@ -125,6 +129,26 @@
 	close(p.ended)
 }
 
+// lockedBuffer collects what a process writes.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds to the buffer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String returns what was written.
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // fields splits a logfmt line. Quoted values keep their spaces.
 func fields(line string) map[string]string {
 	out := map[string]string{}
@@ -155,7 +179,7 @@
 func (p *Process) Log() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return strings.Join(p.lines, "\n")
+	return strings.Join(p.lines, "\n") + p.errors.String()
 }
 
 // Signal sends a signal to the process.
