--- a/internal/measure/doc.go
+++ b/internal/measure/doc.go
@@ -8,7 +8,7 @@
 // first are the nodes' alone. When all nodes are ready and all is owned, the nodes' own
 // counters are read at the ends of several windows. Bytes are exact. Processor
 // time is that of the process divided by the count of nodes, as a median over
-// the windows; it moves with what else the machine does, so the load average is
+// the windows (all else is the mean); it moves with what else the machine does, so the load average is
 // told with it.
 //
 // A sweep varies one dimension and fits a line by least squares (see Fit).
--- a/internal/measure/point.go
+++ b/internal/measure/point.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"gonum.org/v1/gonum/stat"
 
 	"guavapaddle/internal/configsync"
 	"guavapaddle/internal/keys"
@@ -34,6 +35,7 @@
 	controlName = "guavapaddle_control_bytes_total"
 	spentName   = "guavapaddle_control_seconds_total"
 	datagrams   = "guavapaddle_peer_datagram_bytes_total"
+	processor   = "processor seconds"
 )
 
 type (
@@ -228,8 +230,9 @@
 	}
 	p := Point{Size: b.size, Values: map[string]float64{}, Load: loadAverage()}
 	for name, all := range rates {
-		p.Values[name] = median(all)
+		p.Values[name] = stat.Mean(all, nil)
 	}
+	p.Values[processor] = median(rates[processor]) // other processes disturb it
 	b.memory(p.Values)
 	return p, nil
 }
@@ -303,7 +306,7 @@
 // since returns the rates from before to r, each a second.
 func (r reading) since(before reading) map[string]float64 {
 	seconds := r.at.Sub(before.at).Seconds()
-	out := map[string]float64{"processor seconds": (r.cpu - before.cpu).Seconds() / seconds / float64(len(r.nodes))}
+	out := map[string]float64{processor: (r.cpu - before.cpu).Seconds() / seconds / float64(len(r.nodes))}
 	for i, values := range r.nodes {
 		for name, v := range values {
 			rate := (v - before.nodes[i][name]) / seconds
