--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,8 @@
 		callers  *caller.Server
 		trace    *trace.Recorder
 		requests *metrics.Requests
+		control  *metrics.Control
+		platform platformTraffic
 		demand   *demand
 		limits   *limits
 		guard    *suspects.Guard
@@ -91,6 +93,9 @@
 		mu        sync.Mutex
 		engines   map[string]*engine.Client // by address
 		vmSeeds   []string                  // nodes by the VM list
+		listedVMs int                       // count of the VM list
+
+		vmsLeaving []string // by the own reading of the VM list
 	}
 
 	// Addresses are where a node listens.
@@ -123,15 +128,16 @@
 		log:      log.With(zap.String("node", s.Name)),
 		keys:     files,
 		registry: prometheus.NewRegistry(),
-		table:    &table.Client{Address: s.Table},
-		objects:  &object.Client{Address: s.Objects},
 		views:    views.New(),
 		trace:    &trace.Recorder{Node: s.Name},
 		requests: metrics.New(),
+		control:  metrics.NewControl(),
 		engines:  map[string]*engine.Client{},
 	}
+	n.table = &table.Client{Address: s.Table, Traffic: &n.platform.table}
+	n.objects = &object.Client{Address: s.Objects, Traffic: &n.platform.objects}
 	if s.VMList != "" {
-		n.vms = &vmlist.Client{Address: s.VMList}
+		n.vms = &vmlist.Client{Address: s.VMList, Traffic: &n.platform.vms}
 	}
 	n.build()
 	return n, nil
@@ -200,6 +206,7 @@
 		OnMessage:  n.message,
 		Config:     n.follower.Packed,
 		ConfigHead: n.follower.Head,
+		Spent:      n.control.Time,
 		Log:        n.log,
 		Seed:       n.settings.Seed,
 	}
@@ -383,7 +390,7 @@
 	defer n.mu.Unlock()
 	c := n.engines[address]
 	if c == nil {
-		c = &engine.Client{Address: address}
+		c = &engine.Client{Address: address, Traffic: &n.platform.engines}
 		n.engines[address] = c
 	}
 	return c
