Pass over a server that broke off and does not answer

Change: a server whose engine does not answer the question after its boot id is passed over for a second, also if no other holds the item; requests wait for a copy then.

--- a/internal/generate/guard.go
+++ b/internal/generate/guard.go
@@ -66,6 +66,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	now, err := a.r.Boot(ctx, a.server)
+	if err != nil {
+		a.r.lost(a.server)
+	}
 	return err == nil && (boot == "" || now == boot)
 }
 
--- a/internal/generate/judge.go
+++ b/internal/generate/judge.go
@@ -94,22 +94,32 @@
 func (r *Router) unreachable(server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rest[server] = time.Now().Add(unreachableRest)
+	r.rest[server] = rest{until: time.Now().Add(unreachableRest)}
+}
+
+// lost notes that a server broke a connection off and does not answer.
+func (r *Router) lost(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest[server] = rest{until: time.Now().Add(lostRest), lost: true}
 }
 
 // passOver marks the candidates that could not be reached lately and returns
-// their indices. The lock is held.
+// the indices of those to try if there is no other; a lost one is not. The lock
+// is held.
 func (r *Router) passOver(now time.Time, cs []route.Candidate) []int {
 	var out []int
 	for i := range cs {
-		until, ok := r.rest[cs[i].Server.Server]
+		rest, ok := r.rest[cs[i].Server.Server]
 		switch {
 		case !ok || !cs[i].Reachable:
-		case now.After(until):
+		case now.After(rest.until):
 			delete(r.rest, cs[i].Server.Server)
 		default:
 			cs[i].Reachable = false
-			out = append(out, i)
+			if !rest.lost {
+				out = append(out, i)
+			}
 		}
 	}
 	return out
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -30,6 +30,9 @@
 	// unreachableRest is how long a server that could not be reached is passed
 	// over unless no other holds the item. Its owner notices within that time.
 	unreachableRest = time.Second
+	// lostRest is how long nothing is sent to a server that broke a
+	// connection off and did not answer: its owner notices meanwhile.
+	lostRest = time.Second
 	// busyAttempts bounds the search for a server to run a marked request on.
 	busyAttempts = 20
 	// maxResumes bounds the resumptions in a row.
@@ -108,7 +111,13 @@
 		random *rand.Rand
 		budget *retry.Budget
 		sent   route.Tracker
-		rest   map[string]time.Time // until when a server that could not be reached is passed over
+		rest   map[string]rest // servers that are passed over for a while
+	}
+
+	// rest is how long a server is passed over.
+	rest struct {
+		until time.Time
+		lost  bool // it does not answer, so that nothing is sent there
 	}
 
 	// attempt is the state of one request in Do.
@@ -136,7 +145,7 @@
 func (r *Router) Init(seed uint64, budget *retry.Budget) {
 	r.random = rand.New(rand.NewPCG(seed, 0))
 	r.budget = budget
-	r.rest = map[string]time.Time{}
+	r.rest = map[string]rest{}
 }
 
 // Do generates the answer to q and passes it to emit.
--- a/internal/workload/generate.go
+++ b/internal/workload/generate.go
@@ -13,20 +13,20 @@
 )
 
 const (
-	defaultBurstFactor  = 10.0
-	defaultOn           = 5 * time.Second
-	defaultOff          = 20 * time.Second
-	defaultPrefixes     = 4
-	popularityExponent  = 0.9
-	customerExponent    = 1.1
-	prefixExponent      = 1.0
-	prefixBytes         = 1024
-	tailBytes           = 96
-	bytesPerToken       = 4
-	customersOfItem     = 3
-	adapterPart         = 0.5 // of the requests that name an adapter
-	lengthSpread        = 0.5 // answers are between this part less and more than their mean
-	maxDeploymentTokens = 4096
+	defaultBurstFactor = 10.0
+	defaultOn          = 5 * time.Second
+	defaultOff         = 20 * time.Second
+	defaultPrefixes    = 4
+	popularityExponent = 0.9
+	customerExponent   = 1.1
+	prefixExponent     = 1.0
+	prefixBytes        = 1024
+	tailBytes          = 96
+	bytesPerToken      = 4
+	customersOfItem    = 3
+	adapterPart        = 0.5 // of the requests that name an adapter
+	lengthSpread       = 0.5 // answers are between this part less and more than their mean
+	maxTokens          = 4096
 )
 
 type (
@@ -216,7 +216,7 @@
 // length draws the length of an answer.
 func length(mean int, random *rand.Rand) int {
 	n := float64(mean) * (1 - lengthSpread + 2*lengthSpread*random.Float64())
-	return min(max(1, int(n)), maxDeploymentTokens)
+	return min(max(1, int(n)), maxTokens)
 }
 
 // zipf returns the weight of the i-th of a Zipf distribution, i from zero.
