Answer a request whose handler panics

nbhttp recovers a panic of a handler, logs it to a log that is off, and leaves the caller without an answer: TestInvariantGenerationAtMostOnce hung until its test timed out after 10 min (a claims store that was not set). Ruled out by a stack dump of the nodes: no request was running. The handler answers now with outcome unknown and the node logs the stack. Sessions' callers have a time limit.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -282,6 +282,7 @@
 			Metrics:  call.NewMetrics(n.registry),
 			Note:     n.note,
 		},
+		Claims:  n.claims,
 		Limits:  n.limits,
 		Demand:  n.demand,
 		Metrics: n.requests,
@@ -303,7 +304,10 @@
 			}
 			return config.DefaultLimits().StreamsPerNode
 		},
-		NewID:    newID,
+		NewID: newID,
+		Panicked: func(id string, value any, stack []byte) {
+			n.log.Error("panic", zap.String("request-id", id), zap.Any("value", value), zap.ByteString("stack", stack))
+		},
 		Draining: func() (time.Duration, bool) { return drainRetry, n.draining.Load() },
 	}
 }
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -33,9 +33,10 @@
 	// OtherKey is the key of the customer "rival" in Small.
 	OtherKey = "rival-key"
 
-	pollPeriod  = 20 * time.Millisecond
-	waitTimeout = 30 * time.Second
-	nodeNotice  = "200ms"
+	pollPeriod    = 20 * time.Millisecond
+	waitTimeout   = 30 * time.Second
+	answerTimeout = 60 * time.Second // of a whole answer; what takes longer never ends
+	nodeNotice    = "200ms"
 )
 
 type (
@@ -351,7 +352,7 @@
 		req.Header.Set(header[i], header[i+1])
 	}
 	req.GetBody = nil
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: answerTimeout}
 	return client.Do(req)
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,6 +87,8 @@
 		Idle      time.Duration                // of a connection without request, default 2 min
 		NewID     func() string                // of requests
 		Draining  func() (time.Duration, bool) // when to come back, and whether new requests are refused
+		// Panicked is told of a handler that panicked, may be nil.
+		Panicked func(requestID string, value any, stack []byte)
 
 		engine *nbhttp.Engine
 		open   atomic.Int64
@@ -187,6 +190,7 @@
 		return
 	}
 	defer s.open.Add(-1)
+	defer s.recovered(a, started)
 	if after, yes := s.Draining(); yes {
 		w.Header().Set("Connection", "close")
 		s.refuse(a, started, outcome.Refuse(outcome.Draining, "", after))
@@ -226,6 +230,19 @@
 	s.Handler.Ended(a.id, started, err)
 }
 
+// recovered answers a request whose handler panicked. The engine below would
+// swallow the panic and leave the caller without an answer.
+func (s *Server) recovered(a *answer, started time.Time) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	s.refuse(a, started, outcome.Unsure(outcome.Internal, fmt.Sprintf("panic: %v", p)))
+	if s.Panicked != nil {
+		s.Panicked(a.id, p, debug.Stack())
+	}
+}
+
 // watched returns a context that ends when the caller's connection closes, and
 // lifts the connection's read deadline while the request runs.
 func (s *Server) watched(w http.ResponseWriter) (context.Context, context.CancelFunc) {
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -171,6 +171,15 @@
 	require.NotContains(t, body, "[DONE]")
 }
 
+// TestPanic shows that a caller gets an answer when the handler panics.
+func TestPanic(t *testing.T) {
+	h := &handler{generate: func(context.Context, caller.Generation, forward.Emit) error { panic("misuse") }}
+	url := start(t, h, nil)
+	resp, _ := post(t, url+"/v1/completions", `{"model":"m","prompt":"p"}`)
+	require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
+	require.Equal(t, "unknown", resp.Header.Get("X-Outcome"))
+}
+
 // TestCallerGone closes the connection while the answer has not begun: the
 // handler's context ends.
 func TestCallerGone(t *testing.T) {
