Let old versions of a model make way for the one that is to serve

Cause: the planner kept every old version on a server until the declared one was resident often enough. Ruled out: claims left in the table (no row owner/ was there), a worker that hangs (the owner refused and then found nothing to do). Mended: a plan keeps one old version of an item a server at most, and none beside the declared one; an owner may unload an old version while any other version of its name serves (catalog.replaces), since callers get that one.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -223,6 +223,31 @@
 	}
 }
 
+// TestInvariantReachableOldVersionsMakeWay: two configuration changes in quick
+// succession leave two old versions on servers without room for a third. They
+// make way, and some version is resident at every step.
+func TestInvariantReachableOldVersionsMakeWay(t *testing.T) {
+	first, second := backend.Item{Name: "a", Version: "0"}, backend.Item{Name: "a", Version: "0b"}
+	a := model("a", 10)
+	a.MinCopies = 2
+	for name, servers := range map[string][]place.Server{
+		"both full":       {server("s1", "d1", 26, first, second), server("s2", "d1", 26, first, second)},
+		"beside the new":  {server("s1", "d1", 26, first, a.Item()), server("s2", "d1", 26, first, second)},
+		"one server only": {server("s1", "d1", 26, first, second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := place.Input{Models: []config.Model{a}, Servers: servers}
+			for range 6 {
+				out := (&place.Gain{}).Plan(now, in)
+				requireServed(t, in, out, "a")
+				in = applySlowly(in, out)
+			}
+			out := (&place.Gain{}).Plan(now, in)
+			require.Len(t, copies(out, a.Item()), len(servers))
+		})
+	}
+}
+
 // requireServed shows that some version of the name that is resident now stays.
 func requireServed(t require.TestingT, in place.Input, out place.Output, name string) {
 	for _, s := range in.Servers {
--- a/core/place/state.go
+++ b/core/place/state.go
@@ -139,7 +139,7 @@
 }
 
 // keepPresent puts what live servers hold into their plans: declared items, and
-// old versions until enough copies of the new one are resident.
+// one old version a server until the new one is resident there or often enough.
 func (s *state) keepPresent() {
 	s.countResident()
 	for j := range s.servers {
@@ -218,7 +218,7 @@
 			s.drop(j, c, Undeclared)
 			return
 		}
-		if !resident || s.items[current].resident >= s.items[current].minCopies && !s.carriesLast(j, current) {
+		if !resident || s.superseded(j, current) {
 			s.drop(j, c, Superseded)
 			return
 		}
@@ -232,6 +232,28 @@
 	s.put(j, held{item: i, resident: resident, loading: !resident, since: c.Since, used: c.Used})
 }
 
+// superseded tells whether server j needs no further old version of an item,
+// given the index of the declared one. It keeps one at most: two could take up
+// the room that the declared version needs, and none would ever go.
+func (s *state) superseded(j, current int) bool {
+	declared := &s.items[current]
+	if declared.resident >= declared.minCopies && !s.carriesLast(j, current) {
+		return true
+	}
+	for _, c := range s.servers[j].Resident {
+		if c.Item == declared.item {
+			return true
+		}
+	}
+	for _, h := range s.servers[j].items {
+		old := &s.items[h.item]
+		if old.retired && old.item.Name == declared.item.Name && old.item.Base == declared.item.Base {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) drop(j int, c Copy, why Why) {
 	s.drops = append(s.drops, Move{Op: backend.Unload, Server: s.servers[j].Name, Item: c.Item, Bytes: c.Bytes, Why: why})
 }
--- a/internal/owner/catalog.go
+++ b/internal/owner/catalog.go
@@ -51,9 +51,10 @@
 // current tells whether an item is the version that is to serve.
 func (c *catalog) current(i backend.Item) bool { return c.declared[nameOf(i)] == i }
 
-// replaces tells whether callers of item are served by other as well.
+// replaces tells whether callers of item are served by other as well: by the
+// same version, by the one that is to serve, or by any if item is an old one.
 func (c *catalog) replaces(other, item backend.Item) bool {
-	return nameOf(other) == nameOf(item) && (other.Version == item.Version || c.current(other))
+	return nameOf(other) == nameOf(item) && (other.Version == item.Version || c.current(other) || !c.current(item))
 }
 
 // settings returns the settings of a server's ledger.
