Order the accept of a connection before its first read

Found beside it: nbhttp sets the idle deadline after a connection is added, maybe after the first request lifted it, which would cut a stream longer than 2 min; the deadline is lifted once more.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -93,7 +93,13 @@
 		engine *nbhttp.Engine
 		open   atomic.Int64
 		mu     sync.Mutex
-		watch  map[net.Conn]context.CancelFunc
+		watch  map[net.Conn]*watched
+	}
+
+	// watched is the connection of a request that runs.
+	watched struct {
+		cancel context.CancelFunc
+		lifted bool // the read deadline, for good
 	}
 
 	// ListenError tells that the address can't be used.
@@ -112,7 +118,7 @@
 // Listen starts to accept connections and returns the address.
 func (s *Server) Listen() (string, error) {
 	logging.SetLevel(logging.LevelNone)
-	s.watch = map[net.Conn]context.CancelFunc{}
+	s.watch = map[net.Conn]*watched{}
 	if s.Idle == 0 {
 		s.Idle = defaultIdle
 	}
@@ -133,12 +139,25 @@
 			return l, err
 		},
 	})
+	s.handOver()
 	if err := s.engine.Start(); err != nil {
 		return "", &ListenError{Address: s.Address, Err: err}
 	}
 	return bound, nil
 }
 
+// handOver orders the accept of a connection before its first read. The kernel
+// orders them already (a connection is read when epoll says so, after it was
+// added), but the race detector can't see that.
+func (s *Server) handOver() {
+	var accepted atomic.Int64
+	s.engine.Engine.OnOpen(func(*nbio.Conn) { accepted.Add(1) })
+	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		accepted.Load()
+		return s.engine.PollerBufferPtr(c)
+	})
+}
+
 // Run watches connections until ctx ends and then closes what is open. Callers
 // of Run wait for Open to be zero first if nothing may be cut.
 func (s *Server) Run(ctx context.Context) error {
@@ -162,9 +181,12 @@
 func (s *Server) cancelClosed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, cancel := range s.watch {
+	for c, w := range s.watch {
+		if !w.lifted { // nbhttp may set it once more after the first request began
+			w.lifted = c.SetReadDeadline(time.Time{}) == nil
+		}
 		if closed(c) {
-			cancel()
+			w.cancel()
 			delete(s.watch, c)
 		}
 	}
@@ -196,7 +218,7 @@
 		s.refuse(a, started, outcome.Refuse(outcome.Draining, "", after))
 		return
 	}
-	ctx, stop := s.watched(w)
+	ctx, stop := s.watching(w)
 	defer stop()
 	body, err := s.body(r)
 	if err != nil {
@@ -243,9 +265,9 @@
 	}
 }
 
-// watched returns a context that ends when the caller's connection closes, and
+// watching returns a context that ends when the caller's connection closes, and
 // lifts the connection's read deadline while the request runs.
-func (s *Server) watched(w http.ResponseWriter) (context.Context, context.CancelFunc) {
+func (s *Server) watching(w http.ResponseWriter) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil || res.Parser.Conn == nil {
@@ -257,7 +279,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	s.mu.Lock()
-	s.watch[c] = cancel
+	s.watch[c] = &watched{cancel: cancel}
 	s.mu.Unlock()
 	return ctx, func() {
 		cancel()
