Tell unknown when a generation that may not be repeated was lost

TestInvariantTrueOutcome: a generation of a kind that may not be repeated, whose owner or engine was lost, was answered failed-after-start though it may run to its end. It is unknown now, whatever the last attempt to resume it says.

--- /dev/null
+++ b/internal/generate/outcome_test.go
@@ -0,0 +1,82 @@
+package generate_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/backend"
+	"guavapaddle/core/config"
+	"guavapaddle/core/forward"
+	"guavapaddle/core/outcome"
+	"guavapaddle/core/retry"
+	"guavapaddle/core/route"
+	"guavapaddle/core/view"
+	"guavapaddle/internal/engines"
+	"guavapaddle/internal/generate"
+	"guavapaddle/internal/views"
+)
+
+// failing fails every job in the same way.
+type failing struct {
+	err  *outcome.Error
+	jobs int
+}
+
+func (f *failing) Do(context.Context, string, forward.Job, engines.Sink) error {
+	f.jobs++
+	return f.err
+}
+
+// TestInvariantTrueOutcome holds the outcome that a caller is told against what
+// is known of the attempts.
+func TestInvariantTrueOutcome(t *testing.T) {
+	lost := outcome.Fail(outcome.PeerLost, "")
+	broke := outcome.Fail(outcome.BackendLost, "")
+	full := outcome.Refuse(outcome.QueueFull, "", time.Second)
+	failed := outcome.Fail(outcome.BackendFailed, "")
+	for _, test := range []struct {
+		name       string
+		err        *outcome.Error
+		repeatable bool
+		want       outcome.Outcome
+		most       int // jobs
+	}{
+		{"owner lost, may be repeated", lost, true, outcome.FailedAfterStart, 3},
+		{"owner lost, may not be repeated", lost, false, outcome.Unknown, 1},
+		{"engine lost, may not be repeated", broke, false, outcome.Unknown, 1},
+		{"engine failed, may not be repeated", failed, false, outcome.FailedAfterStart, 1},
+		{"refused", full, false, outcome.RefusedNotRun, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				item := backend.Item{Name: "m", Version: "1"}
+				known := views.New()
+				for _, s := range []string{"s1", "s2", "s3"} {
+					known.Put(view.Server{Server: s, Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
+				}
+				owner := &failing{err: test.err}
+				r := &generate.Router{
+					Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: &noGuard{},
+					Place:  func(string) string { return "" },
+					Engine: func(string) engines.Engine { return nil },
+					Boot:   func(context.Context, string) (string, error) { return "", nil },
+					Note:   func(generate.Event) {},
+					Wanted: func(backend.Item, int) {},
+				}
+				r.Init(1, &retry.Budget{})
+				err := r.Do(t.Context(), generate.Request{
+					ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
+					Kind: config.Kind{Name: "k", Urgency: config.Urgent, Repeatable: test.repeatable},
+				}, func(forward.Reply, forward.Token) error { return nil })
+				e := outcome.From(err)
+				require.NotNil(t, e)
+				require.Equal(t, test.want, e.Outcome, e.Error())
+				require.LessOrEqual(t, owner.jobs, test.most)
+			})
+		})
+	}
+}
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -135,6 +135,7 @@
 		why     string          // reason of the last choice
 		held    []forward.Reply // replies that a caller who waits for the whole will get
 		ran     bool            // an attempt may have run
+		lost    bool            // the connection of an attempt was lost
 		crashed bool            // an attempt of this node crashed its server
 		bypass  bool            // the owner is not known for sure: go to the engine
 		began   bool            // a first token has come
@@ -165,6 +166,7 @@
 			return nil
 		}
 		a.ran = a.ran || mayHaveRun(err)
+		a.lost = a.lost || connectionLost(err)
 		if again, err := a.judge(ctx, err); !again && err != nil {
 			return a.failed(outcome.From(err))
 		} else if !again {
@@ -222,12 +224,27 @@
 	}
 }
 
-// failed turns a refusal into a failure if an earlier attempt may have run.
+// failed returns what the caller is told of the last failure e: not a refusal
+// if an earlier attempt may have run, and unknown if a request that may not be
+// repeated was lost, since it may run to its end.
 func (a *attempt) failed(e *outcome.Error) *outcome.Error {
-	if !a.ran || e.Outcome != outcome.RefusedNotRun {
-		return e
+	told := *e
+	if a.ran && told.Outcome == outcome.RefusedNotRun {
+		told.Outcome = outcome.FailedAfterStart
 	}
-	return &outcome.Error{Outcome: outcome.FailedAfterStart, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
+	if a.lost && !a.q.Kind.Repeatable && told.Outcome == outcome.FailedAfterStart {
+		told.Outcome = outcome.Unknown
+	}
+	return &told
+}
+
+// connectionLost tells whether an attempt was lost without a word of its end.
+func connectionLost(err error) bool {
+	if suspects.IsBusy(err) {
+		return false
+	}
+	r := outcome.From(err).Reason
+	return r == outcome.PeerLost || r == outcome.BackendLost
 }
 
 // choose applies the policy to the servers that hold the item, and to those
