Try elsewhere when a view was old and the server no longer holds the item

Cause: an engine's affirmed 404 became reason no-copy, which the retry policy counts as final, so a request that met an old view in a version change was refused although another engine held the model. Mended: the router takes it as an attempt that reached no server and tries elsewhere for free, within the bound and the deadline.

--- a/internal/generate/judge.go
+++ b/internal/generate/judge.go
@@ -63,6 +63,13 @@
 			return true, nil
 		}
 		return true, a.pause(ctx, a.free)
+	case outcome.NoCopy: // the view was old; another server may hold the item
+		a.free++
+		a.note("retry", string(e.Reason))
+		if a.free == 1 {
+			return true, nil
+		}
+		return true, a.pause(ctx, a.free)
 	}
 	return false, nil
 }
--- /dev/null
+++ b/internal/session/pair_test.go
@@ -0,0 +1,185 @@
+package session_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/claim"
+	"guavapaddle/internal/session"
+)
+
+// TestInvariantPairTableOutageAndNodeDeath takes the table down while a booking
+// runs, kills the node that has it, and repeats it through all others in the
+// outage and after it: it ran once, and nobody is told otherwise.
+func TestInvariantPairTableOutageAndNodeDeath(t *testing.T) {
+	t.Parallel()
+	const nodes, path, body, key = 4, "/bookings/cancel", `"pair"`, "pair"
+	s := session.New(t, session.Small(t, 1, 2), session.Options{Service: []string{"-work", "500ms"}})
+	s.StartNodes(nodes)
+	first := make(chan session.Answer, 1)
+	go func() { first <- s.Do(0, http.MethodPost, path, body, "Idempotency-Key", key) }()
+	s.Eventually("the call runs", func() bool { return ranWith(s, body) == 1 })
+	s.Fault(s.Platform, "/fault/table", `{"black-hole":true}`)
+	s.Nodes[0].Kill()
+	others := without(nodes, 0)
+	answers := append([]session.Answer{<-first}, s.Repeat(others, path, body, key)...)
+	for _, a := range answers[1:] {
+		refused(t, a, "table-down")
+	}
+	s.Fault(s.Platform, "/fault/table", "{}")
+	s.Eventually("claims can be read again", func() bool {
+		more := s.Repeat(others, path, body, key)
+		answers = append(answers, more...)
+		for _, a := range more {
+			if a.Header.Get("X-Reason") == "table-down" {
+				return false
+			}
+		}
+		return true
+	})
+	for _, a := range answers[len(answers)-len(others):] {
+		require.Equal(t, "unknown", a.Header.Get("X-Outcome"), a.Body)
+	}
+	atMostOnce(t, s, body, answers)
+	require.Equal(t, 1, ranWith(s, body))
+}
+
+// TestInvariantPairLeavingServerAndSilentEngine makes one engine leave while
+// the connections to another go silent: streams at both end whole, requests are
+// served, and the leaving one gets no new work 3 s later.
+func TestInvariantPairLeavingServerAndSilentEngine(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, allCopies(session.Small(t, 3, 1)), session.Options{Platform: []string{"-vm-lag", "10s"}})
+	s.StartNodes(3)
+	streams := map[string]*session.Stream{} // by server
+	for i := 0; len(streams) < 3 && i < 60; i++ {
+		st := s.Stream(i%3, session.Chat("drafter", fmt.Sprint("stream ", i), 400))
+		require.True(t, st.Read(2), st.Error)
+		server := st.Last[strings.LastIndex(st.Last, ".")+1:]
+		if streams[server] != nil {
+			st.Close()
+			continue
+		}
+		streams[server] = st
+	}
+	require.Len(t, streams, 3)
+	s.Fault(s.Servers["gpu-1"], "/fault", `{"leaving":true}`)
+	s.Fault(s.Servers["gpu-2"], "/fault", silent)
+	told := time.Now()
+	for i := 0; time.Since(told) < 3*time.Second; i++ {
+		within(t, endBound, func() session.Answer {
+			return s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", fmt.Sprint("meanwhile ", i), 3))
+		})
+	}
+	before := s.Counters(s.Servers["gpu-1"])["runs"]
+	for i := range 12 {
+		within(t, atOnce, func() session.Answer {
+			return s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", fmt.Sprint("after ", i), 3))
+		})
+	}
+	require.Equal(t, before, s.Counters(s.Servers["gpu-1"])["runs"])
+	for server, st := range streams {
+		require.True(t, st.Read(-1), "%s: %v %s", server, st.Err, st.Error)
+		require.Len(t, st.Tokens, 400)
+	}
+}
+
+// TestInvariantPairPausedOwnerAndVersionChange freezes the owner of an engine
+// that does not check who gives orders in the middle of a version change under
+// load. The model answers at every moment through the other nodes, each answer
+// is of one version, and memory is never overcommitted.
+func TestInvariantPairPausedOwnerAndVersionChange(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, tight(t), session.Options{Engine: map[string][]string{"": {"-load-base", "500ms"}}})
+	s.StartNodes(3)
+	paused := s.Owner(0, "gpu-2")
+	require.GreaterOrEqual(t, paused, 0)
+	others := without(3, paused)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	versions := map[string]int{}
+	for _, node := range others {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprint(node, " request ", i)
+				a := s.Do(node, http.MethodPost, chat, session.Whole("drafter", prompt, 6))
+				got := fmt.Sprint("wrong: ", a.Err, a.Status, a.Body)
+				for _, v := range []string{"1", "2"} {
+					if a.Status == http.StatusOK && strings.Contains(a.Body, strings.Join(session.Expect("drafter@"+v, prompt, 6), "")) {
+						got = v
+					}
+				}
+				mu.Lock()
+				versions[got]++
+				mu.Unlock()
+			}
+		})
+	}
+	before := s.Counters(s.Servers["gpu-2"])["orders"]
+	version(t, s, "2")
+	ordered(s, "gpu-2", before)
+	s.Nodes[paused].Signal(syscall.SIGSTOP)
+	s.Eventually("another owner", func() bool {
+		owner := s.Owner(others[0], "gpu-2")
+		return owner >= 0 && owner != paused
+	})
+	s.Nodes[paused].Signal(syscall.SIGCONT)
+	settledAt(t, s, others[0], "2")
+	close(stop)
+	wg.Wait()
+	require.Len(t, versions, 2, "%v", versions)
+	require.Positive(t, versions["1"], "%v", versions)
+	require.Positive(t, versions["2"], "%v", versions)
+	sound(t, s)
+}
+
+// TestInvariantPairLostAnswersAndSilentService loses answers of the table while
+// the connections to a service go silent, under repeated bookings.
+func TestInvariantPairLostAnswersAndSilentService(t *testing.T) {
+	t.Parallel()
+	const nodes = 3
+	s := session.New(t, session.Small(t, 1, 2), session.Options{Service: []string{"-work", "100ms"}})
+	between := s.Between()
+	s.StartNodes(nodes)
+	var lost sync.Map
+	between.Claims(claim.Claimed, func(c claim.Claim) session.Fate { // each first insert loses its answer
+		if _, again := lost.LoadOrStore(c.Attempt, true); !again {
+			return session.Lose
+		}
+		return session.Pass
+	})
+	type booked struct {
+		body    string
+		answers []session.Answer
+	}
+	all := make([]booked, 8)
+	var wg sync.WaitGroup
+	for i := range all {
+		wg.Go(func() {
+			body := fmt.Sprintf(`{"pair":%d}`, i)
+			one := func(node int) session.Answer {
+				return s.Do(node, http.MethodPost, "/bookings/confirm", body, "Idempotency-Key", body, "X-Deadline-Ms", "3000")
+			}
+			all[i] = booked{body: body, answers: []session.Answer{one(i % nodes), one((i + 1) % nodes), one(i % nodes)}}
+		})
+	}
+	s.Eventually("bookings run", func() bool { return len(s.Journal()) > 2 })
+	s.Fault(s.Servers["desk-1"], "/fault", silent)
+	wg.Wait()
+	for _, b := range all {
+		atMostOnce(t, s, b.body, append(b.answers, s.Repeat(without(nodes, -1), "/bookings/confirm", b.body, b.body)...))
+	}
+}
