--- /dev/null
+++ b/internal/session/explain_test.go
@@ -0,0 +1,142 @@
+package session_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/status"
+	"guavapaddle/internal/cli"
+	"guavapaddle/internal/session"
+)
+
+// volatile are the values of an explanation's fields that differ between runs.
+var volatile = regexp.MustCompile(`(revision|attempt|epoch|took|row)=\S+`)
+
+// explained returns what the operators' command says of an answer's request,
+// one event a line, without times.
+func explained(t *testing.T, s *session.System, node int, a session.Answer) []string {
+	code, out := s.Command("explain", "-nodes", s.Nodes[node].Address("operators"), "-output", "json", a.Header.Get("X-Request-ID"))
+	require.Equal(t, cli.ExitOK, code, out)
+	var e status.Explanation
+	require.NoError(t, json.Unmarshal([]byte(out), &e))
+	var lines []string
+	for _, ev := range e.Events {
+		line := ev.Node + " " + ev.Event
+		for _, f := range ev.Fields {
+			line += " " + f.Name + "=" + f.Value
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// TestInvariantFaultSession is a whole session through a node's death and a
+// table outage, with what callers and operators see at each step.
+func TestInvariantFaultSession(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, session.Small(t, 1, 1), session.Options{Service: []string{"-work", "400ms"}})
+	s.StartNodes(3)
+	var r session.Transcript
+	book := func(node int, key string) session.Answer {
+		return s.Do(node, http.MethodPost, "/bookings/confirm", fmt.Sprintf(`{"section":%q}`, key), "Idempotency-Key", key)
+	}
+	explain := func(node int, a session.Answer) {
+		r.Text(volatile.ReplaceAllString(strings.Join(explained(t, s, node, a), "\n"), "$1=..."))
+	}
+
+	r.Step("a booking through node 1")
+	a := book(0, "B12")
+	r.Answer(a)
+	r.Step("what operators are told of it")
+	explain(2, a)
+	r.Step("the same booking through node 2")
+	s.Eventually("the stored answer", func() bool { // as a rule at once
+		a = book(1, "B12")
+		return a.Status != http.StatusConflict
+	})
+	r.Answer(a)
+	r.Step("what operators are told of it")
+	explain(2, a)
+
+	r.Step("node 1 dies while it has a booking")
+	first := make(chan session.Answer, 1)
+	go func() { first <- book(0, "B13") }()
+	s.Eventually("the booking runs", func() bool { return ranWith(s, `{"section":"B13"}`) == 1 })
+	s.Nodes[0].Kill()
+	r.Answer(<-first)
+	s.WaitNodes(2)
+	for node := 1; node < 3; node++ {
+		r.Step("the same booking through node %d", node+1)
+		a = book(node, "B13")
+		r.Answer(a)
+	}
+	r.Step("what operators are told of it")
+	explain(1, a)
+
+	r.Step("the table is down: a booking through node 2")
+	s.Fault(s.Platform, "/fault/table", down)
+	a = book(1, "B14")
+	r.Answer(a)
+	r.Step("what operators are told of it")
+	explain(1, a)
+	r.Step("an answer of a model meanwhile")
+	a = s.Do(1, http.MethodPost, chat, session.Whole("drafter", "Draft a plan.", 3))
+	r.Answer(a)
+	r.Step("the table is back: the same booking through nodes 2 and 3")
+	s.Fault(s.Platform, "/fault/table", "{}")
+	s.Eventually("bookings", func() bool {
+		a = book(1, "B14")
+		return a.Header.Get("X-Reason") != "table-down"
+	})
+	r.Answer(a)
+	s.Eventually("the stored answer", func() bool {
+		a = book(2, "B14")
+		return a.Status != http.StatusConflict
+	})
+	r.Answer(a)
+	r.Step("runs by the service's own journal")
+	for _, key := range []string{"B12", "B13", "B14"} {
+		r.Text(fmt.Sprintf("%s: %d", key, ranWith(s, fmt.Sprintf(`{"section":%q}`, key))))
+	}
+	r.Compare(t, "faults")
+}
+
+// TestInvariantExplainForwarded shows that explain names server, owner and
+// epoch of a request that a node forwarded to the owner of an engine, as the
+// node that picked saw them and as the owner did, and that the log says which
+// lease the orders of an engine were given under.
+func TestInvariantExplainForwarded(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, session.Small(t, 1, 1), session.Options{})
+	s.StartNodes(2)
+	owner := s.Owner(0, "gpu-1")
+	require.GreaterOrEqual(t, owner, 0)
+	entry := 1 - owner
+	var lines string
+	s.Eventually("a forwarded request", func() bool { // the owner may change once more
+		a := s.Do(entry, http.MethodPost, chat, session.Whole("drafter", "who decided", 3))
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+		lines = strings.Join(explained(t, s, entry, a), "\n")
+		return strings.Contains(lines, " forwarded ")
+	})
+	picked := regexp.MustCompile(`(n\d) pick server=gpu-1 owner=(n\d) epoch=(\d+) reason=\S+`).FindStringSubmatch(lines)
+	ran := regexp.MustCompile(`(n\d) forwarded server=gpu-1 owner=(n\d) epoch=(\d+)`).FindStringSubmatch(lines)
+	require.Len(t, picked, 4, lines)
+	require.Len(t, ran, 4, lines)
+	require.NotEqual(t, picked[1], ran[1])
+	require.Equal(t, picked[2], ran[1])
+	require.Equal(t, picked[2:], ran[2:])
+	require.Contains(t, lines, "answered outcome=done")
+	var logs string
+	for _, n := range s.Nodes {
+		logs += n.Log()
+	}
+	require.Regexp(t, `event="lease acquired" node=n\d server=gpu-1 epoch=\d+`, logs)
+	require.Regexp(t, `event="order sent" node=n\d server=gpu-1 epoch=\d+ item=drafter@1 op=load order-id=\S+`, logs)
+}
