--- a/internal/session/crash_test.go
+++ b/internal/session/crash_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -59,12 +58,13 @@
 	for _, name := range []string{"gpu-1", "gpu-2", "gpu-3"} {
 		s.Fault(s.Servers[name], "/fault", `{"crash-on":"POISON"}`)
 	}
+	before := runs(s)
 	answers := make(chan session.Answer)
 	for i := range 6 {
 		body := fmt.Sprintf(`{"model":"drafter","max_tokens":150,"messages":[{"role":"user","content":"innocent %d"}]}`, i)
 		go func() { answers <- s.Do(i%2, http.MethodPost, chat, body) }()
 	}
-	time.Sleep(300 * time.Millisecond) // they run; nothing is proved by it
+	s.Eventually("they run", func() bool { return runs(s) >= before+6 })
 	a := s.Do(0, http.MethodPost, chat, `{"model":"drafter","max_tokens":20,"messages":[{"role":"user","content":"POISON"}]}`)
 	require.NotEqual(t, http.StatusOK, a.Status)
 	for range 6 {
