--- a/cmd/bench/single.go
+++ b/cmd/bench/single.go
@@ -12,6 +12,7 @@
 	"guavapaddle/core/place"
 	"guavapaddle/core/route"
 	"guavapaddle/internal/experiment"
+	"guavapaddle/internal/node"
 	"guavapaddle/internal/report"
 )
 
@@ -25,6 +26,7 @@
 	common struct {
 		deployment string
 		fault      string
+		limit      string
 		load       float64
 		duration   time.Duration
 		nodes      int
@@ -47,6 +49,7 @@
 	names := slices.Sorted(maps.Keys(experiment.Deployments()))
 	f.StringVar(&c.deployment, "deployment", "corella", strings.Join(names, " or "))
 	f.StringVar(&c.fault, "fault", "", "fault at a third of the run: "+strings.Join(experiment.Faults(), ", "))
+	f.StringVar(&c.limit, "limit", node.LimitCost, "limits of customers: "+strings.Join(node.Limits(), ", "))
 	f.Float64Var(&c.load, "load", 0.8, "mean work as a part of the accelerators' capacity")
 	f.DurationVar(&c.duration, "duration", 30*time.Second, "time in which requests arrive")
 	f.IntVar(&c.nodes, "nodes", 8, "nodes")
@@ -66,7 +69,7 @@
 	}
 	return experiment.Settings{
 		Deployment: d.Scaled(c.scale), Policy: policy, Planner: planner, Fault: c.fault, Seed: seed,
-		Load: c.load, Duration: c.duration, Nodes: c.nodes, MovePrice: price, LogDir: c.logs,
+		Load: c.load, Duration: c.duration, Nodes: c.nodes, MovePrice: price, Limit: c.limit, LogDir: c.logs,
 	}, nil
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -97,7 +97,7 @@
 			}
 		},
 		Settings: func(n *node.Settings) {
-			n.Policy, n.Planner, n.Notice = r.set.Policy, r.set.Planner, notice
+			n.Policy, n.Planner, n.Limit, n.Notice = r.set.Policy, r.set.Planner, r.set.Limit, notice
 		},
 		Spawn: r.spawn,
 	}
@@ -156,7 +156,7 @@
 	slices.Sort(r.late)
 	m := report.Meta{
 		Deployment: r.set.Deployment.Name, Policy: r.set.Policy, Planner: r.set.Planner, Fault: r.set.Fault,
-		Seed: r.set.Seed, Load: r.set.Load, Duration: r.set.Duration, MovePrice: r.set.MovePrice,
+		Seed: r.set.Seed, Load: r.set.Load, Duration: r.set.Duration, MovePrice: r.set.MovePrice, Limit: r.set.Limit,
 		Nodes: r.set.Nodes, Accelerators: r.set.Deployment.Engines, CPUSeconds: cpu,
 	}
 	for _, p := range r.processes {
--- a/internal/experiment/settings.go
+++ b/internal/experiment/settings.go
@@ -7,6 +7,7 @@
 
 	"guavapaddle/core/place"
 	"guavapaddle/core/route"
+	"guavapaddle/internal/node"
 	"guavapaddle/internal/workload"
 )
 
@@ -45,6 +46,7 @@
 		Nodes      int           // default 8
 		Warm       time.Duration // between readiness and the first request, default 3 s
 		MovePrice  float64       // default the deployment's; negative for zero
+		Limit      string        // of customers, default by cost
 		LogDir     string        // directory for the nodes' logs, default none
 	}
 
@@ -107,6 +109,7 @@
 	s.Duration = cmp.Or(s.Duration, defaultDuration)
 	s.Nodes = cmp.Or(s.Nodes, defaultNodes)
 	s.Warm = cmp.Or(s.Warm, defaultWarm)
+	s.Limit = cmp.Or(s.Limit, node.LimitCost)
 	s.MovePrice = cmp.Or(s.MovePrice, s.Deployment.Placement.MovePrice)
 	s.MovePrice = max(0, s.MovePrice)
 	s.Deployment.Placement.MovePrice = s.MovePrice
@@ -116,6 +119,7 @@
 	}{
 		{"policy", s.Policy, route.Names()},
 		{"planner", s.Planner, place.Names()},
+		{"limit", s.Limit, node.Limits()},
 		{"fault", s.Fault, append(Faults(), "")},
 	} {
 		if !slices.Contains(known.values, known.value) {
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -27,6 +27,9 @@
 	assumedTokens = 128.0
 )
 
+// Limits returns the names of all ways to limit customers.
+func Limits() []string { return []string{LimitCost, LimitRequests, LimitNone} }
+
 // limits applies core/limit to the requests of this node.
 type limits struct {
 	kind string
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -100,9 +101,7 @@
 	if _, err := route.New(s.Policy); err != nil {
 		return &SettingsError{Name: "policy", Reason: err.Error()}
 	}
-	switch s.Limit {
-	case LimitCost, LimitRequests, LimitNone:
-	default:
+	if !slices.Contains(Limits(), s.Limit) {
 		return &SettingsError{Name: "limit", Reason: fmt.Sprintf("%q is not cost, requests or none", s.Limit)}
 	}
 	if _, err := place.New(s.Planner); err != nil {
--- a/internal/report/compare.go
+++ b/internal/report/compare.go
@@ -24,6 +24,7 @@
 		Policy     string `json:"policy"`
 		Planner    string `json:"planner"`
 		Fault      string `json:"fault"`
+		Limit      string `json:"limit"`
 		Runs       int    `json:"runs"`
 
 		Load           float64 `json:"load"`
@@ -46,8 +47,8 @@
 
 	// key tells settings apart.
 	key struct {
-		deployment, policy, planner, fault string
-		load, price                        float64
+		deployment, policy, planner, fault, limit string
+		load, price                               float64
 	}
 )
 
@@ -57,7 +58,7 @@
 	groups := map[key][]*Summary{}
 	for _, s := range runs {
 		m := s.Meta
-		k := key{m.Deployment, m.Policy, m.Planner, m.Fault, m.Load, m.MovePrice}
+		k := key{m.Deployment, m.Policy, m.Planner, m.Fault, m.Limit, m.Load, m.MovePrice}
 		if groups[k] == nil {
 			order = append(order, k)
 		}
@@ -79,7 +80,7 @@
 		return spread(values)
 	}
 	return Row{
-		Deployment: k.deployment, Policy: k.policy, Planner: k.planner, Fault: k.fault, Load: k.load, MovePrice: k.price, Runs: len(runs),
+		Deployment: k.deployment, Policy: k.policy, Planner: k.planner, Fault: k.fault, Limit: k.limit, Load: k.load, MovePrice: k.price, Runs: len(runs),
 		All:            of(func(s *Summary) float64 { return s.All.Attainment }),
 		OfBound:        of(func(s *Summary) float64 { return s.All.OfBound }),
 		Urgent:         of(func(s *Summary) float64 { return s.Urgent.Attainment }),
@@ -109,9 +110,9 @@
 // WriteTable writes the comparison for a terminal, medians with least and most.
 func (c *Comparison) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tplanner\tfault\tload\tprice\truns\tattainment\tof bound\turgent\tvalue\tmet/acc s\tworst customer\tfirst p95 ms\tbetween p95 ms\tmoves")
+	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tplanner\tlimit\tfault\tload\tprice\truns\tattainment\tof bound\turgent\tvalue\tmet/acc s\tworst customer\tfirst p95 ms\tbetween p95 ms\tmoves")
 	for _, r := range c.Rows {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.2f\t%g\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Deployment, r.Policy, r.Planner,
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.2f\t%g\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Deployment, r.Policy, r.Planner, r.Limit,
 			orNone(r.Fault), r.Load, r.MovePrice, r.Runs, r.All.format(3), r.OfBound.format(3), r.Urgent.format(3), r.Value.format(3),
 			r.PerAccelerator.format(2), r.WorstCustomer.format(2), r.FirstToken95.format(0), r.Between95.format(0), r.Moves.format(0))
 	}
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -54,6 +54,7 @@
 		Load         float64       `json:"load"`
 		Duration     time.Duration `json:"duration-ns"`
 		MovePrice    float64       `json:"move-price"`
+		Limit        string        `json:"limit"`
 		Nodes        int           `json:"nodes"`
 		Accelerators int           `json:"accelerators"`
 		SentLate     time.Duration `json:"sent-late-p99-ns"` // by the load tool itself
