Limit customers only at three times a node's even part

Ruled out: the estimate itself, since limits by cost refuse less than limits by count. A flood by one customer was not measured.

--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -22,7 +22,7 @@
 
 	// limitSlack is how much more than its even part of all capacity a node
 	// takes on before it limits anybody, since callers reach nodes unevenly.
-	limitSlack = 1.5
+	limitSlack = 3
 	// assumedTokens is the cost of a request that a count limits, in tokens.
 	assumedTokens = 128.0
 )
