--- a/internal/session/memory_test.go
+++ b/internal/session/memory_test.go
@@ -12,6 +12,9 @@
 	"guavapaddle/internal/session"
 )
 
+// late makes orders take effect late, but within their lifetime.
+const late = `{"order-delay-ms":5000}`
+
 // tight returns a document whose engines, of which the first checks who gives
 // orders and the second does not, have room for all items and for one more
 // version of drafter while it loads.
@@ -23,6 +26,7 @@
 	for i := range doc.Servers {
 		if doc.Servers[i].Type == config.Engine {
 			// KV reserve, drafter, checker, adapter, and drafter at its load peak
+			doc.Servers[i].OrderLifetimeMS = 6000
 			doc.Servers[i].MemoryBytes = 4_000_000_000 + 8_000_000_000 + 4_000_000_000 + 500_000_000 + 8_900_000_000
 		}
 	}
@@ -87,7 +91,7 @@
 			s := session.New(t, tight(t), session.Options{})
 			s.StartNodes(3)
 			s.Fault(s.Servers["gpu-1"], "/fault", `{"order-delay-ms":9000}`) // meets the next owner's fence
-			s.Fault(s.Servers["gpu-2"], "/fault", `{"order-delay-ms":2500}`) // within the lifetime
+			s.Fault(s.Servers["gpu-2"], "/fault", late)                      // within the lifetime
 			before := s.Counters(s.Servers[server])["orders"]
 			paused := s.Owner(0, server)
 			require.GreaterOrEqual(t, paused, 0)
@@ -118,9 +122,8 @@
 	t.Parallel()
 	s := session.New(t, tight(t), session.Options{})
 	s.StartNodes(2)
-	delayed := `{"order-delay-ms":2500}`
 	for _, name := range []string{"gpu-1", "gpu-2"} {
-		s.Fault(s.Servers[name], "/fault", delayed)
+		s.Fault(s.Servers[name], "/fault", late)
 	}
 	before := s.Counters(s.Servers["gpu-2"])["orders"]
 	version(t, s, "2")
@@ -144,7 +147,7 @@
 	require.GreaterOrEqual(t, owner, 0)
 	watch := without(3, owner)[0]
 	for _, name := range []string{"gpu-1", "gpu-2"} {
-		s.Fault(s.Servers[name], "/fault", `{"order-delay-ms":2500}`)
+		s.Fault(s.Servers[name], "/fault", late)
 	}
 	before := s.Counters(s.Servers["gpu-2"])["orders"]
 	version(t, s, "2")
--- a/internal/session/silent_test.go
+++ b/internal/session/silent_test.go
@@ -131,6 +131,9 @@
 			within(t, atOnce, book(i%2, "later "+hop.name+hop.path+fmt.Sprint(i)))
 			within(t, atOnce, draft(i%2, i))
 		}
+		begin = time.Now()
+		warm(t, s) // many at once use all connections that are kept
+		require.Less(t, time.Since(begin), atOnce)
 		s.Fault(p, hop.path, "{}")
 	}
 }
