--- a/internal/session/memory_test.go
+++ b/internal/session/memory_test.go
@@ -90,6 +90,7 @@
 			t.Parallel()
 			s := session.New(t, tight(t), session.Options{})
 			s.StartNodes(3)
+			t.Cleanup(func() { sound(t, s) })
 			s.Fault(s.Servers["gpu-1"], "/fault", `{"order-delay-ms":9000}`) // meets the next owner's fence
 			s.Fault(s.Servers["gpu-2"], "/fault", late)                      // within the lifetime
 			before := s.Counters(s.Servers[server])["orders"]
@@ -110,7 +111,6 @@
 			s.ApplyFrom(watch, s.Document)
 			s.Nodes[paused].Signal(syscall.SIGCONT)
 			settledAt(t, s, watch, "3")
-			sound(t, s)
 		})
 	}
 }
@@ -122,6 +122,7 @@
 	t.Parallel()
 	s := session.New(t, tight(t), session.Options{})
 	s.StartNodes(2)
+	t.Cleanup(func() { sound(t, s) })
 	for _, name := range []string{"gpu-1", "gpu-2"} {
 		s.Fault(s.Servers[name], "/fault", late)
 	}
@@ -133,7 +134,6 @@
 		s.Fault(s.Servers[name], "/fault", `{"lose-orders":1}`)
 	}
 	settledAt(t, s, 0, "3")
-	sound(t, s)
 }
 
 // TestInvariantMemoryOwnerStops stops the owner of an engine that does not
@@ -143,6 +143,7 @@
 	t.Parallel()
 	s := session.New(t, tight(t), session.Options{})
 	s.StartNodes(3)
+	t.Cleanup(func() { sound(t, s) })
 	owner := s.Owner(0, "gpu-2")
 	require.GreaterOrEqual(t, owner, 0)
 	watch := without(3, owner)[0]
@@ -158,5 +159,4 @@
 	require.Equal(t, 0, s.Nodes[owner].Terminate())
 	version(t, s, "3")
 	settledAt(t, s, watch, "3")
-	sound(t, s)
 }
--- a/internal/session/pair_test.go
+++ b/internal/session/pair_test.go
@@ -99,6 +99,7 @@
 	t.Parallel()
 	s := session.New(t, tight(t), session.Options{Engine: map[string][]string{"": {"-load-base", "500ms"}}})
 	s.StartNodes(3)
+	t.Cleanup(func() { sound(t, s) })
 	paused := s.Owner(0, "gpu-2")
 	require.GreaterOrEqual(t, paused, 0)
 	others := without(3, paused)
@@ -143,7 +144,6 @@
 	require.Len(t, versions, 2, "%v", versions)
 	require.Positive(t, versions["1"], "%v", versions)
 	require.Positive(t, versions["2"], "%v", versions)
-	sound(t, s)
 }
 
 // TestInvariantPairLostAnswersAndSilentService loses answers of the table while
