--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -213,15 +213,28 @@
 	o.releaseAll(context.WithoutCancel(ctx))
 }
 
+// alarm returns a timer that fills ring at once and after each Reset. A timer's
+// own channel is not used: in a select it crashes Go 1.26's runtime now and
+// then, in fake time with the race detector.
+func alarm(ring chan struct{}) *time.Timer {
+	return time.AfterFunc(0, func() {
+		select {
+		case ring <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // every calls f at once and then each period after it returned, until ctx ends.
 func every(ctx context.Context, period time.Duration, f func()) {
-	timer := time.NewTimer(0)
+	ring := make(chan struct{}, 1)
+	timer := alarm(ring)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-timer.C:
+		case <-ring:
 		}
 		f()
 		timer.Reset(period)
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -65,13 +65,14 @@
 
 // run polls and orders until ctx ends or the server is lost.
 func (w *worker) run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	ring := make(chan struct{}, 1)
+	timer := alarm(ring)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-timer.C:
+		case <-ring:
 		case <-w.woken:
 		}
 		if !w.step(ctx) && w.o.retire(w.name) {
