Keep the owner's timers off the setter's stack

Loops now make their first round before the first timer, and no timer is due when it is set. Other loops under synctest that use time.NewTimer(0) may meet the same.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -213,11 +213,12 @@
 	o.releaseAll(context.WithoutCancel(ctx))
 }
 
-// alarm returns a timer that fills ring at once and after each Reset. A timer's
-// own channel is not used: in a select it crashes Go 1.26's runtime now and
-// then, in fake time with the race detector.
-func alarm(ring chan struct{}) *time.Timer {
-	return time.AfterFunc(0, func() {
+// alarm returns a timer that fills ring after d, which is not zero, and after
+// each Reset. A timer that is due when it is set, or whose own channel is in a
+// select, runs on the setter's stack; with the race detector in fake time that
+// crashes the runtime of Go 1.26 now and then.
+func alarm(d time.Duration, ring chan struct{}) *time.Timer {
+	return time.AfterFunc(d, func() {
 		select {
 		case ring <- struct{}{}:
 		default:
@@ -227,8 +228,9 @@
 
 // every calls f at once and then each period after it returned, until ctx ends.
 func every(ctx context.Context, period time.Duration, f func()) {
+	f()
 	ring := make(chan struct{}, 1)
-	timer := alarm(ring)
+	timer := alarm(period, ring)
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -17,6 +17,7 @@
 
 const (
 	pollTimeout = time.Second
+	firstRound  = time.Millisecond // from the start of a worker
 	// missesToUnreachable is after how many polls without an answer a server
 	// counts as unreachable.
 	missesToUnreachable = 2
@@ -66,7 +67,7 @@
 // run polls and orders until ctx ends or the server is lost.
 func (w *worker) run(ctx context.Context) {
 	ring := make(chan struct{}, 1)
-	timer := alarm(ring)
+	timer := alarm(firstRound, ring)
 	defer timer.Stop()
 	for {
 		select {
