--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -213,15 +213,30 @@
 	o.releaseAll(context.WithoutCancel(ctx))
 }
 
+// alarm returns a timer that fills ring after d, which is not zero, and after
+// each Reset. A timer that is due when it is set, or whose own channel is in a
+// select, runs on the setter's stack; with the race detector in fake time that
+// crashes the runtime of Go 1.26 now and then.
+func alarm(d time.Duration, ring chan struct{}) *time.Timer {
+	return time.AfterFunc(d, func() {
+		select {
+		case ring <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // every calls f at once and then each period after it returned, until ctx ends.
 func every(ctx context.Context, period time.Duration, f func()) {
-	timer := time.NewTimer(0)
+	f()
+	ring := make(chan struct{}, 1)
+	timer := alarm(period, ring)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-timer.C:
+		case <-ring:
 		}
 		f()
 		timer.Reset(period)
