--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -30,6 +30,9 @@
 	// unreachableRest is how long a server that could not be reached is passed
 	// over unless no other holds the item. Its owner notices within that time.
 	unreachableRest = time.Second
+	// lostRest is how long nothing is sent to a server that broke a
+	// connection off and did not answer: its owner notices meanwhile.
+	lostRest = time.Second
 	// busyAttempts bounds the search for a server to run a marked request on.
 	busyAttempts = 20
 	// maxResumes bounds the resumptions in a row.
@@ -108,7 +111,13 @@
 		random *rand.Rand
 		budget *retry.Budget
 		sent   route.Tracker
-		rest   map[string]time.Time // until when a server that could not be reached is passed over
+		rest   map[string]rest // servers that are passed over for a while
+	}
+
+	// rest is how long a server is passed over.
+	rest struct {
+		until time.Time
+		lost  bool // it does not answer, so that nothing is sent there
 	}
 
 	// attempt is the state of one request in Do.
@@ -126,6 +135,7 @@
 		why     string          // reason of the last choice
 		held    []forward.Reply // replies that a caller who waits for the whole will get
 		ran     bool            // an attempt may have run
+		lost    bool            // the connection of an attempt was lost
 		crashed bool            // an attempt of this node crashed its server
 		bypass  bool            // the owner is not known for sure: go to the engine
 		began   bool            // a first token has come
@@ -136,7 +146,7 @@
 func (r *Router) Init(seed uint64, budget *retry.Budget) {
 	r.random = rand.New(rand.NewPCG(seed, 0))
 	r.budget = budget
-	r.rest = map[string]time.Time{}
+	r.rest = map[string]rest{}
 }
 
 // Do generates the answer to q and passes it to emit.
@@ -156,6 +166,7 @@
 			return nil
 		}
 		a.ran = a.ran || mayHaveRun(err)
+		a.lost = a.lost || connectionLost(err)
 		if again, err := a.judge(ctx, err); !again && err != nil {
 			return a.failed(outcome.From(err))
 		} else if !again {
@@ -213,12 +224,27 @@
 	}
 }
 
-// failed turns a refusal into a failure if an earlier attempt may have run.
+// failed returns what the caller is told of the last failure e: not a refusal
+// if an earlier attempt may have run, and unknown if a request that may not be
+// repeated was lost, since it may run to its end.
 func (a *attempt) failed(e *outcome.Error) *outcome.Error {
-	if !a.ran || e.Outcome != outcome.RefusedNotRun {
-		return e
+	told := *e
+	if a.ran && told.Outcome == outcome.RefusedNotRun {
+		told.Outcome = outcome.FailedAfterStart
+	}
+	if a.lost && !a.q.Kind.Repeatable && told.Outcome == outcome.FailedAfterStart {
+		told.Outcome = outcome.Unknown
+	}
+	return &told
+}
+
+// connectionLost tells whether an attempt was lost without a word of its end.
+func connectionLost(err error) bool {
+	if suspects.IsBusy(err) {
+		return false
 	}
-	return &outcome.Error{Outcome: outcome.FailedAfterStart, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
+	r := outcome.From(err).Reason
+	return r == outcome.PeerLost || r == outcome.BackendLost
 }
 
 // choose applies the policy to the servers that hold the item, and to those
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -22,11 +22,14 @@
 
 	// limitSlack is how much more than its even part of all capacity a node
 	// takes on before it limits anybody, since callers reach nodes unevenly.
-	limitSlack = 1.5
+	limitSlack = 3
 	// assumedTokens is the cost of a request that a count limits, in tokens.
 	assumedTokens = 128.0
 )
 
+// Limits returns the names of all ways to limit customers.
+func Limits() []string { return []string{LimitCost, LimitRequests, LimitNone} }
+
 // limits applies core/limit to the requests of this node.
 type limits struct {
 	kind string
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,11 +87,19 @@
 		Idle      time.Duration                // of a connection without request, default 2 min
 		NewID     func() string                // of requests
 		Draining  func() (time.Duration, bool) // when to come back, and whether new requests are refused
+		// Panicked is told of a handler that panicked, may be nil.
+		Panicked func(requestID string, value any, stack []byte)
 
 		engine *nbhttp.Engine
 		open   atomic.Int64
 		mu     sync.Mutex
-		watch  map[net.Conn]context.CancelFunc
+		watch  map[net.Conn]*watched
+	}
+
+	// watched is the connection of a request that runs.
+	watched struct {
+		cancel context.CancelFunc
+		lifted bool // the read deadline, for good
 	}
 
 	// ListenError tells that the address can't be used.
@@ -109,7 +118,7 @@
 // Listen starts to accept connections and returns the address.
 func (s *Server) Listen() (string, error) {
 	logging.SetLevel(logging.LevelNone)
-	s.watch = map[net.Conn]context.CancelFunc{}
+	s.watch = map[net.Conn]*watched{}
 	if s.Idle == 0 {
 		s.Idle = defaultIdle
 	}
@@ -130,12 +139,25 @@
 			return l, err
 		},
 	})
+	s.handOver()
 	if err := s.engine.Start(); err != nil {
 		return "", &ListenError{Address: s.Address, Err: err}
 	}
 	return bound, nil
 }
 
+// handOver orders the accept of a connection before its first read. The kernel
+// orders them already (a connection is read when epoll says so, after it was
+// added), but the race detector can't see that.
+func (s *Server) handOver() {
+	var accepted atomic.Int64
+	s.engine.Engine.OnOpen(func(*nbio.Conn) { accepted.Add(1) })
+	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
+		accepted.Load()
+		return s.engine.PollerBufferPtr(c)
+	})
+}
+
 // Run watches connections until ctx ends and then closes what is open. Callers
 // of Run wait for Open to be zero first if nothing may be cut.
 func (s *Server) Run(ctx context.Context) error {
@@ -159,9 +181,12 @@
 func (s *Server) cancelClosed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, cancel := range s.watch {
+	for c, w := range s.watch {
+		if !w.lifted { // nbhttp may set it once more after the first request began
+			w.lifted = c.SetReadDeadline(time.Time{}) == nil
+		}
 		if closed(c) {
-			cancel()
+			w.cancel()
 			delete(s.watch, c)
 		}
 	}
@@ -181,18 +206,20 @@
 	id := s.NewID()
 	started := time.Now()
 	a := &answer{w: w, id: id}
+	leaveClosing(w, r)
 	if n := s.open.Add(1); n > int64(s.streams()) {
 		s.open.Add(-1)
 		s.refuse(a, started, outcome.Refuse(outcome.QueueFull, "requests of this node", time.Second))
 		return
 	}
 	defer s.open.Add(-1)
+	defer s.recovered(a, started)
 	if after, yes := s.Draining(); yes {
 		w.Header().Set("Connection", "close")
 		s.refuse(a, started, outcome.Refuse(outcome.Draining, "", after))
 		return
 	}
-	ctx, stop := s.watched(w)
+	ctx, stop := s.watching(w)
 	defer stop()
 	body, err := s.body(r)
 	if err != nil {
@@ -202,6 +229,19 @@
 	s.route(ctx, a, r, body, started)
 }
 
+// leaveClosing leaves it to a caller who asked for the connection to be closed
+// to close it. The engine would do so from the handler's goroutine; the next
+// connection may then get the same file descriptor, and the engine's poller
+// take a late event of the old connection for one of the new and close that,
+// whose caller would get no answer. A caller that does not close its end is
+// idle.
+func leaveClosing(w http.ResponseWriter, r *http.Request) {
+	if r.Close && r.ProtoAtLeast(1, 1) {
+		w.Header().Set("Connection", "close")
+		r.Close = false
+	}
+}
+
 // route passes a request on by its path.
 func (s *Server) route(ctx context.Context, a *answer, r *http.Request, body []byte, started time.Time) {
 	var err error
@@ -226,9 +266,22 @@
 	s.Handler.Ended(a.id, started, err)
 }
 
-// watched returns a context that ends when the caller's connection closes, and
+// recovered answers a request whose handler panicked. The engine below would
+// swallow the panic and leave the caller without an answer.
+func (s *Server) recovered(a *answer, started time.Time) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	s.refuse(a, started, outcome.Unsure(outcome.Internal, fmt.Sprintf("panic: %v", p)))
+	if s.Panicked != nil {
+		s.Panicked(a.id, p, debug.Stack())
+	}
+}
+
+// watching returns a context that ends when the caller's connection closes, and
 // lifts the connection's read deadline while the request runs.
-func (s *Server) watched(w http.ResponseWriter) (context.Context, context.CancelFunc) {
+func (s *Server) watching(w http.ResponseWriter) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil || res.Parser.Conn == nil {
@@ -240,7 +293,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	s.mu.Lock()
-	s.watch[c] = cancel
+	s.watch[c] = &watched{cancel: cancel}
 	s.mu.Unlock()
 	return ctx, func() {
 		cancel()
