Give the test of refusals a capacity that one request exceeds

The customer-limit case rested on the slack of 1.5 that limits had; at 3 a request of 30,000 tokens is within its share of two engines with 8 slots, was admitted and ran past the test's time limit. With 2 slots it exceeds the share again; what is demanded is unchanged.

--- a/internal/session/notrun_test.go
+++ b/internal/session/notrun_test.go
@@ -31,6 +31,9 @@
 	t.Parallel()
 	doc := session.Small(t, 2, 1)
 	doc.Customers[1].Models = append(doc.Customers[1].Models, "drafter")
+	for i := range doc.Servers {
+		doc.Servers[i].Slots = 2 // little enough capacity for one request to exceed a customer's share
+	}
 	s := session.New(t, doc, session.Options{})
 	s.StartNodes(2)
 	ok := s.Do(0, http.MethodPost, "/bookings/confirm", `{"once":1}`, "Idempotency-Key", "used")
