--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/metrics"
 	"guavapaddle/internal/owner"
+	"guavapaddle/internal/planner"
 	"guavapaddle/internal/suspects"
 	"guavapaddle/internal/trace"
 	"guavapaddle/internal/views"
@@ -81,11 +82,11 @@
 		requests *metrics.Requests
 		control  *metrics.Control
 		platform platformTraffic
-		demand   *demand
+		demand   *planner.Demand
 		limits   *limits
 		guard    *suspects.Guard
 		crashes  *crashes
-		planner  *planner
+		planner  *planner.Planner
 		publish  publisher
 
 		operators net.Listener
@@ -147,7 +148,7 @@
 // build makes the parts and ties them together.
 func (n *Node) build() {
 	incarnation := uint64(time.Now().UnixNano())
-	n.demand = newDemand()
+	n.demand = planner.NewDemand()
 	n.buildFollower()
 	n.buildOwner(incarnation)
 	n.buildCluster(incarnation)
@@ -155,7 +156,7 @@
 	n.buildRouter()
 	n.buildClaims(incarnation)
 	n.buildEntry()
-	n.planner = &planner{node: n, policy: mustPlanner(n.settings.Planner)}
+	n.buildPlanner()
 	n.registry.MustRegister(n.requests.Collectors()...)
 	n.registerControl()
 }
@@ -232,7 +233,7 @@
 		Guard:      n.guard,
 		Boot:       n.boot,
 		Note:       n.decided,
-		Wanted:     n.demand.wanted,
+		Wanted:     n.demand.Wanted,
 	}
 	n.router.Init(n.settings.Seed, &retry.Budget{})
 }
@@ -265,6 +266,21 @@
 	return ok && (m.Incarnation > incarnation || m.Incarnation == incarnation && m.Status >= member.Dead)
 }
 
+func (n *Node) buildPlanner() {
+	n.planner = &planner.Planner{
+		Self:    n.settings.Name,
+		Policy:  mustPlanner(n.settings.Planner),
+		Demand:  n.demand,
+		Index:   n.follower.Index,
+		Working: n.cluster.Working,
+		Views:   n.views,
+		Tell:    n.cluster.Tell,
+		Follow:  n.owner.SetPlan,
+		Time:    n.control.Time,
+		Log:     n.log,
+	}
+}
+
 func (n *Node) buildEntry() {
 	n.limits = newLimits(n.settings.Limit)
 	n.pool = &call.Pool{}
@@ -359,7 +375,7 @@
 	start("claims", func() error { n.claims.Run(run); return nil })
 	start("callers", func() error { return n.callers.Run(run) })
 	start("housekeeping", func() error { n.housekeeping(run); return nil })
-	start("planner", func() error { n.planner.run(run); return nil })
+	start("planner", func() error { n.planner.Run(run); return nil })
 	owned := make(chan struct{})
 	start("owner", func() error { defer close(owned); n.owner.Run(owning); return nil })
 	var err error
@@ -457,6 +473,15 @@
 	n.router.Seen(server)
 }
 
+// message takes in what other nodes tell besides membership.
+func (n *Node) message(from string, f peer.Frame) {
+	if f.Kind == cluster.KindSuspect {
+		n.marked(f)
+		return
+	}
+	n.planner.Receive(from, f)
+}
+
 // decided notes a decision of the router.
 func (n *Node) decided(e generate.Event) {
 	n.note(e.RequestID, e.Event, zap.String("server", e.Server), zap.String("owner", e.Owner),
@@ -483,7 +508,7 @@
 }
 
 var (
-	_ entry.Demand   = (*demand)(nil)
+	_ entry.Demand   = (*planner.Demand)(nil)
 	_ entry.Limits   = (*limits)(nil)
 	_ generate.Views = (*views.Store)(nil)
 )
--- /dev/null
+++ b/internal/planner/sizes.go
@@ -0,0 +1,29 @@
+package planner
+
+import (
+	"guavapaddle/core/backend"
+	"guavapaddle/core/config"
+)
+
+// sizes are the bytes of models and adapters by the configuration in force. A
+// version that is not declared any more counts as large as the one that is.
+type sizes struct{ models, adapters map[string]int64 }
+
+func sizesOf(d *config.Document) sizes {
+	s := sizes{models: make(map[string]int64, len(d.Models)), adapters: make(map[string]int64, len(d.Adapters))}
+	for _, m := range d.Models {
+		s.models[m.Name] = m.Bytes
+	}
+	for _, a := range d.Adapters {
+		s.adapters[a.Name] = a.Bytes
+	}
+	return s
+}
+
+// of returns the bytes of an item, zero if it is not declared.
+func (s sizes) of(i backend.Item) int64 {
+	if i.Base != "" {
+		return s.adapters[i.Name]
+	}
+	return s.models[i.Name]
+}
