Let one request be over its customer's limit in the test of refusals

Cause: limits now begin at three times a node's even part, so that 30,000 tokens were admitted on two engines of 8 slots and the test waited for them. The check is the same; the engines have one slot each.

--- a/internal/session/notrun_test.go
+++ b/internal/session/notrun_test.go
@@ -30,7 +30,11 @@
 func TestInvariantRefusedNotRun(t *testing.T) {
 	t.Parallel()
 	doc := session.Small(t, 2, 1)
-	doc.Customers[1].Models = append(doc.Customers[1].Models, "drafter")
+	for i := range doc.Servers {
+		if doc.Servers[i].Type == config.Engine {
+			doc.Servers[i].Slots = 1 // so that one request can be over its customer's limit
+		}
+	}
 	s := session.New(t, doc, session.Options{})
 	s.StartNodes(2)
 	ok := s.Do(0, http.MethodPost, "/bookings/confirm", `{"once":1}`, "Idempotency-Key", "used")
