--- a/internal/session/notrun_test.go
+++ b/internal/session/notrun_test.go
@@ -32,7 +32,9 @@
 	doc := session.Small(t, 2, 1)
 	doc.Customers[1].Models = append(doc.Customers[1].Models, "drafter")
 	for i := range doc.Servers {
-		doc.Servers[i].Slots = 2 // little enough capacity for one request to exceed a customer's share
+		if doc.Servers[i].Type == config.Engine {
+			doc.Servers[i].Slots = 1 // so that one request can be over its customer's limit
+		}
 	}
 	s := session.New(t, doc, session.Options{})
 	s.StartNodes(2)
