Bound callers' headers; prove that the VM list alone makes a server leave

limits.header-bytes was checked in the document and used nowhere: TestRefusals with 40 KiB of headers was answered 200. It is refused with 431 and its own reason now.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -28,6 +28,8 @@
 	BadRequest Reason = "bad-request"
 	// BodyTooLarge means that the body exceeded the configured bound.
 	BodyTooLarge Reason = "body-too-large"
+	// HeaderTooLarge means that the headers exceeded the configured bound.
+	HeaderTooLarge Reason = "header-too-large"
 	// Unauthorized means that no customer has the given key.
 	Unauthorized Reason = "unauthorized"
 	// NotFound means that the model or path is not declared for the customer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,6 +316,12 @@
 			}
 			return config.DefaultLimits().BodyBytes
 		},
+		Headers: func() int {
+			if x := n.follower.Index(); x != nil {
+				return x.Limits().HeaderBytes
+			}
+			return config.DefaultLimits().HeaderBytes
+		},
 		Streams: func() int {
 			if x := n.follower.Index(); x != nil {
 				return x.Limits().StreamsPerNode
--- a/internal/session/platform_test.go
+++ b/internal/session/platform_test.go
@@ -12,6 +12,7 @@
 
 	"guavapaddle/core/status"
 	"guavapaddle/internal/session"
+	"guavapaddle/io/vmlist"
 )
 
 // TestInvariantPlatformOutage takes table and object store down for longer than
@@ -127,6 +128,45 @@
 	require.Equal(t, session.Expect("drafter@1", "goes on", long), running.Tokens)
 }
 
+// TestInvariantLeavingByVMList lets only the VM list say that an engine leaves,
+// with a lag of 2 s. Three seconds after any node has read it, the engine gets
+// no new work, though it would take it.
+func TestInvariantLeavingByVMList(t *testing.T) {
+	t.Parallel()
+	s := session.New(t, allCopies(session.Small(t, 2, 1)), session.Options{Platform: []string{"-vm-lag", "2s"}})
+	s.StartNodes(3)
+	s.SetVM("gpu-1", "engine", vmlist.Leaving)
+	s.Eventually("some node has noticed", func() bool {
+		for i := range s.Nodes {
+			if r, err := s.Status(i); err == nil && leaves(r, "gpu-1") {
+				return true
+			}
+		}
+		return false
+	})
+	noticed := time.Now()
+	for i := 0; time.Since(noticed) < 3*time.Second; i++ {
+		a := s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", fmt.Sprint("leaving ", i), 3))
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+	}
+	before := s.Counters(s.Servers["gpu-1"])["runs"]
+	for i := range 30 {
+		a := s.Do(i%3, http.MethodPost, chat, session.Whole("drafter", fmt.Sprint("after ", i), 3))
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+	}
+	require.Equal(t, before, s.Counters(s.Servers["gpu-1"])["runs"])
+}
+
+// leaves tells whether a node believes that a server leaves.
+func leaves(r status.Report, server string) bool {
+	for _, v := range r.Servers {
+		if v.Server == server {
+			return v.Leaving
+		}
+	}
+	return false
+}
+
 // TestInvariantVersionChange changes the version of a model on full engines
 // under load. The model answers at every moment, and every answer is of one
 // version.
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -27,6 +27,7 @@
 var statuses = map[outcome.Reason]int{
 	outcome.BadRequest:     http.StatusBadRequest,
 	outcome.BodyTooLarge:   http.StatusRequestEntityTooLarge,
+	outcome.HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 	outcome.Unauthorized:   http.StatusUnauthorized,
 	outcome.NotFound:       http.StatusNotFound,
 	outcome.KeyReused:      http.StatusUnprocessableEntity,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -26,6 +26,9 @@
 	defaultIdle    = 2 * time.Minute
 	defaultStreams = 4096
 	defaultBody    = 4 << 20
+	defaultHeader  = 32 << 10
+	hardReadBytes  = hardBodyBytes + 1<<20 // of one request, headers included
+	headerOverhead = 4                     // bytes of ": " and the line's end
 )
 
 type (
@@ -83,6 +86,7 @@
 		Address   string // IP:port
 		Handler   Handler
 		BodyBytes func() int64                 // bound of a body, default 4 MiB
+		Headers   func() int                   // bound of all headers in bytes, default 32 KiB
 		Streams   func() int                   // bound of open requests, default 4096
 		Idle      time.Duration                // of a connection without request, default 2 min
 		NewID     func() string                // of requests
@@ -128,6 +132,7 @@
 		Addrs:              []string{s.Address},
 		Handler:            http.HandlerFunc(s.serve),
 		MaxHTTPBodySize:    hardBodyBytes,
+		ReadLimit:          hardReadBytes,
 		MaxWriteBufferSize: writeBuffer,
 		KeepaliveTime:      s.Idle,
 		ServerExecutor:     func(f func()) { go f() },
@@ -221,6 +226,10 @@
 	}
 	ctx, stop := s.watching(w)
 	defer stop()
+	if err := s.checkHeaders(r); err != nil {
+		s.refuse(a, started, err)
+		return
+	}
 	body, err := s.body(r)
 	if err != nil {
 		s.refuse(a, started, err)
@@ -303,6 +312,24 @@
 	}
 }
 
+// checkHeaders refuses a request whose headers are larger than the bound.
+func (s *Server) checkHeaders(r *http.Request) error {
+	limit := defaultHeader
+	if s.Headers != nil {
+		limit = s.Headers()
+	}
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + headerOverhead
+		}
+	}
+	if size > limit {
+		return outcome.Refuse(outcome.HeaderTooLarge, fmt.Sprintf("%d bytes, at most %d", size, limit), 0)
+	}
+	return nil
+}
+
 // body returns the whole body if it is within the bound.
 func (s *Server) body(r *http.Request) ([]byte, error) {
 	limit := int64(defaultBody)
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -132,6 +132,7 @@
 		{"too many tokens", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":999999}`, nil, 400, "bad-request"},
 		{"deadline", "/v1/completions", `{"model":"m","prompt":"p"}`, []string{"X-Deadline-Ms", "soon"}, 400, "bad-request"},
 		{"resume token", "/v1/completions", `{"model":"m","prompt":"p"}`, []string{"Last-Event-ID", "x"}, 400, "bad-request"},
+		{"large headers", "/v1/completions", `{"model":"m","prompt":"p"}`, []string{"X-Much", strings.Repeat("h", 40<<10)}, 431, "header-too-large"},
 		{"large body", "/v1/completions", `{"model":"m","prompt":"` + strings.Repeat("p", 200) + `"}`, nil, 413, "body-too-large"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
