--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -20,12 +20,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"guavapaddle/core/config/head"
@@ -185,19 +183,6 @@
 	return c.Endpoint.Send(ctx, address, f) == nil // probes find out who is unreachable
 }
 
-// entryBytes returns the bytes of keys and values of entries.
-func entryBytes(all []member.Entry) uint64 {
-	n := 0
-	for _, e := range all {
-		n += len(e.Key) + len(e.Value)
-	}
-	return uint64(n)
-}
-
-// ViewBytes returns how many bytes of views were sent and received since the
-// start. They are part of the traffic of KindMember.
-func (c *Cluster) ViewBytes() (sent, received uint64) { return c.viewsOut.Load(), c.viewsIn.Load() }
-
 // spent is Spent, or does nothing.
 func (c *Cluster) spent(w metrics.Work) func() {
 	if c.Spent == nil {
@@ -206,159 +191,6 @@
 	return c.Spent(w)
 }
 
-// Tell sends v to a node by name, best effort.
-func (c *Cluster) Tell(ctx context.Context, node string, k peer.Kind, v any) {
-	if n, ok := c.Node(node); ok {
-		c.send(ctx, n.Address, k, v)
-	}
-}
-
-// TellSome sends v to k random other live nodes, best effort.
-func (c *Cluster) TellSome(ctx context.Context, k int, kind peer.Kind, v any) {
-	for _, n := range c.others(k) {
-		go c.send(ctx, n.Address, kind, v)
-	}
-}
-
-// AskAll sends v as a call to up to most other live nodes and returns when each
-// has taken it in or ctx ends.
-func (c *Cluster) AskAll(ctx context.Context, most int, kind peer.Kind, v any) {
-	f, err := peer.Encode(kind, v)
-	if err != nil {
-		c.Log.Error("encode", zap.Error(err))
-		return
-	}
-	var wg sync.WaitGroup
-	for _, n := range c.others(most) {
-		wg.Go(func() { c.ask(ctx, n.Address, f) })
-	}
-	wg.Wait()
-}
-
-// ask sends one call and waits until the other node closes it.
-func (c *Cluster) ask(ctx context.Context, address string, f peer.Frame) {
-	s, err := c.Endpoint.Open(ctx, address, f)
-	if err != nil {
-		return
-	}
-	stop := context.AfterFunc(ctx, s.Cancel)
-	defer stop()
-	_ = s.Close()
-	_, _ = s.Read() // ends when the other node has taken it in
-}
-
-// others returns up to most random other live nodes.
-func (c *Cluster) others(most int) []member.Node {
-	var out []member.Node
-	for _, n := range c.Nodes() {
-		if n.Name != c.Self.Name && n.Status <= member.Suspect {
-			out = append(out, n)
-		}
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(most, len(out))]
-}
-
-// message takes one message in.
-func (c *Cluster) message(from string, f peer.Frame) {
-	if f.Kind != KindMember {
-		c.OnMessage(from, f)
-		return
-	}
-	m, fresh, out, ok := c.receive(from, f)
-	if !ok {
-		return
-	}
-	c.views(fresh)
-	c.restarted(m)
-	c.sendAll(context.Background(), out)
-}
-
-// receive decodes a message of the membership and takes it in. It returns the
-// entries that are newer than the known, and the messages that answer it.
-func (c *Cluster) receive(from string, f peer.Frame) (m member.Message, fresh []member.Entry, out []member.Send, ok bool) {
-	defer c.spent(metrics.Membership)()
-	if err := f.Decode(&m); err != nil {
-		c.Log.Warn("message refused", zap.String("from", from), zap.Error(err))
-		return m, nil, nil, false
-	}
-	c.viewsIn.Add(entryBytes(m.Entries))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, e := range m.Entries {
-		if known, ok := c.state.Entry(e.Key); !ok || e.Newer(known) {
-			fresh = append(fresh, e)
-		}
-	}
-	return m, fresh, c.state.Receive(time.Now(), m), true
-}
-
-// views passes on the views and loads in entries that are new here.
-func (c *Cluster) views(entries []member.Entry) {
-	defer c.spent(metrics.Views)()
-	for _, e := range entries {
-		if server, ok := strings.CutPrefix(e.Key, loadPrefix); ok {
-			c.load(server, e)
-			continue
-		}
-		var v view.Server
-		if cbor.Unmarshal(e.Value, &v) == nil && e.Key == serverPrefix+v.Server {
-			c.OnView(v)
-		}
-	}
-}
-
-// load passes on a load that was received.
-func (c *Cluster) load(server string, e member.Entry) {
-	var l forward.Load
-	if cbor.Unmarshal(e.Value, &l) == nil {
-		c.OnLoad(server, l)
-	}
-}
-
-// restarted drops connections to nodes that began anew.
-func (c *Cluster) restarted(m member.Message) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, n := range append(m.Nodes, m.From) {
-		old, ok := c.known[n.Name]
-		if n.Incarnation > old {
-			c.known[n.Name] = n.Incarnation
-		}
-		if ok && n.Incarnation > old {
-			go c.Endpoint.Forget(n.Address)
-		}
-	}
-}
-
-// Publish spreads the view of a server that this node owns.
-func (c *Cluster) Publish(v view.Server) error {
-	b, err := cbor.Marshal(v)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.state.Put(member.Entry{Key: serverPrefix + v.Server, Major: v.Epoch, Minor: v.Sequence, Value: b})
-	c.mu.Unlock()
-	c.OnView(v)
-	return nil
-}
-
-// PublishLoad spreads the load of a server that this node owns, where the rest
-// of its view is unchanged. The order of loads is that of views.
-func (c *Cluster) PublishLoad(v view.Server) error {
-	l := forward.Load{Running: v.Running, Queued: v.Queued, Slots: v.Slots, WaitMS: v.WaitMS}
-	b, err := cbor.Marshal(l)
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.state.Put(member.Entry{Key: loadPrefix + v.Server, Major: v.Epoch, Minor: v.Sequence, Value: b, Light: true})
-	c.mu.Unlock()
-	c.OnLoad(v.Server, l)
-	return nil
-}
-
 // Update changes this node's own record.
 func (c *Cluster) Update(f func(n *member.Node)) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/generate/pick.go
@@ -0,0 +1,114 @@
+package generate
+
+import (
+	"context"
+	"time"
+
+	"guavapaddle/core/backend"
+	"guavapaddle/core/outcome"
+	"guavapaddle/core/route"
+	"guavapaddle/core/view"
+)
+
+// pick chooses server and owner, or waits for a copy.
+func (a *attempt) pick(ctx context.Context) error {
+	waiting := false
+	defer func() {
+		if waiting {
+			a.r.Wanted(a.q.Item, -1)
+		}
+	}()
+	for {
+		changed := a.r.Views.Changed()
+		if s, ok := a.choose(); ok {
+			a.server, a.owner, a.epoch = s.Server, s.Owner, s.Epoch
+			a.note("pick", a.why)
+			return nil
+		}
+		if len(a.exclude) > 0 { // all others failed; the first may do by now
+			clear(a.exclude)
+			continue
+		}
+		if !waiting {
+			waiting = true
+			a.r.Wanted(a.q.Item, 1)
+			a.note("wait", string(outcome.NoCopy))
+		}
+		if err := a.await(ctx, changed); err != nil {
+			return err
+		}
+	}
+}
+
+// await waits until the views change.
+func (a *attempt) await(ctx context.Context, changed <-chan struct{}) error {
+	t := time.NewTimer(time.Until(a.q.Deadline))
+	defer t.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return a.failed(outcome.Refuse(outcome.CallerGone, "while it waited for a copy", 0))
+	case <-t.C:
+		return a.failed(outcome.Refuse(outcome.NoCopy, a.q.Item.String(), copyRetry))
+	}
+}
+
+// choose applies the policy to the servers that hold the item, and to those
+// that hold another version of it if none does.
+func (a *attempt) choose() (view.Server, bool) {
+	all := a.r.Views.All()
+	if s, ok := a.chooseOf(all, a.q.Item); ok {
+		return s, true
+	}
+	for _, v := range all {
+		for _, i := range v.Resident {
+			if i.Name == a.q.Item.Name && i.Base == a.q.Item.Base && i.Version != a.q.Item.Version {
+				if s, ok := a.chooseOf(all, i); ok {
+					a.q.Item = i
+					return s, true
+				}
+			}
+		}
+	}
+	return view.Server{}, false
+}
+
+func (a *attempt) chooseOf(all []view.Server, item backend.Item) (view.Server, bool) {
+	r := a.r
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cs := make([]route.Candidate, 0, len(all))
+	for _, v := range all {
+		if !v.Holds(item) {
+			continue
+		}
+		cs = append(cs, route.Candidate{
+			Server:         v,
+			SameDataCentre: r.Place(v.Server) == r.DataCentre,
+			OwnInFlight:    r.sent.InFlight(v.Server),
+			OwnRecent:      r.sent.Recent(v.Server),
+		})
+	}
+	now := time.Now()
+	rested := r.passOver(now, cs)
+	q := route.Request{
+		Item:       item,
+		Urgency:    a.q.Kind.Urgency,
+		Deadline:   a.q.Deadline,
+		PrefixHash: a.q.PrefixHash,
+		Exclude:    a.exclude,
+	}
+	c, ok := r.Policy.Pick(now, q, cs, r.random)
+	if !ok && len(rested) > 0 {
+		for _, i := range rested {
+			cs[i].Reachable = true
+		}
+		c, ok = r.Policy.Pick(now, q, cs, r.random)
+	}
+	if !ok {
+		return view.Server{}, false
+	}
+	a.why = string(c.Reason)
+	return cs[c.Index].Server, true
+}
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,7 +10,6 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
-	"guavapaddle/core/queue"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/route"
 	"guavapaddle/core/suspect"
@@ -180,50 +177,6 @@
 	return !suspects.IsBusy(err) && outcome.From(err).Outcome != outcome.RefusedNotRun
 }
 
-// pick chooses server and owner, or waits for a copy.
-func (a *attempt) pick(ctx context.Context) error {
-	waiting := false
-	defer func() {
-		if waiting {
-			a.r.Wanted(a.q.Item, -1)
-		}
-	}()
-	for {
-		changed := a.r.Views.Changed()
-		if s, ok := a.choose(); ok {
-			a.server, a.owner, a.epoch = s.Server, s.Owner, s.Epoch
-			a.note("pick", a.why)
-			return nil
-		}
-		if len(a.exclude) > 0 { // all others failed; the first may do by now
-			clear(a.exclude)
-			continue
-		}
-		if !waiting {
-			waiting = true
-			a.r.Wanted(a.q.Item, 1)
-			a.note("wait", string(outcome.NoCopy))
-		}
-		if err := a.await(ctx, changed); err != nil {
-			return err
-		}
-	}
-}
-
-// await waits until the views change.
-func (a *attempt) await(ctx context.Context, changed <-chan struct{}) error {
-	t := time.NewTimer(time.Until(a.q.Deadline))
-	defer t.Stop()
-	select {
-	case <-changed:
-		return nil
-	case <-ctx.Done():
-		return a.failed(outcome.Refuse(outcome.CallerGone, "while it waited for a copy", 0))
-	case <-t.C:
-		return a.failed(outcome.Refuse(outcome.NoCopy, a.q.Item.String(), copyRetry))
-	}
-}
-
 // failed returns what the caller is told of the last failure e: not a refusal
 // if an earlier attempt may have run, and unknown if a request that may not be
 // repeated was lost, since it may run to its end.
@@ -247,206 +200,6 @@
 	return r == outcome.PeerLost || r == outcome.BackendLost
 }
 
-// choose applies the policy to the servers that hold the item, and to those
-// that hold another version of it if none does.
-func (a *attempt) choose() (view.Server, bool) {
-	all := a.r.Views.All()
-	if s, ok := a.chooseOf(all, a.q.Item); ok {
-		return s, true
-	}
-	for _, v := range all {
-		for _, i := range v.Resident {
-			if i.Name == a.q.Item.Name && i.Base == a.q.Item.Base && i.Version != a.q.Item.Version {
-				if s, ok := a.chooseOf(all, i); ok {
-					a.q.Item = i
-					return s, true
-				}
-			}
-		}
-	}
-	return view.Server{}, false
-}
-
-func (a *attempt) chooseOf(all []view.Server, item backend.Item) (view.Server, bool) {
-	r := a.r
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	cs := make([]route.Candidate, 0, len(all))
-	for _, v := range all {
-		if !v.Holds(item) {
-			continue
-		}
-		cs = append(cs, route.Candidate{
-			Server:         v,
-			SameDataCentre: r.Place(v.Server) == r.DataCentre,
-			OwnInFlight:    r.sent.InFlight(v.Server),
-			OwnRecent:      r.sent.Recent(v.Server),
-		})
-	}
-	now := time.Now()
-	rested := r.passOver(now, cs)
-	q := route.Request{
-		Item:       item,
-		Urgency:    a.q.Kind.Urgency,
-		Deadline:   a.q.Deadline,
-		PrefixHash: a.q.PrefixHash,
-		Exclude:    a.exclude,
-	}
-	c, ok := r.Policy.Pick(now, q, cs, r.random)
-	if !ok && len(rested) > 0 {
-		for _, i := range rested {
-			cs[i].Reachable = true
-		}
-		c, ok = r.Policy.Pick(now, q, cs, r.random)
-	}
-	if !ok {
-		return view.Server{}, false
-	}
-	a.why = string(c.Reason)
-	return cs[c.Index].Server, true
-}
-
-// send runs the request at the picked server, through its owner if it can.
-func (a *attempt) send(ctx context.Context, resume bool) error {
-	r := a.r
-	job := a.job(resume)
-	r.begin(a.server)
-	defer r.end(a.server)
-	sink := func(reply forward.Reply) error {
-		if reply.Load != nil {
-			r.Views.Heard(a.server, *reply.Load)
-			r.Seen(a.server)
-		}
-		if reply.Token == "" && reply.Finish == "" {
-			return nil
-		}
-		if !a.began && a.q.Started != nil {
-			a.q.Started()
-		}
-		a.began = true
-		if reply.Finish == "" {
-			a.offset = reply.Offset + 1
-		}
-		return a.pass(reply)
-	}
-	switch {
-	case r.Forward && a.owner == r.Self && !a.bypass:
-		return r.Local.Do(ctx, job, sink)
-	case r.Forward && a.owner != "" && !a.bypass:
-		err := r.Owners.Do(ctx, a.owner, job, sink)
-		if e := outcome.From(err); e == nil || e.Reason != outcome.PeerUnreachable {
-			return err
-		}
-		a.note("direct", string(outcome.PeerUnreachable))
-	}
-	return a.direct(ctx, job, sink)
-}
-
-// pass gives a reply to the caller, or holds it until the finish if the caller
-// sees nothing before: a generation that fails halfway can then begin anew.
-func (a *attempt) pass(reply forward.Reply) error {
-	at := forward.Token{RequestID: a.engineRequest(), Offset: a.offset, Server: a.server}
-	if !a.q.Buffered {
-		return a.emit(reply, at)
-	}
-	a.held = append(a.held, reply)
-	if reply.Finish == "" {
-		return nil
-	}
-	for _, r := range a.held {
-		if err := a.emit(r, at); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// direct runs a job at the engine without its owner.
-func (a *attempt) direct(ctx context.Context, job forward.Job, sink engines.Sink) error {
-	e := a.r.Engine(a.server)
-	if e == nil {
-		return outcome.Refuse(outcome.NoServer, a.server, copyRetry)
-	}
-	return engines.Run(ctx, e, job, queue.Priority(job.Urgency), sink)
-}
-
-// resume continues the generation at its server: through the owner, or
-// directly if the owner is lost. why is the failure so far.
-func (a *attempt) resume(ctx context.Context, why *outcome.Error) error {
-	a.owner, a.epoch = a.r.ownerOf(a.server)
-	for range maxResumes {
-		if why.Reason == outcome.PeerLost || why.Reason == outcome.NoServer {
-			a.owner = ""
-		}
-		a.note("resume", string(why.Reason))
-		before := a.offset
-		err := a.send(ctx, true)
-		if err == nil {
-			return nil
-		}
-		if _, ok := errors.AsType[*engines.SinkError](err); ok {
-			return outcome.Fail(outcome.CallerGone, "")
-		}
-		e := outcome.From(err)
-		if e.Outcome == outcome.RefusedNotRun {
-			e.Outcome = outcome.FailedAfterStart // the first part ran
-		}
-		if e.Reason != outcome.PeerLost && e.Reason != outcome.NoServer && a.offset == before {
-			return e
-		}
-		why = e
-	}
-	return why
-}
-
-// pause waits before an attempt.
-func (a *attempt) pause(ctx context.Context, attempt int) error {
-	a.r.mu.Lock()
-	d := a.r.Retry.Backoff(attempt, a.r.random)
-	a.r.mu.Unlock()
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return outcome.Fail(outcome.CallerGone, "")
-	}
-}
-
-// job returns the job for the picked server.
-func (a *attempt) job(resume bool) forward.Job {
-	return forward.Job{
-		Server:      a.server,
-		RequestID:   a.q.ID,
-		EngineID:    forward.EngineID(a.q.Customer, a.engineRequest()),
-		Customer:    a.q.Customer,
-		Kind:        a.q.Kind.Name,
-		Urgency:     a.q.Kind.Urgency,
-		Value:       a.q.Kind.Value,
-		RemainingMS: time.Until(a.q.Deadline).Milliseconds(),
-		Item:        a.q.Item,
-		Prompt:      a.q.Prompt,
-		MaxTokens:   a.q.MaxTokens,
-		Offset:      a.offset,
-		Resume:      resume,
-		Alone:       a.q.Alone,
-		Fingerprint: string(a.q.Fingerprint),
-	}
-}
-
-// engineRequest returns the request id that the engine knows. A request that
-// is continued keeps the id of its first part; each new attempt has its own.
-func (a *attempt) engineRequest() string {
-	switch {
-	case a.q.Resume != nil:
-		return a.q.Resume.RequestID
-	case a.count > 0:
-		return a.q.ID + "-" + strconv.Itoa(a.count)
-	}
-	return a.q.ID
-}
-
 func (a *attempt) note(event, reason string) {
 	a.r.Note(Event{RequestID: a.q.ID, Event: event, Server: a.server, Owner: a.owner, Epoch: a.epoch, Reason: reason})
 }
