End the claim of an unload that an earlier owner left

Ruled out: the planner's choice and the ledger, which had settled the order. A server's next owner takes over such claims and ends each once its ledger shows the order settled. TestClaimOfEarlierOwnerEnds fails without it on both kinds of server.

--- a/internal/owner/claims.go
+++ b/internal/owner/claims.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
+	"guavapaddle/core/backend"
 	"guavapaddle/core/row"
 	"guavapaddle/io/table"
 )
@@ -53,9 +54,11 @@
 
 	// claimValue is the value of a claim's row.
 	claimValue struct {
-		Token string `json:"token"`
-		For   string `json:"for"`
-		TTLMS int64  `json:"ttl-ms"`
+		Token  string       `json:"token"`
+		For    string       `json:"for"` // for people
+		Server string       `json:"server"`
+		Item   backend.Item `json:"item"`
+		TTLMS  int64        `json:"ttl-ms"`
 	}
 )
 
@@ -63,7 +66,7 @@
 
 // acquire claims the first free one of keys. It returns false if none is free,
 // and the table's error if it doesn't answer.
-func (c *claims) acquire(ctx context.Context, what string, ttl time.Duration, keys ...string) (claim, bool, error) {
+func (c *claims) acquire(ctx context.Context, server string, item backend.Item, ttl time.Duration, keys ...string) (claim, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 	defer cancel()
 	rows, err := c.o.Table.Read(ctx, keys...)
@@ -74,7 +77,7 @@
 		if !c.free(r) {
 			continue
 		}
-		got, ok, err := c.put(ctx, r, what, ttl)
+		got, ok, err := c.put(ctx, r, server, item, ttl)
 		if ok || err != nil {
 			return got, ok, err
 		}
@@ -83,9 +86,11 @@
 }
 
 // put claims a row, reading back if the table's answer was lost.
-func (c *claims) put(ctx context.Context, r row.Row, what string, ttl time.Duration) (claim, bool, error) {
+func (c *claims) put(ctx context.Context, r row.Row, server string, item backend.Item, ttl time.Duration) (claim, bool, error) {
 	token := c.token()
-	value, err := json.Marshal(claimValue{Token: token, For: what, TTLMS: ttl.Milliseconds()})
+	value, err := json.Marshal(claimValue{
+		Token: token, For: server + " " + item.String(), Server: server, Item: item, TTLMS: ttl.Milliseconds(),
+	})
 	if err != nil {
 		return claim{}, false, err
 	}
@@ -139,6 +144,29 @@
 	}
 }
 
+// left returns the claims of unloads that earlier owners of a server made for
+// names and did not end.
+func (c *claims) left(ctx context.Context, server string, names []string) (map[backend.Item]claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
+	defer cancel()
+	keys := make([]string, len(names))
+	for i, n := range names {
+		keys[i] = unloadPrefix + n
+	}
+	rows, err := c.o.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	found := map[backend.Item]claim{}
+	for _, r := range rows {
+		var v claimValue
+		if r.Revision != 0 && json.Unmarshal(r.Value, &v) == nil && v.Server == server {
+			found[v.Item] = claim{key: r.Key, revision: r.Revision}
+		}
+	}
+	return found, nil
+}
+
 // token returns a value that no other claim has.
 func (c *claims) token() string {
 	c.mu.Lock()
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -94,7 +94,7 @@
 	if w.catalog.loads <= 0 {
 		return claim{}, true
 	}
-	got, ok, err := w.o.claims.acquire(ctx, w.name+" "+item.String(), slotTTL, slotKeys(w.catalog.loads)...)
+	got, ok, err := w.o.claims.acquire(ctx, w.name, item, slotTTL, slotKeys(w.catalog.loads)...)
 	if err != nil {
 		return claim{}, w.o.loading() < w.o.share(w.catalog.loads)
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -11,6 +11,7 @@
 
 	"guavapaddle/core/backend"
 	"guavapaddle/core/config"
+	"guavapaddle/core/row"
 	"guavapaddle/core/view"
 )
 
@@ -289,6 +290,24 @@
 	})
 }
 
+// TestClaimOfEarlierOwnerEnds starts an owner on a server whose earlier owner
+// left the claim of an unload: it ends once the ledger shows that the order is
+// settled, not when it expires after a minute.
+func TestClaimOfEarlierOwnerEnds(t *testing.T) {
+	both(t, 2, func(c *cluster, _ bool) {
+		left := `{"token":"gone/0/1","for":"e0 a@1","server":"e0","item":{"name":"a","version":"1"},"ttl-ms":60000}`
+		c.table.commit(row.Tx{}.Put("owner/unload/+a", []byte(left)))
+		c.start("n1", "n1")
+		c.plan("e0", model("a"), model("b"))
+		c.plan("e1", model("a"), model("c"))
+		time.Sleep(20 * time.Second)
+		c.resident("e0", model("a"), model("b"))
+		c.plan("e0", model("b"), model("d"))
+		time.Sleep(20 * time.Second)
+		c.resident("e0", model("b"), model("d"))
+	})
+}
+
 func TestEngineRestartIsToldAndReloaded(t *testing.T) {
 	both(t, 1, func(c *cluster, _ bool) {
 		a, e := c.start("n1", "n1"), c.engines["e0"]
--- a/internal/owner/unload.go
+++ b/internal/owner/unload.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"guavapaddle/core/backend"
 	"guavapaddle/core/ledger"
 )
@@ -21,7 +25,7 @@
 	if w.o.LastCopy != nil && w.o.LastCopy(item, w.name) && !w.servedHere(item) {
 		return w.refuse(item, backend.Unload, Reason(ledger.LastCopy))
 	}
-	got, ok, err := w.o.claims.acquire(ctx, w.name+" "+item.String(), w.claimTTL(), unloadPrefix+nameOf(item))
+	got, ok, err := w.o.claims.acquire(ctx, w.name, item, w.claimTTL(), unloadPrefix+nameOf(item))
 	if err != nil || !ok {
 		return w.refuse(item, backend.Unload, Claimed)
 	}
@@ -34,6 +38,30 @@
 	return reason
 }
 
+// inherit takes over the claims of unloads that earlier owners of the server
+// left: only its owner can know that such an order can't take effect any more,
+// and until then nobody else may unload the name.
+func (w *worker) inherit(ctx context.Context) {
+	names := slices.Sorted(maps.Keys(w.catalog.declared))
+	left, err := w.o.claims.left(ctx, w.name, names)
+	if err != nil {
+		return // tried again in the next round
+	}
+	w.inherited, w.heir = left, true
+}
+
+// endInherited ends the claims that were taken over and whose order is settled
+// by the ledger: the item is absent or resident and no order is open.
+func (w *worker) endInherited(ctx context.Context) {
+	for item := range w.inherited {
+		e := w.ledger.Entry(item)
+		if e.Order.OrderID == "" && (e.State == ledger.Absent || e.State == ledger.Resident) {
+			w.log.Info("claim of an earlier owner ended", zap.Stringer("item", item))
+			w.endClaim(ctx, w.inherited, item)
+		}
+	}
+}
+
 // reserveUnload lets the ledger decide and sends the order.
 func (w *worker) reserveUnload(ctx context.Context, item backend.Item, last func(backend.Item) bool) Reason {
 	order, err := w.ledger.Reserve(w.o.now(), backend.Unload, item, ledger.Cost{}, last)
--- a/internal/owner/worker.go
+++ b/internal/owner/worker.go
@@ -49,6 +49,9 @@
 	orders  map[backend.Item]backend.Order // sent, not yet seen done
 	slots   map[backend.Item]claim         // of loads
 	unloads map[backend.Item]claim         // of unloads
+
+	inherited map[backend.Item]claim // of unloads that earlier owners left
+	heir      bool                   // inherited has been read under this epoch
 }
 
 func newWorker(o *Owner, name string) *worker {
@@ -140,6 +143,12 @@
 		w.poll(ctx, epoch)
 	}
 	w.settle(ctx)
+	if w.ledger.Epoch() == epoch {
+		if !w.heir {
+			w.inherit(ctx)
+		}
+		w.endInherited(ctx)
+	}
 	w.publish(epoch)
 	if w.ledger.Epoch() == epoch && w.misses == 0 && !w.leaving {
 		w.act(ctx)
@@ -190,6 +199,7 @@
 		w.restarted()
 	}
 	w.ledger.Adopt(taken, epoch, inv, records)
+	w.heir = false
 	w.fenced = true
 	if w.adopted == 0 {
 		w.adopted = w.o.now()
