--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -137,6 +137,13 @@
 	c.rand = rand.New(rand.NewPCG(c.Seed, c.Seed))
 }
 
+// SetRetryShare sets how many retries each first attempt that succeeded allows.
+func (c *Caller) SetRetryShare(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Budget.Share = share
+}
+
 // succeeded tells the budget of a first attempt that was answered.
 func (c *Caller) succeeded() {
 	c.mu.Lock()
--- a/internal/generate/outcome_test.go
+++ b/internal/generate/outcome_test.go
@@ -80,3 +80,49 @@
 		})
 	}
 }
+
+// flaky fails every second job after it started and ends the others well.
+type flaky struct{ jobs int }
+
+func (f *flaky) Do(_ context.Context, _ string, _ forward.Job, sink engines.Sink) error {
+	f.jobs++
+	if f.jobs%2 == 1 {
+		return outcome.Fail(outcome.BackendFailed, "")
+	}
+	return sink(forward.Reply{Finish: "stop"})
+}
+
+// TestRetryShare shows that the configured share bounds retries once the burst
+// is spent.
+func TestRetryShare(t *testing.T) {
+	for _, test := range []struct {
+		share       float64
+		least, most int // retries in 200 requests
+	}{{-1, 0, 15}, {1, 60, 200}} {
+		synctest.Test(t, func(t *testing.T) {
+			item := backend.Item{Name: "m", Version: "1"}
+			known := views.New()
+			known.Put(view.Server{Server: "s1", Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
+			owner := &flaky{}
+			r := &generate.Router{
+				Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: &noGuard{},
+				Place:  func(string) string { return "" },
+				Engine: func(string) engines.Engine { return nil },
+				Boot:   func(context.Context, string) (string, error) { return "", nil },
+				Note:   func(generate.Event) {},
+				Wanted: func(backend.Item, int) {},
+			}
+			r.Init(1, &retry.Budget{Floor: -1})
+			r.SetRetryShare(test.share)
+			for range 200 {
+				_ = r.Do(t.Context(), generate.Request{
+					ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
+					Kind: config.Kind{Name: "k", Urgency: config.Urgent, Repeatable: true},
+				}, func(forward.Reply, forward.Token) error { return nil })
+			}
+			retries := owner.jobs - 200
+			require.GreaterOrEqual(t, retries, test.least, "share %v", test.share)
+			require.LessOrEqual(t, retries, test.most, "share %v", test.share)
+		})
+	}
+}
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -234,6 +234,13 @@
 	r.sent.Ended(server)
 }
 
+// SetRetryShare sets how many retries each first attempt that succeeded allows.
+func (r *Router) SetRetryShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Share = share
+}
+
 // success fills the retry budget; only first attempts count.
 func (r *Router) success(failures int) {
 	if failures > 0 {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -161,21 +161,22 @@
 	n.limits = newLimits(n.settings.Limit)
 	n.pool = &call.Pool{}
 	n.services = &call.Services{}
+	n.calls = &call.Caller{
+		Servers:  n.pool,
+		Backend:  n.services,
+		Claims:   n.claims,
+		Suspects: n.guard,
+		Prober:   n.services,
+		Seed:     n.settings.Seed,
+		Log:      n.log,
+		Metrics:  call.NewMetrics(n.registry),
+		Note:     n.note,
+	}
 	e := &entry.Entry{
-		Index:  n.follower.Index,
-		Fresh:  n.follower.Fresh,
-		Router: n.router,
-		Calls: &call.Caller{
-			Servers:  n.pool,
-			Backend:  n.services,
-			Claims:   n.claims,
-			Suspects: n.guard,
-			Prober:   n.services,
-			Seed:     n.settings.Seed,
-			Log:      n.log,
-			Metrics:  call.NewMetrics(n.registry),
-			Note:     n.note,
-		},
+		Index:   n.follower.Index,
+		Fresh:   n.follower.Fresh,
+		Router:  n.router,
+		Calls:   n.calls,
 		Claims:  n.claims,
 		Limits:  n.limits,
 		Demand:  n.demand,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 		claims   *claims.Store
 		pool     *call.Pool
 		services *call.Services
+		calls    *call.Caller
 		callers  *caller.Server
 		trace    *trace.Recorder
 		requests *metrics.Requests
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -31,6 +31,7 @@
 	drainPoll     = 20 * time.Millisecond
 	flushTimeout  = 5 * time.Second
 	leaveTimeout  = time.Second
+	noRetries     = -1 // as a share: zero would be the default
 	roleNode      = "node"
 )
 
@@ -187,6 +188,12 @@
 	defer n.control.Time(metrics.Configuration)()
 	n.owner.SetDocument(*x.Document(), x.Version())
 	n.views.Keep(func(server string) bool { _, ok := x.Server(server); return ok })
+	share := x.Limits().RetryShare
+	if share == 0 {
+		share = noRetries
+	}
+	n.router.SetRetryShare(share)
+	n.calls.SetRetryShare(share)
 	n.log.Info("configuration in force", zap.Uint64("version", x.Version()), zap.String("hash", x.Hash()))
 }
 
