Begin sessions when every engine is with its rightful owner

TestInvariantRefusedNotRunUnderLoad failed in three of five whole runs with no queue-full: the flood met the hand-over after the start (the node that starts first owns all engines and hands most over), requests went past the owners, and the engines' own queues took them. Ruled out: the spread of arrivals (longer drafts did not help) and the queue's bound. Sessions wait for the owners by rendezvous now, and a long draft fills each engine before the flood.

--- a/internal/session/notrun_test.go
+++ b/internal/session/notrun_test.go
@@ -146,12 +146,20 @@
 	s.StartNodes(2)
 	before := s.Ran()
 	const drafts, callers = 40, 120
+	// A long draft on each engine, which leaves no slot for further drafts: the
+	// queues fill even if the flood comes spread over seconds.
+	const longTokens, tokens = 600, 100
+	long := make([]*session.Stream, 2)
+	for i := range long {
+		long[i] = s.Stream(i, session.Chat("checker", fmt.Sprint("long ", i), longTokens), "X-Kind", "overnight-draft")
+		require.True(t, long[i].Read(1), long[i].Error)
+	}
 	answers := make([]session.Answer, callers)
 	var wg sync.WaitGroup
 	first := make(chan struct{}, callers)
 	ask := func(i int, kind, key string, deadlineMS int) {
 		wg.Go(func() {
-			answers[i] = s.Do(i%2, http.MethodPost, chat, session.Whole("checker", fmt.Sprint("flood ", i), 100),
+			answers[i] = s.Do(i%2, http.MethodPost, chat, session.Whole("checker", fmt.Sprint("flood ", i), tokens),
 				"X-Kind", kind, "X-Deadline-Ms", fmt.Sprint(deadlineMS), "Authorization", "Bearer "+key)
 			first <- struct{}{}
 		})
@@ -167,8 +175,11 @@
 		}
 		ask(i, "live-desk", key, 100+20*i)
 	}
+	for _, st := range long {
+		wg.Go(func() { st.Read(-1) })
+	}
 	wg.Wait()
-	ran, reasons := int64(0), map[string]int{}
+	ran, reasons := int64(len(long)), map[string]int{}
 	for _, a := range answers {
 		require.NoError(t, a.Err)
 		reasons[a.Header.Get("X-Reason")]++
--- a/internal/session/system.go
+++ b/internal/session/system.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	rendezvous "github.com/dgryski/go-rendezvous"
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
@@ -117,6 +119,30 @@
 	}
 	s.WaitNodes(n)
 	s.WaitResident()
+	s.WaitOwners()
+}
+
+// WaitOwners waits until every engine is owned by the node that should own it,
+// by every running node's view. The first nodes to start own all engines and
+// hand most of them over when the others are there.
+func (s *System) WaitOwners() {
+	var live []string
+	for _, n := range s.Nodes {
+		if !n.Ended() {
+			live = append(live, n.Name)
+		}
+	}
+	should := rendezvous.New(live, xxhash.Sum64String)
+	s.Eventually("owners", func() bool {
+		return s.everyNode(func(r status.Report) bool {
+			for _, v := range r.Servers {
+				if v.Owner != should.Lookup(v.Server) || !v.Reachable {
+					return false
+				}
+			}
+			return true
+		})
+	})
 }
 
 func (s *System) startNode(i int) *Process {
