Ask the store of views for one server; drop what nobody reads

Found by reading the whole change: the router looked for one server's owner and boot id by a scan over all views, once for every request, where the store has Get; plans carried may-drop-last, which no owner reads; dispatch had an error type that was only ever turned into text; three tests of the router built it anew. Behaviour and assertions are unchanged.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -62,14 +62,8 @@
 		fingerprint string
 		adopted     chan struct{} // closed when another asker resumes it
 	}
-
-	// NotOwned is the failure of a job for a server of another node.
-	NotOwned struct{ Server string }
 )
 
-// Error names the server.
-func (e *NotOwned) Error() string { return "not the owner of " + e.Server }
-
 // Own makes the node dispatch for a server with so many slots.
 func (d *Dispatcher) Own(name string, slots int) {
 	d.mu.Lock()
@@ -149,8 +143,7 @@
 	s := d.server(job.Server)
 	engine := d.Engine(job.Server)
 	if s == nil || engine == nil {
-		e := outcome.Refuse(outcome.NoServer, (&NotOwned{Server: job.Server}).Error(), notOwnedRetry)
-		return e
+		return outcome.Refuse(outcome.NoServer, "not the owner of "+job.Server, notOwnedRetry)
 	}
 	d.active.Add(1)
 	defer d.active.Add(-1)
--- a/internal/generate/guard.go
+++ b/internal/generate/guard.go
@@ -37,7 +37,8 @@
 	if a.q.Alone {
 		a.note("trial", string(outcome.CrashSuspect))
 	}
-	boot := a.r.bootOf(a.server)
+	v, _ := a.r.Views.Get(a.server)
+	boot := v.BootID
 	err = a.send(ctx, false)
 	if err == nil {
 		g.Succeeded(run)
@@ -80,13 +81,3 @@
 	}
 	return true, a.pause(ctx, a.free+1)
 }
-
-// bootOf returns the boot id of a server's engine by the views.
-func (r *Router) bootOf(server string) string {
-	for _, v := range r.Views.All() {
-		if v.Server == server {
-			return v.BootID
-		}
-	}
-	return ""
-}
--- a/internal/generate/lost_test.go
+++ b/internal/generate/lost_test.go
@@ -9,18 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/core/backend"
 	"guavapaddle/core/config"
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/retry"
-	"guavapaddle/core/route"
 	"guavapaddle/core/suspect"
-	"guavapaddle/core/view"
 	"guavapaddle/internal/engines"
 	"guavapaddle/internal/generate"
 	"guavapaddle/internal/suspects"
-	"guavapaddle/internal/views"
 )
 
 // noGuard lets every request run and counts crashes.
@@ -46,18 +42,10 @@
 // sent after its loss are not taken for its cause.
 func TestLostServerIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		item := backend.Item{Name: "m", Version: "1"}
-		known := views.New()
-		known.Put(view.Server{Server: "s1", Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
 		owner, guard := &brokenOwner{}, &noGuard{}
-		r := &generate.Router{
-			Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: guard,
-			Place:  func(string) string { return "" },
-			Engine: func(string) engines.Engine { return nil },
-			Boot:   func(context.Context, string) (string, error) { return "", errors.New("no answer") },
-			Note:   func(generate.Event) {},
-			Wanted: func(backend.Item, int) {},
-		}
+		r := newRouter(owner, "s1")
+		r.Guard = guard
+		r.Boot = func(context.Context, string) (string, error) { return "", errors.New("no answer") }
 		r.Init(1, &retry.Budget{})
 		for range 3 {
 			q := generate.Request{
--- a/internal/generate/outcome_test.go
+++ b/internal/generate/outcome_test.go
@@ -20,6 +20,24 @@
 	"guavapaddle/internal/views"
 )
 
+var item = backend.Item{Name: "m", Version: "1"}
+
+// newRouter returns a router to servers that hold the item, all of one owner.
+func newRouter(owner generate.Owners, servers ...string) *generate.Router {
+	known := views.New()
+	for _, s := range servers {
+		known.Put(view.Server{Server: s, Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
+	}
+	return &generate.Router{
+		Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: &noGuard{},
+		Place:  func(string) string { return "" },
+		Engine: func(string) engines.Engine { return nil },
+		Boot:   func(context.Context, string) (string, error) { return "", nil },
+		Note:   func(generate.Event) {},
+		Wanted: func(backend.Item, int) {},
+	}
+}
+
 // failing fails every job in the same way.
 type failing struct {
 	err  *outcome.Error
@@ -53,20 +71,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				item := backend.Item{Name: "m", Version: "1"}
-				known := views.New()
-				for _, s := range []string{"s1", "s2", "s3"} {
-					known.Put(view.Server{Server: s, Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
-				}
 				owner := &failing{err: test.err}
-				r := &generate.Router{
-					Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: &noGuard{},
-					Place:  func(string) string { return "" },
-					Engine: func(string) engines.Engine { return nil },
-					Boot:   func(context.Context, string) (string, error) { return "", nil },
-					Note:   func(generate.Event) {},
-					Wanted: func(backend.Item, int) {},
-				}
+				r := newRouter(owner, "s1", "s2", "s3")
 				r.Init(1, &retry.Budget{})
 				err := r.Do(t.Context(), generate.Request{
 					ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
@@ -100,18 +106,8 @@
 		least, most int // retries in 200 requests
 	}{{-1, 0, 15}, {1, 60, 200}} {
 		synctest.Test(t, func(t *testing.T) {
-			item := backend.Item{Name: "m", Version: "1"}
-			known := views.New()
-			known.Put(view.Server{Server: "s1", Owner: "n2", Epoch: 1, Sequence: 1, Resident: []backend.Item{item}, Slots: 8, Reachable: true})
 			owner := &flaky{}
-			r := &generate.Router{
-				Self: "n1", Views: known, Owners: owner, Policy: &route.Home{}, Forward: true, Guard: &noGuard{},
-				Place:  func(string) string { return "" },
-				Engine: func(string) engines.Engine { return nil },
-				Boot:   func(context.Context, string) (string, error) { return "", nil },
-				Note:   func(generate.Event) {},
-				Wanted: func(backend.Item, int) {},
-			}
+			r := newRouter(owner, "s1")
 			r.Init(1, &retry.Budget{Floor: -1})
 			r.SetRetryShare(test.share)
 			for range 200 {
--- a/internal/generate/resume.go
+++ b/internal/generate/resume.go
@@ -12,7 +12,8 @@
 // resume continues the generation at its server: through the owner, or
 // directly if the owner is lost. why is the failure so far.
 func (a *attempt) resume(ctx context.Context, why *outcome.Error) error {
-	a.owner, a.epoch = a.r.ownerOf(a.server)
+	v, _ := a.r.Views.Get(a.server)
+	a.owner, a.epoch = v.Owner, v.Epoch
 	for range maxResumes {
 		if why.Reason == outcome.PeerLost || why.Reason == outcome.NoServer {
 			a.owner = ""
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -58,6 +58,8 @@
 	Views interface {
 		// All returns the servers that are known. It is not to be changed.
 		All() []view.Server
+		// Get returns the view of one server, false if it is not known.
+		Get(server string) (view.Server, bool)
 		// Changed returns a channel that is closed at the next change.
 		Changed() <-chan struct{}
 		// Heard notes the load that an owner told with an answer.
@@ -204,17 +206,6 @@
 	a.r.Note(Event{RequestID: a.q.ID, Event: event, Server: a.server, Owner: a.owner, Epoch: a.epoch, Reason: reason})
 }
 
-// ownerOf returns the owner of a server and the epoch of its lease by the
-// views, empty if unknown.
-func (r *Router) ownerOf(server string) (string, uint64) {
-	for _, v := range r.Views.All() {
-		if v.Server == server {
-			return v.Owner, v.Epoch
-		}
-	}
-	return "", 0
-}
-
 // Seen notes that a newer view or load of a server arrived.
 func (r *Router) Seen(server string) {
 	r.mu.Lock()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -88,8 +88,7 @@
 
 	// message is what the planner tells an owner.
 	message struct {
-		Plan        map[string][]backend.Item `cbor:"1,keyasint"`
-		MayDropLast bool                      `cbor:"2,keyasint"`
+		Plan map[string][]backend.Item `cbor:"1,keyasint"`
 	}
 )
 
@@ -195,7 +194,7 @@
 		}
 		m := byOwner[v.Owner]
 		if m.Plan == nil {
-			m = message{Plan: map[string][]backend.Item{}, MayDropLast: out.MayDropLast}
+			m.Plan = map[string][]backend.Item{}
 		}
 		m.Plan[v.Server] = items
 		byOwner[v.Owner] = m
