--- /dev/null
+++ b/core/balance/picture.go
@@ -0,0 +1,400 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"guavapaddle/core/fleet"
+)
+
+const (
+	// Choices is how many servers are drawn for one pick.
+	Choices = 3
+
+	// promptRate is the prompt tokens that an engine reads in a millisecond
+	// before any was measured; the users' sheets say 19 to 22.
+	promptRate = 20.0
+	// runningTokens is what a running stream costs others, as prompt tokens: it
+	// adds some 0.04 ms to each step of about 8 ms while a prompt of a thousand
+	// tokens takes 50 ms.
+	runningTokens = 40
+	// othersLife is how long a digest of other nodes counts.
+	othersLife = 1500 * time.Millisecond
+	// reportLife is how long a server's own count counts.
+	reportLife = 700 * time.Millisecond
+	// avoidFirst and avoidMost bound how long a failed server is avoided.
+	avoidFirst = 400 * time.Millisecond
+	avoidMost  = 5 * time.Second
+	// smoothing is the part of a new sample in a server's learned slowness.
+	smoothing = 0.2
+	// slownessMost bounds the learned slowness, so that one bad sample doesn't
+	// shut a server out.
+	slownessMost = 12.0
+	// awayZone is the cost of another data centre: half a millisecond to 1.4 ms
+	// each way, and the price of bytes between data centres.
+	awayZone = 1.15
+	// noteLife is how long an overlay on a server's entry counts: the entry
+	// follows within a heartbeat of 1.2 s and a report's lag.
+	noteLife = 3 * time.Second
+	// partsMost bounds the prompt parts remembered for a server.
+	partsMost = 1024
+)
+
+type (
+	// Part is a piece of a prompt that requests may share.
+	Part struct {
+		ID     string
+		Tokens int
+	}
+
+	// Request is what a pick depends on.
+	Request struct {
+		Service string
+		Model   string // empty for plain services
+		Adapter string
+		Tokens  int // of the prompt
+		Parts   []Part
+		Zone    string          // the node's data centre
+		Exclude map[string]bool // ids of servers not to pick
+	}
+
+	// Choice is a server that was picked.
+	Choice struct {
+		Server fleet.Server
+		Wait   time.Duration // estimated until it begins the request
+		Age    time.Duration // of what other nodes said of it
+	}
+
+	// Why tells why no server was picked.
+	Why string
+
+	// Result tells how a request at a server ended.
+	Result int
+
+	// Ticket is a request that is at a server.
+	Ticket struct {
+		server *server
+		tokens int
+		sent   time.Time
+		wait   time.Duration
+		first  bool
+		done   bool
+	}
+
+	// Count is what one or more nodes have at a server.
+	Count struct {
+		Pending int // requests without a first byte of their answer
+		Running int
+		Tokens  int // prompt tokens of the pending ones
+	}
+
+	// Picture is what a node knows of all backend servers.
+	Picture struct {
+		rng     *rand.Rand
+		servers map[string]*server
+		groups  map[string][]*server // by service, in order of ids
+	}
+
+	server struct {
+		fleet.Server
+		own      Count
+		others   Count
+		othersAt time.Time
+		report   Count
+		reportAt time.Time
+		failures int
+		avoid    time.Time
+		slowness float64
+		base     time.Duration // learned time to the first byte, plain services
+		notes    map[string]note
+		parts    map[string]time.Time
+	}
+
+	// note overlays the server's entry for one model or adapter.
+	note struct {
+		held  bool
+		until time.Time
+	}
+)
+
+const (
+	// Picked means that there is a choice.
+	Picked Why = ""
+	// NoServer means that the service has no server that isn't excluded.
+	NoServer Why = "no-server"
+	// NoModel means that no server holds the model.
+	NoModel Why = "no-model"
+	// NoAdapter means that servers hold the model but not the adapter.
+	NoAdapter Why = "no-adapter"
+)
+
+const (
+	// Good means that the server answered.
+	Good Result = iota
+	// Full means that the server said that it had no room.
+	Full
+	// Broken means that the server could not be reached or broke off.
+	Broken
+	// Dropped means that the client or the node gave the request up.
+	Dropped
+	// Failed means that the server answered with an error of its own.
+	Failed
+)
+
+// New returns an empty picture that draws from rng.
+func New(rng *rand.Rand) *Picture {
+	return &Picture{rng: rng, servers: map[string]*server{}, groups: map[string][]*server{}}
+}
+
+// Update replaces the list of servers and keeps what is known of those that
+// stay.
+func (p *Picture) Update(list []fleet.Server) {
+	servers := make(map[string]*server, len(list))
+	groups := map[string][]*server{}
+	for _, f := range list {
+		s := p.servers[f.ID]
+		if s == nil {
+			s = &server{slowness: 1, notes: map[string]note{}, parts: map[string]time.Time{}}
+		}
+		s.Server = f
+		servers[f.ID] = s
+		if !f.Leaving {
+			groups[f.Service] = append(groups[f.Service], s)
+		}
+	}
+	for _, g := range groups {
+		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
+	}
+	p.servers, p.groups = servers, groups
+}
+
+// Pick picks a server for a request.
+func (p *Picture) Pick(now time.Time, r Request) (Choice, Why) {
+	var fit, avoided []*server
+	why := NoServer
+	for _, s := range p.groups[r.Service] {
+		if r.Exclude[s.ID] {
+			continue
+		}
+		if r.Model != "" && !s.holds(now, r.Model, "") {
+			why = worse(why, NoModel)
+			continue
+		}
+		if r.Adapter != "" && !s.holds(now, r.Model, r.Adapter) {
+			why = worse(why, NoAdapter)
+			continue
+		}
+		if now.Before(s.avoid) {
+			avoided = append(avoided, s)
+			continue
+		}
+		fit = append(fit, s)
+	}
+	if len(fit) == 0 {
+		fit = avoided
+	}
+	if len(fit) == 0 {
+		return Choice{}, why
+	}
+	s := p.cheapest(now, fit, r)
+	return Choice{Server: s.Server, Wait: s.wait(now, r), Age: now.Sub(s.othersAt)}, Picked
+}
+
+// worse returns the reason that tells more: a server that lacks only the
+// adapter is nearer than one that lacks the model.
+func worse(a, b Why) Why {
+	if a == NoAdapter {
+		return a
+	}
+	return b
+}
+
+// cheapest draws Choices servers and returns the one with the least cost.
+func (p *Picture) cheapest(now time.Time, fit []*server, r Request) *server {
+	n := min(Choices, len(fit))
+	for i := range n {
+		j := i + p.rng.IntN(len(fit)-i)
+		fit[i], fit[j] = fit[j], fit[i]
+	}
+	best, least := fit[0], 0.0
+	for i, s := range fit[:n] {
+		c := s.cost(now, r)
+		if i == 0 || c < least {
+			best, least = s, c
+		}
+	}
+	return best
+}
+
+// cost returns what decides between servers, in milliseconds.
+func (s *server) cost(now time.Time, r Request) float64 {
+	c := float64(s.wait(now, r)) / float64(time.Millisecond)
+	if s.Zone != r.Zone {
+		c = c*awayZone + 1
+	}
+	return c
+}
+
+// wait estimates the time until the server begins the request.
+func (s *server) wait(now time.Time, r Request) time.Duration {
+	n := s.count(now)
+	if r.Model == "" {
+		perSlot := float64(n.Pending+n.Running) / float64(max(1, s.Slots))
+		base := float64(max(s.base, 5*time.Millisecond))
+		return time.Duration(base * (0.2 + perSlot) * s.slowness)
+	}
+	tokens := n.Tokens + n.Running*runningTokens + s.missing(now, r)
+	return time.Duration(float64(tokens) / promptRate * s.slowness * float64(time.Millisecond))
+}
+
+// missing returns the prompt tokens that the server has to read: what follows
+// the first part that it isn't known to keep.
+func (s *server) missing(now time.Time, r Request) int {
+	n := r.Tokens
+	for _, p := range r.Parts {
+		at, ok := s.parts[partKey(r, p)]
+		if !ok || now.Sub(at) > time.Minute {
+			break
+		}
+		n -= p.Tokens
+	}
+	return max(0, n)
+}
+
+// partKey tells parts of different models and adapters apart, whose memory
+// isn't shared.
+func partKey(r Request, p Part) string { return r.Model + "/" + r.Adapter + "/" + p.ID }
+
+// count returns the larger of what the nodes and the server itself tell.
+func (s *server) count(now time.Time) Count {
+	n := s.own
+	if now.Sub(s.othersAt) < othersLife {
+		n.Pending += s.others.Pending
+		n.Running += s.others.Running
+		n.Tokens += s.others.Tokens
+	}
+	if now.Sub(s.reportAt) < reportLife {
+		if s.report.Pending > n.Pending {
+			n.Tokens += (s.report.Pending - n.Pending) * 1000
+			n.Pending = s.report.Pending
+		}
+		n.Running = max(n.Running, s.report.Running)
+	}
+	return n
+}
+
+// holds tells whether the server has a model or adapter, by its entry and by
+// what was noted since.
+func (s *server) holds(now time.Time, model, adapter string) bool {
+	if n, ok := s.notes[model+"/"+adapter]; ok && now.Before(n.until) {
+		return n.held
+	}
+	return s.Holds(model, adapter)
+}
+
+// Note overlays a server's entry: it holds, or lacks, a model or adapter.
+func (p *Picture) Note(now time.Time, id, model, adapter string, held bool) {
+	if s := p.servers[id]; s != nil {
+		s.notes[model+"/"+adapter] = note{held: held, until: now.Add(noteLife)}
+	}
+}
+
+// Sent notes that a request goes to a server. It returns nil if the server is
+// gone, which the other methods take.
+func (p *Picture) Sent(now time.Time, id string, r Request) *Ticket {
+	s := p.servers[id]
+	if s == nil {
+		return nil
+	}
+	t := &Ticket{server: s, tokens: s.missing(now, r), sent: now, wait: s.wait(now, r)}
+	s.own.Pending++
+	s.own.Tokens += t.tokens
+	if len(s.parts) > partsMost {
+		clear(s.parts)
+	}
+	for _, part := range r.Parts {
+		s.parts[partKey(r, part)] = now
+	}
+	return t
+}
+
+// First notes the first byte of an answer.
+func (p *Picture) First(now time.Time, t *Ticket) {
+	if t == nil || t.first || t.done {
+		return
+	}
+	t.first = true
+	t.server.own.Pending--
+	t.server.own.Tokens -= t.tokens
+	t.server.own.Running++
+	t.server.learn(now.Sub(t.sent), t)
+}
+
+// learn compares the time to the first byte with the estimate.
+func (s *server) learn(took time.Duration, t *Ticket) {
+	if t.tokens == 0 && t.wait < 50*time.Millisecond {
+		if s.base == 0 {
+			s.base = took
+		}
+		s.base += time.Duration(smoothing * float64(took-s.base))
+	}
+	ratio := float64(took) / float64(max(t.wait, 40*time.Millisecond))
+	ratio = min(max(ratio, 0.5), slownessMost)
+	s.slowness += smoothing * (ratio*s.slowness - s.slowness)
+	s.slowness = min(max(s.slowness, 0.5), slownessMost)
+}
+
+// Done notes the end of a request at a server.
+func (p *Picture) Done(now time.Time, t *Ticket, r Result) {
+	if t == nil || t.done {
+		return
+	}
+	t.done = true
+	s := t.server
+	if t.first {
+		s.own.Running--
+	} else {
+		s.own.Pending--
+		s.own.Tokens -= t.tokens
+	}
+	switch r {
+	case Good:
+		s.failures = 0
+		s.avoid = time.Time{}
+	case Broken, Failed:
+		s.failures++
+		if r == Broken || s.failures > 1 {
+			s.avoid = now.Add(min(avoidFirst<<min(s.failures-1, 8), avoidMost))
+		}
+	case Full:
+		s.avoid = now.Add(avoidFirst / 8)
+	}
+}
+
+// Report notes a server's own count of its requests.
+func (p *Picture) Report(now time.Time, id string, running, waiting int) {
+	if s := p.servers[id]; s != nil {
+		s.report = Count{Pending: waiting, Running: running}
+		s.reportAt = now
+	}
+}
+
+// Own returns what this node has at each server where it has anything.
+func (p *Picture) Own() map[string]Count {
+	out := map[string]Count{}
+	for id, s := range p.servers {
+		if s.own != (Count{}) {
+			out[id] = s.own
+		}
+	}
+	return out
+}
+
+// Others notes what the other nodes have at the servers together.
+func (p *Picture) Others(now time.Time, counts map[string]Count) {
+	for id, s := range p.servers {
+		s.others = counts[id]
+		s.othersAt = now
+	}
+}
--- /dev/null
+++ b/core/leader/keeper.go
@@ -0,0 +1,102 @@
+package leader
+
+import "time"
+
+const (
+	// renewals is how often a lease is renewed in its time to live: two
+	// renewals may be lost before it ends.
+	renewals = 3
+	// marginPart is the part of the time to live that a rival waits longer, for
+	// clocks that run differently and answers that are on their way.
+	marginPart = 6
+)
+
+type (
+	// Lease is the value of the lease row.
+	Lease struct {
+		Node        string `json:"node"`
+		Incarnation string `json:"incarnation"` // of the node's process
+		Address     string `json:"address"`     // where the holder takes digests
+		Key         string `json:"key"`         // fingerprint of the holder's certificate
+		Epoch       int64  `json:"epoch"`
+	}
+
+	// Keeper holds what one node knows of the lease.
+	Keeper struct {
+		Self Lease // its Epoch is ignored
+		TTL  time.Duration
+
+		seen    Lease
+		version int64
+		since   time.Duration // when version was first seen
+		known   bool
+		until   time.Duration // end of the own lease
+		fenced  int64         // epoch that an engine refused
+	}
+)
+
+// Observe takes in the row as read from the store; version zero means that
+// there is none.
+func (k *Keeper) Observe(now time.Duration, l Lease, version int64) {
+	if k.known && version <= k.version && version != 0 {
+		return
+	}
+	if k.known && version == 0 && k.version == 0 {
+		return
+	}
+	k.seen, k.version, k.since, k.known = l, version, now, true
+	if !k.Mine() {
+		k.until = 0
+	}
+}
+
+// Mine tells whether the row as last seen names this process.
+func (k *Keeper) Mine() bool {
+	return k.known && k.version != 0 && k.seen.Node == k.Self.Node && k.seen.Incarnation == k.Self.Incarnation
+}
+
+// Propose returns the lease to write and the version that the row must have,
+// if it is time to renew the own lease or to take one that has lapsed.
+func (k *Keeper) Propose(now time.Duration) (Lease, int64, bool) {
+	if !k.known {
+		return Lease{}, 0, false
+	}
+	l := k.Self
+	l.Epoch = k.seen.Epoch
+	if k.Mine() {
+		if k.seen.Epoch == k.fenced {
+			l.Epoch++
+			return l, k.version, true
+		}
+		return l, k.version, now >= k.until-k.TTL+k.TTL/renewals
+	}
+	l.Epoch++
+	lapsed := k.version == 0 || k.seen.Node == "" || now-k.since >= k.TTL+k.TTL/marginPart
+	return l, k.version, lapsed
+}
+
+// Won notes that a proposal sent at a time was written.
+func (k *Keeper) Won(sent time.Duration, l Lease, version int64) {
+	k.seen, k.version, k.since, k.known = l, version, sent, true
+	k.until = sent + k.TTL
+}
+
+// Fenced notes that an engine has seen a higher epoch than the one given.
+func (k *Keeper) Fenced(epoch int64) { k.fenced = max(k.fenced, epoch) }
+
+// Epoch returns the epoch under which this node may give orders now.
+func (k *Keeper) Epoch(now time.Duration) (int64, bool) {
+	if !k.Mine() || k.seen.Epoch <= k.fenced {
+		return 0, false
+	}
+	return k.seen.Epoch, now < k.until-k.TTL/marginPart
+}
+
+// Leader returns the lease as last seen, also one that may have lapsed.
+func (k *Keeper) Leader() (Lease, bool) { return k.seen, k.known && k.version != 0 }
+
+// Release returns the row as it is to be written by a holder that stops, so
+// that a rival need not wait, and false if this node isn't the holder.
+func (k *Keeper) Release() (version int64, epoch int64, ok bool) {
+	return k.version, k.seen.Epoch, k.Mine()
+}
--- /dev/null
+++ b/core/residency/doc.go
@@ -0,0 +1,25 @@
+// Package residency decides which models each model engine holds.
+//
+// # Method
+//
+// Every declared model has one copy as far as there is room. The other places
+// go to the models in use in proportion to their load, by the method of
+// highest averages (D'Hondt): each place goes to the model with the most load
+// for each copy that it would then have. What the engines hold is moved
+// towards that one copy at a time, and only where a copy serves at least
+// Gain times the load that it serves now; a model that is asked for and has no
+// copy goes first and needs no such gain.
+//
+// A model is loaded where it is in host memory or on disk if it can be, since
+// such a load takes a fifth of the time and nothing of the weight store's
+// budget. Loads from the store are metered over all engines.
+//
+// The memory of an engine is counted as the sum of what it holds, what it may
+// be loading, and room for a full set of adapters; an order that got no answer
+// keeps its memory until the engine says more.
+//
+// # Usage
+//
+//	moves := residency.Plan(residency.Input{Engine: engine, Servers: servers, Load: load})
+//	for _, m := range moves { order(m) }
+package residency
--- /dev/null
+++ b/core/residency/plan.go
@@ -0,0 +1,362 @@
+package residency
+
+import (
+	"sort"
+	"time"
+
+	"guavapaddle/core/fleet"
+)
+
+const (
+	// Gain is how much more load a copy must serve after a move than before.
+	// Below 2 two busy models trade places as their load wobbles.
+	Gain = 2.0
+	// quiet is the load, in prompt tokens a second, below which a model counts
+	// as not in use.
+	quiet = 1.0
+	// movesAtOnce bounds the servers that change at the same time, as a part of
+	// all: each has a place less for the seconds of its move.
+	movesAtOnce = 4
+)
+
+// Why tells what a move is for.
+type Why string
+
+const (
+	// Asked means that requests wait for a model without a copy.
+	Asked Why = "asked-for"
+	// Declared means that a declared model has no copy.
+	Declared Why = "declared"
+	// Busy means that the model's copies have far more load than others.
+	Busy Why = "busy"
+	// Room means that the copy makes room for another.
+	Room Why = "room"
+	// Undeclared means that the configuration no longer has the model.
+	Undeclared Why = "undeclared"
+)
+
+type (
+	// Server is an engine with what is known to be, or may be, in its memory.
+	Server struct {
+		fleet.Server
+		Coming  string // model that is being loaded or may be
+		Going   string // model that is being unloaded or may be
+		Blocked bool   // takes no orders now
+	}
+
+	// Input is all that a plan depends on.
+	Input struct {
+		Engine  fleet.Engine
+		Servers []Server
+		Load    map[string]float64 // prompt tokens a second, by model
+		Waiting map[string]int     // requests that wait for a model without a copy
+		Stores  int                // loads from the weight store that may begin now
+	}
+
+	// Move is one order.
+	Move struct {
+		Server fleet.Server
+		Model  string
+		Load   bool
+		Store  bool // from the weight store
+		Why    Why
+		For    string // the model that an unload makes room for
+	}
+
+	planner struct {
+		in       Input
+		copies   map[string]int // held or coming, not going
+		anywhere map[string]int // copies that take requests now
+		moving   int
+		moves    []Move
+	}
+)
+
+// Plan returns the orders to give now, the most urgent first. It gives each
+// server at most one.
+func Plan(in Input) []Move {
+	p := &planner{in: in, copies: map[string]int{}, anywhere: map[string]int{}}
+	for _, s := range in.Servers {
+		if s.Coming != "" {
+			p.copies[s.Coming]++
+		}
+		if s.Coming != "" || s.Going != "" {
+			p.moving++
+		}
+		for _, h := range s.Held {
+			if h.Model != s.Going && !s.Leaving {
+				p.copies[h.Model]++
+				p.anywhere[h.Model]++
+			}
+		}
+	}
+	p.dropUndeclared()
+	for _, m := range p.missing() {
+		p.place(m)
+	}
+	p.rebalance()
+	return p.moves
+}
+
+// dropUndeclared unloads models that the configuration no longer has.
+func (p *planner) dropUndeclared() {
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		for _, h := range s.Held {
+			if _, ok := p.in.Engine.Models[h.Model]; !ok && p.free(s) {
+				p.unload(s, h.Model, Undeclared, "")
+			}
+		}
+	}
+}
+
+// missing returns the models without a copy, those asked for first.
+func (p *planner) missing() []string {
+	var names []string
+	for n := range p.in.Engine.Models {
+		if p.copies[n] == 0 {
+			names = append(names, n)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := names[i], names[j]
+		if x, y := p.in.Waiting[a], p.in.Waiting[b]; x != y {
+			return x > y
+		}
+		if x, y := p.in.Load[a], p.in.Load[b]; x != y {
+			return x > y
+		}
+		return a < b
+	})
+	return names
+}
+
+// place gives a model without a copy one, or begins to make room for it.
+func (p *planner) place(model string) {
+	why := Declared
+	if p.in.Waiting[model] > 0 || p.in.Load[model] > quiet {
+		why = Asked
+	}
+	if p.load(model, why) {
+		return
+	}
+	if p.makingRoom(model) {
+		return
+	}
+	least := p.in.Load[model]
+	if why == Declared {
+		least = 0
+	}
+	p.makeRoom(model, least, why == Asked)
+}
+
+// load orders a load where there is room, the quickest first.
+func (p *planner) load(model string, why Why) bool {
+	var best *Server
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		if !p.free(s) || s.Leaving || s.Holds(model, "") || p.room(s) < p.in.Engine.Models[model].MB {
+			continue
+		}
+		if best == nil || p.quicker(s, best, model) {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	store := source(best, model) == fromStore
+	if store && p.in.Stores <= 0 {
+		return true // it waits for the weight store, and needs no other room
+	}
+	if store {
+		p.in.Stores--
+	}
+	best.Coming = model
+	p.copies[model]++
+	p.moving++
+	p.moves = append(p.moves, Move{Server: best.Server, Model: model, Load: true, Store: store, Why: why})
+	return true
+}
+
+// quicker tells whether a loads the model faster than b, or as fast with less
+// load beside it.
+func (p *planner) quicker(a, b *Server, model string) bool {
+	if x, y := source(a, model), source(b, model); x != y {
+		return x < y
+	}
+	return p.shared(a) < p.shared(b)
+}
+
+// shared returns the load of a server's models, each divided by its copies.
+func (p *planner) shared(s *Server) float64 {
+	l := 0.0
+	for _, h := range s.Held {
+		l += p.in.Load[h.Model] / float64(max(1, p.copies[h.Model]))
+	}
+	return l
+}
+
+// makingRoom tells whether an unload that is under way frees a place that no
+// load has been promised.
+func (p *planner) makingRoom(model string) bool {
+	places := 0
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		if s.Going != "" && !s.Holds(model, "") {
+			places++
+		}
+	}
+	waiting := 0
+	for _, n := range p.missing() {
+		if n == model {
+			break
+		}
+		waiting++
+	}
+	return places > waiting
+}
+
+// makeRoom unloads the copy that is missed least: of a model with another copy,
+// with the least load for each copy that is left.
+func (p *planner) makeRoom(model string, least float64, must bool) bool {
+	if p.moving >= max(1, len(p.in.Servers)/movesAtOnce) {
+		return false
+	}
+	var best *Server
+	var victim string
+	var cost float64
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		if !p.free(s) || s.Leaving || s.Holds(model, "") {
+			continue
+		}
+		for _, h := range s.Held {
+			n := p.copies[h.Model]
+			if n < 2 || p.anywhere[h.Model] < 2 {
+				continue
+			}
+			c := p.in.Load[h.Model] / float64(n-1)
+			if source(s, model) == fromStore {
+				c = c*1.2 + 1
+			}
+			if best == nil || c < cost {
+				best, victim, cost = s, h.Model, c
+			}
+		}
+	}
+	if best == nil || !must && cost*Gain > least {
+		return false
+	}
+	p.unload(best, victim, Room, model)
+	return true
+}
+
+// rebalance moves one copy towards the model with the most load for a copy.
+func (p *planner) rebalance() {
+	var busiest string
+	var most float64
+	for m := range p.in.Engine.Models {
+		n := p.copies[m]
+		if n == 0 || n >= len(p.in.Servers) {
+			continue
+		}
+		if l := p.in.Load[m] / float64(n+1); l > most || l == most && m < busiest {
+			busiest, most = m, l
+		}
+	}
+	if busiest == "" || most < quiet {
+		return
+	}
+	if p.load(busiest, Busy) || p.makingRoom("") {
+		return
+	}
+	p.makeRoom(busiest, most, false)
+}
+
+func (p *planner) unload(s *Server, model string, why Why, wanted string) {
+	s.Going = model
+	p.copies[model]--
+	p.anywhere[model]--
+	p.moving++
+	p.moves = append(p.moves, Move{Server: s.Server, Model: model, Why: why, For: wanted})
+}
+
+// free tells whether a server can be given an order.
+func (p *planner) free(s *Server) bool { return s.Coming == "" && s.Going == "" && !s.Blocked }
+
+// room returns the memory in MB that neither models nor adapters may need.
+func (p *planner) room(s *Server) float64 {
+	room := p.in.Engine.WeightsMB
+	for _, h := range s.Held {
+		room -= p.megabytes(h.Model)
+	}
+	if s.Coming != "" {
+		room -= p.megabytes(s.Coming)
+	}
+	return room - AdapterRoom(p.in.Engine)
+}
+
+// megabytes returns a model's size; one that isn't declared any more counts as
+// the largest.
+func (p *planner) megabytes(model string) float64 {
+	if m, ok := p.in.Engine.Models[model]; ok {
+		return m.MB
+	}
+	largest := 0.0
+	for _, m := range p.in.Engine.Models {
+		largest = max(largest, m.MB)
+	}
+	return largest
+}
+
+// AdapterRoom returns the memory in MB that a full set of the largest adapters
+// takes.
+func AdapterRoom(e fleet.Engine) float64 {
+	largest := 0.0
+	for _, m := range e.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return largest * float64(e.AdapterSlots)
+}
+
+const (
+	fromMemory = iota
+	fromDisk
+	fromStore
+)
+
+// source returns where a server would load a model from.
+func source(s *Server, model string) int {
+	for _, m := range s.InMemory {
+		if m == model {
+			return fromMemory
+		}
+	}
+	for _, m := range s.OnDisk {
+		if m == model {
+			return fromDisk
+		}
+	}
+	return fromStore
+}
+
+// Estimate returns how long the quickest load of a model takes at any of the
+// servers.
+func Estimate(e fleet.Engine, servers []Server, model string) time.Duration {
+	m := e.Models[model]
+	best := fromStore
+	for i := range servers {
+		best = min(best, source(&servers[i], model))
+	}
+	switch best {
+	case fromMemory:
+		return m.WarmTime
+	case fromDisk:
+		return m.DiskTime
+	default:
+		return m.LoadTime
+	}
+}
--- a/internal/cli/environment.go
+++ b/internal/cli/environment.go
@@ -58,6 +58,7 @@
 		e.status(),
 		e.explain(),
 		e.node(),
+		e.front(),
 		e.keys(),
 	}
 }
--- /dev/null
+++ b/internal/front/exchange.go
@@ -0,0 +1,214 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"guavapaddle/internal/hub"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/platform"
+)
+
+const (
+	nodeTable = "node"
+
+	// exchangeEvery is how often a node reports to the holder of the lease.
+	exchangeEvery = 200 * time.Millisecond
+	// exchangeTimeout bounds one exchange and the opening of a connection.
+	exchangeTimeout = 400 * time.Millisecond
+	// leaderSilent is how long the holder may be silent before the node looks
+	// for another one in the store.
+	leaderSilent = 900 * time.Millisecond
+	// registerRetry is the pause before the node's row is written again.
+	registerRetry = 300 * time.Millisecond
+	// trustRetry bounds how often the rows of nodes are read for a key that
+	// isn't known.
+	trustRetry   = 300 * time.Millisecond
+	storeTimeout = time.Second
+)
+
+type (
+	// nodeRow is the value of a node's own row in the store.
+	nodeRow struct {
+		Address    string `json:"address"`
+		DataCentre string `json:"data-centre"`
+		Key        string `json:"key"` // fingerprint of its certificate
+	}
+
+	// trust holds the keys of the nodes as last read.
+	trust struct {
+		mu   sync.Mutex
+		keys map[string]bool
+		read time.Time
+		busy bool
+	}
+
+	// clientCache keeps one client for each address.
+	clientCache struct {
+		mu      sync.Mutex
+		clients map[string]*jsonhttp.Client
+	}
+)
+
+// register writes the node's own row until it is written.
+func (n *Node) register(ctx context.Context) {
+	value, err := json.Marshal(nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()})
+	if err != nil {
+		n.log.Error("node-row", zap.Error(err))
+		return
+	}
+	row := platform.Row{Table: nodeTable, Key: n.settings.Node, Value: value}
+	for {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, _, ok, err := n.store.Change(call, platform.Change{Set: []platform.Row{row}})
+		cancel()
+		if ok {
+			return
+		}
+		n.log.Warn("node-row-failed", zap.Error(err))
+		if !pause(ctx, registerRetry) {
+			return
+		}
+	}
+}
+
+// exchange reports to the holder of the lease until ctx ends.
+func (n *Node) exchange(ctx context.Context) {
+	c := &hub.Client{Endpoint: n.endpoint}
+	for pause(ctx, exchangeEvery) {
+		l, ok := n.placer.Leader()
+		if !ok || l.Node == "" {
+			continue
+		}
+		r := n.gateway.Report(n.settings.Node)
+		var p hub.Picture
+		var err error
+		if l.Key == n.key.Fingerprint() {
+			p = n.placer.Report(r)
+		} else {
+			call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			p, err = c.Exchange(call, l.Address, r)
+			cancel()
+		}
+		if err != nil || !p.Leading {
+			n.gateway.Keep(r.Marks)
+			n.lost(l.Node, err)
+			continue
+		}
+		if was := n.reached.Swap(int64(bootClock())); was == 0 || time.Duration(int64(bootClock())-was) > leaderSilent {
+			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
+		}
+		n.gateway.Take(p)
+	}
+}
+
+// lost logs a failed exchange.
+func (n *Node) lost(leader string, err error) {
+	n.log.Warn("leader-silent", zap.String("leader", leader), zap.Error(err))
+}
+
+// leaderReached tells whether the holder answered of late.
+func (n *Node) leaderReached() bool {
+	at := n.reached.Load()
+	return at != 0 && bootClock()-time.Duration(at) < leaderSilent
+}
+
+// want asks the holder for a model or adapter.
+func (n *Node) want(ctx context.Context, w hub.Want) hub.Offer {
+	l, ok := n.placer.Leader()
+	if !ok || l.Node == "" {
+		return hub.Offer{Why: "no-leader"}
+	}
+	if l.Key == n.key.Fingerprint() {
+		return n.placer.Want(ctx, w)
+	}
+	o, err := (&hub.Client{Endpoint: n.endpoint}).Want(ctx, l.Address, w)
+	if err != nil {
+		n.log.Info("want-failed", zap.String("leader", l.Node), zap.String("model", w.Model), zap.String("adapter", w.Adapter), zap.Error(err))
+	}
+	return o
+}
+
+// trusted tells whether a key is the leader's or stands in a node's row.
+func (n *Node) trusted(key string) bool {
+	if l, ok := n.placer.Leader(); ok && l.Key == key {
+		return true
+	}
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	if n.peers.keys[key] {
+		return true
+	}
+	if !n.peers.busy && time.Since(n.peers.read) > trustRetry {
+		n.peers.busy = true
+		go n.readPeers()
+	}
+	return false
+}
+
+// readPeers reads the rows of all nodes.
+func (n *Node) readPeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
+	keys := map[string]bool{}
+	for _, r := range rows {
+		var v nodeRow
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			n.log.Error("node-row-unreadable", zap.String("node", r.Key), zap.Error(err))
+			continue
+		}
+		keys[v.Key] = true
+	}
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	n.peers.busy = false
+	n.peers.read = time.Now()
+	if err != nil {
+		n.log.Warn("node-rows-failed", zap.Error(err))
+		return
+	}
+	n.peers.keys = keys
+}
+
+// get returns the client for an address.
+func (c *clientCache) get(address string) *jsonhttp.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.clients == nil {
+		c.clients = map[string]*jsonhttp.Client{}
+	}
+	k := c.clients[address]
+	if k == nil {
+		k = &jsonhttp.Client{Address: address, ConnectTimeout: 300 * time.Millisecond}
+		c.clients[address] = k
+	}
+	return k
+}
+
+// bootClock returns the time since the machine started, suspended time
+// included.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("front: no boot clock: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
+// pause waits for d and tells whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/front/node.go
@@ -0,0 +1,276 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
+	"guavapaddle/internal/follow"
+	"guavapaddle/internal/gateway"
+	"guavapaddle/internal/hub"
+	"guavapaddle/internal/keys"
+	"guavapaddle/internal/placer"
+	"guavapaddle/io/http1"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/io/peer"
+	"guavapaddle/platform"
+)
+
+const (
+	// Notice is how long a node that stops goes on serving: the balancer asks
+	// each second and takes a node out after two misses.
+	Notice = 3 * time.Second
+	// lastMargin is kept before the platform's kill.
+	lastMargin = 500 * time.Millisecond
+	// reservedDescriptors are kept for files, and connections to servers.
+	reservedDescriptors = 200
+	// clientPart is the part of the other descriptors that clients may use.
+	clientPart = 0.6
+	// memoryPart is the part of the memory bound at which the garbage collector
+	// works harder; the rest is for stacks, buffers of the kernel, and code.
+	memoryPart = 0.75
+	sweepEvery = time.Second
+)
+
+// Node is one process. New makes one.
+type Node struct {
+	settings  Settings
+	log       *zap.Logger
+	store     *platform.Store
+	gateway   *gateway.Gateway
+	placer    *placer.Placer
+	hub       *hub.Hub
+	follower  *follow.Follower
+	endpoint  *peer.Endpoint
+	key       *keys.Memory
+	clients   *http1.Server
+	probes    *http1.Server
+	registry  *prometheus.Registry
+	stopping  atomic.Bool
+	servers   atomic.Bool // the list was read
+	reached   atomic.Int64
+	peers     trust
+	listeners []net.Listener
+}
+
+// New returns a node that hasn't opened anything yet.
+func New(s Settings, log *zap.Logger) (*Node, error) {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
+	key, err := keys.NewMemory(s.Node)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{settings: s, log: log, key: key, hub: &hub.Hub{}, registry: prometheus.NewRegistry()}
+	key.Trusted = n.trusted
+	n.store = &platform.Store{Client: &jsonhttp.Client{Address: s.Store, ConnectTimeout: 500 * time.Millisecond}}
+	m := gateway.NewMetrics()
+	n.registry.MustRegister(m.Collectors()...)
+	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout,
+		OnMessage: func(string, peer.Frame) {},
+		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
+			hub.Serve(ctx, n.placer, f, st)
+		}}
+	n.placer = n.newPlacer()
+	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers}
+	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
+		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
+	n.probes = &http1.Server{Handler: readiness{n}}
+	return n, nil
+}
+
+func (n *Node) newPlacer() *placer.Placer {
+	orders := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "placer",
+		Name: "orders_total", Help: "Orders to model engines, by their answer."}, []string{"verdict"})
+	n.registry.MustRegister(orders)
+	engines := &clientCache{}
+	return &placer.Placer{
+		Store: n.store, Engines: &platform.Engines{Client: engines.get}, Hub: n.hub, Log: n.log, Clock: bootClock,
+		Keeper: &leader.Keeper{
+			Self: leader.Lease{Node: n.settings.Node, Incarnation: n.key.Fingerprint()[:16],
+				Address: n.settings.Peers, Key: n.key.Fingerprint()},
+			TTL: time.Duration(n.settings.LeaseMS) * time.Millisecond,
+		},
+		Fencing:   n.settings.CheckEpochs,
+		Window:    time.Duration(n.settings.LoadWindowS * float64(time.Second)),
+		Reachable: n.leaderReached,
+		Ordered:   func(v string) { orders.WithLabelValues(v).Inc() },
+	}
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.log.Info("start", zap.String("node", n.settings.Node), zap.String("data-centre", n.settings.DataCentre),
+		zap.String("clients", n.settings.Clients), zap.String("key", n.key.Fingerprint()[:16]))
+	work, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	tasks := []func(context.Context){n.follower.Run, n.placer.Run, n.register, n.exchange, n.sweep, n.reload, n.servePeers}
+	for _, task := range tasks {
+		wg.Go(func() { task(work) })
+	}
+	<-ctx.Done()
+	n.stop()
+	end()
+	wg.Wait()
+	n.log.Info("stopped", zap.Int("connections", n.clients.Open()))
+	return nil
+}
+
+func (n *Node) servePeers(ctx context.Context) {
+	if err := n.endpoint.Run(ctx); err != nil {
+		n.log.Error("peers-failed", zap.Error(err))
+	}
+}
+
+// listen opens all listeners.
+func (n *Node) listen() error {
+	if _, err := n.endpoint.Listen(); err != nil {
+		return err
+	}
+	for _, x := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{n.settings.Clients, n.clients.Serve},
+		{n.settings.Ready, n.probes.Serve},
+		{n.settings.Metrics, n.serveMetrics},
+	} {
+		l, err := net.Listen("tcp4", x.address)
+		if err != nil {
+			return eris.Wrap(err, "listen on "+x.address)
+		}
+		n.listeners = append(n.listeners, l)
+		go func() {
+			if err := x.serve(l); err != nil {
+				n.log.Error("listener-failed", zap.String("address", x.address), zap.Error(err))
+			}
+		}()
+	}
+	return nil
+}
+
+func (n *Node) serveMetrics(l net.Listener) error {
+	s := &http.Server{Handler: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: time.Second}
+	if err := s.Serve(l); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop ends the node's work for clients without cutting any.
+func (n *Node) stop() {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.clients.Drain()
+	n.log.Info("stopping", zap.Int("connections", n.clients.Open()))
+	grace := time.Duration(n.settings.GraceS*float64(time.Second)) - lastMargin
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
+	defer cancel()
+	n.placer.Release(ctx)
+	notice, done := context.WithDeadline(ctx, began.Add(min(Notice, grace/2)))
+	defer done()
+	<-notice.Done()
+	_ = n.listeners[0].Close()
+	n.clients.Shutdown(ctx)
+	for _, l := range n.listeners[1:] {
+		_ = l.Close()
+	}
+}
+
+// ready tells whether the node can serve.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.gateway.Config() != nil && n.servers.Load()
+}
+
+func (n *Node) onConfig(c *fleet.Config) {
+	n.gateway.SetConfig(c)
+	n.placer.Config(n.gateway.Config())
+}
+
+func (n *Node) onServers(list []fleet.Server) {
+	n.gateway.SetServers(list)
+	n.placer.Servers(list)
+	n.servers.Store(true)
+}
+
+// limits returns the bounds on clients of the configuration in force.
+func (n *Node) limits() http1.Limits {
+	c := n.gateway.Config()
+	if c == nil {
+		return http1.Limits{}
+	}
+	l := c.Limits()
+	return http1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
+// refused logs a request that could not be read.
+func (n *Node) refused(err error) {
+	n.log.Info("request-unreadable", zap.Error(err))
+}
+
+// sweep closes connections to servers that were idle for too long.
+func (n *Node) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			n.gateway.Pool.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload takes a signal that the settings file has changed. Addresses hold for
+// the life of the process, so there is nothing to take over while it runs.
+func (n *Node) reload(ctx context.Context) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-c:
+			n.log.Info("reload", zap.String("node", n.settings.Node))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readiness answers probes.
+type readiness struct{ n *Node }
+
+// Handle answers 200 if the node is ready and 503 if it isn't.
+func (r readiness) Handle(x *http1.Exchange) {
+	status := http.StatusServiceUnavailable
+	if r.n.ready() {
+		status = http.StatusOK
+	}
+	if err := x.Respond(status, http.Header{}, []byte(strconv.Itoa(status))); err != nil {
+		r.n.log.Debug("probe-unanswered", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/front/settings.go
@@ -0,0 +1,90 @@
+package front
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+)
+
+type (
+	// Settings of a node, read from a JSON file.
+	Settings struct {
+		Node        string  `json:"node"`
+		DataCentre  string  `json:"data-centre"`
+		Clients     string  `json:"clients"`       // IP:port for clients
+		Ready       string  `json:"ready"`         // IP:port for readiness probes
+		Peers       string  `json:"peers"`         // IP:port for other nodes, UDP
+		Metrics     string  `json:"metrics"`       // IP:port for counters
+		Store       string  `json:"store"`         // IP:port of the platform's store
+		MemoryMB    int     `json:"memory-mb"`     // bound of the process
+		Descriptors int     `json:"descriptors"`   // bound of open files and sockets
+		GraceS      float64 `json:"grace-s"`       // from SIGTERM to SIGKILL
+		LeaseMS     int     `json:"lease-ms"`      // time to live of the lease on orders
+		LoadWindowS float64 `json:"load-window-s"` // over which loads from the weight store are counted
+		CheckEpochs bool    `json:"engines-check-epochs"`
+		LogLevel    string  `json:"log-level"`
+	}
+
+	// SettingsError means that a settings file can't be used.
+	SettingsError struct {
+		File   string
+		Path   string // JSON path, empty for the whole file
+		Reason string
+	}
+)
+
+// Error tells file, path and reason in one line.
+func (e *SettingsError) Error() string {
+	return fmt.Sprintf("settings %s: $.%s: %s", e.File, e.Path, e.Reason)
+}
+
+// Load reads and checks a settings file. The error is a *SettingsError.
+func Load(file string) (Settings, error) {
+	var s Settings
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return s, &SettingsError{File: file, Reason: err.Error()}
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, &SettingsError{File: file, Reason: err.Error()}
+	}
+	if d.More() {
+		return s, &SettingsError{File: file, Reason: "more than one value"}
+	}
+	if e := s.check(); e != nil {
+		e.File = file
+		return s, e
+	}
+	return s, nil
+}
+
+// check returns the first setting that can't be used.
+func (s Settings) check() *SettingsError {
+	addresses := []struct{ path, value string }{
+		{"clients", s.Clients}, {"ready", s.Ready}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store},
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return &SettingsError{Path: a.path, Reason: err.Error()}
+		}
+	}
+	switch {
+	case s.Node == "":
+		return &SettingsError{Path: "node", Reason: "is missing"}
+	case s.MemoryMB <= 0:
+		return &SettingsError{Path: "memory-mb", Reason: "must be above zero"}
+	case s.Descriptors <= reservedDescriptors:
+		return &SettingsError{Path: "descriptors", Reason: fmt.Sprintf("must be above %d", reservedDescriptors)}
+	case s.GraceS <= 0:
+		return &SettingsError{Path: "grace-s", Reason: "must be above zero"}
+	case s.LeaseMS <= 0:
+		return &SettingsError{Path: "lease-ms", Reason: "must be above zero"}
+	case s.LoadWindowS <= 0:
+		return &SettingsError{Path: "load-window-s", Reason: "must be above zero"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/retry"
+	"guavapaddle/internal/hub"
+	"guavapaddle/io/http1"
+	"guavapaddle/platform"
+)
+
+const (
+	// unconfigured is when a client may come back to a node that has no
+	// configuration yet: one is read within a fraction of a second.
+	unconfigured = 500 * time.Millisecond
+	// answerMargin is kept of the time that is left, so that a server's own
+	// answer at the deadline still reaches the client.
+	answerMargin = 20 * time.Millisecond
+	// noDeadline bounds requests whose client and route name no deadline.
+	noDeadline = 60 * time.Second
+	// crashesMost is how many servers a request may end before it is refused.
+	crashesMost = 3
+)
+
+type (
+	// Gateway serves requests. Its exported fields are set before the first one.
+	Gateway struct {
+		Pool    *http1.Pool
+		Log     *zap.Logger
+		Zone    string
+		Metrics *Metrics
+		// Want asks for a model or adapter that no server holds. It returns when
+		// that may have changed.
+		Want func(ctx context.Context, w hub.Want) hub.Offer
+		Rand *rand.Rand
+
+		config  atomic.Pointer[fleet.Config]
+		mu      sync.Mutex // guards what follows, and Rand
+		picture *balance.Picture
+		budgets map[string]*retry.Budget // by service
+		nodes   int
+		demand  map[hub.Want]*hub.Demand
+		marks   map[uint64]map[string]bool
+		news    []hub.Mark
+		changed chan struct{} // closed when the picture changes
+	}
+
+	// request is one request on its way.
+	request struct {
+		g        *Gateway
+		x        *http1.Exchange
+		meta     platform.Request
+		route    fleet.Route
+		service  string
+		version  int64 // of the configuration that chose the route
+		deadline time.Time
+		header   http.Header
+		exclude  map[string]bool
+		runs     int // servers that may have run it
+		sends    int
+		queued   time.Duration // until the first send
+		print    uint64
+		last     string // last whole event that was passed on
+		begun    bool
+		outcome  outcome
+	}
+)
+
+// Run prepares the gateway. It must be called before the first request.
+func (g *Gateway) Run(p *balance.Picture) {
+	g.picture = p
+	g.budgets = map[string]*retry.Budget{}
+	g.demand = map[hub.Want]*hub.Demand{}
+	g.marks = map[uint64]map[string]bool{}
+	g.changed = make(chan struct{})
+	g.nodes = 1
+}
+
+// SetConfig puts a configuration in force. An older one is ignored.
+func (g *Gateway) SetConfig(c *fleet.Config) {
+	for {
+		old := g.config.Load()
+		if old != nil && old.Version() >= c.Version() {
+			return
+		}
+		if g.config.CompareAndSwap(old, c) {
+			g.Log.Info("config-in-force", zap.Int64("version", c.Version()))
+			g.wake()
+			return
+		}
+	}
+}
+
+// Config returns the configuration in force, nil if there is none yet.
+func (g *Gateway) Config() *fleet.Config { return g.config.Load() }
+
+// SetServers replaces the list of backend servers.
+func (g *Gateway) SetServers(list []fleet.Server) {
+	g.mu.Lock()
+	g.picture.Update(list)
+	g.mu.Unlock()
+	g.wake()
+}
+
+// wake lets requests that wait look at the picture again.
+func (g *Gateway) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Handle serves one request.
+func (g *Gateway) Handle(x *http1.Exchange) {
+	r := &request{g: g, x: x, meta: platform.ParseRequest(x.Request.Header)}
+	defer r.finish()
+	if r.meta.ID == "" {
+		r.answer(http.StatusBadRequest, NoID, 0)
+		return
+	}
+	c := g.config.Load()
+	if c == nil {
+		r.answer(http.StatusServiceUnavailable, NoConfig, unconfigured)
+		return
+	}
+	r.version = c.Version()
+	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
+	if !ok {
+		r.answer(http.StatusNotFound, NoRoute, 0)
+		return
+	}
+	r.route = route
+	g.mu.Lock()
+	r.service = route.Service(g.Rand.Float64())
+	g.mu.Unlock()
+	r.deadline = x.Received.Add(r.patience())
+	r.print = fingerprint(x)
+	if g.crashed(r.print) >= crashesMost {
+		r.answer(http.StatusServiceUnavailable, Crashes, 0)
+		return
+	}
+	g.earn(r.service)
+	r.serve()
+}
+
+// patience returns how long the request may take.
+func (r *request) patience() time.Duration {
+	d := noDeadline
+	if r.route.Timeout > 0 {
+		d = r.route.Timeout
+	}
+	if r.meta.Deadline > 0 {
+		d = min(d, r.meta.Deadline)
+	}
+	return d
+}
+
+// answer sends an answer of the node's own. A positive retryAfter tells when
+// to come back.
+func (r *request) answer(status int, why Reason, retryAfter time.Duration) {
+	r.outcome = outcome{status: status, reason: why}
+	h := http.Header{}
+	platform.Echo(h, r.meta.ID)
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	if err := r.x.Respond(status, h, nil); err != nil {
+		r.outcome.err = err
+	}
+}
+
+// earn lets the budget for repeats of a service grow by one request.
+func (g *Gateway) earn(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Success()
+}
+
+// spend takes one repeat out of the budget of the service.
+func (g *Gateway) spend(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Take(time.Now())
+}
+
+// budget returns the budget for repeats of a service; g.mu is held.
+func (g *Gateway) budget(service string) *retry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = &retry.Budget{Share: budgetShare, Floor: budgetFloor, Burst: budgetBurst}
+		g.budgets[service] = b
+	}
+	return b
+}
+
+const (
+	// budgetShare is the repeats earned by each request, under the fifth that
+	// the services bear.
+	budgetShare = 0.12
+	// budgetFloor and budgetBurst bound the repeats of one node without
+	// requests: 4 and 0.2 a second are 6 in ten seconds, of the 7 that are one
+	// of eight nodes' part of 56.
+	budgetFloor = 0.2
+	budgetBurst = 4
+)
+
+// crashed returns how many servers ended while they ran the request.
+func (g *Gateway) crashed(print uint64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.marks[print])
+}
+
+// mark notes that a server ended while it ran the request.
+func (g *Gateway) mark(print uint64, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.news = append(g.news, hub.Mark{Fingerprint: print, Server: server})
+	g.setMark(print, server)
+}
+
+// setMark enters a mark; g.mu is held.
+func (g *Gateway) setMark(print uint64, server string) {
+	m := g.marks[print]
+	if m == nil {
+		if len(g.marks) >= marksMost {
+			clear(g.marks)
+		}
+		m = map[string]bool{}
+		g.marks[print] = m
+	}
+	m[server] = true
+}
+
+// marksMost bounds the marks of requests kept at a node.
+const marksMost = 4096
+
+// Report returns what this node has at the servers and was asked for since the
+// last report.
+func (g *Gateway) Report(node string) hub.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := hub.Report{Node: node, Counts: g.picture.Own(), Marks: g.news}
+	g.news = nil
+	for k, d := range g.demand {
+		if d.Tokens > 0 || d.Waiting > 0 {
+			r.Demand = append(r.Demand, *d)
+			d.Tokens = 0
+		} else {
+			delete(g.demand, k)
+		}
+	}
+	return r
+}
+
+// Keep puts marks back that could not be reported.
+func (g *Gateway) Keep(marks []hub.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.news = append(g.news, marks...)
+}
+
+// Take takes in what the other nodes have.
+func (g *Gateway) Take(p hub.Picture) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.nodes = max(1, p.Nodes)
+	g.picture.Others(now, p.Counts)
+	for _, n := range p.Notes {
+		g.picture.Note(now, n.Server, n.Model, n.Adapter, n.Held)
+	}
+	for _, m := range p.Marks {
+		g.setMark(m.Fingerprint, m.Server)
+	}
+}
+
+// ask counts demand for a model and adapter.
+func (g *Gateway) ask(w hub.Want, tokens, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.demand[w]
+	if d == nil {
+		d = &hub.Demand{Service: w.Service, Model: w.Model, Adapter: w.Adapter}
+		g.demand[w] = d
+	}
+	d.Tokens += tokens
+	d.Waiting += waiting
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/io/http1"
+	"guavapaddle/platform"
+)
+
+const (
+	// unsafeIdle is how long a connection may have been idle for a request that
+	// must not run twice: the older it is, the likelier the server closes it as
+	// the request arrives, and its fate is unknown.
+	unsafeIdle = 1500 * time.Millisecond
+	// wholeMost bounds an answer that is read whole before it is passed on.
+	wholeMost = 8 << 20
+)
+
+// try is one send of a request.
+type try struct {
+	*request
+	choice balance.Choice
+	conn   *http1.Conn
+	ticket *balance.Ticket
+	resp   *http.Response
+	answer platform.Answer
+	first  time.Duration // until the head of the answer
+}
+
+// send sends the request to a server and passes its answer on if it is one.
+func (r *request) send(c balance.Choice) (fate, Reason) {
+	t := &try{request: r, choice: c}
+	began := time.Now()
+	result, f, reason := t.run()
+	r.g.mu.Lock()
+	r.g.picture.Done(time.Now(), t.ticket, result)
+	if t.answer.Load != nil {
+		r.g.picture.Report(time.Now(), c.Server.ID, t.answer.Load.Running, t.answer.Load.Waiting)
+	}
+	r.g.mu.Unlock()
+	if f != answered || r.outcome.reason != Served {
+		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends),
+			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.Duration("estimate", c.Wait),
+			zap.Duration("age", c.Age), zap.Duration("took", time.Since(began)))
+	}
+	return f, reason
+}
+
+func (t *try) status() int {
+	if t.resp == nil {
+		return 0
+	}
+	return t.resp.StatusCode
+}
+
+// run makes the try and returns what it tells of the server, of the request,
+// and why.
+func (t *try) run() (balance.Result, fate, Reason) {
+	if f, reason, ok := t.connect(); !ok {
+		return balance.Broken, f, reason
+	}
+	stop := context.AfterFunc(t.x.Context(), t.conn.Close)
+	defer stop()
+	t.g.mu.Lock()
+	t.ticket = t.g.picture.Sent(time.Now(), t.choice.Server.ID, t.balanceRequest())
+	t.g.mu.Unlock()
+	sent := time.Now()
+	wrote, err := t.conn.Send(t.outgoing(t.choice.Server), t.deadline.Add(answerMargin))
+	if err != nil {
+		t.conn.Close()
+		if !wrote {
+			return balance.Broken, notSent, Reset
+		}
+		t.sends++
+		return t.broken(err)
+	}
+	t.sends++
+	t.resp, err = t.conn.Receive()
+	if err != nil {
+		t.conn.Close()
+		return t.broken(err)
+	}
+	t.first = time.Since(sent)
+	t.answer = platform.ParseAnswer(t.resp.StatusCode, t.resp.Header)
+	t.g.mu.Lock()
+	t.g.picture.First(time.Now(), t.ticket)
+	t.g.mu.Unlock()
+	return t.judge()
+}
+
+// connect opens a connection or takes one that is open.
+func (t *try) connect() (fate, Reason, bool) {
+	maxIdle := time.Hour
+	if !t.route.Repeatable() {
+		maxIdle = unsafeIdle
+	}
+	ctx, cancel := context.WithDeadline(t.x.Context(), t.deadline)
+	defer cancel()
+	c, err := t.g.Pool.Get(ctx, t.choice.Server.Address, maxIdle, t.runs > 0)
+	if err == nil {
+		t.conn = c
+		return answered, "", true
+	}
+	switch {
+	case t.x.Context().Err() != nil:
+		return gone, ClientLeft, false
+	case !time.Now().Before(t.deadline):
+		return late, Deadline, false
+	}
+	t.g.Pool.Drop(t.choice.Server.Address)
+	return notSent, Unreachable, false
+}
+
+// broken judges a connection that broke, or fell silent until the deadline,
+// after bytes of the request were written.
+func (t *try) broken(err error) (balance.Result, fate, Reason) {
+	var n net.Error
+	switch {
+	case t.x.Context().Err() != nil:
+		return balance.Dropped, gone, ClientLeft
+	case errors.As(err, &n) && n.Timeout() && !time.Now().Before(t.deadline):
+		t.runs++
+		return balance.Broken, late, Deadline
+	}
+	t.g.Pool.Drop(t.choice.Server.Address)
+	t.g.mark(t.print, t.choice.Server.ID)
+	return balance.Broken, unknown, Cut
+}
+
+// judge decides what the head of an answer means.
+func (t *try) judge() (balance.Result, fate, Reason) {
+	status := t.resp.StatusCode
+	if t.answer.RequestID != "" && t.answer.RequestID != t.meta.ID {
+		t.conn.Close()
+		return balance.Broken, unknown, WrongAnswer
+	}
+	if t.answer.NotRun {
+		t.recycle()
+		if status == http.StatusMisdirectedRequest {
+			t.misdirected()
+			return balance.Good, notRun, Misdirected
+		}
+		return balance.Full, notRun, Full
+	}
+	if !t.answer.Stamped || t.resp.Header.Get("Content-Encoding") != "" {
+		t.conn.Close()
+		return balance.Failed, unknown, Unsigned
+	}
+	if status >= http.StatusInternalServerError && t.route.Repeatable() && t.mayRepeat() {
+		t.recycle()
+		return balance.Failed, unknown, ServerError
+	}
+	if t.route.Kind == fleet.Stream && status == http.StatusOK {
+		return t.relay()
+	}
+	return t.whole()
+}
+
+// mayRepeat tells whether a failure of the server's own leaves another try.
+func (t *try) mayRepeat() bool {
+	return t.runs+1 < t.route.MaxAttempts && t.sends < sendsMost
+}
+
+// misdirected notes what a server that refused doesn't hold.
+func (t *try) misdirected() {
+	if t.answer.Instance != "" && t.answer.Instance != t.choice.Server.ID || !t.engine() {
+		t.g.Pool.Drop(t.choice.Server.Address)
+		return
+	}
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.picture.Note(time.Now(), t.choice.Server.ID, t.meta.Model, t.meta.Adapter, false)
+}
+
+// recycle reads an answer that isn't passed on to its end and keeps the
+// connection.
+func (t *try) recycle() {
+	if _, err := http1.ReadBody(t.resp, wholeMost); err != nil {
+		t.conn.Close()
+		return
+	}
+	t.keep()
+}
+
+// keep gives the connection back to the pool.
+func (t *try) keep() {
+	t.conn.Settle()
+	if err := t.g.Pool.Put(t.conn, t.resp); err != nil {
+		t.g.Log.Warn("connection-closed", zap.String("server", t.choice.Server.ID), zap.Error(err))
+	}
+}
+
+// whole reads an answer to its end and passes it on.
+func (t *try) whole() (balance.Result, fate, Reason) {
+	body, err := http1.ReadBody(t.resp, wholeMost)
+	if err != nil {
+		t.conn.Close()
+		return t.broken(err)
+	}
+	t.keep()
+	t.outcome = outcome{status: t.resp.StatusCode, reason: Served, server: t.choice.Server.ID, first: t.first}
+	t.begun = true
+	if err := t.x.Respond(t.resp.StatusCode, http1.EndToEnd(t.resp.Header), body); err != nil {
+		t.outcome = outcome{reason: ClientLeft, server: t.choice.Server.ID, err: err}
+	}
+	if t.resp.StatusCode >= http.StatusInternalServerError {
+		return balance.Failed, answered, ServerError
+	}
+	return balance.Good, answered, Served
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/internal/hub"
+	"guavapaddle/io/http1"
+	"guavapaddle/platform"
+)
+
+const (
+	// sendsMost bounds the sends of one request, refused ones included.
+	sendsMost = 4
+	// dialsMost bounds the servers tried that could not be reached at all.
+	dialsMost = 4
+	// modelWait bounds the wait for a model that no server holds, beside the
+	// time that its load takes.
+	modelWait = 2500 * time.Millisecond
+	// plainWait bounds the wait for a plain service without servers.
+	plainWait = 300 * time.Millisecond
+	// recheck is how often a waiting request asks for its model again.
+	recheck = 300 * time.Millisecond
+	// comeBack is when a refused client may come back where nothing tells more.
+	comeBack = 400 * time.Millisecond
+)
+
+// fate says what is known of a request after a send.
+type fate int
+
+const (
+	answered fate = iota // the client has its answer, or can't get one
+	notSent              // no byte reached the server
+	notRun               // the server says that it hasn't run
+	unknown              // it may have run
+	gone                 // the client has left
+	late                 // the deadline has passed
+)
+
+// serve sends the request until it has an answer.
+func (r *request) serve() {
+	g := r.g
+	r.exclude = map[string]bool{}
+	r.header = http1.EndToEnd(r.x.Request.Header)
+	r.last = r.meta.LastEvent
+	dials := 0
+	var refusal Reason
+	for {
+		c, why := r.pick()
+		if why != "" {
+			r.giveUp(why, refusal)
+			return
+		}
+		if r.sends > 0 && !g.spend(r.service) {
+			r.giveUp(Budget, refusal)
+			return
+		}
+		f, reason := r.send(c)
+		g.Metrics.try(reason)
+		switch f {
+		case answered:
+			return
+		case gone:
+			r.outcome = outcome{reason: ClientLeft}
+			r.x.Abort()
+			return
+		case late:
+			r.giveUp(Deadline, reason)
+			return
+		case notSent:
+			if dials++; dials >= dialsMost {
+				r.giveUp(Unreachable, reason)
+				return
+			}
+		case notRun:
+			if r.sends >= sendsMost {
+				r.giveUp(reason, reason)
+				return
+			}
+		case unknown:
+			r.runs++
+			if !r.route.Repeatable() || r.runs >= r.route.MaxAttempts || r.sends >= sendsMost {
+				r.giveUp(reason, reason)
+				return
+			}
+		}
+		refusal = reason
+		r.exclude[c.Server.ID] = true
+	}
+}
+
+// giveUp gives the final answer where there is no server's own.
+func (r *request) giveUp(why, refusal Reason) {
+	if r.begun || why == ClientLeft {
+		r.outcome = outcome{reason: why, refusal: refusal}
+		r.x.Abort()
+		return
+	}
+	status, after := http.StatusServiceUnavailable, comeBack
+	switch {
+	case r.runs > 0 && why == Deadline:
+		status, after = http.StatusGatewayTimeout, 0
+	case r.runs > 0:
+		status, after = http.StatusBadGateway, 0
+	}
+	r.answer(status, why, after)
+	r.outcome.refusal = refusal
+}
+
+// balanceRequest returns what the pick depends on.
+func (r *request) balanceRequest() balance.Request {
+	b := balance.Request{Service: r.service, Zone: r.g.Zone, Exclude: r.exclude}
+	if !r.engine() {
+		return b
+	}
+	b.Model, b.Adapter, b.Tokens = r.meta.Model, r.meta.Adapter, r.meta.PromptTokens
+	for _, p := range r.meta.Parts {
+		b.Parts = append(b.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
+	}
+	return b
+}
+
+// engine tells whether the request goes to a model engine.
+func (r *request) engine() bool {
+	s, ok := r.g.config.Load().Service(r.service)
+	return ok && s.Engine != nil && r.meta.Model != ""
+}
+
+// pick picks a server; where none holds the model it waits for one.
+func (r *request) pick() (balance.Choice, Reason) {
+	g := r.g
+	b := r.balanceRequest()
+	w := hub.Want{Service: r.service, Model: b.Model, Adapter: b.Adapter}
+	if b.Model != "" && r.sends == 0 {
+		g.ask(w, b.Tokens, 0)
+	}
+	waiting := false
+	defer func() {
+		if waiting {
+			g.ask(w, 0, -1)
+		}
+	}()
+	until := time.Now().Add(r.waitMost(b.Model))
+	for {
+		g.mu.Lock()
+		c, why := g.picture.Pick(time.Now(), b)
+		changed := g.changed
+		g.mu.Unlock()
+		if why == balance.Picked {
+			if r.sends == 0 {
+				r.queued = time.Since(r.x.Received)
+			}
+			return c, ""
+		}
+		if time.Now().After(until) {
+			return c, Reason(why)
+		}
+		if !waiting && b.Model != "" {
+			waiting = true
+			g.ask(w, 0, 1)
+		}
+		if why == balance.NoAdapter {
+			if o := r.want(w); o.Found {
+				continue
+			}
+		}
+		if reason := r.await(changed, until); reason != "" {
+			return c, reason
+		}
+	}
+}
+
+// want asks the holder of the lease for an adapter.
+func (r *request) want(w hub.Want) hub.Offer {
+	ctx, cancel := context.WithTimeout(r.x.Context(), recheck)
+	defer cancel()
+	o := r.g.Want(ctx, w)
+	if o.Found {
+		r.g.mu.Lock()
+		r.g.picture.Note(time.Now(), o.Server, w.Model, w.Adapter, true)
+		r.g.mu.Unlock()
+	}
+	return o
+}
+
+// await waits until the picture changes or the request ends.
+func (r *request) await(changed <-chan struct{}, until time.Time) Reason {
+	t := time.NewTimer(min(recheck, time.Until(until)+time.Millisecond))
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-r.x.Context().Done():
+		return ClientLeft
+	}
+	return ""
+}
+
+// waitMost returns how long the request may wait for a server that can run it.
+func (r *request) waitMost(model string) time.Duration {
+	left := time.Until(r.deadline) - time.Second
+	if model == "" {
+		return min(plainWait, left)
+	}
+	s, ok := r.g.config.Load().Service(r.service)
+	if !ok || s.Engine == nil {
+		return 0
+	}
+	m, ok := s.Engine.Models[model]
+	if !ok {
+		return 0
+	}
+	return min(m.LoadTime+modelWait, left)
+}
+
+// fingerprint tells requests apart whose copies come again: by host, path and
+// body, and the prompt where the body is empty.
+func fingerprint(x *http1.Exchange) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{x.Request.Method, x.Request.Host, x.Request.RequestURI} {
+		_, _ = d.WriteString(s) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(x.Body)
+	return d.Sum64()
+}
+
+// outgoing returns the request as it goes to a server.
+func (r *request) outgoing(s fleet.Server) http1.Outgoing {
+	h := r.header.Clone()
+	priority := -1
+	if r.route.Kind == fleet.Stream {
+		priority = r.route.Priority
+	}
+	platform.Forward(h, s.ID, time.Until(r.deadline), priority)
+	if r.last != "" && r.route.Resumable {
+		platform.Resume(h, r.last)
+	}
+	return http1.Outgoing{Method: r.x.Request.Method, Target: r.x.Request.RequestURI, Host: r.x.Request.Host,
+		Header: h, Body: r.x.Body}
+}
--- /dev/null
+++ b/internal/hub/hub.go
@@ -0,0 +1,171 @@
+package hub
+
+import (
+	"sync"
+	"time"
+
+	"guavapaddle/core/balance"
+)
+
+const (
+	// reportLife is how long a node's last report counts.
+	reportLife = 1500 * time.Millisecond
+	// markLife is how long a request that crashed servers is remembered.
+	markLife = 60 * time.Second
+	// marksMost bounds the marks remembered.
+	marksMost = 512
+)
+
+type (
+	// Demand is what a node was asked for since its last report.
+	Demand struct {
+		Service string
+		Model   string
+		Adapter string
+		Tokens  int // of prompts
+		Waiting int // requests that wait for it now
+	}
+
+	// Note tells that a server holds, or lacks, a model or adapter, before its
+	// entry in the store says so.
+	Note struct {
+		Server  string
+		Model   string
+		Adapter string
+		Held    bool
+	}
+
+	// Mark counts the servers that ended while they ran a request.
+	Mark struct {
+		Fingerprint uint64
+		Server      string // incarnation that ended
+	}
+
+	// Report is what a node tells the holder.
+	Report struct {
+		Node   string
+		Counts map[string]balance.Count // by server
+		Demand []Demand
+		Marks  []Mark // new ones
+	}
+
+	// Picture is what the holder answers.
+	Picture struct {
+		Leading bool // the answering node holds the lease
+		Nodes   int  // that reported of late, the asking one included
+		Counts  map[string]balance.Count
+		Notes   []Note
+		Marks   []Mark
+	}
+
+	// Hub merges the reports. The zero value is ready and safe for concurrent
+	// use.
+	Hub struct {
+		mu     sync.Mutex
+		nodes  map[string]entry
+		notes  []dated[Note]
+		marks  []dated[Mark]
+		demand []Demand // since the last Demand call
+	}
+
+	entry struct {
+		report Report
+		at     time.Time
+	}
+
+	dated[T any] struct {
+		value T
+		at    time.Time
+	}
+)
+
+// Take takes in a node's report and returns what the others have.
+func (h *Hub) Take(now time.Time, r Report) Picture {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.nodes == nil {
+		h.nodes = map[string]entry{}
+	}
+	h.demand = append(h.demand, r.Demand...)
+	for _, m := range r.Marks {
+		h.marks = append(h.marks, dated[Mark]{m, now})
+	}
+	r.Demand, r.Marks = nil, nil
+	h.nodes[r.Node] = entry{r, now}
+	h.forget(now)
+	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: map[string]balance.Count{}}
+	for name, e := range h.nodes {
+		if name == r.Node {
+			continue
+		}
+		for id, c := range e.report.Counts {
+			sum := p.Counts[id]
+			sum.Pending += c.Pending
+			sum.Running += c.Running
+			sum.Tokens += c.Tokens
+			p.Counts[id] = sum
+		}
+	}
+	for _, n := range h.notes {
+		p.Notes = append(p.Notes, n.value)
+	}
+	for _, m := range h.marks {
+		p.Marks = append(p.Marks, m.value)
+	}
+	return p
+}
+
+// Note adds a note that all nodes are told for a while.
+func (h *Hub) Note(now time.Time, n Note) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notes = append(h.notes, dated[Note]{n, now})
+}
+
+// Demand returns what was asked for since the last call.
+func (h *Hub) Demand() []Demand {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := h.demand
+	h.demand = nil
+	return d
+}
+
+// Counts returns what all nodes have at each server.
+func (h *Hub) Counts() map[string]balance.Count {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]balance.Count{}
+	for _, e := range h.nodes {
+		for id, c := range e.report.Counts {
+			sum := out[id]
+			sum.Pending += c.Pending
+			sum.Running += c.Running
+			sum.Tokens += c.Tokens
+			out[id] = sum
+		}
+	}
+	return out
+}
+
+// forget drops what is too old.
+func (h *Hub) forget(now time.Time) {
+	for name, e := range h.nodes {
+		if now.Sub(e.at) > reportLife {
+			delete(h.nodes, name)
+		}
+	}
+	h.notes = younger(h.notes, now.Add(-reportLife))
+	h.marks = younger(h.marks, now.Add(-markLife))
+	if n := len(h.marks) - marksMost; n > 0 {
+		h.marks = h.marks[n:]
+	}
+}
+
+// younger returns the values that are not older than at; they are in order.
+func younger[T any](list []dated[T], at time.Time) []dated[T] {
+	for len(list) > 0 && list[0].at.Before(at) {
+		list = list[1:]
+	}
+	return list
+}
--- /dev/null
+++ b/internal/placer/adapter.go
@@ -0,0 +1,202 @@
+package placer
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/internal/hub"
+	"guavapaddle/platform"
+)
+
+const (
+	// adapterLoad is how long an adapter takes to load when the weight store
+	// isn't busy; the sheets say 5 to 19 ms.
+	adapterLoad = 20 * time.Millisecond
+	// adapterTries is how many engines are asked for one want.
+	adapterTries = 3
+	// adapterIdle is how long an adapter must not have been used before it
+	// makes room for another.
+	adapterIdle = 300 * time.Millisecond
+)
+
+// Report takes in a node's report.
+func (p *Placer) Report(r hub.Report) hub.Picture {
+	if !p.mine() {
+		return hub.Picture{}
+	}
+	return p.Hub.Take(time.Now(), r)
+}
+
+// Want sees to it that an engine holds an adapter and tells which. A model
+// without a copy is left to the plan, which the report of the waiting request
+// moves.
+func (p *Placer) Want(ctx context.Context, w hub.Want) hub.Offer {
+	if _, ok := p.epoch(); !ok {
+		return hub.Offer{Why: "no-lease"}
+	}
+	if w.Adapter == "" {
+		return hub.Offer{Why: "planned"}
+	}
+	key := w.Model + "/" + w.Adapter
+	for _, s := range p.hosts(w) {
+		p.mu.Lock()
+		e := p.engine(s.ID)
+		p.mu.Unlock()
+		if !e.mu.TryLock() { // an order is under way there
+			continue
+		}
+		v, err := p.adapter(ctx, e, s, w.Model, w.Adapter)
+		e.mu.Unlock()
+		p.Log.Info("order-adapter", zap.String("server", s.ID), zap.String("adapter", key),
+			zap.String("verdict", v.String()), zap.Error(err))
+		if err != nil || v != platform.Begun && v != platform.Already {
+			continue
+		}
+		p.Hub.Note(time.Now(), hub.Note{Server: s.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
+		if v == platform.Begun {
+			pauseFor(ctx, adapterLoad)
+		}
+		return hub.Offer{Found: true, Server: s.ID}
+	}
+	return hub.Offer{Why: "no-engine"}
+}
+
+// hosts returns the engines that could take an adapter, those that hold it
+// first, then those with the least to do.
+func (p *Placer) hosts(w hub.Want) []fleet.Server {
+	counts := p.Hub.Counts()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	type host struct {
+		fleet.Server
+		cost int
+	}
+	var list []host
+	for _, s := range p.servers {
+		e := p.engine(s.ID)
+		if s.Service != w.Service || s.Leaving || !s.Holds(w.Model, "") || e.going == w.Model || now.Before(e.blocked) {
+			continue
+		}
+		c := cost(counts[s.ID]) + 300*len(e.adapters)
+		if e.coming != "" || e.going != "" {
+			c += 20000 // it may refuse while a model is on its way
+		}
+		if _, ok := e.adapters[w.Model+"/"+w.Adapter]; ok || s.Holds(w.Model, w.Adapter) {
+			c -= 100000
+		}
+		list = append(list, host{s, c})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].cost != list[j].cost {
+			return list[i].cost < list[j].cost
+		}
+		return list[i].ID < list[j].ID
+	})
+	out := make([]fleet.Server, 0, adapterTries)
+	for _, h := range list[:min(adapterTries, len(list))] {
+		out = append(out, h.Server)
+	}
+	return out
+}
+
+// cost weighs what nodes have at an engine, in prompt tokens.
+func cost(c balance.Count) int { return c.Tokens + 100*c.Running }
+
+// adapter loads an adapter, after it has made room for it; e.mu is held.
+func (p *Placer) adapter(ctx context.Context, e *engine, s fleet.Server, model, adapter string) (platform.Verdict, error) {
+	if e.sequence < 0 || !e.known {
+		if err := p.report(ctx, e, s); err != nil {
+			p.block(e)
+			return 0, err
+		}
+	}
+	key := model + "/" + adapter
+	if p.holds(e, key) {
+		return platform.Already, nil
+	}
+	for p.full(s, e) {
+		victim, ok := p.idlest(e)
+		if !ok {
+			return platform.Full, nil
+		}
+		m, a, _ := strings.Cut(victim, "/")
+		v, err := p.give(ctx, e, s, platform.Order{Model: m, Adapter: a})
+		p.Log.Info("order-adapter-unload", zap.String("server", s.ID), zap.String("adapter", victim), zap.String("verdict", v.String()), zap.Error(err))
+		if err != nil || v != platform.Begun && v != platform.Already {
+			p.block(e)
+			return v, err
+		}
+		p.Hub.Note(time.Now(), hub.Note{Server: s.ID, Model: m, Adapter: a, Held: false})
+		p.mu.Lock()
+		delete(e.adapters, victim)
+		p.mu.Unlock()
+	}
+	v, err := p.give(ctx, e, s, platform.Order{Load: true, Model: model, Adapter: adapter})
+	if err == nil && v != platform.Begun && v != platform.Already {
+		p.block(e)
+		return v, nil
+	}
+	p.mu.Lock()
+	e.adapters[key] = time.Now() // also when it may be carried out late
+	p.mu.Unlock()
+	if err != nil {
+		p.block(e)
+	}
+	return v, err
+}
+
+func (p *Placer) holds(e *engine, key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := e.adapters[key]
+	return ok
+}
+
+// block leaves an engine alone for a moment.
+func (p *Placer) block(e *engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.blocked = time.Now().Add(pause)
+}
+
+// full tells whether all places for adapters are taken.
+func (p *Placer) full(s fleet.Server, e *engine) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	service, ok := p.config.Service(s.Service)
+	if !ok || service.Engine == nil {
+		return true
+	}
+	return len(e.adapters) >= service.Engine.AdapterSlots
+}
+
+// idlest returns the adapter that was used least recently.
+func (p *Placer) idlest(e *engine) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var name string
+	var oldest time.Time
+	for k, at := range e.adapters {
+		if name == "" || at.Before(oldest) {
+			name, oldest = k, at
+		}
+	}
+	return name, name != "" && time.Since(oldest) > adapterIdle
+}
+
+// pauseFor waits for d or until ctx ends.
+func pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/placer/lease.go
@@ -0,0 +1,179 @@
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/leader"
+	"guavapaddle/platform"
+)
+
+const (
+	leaseTable = "lease"
+	leaseKey   = "orders"
+
+	// leaseTick is how often the lease is looked after; a renewal is due each
+	// third of the time to live.
+	leaseTick = 150 * time.Millisecond
+	// searchEvery is how often a node that can't reach the holder reads the row.
+	searchEvery = 500 * time.Millisecond
+	// callTimeout bounds a call to the store.
+	callTimeout = 900 * time.Millisecond
+	// outageMost is how long orders go on when the store can't be reached and
+	// engines check epochs: a rival's first order fences ours.
+	outageMost = 20 * time.Second
+)
+
+// keepLease looks after the lease until ctx ends.
+func (p *Placer) keepLease(ctx context.Context) {
+	t := time.NewTicker(leaseTick)
+	defer t.Stop()
+	var searched time.Duration
+	for {
+		if now := p.Clock(); p.mine() || !p.reachable() && now-searched >= searchEvery {
+			searched = now
+			p.tend(ctx)
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tend reads the row unless it is our own, and writes it if that is due.
+func (p *Placer) tend(ctx context.Context) {
+	if !p.mine() {
+		p.read(ctx)
+	}
+	p.mu.Lock()
+	now := p.Clock()
+	l, version, due := p.Keeper.Propose(now)
+	was := p.Keeper.Mine()
+	p.mu.Unlock()
+	if !due {
+		return
+	}
+	value, err := json.Marshal(l)
+	if err != nil {
+		p.Log.Error("lease-encode", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
+	rows, got, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err != nil:
+		p.failedAt = p.Clock()
+		p.Log.Warn("lease-write-failed", zap.Int64("epoch", l.Epoch), zap.Int64("version", version), zap.Error(err))
+	case ok:
+		p.Keeper.Won(now, l, got)
+		p.wonAt, p.failedAt = now, 0
+		if !was {
+			p.begin(l.Epoch)
+		}
+	default:
+		p.observe(rows)
+	}
+}
+
+// read reads the row.
+func (p *Placer) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := p.Store.ReadOne(ctx, leaseTable, leaseKey)
+	if err != nil {
+		p.Log.Warn("lease-read-failed", zap.Error(err))
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observe([]platform.Row{r})
+}
+
+// observe takes in the row as the store has it; p.mu is held.
+func (p *Placer) observe(rows []platform.Row) {
+	was := p.Keeper.Mine()
+	if len(rows) == 0 {
+		p.Keeper.Observe(p.Clock(), leader.Lease{}, 0)
+	}
+	for _, r := range rows {
+		var l leader.Lease
+		if r.Version != 0 {
+			if err := json.Unmarshal(r.Value, &l); err != nil {
+				p.Log.Error("lease-unreadable", zap.Int64("version", r.Version), zap.Error(err))
+			}
+		}
+		p.Keeper.Observe(p.Clock(), l, r.Version)
+	}
+	l, _ := p.Keeper.Leader()
+	switch mine := p.Keeper.Mine(); {
+	case was && !mine:
+		p.Log.Warn("lease-lost", zap.String("holder", l.Node), zap.Int64("epoch", l.Epoch))
+	case mine && !was:
+		p.begin(l.Epoch)
+	}
+}
+
+// begin starts a time as holder with nothing known of the engines' orders; p.mu
+// is held.
+func (p *Placer) begin(epoch int64) {
+	p.Log.Info("lease-won", zap.Int64("epoch", epoch))
+	p.engines = map[string]*engine{}
+	p.loads = nil
+	p.tookOver = time.Now()
+}
+
+// epoch returns the epoch under which orders may be given now.
+func (p *Placer) epoch() (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock()
+	e, ok := p.Keeper.Epoch(now)
+	if !ok && e != 0 && p.Fencing && p.failedAt > p.wonAt && now-p.wonAt < outageMost && now-p.failedAt < 2*callTimeout {
+		ok = true
+	}
+	return e, ok
+}
+
+func (p *Placer) mine() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Keeper.Mine()
+}
+
+// Leader returns the holder's address and key as last known.
+func (p *Placer) Leader() (leader.Lease, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Keeper.Leader()
+}
+
+// Release gives the lease up, so that another node takes it at once.
+func (p *Placer) Release(ctx context.Context) {
+	p.mu.Lock()
+	version, epoch, mine := p.Keeper.Release()
+	p.released = true
+	p.mu.Unlock()
+	if !mine {
+		return
+	}
+	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
+	value, err := json.Marshal(leader.Lease{Epoch: epoch})
+	if err != nil {
+		p.Log.Error("lease-encode", zap.Error(err))
+		return
+	}
+	row.Value = value
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	p.Log.Info("lease-released", zap.Int64("epoch", epoch), zap.Bool("written", ok), zap.Error(err))
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,261 @@
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
+	"guavapaddle/core/residency"
+	"guavapaddle/internal/hub"
+	"guavapaddle/platform"
+)
+
+const (
+	// planEvery is how often a plan is made.
+	planEvery = 250 * time.Millisecond
+	// settle is how long after taking the lease the first plan is made: the
+	// nodes' reports take that long to come.
+	settle = 600 * time.Millisecond
+	// demandLife is the time in which the memory of demand falls to a third.
+	demandLife = 4 * time.Second
+	// orderTimeout bounds the answer to an order.
+	orderTimeout = 700 * time.Millisecond
+	// unsettled is how long an order without an answer may still be carried
+	// out: they come up to twelve seconds late.
+	unsettled = 13 * time.Second
+	// pause is how long an engine gets no orders after one failed.
+	pause = 400 * time.Millisecond
+	// slackMB is kept free beside all that is counted.
+	slackMB = 1.0
+)
+
+type (
+	// Placer takes the lease and gives orders while it holds it. Its exported
+	// fields are set before Run.
+	Placer struct {
+		Store     *platform.Store
+		Engines   *platform.Engines
+		Hub       *hub.Hub
+		Keeper    *leader.Keeper
+		Clock     func() time.Duration // never stands still
+		Log       *zap.Logger
+		Fencing   bool          // engines refuse orders with an old epoch
+		Window    time.Duration // over which loads from the weight store are counted
+		Reachable func() bool   // the holder answered of late
+		Ordered   func(verdict string)
+
+		mu       sync.Mutex
+		config   *fleet.Config
+		servers  map[string]fleet.Server
+		engines  map[string]*engine
+		demand   map[string]float64 // tokens a second, by model
+		waiting  map[string]int
+		decayed  time.Time
+		loads    []time.Time // from the weight store
+		tookOver time.Time
+		wonAt    time.Duration
+		failedAt time.Duration
+		released bool
+	}
+
+	// engine is what the holder knows of one engine beside its entry.
+	engine struct {
+		mu       sync.Mutex // held while an order is under way
+		sequence int64      // orders accepted, below zero if unknown
+		coming   string
+		going    string
+		since    time.Time
+		blocked  time.Time
+		open     *residency.Move      // an order without an answer
+		adapters map[string]time.Time // held or coming, with the last use
+		known    bool                 // adapters were read from a report
+	}
+)
+
+// Run looks after the lease and, while it is held, after the engines.
+func (p *Placer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.keepLease(ctx) })
+	wg.Go(func() { p.plan(ctx) })
+	wg.Wait()
+}
+
+// Config takes in a configuration.
+func (p *Placer) Config(c *fleet.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.config = c
+}
+
+// Servers takes in the list of backend servers.
+func (p *Placer) Servers(list []fleet.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers = make(map[string]fleet.Server, len(list))
+	for _, s := range list {
+		p.servers[s.ID] = s
+		if e := p.engines[s.ID]; e != nil {
+			e.follow(s)
+		}
+	}
+	for id := range p.engines {
+		if _, ok := p.servers[id]; !ok {
+			delete(p.engines, id)
+		}
+	}
+}
+
+// follow settles what the entry shows as done.
+func (e *engine) follow(s fleet.Server) {
+	if e.coming != "" && s.Holds(e.coming, "") {
+		e.coming = ""
+	}
+	if e.going != "" && !s.Holds(e.going, "") {
+		e.going = ""
+	}
+}
+
+func (p *Placer) reachable() bool { return p.Reachable() || p.released }
+
+// plan makes plans until ctx ends.
+func (p *Placer) plan(ctx context.Context) {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		p.learn(time.Now())
+		epoch, ok := p.epoch()
+		if !ok {
+			continue
+		}
+		for _, m := range p.moves(time.Now()) {
+			go p.order(ctx, epoch, m)
+		}
+	}
+}
+
+// learn takes in what nodes were asked for.
+func (p *Placer) learn(now time.Time) {
+	list := p.Hub.Demand()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.demand == nil {
+		p.demand = map[string]float64{}
+	}
+	dt := now.Sub(p.decayed)
+	p.decayed = now
+	keep := max(0, 1-dt.Seconds()/demandLife.Seconds())
+	for m, v := range p.demand {
+		p.demand[m] = v * keep
+	}
+	p.waiting = map[string]int{}
+	for _, d := range list {
+		p.demand[d.Model] += float64(d.Tokens) / demandLife.Seconds()
+		p.waiting[d.Model] += d.Waiting
+		if d.Adapter != "" {
+			p.used(now, d)
+		}
+	}
+}
+
+// used notes the use of an adapter wherever it is held; p.mu is held.
+func (p *Placer) used(now time.Time, d hub.Demand) {
+	key := d.Model + "/" + d.Adapter
+	for _, e := range p.engines {
+		if at, ok := e.adapters[key]; ok && now.After(at) {
+			e.adapters[key] = now
+		}
+	}
+}
+
+// moves plans for each service with engines and notes the moves in the ledger.
+func (p *Placer) moves(now time.Time) []residency.Move {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.config == nil || now.Sub(p.tookOver) < settle {
+		return nil
+	}
+	var out []residency.Move
+	for _, name := range p.config.Services() {
+		s, _ := p.config.Service(name)
+		if s.Engine == nil {
+			continue
+		}
+		in := residency.Input{Engine: *s.Engine, Load: p.demand, Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
+		in.Engine.WeightsMB -= slackMB
+		for _, f := range p.servers {
+			if f.Service != name {
+				continue
+			}
+			e := p.engine(f.ID)
+			e.expire(now)
+			if e.open != nil && !now.Before(e.blocked) {
+				e.blocked = now.Add(2 * pause)
+				out = append(out, *e.open)
+			}
+			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going,
+				Blocked: now.Before(e.blocked)})
+		}
+		for _, m := range residency.Plan(in) {
+			p.note(now, m)
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// expire gives up on an order whose effect has not shown.
+func (e *engine) expire(now time.Time) {
+	if (e.coming != "" || e.going != "") && now.Sub(e.since) > 2*unsettled {
+		e.coming, e.going = "", ""
+		e.sequence = -1
+	}
+}
+
+// note enters a move into the ledger; p.mu is held.
+func (p *Placer) note(now time.Time, m residency.Move) {
+	e := p.engine(m.Server.ID)
+	e.since = now
+	if m.Load {
+		e.coming = m.Model
+		if m.Store {
+			p.loads = append(p.loads, now)
+		}
+	} else {
+		e.going = m.Model
+	}
+}
+
+// stores returns how many loads from the weight store may begin now; p.mu is
+// held. The previous holder's loads are unknown, so a new holder takes half.
+func (p *Placer) stores(now time.Time, e fleet.Engine) int {
+	for len(p.loads) > 0 && now.Sub(p.loads[0]) > p.Window+p.Window/10 {
+		p.loads = p.loads[1:]
+	}
+	most := int(e.LoadsPerS * p.Window.Seconds())
+	if now.Sub(p.tookOver) < p.Window {
+		most /= 2
+	}
+	return max(0, max(1, most)-len(p.loads))
+}
+
+// engine returns the ledger of an engine; p.mu is held.
+func (p *Placer) engine(id string) *engine {
+	if p.engines == nil {
+		p.engines = map[string]*engine{}
+	}
+	e := p.engines[id]
+	if e == nil {
+		e = &engine{sequence: -1, adapters: map[string]time.Time{}}
+		p.engines[id] = e
+	}
+	return e
+}
