--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -83,7 +83,7 @@
 		return t.broken(err)
 	}
 	t.sends++
-	t.resp, err = t.conn.Receive()
+	t.resp, err = t.conn.Receive() //nolint:bodyclose // the connection is kept or closed, and the body with it
 	if err != nil {
 		t.conn.Close()
 		return t.broken(err)
