Move copies as fast as demand moves, and don't spin on an adapter that is refused

Ruled out: the weight store's rate (2.1/s was unused). A server's word that it lacks an adapter now reaches the holder, and a plan makes all moves that pay, on up to half of the servers.

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// Gain is how much more load a copy must serve after a move than before.
-	// Below 2 two busy models trade places as their load wobbles.
-	Gain = 2.0
+	// Gain is how much more load a copy must serve after a move than before, so
+	// that two busy models don't trade places as their load wobbles.
+	Gain = 1.3
 	// quiet is the load, in prompt tokens a second, below which a model counts
 	// as not in use.
 	quiet = 1.0
-	// movesAtOnce bounds the servers that change at the same time, as a part of
-	// all: each has a place less for the seconds of its move.
-	movesAtOnce = 4
+	// movesAtOnce bounds the servers that change at the same time to one in so
+	// many: each has a place less for the seconds of its move.
+	movesAtOnce = 2
 )
 
 // Why tells what a move is for.
@@ -67,6 +67,7 @@
 		in       Input
 		copies   map[string]int // held or coming, not going
 		anywhere map[string]int // copies that take requests now
+		promised map[string]int // copies that this plan makes room for
 		moving   int
 		moves    []Move
 	}
@@ -75,7 +76,7 @@
 // Plan returns the orders to give now, the most urgent first. It gives each
 // server at most one.
 func Plan(in Input) []Move {
-	p := &planner{in: in, copies: map[string]int{}, anywhere: map[string]int{}}
+	p := &planner{in: in, copies: map[string]int{}, anywhere: map[string]int{}, promised: map[string]int{}}
 	for _, s := range in.Servers {
 		if s.Coming != "" {
 			p.copies[s.Coming]++
@@ -197,24 +198,22 @@
 	return l
 }
 
-// makingRoom tells whether an unload that is under way frees a place that no
-// load has been promised.
+// makingRoom tells whether unloads that are under way free enough places for
+// all models without a copy up to this one.
 func (p *planner) makingRoom(model string) bool {
 	places := 0
 	for i := range p.in.Servers {
-		s := &p.in.Servers[i]
-		if s.Going != "" && !s.Holds(model, "") {
+		if p.in.Servers[i].Going != "" {
 			places++
 		}
 	}
-	waiting := 0
 	for _, n := range p.missing() {
+		places--
 		if n == model {
 			break
 		}
-		waiting++
 	}
-	return places > waiting
+	return places >= 0
 }
 
 // makeRoom unloads the copy that is missed least: of a model with another copy,
@@ -237,10 +236,7 @@
 				continue
 			}
 			c := p.in.Load[h.Model] / float64(n-1)
-			if source(s, model) == fromStore {
-				c = c*1.2 + 1
-			}
-			if best == nil || c < cost {
+			if best == nil || c < cost || c == cost && p.quicker(s, best, model) {
 				best, victim, cost = s, h.Model, c
 			}
 		}
@@ -252,26 +248,36 @@
 	return true
 }
 
-// rebalance moves one copy towards the model with the most load for a copy.
+// rebalance moves copies towards the models with the most load for a copy,
+// while that pays.
 func (p *planner) rebalance() {
-	var busiest string
+	for range p.in.Servers {
+		m, load := p.busiest()
+		if m == "" || load < quiet {
+			return
+		}
+		if !p.load(m, Busy) && !p.makeRoom(m, load, false) {
+			return
+		}
+		p.promised[m]++
+	}
+}
+
+// busiest returns the model with the most load for each copy if it had one
+// more, counting those that room is being made for.
+func (p *planner) busiest() (string, float64) {
+	var name string
 	var most float64
 	for m := range p.in.Engine.Models {
-		n := p.copies[m]
+		n := p.copies[m] + p.promised[m]
 		if n == 0 || n >= len(p.in.Servers) {
 			continue
 		}
-		if l := p.in.Load[m] / float64(n+1); l > most || l == most && m < busiest {
-			busiest, most = m, l
+		if l := p.in.Load[m] / float64(n+1); l > most || l == most && m < name {
+			name, most = m, l
 		}
 	}
-	if busiest == "" || most < quiet {
-		return
-	}
-	if p.load(busiest, Busy) || p.makingRoom("") {
-		return
-	}
-	p.makeRoom(busiest, most, false)
+	return name, most
 }
 
 func (p *planner) unload(s *Server, model string, why Why, wanted string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,12 +49,15 @@
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
 		nodes   int
-		demand  map[hub.Want]*hub.Demand
+		demand  map[item]*hub.Demand
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
 		changed chan struct{} // closed when the picture changes
 	}
 
+	// item is a model or adapter of a service.
+	item struct{ service, model, adapter string }
+
 	// request is one request on its way.
 	request struct {
 		g        *Gateway
@@ -66,7 +69,8 @@
 		deadline time.Time
 		header   http.Header
 		exclude  map[string]bool
-		runs     int // servers that may have run it
+		lacks    []string // servers that don't hold the model or adapter
+		runs     int      // servers that may have run it
 		sends    int
 		queued   time.Duration // until the first send
 		print    uint64
@@ -80,7 +84,7 @@
 func (g *Gateway) Run(p *balance.Picture) {
 	g.picture = p
 	g.budgets = map[string]*retry.Budget{}
-	g.demand = map[hub.Want]*hub.Demand{}
+	g.demand = map[item]*hub.Demand{}
 	g.marks = map[uint64]map[string]bool{}
 	g.changed = make(chan struct{})
 	g.nodes = 1
@@ -286,12 +290,12 @@
 }
 
 // ask counts demand for a model and adapter.
-func (g *Gateway) ask(w hub.Want, tokens, waiting int) {
+func (g *Gateway) ask(w item, tokens, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d := g.demand[w]
 	if d == nil {
-		d = &hub.Demand{Service: w.Service, Model: w.Model, Adapter: w.Adapter}
+		d = &hub.Demand{Service: w.service, Model: w.model, Adapter: w.adapter}
 		g.demand[w] = d
 	}
 	d.Tokens += tokens
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -42,9 +42,10 @@
 	Cut Reason = "cut"
 	// Full means that the server had no room and didn't run the request.
 	Full Reason = "full"
-	// Misdirected means that another incarnation has the address, or the server
-	// doesn't hold the model.
+	// Misdirected means that another incarnation has the address.
 	Misdirected Reason = "misdirected"
+	// Lacking means that the server doesn't hold the model or adapter.
+	Lacking Reason = "lacking"
 	// WrongAnswer means that an answer belonged to another request.
 	WrongAnswer Reason = "wrong-answer"
 	// Unsigned means that an answer bore no signature of a server.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -145,8 +145,7 @@
 	if t.answer.NotRun {
 		t.recycle()
 		if status == http.StatusMisdirectedRequest {
-			t.misdirected()
-			return balance.Good, notRun, Misdirected
+			return balance.Good, notRun, t.misdirected()
 		}
 		return balance.Full, notRun, Full
 	}
@@ -170,14 +169,17 @@
 }
 
 // misdirected notes what a server that refused doesn't hold.
-func (t *try) misdirected() {
-	if t.answer.Instance != "" && t.answer.Instance != t.choice.Server.ID || !t.engine() {
+func (t *try) misdirected() Reason {
+	id := t.choice.Server.ID
+	if t.answer.Instance != "" && t.answer.Instance != id || !t.engine() {
 		t.g.Pool.Drop(t.choice.Server.Address)
-		return
+		return Misdirected
 	}
+	t.lacks = append(t.lacks, id)
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.g.picture.Note(time.Now(), t.choice.Server.ID, t.meta.Model, t.meta.Adapter, false)
+	t.g.picture.Note(time.Now(), id, t.meta.Model, t.meta.Adapter, false)
+	return Lacking
 }
 
 // recycle reads an answer that isn't passed on to its end and keeps the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,7 +91,9 @@
 			}
 		}
 		refusal = reason
-		r.exclude[c.Server.ID] = true
+		if reason != Lacking {
+			r.exclude[c.Server.ID] = true
+		}
 	}
 }
 
@@ -135,7 +138,7 @@
 func (r *request) pick() (balance.Choice, Reason) {
 	g := r.g
 	b := r.balanceRequest()
-	w := hub.Want{Service: r.service, Model: b.Model, Adapter: b.Adapter}
+	w := item{r.service, b.Model, b.Adapter}
 	if b.Model != "" && r.sends == 0 {
 		g.ask(w, b.Tokens, 0)
 	}
@@ -165,9 +168,10 @@
 			g.ask(w, 0, 1)
 		}
 		if why == balance.NoAdapter {
-			if o := r.want(w); o.Found {
-				continue
-			}
+			r.want(w)
+		}
+		if !r.lacking(b) {
+			continue
 		}
 		if reason := r.await(changed, until); reason != "" {
 			return c, reason
@@ -176,16 +180,25 @@
 }
 
 // want asks the holder of the lease for an adapter.
-func (r *request) want(w hub.Want) hub.Offer {
+func (r *request) want(w item) {
 	ctx, cancel := context.WithTimeout(r.x.Context(), recheck)
 	defer cancel()
-	o := r.g.Want(ctx, w)
-	if o.Found {
-		r.g.mu.Lock()
-		r.g.picture.Note(time.Now(), o.Server, w.Model, w.Adapter, true)
-		r.g.mu.Unlock()
+	o := r.g.Want(ctx, hub.Want{Service: w.service, Model: w.model, Adapter: w.adapter, Lacks: r.lacks})
+	if !o.Found {
+		return
 	}
-	return o
+	r.lacks = slices.DeleteFunc(r.lacks, func(id string) bool { return id == o.Server })
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	r.g.picture.Note(time.Now(), o.Server, w.model, w.adapter, true)
+}
+
+// lacking tells whether there is still no server to pick.
+func (r *request) lacking(b balance.Request) bool {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	_, why := r.g.picture.Pick(time.Now(), b)
+	return why != balance.Picked
 }
 
 // await waits until the picture changes or the request ends.
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -21,6 +21,7 @@
 		Service string
 		Model   string
 		Adapter string
+		Lacks   []string // servers that said of late that they don't hold it
 	}
 
 	// Offer tells where it is, or that it isn't to be had now.
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -18,6 +18,9 @@
 	// adapterLoad is how long an adapter takes to load when the weight store
 	// isn't busy; the sheets say 5 to 19 ms.
 	adapterLoad = 20 * time.Millisecond
+	// lackAfter is how long after an order an engine's word that it lacks the
+	// adapter may be older than the order.
+	lackAfter = 150 * time.Millisecond
 	// adapterTries is how many engines are asked for one want.
 	adapterTries = 3
 	// adapterIdle is how long an adapter must not have been used before it
@@ -44,6 +47,7 @@
 		return hub.Offer{Why: "planned"}
 	}
 	key := w.Model + "/" + w.Adapter
+	p.lacking(w.Lacks, key)
 	for _, s := range p.hosts(w) {
 		p.mu.Lock()
 		e := p.engine(s.ID)
@@ -67,6 +71,18 @@
 	return hub.Offer{Why: "no-engine"}
 }
 
+// lacking takes an adapter out of the ledgers of engines that said that they
+// don't hold it, unless it was ordered there a moment ago.
+func (p *Placer) lacking(ids []string, key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		if e := p.engines[id]; e != nil && time.Since(e.ordered[key]) > lackAfter {
+			delete(e.adapters, key)
+		}
+	}
+}
+
 // hosts returns the engines that could take an adapter, those that hold it
 // first, then those with the least to do.
 func (p *Placer) hosts(w hub.Want) []fleet.Server {
@@ -145,6 +161,7 @@
 	}
 	p.mu.Lock()
 	e.adapters[key] = time.Now() // also when it may be carried out late
+	e.ordered[key] = time.Now()
 	p.mu.Unlock()
 	if err != nil {
 		p.block(e)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -21,7 +21,7 @@
 	// nodes' reports take that long to come.
 	settle = 600 * time.Millisecond
 	// demandLife is the time in which the memory of demand falls to a third.
-	demandLife = 4 * time.Second
+	demandLife = 3 * time.Second
 	// orderTimeout bounds the answer to an order.
 	orderTimeout = 700 * time.Millisecond
 	// unsettled is how long an order without an answer may still be carried
@@ -72,6 +72,7 @@
 		blocked  time.Time
 		open     *residency.Move      // an order without an answer
 		adapters map[string]time.Time // held or coming, with the last use
+		ordered  map[string]time.Time // adapters, with the last order
 		known    bool                 // adapters were read from a report
 	}
 )
@@ -254,7 +255,7 @@
 	}
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{sequence: -1, adapters: map[string]time.Time{}}
+		e = &engine{sequence: -1, adapters: map[string]time.Time{}, ordered: map[string]time.Time{}}
 		p.engines[id] = e
 	}
 	return e
