--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,7 @@
 		print    uint64
 		last     string // last whole event that was passed on
 		begun    bool
+		gap      time.Duration // longest pause between events
 		outcome  outcome
 	}
 )
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -123,5 +123,5 @@
 		zap.Int64("config", r.version), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
 		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.refusal)), zap.Int("status", o.status),
 		zap.String("server", o.server), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
-		zap.Duration("queued", r.queued), zap.Duration("first", o.first), zap.Duration("took", took), zap.Error(o.err))
+		zap.Duration("queued", r.queued), zap.Duration("first", o.first), zap.Duration("gap", r.gap), zap.Duration("took", took), zap.Error(o.err))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"guavapaddle/core/balance"
 	"guavapaddle/io/http1"
@@ -53,8 +54,13 @@
 func (t *try) copyEvents() error {
 	buf := make([]byte, relayBuffer)
 	var partial []byte
+	last := time.Now()
 	for {
 		n, err := t.resp.Body.Read(buf)
+		if now := time.Now(); n > 0 {
+			t.gap = max(t.gap, now.Sub(last))
+			last = now
+		}
 		out := buf[:n]
 		if t.route.Resumable && n > 0 {
 			partial = append(partial, out...)
