Grant places at engines from one node, with a bound on unread prompts

Ruled out: capacity (prompts take some 40% of what the engines read) and the place of the models alone. The holder of the lease now grants each start; what an engine has unread is bounded by 2,000 tokens, the rest waits by urgency. Bytes still go direct. Entry nodes pick by themselves while the holder is silent.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -125,6 +125,8 @@
 	NoServer Why = "no-server"
 	// NoModel means that no server holds the model.
 	NoModel Why = "no-model"
+	// Busy means that all servers that could run the request have no room now.
+	Busy Why = "busy"
 	// NoAdapter means that servers hold the model but not the adapter.
 	NoAdapter Why = "no-adapter"
 )
@@ -169,36 +171,74 @@
 	p.servers, p.groups = servers, groups
 }
 
+// Server returns a server by its id.
+func (p *Picture) Server(id string) (fleet.Server, bool) {
+	s := p.servers[id]
+	if s == nil {
+		return fleet.Server{}, false
+	}
+	return s.Server, true
+}
+
 // Pick picks a server for a request.
 func (p *Picture) Pick(now time.Time, r Request) (Choice, Why) {
+	fit, why := p.fit(now, r)
+	if len(fit) == 0 {
+		return Choice{}, why
+	}
+	s := p.cheapest(now, fit, r)
+	return Choice{Server: s.Server, Wait: s.wait(now, r), Age: now.Sub(s.othersAt)}, Picked
+}
+
+// PickRoom picks the cheapest of all servers where the request's prompt fits
+// beside at most tokens prompt tokens that are unread, or alone, and where at
+// most part of the slots are taken. It is for a picture that is exact in what
+// all nodes sent.
+func (p *Picture) PickRoom(now time.Time, r Request, tokens int, part float64) (Choice, Why) {
+	fit, why := p.fit(now, r)
+	if len(fit) == 0 {
+		return Choice{}, why
+	}
+	var best *server
+	least := 0.0
+	p.rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	for _, s := range fit {
+		n := s.count(now)
+		if n.Pending > 0 && n.Tokens+s.missing(now, r) > tokens || float64(n.Pending+n.Running) >= part*float64(s.Slots) {
+			continue
+		}
+		if c := s.cost(now, r); best == nil || c < least {
+			best, least = s, c
+		}
+	}
+	if best == nil {
+		return Choice{}, Busy
+	}
+	return Choice{Server: best.Server, Wait: best.wait(now, r), Age: now.Sub(best.othersAt)}, Picked
+}
+
+// fit returns the servers that could run the request: those that aren't
+// avoided, or else all of them.
+func (p *Picture) fit(now time.Time, r Request) ([]*server, Why) {
 	var fit, avoided []*server
 	why := NoServer
 	for _, s := range p.groups[r.Service] {
-		if r.Exclude[s.ID] {
-			continue
-		}
-		if r.Model != "" && !s.holds(now, r.Model, "") {
+		switch {
+		case r.Exclude[s.ID]:
+		case r.Model != "" && !s.holds(now, r.Model, ""):
 			why = worse(why, NoModel)
-			continue
-		}
-		if r.Adapter != "" && !s.holds(now, r.Model, r.Adapter) {
+		case r.Adapter != "" && !s.holds(now, r.Model, r.Adapter):
 			why = worse(why, NoAdapter)
-			continue
-		}
-		if now.Before(s.avoid) {
+		case now.Before(s.avoid):
 			avoided = append(avoided, s)
-			continue
+		default:
+			fit = append(fit, s)
 		}
-		fit = append(fit, s)
 	}
 	if len(fit) == 0 {
 		fit = avoided
 	}
-	if len(fit) == 0 {
-		return Choice{}, why
-	}
-	s := p.cheapest(now, fit, r)
-	return Choice{Server: s.Server, Wait: s.wait(now, r), Age: now.Sub(s.othersAt)}, Picked
+	return fit, why
 }
 
 // worse returns the reason that tells more: a server that lacks only the
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"guavapaddle/core/balance"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/jsonhttp"
 	"guavapaddle/platform"
@@ -23,7 +24,7 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// leaderSilent is how long the holder may be silent before the node looks
 	// for another one in the store.
-	leaderSilent = 900 * time.Millisecond
+	leaderSilent = 700 * time.Millisecond
 	// registerRetry is the pause before the node's row is written again.
 	registerRetry = 300 * time.Millisecond
 	// trustRetry bounds how often the rows of nodes are read for a key that
@@ -48,6 +49,13 @@
 		busy bool
 	}
 
+	// contact ends the calls that wait for a holder that has fallen silent.
+	contact struct {
+		mu     sync.Mutex
+		ctx    context.Context
+		cancel context.CancelFunc
+	}
+
 	// clientCache keeps one client for each address.
 	clientCache struct {
 		mu      sync.Mutex
@@ -89,7 +97,7 @@
 		var p hub.Picture
 		var err error
 		if l.Key == n.key.Fingerprint() {
-			p = n.placer.Report(r)
+			p = n.Report(r)
 		} else {
 			call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 			p, err = c.Exchange(call, l.Address, r)
@@ -109,6 +117,9 @@
 
 // lost logs a failed exchange.
 func (n *Node) lost(leader string, err error) {
+	if !n.leaderReached() {
+		n.contact.lose()
+	}
 	n.log.Warn("leader-silent", zap.String("leader", leader), zap.Error(err))
 }
 
@@ -125,7 +136,7 @@
 		return hub.Offer{Why: "no-leader"}
 	}
 	if l.Key == n.key.Fingerprint() {
-		return n.placer.Want(ctx, w)
+		return n.Want(ctx, w)
 	}
 	o, err := (&hub.Client{Endpoint: n.endpoint}).Want(ctx, l.Address, w)
 	if err != nil {
@@ -134,6 +145,45 @@
 	return o
 }
 
+// Report takes in another node's report.
+func (n *Node) Report(r hub.Report) hub.Picture {
+	p := n.placer.Report(r)
+	if p.Leading {
+		n.granter.Running(n.hub.Counts())
+	}
+	return p
+}
+
+// Want answers another node's request for an adapter.
+func (n *Node) Want(ctx context.Context, w hub.Want) hub.Offer { return n.placer.Want(ctx, w) }
+
+// Place answers a request for a place at an engine.
+func (n *Node) Place(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error) {
+	if !n.placer.Holding() {
+		return hub.Placed{}, nil, context.Canceled
+	}
+	d, release, err := n.granter.Place(ctx, p)
+	return hub.Placed{Granted: d.Granted, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, release, err
+}
+
+// place asks the holder of the lease for a place at an engine.
+func (n *Node) place(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error) {
+	l, ok := n.placer.Leader()
+	if !ok || l.Node == "" {
+		return hub.Placed{}, nil, context.Canceled
+	}
+	if l.Key == n.key.Fingerprint() {
+		return n.Place(ctx, p)
+	}
+	if !n.leaderReached() {
+		return hub.Placed{}, nil, context.Canceled
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(n.contact.context(), cancel)()
+	return (&hub.Client{Endpoint: n.endpoint}).Place(ctx, l.Address, p)
+}
+
 // trusted tells whether a key is the leader's or stands in a node's row.
 func (n *Node) trusted(key string) bool {
 	if l, ok := n.placer.Leader(); ok && l.Key == key {
@@ -176,6 +226,26 @@
 	n.peers.keys = keys
 }
 
+// context returns a context that lasts until the holder is lost.
+func (c *contact) context() context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx == nil {
+		c.ctx, c.cancel = context.WithCancel(context.Background())
+	}
+	return c.ctx
+}
+
+// lose ends the calls that wait.
+func (c *contact) lose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx != nil {
+		c.cancel()
+		c.ctx = nil
+	}
+}
+
 // get returns the client for an address.
 func (c *clientCache) get(address string) *jsonhttp.Client {
 	c.mu.Lock()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -25,6 +25,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/gateway"
+	"guavapaddle/internal/granter"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/placer"
@@ -58,6 +59,7 @@
 	gateway   *gateway.Gateway
 	placer    *placer.Placer
 	hub       *hub.Hub
+	granter   *granter.Granter
 	follower  *follow.Follower
 	endpoint  *peer.Endpoint
 	key       *keys.Memory
@@ -68,6 +70,7 @@
 	servers   atomic.Bool // the list was read
 	reached   atomic.Int64
 	peers     trust
+	contact   contact
 	listeners []net.Listener
 }
 
@@ -83,15 +86,17 @@
 	n.store = &platform.Store{Client: &jsonhttp.Client{Address: s.Store, ConnectTimeout: 500 * time.Millisecond}}
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
-	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want,
+	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout,
 		OnMessage: func(string, peer.Frame) {},
 		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
-			hub.Serve(ctx, n.placer, f, st)
+			hub.Serve(ctx, n, f, st)
 		}}
+	n.granter = &granter.Granter{Log: log}
 	n.placer = n.newPlacer()
+	n.granter.Adapter = n.placer.Want
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers}
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
@@ -115,6 +120,9 @@
 		Window:    time.Duration(n.settings.LoadWindowS * float64(time.Second)),
 		Reachable: n.leaderReached,
 		Ordered:   func(v string) { orders.WithLabelValues(v).Inc() },
+		Began:     n.granter.Reset,
+		Lacking:   n.granter.Waiting,
+		Noted:     n.granter.Note,
 	}
 }
 
@@ -213,6 +221,7 @@
 func (n *Node) onServers(list []fleet.Server) {
 	n.gateway.SetServers(list)
 	n.placer.Servers(list)
+	n.granter.Servers(list)
 	n.servers.Store(true)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,22 +42,22 @@
 		// Want asks for a model or adapter that no server holds. It returns when
 		// that may have changed.
 		Want func(ctx context.Context, w hub.Want) hub.Offer
-		Rand *rand.Rand
+		// Place asks the holder of the lease when and where a request to a model
+		// engine may begin. An error means that the holder can't be reached.
+		Place func(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error)
+		Rand  *rand.Rand
 
 		config  atomic.Pointer[fleet.Config]
 		mu      sync.Mutex // guards what follows, and Rand
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
 		nodes   int
-		demand  map[item]*hub.Demand
+		demand  map[hub.Item]*hub.Demand
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
 		changed chan struct{} // closed when the picture changes
 	}
 
-	// item is a model or adapter of a service.
-	item struct{ service, model, adapter string }
-
 	// request is one request on its way.
 	request struct {
 		g        *Gateway
@@ -69,8 +69,10 @@
 		deadline time.Time
 		header   http.Header
 		exclude  map[string]bool
-		lacks    []string // servers that don't hold the model or adapter
-		runs     int      // servers that may have run it
+		lacks    []string             // servers that don't hold the model or adapter
+		runs     int                  // servers that may have run it
+		after    time.Duration        // when a refused client may come back
+		release  func(balance.Result) // of the place that was granted
 		sends    int
 		queued   time.Duration // until the first send
 		print    uint64
@@ -85,7 +87,7 @@
 func (g *Gateway) Run(p *balance.Picture) {
 	g.picture = p
 	g.budgets = map[string]*retry.Budget{}
-	g.demand = map[item]*hub.Demand{}
+	g.demand = map[hub.Item]*hub.Demand{}
 	g.marks = map[uint64]map[string]bool{}
 	g.changed = make(chan struct{})
 	g.nodes = 1
@@ -291,12 +293,12 @@
 }
 
 // ask counts demand for a model and adapter.
-func (g *Gateway) ask(w item, tokens, waiting int) {
+func (g *Gateway) ask(w hub.Item, tokens, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	d := g.demand[w]
 	if d == nil {
-		d = &hub.Demand{Service: w.service, Model: w.model, Adapter: w.adapter}
+		d = &hub.Demand{Item: w}
 		g.demand[w] = d
 	}
 	d.Tokens += tokens
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -40,6 +40,7 @@
 	t := &try{request: r, choice: c}
 	began := time.Now()
 	result, f, reason := t.run()
+	t.freePlace(result)
 	r.g.mu.Lock()
 	r.g.picture.Done(time.Now(), t.ticket, result)
 	if t.answer.Load != nil {
@@ -93,9 +94,21 @@
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
 	t.g.mu.Unlock()
+	if !t.answer.NotRun {
+		t.freePlace(balance.Good)
+	}
 	return t.judge()
 }
 
+// freePlace tells the holder of the lease that the prompt is read, or how the
+// send failed.
+func (t *try) freePlace(r balance.Result) {
+	if t.release != nil {
+		t.release(r)
+		t.release = nil
+	}
+}
+
 // connect opens a connection or takes one that is open.
 func (t *try) connect() (fate, Reason, bool) {
 	maxIdle := time.Hour
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -105,6 +105,9 @@
 		return
 	}
 	status, after := http.StatusServiceUnavailable, comeBack
+	if r.after > 0 {
+		after = r.after
+	}
 	switch {
 	case r.runs > 0 && why == Deadline:
 		status, after = http.StatusGatewayTimeout, 0
@@ -138,10 +141,16 @@
 func (r *request) pick() (balance.Choice, Reason) {
 	g := r.g
 	b := r.balanceRequest()
-	w := item{r.service, b.Model, b.Adapter}
+	w := hub.Item{Service: r.service, Model: b.Model, Adapter: b.Adapter}
 	if b.Model != "" && r.sends == 0 {
 		g.ask(w, b.Tokens, 0)
 	}
+	if b.Model != "" {
+		c, why, ok := r.place(b, w)
+		if ok {
+			return c, why
+		}
+	}
 	waiting := false
 	defer func() {
 		if waiting {
@@ -179,18 +188,61 @@
 	}
 }
 
+// place asks the holder of the lease for a place. ok is false if the node has
+// to pick by itself.
+func (r *request) place(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
+	p := hub.Place{Item: w, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
+		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
+	for id := range r.exclude {
+		p.Exclude = append(p.Exclude, id)
+	}
+	placed, release, err := r.g.Place(r.x.Context(), p)
+	if r.x.Context().Err() != nil {
+		if err == nil {
+			release(balance.Dropped)
+		}
+		return c, ClientLeft, true
+	}
+	if err != nil {
+		return c, "", false
+	}
+	if !placed.Granted {
+		release(balance.Dropped)
+		r.after = placed.After
+		return c, Reason(placed.Why), true
+	}
+	r.lacks = slices.DeleteFunc(r.lacks, func(id string) bool { return id == placed.Server })
+	r.g.mu.Lock()
+	s, known := r.g.picture.Server(placed.Server)
+	r.g.picture.Note(time.Now(), placed.Server, w.Model, w.Adapter, true)
+	r.g.mu.Unlock()
+	if !known {
+		release(balance.Dropped)
+		return c, "", false
+	}
+	if r.sends == 0 {
+		r.queued = time.Since(r.x.Received)
+	}
+	r.release = release
+	return balance.Choice{Server: s, Wait: placed.Wait}, "", true
+}
+
+// targetPart is the part of a route's target, in percent, in which a request
+// should be sent; the rest is for its prompt to be read.
+const targetPart = 60
+
 // want asks the holder of the lease for an adapter.
-func (r *request) want(w item) {
+func (r *request) want(w hub.Item) {
 	ctx, cancel := context.WithTimeout(r.x.Context(), recheck)
 	defer cancel()
-	o := r.g.Want(ctx, hub.Want{Service: w.service, Model: w.model, Adapter: w.adapter, Lacks: r.lacks})
+	o := r.g.Want(ctx, hub.Want{Item: w, Lacks: r.lacks})
 	if !o.Found {
 		return
 	}
 	r.lacks = slices.DeleteFunc(r.lacks, func(id string) bool { return id == o.Server })
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
-	r.g.picture.Note(time.Now(), o.Server, w.model, w.adapter, true)
+	r.g.picture.Note(time.Now(), o.Server, w.Model, w.Adapter, true)
 }
 
 // lacking tells whether there is still no server to pick.
@@ -228,7 +280,15 @@
 	if !ok {
 		return 0
 	}
-	return min(m.LoadTime+modelWait, left)
+	return min(m.LoadTime+modelWait, left, r.patienceFirst())
+}
+
+// patienceFirst returns how long the client waits for the first event: two
+// seconds, four times the target or eight times the pause, whichever is
+// longest, less time for the prompt to be read.
+func (r *request) patienceFirst() time.Duration {
+	most := max(2*time.Second, 4*r.route.Target, 8*r.route.Gap)
+	return time.Until(r.x.Received.Add(most)) - 300*time.Millisecond
 }
 
 // fingerprint tells requests apart whose copies come again: by host, path and
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,221 @@
+// Package granter runs the scheduler of core/grant at the node that holds the
+// lease: it takes requests for a place from all nodes, answers each when it is
+// decided, and has adapters loaded that no engine holds.
+//
+// # Usage
+//
+//	g := &granter.Granter{Log: log, Adapter: placer.Want}
+//	g.Reset()                                   // when the lease is won
+//	d, release, err := g.Place(ctx, place)
+//	defer release(balance.Good)                 // with the first byte of the answer
+package granter
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/grant"
+	"guavapaddle/internal/hub"
+)
+
+// tick is how often waiting requests are looked at without a cause, for those
+// that expire.
+const tick = 50 * time.Millisecond
+
+type (
+	// Granter decides about places. Its exported fields are set before the first
+	// call. It is safe for concurrent use.
+	Granter struct {
+		Log      *zap.Logger
+		Settings grant.Settings
+		Adapter  func(ctx context.Context, w hub.Want) hub.Offer // has an adapter loaded
+
+		mu       sync.Mutex
+		picture  *balance.Picture
+		schedule *grant.Scheduler
+		servers  []fleet.Server
+		next     uint64
+		waiters  map[uint64]waiter
+		fetching map[hub.Item]bool
+	}
+
+	waiter struct {
+		place   hub.Place
+		decided chan grant.Decision
+	}
+)
+
+// Reset forgets all grants, as a node that wins the lease must.
+func (g *Granter) Reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.picture = balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.picture.Update(g.servers)
+	g.schedule = grant.New(g.picture, g.Settings)
+	g.waiters = map[uint64]waiter{}
+	g.fetching = map[hub.Item]bool{}
+}
+
+// Servers takes in the list of backend servers.
+func (g *Granter) Servers(list []fleet.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.servers = list
+	if g.picture == nil {
+		return
+	}
+	g.picture.Update(list)
+	g.decide()
+}
+
+// Note overlays what a server holds.
+func (g *Granter) Note(n hub.Note) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.picture == nil {
+		return
+	}
+	g.picture.Note(time.Now(), n.Server, n.Model, n.Adapter, n.Held)
+	g.decide()
+}
+
+// Running takes in how many streams all nodes have at each server.
+func (g *Granter) Running(counts map[string]balance.Count) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.picture == nil {
+		return
+	}
+	running := make(map[string]balance.Count, len(counts))
+	for id, c := range counts {
+		running[id] = balance.Count{Running: c.Running}
+	}
+	g.picture.Others(time.Now(), running)
+	g.decide()
+}
+
+// Place waits until a request gets a place or is refused. release must be
+// called once if there is no error.
+func (g *Granter) Place(ctx context.Context, p hub.Place) (grant.Decision, func(balance.Result), error) {
+	w := waiter{place: p, decided: make(chan grant.Decision, 1)}
+	g.mu.Lock()
+	if g.schedule == nil {
+		g.mu.Unlock()
+		return grant.Decision{}, nil, context.Canceled
+	}
+	g.next++
+	id := g.next
+	now := time.Now()
+	for _, s := range p.Lacks {
+		g.picture.Note(now, s, p.Model, p.Adapter, false)
+	}
+	g.waiters[id] = w
+	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority,
+		Target: now.Add(p.Target), Expire: now.Add(p.Expire)})
+	g.decide()
+	g.mu.Unlock()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case d := <-w.decided:
+			return d, func(r balance.Result) { g.release(id, d, r) }, nil
+		case <-ctx.Done():
+			g.release(id, grant.Decision{}, balance.Dropped)
+			return grant.Decision{}, nil, ctx.Err()
+		case <-t.C:
+			g.mu.Lock()
+			g.decide()
+			g.mu.Unlock()
+		}
+	}
+}
+
+// release ends a grant or a wait.
+func (g *Granter) release(id uint64, d grant.Decision, r balance.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, id)
+	g.schedule.Release(time.Now(), id, r)
+	g.decide()
+}
+
+// decide answers all requests that can be decided about; g.mu is held.
+func (g *Granter) decide() {
+	for _, d := range g.schedule.Next(time.Now()) {
+		w, ok := g.waiters[d.ID]
+		if !ok {
+			continue
+		}
+		delete(g.waiters, d.ID)
+		w.decided <- d
+	}
+	for _, w := range g.schedule.Lacking() {
+		if w.Adapter != "" && !g.fetching[w] {
+			g.fetching[w] = true
+			go g.fetch(w)
+		}
+	}
+}
+
+// fetch has an adapter loaded.
+func (g *Granter) fetch(w hub.Item) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	o := g.Adapter(ctx, hub.Want{Item: w, Lacks: g.lacks(w)})
+	if !o.Found {
+		pause(ctx, tick)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.fetching, w)
+	if o.Found {
+		g.picture.Note(time.Now(), o.Server, w.Model, w.Adapter, true)
+	}
+	g.decide()
+}
+
+// lacks returns the servers that told waiting requests that they lack an item.
+func (g *Granter) lacks(i hub.Item) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for _, w := range g.waiters {
+		if w.place.Item == i {
+			out = append(out, w.place.Lacks...)
+		}
+	}
+	return out
+}
+
+// Waiting returns how many requests wait for each model that no server holds.
+func (g *Granter) Waiting() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]int{}
+	if g.schedule == nil {
+		return out
+	}
+	for _, i := range g.schedule.Lacking() {
+		if i.Adapter == "" {
+			out[i.Model]++
+		}
+	}
+	return out
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavapaddle/core/balance"
 	"guavapaddle/io/peer"
 )
 
@@ -13,17 +14,44 @@
 	kindPicture peer.Kind = 2
 	kindWant    peer.Kind = 3
 	kindOffer   peer.Kind = 4
+	kindPlace   peer.Kind = 5
+	kindPlaced  peer.Kind = 6
+	kindRelease peer.Kind = 7
 )
 
 type (
 	// Want asks the holder for a model or adapter at once.
 	Want struct {
-		Service string
-		Model   string
-		Adapter string
-		Lacks   []string // servers that said of late that they don't hold it
+		Item
+		Lacks []string // servers that said of late that they don't hold it
 	}
 
+	// Place asks the holder for a place at an engine. Its answer comes when the
+	// request may begin; the caller then says with a Released how the send went.
+	Place struct {
+		Item
+		Tokens   int // of the prompt
+		Parts    []balance.Part
+		Zone     string
+		Exclude  []string // servers not to be picked
+		Lacks    []string // servers that said of late that they don't hold the item
+		Priority int
+		Target   time.Duration // from now until it should have begun
+		Expire   time.Duration // from now until it must have begun
+	}
+
+	// Placed answers a Place.
+	Placed struct {
+		Granted bool
+		Server  string // incarnation
+		Wait    time.Duration
+		Why     string
+		After   time.Duration // when a refused client may come back
+	}
+
+	// Released ends a place that was granted.
+	Released struct{ Result balance.Result }
+
 	// Offer tells where it is, or that it isn't to be had now.
 	Offer struct {
 		Found  bool
@@ -40,9 +68,22 @@
 	Holder interface {
 		Report(r Report) Picture
 		Want(ctx context.Context, w Want) Offer
+		Place(ctx context.Context, p Place) (Placed, func(balance.Result), error)
 	}
 )
 
+// Pick returns what a pick depends on.
+func (p Place) Pick() balance.Request {
+	r := balance.Request{Service: p.Service, Model: p.Model, Adapter: p.Adapter, Tokens: p.Tokens, Parts: p.Parts, Zone: p.Zone}
+	if len(p.Exclude) > 0 {
+		r.Exclude = make(map[string]bool, len(p.Exclude))
+		for _, id := range p.Exclude {
+			r.Exclude[id] = true
+		}
+	}
+	return r
+}
+
 // Exchange reports to the holder and returns its picture.
 func (c *Client) Exchange(ctx context.Context, address string, r Report) (Picture, error) {
 	var p Picture
@@ -57,6 +98,48 @@
 	return o, err
 }
 
+// Place asks the holder for a place. If there is no error, release must be
+// called once.
+func (c *Client) Place(ctx context.Context, address string, p Place) (Placed, func(balance.Result), error) {
+	f, err := peer.Encode(kindPlace, p)
+	if err != nil {
+		return Placed{}, nil, err
+	}
+	s, err := c.Endpoint.Open(ctx, address, f)
+	if err != nil {
+		return Placed{}, nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Cancel)
+	a, err := s.Read()
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	var answer Placed
+	if err == nil {
+		err = a.Decode(&answer)
+	}
+	if err != nil {
+		s.Cancel()
+		return Placed{}, nil, err
+	}
+	return answer, func(r balance.Result) { c.release(s, r) }, nil
+}
+
+// release tells how a send went. If that can't be told the end of the stream
+// frees the place all the same.
+func (c *Client) release(s *peer.Stream, r balance.Result) {
+	f, err := peer.Encode(kindRelease, Released{r})
+	if err == nil {
+		err = s.Write(f)
+	}
+	if err != nil {
+		s.Cancel()
+		return
+	}
+	_ = s.Close()
+	s.CancelRead()
+}
+
 // call sends one frame and reads one back.
 func (c *Client) call(ctx context.Context, address string, k peer.Kind, in, out any) error {
 	f, err := peer.Encode(k, in)
@@ -101,6 +184,9 @@
 		ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 		defer cancel()
 		answer, err = peer.Encode(kindOffer, h.Want(ctx, w))
+	case kindPlace:
+		servePlace(ctx, h, f, s)
+		return
 	default:
 		return
 	}
@@ -112,3 +198,35 @@
 // wantTimeout bounds the work on one Want: an adapter takes up to some hundred
 // milliseconds from a busy store.
 const wantTimeout = time.Second
+
+// servePlace answers one Place and holds what was granted until it is released
+// or the stream ends.
+func servePlace(ctx context.Context, h Holder, f peer.Frame, s *peer.Stream) {
+	var p Place
+	if f.Decode(&p) != nil {
+		return
+	}
+	placed, release, err := h.Place(ctx, p)
+	if err != nil {
+		s.Cancel()
+		return
+	}
+	result := balance.Dropped
+	defer func() { release(result) }()
+	answer, err := peer.Encode(kindPlaced, placed)
+	if err != nil || s.Write(answer) != nil || !placed.Granted {
+		return
+	}
+	s.ReadBy(time.Now().Add(placeLife))
+	f, err = s.Read()
+	if err != nil || f.Kind != kindRelease {
+		return
+	}
+	var r Released
+	if f.Decode(&r) == nil {
+		result = r.Result
+	}
+}
+
+// placeLife bounds how long a place is held for a node that doesn't say more.
+const placeLife = 10 * time.Second
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/grant"
 )
 
 const (
@@ -17,11 +18,12 @@
 )
 
 type (
+	// Item is a model, or an adapter of it, of a service.
+	Item = grant.Item
+
 	// Demand is what a node was asked for since its last report.
 	Demand struct {
-		Service string
-		Model   string
-		Adapter string
+		Item
 		Tokens  int // of prompts
 		Waiting int // requests that wait for it now
 	}
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -28,6 +28,12 @@
 	adapterIdle = 300 * time.Millisecond
 )
 
+// tell passes on what an engine holds before its entry says so.
+func (p *Placer) tell(n hub.Note) {
+	p.Hub.Note(time.Now(), n)
+	go p.Noted(n)
+}
+
 // Report takes in a node's report.
 func (p *Placer) Report(r hub.Report) hub.Picture {
 	if !p.mine() {
@@ -62,7 +68,7 @@
 		if err != nil || v != platform.Begun && v != platform.Already {
 			continue
 		}
-		p.Hub.Note(time.Now(), hub.Note{Server: s.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
+		p.tell(hub.Note{Server: s.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
 		if v == platform.Begun {
 			pauseFor(ctx, adapterLoad)
 		}
@@ -149,7 +155,7 @@
 			p.block(e)
 			return v, err
 		}
-		p.Hub.Note(time.Now(), hub.Note{Server: s.ID, Model: m, Adapter: a, Held: false})
+		p.tell(hub.Note{Server: s.ID, Model: m, Adapter: a, Held: false})
 		p.mu.Lock()
 		delete(e.adapters, victim)
 		p.mu.Unlock()
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -129,6 +129,7 @@
 	p.engines = map[string]*engine{}
 	p.loads = nil
 	p.tookOver = time.Now()
+	p.Began()
 }
 
 // epoch returns the epoch under which orders may be given now.
@@ -143,6 +144,13 @@
 	return e, ok
 }
 
+// Holding tells whether this node may decide for all: its lease is valid, or
+// nobody can take it because the store is away.
+func (p *Placer) Holding() bool {
+	_, ok := p.epoch()
+	return ok
+}
+
 func (p *Placer) mine() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -42,7 +42,7 @@
 	case v == platform.Begun:
 		e.open = nil
 		if !m.Load {
-			p.dropped(now, e, m)
+			p.dropped(e, m)
 		}
 		return
 	case v == platform.Conflict && e.open != nil:
@@ -54,8 +54,8 @@
 }
 
 // dropped notes that a model goes, and its adapters with it; p.mu is held.
-func (p *Placer) dropped(now time.Time, e *engine, m residency.Move) {
-	p.Hub.Note(now, hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
+func (p *Placer) dropped(e *engine, m residency.Move) {
+	p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
 	for k := range e.adapters {
 		if strings.HasPrefix(k, m.Model+"/") {
 			delete(e.adapters, k)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,6 +47,9 @@
 		Window    time.Duration // over which loads from the weight store are counted
 		Reachable func() bool   // the holder answered of late
 		Ordered   func(verdict string)
+		Began     func()                // the lease was won
+		Lacking   func() map[string]int // requests that wait for a model without a copy
+		Noted     func(n hub.Note)      // what an engine holds has changed
 
 		mu       sync.Mutex
 		config   *fleet.Config
@@ -146,6 +149,7 @@
 // learn takes in what nodes were asked for.
 func (p *Placer) learn(now time.Time) {
 	list := p.Hub.Demand()
+	lacking := p.Lacking()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.demand == nil {
@@ -157,7 +161,7 @@
 	for m, v := range p.demand {
 		p.demand[m] = v * keep
 	}
-	p.waiting = map[string]int{}
+	p.waiting = lacking
 	for _, d := range list {
 		p.demand[d.Model] += float64(d.Tokens) / demandLife.Seconds()
 		p.waiting[d.Model] += d.Waiting
