Look only at requests that a freed place may serve

Requests now stand in a queue for each model or adapter, and a release looks at those that the server holds.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -180,6 +180,13 @@
 	return s.Server, true
 }
 
+// Holds tells whether a server holds a model or adapter, by its entry and by
+// what was noted since.
+func (p *Picture) Holds(now time.Time, id, model, adapter string) bool {
+	s := p.servers[id]
+	return s != nil && s.holds(now, model, "") && (adapter == "" || s.holds(now, model, adapter))
+}
+
 // Pick picks a server for a request.
 func (p *Picture) Pick(now time.Time, r Request) (Choice, Why) {
 	fit, why := p.fit(now, r)
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -14,6 +14,9 @@
 	// Part is the default part of an engine's slots that running streams may
 	// take.
 	Part = 0.85
+	// comeBack is when a refused client may come back: the time in which a
+	// queue that is full for seconds has moved on.
+	comeBack = time.Second
 )
 
 type (
@@ -23,9 +26,12 @@
 		Part   float64 // of an engine's slots
 	}
 
+	// Item is a model, or an adapter of it, of a service.
+	Item struct{ Service, Model, Adapter string }
+
 	// Request is a request that waits to begin.
 	Request struct {
-		ID       uint64
+		ID       uint64 // rises with the time of arrival
 		Pick     balance.Request
 		Priority int       // 0 is the most urgent
 		Target   time.Time // when it should have begun
@@ -45,13 +51,26 @@
 	Scheduler struct {
 		settings Settings
 		picture  *balance.Picture
-		waiting  []Request
-		granted  map[uint64]*balance.Ticket
-		lacking  []Item
+		groups   map[Item]*group
+		look     map[*group]bool // groups that may have a place now
+		items    map[uint64]Item // of waiting requests
+		granted  map[uint64]held
 	}
 
-	// Item is a model, or an adapter of it, of a service.
-	Item struct{ Service, Model, Adapter string }
+	// held is a grant that wasn't released yet.
+	held struct {
+		server string
+		ticket *balance.Ticket
+	}
+
+	// group is the requests for one item that wait, each list by urgency and
+	// arrival.
+	group struct {
+		item  Item
+		fresh []Request // can still begin within their target
+		late  []Request
+		why   balance.Why // of the last look
+	}
 )
 
 // New returns a scheduler that decides by a picture, which it changes.
@@ -62,89 +81,201 @@
 	if s.Part == 0 {
 		s.Part = Part
 	}
-	return &Scheduler{settings: s, picture: p, granted: map[uint64]*balance.Ticket{}}
+	return &Scheduler{settings: s, picture: p, groups: map[Item]*group{}, look: map[*group]bool{},
+		items: map[uint64]Item{}, granted: map[uint64]held{}}
 }
 
 // Offer adds a request. Next decides about it.
-func (s *Scheduler) Offer(r Request) { s.waiting = append(s.waiting, r) }
+func (s *Scheduler) Offer(r Request) {
+	i := Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter}
+	g := s.groups[i]
+	if g == nil {
+		g = &group{item: i}
+		s.groups[i] = g
+	}
+	g.fresh = insert(g.fresh, r)
+	s.items[r.ID] = i
+	s.look[g] = true
+}
+
+// insert keeps a list in order.
+func insert(list []Request, r Request) []Request {
+	i := sort.Search(len(list), func(i int) bool { return before(r, list[i]) })
+	list = append(list, Request{})
+	copy(list[i+1:], list[i:])
+	list[i] = r
+	return list
+}
+
+// before orders requests by urgency and arrival.
+func before(a, b Request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.ID < b.ID
+}
 
 // Waiting returns the number of requests that wait.
-func (s *Scheduler) Waiting() int { return len(s.waiting) }
+func (s *Scheduler) Waiting() int { return len(s.items) }
+
+// Lacking returns how many requests wait for each item that no server holds;
+// for a model that none holds the adapter is left empty.
+func (s *Scheduler) Lacking() map[Item]int {
+	out := map[Item]int{}
+	for _, g := range s.groups {
+		n := len(g.fresh) + len(g.late)
+		switch {
+		case n == 0:
+		case g.why == balance.NoAdapter:
+			out[g.item] += n
+		case g.why == balance.NoModel:
+			out[Item{Service: g.item.Service, Model: g.item.Model}] += n
+		}
+	}
+	return out
+}
 
 // Release ends a grant, or takes a request that still waits back. The result
 // tells how the send went.
 func (s *Scheduler) Release(now time.Time, id uint64, r balance.Result) {
-	if t, ok := s.granted[id]; ok {
+	if h, ok := s.granted[id]; ok {
 		delete(s.granted, id)
 		if r == balance.Good {
-			s.picture.First(now, t)
+			s.picture.First(now, h.ticket)
 		}
-		s.picture.Done(now, t, r)
+		s.picture.Done(now, h.ticket, r)
+		s.freed(now, h.server)
 		return
 	}
-	for i, r := range s.waiting {
+	i, ok := s.items[id]
+	if !ok {
+		return
+	}
+	delete(s.items, id)
+	g := s.groups[i]
+	g.fresh = without(g.fresh, id)
+	g.late = without(g.late, id)
+	s.tidy(g)
+}
+
+// without takes a request out of a list.
+func without(list []Request, id uint64) []Request {
+	for i, r := range list {
 		if r.ID == id {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// tidy forgets a group in which nothing waits.
+func (s *Scheduler) tidy(g *group) {
+	if len(g.fresh)+len(g.late) == 0 {
+		delete(s.groups, g.item)
+		delete(s.look, g)
+	}
+}
+
+// freed has the groups looked at that a server with room may serve.
+func (s *Scheduler) freed(now time.Time, server string) {
+	for _, g := range s.groups {
+		if s.picture.Holds(now, server, g.item.Model, g.item.Adapter) {
+			s.look[g] = true
 		}
 	}
 }
 
-// Lacking returns what no server holds of what requests waited for when Next
-// was called last, an entry for each of them or each kind of them.
-func (s *Scheduler) Lacking() []Item { return s.lacking }
+// Changed has all groups looked at, since servers or what they hold changed.
+func (s *Scheduler) Changed() {
+	for _, g := range s.groups {
+		s.look[g] = true
+	}
+}
 
-// Next decides about all requests that can be decided about now.
-func (s *Scheduler) Next(now time.Time) []Decision {
-	if len(s.waiting) == 0 {
-		s.lacking = s.lacking[:0]
-		return nil
-	}
-	sort.SliceStable(s.waiting, func(i, j int) bool {
-		a, b := s.waiting[i], s.waiting[j]
-		if x, y := now.After(a.Target), now.After(b.Target); x != y {
-			return y
+// Tick puts requests behind that can't begin within their target any more, and
+// returns refusals of those that must have begun by now. It has all groups
+// looked at.
+func (s *Scheduler) Tick(now time.Time) []Decision {
+	var out []Decision
+	for _, g := range s.groups {
+		fresh := g.fresh[:0]
+		for _, r := range g.fresh {
+			if now.After(r.Target) {
+				g.late = insert(g.late, r)
+				continue
+			}
+			fresh = append(fresh, r)
 		}
-		return a.Priority < b.Priority
-	})
+		g.fresh = fresh
+		late := g.late[:0]
+		for _, r := range g.late {
+			if now.After(r.Expire) {
+				delete(s.items, r.ID)
+				out = append(out, Decision{ID: r.ID, Why: g.why, After: comeBack})
+				continue
+			}
+			late = append(late, r)
+		}
+		g.late = late
+		s.look[g] = true
+		s.tidy(g)
+	}
+	return out
+}
+
+// Next grants all places that there are now.
+func (s *Scheduler) Next(now time.Time) []Decision {
 	var out []Decision
-	full := map[Item]balance.Why{}
-	s.lacking = s.lacking[:0]
-	kept := s.waiting[:0]
-	for _, r := range s.waiting {
-		d, ok := s.decide(now, r, full)
-		if !ok {
-			kept = append(kept, r)
+	for len(s.look) > 0 {
+		g := s.first()
+		r := g.head()
+		c, why := s.picture.PickRoom(now, r.Pick, s.settings.Tokens, s.settings.Part)
+		g.why = why
+		if why != balance.Picked {
+			delete(s.look, g)
 			continue
 		}
-		out = append(out, d)
+		s.granted[r.ID] = held{server: c.Server.ID, ticket: s.picture.Sent(now, c.Server.ID, r.Pick)}
+		out = append(out, Decision{ID: r.ID, Granted: true, Choice: c})
+		delete(s.items, r.ID)
+		g.pop()
+		s.tidy(g)
 	}
-	s.waiting = kept
 	return out
 }
 
-// decide grants or refuses one request, or leaves it waiting.
-func (s *Scheduler) decide(now time.Time, r Request, full map[Item]balance.Why) (Decision, bool) {
-	w := Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter}
-	why, tried := full[w]
-	if !tried || len(r.Pick.Exclude) > 0 {
-		var c balance.Choice
-		if c, why = s.picture.PickRoom(now, r.Pick, s.settings.Tokens, s.settings.Part); why == balance.Picked {
-			s.granted[r.ID] = s.picture.Sent(now, c.Server.ID, r.Pick)
-			return Decision{ID: r.ID, Granted: true, Choice: c}, true
-		}
-		if len(r.Pick.Exclude) == 0 {
-			full[w] = why
-		}
-		switch why {
-		case balance.NoAdapter:
-			s.lacking = append(s.lacking, w)
-		case balance.NoModel:
-			s.lacking = append(s.lacking, Item{Service: w.Service, Model: w.Model})
+// first returns the group to look at whose head is the most urgent.
+func (s *Scheduler) first() *group {
+	var best *group
+	for g := range s.look {
+		if best == nil || g.urgent(best) {
+			best = g
 		}
 	}
-	if now.Before(r.Expire) {
-		return Decision{}, false
+	return best
+}
+
+// urgent tells whether a group's head goes before another's.
+func (g *group) urgent(o *group) bool {
+	if a, b := len(g.fresh) > 0, len(o.fresh) > 0; a != b {
+		return a
+	}
+	return before(g.head(), o.head())
+}
+
+// head returns the request of a group that goes first.
+func (g *group) head() Request {
+	if len(g.fresh) > 0 {
+		return g.fresh[0]
+	}
+	return g.late[0]
+}
+
+// pop takes the head off.
+func (g *group) pop() {
+	if len(g.fresh) > 0 {
+		g.fresh = g.fresh[1:]
+		return
 	}
-	return Decision{ID: r.ID, Why: why, After: time.Second}, true
+	g.late = g.late[1:]
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -24,9 +24,9 @@
 	"guavapaddle/internal/hub"
 )
 
-// tick is how often waiting requests are looked at without a cause, for those
+// Tick is how often waiting requests are looked at without a cause, for those
 // that expire.
-const tick = 50 * time.Millisecond
+const Tick = 50 * time.Millisecond
 
 type (
 	// Granter decides about places. Its exported fields are set before the first
@@ -71,9 +71,36 @@
 		return
 	}
 	g.picture.Update(list)
+	g.schedule.Changed()
 	g.decide()
 }
 
+// Run looks after the requests that wait until ctx ends.
+func (g *Granter) Run(ctx context.Context) {
+	t := time.NewTicker(Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			g.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick refuses what has waited too long and looks at all that waits.
+func (g *Granter) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.schedule == nil || g.schedule.Waiting() == 0 {
+		return
+	}
+	g.tell(g.schedule.Tick(time.Now()))
+	g.decide()
+	g.lacking()
+}
+
 // Note overlays what a server holds.
 func (g *Granter) Note(n hub.Note) {
 	g.mu.Lock()
@@ -82,6 +109,7 @@
 		return
 	}
 	g.picture.Note(time.Now(), n.Server, n.Model, n.Adapter, n.Held)
+	g.schedule.Changed()
 	g.decide()
 }
 
@@ -119,47 +147,45 @@
 	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority,
 		Target: now.Add(p.Target), Expire: now.Add(p.Expire)})
 	g.decide()
+	g.lacking()
 	g.mu.Unlock()
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case d := <-w.decided:
-			return d, func(r balance.Result) { g.release(id, d, r) }, nil
-		case <-ctx.Done():
-			g.release(id, grant.Decision{}, balance.Dropped)
-			return grant.Decision{}, nil, ctx.Err()
-		case <-t.C:
-			g.mu.Lock()
-			g.decide()
-			g.mu.Unlock()
-		}
+	select {
+	case d := <-w.decided:
+		return d, func(r balance.Result) { g.release(id, r) }, nil
+	case <-ctx.Done():
+		g.release(id, balance.Dropped)
+		return grant.Decision{}, nil, ctx.Err()
 	}
 }
 
 // release ends a grant or a wait.
-func (g *Granter) release(id uint64, d grant.Decision, r balance.Result) {
+func (g *Granter) release(id uint64, r balance.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.waiters, id)
-	g.schedule.Release(time.Now(), id, r)
+	g.schedule.Release(time.Now(), id, r) // a grant of an earlier lease is unknown
 	g.decide()
 }
 
-// decide answers all requests that can be decided about; g.mu is held.
-func (g *Granter) decide() {
-	for _, d := range g.schedule.Next(time.Now()) {
-		w, ok := g.waiters[d.ID]
-		if !ok {
-			continue
+// decide grants all places that there are; g.mu is held.
+func (g *Granter) decide() { g.tell(g.schedule.Next(time.Now())) }
+
+// tell answers the requests that were decided about; g.mu is held.
+func (g *Granter) tell(list []grant.Decision) {
+	for _, d := range list {
+		if w, ok := g.waiters[d.ID]; ok {
+			delete(g.waiters, d.ID)
+			w.decided <- d
 		}
-		delete(g.waiters, d.ID)
-		w.decided <- d
 	}
-	for _, w := range g.schedule.Lacking() {
-		if w.Adapter != "" && !g.fetching[w] {
-			g.fetching[w] = true
-			go g.fetch(w)
+}
+
+// lacking has the adapters loaded that requests wait for; g.mu is held.
+func (g *Granter) lacking() {
+	for i := range g.schedule.Lacking() {
+		if i.Adapter != "" && !g.fetching[i] {
+			g.fetching[i] = true
+			go g.fetch(i)
 		}
 	}
 }
@@ -170,13 +196,14 @@
 	defer cancel()
 	o := g.Adapter(ctx, hub.Want{Item: w, Lacks: g.lacks(w)})
 	if !o.Found {
-		pause(ctx, tick)
+		pause(ctx, Tick)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.fetching, w)
 	if o.Found {
 		g.picture.Note(time.Now(), o.Server, w.Model, w.Adapter, true)
+		g.schedule.Changed()
 	}
 	g.decide()
 }
@@ -202,9 +229,9 @@
 	if g.schedule == nil {
 		return out
 	}
-	for _, i := range g.schedule.Lacking() {
+	for i, n := range g.schedule.Lacking() {
 		if i.Adapter == "" {
-			out[i.Model]++
+			out[i.Model] += n
 		}
 	}
 	return out
