Follow the store at the holder of the lease only, which passes changes on

Now a node follows the store itself only when the holder is silent for 0.7 s or its own copy is older than 1.3 s. The configuration row is read by each node, the holder tells only its version.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -21,9 +21,14 @@
 	// feedWait is how long a feed waits for a change. A feed that went silent is
 	// noticed after it and answerSlack, which must fit well into the two
 	// seconds in which a leaving server has to be known.
-	feedWait = 1200 * time.Millisecond
+	feedWait = time.Second
 	// answerSlack is added for the answer itself; a slow store takes 200 ms.
-	answerSlack = 500 * time.Millisecond
+	answerSlack = 400 * time.Millisecond
+	// fedCheck is how often a node to which changes are passed on looks whether
+	// that still holds.
+	fedCheck = 100 * time.Millisecond
+	// goneMost bounds the entries that went and are remembered for other nodes.
+	goneMost    = 256
 	readTimeout = 1500 * time.Millisecond
 	retryFirst  = 50 * time.Millisecond
 	retryMost   = 500 * time.Millisecond
@@ -39,53 +44,63 @@
 		Log       *zap.Logger
 		OnConfig  func(*fleet.Config)
 		OnServers func([]fleet.Server)
+		// Fed tells whether another node passes changes on, so that this one
+		// needn't ask the store; nil for never.
+		Fed func() bool
 
-		mu      sync.Mutex
-		contact map[string]time.Time // last answer for a table
+		operator table
+		server   table
 	}
 
 	// table is the copy of one table.
 	table struct {
-		f        *Follower
-		name     string
+		f     *Follower
+		name  string
+		apply func(*table)
+		wake  chan struct{} // another node tells of a newer version
+
+		mu       sync.Mutex
 		rows     map[string]platform.Row
 		vanished map[string]time.Time // entries that are kept for now, until then
+		gone     []platform.Row       // entries that went of late, for other nodes
+		floor    int64                // gone is whole for changes after this version
 		version  int64
+		contact  time.Time // when the store was last heard of
 		back     time.Time // when the store was last reached again
 		lost     bool
-		apply    func(*table)
+		fedAt    time.Time // when another node last passed changes on
 	}
 )
 
 // Run follows both tables until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.contact = map[string]time.Time{}
+	f.operator.start(f, platform.TableOperator, f.config)
+	f.server.start(f, platform.TableServers, f.servers)
 	var wg sync.WaitGroup
-	for name, apply := range map[string]func(*table){
-		platform.TableOperator: f.config,
-		platform.TableServers:  f.servers,
-	} {
-		t := &table{f: f, name: name, apply: apply, rows: map[string]platform.Row{}, vanished: map[string]time.Time{}}
-		wg.Go(func() { t.run(ctx) })
-	}
+	wg.Go(func() { f.operator.run(ctx) })
+	wg.Go(func() { f.server.run(ctx) })
 	wg.Wait()
 }
 
-// Contact returns when each table was last heard of, the oldest of them; the
-// zero time before the first.
-func (f *Follower) Contact() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.contact) < 2 {
-		return time.Time{}
-	}
-	var oldest time.Time
-	for _, at := range f.contact {
-		if oldest.IsZero() || at.Before(oldest) {
-			oldest = at
-		}
-	}
-	return oldest
+func (t *table) start(f *Follower, name string, apply func(*table)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.f, t.name, t.apply = f, name, apply
+	t.rows = map[string]platform.Row{}
+	t.vanished = map[string]time.Time{}
+	t.wake = make(chan struct{}, 1)
+}
+
+// Age returns how long ago the store was heard of for the table that was heard
+// of least recently.
+func (f *Follower) Age(now time.Time) time.Duration {
+	return max(f.operator.age(now), f.server.age(now))
+}
+
+func (t *table) age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.contact)
 }
 
 // run reads the table and follows it until ctx ends.
@@ -94,13 +109,17 @@
 	b.InitialInterval, b.MaxInterval = retryFirst, retryMost
 	whole := true
 	for ctx.Err() == nil {
+		if !whole && t.f.Fed != nil && t.f.Fed() {
+			whole = t.rest(ctx)
+			continue
+		}
 		err := t.step(ctx, whole)
 		if ctx.Err() != nil {
 			return
 		}
 		var status *platform.StatusError
 		if errors.As(err, &status) && status.HistoryGone() {
-			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Int64("after", t.version))
+			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Int64("after", t.Version()))
 			whole = true
 			continue
 		}
@@ -113,10 +132,28 @@
 		}
 		whole = false
 		b.Reset()
-		t.reach()
 	}
 }
 
+// rest waits while another node passes changes on. It returns whether that
+// node knows of a newer version of a table that must be read whole.
+func (t *table) rest(ctx context.Context) bool {
+	timer := time.NewTimer(fedCheck)
+	defer timer.Stop()
+	select {
+	case <-t.wake:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at := t.nextExpiry(); !at.IsZero() && !time.Now().Before(at) {
+		t.take(nil, t.version)
+	}
+	return false
+}
+
 // step reads the table whole or waits for its next changes.
 func (t *table) step(ctx context.Context, whole bool) error {
 	if whole {
@@ -126,27 +163,37 @@
 		if err != nil {
 			return err
 		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
 		t.reach()
 		t.replace(rows, version)
 		return nil
 	}
-	wait := feedWait
+	t.mu.Lock()
+	wait, after := feedWait, t.version
 	if at := t.nextExpiry(); !at.IsZero() {
 		wait = max(20*time.Millisecond, min(wait, time.Until(at)))
 	}
+	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
-	rows, version, err := t.f.Store.Feed(ctx, t.name, t.version, wait)
+	rows, version, err := t.f.Store.Feed(ctx, t.name, after, wait)
 	if err != nil {
 		return err
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.reach()
 	t.take(rows, version)
 	return nil
 }
 
 // replace takes in all rows of the table; those that are missing have vanished.
+// t.mu is held.
 func (t *table) replace(rows []platform.Row, version int64) {
+	if version < t.version { // a change that came meanwhile is newer
+		return
+	}
 	there := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		there[r.Key] = true
@@ -156,11 +203,13 @@
 			rows = append(rows, platform.Row{Table: t.name, Key: k, Version: version, Gone: true})
 		}
 	}
+	t.floor = version
+	t.gone = nil
 	t.take(rows, version)
 	t.apply(t)
 }
 
-// take takes in changes in the order of their versions.
+// take takes in changes in the order of their versions; t.mu is held.
 func (t *table) take(rows []platform.Row, version int64) {
 	now := time.Now()
 	changed := false
@@ -174,6 +223,7 @@
 			delete(t.vanished, r.Key)
 			continue
 		}
+		t.forget(r)
 		if _, ok := t.rows[r.Key]; ok && now.Before(t.back.Add(Grace)) {
 			t.vanished[r.Key] = t.back.Add(Grace)
 			continue
@@ -193,6 +243,16 @@
 	}
 }
 
+// forget remembers for other nodes that an entry went; t.mu is held.
+func (t *table) forget(r platform.Row) {
+	r.Value = nil
+	t.gone = append(t.gone, r)
+	if n := len(t.gone) - goneMost; n > 0 {
+		t.floor = max(t.floor, t.gone[n-1].Version)
+		t.gone = t.gone[n:]
+	}
+}
+
 // nextExpiry returns when the next entry that is kept for now is given up.
 func (t *table) nextExpiry() time.Time {
 	var next time.Time
@@ -204,14 +264,12 @@
 	return next
 }
 
-// reach notes an answer of the store.
+// reach notes an answer of the store; t.mu is held.
 func (t *table) reach() {
 	now := time.Now()
-	t.f.mu.Lock()
-	last := t.f.contact[t.name]
-	t.f.contact[t.name] = now
-	t.f.mu.Unlock()
-	if !last.IsZero() && now.Sub(last) > away {
+	last := t.contact
+	t.contact = now
+	if !last.IsZero() && now.Sub(last) > away && !t.resting(now) {
 		t.back = now
 	}
 	if t.lost {
@@ -221,8 +279,14 @@
 	}
 }
 
+// resting tells whether the store wasn't asked because another node passed
+// changes on.
+func (t *table) resting(now time.Time) bool { return now.Sub(t.fedAt) < away }
+
 // miss notes a failed call.
 func (t *table) miss(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.lost {
 		return
 	}
--- /dev/null
+++ b/internal/follow/share.go
@@ -0,0 +1,88 @@
+package follow
+
+import (
+	"time"
+
+	"guavapaddle/platform"
+)
+
+type (
+	// Known is what a node has of the tables.
+	Known struct {
+		Operator int64 // versions
+		Servers  int64
+	}
+
+	// Update is what another node has beyond that.
+	Update struct {
+		Operator int64 // version of the newest configuration row
+		Servers  []platform.Row
+		Version  int64 // of the table of servers
+		Whole    bool  // Servers are all rows
+		Age      time.Duration
+	}
+)
+
+// Known returns the versions that this node has.
+func (f *Follower) Known() Known {
+	return Known{Operator: f.operator.newest(), Servers: f.server.Version()}
+}
+
+// Version returns the version up to which all changes are known.
+func (t *table) Version() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// newest returns the version of the newest row.
+func (t *table) newest() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := int64(0)
+	for _, r := range t.rows {
+		v = max(v, r.Version)
+	}
+	return v
+}
+
+// Since returns what this node has beyond what another one knows. The
+// configuration is large and changes seldom, so only its version is told.
+func (f *Follower) Since(now time.Time, k Known) Update {
+	u := Update{Operator: f.operator.newest(), Age: f.Age(now)}
+	t := &f.server
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u.Version = t.version
+	u.Whole = k.Servers < t.floor
+	for _, r := range t.rows {
+		if _, vanished := t.vanished[r.Key]; !vanished && (u.Whole || r.Version > k.Servers) {
+			u.Servers = append(u.Servers, r)
+		}
+	}
+	for _, r := range t.gone {
+		if !u.Whole && r.Version > k.Servers && t.rows[r.Key].Version <= r.Version {
+			u.Servers = append(u.Servers, r)
+		}
+	}
+	return u
+}
+
+// Take takes in what another node has.
+func (f *Follower) Take(now time.Time, u Update) {
+	if f.operator.newest() < u.Operator {
+		select {
+		case f.operator.wake <- struct{}{}:
+		default: // it is being read already
+		}
+	}
+	t := &f.server
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fedAt = now
+	if u.Whole {
+		t.replace(u.Servers, u.Version)
+		return
+	}
+	t.take(u.Servers, u.Version)
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/jsonhttp"
 	"guavapaddle/platform"
@@ -25,6 +26,9 @@
 	// leaderSilent is how long the holder may be silent before the node looks
 	// for another one in the store.
 	leaderSilent = 700 * time.Millisecond
+	// staleFeed is the age from which on the holder's copy of the store's tables
+	// isn't trusted: a feed that works is heard of each second.
+	staleFeed = 1300 * time.Millisecond
 	// registerRetry is the pause before the node's row is written again.
 	registerRetry = 300 * time.Millisecond
 	// trustRetry bounds how often the rows of nodes are read for a key that
@@ -94,6 +98,7 @@
 			continue
 		}
 		r := n.gateway.Report(n.settings.Node)
+		r.Known = n.follower.Known()
 		var p hub.Picture
 		var err error
 		if l.Key == n.key.Fingerprint() {
@@ -112,7 +117,25 @@
 			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 		}
 		n.gateway.Take(p)
+		if l.Key != n.key.Fingerprint() {
+			n.fed(p.Update)
+		}
+	}
+}
+
+// fed takes in the holder's copy of the store's tables, unless that may be old.
+func (n *Node) fed(u follow.Update) {
+	if u.Age > staleFeed {
+		return
 	}
+	n.follower.Take(time.Now(), u)
+	n.fedAt.Store(int64(bootClock()))
+}
+
+// beingFed tells whether the holder passes the store's changes on.
+func (n *Node) beingFed() bool {
+	at := n.fedAt.Load()
+	return at != 0 && bootClock()-time.Duration(at) < leaderSilent
 }
 
 // lost logs a failed exchange.
@@ -150,6 +173,7 @@
 	p := n.placer.Report(r)
 	if p.Leading {
 		n.granter.Running(n.hub.Counts())
+		p.Update = n.follower.Since(time.Now(), r.Known)
 	}
 	return p
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -67,8 +67,9 @@
 	probes    *http1.Server
 	registry  *prometheus.Registry
 	stopping  atomic.Bool
-	servers   atomic.Bool // the list was read
-	reached   atomic.Int64
+	servers   atomic.Bool  // the list was read
+	reached   atomic.Int64 // boot time of the holder's last answer
+	fedAt     atomic.Int64 // boot time at which it last passed the store's changes on
 	peers     trust
 	contact   contact
 	listeners []net.Listener
@@ -97,7 +98,7 @@
 	n.granter = &granter.Granter{Log: log}
 	n.placer = n.newPlacer()
 	n.granter.Adapter = n.placer.Want
-	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers}
+	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed}
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
 	n.probes = &http1.Server{Handler: readiness{n}}
@@ -201,6 +202,7 @@
 	notice, done := context.WithDeadline(ctx, began.Add(min(Notice, grace/2)))
 	defer done()
 	<-notice.Done()
+	n.gateway.Stop()
 	_ = n.listeners[0].Close()
 	n.clients.Shutdown(ctx)
 	for _, l := range n.listeners[1:] {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
 		changed chan struct{} // closed when the picture changes
+		stopped chan struct{}
 	}
 
 	// request is one request on its way.
@@ -90,6 +91,7 @@
 	g.demand = map[hub.Item]*hub.Demand{}
 	g.marks = map[uint64]map[string]bool{}
 	g.changed = make(chan struct{})
+	g.stopped = make(chan struct{})
 	g.nodes = 1
 }
 
@@ -108,6 +110,10 @@
 	}
 }
 
+// Stop refuses the requests that wait for a server, now and from now on: the
+// node ends before their turn would come, and another one can take them.
+func (g *Gateway) Stop() { close(g.stopped) }
+
 // Config returns the configuration in force, nil if there is none yet.
 func (g *Gateway) Config() *fleet.Config { return g.config.Load() }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -28,6 +28,8 @@
 	NoModel Reason = "no-model"
 	// NoAdapter means that no server holds the adapter, or will in time.
 	NoAdapter Reason = "no-adapter"
+	// Stopping means that the node ends before a server is free for the request.
+	Stopping Reason = "stopping"
 	// Budget means that the budget for repeats is spent.
 	Budget Reason = "budget"
 	// Deadline means that the time of the client or route has passed.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -196,12 +196,17 @@
 	for id := range r.exclude {
 		p.Exclude = append(p.Exclude, id)
 	}
-	placed, release, err := r.g.Place(r.x.Context(), p)
-	if r.x.Context().Err() != nil {
+	ctx, cancel := r.waiting()
+	defer cancel()
+	placed, release, err := r.g.Place(ctx, p)
+	if ctx.Err() != nil {
 		if err == nil {
 			release(balance.Dropped)
 		}
-		return c, ClientLeft, true
+		if r.x.Context().Err() != nil {
+			return c, ClientLeft, true
+		}
+		return c, Stopping, true
 	}
 	if err != nil {
 		return c, "", false
@@ -227,6 +232,19 @@
 	return balance.Choice{Server: s, Wait: placed.Wait}, "", true
 }
 
+// waiting returns a context that ends when the client leaves or the node stops.
+func (r *request) waiting() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(r.x.Context())
+	go func() {
+		select {
+		case <-r.g.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // targetPart is the part of a route's target, in percent, in which a request
 // should be sent; the rest is for its prompt to be read.
 const targetPart = 60
@@ -262,6 +280,8 @@
 	case <-t.C:
 	case <-r.x.Context().Done():
 		return ClientLeft
+	case <-r.g.stopped:
+		return Stopping
 	}
 	return ""
 }
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -6,6 +6,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/grant"
+	"guavapaddle/internal/follow"
 )
 
 const (
@@ -49,6 +50,7 @@
 		Counts map[string]balance.Count // by server
 		Demand []Demand
 		Marks  []Mark // new ones
+		Known  follow.Known
 	}
 
 	// Picture is what the holder answers.
@@ -58,6 +60,7 @@
 		Counts  map[string]balance.Count
 		Notes   []Note
 		Marks   []Mark
+		Update  follow.Update // of the store's tables
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -36,7 +36,7 @@
 
 // Report takes in a node's report.
 func (p *Placer) Report(r hub.Report) hub.Picture {
-	if !p.mine() {
+	if !p.Holding() {
 		return hub.Picture{}
 	}
 	return p.Hub.Take(time.Now(), r)
