Let nodes that the store serves tell the holder what it can't read

The entry nodes knew it, as they follow the store themselves when the holder's copy is old. Now an entry node doesn't use a place at a server that it knows to be leaving, and reports rows that the holder lacks with its next digest.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -99,6 +99,7 @@
 		}
 		r := n.gateway.Report(n.settings.Node)
 		r.Known = n.follower.Known()
+		r.Update = n.ahead(r.Known)
 		var p hub.Picture
 		var err error
 		if l.Key == n.key.Fingerprint() {
@@ -117,12 +118,24 @@
 			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 		}
 		n.gateway.Take(p)
+		n.holderHas.Store(p.Update.Version)
 		if l.Key != n.key.Fingerprint() {
 			n.fed(p.Update)
 		}
 	}
 }
 
+// ahead returns what this node has of the store's tables that the holder of
+// the lease hasn't: the store may serve this node and turn the holder away.
+func (n *Node) ahead(k follow.Known) *follow.Update {
+	has := n.holderHas.Load()
+	if has == 0 || k.Servers <= has {
+		return nil
+	}
+	u := n.follower.Since(time.Now(), follow.Known{Operator: k.Operator, Servers: has})
+	return &u
+}
+
 // fed takes in the holder's copy of the store's tables, unless that may be old.
 func (n *Node) fed(u follow.Update) {
 	if u.Age > staleFeed {
@@ -172,6 +185,9 @@
 func (n *Node) Report(r hub.Report) hub.Picture {
 	p := n.placer.Report(r)
 	if p.Leading {
+		if r.Update != nil {
+			n.follower.Take(time.Now(), *r.Update)
+		}
 		n.granter.Running(n.hub.Counts())
 		p.Update = n.follower.Since(time.Now(), r.Known)
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -70,6 +70,7 @@
 	servers   atomic.Bool  // the list was read
 	reached   atomic.Int64 // boot time of the holder's last answer
 	fedAt     atomic.Int64 // boot time at which it last passed the store's changes on
+	holderHas atomic.Int64 // version of the holder's copy of the table of servers
 	peers     trust
 	contact   contact
 	listeners []net.Listener
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -221,8 +221,9 @@
 	s, known := r.g.picture.Server(placed.Server)
 	r.g.picture.Note(time.Now(), placed.Server, w.Model, w.Adapter, true)
 	r.g.mu.Unlock()
-	if !known {
-		release(balance.Dropped)
+	if !known || s.Leaving {
+		release(balance.Dropped) // this node knows more than the holder
+		r.exclude[placed.Server] = true
 		return c, "", false
 	}
 	if r.sends == 0 {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -51,6 +51,7 @@
 		Demand []Demand
 		Marks  []Mark // new ones
 		Known  follow.Known
+		Update *follow.Update // what this node has of the store that the holder hasn't
 	}
 
 	// Picture is what the holder answers.
@@ -95,7 +96,7 @@
 	for _, m := range r.Marks {
 		h.marks = append(h.marks, dated[Mark]{m, now})
 	}
-	r.Demand, r.Marks = nil, nil
+	r.Demand, r.Marks, r.Update = nil, nil, nil
 	h.nodes[r.Node] = entry{r, now}
 	h.forget(now)
 	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: map[string]balance.Count{}}
