--- /dev/null
+++ b/core/balance/picture_test.go
@@ -0,0 +1,109 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+)
+
+var now = time.Unix(1000, 0)
+
+func picture(servers ...fleet.Server) *balance.Picture {
+	p := balance.New(rand.New(rand.NewPCG(1, 2)))
+	p.Update(servers)
+	return p
+}
+
+func engine(id string, leaving bool, adapters ...string) fleet.Server {
+	return fleet.Server{ID: id, Service: "llm", Zone: "z", Slots: 64, Leaving: leaving,
+		Held: []fleet.Held{{Model: "m", Adapters: adapters}}}
+}
+
+func TestPickTellsWhatIsMissing(t *testing.T) {
+	p := picture(engine("a", false, "a1"), engine("b", true, "a2"))
+	for _, x := range []struct {
+		r    balance.Request
+		why  balance.Why
+		want string
+	}{
+		{balance.Request{Service: "llm", Model: "m", Adapter: "a1"}, balance.Picked, "a"},
+		{balance.Request{Service: "llm", Model: "m", Adapter: "a2"}, balance.NoAdapter, ""},
+		{balance.Request{Service: "llm", Model: "x"}, balance.NoModel, ""},
+		{balance.Request{Service: "none"}, balance.NoServer, ""},
+		{balance.Request{Service: "llm", Model: "m", Exclude: map[string]bool{"a": true}}, balance.NoServer, ""},
+	} {
+		c, why := p.Pick(now, x.r)
+		require.Equal(t, x.why, why)
+		require.Equal(t, x.want, c.Server.ID)
+	}
+}
+
+func TestALeavingServerIsNeverPicked(t *testing.T) {
+	p := picture(engine("a", true))
+	_, why := p.Pick(now, balance.Request{Service: "llm", Model: "m"})
+	require.Equal(t, balance.NoServer, why)
+}
+
+func TestAServerThatFailedIsAvoidedWhileOthersAreThere(t *testing.T) {
+	p := picture(engine("a", false), engine("b", false))
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 100}
+	p.Done(now, p.Sent(now, "a", r), balance.Broken)
+	for range 20 {
+		c, _ := p.Pick(now, r)
+		require.Equal(t, "b", c.Server.ID)
+	}
+	p.Done(now, p.Sent(now, "b", r), balance.Broken)
+	_, why := p.Pick(now, r)
+	require.Equal(t, balance.Picked, why, "if all are avoided one of them is used")
+}
+
+func TestPromptsThatWaitElsewhereCount(t *testing.T) {
+	p := picture(engine("a", false), engine("b", false))
+	p.Others(now, map[string]balance.Count{"a": {Pending: 3, Tokens: 6000}})
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 100}
+	c, _ := p.Pick(now, r)
+	require.Equal(t, "b", c.Server.ID)
+	require.Equal(t, time.Duration(0), c.Age)
+}
+
+func TestKeptPartsAreNotReadAgain(t *testing.T) {
+	p := picture(engine("a", false), engine("b", false))
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 1000, Parts: []balance.Part{{ID: "x", Tokens: 800}, {ID: "y", Tokens: 200}}}
+	ticket := p.Sent(now, "a", r)
+	p.First(now, ticket)
+	p.Done(now, ticket, balance.Good)
+	next := r
+	next.Parts = []balance.Part{{ID: "x", Tokens: 800}, {ID: "z", Tokens: 200}}
+	c, _ := p.Pick(now, next)
+	require.Equal(t, "a", c.Server.ID)
+	require.InDelta(t, 10, c.Wait.Milliseconds(), 2, "200 tokens at 20 in a millisecond, a little less as it was quick")
+}
+
+func TestNotesOverlayEntriesForAWhile(t *testing.T) {
+	p := picture(engine("a", false))
+	r := balance.Request{Service: "llm", Model: "m", Adapter: "a9"}
+	_, why := p.Pick(now, r)
+	require.Equal(t, balance.NoAdapter, why)
+	p.Note(now, "a", "m", "a9", true)
+	_, why = p.Pick(now, r)
+	require.Equal(t, balance.Picked, why)
+	_, why = p.Pick(now.Add(time.Minute), r)
+	require.Equal(t, balance.NoAdapter, why)
+}
+
+func BenchmarkPickRoom(b *testing.B) {
+	var servers []fleet.Server
+	for i := range 90 {
+		servers = append(servers, engine(string(rune('a'+i%26))+string(rune('a'+i/26)), false))
+	}
+	p := picture(servers...)
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 1000}
+	for b.Loop() {
+		p.PickRoom(now, r, 2000, 0.85)
+	}
+}
--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net"
 	"sort"
 	"strings"
 	"time"
@@ -134,9 +133,7 @@
 // Match returns the route of the host with the longest prefix that begins the
 // path. The host may carry a port.
 func (c *Config) Match(host, path string) (Route, bool) {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
+	host, _, _ = strings.Cut(host, ":") // addresses are IPv4
 	for _, r := range c.byHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
--- /dev/null
+++ b/core/fleet/config_test.go
@@ -0,0 +1,46 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/fleet"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	route := func(name, host, prefix string) fleet.Route {
+		return fleet.Route{Name: name, Host: host, Prefix: prefix, Splits: []fleet.Split{{Service: "s", Weight: 1}}}
+	}
+	c := fleet.NewConfig(3, []fleet.Route{
+		route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/"),
+	}, nil, fleet.Limits{})
+	for _, x := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		r, ok := c.Match(x.host, x.path)
+		require.Equal(t, x.want != "", ok, x)
+		require.Equal(t, x.want, r.Name, x)
+	}
+}
+
+func TestSplitsShareRequestsByWeight(t *testing.T) {
+	r := fleet.Route{Splits: []fleet.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	require.Equal(t, "a", r.Service(0))
+	require.Equal(t, "a", r.Service(0.89))
+	require.Equal(t, "b", r.Service(0.91))
+	require.Equal(t, "b", r.Service(0.999999))
+}
+
+func TestOnlySafeAndResumableRequestsMayRepeat(t *testing.T) {
+	require.True(t, fleet.Route{Kind: fleet.Safe}.Repeatable())
+	require.True(t, fleet.Route{Kind: fleet.Stream, Resumable: true}.Repeatable())
+	require.False(t, fleet.Route{Kind: fleet.Stream}.Repeatable())
+	require.False(t, fleet.Route{Kind: fleet.Unsafe, Resumable: true}.Repeatable())
+}
--- /dev/null
+++ b/core/grant/scheduler_test.go
@@ -0,0 +1,171 @@
+package grant_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/grant"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(id string, models ...string) fleet.Server {
+	s := fleet.Server{ID: id, Service: "llm", Slots: 64}
+	for _, m := range models {
+		s.Held = append(s.Held, fleet.Held{Model: m})
+	}
+	return s
+}
+
+func scheduler(servers ...fleet.Server) *grant.Scheduler {
+	p := balance.New(rand.New(rand.NewPCG(1, 2)))
+	p.Update(servers)
+	return grant.New(p, grant.Settings{})
+}
+
+func request(id uint64, model string, tokens, priority int) grant.Request {
+	return grant.Request{ID: id, Pick: balance.Request{Service: "llm", Model: model, Tokens: tokens}, Priority: priority,
+		Target: start.Add(400 * time.Millisecond), Expire: start.Add(2 * time.Second)}
+}
+
+func granted(list []grant.Decision) []uint64 {
+	var ids []uint64
+	for _, d := range list {
+		if d.Granted {
+			ids = append(ids, d.ID)
+		}
+	}
+	return ids
+}
+
+func TestUnreadTokensOfAnEngineAreBounded(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	for id := uint64(1); id <= 4; id++ {
+		s.Offer(request(id, "m", 900, 1))
+	}
+	require.Equal(t, []uint64{1, 2}, granted(s.Next(start)), "1800 tokens of 2000")
+	require.Empty(t, s.Next(start))
+	s.Release(start, 1, balance.Good)
+	require.Equal(t, []uint64{3}, granted(s.Next(start)))
+}
+
+func TestALongPromptGoesToAnIdleEngine(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	s.Offer(request(1, "m", 9000, 1))
+	require.Equal(t, []uint64{1}, granted(s.Next(start)))
+}
+
+func TestTheMoreUrgentGoFirst(t *testing.T) {
+	s := scheduler(server("a", "m", "n"))
+	s.Offer(request(1, "m", 2000, 1))
+	require.Len(t, s.Next(start), 1)
+	s.Offer(request(2, "m", 1500, 2))
+	s.Offer(request(3, "n", 1500, 0))
+	s.Offer(request(4, "m", 1500, 1))
+	require.Empty(t, s.Next(start))
+	var order []uint64
+	for id := uint64(1); len(order) < 3; {
+		s.Release(start, id, balance.Good)
+		d := granted(s.Next(start))
+		require.Len(t, d, 1)
+		id = d[0]
+		order = append(order, id)
+	}
+	require.Equal(t, []uint64{3, 4, 2}, order)
+}
+
+func TestWhatIsLateAlreadyGoesBehind(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	s.Offer(request(1, "m", 2000, 1))
+	require.Len(t, s.Next(start), 1)
+	s.Offer(request(2, "m", 1500, 0))
+	now := start.Add(500 * time.Millisecond)
+	require.Empty(t, s.Tick(now))
+	r := request(3, "m", 1500, 2)
+	r.Target = now.Add(time.Second)
+	s.Offer(r)
+	s.Release(now, 1, balance.Good)
+	require.Equal(t, []uint64{3}, granted(s.Next(now)))
+}
+
+func TestWhatCanNotBeginInTimeIsRefusedWithATimeToComeBack(t *testing.T) {
+	s := scheduler(server("a", "other"))
+	s.Offer(request(1, "m", 100, 0))
+	require.Empty(t, s.Next(start))
+	require.Equal(t, map[grant.Item]int{{Service: "llm", Model: "m"}: 1}, s.Lacking())
+	s.Tick(start.Add(time.Second))
+	d := s.Tick(start.Add(3 * time.Second))
+	require.Len(t, d, 1)
+	require.False(t, d[0].Granted)
+	require.Equal(t, balance.NoModel, d[0].Why)
+	require.Positive(t, d[0].After)
+	require.Zero(t, s.Waiting())
+}
+
+func TestARequestThatLeavesFreesItsPlace(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	s.Offer(request(1, "m", 2000, 0))
+	s.Offer(request(2, "m", 2000, 0))
+	s.Offer(request(3, "m", 2000, 0))
+	require.Equal(t, []uint64{1}, granted(s.Next(start)))
+	s.Release(start, 2, balance.Dropped)
+	s.Release(start, 1, balance.Dropped)
+	require.Equal(t, []uint64{3}, granted(s.Next(start)))
+}
+
+// TestPausesStayBearableUnderLoad plays prompts at 0.6 of what four engines
+// read, with requests for one model that two of them hold and for another on
+// the other two, and checks that no engine ever has more unread than it reads
+// between two events of a stream.
+func TestPausesStayBearableUnderLoad(t *testing.T) {
+	const rate = 20.0 // prompt tokens a millisecond
+	s := scheduler(server("a", "m"), server("b", "m"), server("c", "n"), server("d", "n"))
+	rng := rand.New(rand.NewPCG(7, 7))
+	type running struct {
+		id   uint64
+		ends time.Time
+	}
+	free := map[string]time.Time{}
+	var open []running
+	waits, worst := 0, time.Duration(0)
+	id := uint64(0)
+	for step := range 20000 { // a millisecond each
+		now := start.Add(time.Duration(step) * time.Millisecond)
+		for i := 0; i < len(open); {
+			if now.Before(open[i].ends) {
+				i++
+				continue
+			}
+			s.Release(now, open[i].id, balance.Good)
+			open = append(open[:i], open[i+1:]...)
+		}
+		if rng.Float64() < 0.6*4*rate/1200 {
+			id++
+			r := request(id, []string{"m", "n"}[rng.IntN(2)], 400+rng.IntN(1600), rng.IntN(3))
+			r.Target, r.Expire = now.Add(400*time.Millisecond), now.Add(2*time.Second)
+			s.Offer(r)
+			waits++
+		}
+		if step%50 == 0 {
+			require.Empty(t, s.Tick(now), "nothing is refused")
+		}
+		for _, d := range s.Next(now) {
+			begin := now
+			if free[d.Choice.Server.ID].After(now) {
+				begin = free[d.Choice.Server.ID]
+			}
+			worst = max(worst, begin.Sub(now))
+			tokens := 1200.0
+			ends := begin.Add(time.Duration(tokens / rate * float64(time.Millisecond)))
+			free[d.Choice.Server.ID] = ends
+			open = append(open, running{d.ID, ends})
+		}
+	}
+	require.Greater(t, waits, 500)
+	require.Less(t, worst, 200*time.Millisecond)
+}
--- /dev/null
+++ b/core/residency/plan_test.go
@@ -0,0 +1,136 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/residency"
+)
+
+func engine(models int) fleet.Engine {
+	e := fleet.Engine{WeightsMB: 230000, AdapterSlots: 8, Models: map[string]fleet.Model{}}
+	for i := range models {
+		n := fmt.Sprintf("m%d", i)
+		e.Models[n] = fleet.Model{Name: n, MB: 72000, Adapters: 3, AdapterMB: 66}
+	}
+	return e
+}
+
+func server(id string, models ...string) residency.Server {
+	s := residency.Server{Server: fleet.Server{ID: id}}
+	for _, m := range models {
+		s.Held = append(s.Held, fleet.Held{Model: m})
+	}
+	return s
+}
+
+func TestAModelThatIsAskedForIsLoadedWhereItIsOnDisk(t *testing.T) {
+	b := server("b", "m0")
+	b.OnDisk = []string{"m1"}
+	moves := residency.Plan(residency.Input{Engine: engine(2), Servers: []residency.Server{server("a", "m0"), b},
+		Waiting: map[string]int{"m1": 1}, Stores: 1})
+	require.NotEmpty(t, moves)
+	require.Equal(t, "b", moves[0].Server.ID)
+	require.True(t, moves[0].Load)
+	require.False(t, moves[0].Store)
+	require.Equal(t, residency.Asked, moves[0].Why)
+}
+
+func TestMemoryIsNeverOvercommitted(t *testing.T) {
+	full := server("a", "m0", "m1", "m2")
+	moves := residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{full},
+		Waiting: map[string]int{"m3": 1}, Stores: 5})
+	require.Empty(t, moves, "three models of 72 GB leave no room, and each is the only copy")
+
+	going := server("a", "m0", "m1", "m2")
+	going.Going = "m0"
+	moves = residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{going, server("b", "m0", "m1", "m2")},
+		Waiting: map[string]int{"m3": 1}, Stores: 5})
+	for _, m := range moves {
+		require.False(t, m.Load && m.Server.ID == "a", "what is being unloaded still takes its memory")
+	}
+
+	coming := server("a", "m0", "m1")
+	coming.Coming = "m2"
+	moves = residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{coming}, Waiting: map[string]int{"m3": 1}, Stores: 5})
+	require.Empty(t, moves, "what is being loaded already takes its memory")
+}
+
+func TestTheLastCopyStays(t *testing.T) {
+	moves := residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{
+		server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m2")},
+		Load: map[string]float64{"m0": 1000, "m1": 900, "m2": 5}, Waiting: map[string]int{"m3": 2}, Stores: 5})
+	require.NotEmpty(t, moves)
+	require.False(t, moves[0].Load)
+	require.Equal(t, "m2", moves[0].Model, "the copy that is missed least makes room")
+	require.Equal(t, "m3", moves[0].For)
+	for _, m := range moves[1:] {
+		require.NotEqual(t, "m2", m.Model, "its last copy stays")
+	}
+}
+
+func TestLoadsFromTheStoreAreMetered(t *testing.T) {
+	var servers []residency.Server
+	for i := range 6 {
+		servers = append(servers, server(fmt.Sprint("s", i)))
+	}
+	moves := residency.Plan(residency.Input{Engine: engine(6), Servers: servers, Stores: 2})
+	store := 0
+	for _, m := range moves {
+		if m.Store {
+			store++
+		}
+	}
+	require.Equal(t, 2, store)
+}
+
+// TestCopiesFollowDemand moves all demand from one model to another and plays
+// the plan until it rests.
+func TestCopiesFollowDemand(t *testing.T) {
+	e := engine(5)
+	servers := []residency.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m3"), server("c", "m0", "m1", "m4"),
+		server("d", "m0", "m1", "m2")}
+	in := residency.Input{Engine: e, Servers: servers, Load: map[string]float64{"m4": 30000, "m1": 8000}, Stores: 100}
+	for range 40 {
+		moves := residency.Plan(in)
+		if len(moves) == 0 {
+			break
+		}
+		for _, m := range moves {
+			for i := range in.Servers {
+				s := &in.Servers[i]
+				if s.ID != m.Server.ID {
+					continue
+				}
+				if m.Load {
+					require.Less(t, len(s.Held), 3)
+					s.Held = append(s.Held, fleet.Held{Model: m.Model})
+					continue
+				}
+				var kept []fleet.Held
+				for _, h := range s.Held {
+					if h.Model != m.Model {
+						kept = append(kept, h)
+					}
+				}
+				s.Held = kept
+			}
+		}
+		for i := range in.Servers {
+			in.Servers[i].Coming, in.Servers[i].Going = "", ""
+		}
+	}
+	copies := map[string]int{}
+	for _, s := range in.Servers {
+		for _, h := range s.Held {
+			copies[h.Model]++
+		}
+	}
+	require.Equal(t, 4, copies["m4"], "the busy model is everywhere")
+	for n := range e.Models {
+		require.Positive(t, copies[n], n)
+	}
+}
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,164 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/internal/follow"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+// node is a follower with what it told last.
+type node struct {
+	*follow.Follower
+
+	mu      sync.Mutex
+	config  int64
+	servers map[string]fleet.Server
+}
+
+func start(t *testing.T, s *standin.Store, fed func() bool) *node {
+	t.Helper()
+	n := &node{}
+	n.Follower = &follow.Follower{
+		Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, Log: zap.NewNop(), Fed: fed,
+		OnConfig: func(c *fleet.Config) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.config = c.Version()
+		},
+		OnServers: func(list []fleet.Server) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.servers = map[string]fleet.Server{}
+			for _, f := range list {
+				n.servers[f.ID] = f
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		n.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return n
+}
+
+func (n *node) has(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.servers[id]
+	return ok
+}
+
+func (n *node) leaving(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers[id].Leaving
+}
+
+func (n *node) version() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config
+}
+
+func entry(state string) []byte {
+	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q}`, state)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 5*time.Second, time.Millisecond, what)
+}
+
+func TestChangesArriveInOrderAndUnreadableOnesChangeNothing(t *testing.T) {
+	s := standin.NewStore(t)
+	n := start(t, s, nil)
+	s.Put(platform.TableOperator, platform.KeyConfig, []byte(`{"version":5}`))
+	eventually(t, "first", func() bool { return n.version() == 5 })
+	s.Put(platform.TableOperator, platform.KeyConfig, []byte(`{"version":`))
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	eventually(t, "server", func() bool { return n.has("i-1") })
+	require.EqualValues(t, 5, n.version(), "the last good one stays")
+	s.Put(platform.TableServers, "i-1", entry("draining"))
+	eventually(t, "leaving", func() bool { return n.leaving("i-1") })
+	s.Drop(platform.TableServers, "i-1")
+	eventually(t, "gone", func() bool { return !n.has("i-1") })
+}
+
+func TestAfterTheHistoryIsGoneTheTableIsReadWhole(t *testing.T) {
+	s := standin.NewStore(t)
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	n := start(t, s, nil)
+	eventually(t, "both", func() bool { return n.has("i-1") && n.has("i-2") })
+	s.Outage(true)
+	s.Drop(platform.TableServers, "i-1")
+	s.Put(platform.TableServers, "i-3", entry("ready"))
+	s.Compact()
+	s.Outage(false)
+	eventually(t, "new", func() bool { return n.has("i-3") })
+	eventually(t, "old", func() bool { return !n.has("i-1") })
+	require.True(t, n.has("i-2"))
+}
+
+func TestEntriesThatLapsedInAnOutageAreKeptForAMoment(t *testing.T) {
+	s := standin.NewStore(t)
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	n := start(t, s, nil)
+	eventually(t, "both", func() bool { return n.has("i-1") && n.has("i-2") })
+	s.Outage(true)
+	calls := s.Calls("/rows-feed")
+	eventually(t, "the outage is noticed", func() bool { return s.Calls("/rows-feed") > calls+2 })
+	require.True(t, n.has("i-1"), "known servers stay in use")
+	s.Drop(platform.TableServers, "i-1")
+	s.Drop(platform.TableServers, "i-2")
+	s.Outage(false)
+	back := time.Now()
+	s.Put(platform.TableServers, "i-3", entry("ready"))
+	eventually(t, "contact", func() bool { return n.has("i-3") })
+	require.True(t, n.has("i-1") && n.has("i-2"), "they may come back")
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	eventually(t, "missing after the grace is gone", func() bool { return !n.has("i-1") })
+	require.WithinDuration(t, back.Add(follow.Grace), time.Now(), 1500*time.Millisecond)
+	require.True(t, n.has("i-2"))
+}
+
+func TestANodeThatIsFedAsksTheStoreOnlyForTheConfiguration(t *testing.T) {
+	s := standin.NewStore(t)
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	s.Put(platform.TableOperator, platform.KeyConfig, []byte(`{"version":5}`))
+	holder := start(t, s, nil)
+	n := start(t, s, func() bool { return true })
+	eventually(t, "start", func() bool { return n.has("i-1") && n.version() == 5 && holder.has("i-1") })
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	s.Put(platform.TableServers, "i-1", entry("draining"))
+	s.Put(platform.TableOperator, platform.KeyConfig, []byte(`{"version":6}`))
+	eventually(t, "holder", func() bool { return holder.leaving("i-1") && holder.version() == 6 })
+	require.EqualValues(t, 5, n.version())
+	n.Take(time.Now(), holder.Since(time.Now(), n.Known()))
+	require.True(t, n.has("i-2") && n.leaving("i-1"))
+	eventually(t, "configuration", func() bool { return n.version() == 6 })
+	s.Drop(platform.TableServers, "i-2")
+	eventually(t, "gone at the holder", func() bool { return !holder.has("i-2") })
+	n.Take(time.Now(), holder.Since(time.Now(), n.Known()))
+	require.False(t, n.has("i-2"))
+	n.Take(time.Now(), follow.Update{Servers: []platform.Row{{Table: platform.TableServers, Key: "i-1", Version: 2, Value: entry("ready")}}, Version: 2})
+	require.True(t, n.leaving("i-1"), "an older row never replaces a newer one")
+}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,224 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/internal/front"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const configuration = `{"version":1,"routes":[
+ {"name":"plans","host":"h.example","prefix":"/plans/","kind":"streaming","timeout-ms":5000,"target-latency-ms":600,"priority":1,"service":"llm","max-attempts":1},
+ {"name":"calls","host":"h.example","prefix":"/calls/","kind":"safe","timeout-ms":3000,"service":"plain","max-attempts":2}],
+ "services":[{"name":"llm","engine":{"slots":8,"weights-mb":230000,"adapter-slots":4,"loads-per-s":2,"models":[{"name":"m0","weights-mb":72000,"load-time-s":1,"adapters":3,"adapter-size-mb":60},{"name":"m1","weights-mb":72000,"load-time-s":1}]}},{"name":"plain"}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
+
+// fleetRig is nodes before a store and stand-in servers.
+type fleetRig struct {
+	t     *testing.T
+	store *standin.Store
+	nodes []*process
+}
+
+// process is a node with the means to end it.
+type process struct {
+	settings front.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (f *fleetRig) start(name string) *process {
+	f.t.Helper()
+	p := &process{done: make(chan error, 1), settings: front.Settings{Node: name, DataCentre: "z", Clients: free(f.t), Ready: free(f.t),
+		Peers: free(f.t), Metrics: free(f.t), Store: f.store.Address(), MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
+		LoadWindowS: 5, CheckEpochs: true}}
+	n, err := front.New(p.settings, zap.NewNop())
+	require.NoError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	go func() { p.done <- n.Run(ctx) }()
+	f.t.Cleanup(func() {
+		stop()
+		require.NoError(f.t, <-p.done)
+	})
+	f.nodes = append(f.nodes, p)
+	return p
+}
+
+func (p *process) ready() bool {
+	resp, err := http.Get("http://" + p.settings.Ready + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+// get sends a request and returns status and body.
+func (p *process) get(t *testing.T, path, id, model string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.settings.Clients+path, nil)
+	require.NoError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Guavapaddle-Request-Id", id)
+	if model != "" {
+		req.Header.Set("X-Guavapaddle-Model", model)
+		req.Header.Set("X-Guavapaddle-Token-Count", "100,10")
+	}
+	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err.Error()
+	}
+	return resp.StatusCode, string(b)
+}
+
+func newFleet(t *testing.T, nodes int) (*fleetRig, *standin.Worker, *standin.Worker) {
+	t.Helper()
+	f := &fleetRig{t: t, store: standin.NewStore(t)}
+	engine := (&standin.Worker{ID: "i-engine", Stream: 5}).Hold("m0").Start(t)
+	plain := (&standin.Worker{ID: "i-plain"}).Start(t)
+	f.store.Put(platform.TableOperator, platform.KeyConfig, []byte(configuration))
+	f.store.Put(platform.TableServers, "i-engine", engine.Entry("llm", "z", false))
+	f.store.Put(platform.TableServers, "i-plain", plain.Entry("plain", "z", false))
+	for i := range nodes {
+		f.start(fmt.Sprint("n", i))
+	}
+	for _, p := range f.nodes {
+		require.Eventually(t, p.ready, 5*time.Second, 5*time.Millisecond)
+	}
+	return f, engine, plain
+}
+
+func TestNodesServeLoadModelsAndOutliveTheHolder(t *testing.T) {
+	f, engine, plain := newFleet(t, 3)
+	for i, p := range f.nodes {
+		status, body := p.get(t, "/calls/x", fmt.Sprint("c", i), "")
+		require.Equal(t, 200, status, body)
+		status, body = p.get(t, "/plans/x", fmt.Sprint("p", i), "m0")
+		require.Equal(t, 200, status, body)
+		require.Equal(t, 5, strings.Count(body, "data:"))
+		status, body = p.get(t, "/plans/x", fmt.Sprint("a", i), "m0/a1")
+		require.Equal(t, 200, status, body)
+	}
+	require.Equal(t, []string{"a1"}, engine.Models()["m0"])
+	require.Len(t, plain.Runs(), 3)
+	require.Eventually(t, func() bool { _, ok := engine.Models()["m1"]; return ok }, 5*time.Second, 5*time.Millisecond,
+		"a declared model without a copy is loaded")
+	f.store.Put(platform.TableServers, "i-engine", engine.Entry("llm", "z", false))
+
+	holder := string(f.store.Row("lease", "orders").Value)
+	for _, p := range f.nodes {
+		if strings.Contains(holder, `"node":"`+p.settings.Node+`"`) {
+			p.stop()
+		}
+	}
+	require.Eventually(t, func() bool {
+		v := string(f.store.Row("lease", "orders").Value)
+		return v != holder && !strings.Contains(v, `"node":""`)
+	}, 5*time.Second, 5*time.Millisecond, "another node takes the lease")
+	for i, p := range f.nodes {
+		if strings.Contains(holder, `"node":"`+p.settings.Node+`"`) {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			status, _ := p.get(t, "/plans/x", fmt.Sprint("q", i), "m0/a2")
+			return status == 200
+		}, 5*time.Second, 5*time.Millisecond)
+	}
+}
+
+func TestANodeServesOnWithoutTheStore(t *testing.T) {
+	f, _, _ := newFleet(t, 2)
+	f.store.Outage(true)
+	for i := range 20 {
+		p := f.nodes[i%2]
+		status, body := p.get(t, "/calls/x", fmt.Sprint("c", i), "")
+		require.Equal(t, 200, status, body)
+		status, body = p.get(t, "/plans/x", fmt.Sprint("p", i), "m0")
+		require.Equal(t, 200, status, body)
+	}
+}
+
+func TestAStopCutsNothingAndSaysNotReadyAtOnce(t *testing.T) {
+	f, engine, _ := newFleet(t, 2)
+	engine.Pause = 100 * time.Millisecond
+	p := f.nodes[0]
+	type result struct {
+		status int
+		body   string
+	}
+	got := make(chan result, 1)
+	go func() {
+		status, body := p.get(t, "/plans/x", "long", "m0")
+		got <- result{status, body}
+	}()
+	require.Eventually(t, func() bool { return len(engine.Runs()) == 1 }, 5*time.Second, time.Millisecond)
+	p.stop()
+	require.Eventually(t, func() bool { return !p.ready() }, time.Second, time.Millisecond)
+	status, body := p.get(t, "/calls/x", "while-stopping", "")
+	require.Equal(t, 200, status, body)
+	r := <-got
+	require.Equal(t, 200, r.status)
+	require.Equal(t, 5, strings.Count(r.body, "data:"))
+	require.NoError(t, <-p.done)
+	p.done <- nil // for the end of the test
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","store":"1.2.3.4:5",
+"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"engines-check-epochs":true,"log-level":"info"}`
+	file := filepath.Join(t.TempDir(), "node.json")
+	write := func(text string) error {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := front.Load(file)
+		return err
+	}
+	require.NoError(t, write(good))
+	for name, x := range map[string][3]string{
+		"unknown name": {`"node":"n"`, `"nodes":"n"`, "nodes"},
+		"no node":      {`"node":"n"`, `"node":""`, "$.node"},
+		"bad address":  {`"1.2.3.4:3"`, `"here"`, "$.peers"},
+		"bad memory":   {`284`, `0`, "$.memory-mb"},
+		"few sockets":  {`4100`, `20`, "$.descriptors"},
+		"no grace":     {`"grace-s":8`, `"grace-s":0`, "$.grace-s"},
+		"no lease":     {`3000`, `-1`, "$.lease-ms"},
+		"no window":    {`"load-window-s":5`, `"load-window-s":0`, "$.load-window-s"},
+		"wrong type":   {`284`, `"much"`, "memory-mb"},
+		"two values":   {`"info"}`, `"info"}{}`, "more than one"},
+	} {
+		err := write(strings.Replace(good, x[0], x[1], 1))
+		var bad *front.SettingsError
+		require.ErrorAs(t, err, &bad, name)
+		require.Contains(t, err.Error(), x[2], name)
+		require.NotContains(t, err.Error(), "\n", name)
+	}
+	_, err := front.Load(filepath.Join(t.TempDir(), "none"))
+	var bad *front.SettingsError
+	require.ErrorAs(t, err, &bad)
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,427 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/internal/gateway"
+	"guavapaddle/internal/hub"
+	"guavapaddle/internal/logging"
+	"guavapaddle/io/http1"
+	"guavapaddle/platform/standin"
+)
+
+type (
+	// rig is a gateway on a listener, before stand-in servers.
+	rig struct {
+		t       *testing.T
+		gateway *gateway.Gateway
+		server  *http1.Server
+		address string
+		log     *buffer
+	}
+
+	// buffer is a log that can be read while it is written.
+	buffer struct {
+		mu sync.Mutex
+		b  bytes.Buffer
+	}
+
+	// reply is what a client got.
+	reply struct {
+		status int
+		header http.Header
+		body   string
+		err    error // of the body
+	}
+)
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+var routes = []fleet.Route{
+	{Name: "safe", Host: "h.example", Prefix: "/safe/", Kind: fleet.Safe, MaxAttempts: 2, Timeout: 2 * time.Second, Splits: []fleet.Split{{Service: "plain", Weight: 1}}},
+	{Name: "unsafe", Host: "h.example", Prefix: "/unsafe/", Kind: fleet.Unsafe, MaxAttempts: 1, Timeout: 2 * time.Second, Splits: []fleet.Split{{Service: "plain", Weight: 1}}},
+	{Name: "stream", Host: "h.example", Prefix: "/stream/", Kind: fleet.Stream, MaxAttempts: 1, Timeout: 5 * time.Second, Target: 600 * time.Millisecond, Splits: []fleet.Split{{Service: "plain", Weight: 1}}},
+	{Name: "resumable", Host: "h.example", Prefix: "/resumable/", Kind: fleet.Stream, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Splits: []fleet.Split{{Service: "plain", Weight: 1}}},
+}
+
+// newRig starts a gateway in front of workers. The first worker is the one that
+// is tried first, since the others are avoided until it has failed.
+func newRig(t *testing.T, workers ...*standin.Worker) *rig {
+	t.Helper()
+	r := &rig{t: t, log: &buffer{}}
+	log, err := logging.New(r.log, "info")
+	require.NoError(t, err)
+	r.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: "z", Metrics: gateway.NewMetrics(),
+		Want: func(context.Context, hub.Want) hub.Offer { return hub.Offer{} },
+		Place: func(context.Context, hub.Place) (hub.Placed, func(balance.Result), error) {
+			return hub.Placed{}, nil, io.EOF
+		},
+		Rand: rand.New(rand.NewPCG(1, 1))}
+	r.gateway.Run(balance.New(rand.New(rand.NewPCG(1, 1))))
+	r.server = &http1.Server{Handler: r.gateway}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	r.address = l.Addr().String()
+	go func() { _ = r.server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		r.server.Shutdown(ctx)
+	})
+	r.gateway.SetConfig(fleet.NewConfig(1, routes, []fleet.Service{{Name: "plain"}}, fleet.Limits{}))
+	var list []fleet.Server
+	for i, w := range workers {
+		zone := "away"
+		if i == 0 {
+			zone = "z"
+		}
+		list = append(list, fleet.Server{ID: w.ID, Service: "plain", Address: w.Address(), Zone: zone, Slots: 4})
+	}
+	r.gateway.SetServers(list)
+	return r
+}
+
+func worker(t *testing.T, id string, script ...standin.Behaviour) *standin.Worker {
+	t.Helper()
+	return (&standin.Worker{ID: id, Script: script}).Start(t)
+}
+
+// do sends one request on a connection of its own.
+func (r *rig) do(method, path, id, body string, header ...string) reply {
+	r.t.Helper()
+	c, err := net.Dial("tcp4", r.address)
+	require.NoError(r.t, err)
+	defer func() { _ = c.Close() }()
+	return exchange(r.t, c, bufio.NewReader(c), method, path, id, body, header...)
+}
+
+func exchange(t *testing.T, c net.Conn, br *bufio.Reader, method, path, id, body string, header ...string) reply {
+	t.Helper()
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	head := method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Guavapaddle-Request-Id: " + id + "\r\n"
+	for _, h := range header {
+		head += h + "\r\n"
+	}
+	_, err := io.WriteString(c, head+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(br, &http.Request{Method: method})
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+func TestAnAnswerIsPassedOnWhole(t *testing.T) {
+	w := worker(t, "i-1")
+	r := newRig(t, w)
+	a := r.do("POST", "/unsafe/x?q=1", "r1", "body", "X-Custom: kept", "Connection: X-Hop", "X-Hop: dropped")
+	require.Equal(t, 200, a.status)
+	require.Equal(t, "answer", a.body)
+	require.Equal(t, "i-1", a.header.Get("X-Guavapaddle-Server-Stamp"))
+	got, bodies := w.Requests()
+	require.Equal(t, "/unsafe/x?q=1", got[0].RequestURI)
+	require.Equal(t, "h.example", got[0].Host)
+	require.Equal(t, "body", bodies[0])
+	require.Equal(t, "kept", got[0].Header.Get("X-Custom"))
+	require.Empty(t, got[0].Header.Get("X-Hop"))
+	require.Equal(t, "i-1", got[0].Header.Get("X-Guavapaddle-Expect-Instance"))
+	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "event=request request-id=r1 route=unsafe") },
+		time.Second, time.Millisecond)
+}
+
+func TestHeadersOfTheSystemAreNotPassedOnFromClients(t *testing.T) {
+	w := worker(t, "i-1")
+	r := newRig(t, w)
+	names := []string{"X-Guavapaddle-Hold", "X-Guavapaddle-Pin-Ms", "X-Guavapaddle-Kv-Backup", "Kv-From", "Kv-Fetch",
+		"X-Guavapaddle-Expect-Version", "X-Guavapaddle-Request-Priority"}
+	var header []string
+	for _, n := range names {
+		header = append(header, n+": 1")
+	}
+	require.Equal(t, 200, r.do("GET", "/safe/x", "r1", "", append(header, "X-Guavapaddle-Expect-Instance: i-9")...).status)
+	got, _ := w.Requests()
+	for _, n := range names {
+		require.Empty(t, got[0].Header.Get(n), n)
+	}
+}
+
+func TestTheDeadlineHandedOnIsWhatIsLeft(t *testing.T) {
+	first, second := worker(t, "i-1", standin.Shed), worker(t, "i-2")
+	r := newRig(t, first, second)
+	require.Equal(t, 200, r.do("GET", "/safe/x", "r1", "", "X-Guavapaddle-Request-Deadline-Ms: 900").status)
+	for _, w := range []*standin.Worker{first, second} {
+		got, _ := w.Requests()
+		for _, q := range got {
+			ms, err := strconv.Atoi(q.Header.Get("X-Guavapaddle-Request-Deadline-Ms"))
+			require.NoError(t, err)
+			require.LessOrEqual(t, ms, 900)
+			require.Greater(t, ms, 500)
+		}
+	}
+}
+
+// TestFailuresByKind has one server misbehave and checks what the client gets
+// and how often the request ran, for each kind of route.
+func TestFailuresByKind(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		does     standin.Behaviour
+		path     string
+		status   int
+		runs     int // over both servers
+		notReady bool
+	}{
+		{"shed unsafe goes elsewhere", standin.Shed, "/unsafe/", 200, 1, false},
+		{"lacking unsafe goes elsewhere", standin.Lack, "/unsafe/", 200, 1, false},
+		{"truncated unsafe is unknown", standin.Truncate, "/unsafe/", 502, 1, false},
+		{"crashed unsafe is unknown", standin.Crash, "/unsafe/", 502, 1, false},
+		{"garbage to unsafe is unknown", standin.Garbage, "/unsafe/", 502, 1, false},
+		{"answer of another to unsafe is unknown", standin.WrongID, "/unsafe/", 502, 1, false},
+		{"unsigned answer to unsafe is unknown", standin.Unsigned, "/unsafe/", 502, 1, false},
+		{"failed unsafe is passed on", standin.Fail, "/unsafe/", 500, 1, false},
+		{"unframed unsafe is whole", standin.Unframed, "/unsafe/", 200, 1, false},
+		{"truncated safe runs again", standin.Truncate, "/safe/", 200, 2, false},
+		{"crashed safe runs again", standin.Crash, "/safe/", 200, 2, false},
+		{"garbage to safe runs again", standin.Garbage, "/safe/", 200, 2, false},
+		{"answer of another to safe runs again", standin.WrongID, "/safe/", 200, 2, false},
+		{"unsigned answer to safe runs again", standin.Unsigned, "/safe/", 200, 2, false},
+		{"failed safe runs again", standin.Fail, "/safe/", 200, 2, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			a, b := worker(t, "i-1", x.does), worker(t, "i-2")
+			r := newRig(t, a)
+			// The second server is known once the first was picked.
+			r.gateway.SetServers([]fleet.Server{
+				{ID: "i-1", Service: "plain", Address: a.Address(), Zone: "z", Slots: 64},
+				{ID: "i-2", Service: "plain", Address: b.Address(), Zone: "away", Slots: 1},
+			})
+			got := r.do("POST", x.path, "r1", "body")
+			require.Equal(t, x.status, got.status)
+			require.Len(t, append(a.Runs(), b.Runs()...), x.runs)
+			if got.status == 502 {
+				require.Empty(t, got.header.Get("X-Guavapaddle-Server-Stamp"), "a failure of ours bears no stamp")
+				require.Empty(t, got.header.Get("Retry-After"), "nothing is promised")
+			}
+		})
+	}
+}
+
+func TestARefusalIsTrueAndTellsWhenToComeBack(t *testing.T) {
+	w := worker(t, "i-1", standin.Shed)
+	r := newRig(t, w)
+	a := r.do("POST", "/unsafe/", "r1", "body")
+	require.Equal(t, 503, a.status)
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Positive(t, after)
+	require.Empty(t, w.Runs())
+}
+
+func TestAnExtraAnswerReachesNobody(t *testing.T) {
+	w := worker(t, "i-1", standin.Extra, standin.OK)
+	r := newRig(t, w)
+	c, err := net.Dial("tcp4", r.address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for i := range 3 {
+		a := exchange(t, c, br, "POST", "/unsafe/", fmt.Sprint("r", i), "body")
+		require.Equal(t, 200, a.status)
+		require.Equal(t, "answer", a.body)
+		require.Equal(t, fmt.Sprint("r", i), a.header.Get("X-Guavapaddle-Request-Id"))
+	}
+	require.GreaterOrEqual(t, w.Conns(), 2, "the connection was not used again")
+}
+
+func TestAnEarlyAnswerToALongBodyDoesNotPoisonTheConnection(t *testing.T) {
+	w := worker(t, "i-1", standin.Early, standin.OK)
+	r := newRig(t, w)
+	long := strings.Repeat("x", 1<<20)
+	require.Equal(t, 400, r.do("POST", "/unsafe/", "r1", long).status)
+	require.Equal(t, 200, r.do("POST", "/unsafe/", "r2", "next").status)
+	_, bodies := w.Requests()
+	require.Equal(t, "next", bodies[len(bodies)-1])
+}
+
+func TestRoutesAndConfiguration(t *testing.T) {
+	r := newRig(t, worker(t, "i-1"))
+	require.Equal(t, 404, r.do("GET", "/none/", "r1", "").status)
+	require.Equal(t, 400, r.do("GET", "/safe/", "", "").status, "no id")
+	r.gateway.SetConfig(fleet.NewConfig(2, routes[1:], []fleet.Service{{Name: "plain"}}, fleet.Limits{}))
+	require.Equal(t, 404, r.do("GET", "/safe/", "r2", "").status)
+	r.gateway.SetConfig(fleet.NewConfig(1, routes, []fleet.Service{{Name: "plain"}}, fleet.Limits{}))
+	require.Equal(t, 404, r.do("GET", "/safe/", "r3", "").status, "an older configuration never comes back")
+}
+
+func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
+	g := &gateway.Gateway{Pool: &http1.Pool{}, Log: zap.NewNop(), Metrics: gateway.NewMetrics(), Rand: rand.New(rand.NewPCG(1, 1))}
+	g.Run(balance.New(rand.New(rand.NewPCG(1, 1))))
+	s := &http1.Server{Handler: g}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	go func() { _ = s.Serve(l) }()
+	r := &rig{t: t, address: l.Addr().String()}
+	a := r.do("GET", "/safe/", "r1", "")
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
+
+func TestTheRoutesTimeoutEndsARequest(t *testing.T) {
+	w := worker(t, "i-1", standin.Silent)
+	r := newRig(t, w)
+	began := time.Now()
+	a := r.do("POST", "/unsafe/", "r1", "body", "X-Guavapaddle-Request-Deadline-Ms: 400")
+	require.Equal(t, 504, a.status)
+	require.Less(t, time.Since(began), 800*time.Millisecond)
+	require.Eventually(t, func() bool { return w.Gone() == 1 }, time.Second, time.Millisecond, "the server's work is cancelled")
+}
+
+func TestAClientThatLeavesCancelsTheWork(t *testing.T) {
+	w := (&standin.Worker{ID: "i-1", Stream: 1000, Pause: 5 * time.Millisecond}).Start(t)
+	r := newRig(t, w)
+	c, err := net.Dial("tcp4", r.address)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "GET /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Guavapaddle-Request-Id: r1\r\n\r\n")
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return w.Gone() == 1 }, 500*time.Millisecond, time.Millisecond)
+}
+
+func TestACutStreamNeverLooksComplete(t *testing.T) {
+	a := (&standin.Worker{ID: "i-1", Stream: 10, Script: standin.Script{standin.Cut}}).Start(t)
+	r := newRig(t, a)
+	got := r.do("GET", "/stream/", "r1", "")
+	require.Equal(t, 200, got.status)
+	require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+	require.Len(t, a.Runs(), 1)
+}
+
+func TestAResumableStreamGoesOnAfterItsLastWholeEvent(t *testing.T) {
+	a := (&standin.Worker{ID: "i-1", Stream: 10, Script: standin.Script{standin.Cut}}).Start(t)
+	b := (&standin.Worker{ID: "i-2", Stream: 10}).Start(t)
+	r := newRig(t, a)
+	r.gateway.SetServers([]fleet.Server{
+		{ID: "i-1", Service: "plain", Address: a.Address(), Zone: "z", Slots: 64},
+		{ID: "i-2", Service: "plain", Address: b.Address(), Zone: "away", Slots: 1},
+	})
+	got := r.do("GET", "/resumable/", "r1", "")
+	require.NoError(t, got.err)
+	want := ""
+	for n := 1; n <= 10; n++ {
+		want += fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+	}
+	require.Equal(t, want, got.body)
+	require.Equal(t, "i-1", got.header.Get("X-Guavapaddle-Server-Stamp"))
+	require.Len(t, b.Runs(), 1)
+}
+
+func TestARequestThatEndsItsServersIsStopped(t *testing.T) {
+	var workers []*standin.Worker
+	for i := range 6 {
+		workers = append(workers, worker(t, fmt.Sprint("i-", i), standin.Crash))
+	}
+	r := newRig(t, workers...)
+	for i := range 8 {
+		r.do("POST", "/unsafe/deadly", fmt.Sprint("r", i), "same body")
+	}
+	runs := 0
+	for _, w := range workers {
+		runs += len(w.Runs())
+	}
+	require.Equal(t, 3, runs)
+	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "reason=crashes") }, time.Second, time.Millisecond)
+}
+
+func TestRepeatsStayWithinTheirBudget(t *testing.T) {
+	var workers []*standin.Worker
+	for i := range 4 {
+		workers = append(workers, worker(t, fmt.Sprint("i-", i), standin.Shed))
+	}
+	r := newRig(t, workers...)
+	const requests = 100
+	for i := range requests {
+		r.do("GET", "/safe/", fmt.Sprint("r", i), "")
+	}
+	arrivals := 0
+	for _, w := range workers {
+		got, _ := w.Requests()
+		arrivals += len(got)
+	}
+	require.LessOrEqual(t, arrivals-requests, requests/5+7, "a fifth and one of eight nodes' part of 56")
+	require.Greater(t, arrivals, requests)
+}
+
+func TestAnotherIncarnationAtAnAddressIsNotUsed(t *testing.T) {
+	w := worker(t, "i-new")
+	r := newRig(t, w)
+	r.gateway.SetServers([]fleet.Server{{ID: "i-old", Service: "plain", Address: w.Address(), Zone: "z", Slots: 4}})
+	require.Equal(t, 503, r.do("POST", "/unsafe/", "r1", "body").status)
+	require.Empty(t, w.Runs())
+}
+
+func TestRequestsThatWaitAreRefusedWhenTheNodeStops(t *testing.T) {
+	r := newRig(t, worker(t, "i-1"))
+	r.gateway.Place = func(ctx context.Context, _ hub.Place) (hub.Placed, func(balance.Result), error) {
+		<-ctx.Done()
+		return hub.Placed{}, nil, ctx.Err()
+	}
+	engine := &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m", LoadTime: time.Minute}}}
+	r.gateway.SetConfig(fleet.NewConfig(2, routes, []fleet.Service{{Name: "plain", Engine: engine}}, fleet.Limits{}))
+	got := make(chan reply, 1)
+	go func() { got <- r.do("GET", "/stream/", "r1", "", "X-Guavapaddle-Model: m") }()
+	require.Never(t, func() bool { return len(got) > 0 }, 50*time.Millisecond, 10*time.Millisecond)
+	r.gateway.Stop()
+	a := <-got
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
+
+func TestAPlaceAtAServerThatLeavesIsNotUsed(t *testing.T) {
+	leaving, staying := worker(t, "i-1"), worker(t, "i-2")
+	r := newRig(t, leaving, staying)
+	r.gateway.SetServers([]fleet.Server{
+		{ID: "i-1", Service: "plain", Address: leaving.Address(), Zone: "z", Slots: 4, Leaving: true, Held: []fleet.Held{{Model: "m"}}},
+		{ID: "i-2", Service: "plain", Address: staying.Address(), Zone: "z", Slots: 4, Held: []fleet.Held{{Model: "m"}}},
+	})
+	engine := &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m"}}}
+	r.gateway.SetConfig(fleet.NewConfig(2, routes, []fleet.Service{{Name: "plain", Engine: engine}}, fleet.Limits{}))
+	r.gateway.Place = func(context.Context, hub.Place) (hub.Placed, func(balance.Result), error) {
+		return hub.Placed{Granted: true, Server: "i-1"}, func(balance.Result) {}, nil
+	}
+	require.Equal(t, 200, r.do("GET", "/stream/", "r1", "", "X-Guavapaddle-Model: m").status)
+	require.Empty(t, leaving.Runs())
+	require.Len(t, staying.Runs(), 1)
+}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,186 @@
+package placer_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
+	"guavapaddle/internal/hub"
+	"guavapaddle/internal/placer"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const ttl = 900 * time.Millisecond
+
+// holder is a placer with what it told.
+type holder struct {
+	*placer.Placer
+
+	mu       sync.Mutex
+	verdicts map[string]int
+	began    int
+	waiting  map[string]int
+}
+
+func start(t *testing.T, s *standin.Store, node string, reachable func() bool) *holder {
+	t.Helper()
+	h := &holder{verdicts: map[string]int{}}
+	began := time.Now()
+	h.Placer = &placer.Placer{
+		Store:   &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}},
+		Engines: &platform.Engines{Client: func(a string) *jsonhttp.Client { return &jsonhttp.Client{Address: a} }},
+		Hub:     &hub.Hub{}, Log: zap.NewNop(), Fencing: true, Window: 5 * time.Second, Reachable: reachable,
+		Keeper: &leader.Keeper{Self: leader.Lease{Node: node, Incarnation: node, Key: node}, TTL: ttl},
+		Clock:  func() time.Duration { return time.Since(began) + time.Hour },
+		Ordered: func(v string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.verdicts[v]++
+		},
+		Began: func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.began++
+		},
+		Lacking: func() map[string]int {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.waiting
+		},
+		Noted: func(hub.Note) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		h.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return h
+}
+
+func never() bool { return false }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 8*time.Second, 2*time.Millisecond, what)
+}
+
+// config declares models m0 and m1 with adapters, of which three fit.
+func config() *fleet.Config {
+	e := &fleet.Engine{WeightsMB: 230000, AdapterSlots: 2, LoadsPerS: 2, Models: map[string]fleet.Model{
+		"m0": {Name: "m0", MB: 72000, Adapters: 5, AdapterMB: 66},
+		"m1": {Name: "m1", MB: 72000},
+	}}
+	return fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+}
+
+func listed(w *standin.Worker) fleet.Server {
+	s := fleet.Server{ID: w.ID, Service: "llm", Address: w.Address(), Slots: 8}
+	for m, a := range w.Models() {
+		s.Held = append(s.Held, fleet.Held{Model: m, Adapters: a})
+	}
+	return s
+}
+
+func TestOneNodeHoldsTheLeaseAndAnotherTakesItWhenItEnds(t *testing.T) {
+	s := standin.NewStore(t)
+	a := start(t, s, "a", never)
+	eventually(t, "first", a.Holding)
+	b := start(t, s, "b", never)
+	eventually(t, "the second knows the first", func() bool { l, ok := b.Leader(); return ok && l.Node == "a" })
+	require.False(t, b.Holding())
+	a.Release(context.Background())
+	eventually(t, "released", b.Holding)
+	l, _ := b.Leader()
+	require.EqualValues(t, 2, l.Epoch)
+	eventually(t, "the first stops", func() bool { return !a.Holding() })
+}
+
+func TestARenewalWhoseAnswerIsLostKeepsTheLease(t *testing.T) {
+	s := standin.NewStore(t)
+	a := start(t, s, "a", never)
+	eventually(t, "first", a.Holding)
+	before := s.Row("lease", "orders").Version
+	s.LoseAnswers(2)
+	eventually(t, "renewed", func() bool { return s.Row("lease", "orders").Version >= before+4 })
+	eventually(t, "still holding", a.Holding)
+	l, _ := a.Leader()
+	require.EqualValues(t, 1, l.Epoch)
+	require.Equal(t, 1, a.began)
+}
+
+func TestWithoutTheStoreOrdersEndWhereEnginesDoNotCheckEpochs(t *testing.T) {
+	s := standin.NewStore(t)
+	a := start(t, s, "a", never)
+	a.Fencing = false
+	eventually(t, "first", a.Holding)
+	s.Outage(true)
+	eventually(t, "stops", func() bool { return !a.Holding() })
+	s.Outage(false)
+	eventually(t, "goes on", a.Holding)
+}
+
+func TestADeclaredModelWithoutACopyIsLoaded(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "loaded", func() bool { _, ok := w.Models()["m1"]; return ok })
+	o := w.Orders()[0]
+	require.Equal(t, "model_load", o["operation"])
+	require.EqualValues(t, 0, o["expected"])
+	require.EqualValues(t, 1, o["fencing-token"])
+	require.Equal(t, "a", o["holder"])
+}
+
+func TestAnOrderWithoutAnAnswerIsNeverCarriedOutTwice(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Start(t)
+	w.LoseOrders(1)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "given again", func() bool { return len(w.Orders()) >= 2 })
+	for _, o := range w.Orders()[:2] {
+		require.EqualValues(t, 0, o["expected"], "both carry the same number")
+		require.Equal(t, "m1", o["model"])
+	}
+	eventually(t, "loaded", func() bool { _, ok := w.Models()["m1"]; return ok })
+	w.RunLate()
+	require.Len(t, w.Models(), 2, "the late one finds that the number has moved on")
+}
+
+func TestAdaptersAreLoadedOnDemandAndMakeRoomForEachOther(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "holding", a.Holding)
+	want := func(adapter string) hub.Offer {
+		return a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: adapter}})
+	}
+	for _, adapter := range []string{"a1", "a2"} {
+		o := want(adapter)
+		require.True(t, o.Found, o.Why)
+		require.Equal(t, "i-1", o.Server)
+	}
+	require.ElementsMatch(t, []string{"a1", "a2"}, w.Models()["m0"])
+	eventually(t, "a third makes room once the first is idle", func() bool { return want("a3").Found })
+	require.Len(t, w.Models()["m0"], 2, "never more than there are places")
+	require.Contains(t, w.Models()["m0"], "a3")
+	require.False(t, a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "none", Adapter: "a1"}}).Found)
+}
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -99,8 +99,8 @@
 	if len(r.TransferEncoding) > 0 {
 		f = framing{chunked: true}
 	}
-	if f.chunked && !r.ProtoAtLeast(1, 1) {
-		return nil, framing{}, bad("chunks in HTTP/1.0")
+	if r.ProtoAtLeast(1, 1) && r.Host == "" {
+		return nil, framing{}, bad("no host")
 	}
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, framing{}, bad("target is no path")
@@ -112,6 +112,8 @@
 // names its host not once.
 func checkFraming(head []byte) error {
 	var lengths, encodings, hosts int
+	first, _, _ := strings.Cut(string(head), "\r\n")
+	old := !strings.HasSuffix(first, " HTTP/1.1")
 	for i, line := range strings.Split(string(head), "\r\n") {
 		name, value, ok := strings.Cut(line, ":")
 		if i == 0 || !ok {
@@ -126,6 +128,9 @@
 			}
 		case "transfer-encoding":
 			encodings++
+			if old {
+				return bad("transfer encoding before HTTP/1.1")
+			}
 			if !strings.EqualFold(value, "chunked") {
 				return bad("unknown transfer encoding")
 			}
