Bound the log's volume and never wait for its reader

A queue of 2048 lines takes lines without blocking; lines of one event beyond 200 a second are thinned to one in 20. Both are counted in lines of their own.

--- a/internal/cli/front.go
+++ b/internal/cli/front.go
@@ -48,11 +48,12 @@
 	if errors.As(err, &bad) {
 		return &UsageError{Problem: bad.Error()}
 	}
-	log, err := logging.New(e.Stdout, s.LogLevel)
+	log, err := logging.NewBounded(e.Stdout, s.LogLevel)
 	if err != nil {
 		return &UsageError{Problem: err.Error()}
 	}
-	n, err := front.New(s, log)
+	defer log.Close()
+	n, err := front.New(s, log.Logger)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/logging/bounded.go
@@ -0,0 +1,131 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// linesFirst is how many lines of one event are written in a second before
+	// the rest is thinned out: a node that serves 60 requests a second writes
+	// 60 lines that end them and fewer others.
+	linesFirst = 200
+	// linesThereafter is one in how many of the rest is written.
+	linesThereafter = 20
+	// bufferLines is how many lines may wait for a slow reader of the output.
+	bufferLines = 2048
+	// summaryEvery is how often the count of lines that were left out is told.
+	summaryEvery = 5 * time.Second
+)
+
+type (
+	// Bounded is a logger that never blocks its callers and whose volume is
+	// bounded. Lines that were left out are counted in a line of their own.
+	Bounded struct {
+		*zap.Logger
+
+		lines   chan []byte
+		out     io.Writer
+		dropped atomic.Int64 // lines for which there was no room
+		mu      sync.Mutex
+		thinned map[string]int64 // lines that were thinned out, by event
+		done    chan struct{}
+		end     chan struct{}
+	}
+
+	// queue hands lines to the writer.
+	queue struct{ b *Bounded }
+)
+
+// NewBounded returns a logger that writes to w from a level on. Close writes
+// what waits. The error is a *LevelError.
+func NewBounded(w io.Writer, level string) (*Bounded, error) {
+	b := &Bounded{lines: make(chan []byte, bufferLines), out: w, thinned: map[string]int64{},
+		done: make(chan struct{}), end: make(chan struct{})}
+	l, err := New(queue{b}, level)
+	if err != nil {
+		return nil, err
+	}
+	b.Logger = l.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, linesFirst, linesThereafter, zapcore.SamplerHook(b.sampled))
+	}))
+	go b.write()
+	return b, nil
+}
+
+// Write takes a line, or counts it if there is no room.
+func (q queue) Write(p []byte) (int, error) {
+	select {
+	case q.b.lines <- append([]byte(nil), p...):
+	default:
+		q.b.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// sampled counts lines that are thinned out.
+func (b *Bounded) sampled(e zapcore.Entry, d zapcore.SamplingDecision) {
+	if d&zapcore.LogDropped == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.thinned[e.Message]++
+}
+
+// write writes lines until Close.
+func (b *Bounded) write() {
+	defer close(b.done)
+	t := time.NewTicker(summaryEvery)
+	defer t.Stop()
+	for {
+		select {
+		case p := <-b.lines:
+			_, _ = b.out.Write(p) // there is nowhere to tell of it
+		case <-t.C:
+			b.summary()
+		case <-b.end:
+			b.rest()
+			b.summary()
+			b.rest()
+			return
+		}
+	}
+}
+
+// rest writes the lines that wait.
+func (b *Bounded) rest() {
+	for {
+		select {
+		case p := <-b.lines:
+			_, _ = b.out.Write(p)
+		default:
+			return
+		}
+	}
+}
+
+// summary tells how many lines were left out since the last one.
+func (b *Bounded) summary() {
+	if n := b.dropped.Swap(0); n > 0 {
+		b.Warn("log-lines-dropped", zap.Int64("count", n))
+	}
+	b.mu.Lock()
+	thinned := b.thinned
+	b.thinned = map[string]int64{}
+	b.mu.Unlock()
+	for event, n := range thinned {
+		b.Warn("log-lines-thinned", zap.String("of", event), zap.Int64("count", n))
+	}
+}
+
+// Close writes what waits and ends the writer.
+func (b *Bounded) Close() {
+	close(b.end)
+	<-b.done
+}
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,55 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/internal/logging"
+)
+
+// stuck is a reader of the output that doesn't read until it is told to.
+type stuck struct {
+	bytes.Buffer
+	free chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	return s.Buffer.Write(p)
+}
+
+func TestALoggerNeverWaitsForItsReader(t *testing.T) {
+	w := &stuck{free: make(chan struct{})}
+	log, err := logging.NewBounded(w, "info")
+	require.NoError(t, err)
+	for i := range 5000 { // more than wait at most; each event has its own name
+		log.Info("event-"+strings.Repeat("x", i%50), zap.Int("n", i))
+	}
+	close(w.free)
+	log.Close()
+	text := w.String()
+	require.True(t, strings.Contains(text, "event=log-lines-dropped"), "the lines that were dropped are counted")
+	require.Less(t, strings.Count(text, "\n"), 3000)
+}
+
+func TestLinesOfOneEventAreThinnedAndCounted(t *testing.T) {
+	w := &bytes.Buffer{}
+	log, err := logging.NewBounded(w, "info")
+	require.NoError(t, err)
+	for i := range 1000 {
+		log.Info("same", zap.Int("n", i))
+	}
+	log.Info("other")
+	log.Close()
+	text := w.String()
+	require.Less(t, strings.Count(text, "event=same"), 500)
+	require.Contains(t, text, "event=other")
+	require.Contains(t, text, "event=log-lines-thinned of=same count=")
+	_, err = logging.NewBounded(w, "loud")
+	var level *logging.LevelError
+	require.ErrorAs(t, err, &level)
+}
