Let nodes that the store turns away join through another; learn the lease from its holder

Such a node asks the seeds of its settings for their copy; the one that answers writes its row, so that the holder accepts its key. A rival that heard the holder's digests didn't know the version of the lease row and waited 3.5 s more after the holder fell silent (lease won at 30.4 s, store back at 26.0 s). The holder now tells its row with each digest.

--- a/core/leader/doc.go
+++ b/core/leader/doc.go
@@ -10,6 +10,11 @@
 // that the row is still the one it saw. The epoch fences orders: engines
 // refuse one that is lower than any they have seen.
 //
+// The row may be learned from the holder itself: it tells a version only after
+// it has written it, so a rival that counts from then waits no less than one
+// that reads the store. Without that, rivals that hear the holder and don't read
+// would begin to wait only once it has fallen silent.
+//
 // The holder counts its lease from the moment before it sent the renewal. When
 // a renewal has no answer its fate is open: the next one learns of it from the
 // row that the store returns.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -48,6 +48,10 @@
 		// needn't ask the store; nil for never.
 		Fed func() bool
 
+		// Ask asks another node for its copy when a table can't be read, nil for
+		// never.
+		Ask func(ctx context.Context)
+
 		operator table
 		server   table
 	}
@@ -125,6 +129,10 @@
 		}
 		if err != nil {
 			t.miss(err)
+			if whole && t.f.Ask != nil {
+				t.f.Ask(ctx)
+				whole = t.empty()
+			}
 			if !sleep(ctx, b.NextBackOff()) {
 				return
 			}
@@ -135,6 +143,13 @@
 	}
 }
 
+// empty tells whether nothing is known of the table.
+func (t *table) empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows) == 0
+}
+
 // rest waits while another node passes changes on. It returns whether that
 // node knows of a newer version of a table that must be read whole.
 func (t *table) rest(ctx context.Context) bool {
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -13,6 +13,14 @@
 		Servers  int64
 	}
 
+	// Copy is all that a node has of the tables.
+	Copy struct {
+		Operator []platform.Row `json:"operator"`
+		Servers  []platform.Row `json:"servers"`
+		Version  int64          `json:"version"` // of the table of servers
+		Age      time.Duration  `json:"age"`
+	}
+
 	// Update is what another node has beyond that.
 	Update struct {
 		Operator int64 // version of the newest configuration row
@@ -86,3 +94,33 @@
 	}
 	t.take(u.Servers, u.Version)
 }
+
+// Copy returns all that this node has; ok is false if that isn't whole.
+func (f *Follower) Copy(now time.Time) (Copy, bool) {
+	c := Copy{Operator: f.operator.all(), Servers: f.server.all(), Version: f.server.Version(), Age: f.Age(now)}
+	return c, len(c.Operator) > 0 && len(c.Servers) > 0
+}
+
+// all returns the rows of the table.
+func (t *table) all() []platform.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := make([]platform.Row, 0, len(t.rows))
+	for _, r := range t.rows {
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+// Load takes in another node's copy. Newer rows that are here stay.
+func (f *Follower) Load(now time.Time, c Copy) {
+	f.operator.load(c.Operator, 0)
+	f.Take(now, Update{Servers: c.Servers, Version: c.Version})
+}
+
+// load takes in rows.
+func (t *table) load(rows []platform.Row, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.take(rows, version)
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -121,6 +121,7 @@
 		n.holderHas.Store(p.Update.Version)
 		if l.Key != n.key.Fingerprint() {
 			n.fed(p.Update)
+			n.placer.Learn(p.Lease)
 		}
 	}
 }
@@ -190,6 +191,7 @@
 		}
 		n.granter.Running(n.hub.Counts())
 		p.Update = n.follower.Since(time.Now(), r.Known)
+		p.Lease = n.placer.LeaseRow()
 	}
 	return p
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,6 +30,7 @@
 type fleetRig struct {
 	t     *testing.T
 	store *standin.Store
+	seeds []string
 	nodes []*process
 }
 
@@ -51,8 +52,8 @@
 func (f *fleetRig) start(name string) *process {
 	f.t.Helper()
 	p := &process{done: make(chan error, 1), settings: front.Settings{Node: name, DataCentre: "z", Clients: free(f.t), Ready: free(f.t),
-		Peers: free(f.t), Metrics: free(f.t), Store: f.store.Address(), MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
-		LoadWindowS: 5, CheckEpochs: true}}
+		Peers: free(f.t), Metrics: free(f.t), Control: free(f.t), Store: f.store.Address(), MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
+		LoadWindowS: 5, CheckEpochs: true, Seeds: f.seeds}}
 	n, err := front.New(p.settings, zap.NewNop())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -190,8 +191,26 @@
 	p.done <- nil // for the end of the test
 }
 
+func TestANodeThatTheStoreTurnsAwayJoinsThroughAnother(t *testing.T) {
+	f, _, _ := newFleet(t, 2)
+	away := standin.NewStore(t)
+	away.Outage(true)
+	f.seeds = []string{free(t), f.nodes[0].settings.Control}
+	served := f.store
+	f.store = away
+	p := f.start("late")
+	f.store = served
+	require.Eventually(t, p.ready, 5*time.Second, 5*time.Millisecond)
+	status, body := p.get(t, "/calls/x", "c1", "")
+	require.Equal(t, 200, status, body)
+	require.Eventually(t, func() bool {
+		status, _ := p.get(t, "/plans/x", "p1", "m0/a1")
+		return status == 200
+	}, 5*time.Second, 5*time.Millisecond, "the holder accepts its key, since another node vouched for it")
+}
+
 func TestSettingsAreChecked(t *testing.T) {
-	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","store":"1.2.3.4:5",
+	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","control":"1.2.3.4:6","seeds":["1.2.3.4:6"],"store":"1.2.3.4:5",
 "memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"engines-check-epochs":true,"log-level":"info"}`
 	file := filepath.Join(t.TempDir(), "node.json")
 	write := func(text string) error {
@@ -204,6 +223,7 @@
 		"unknown name": {`"node":"n"`, `"nodes":"n"`, "nodes"},
 		"no node":      {`"node":"n"`, `"node":""`, "$.node"},
 		"bad address":  {`"1.2.3.4:3"`, `"here"`, "$.peers"},
+		"bad seed":     {`["1.2.3.4:6"]`, `["there"]`, "$.seeds[0]"},
 		"bad memory":   {`284`, `0`, "$.memory-mb"},
 		"few sockets":  {`4100`, `20`, "$.descriptors"},
 		"no grace":     {`"grace-s":8`, `"grace-s":0`, "$.grace-s"},
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -73,6 +73,7 @@
 	holderHas atomic.Int64 // version of the holder's copy of the table of servers
 	peers     trust
 	contact   contact
+	seeds     clientCache
 	listeners []net.Listener
 }
 
@@ -99,7 +100,7 @@
 	n.granter = &granter.Granter{Log: log}
 	n.placer = n.newPlacer()
 	n.granter.Adapter = n.placer.Want
-	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed}
+	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Ask: n.join}
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
 	n.probes = &http1.Server{Handler: readiness{n}}
@@ -167,6 +168,7 @@
 		{n.settings.Clients, n.clients.Serve},
 		{n.settings.Ready, n.probes.Serve},
 		{n.settings.Metrics, n.serveMetrics},
+		{n.settings.Control, n.serveControl},
 	} {
 		l, err := net.Listen("tcp4", x.address)
 		if err != nil {
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -11,20 +11,22 @@
 type (
 	// Settings of a node, read from a JSON file.
 	Settings struct {
-		Node        string  `json:"node"`
-		DataCentre  string  `json:"data-centre"`
-		Clients     string  `json:"clients"`       // IP:port for clients
-		Ready       string  `json:"ready"`         // IP:port for readiness probes
-		Peers       string  `json:"peers"`         // IP:port for other nodes, UDP
-		Metrics     string  `json:"metrics"`       // IP:port for counters
-		Store       string  `json:"store"`         // IP:port of the platform's store
-		MemoryMB    int     `json:"memory-mb"`     // bound of the process
-		Descriptors int     `json:"descriptors"`   // bound of open files and sockets
-		GraceS      float64 `json:"grace-s"`       // from SIGTERM to SIGKILL
-		LeaseMS     int     `json:"lease-ms"`      // time to live of the lease on orders
-		LoadWindowS float64 `json:"load-window-s"` // over which loads from the weight store are counted
-		CheckEpochs bool    `json:"engines-check-epochs"`
-		LogLevel    string  `json:"log-level"`
+		Node        string   `json:"node"`
+		DataCentre  string   `json:"data-centre"`
+		Clients     string   `json:"clients"`       // IP:port for clients
+		Ready       string   `json:"ready"`         // IP:port for readiness probes
+		Peers       string   `json:"peers"`         // IP:port for other nodes, UDP
+		Metrics     string   `json:"metrics"`       // IP:port for counters
+		Control     string   `json:"control"`       // IP:port for nodes that the store doesn't serve
+		Seeds       []string `json:"seeds"`         // control addresses of other nodes; some may be stale
+		Store       string   `json:"store"`         // IP:port of the platform's store
+		MemoryMB    int      `json:"memory-mb"`     // bound of the process
+		Descriptors int      `json:"descriptors"`   // bound of open files and sockets
+		GraceS      float64  `json:"grace-s"`       // from SIGTERM to SIGKILL
+		LeaseMS     int      `json:"lease-ms"`      // time to live of the lease on orders
+		LoadWindowS float64  `json:"load-window-s"` // over which loads from the weight store are counted
+		CheckEpochs bool     `json:"engines-check-epochs"`
+		LogLevel    string   `json:"log-level"`
 	}
 
 	// SettingsError means that a settings file can't be used.
@@ -65,13 +67,18 @@
 // check returns the first setting that can't be used.
 func (s Settings) check() *SettingsError {
 	addresses := []struct{ path, value string }{
-		{"clients", s.Clients}, {"ready", s.Ready}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store},
+		{"clients", s.Clients}, {"ready", s.Ready}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"control", s.Control}, {"store", s.Store},
 	}
 	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return &SettingsError{Path: a.path, Reason: err.Error()}
 		}
 	}
+	for i, a := range s.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return &SettingsError{Path: fmt.Sprintf("seeds[%d]", i), Reason: err.Error()}
+		}
+	}
 	switch {
 	case s.Node == "":
 		return &SettingsError{Path: "node", Reason: "is missing"}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -7,6 +7,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/grant"
 	"guavapaddle/internal/follow"
+	"guavapaddle/platform"
 )
 
 const (
@@ -62,6 +63,7 @@
 		Notes   []Note
 		Marks   []Mark
 		Update  follow.Update // of the store's tables
+		Lease   platform.Row  // as the holder last wrote it
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// Learn takes in the row as another node has it.
+func (p *Placer) Learn(r platform.Row) {
+	if r.Version == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observe([]platform.Row{r})
+}
+
+// LeaseRow returns the row as last seen, with version zero if it wasn't.
+func (p *Placer) LeaseRow() platform.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.Keeper.Leader()
+	value, err := json.Marshal(l)
+	if !ok || err != nil {
+		return platform.Row{}
+	}
+	version, _, _ := p.Keeper.Release()
+	return platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
+}
+
 // read reads the row.
 func (p *Placer) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
