Take the lease of an earlier process of the same node at once

Cause: when all nodes lose power together the restarted holder waited for its own lease to lapse, 3.5 s without adapters and loads.

--- a/core/leader/doc.go
+++ b/core/leader/doc.go
@@ -15,6 +15,10 @@
 // that reads the store. Without that, rivals that hear the holder and don't read
 // would begin to wait only once it has fallen silent.
 //
+// A process takes the lease of an earlier process of its own node at once, since
+// that one must have ended. When all nodes lose power together this saves the
+// time to live, in which no adapter or model would be loaded.
+//
 // The holder counts its lease from the moment before it sent the renewal. When
 // a renewal has no answer its fate is open: the next one learns of it from the
 // row that the store returns.
--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -71,7 +71,9 @@
 		return l, k.version, now >= k.until-k.TTL+k.TTL/renewals
 	}
 	l.Epoch++
-	lapsed := k.version == 0 || k.seen.Node == "" || now-k.since >= k.TTL+k.TTL/marginPart
+	// An earlier process of this node has ended: this one has its ports.
+	own := k.seen.Node == k.Self.Node
+	lapsed := k.version == 0 || k.seen.Node == "" || own || now-k.since >= k.TTL+k.TTL/marginPart
 	return l, k.version, lapsed
 }
 
--- a/core/leader/keeper_test.go
+++ b/core/leader/keeper_test.go
@@ -96,3 +96,13 @@
 	require.True(t, ok)
 	require.EqualValues(t, 5, l.Epoch)
 }
+
+func TestARestartedNodeTakesItsOwnLeaseAtOnce(t *testing.T) {
+	k := keeper("a")
+	k.Observe(0, leader.Lease{Node: "a", Incarnation: "earlier", Epoch: 4}, 20)
+	require.False(t, k.Mine())
+	l, v, ok := k.Propose(0)
+	require.True(t, ok)
+	require.EqualValues(t, 20, v)
+	require.EqualValues(t, 5, l.Epoch)
+}
