--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -15,6 +15,16 @@
 	// promptRate is the prompt tokens that an engine reads in a millisecond
 	// before any was measured; the users' sheets say 19 to 22.
 	promptRate = 20.0
+	// paceFirst is the time from a send to the first byte beside the reading of
+	// the prompt: the way, and the first steps of the engine.
+	paceFirst = 12 * time.Millisecond
+	// paceTokens is how long a prompt must be for its time to tell the pace.
+	paceTokens = 400
+	// paceLeast and paceMost bound what is learned; models differ by a factor of
+	// three to four.
+	paceLeast, paceMost = 0.15, 3.0
+	// paceSmoothing is the part of a new sample in a model's learned pace.
+	paceSmoothing = 0.1
 	// runningTokens is what a running stream costs others, as prompt tokens: it
 	// adds some 0.04 ms to each step of about 8 ms while a prompt of a thousand
 	// tokens takes 50 ms.
@@ -75,7 +85,10 @@
 	// Ticket is a request that is at a server.
 	Ticket struct {
 		server *server
-		tokens int
+		model  string
+		read   int  // prompt tokens that the server has to read
+		alone  bool // nothing else was unread there
+		tokens int  // read, in tokens of a model of pace one
 		sent   time.Time
 		wait   time.Duration
 		first  bool
@@ -92,6 +105,7 @@
 	// Picture is what a node knows of all backend servers.
 	Picture struct {
 		rng     *rand.Rand
+		pace    map[string]float64 // by model: time to read a prompt, relative to promptRate
 		servers map[string]*server
 		groups  map[string][]*server // by service, in order of ids
 	}
@@ -146,7 +160,7 @@
 
 // New returns an empty picture that draws from rng.
 func New(rng *rand.Rand) *Picture {
-	return &Picture{rng: rng, servers: map[string]*server{}, groups: map[string][]*server{}}
+	return &Picture{rng: rng, pace: map[string]float64{}, servers: map[string]*server{}, groups: map[string][]*server{}}
 }
 
 // Update replaces the list of servers and keeps what is known of those that
@@ -194,7 +208,7 @@
 		return Choice{}, why
 	}
 	s := p.cheapest(now, fit, r)
-	return Choice{Server: s.Server, Wait: s.wait(now, r), Age: now.Sub(s.othersAt)}, Picked
+	return Choice{Server: s.Server, Wait: p.wait(now, s, r), Age: now.Sub(s.othersAt)}, Picked
 }
 
 // PickRoom picks the cheapest of all servers where the request's prompt fits
@@ -211,17 +225,17 @@
 	p.rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
 	for _, s := range fit {
 		n := s.count(now)
-		if n.Pending > 0 && n.Tokens+s.missing(now, r) > tokens || float64(n.Pending+n.Running) >= part*float64(s.Slots) {
+		if n.Pending > 0 && n.Tokens+p.work(now, s, r) > tokens || float64(n.Pending+n.Running) >= part*float64(s.Slots) {
 			continue
 		}
-		if c := s.cost(now, r); best == nil || c < least {
+		if c := p.cost(now, s, r); best == nil || c < least {
 			best, least = s, c
 		}
 	}
 	if best == nil {
 		return Choice{}, Busy
 	}
-	return Choice{Server: best.Server, Wait: best.wait(now, r), Age: now.Sub(best.othersAt)}, Picked
+	return Choice{Server: best.Server, Wait: p.wait(now, best, r), Age: now.Sub(best.othersAt)}, Picked
 }
 
 // fit returns the servers that could run the request: those that aren't
@@ -266,7 +280,7 @@
 	}
 	best, least := fit[0], 0.0
 	for i, s := range fit[:n] {
-		c := s.cost(now, r)
+		c := p.cost(now, s, r)
 		if i == 0 || c < least {
 			best, least = s, c
 		}
@@ -275,8 +289,8 @@
 }
 
 // cost returns what decides between servers, in milliseconds.
-func (s *server) cost(now time.Time, r Request) float64 {
-	c := float64(s.wait(now, r)) / float64(time.Millisecond)
+func (p *Picture) cost(now time.Time, s *server, r Request) float64 {
+	c := float64(p.wait(now, s, r)) / float64(time.Millisecond)
 	if s.Zone != r.Zone {
 		c = c*awayZone + 1
 	}
@@ -284,17 +298,31 @@
 }
 
 // wait estimates the time until the server begins the request.
-func (s *server) wait(now time.Time, r Request) time.Duration {
+func (p *Picture) wait(now time.Time, s *server, r Request) time.Duration {
 	n := s.count(now)
 	if r.Model == "" {
 		perSlot := float64(n.Pending+n.Running) / float64(max(1, s.Slots))
 		base := float64(max(s.base, 5*time.Millisecond))
 		return time.Duration(base * (0.2 + perSlot) * s.slowness)
 	}
-	tokens := n.Tokens + n.Running*runningTokens + s.missing(now, r)
+	tokens := n.Tokens + n.Running*runningTokens + p.work(now, s, r)
 	return time.Duration(float64(tokens) / promptRate * s.slowness * float64(time.Millisecond))
 }
 
+// Pace returns how long a model's prompts take to be read, relative to
+// promptRate; 1 before it was learned.
+func (p *Picture) Pace(model string) float64 {
+	if v, ok := p.pace[model]; ok {
+		return v
+	}
+	return 1
+}
+
+// work returns what the server has to read, in tokens of a model of pace one.
+func (p *Picture) work(now time.Time, s *server, r Request) int {
+	return int(float64(s.missing(now, r)) * p.Pace(r.Model))
+}
+
 // missing returns the prompt tokens that the server has to read: what follows
 // the first part that it isn't known to keep.
 func (s *server) missing(now time.Time, r Request) int {
@@ -354,7 +382,8 @@
 	if s == nil {
 		return nil
 	}
-	t := &Ticket{server: s, tokens: s.missing(now, r), sent: now, wait: s.wait(now, r)}
+	t := &Ticket{server: s, model: r.Model, read: s.missing(now, r), alone: s.count(now).Pending == 0,
+		tokens: p.work(now, s, r), sent: now, wait: p.wait(now, s, r)}
 	s.own.Pending++
 	s.own.Tokens += t.tokens
 	if len(s.parts) > partsMost {
@@ -376,6 +405,17 @@
 	t.server.own.Tokens -= t.tokens
 	t.server.own.Running++
 	t.server.learn(now.Sub(t.sent), t)
+	p.learn(now.Sub(t.sent), t)
+}
+
+// learn takes the pace of a model from a prompt that was read alone.
+func (p *Picture) learn(took time.Duration, t *Ticket) {
+	if t.model == "" || !t.alone || t.read < paceTokens {
+		return
+	}
+	one := float64(t.read) / promptRate * float64(time.Millisecond)
+	sample := min(max(float64(took-paceFirst)/one, paceLeast), paceMost)
+	p.pace[t.model] = p.Pace(t.model) + paceSmoothing*(sample-p.Pace(t.model))
 }
 
 // learn compares the time to the first byte with the estimate.
--- a/core/balance/picture_test.go
+++ b/core/balance/picture_test.go
@@ -107,3 +107,23 @@
 		p.PickRoom(now, r, 2000, 0.85)
 	}
 }
+
+// TestThePaceOfAModelIsLearned plays a model whose prompts are read three times
+// as fast as another's.
+func TestThePaceOfAModelIsLearned(t *testing.T) {
+	s := engine("a", false)
+	s.Held = append(s.Held, fleet.Held{Model: "fast"})
+	p := picture(s)
+	at := now
+	for range 60 {
+		for model, took := range map[string]time.Duration{"m": 62 * time.Millisecond, "fast": 28 * time.Millisecond} {
+			ticket := p.Sent(at, "a", balance.Request{Service: "llm", Model: model, Tokens: 1000})
+			at = at.Add(took)
+			p.First(at, ticket)
+			p.Done(at, ticket, balance.Good)
+		}
+	}
+	require.InDelta(t, 1, p.Pace("m"), 0.05)
+	require.InDelta(t, 0.32, p.Pace("fast"), 0.05)
+	require.EqualValues(t, 1, p.Pace("unknown"))
+}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -126,6 +126,7 @@
 		Began:     n.granter.Reset,
 		Lacking:   n.granter.Waiting,
 		Noted:     n.granter.Note,
+		Pace:      n.granter.Pace,
 	}
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -237,6 +237,16 @@
 	return out
 }
 
+// Pace returns how long a model's prompts take to be read, relative to others.
+func (g *Granter) Pace(model string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.picture == nil {
+		return 1
+	}
+	return g.picture.Pace(model)
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,9 +47,10 @@
 		Window    time.Duration // over which loads from the weight store are counted
 		Reachable func() bool   // the holder answered of late
 		Ordered   func(verdict string)
-		Began     func()                // the lease was won
-		Lacking   func() map[string]int // requests that wait for a model without a copy
-		Noted     func(n hub.Note)      // what an engine holds has changed
+		Began     func()                     // the lease was won
+		Lacking   func() map[string]int      // requests that wait for a model without a copy
+		Noted     func(n hub.Note)           // what an engine holds has changed
+		Pace      func(model string) float64 // time to read a prompt, relative to other models
 
 		mu       sync.Mutex
 		config   *fleet.Config
@@ -163,7 +164,7 @@
 	}
 	p.waiting = lacking
 	for _, d := range list {
-		p.demand[d.Model] += float64(d.Tokens) / demandLife.Seconds()
+		p.demand[d.Model] += float64(d.Tokens) * p.Pace(d.Model) / demandLife.Seconds()
 		p.waiting[d.Model] += d.Waiting
 		if d.Adapter != "" {
 			p.used(now, d)
