Refuse a request that waits in vain at once, with a time to come back

Cause: under overload a request waited two seconds at the holder and was refused then, though the rate of grants told long before that its turn wouldn't come. Kept for the callers, who hear 1.5 s earlier and when to come back.

--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -14,9 +14,18 @@
 	// Part is the default part of an engine's slots that running streams may
 	// take.
 	Part = 0.85
-	// comeBack is when a refused client may come back: the time in which a
-	// queue that is full for seconds has moved on.
+	// comeBack is when a refused client may come back where the queue doesn't
+	// tell: a model may be loaded by then.
 	comeBack = time.Second
+	// comeBackLeast and comeBackMost bound what the queue tells: a client that
+	// comes back sooner meets the same queue, one that comes later may have no
+	// time left.
+	comeBackLeast = 400 * time.Millisecond
+	comeBackMost  = 4 * time.Second
+	// rateWindow is over which the grants for an item are counted.
+	rateWindow = time.Second
+	// rateLeast is how many grants in it tell a rate.
+	rateLeast = 3
 )
 
 type (
@@ -55,6 +64,7 @@
 		look     map[*group]bool // groups that may have a place now
 		items    map[uint64]Item // of waiting requests
 		granted  map[uint64]held
+		rates    map[Item]*rate
 	}
 
 	// held is a grant that wasn't released yet.
@@ -71,6 +81,14 @@
 		late  []Request
 		why   balance.Why // of the last look
 	}
+
+	// rate counts the grants for an item.
+	rate struct {
+		first  time.Time // begin of the first window of a row of them
+		since  time.Time // begin of the present window
+		now    int       // in it
+		before int       // in the one before
+	}
 )
 
 // New returns a scheduler that decides by a picture, which it changes.
@@ -82,7 +100,7 @@
 		s.Part = Part
 	}
 	return &Scheduler{settings: s, picture: p, groups: map[Item]*group{}, look: map[*group]bool{},
-		items: map[uint64]Item{}, granted: map[uint64]held{}}
+		items: map[uint64]Item{}, granted: map[uint64]held{}, rates: map[Item]*rate{}}
 }
 
 // Offer adds a request. Next decides about it.
@@ -209,9 +227,10 @@
 		g.fresh = fresh
 		late := g.late[:0]
 		for _, r := range g.late {
-			if now.After(r.Expire) {
+			after, hopeless := s.hopeless(now, g, r, len(g.fresh)+len(late))
+			if hopeless {
 				delete(s.items, r.ID)
-				out = append(out, Decision{ID: r.ID, Why: g.why, After: comeBack})
+				out = append(out, Decision{ID: r.ID, Why: g.why, After: after})
 				continue
 			}
 			late = append(late, r)
@@ -223,6 +242,51 @@
 	return out
 }
 
+// hopeless tells whether a request behind so many others won't begin before it
+// expires, by the rate at which its item was granted of late, and when its
+// client may come back. To refuse it at once is better for its caller than to
+// hold it until it expires.
+func (s *Scheduler) hopeless(now time.Time, g *group, r Request, ahead int) (time.Duration, bool) {
+	if now.After(r.Expire) {
+		return comeBack, true
+	}
+	v := s.rates[g.item]
+	if v == nil || g.why != balance.Busy {
+		return 0, false
+	}
+	perSecond, known := v.get(now)
+	if !known {
+		return 0, false
+	}
+	wait := time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+	return min(max(wait, comeBackLeast), comeBackMost), wait > r.Expire.Sub(now)
+}
+
+// count notes a grant.
+func (v *rate) count(now time.Time) {
+	v.roll(now)
+	v.now++
+}
+
+// roll begins a new window if the present one has passed.
+func (v *rate) roll(now time.Time) {
+	switch age := now.Sub(v.since); {
+	case age >= 2*rateWindow:
+		v.first, v.since, v.now, v.before = now, now, 0, 0
+	case age >= rateWindow:
+		v.since, v.now, v.before = v.since.Add(rateWindow), 0, v.now
+	}
+}
+
+// get returns the grants a second of late, if there were enough to tell.
+func (v *rate) get(now time.Time) (float64, bool) {
+	v.roll(now)
+	part := float64(now.Sub(v.since)) / float64(rateWindow)
+	n := float64(v.now) + float64(v.before)*(1-part)
+	span := min(rateWindow, now.Sub(v.first))
+	return n / span.Seconds(), n >= rateLeast && span >= rateWindow/4
+}
+
 // Next grants all places that there are now.
 func (s *Scheduler) Next(now time.Time) []Decision {
 	var out []Decision
@@ -238,12 +302,23 @@
 		s.granted[r.ID] = held{server: c.Server.ID, ticket: s.picture.Sent(now, c.Server.ID, r.Pick)}
 		out = append(out, Decision{ID: r.ID, Granted: true, Choice: c})
 		delete(s.items, r.ID)
+		s.counted(now, g.item)
 		g.pop()
 		s.tidy(g)
 	}
 	return out
 }
 
+// counted notes a grant for an item.
+func (s *Scheduler) counted(now time.Time, i Item) {
+	v := s.rates[i]
+	if v == nil {
+		v = &rate{first: now, since: now}
+		s.rates[i] = v
+	}
+	v.count(now)
+}
+
 // first returns the group to look at whose head is the most urgent.
 func (s *Scheduler) first() *group {
 	var best *group
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -169,3 +169,35 @@
 	require.Greater(t, waits, 500)
 	require.Less(t, worst, 200*time.Millisecond)
 }
+
+// TestAHopelessWaitEndsAtOnce plays an engine that begins ten requests a second
+// before forty that wait: those that can't begin before they expire are refused
+// long before that, with a time to come back after the queue ahead of them.
+func TestAHopelessWaitEndsAtOnce(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	at := start
+	s.Offer(request(1, "m", 2000, 1))
+	require.Len(t, s.Next(at), 1)
+	for id := uint64(2); id <= 41; id++ {
+		r := request(id, "m", 2000, 1)
+		r.Target, r.Expire = at.Add(300*time.Millisecond), at.Add(2*time.Second)
+		s.Offer(r)
+	}
+	running, refused := uint64(1), 0
+	for step := range 16 { // a tenth of a second each
+		at = at.Add(100 * time.Millisecond)
+		s.Release(at, running, balance.Good)
+		d := granted(s.Next(at))
+		require.Len(t, d, 1)
+		running = d[0]
+		for _, d := range s.Tick(at) {
+			refused++
+			require.Equal(t, balance.Busy, d.Why)
+			require.GreaterOrEqual(t, d.After, 400*time.Millisecond)
+			require.LessOrEqual(t, d.After, 4*time.Second)
+			require.Less(t, step, 12, "well before they expire")
+		}
+	}
+	require.Greater(t, refused, 15)
+	require.Less(t, refused, 26, "the twenty that can begin in two seconds stay")
+}
