--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,9 @@
 		print    uint64
 		last     string // last whole event that was passed on
 		begun    bool
-		gap      time.Duration // longest pause between events
+		rule     string         // who chose the server: "granted" by the holder, "picked" by this node
+		choice   balance.Choice // the last one
+		gap      time.Duration  // longest pause between events
 		outcome  outcome
 	}
 )
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -124,6 +124,7 @@
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.version), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
 		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.refusal)), zap.Int("status", o.status),
-		zap.String("server", o.server), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
+		zap.String("server", r.choice.Server.ID), zap.String("rule", r.rule), zap.Duration("estimate", r.choice.Wait),
+		zap.Duration("age", r.choice.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.first), zap.Duration("gap", r.gap), zap.Duration("took", took), zap.Error(o.err))
 }
--- /dev/null
+++ b/internal/gateway/reasons_test.go
@@ -0,0 +1,43 @@
+package gateway_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestEachReasonIsExplained compares the reasons in the code with the rows of
+// the operators' page, both ways.
+func TestEachReasonIsExplained(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "outcome.go", nil, 0)
+	require.NoError(t, err)
+	code := map[string]bool{"busy": true} // of core/balance, passed through
+	ast.Inspect(file, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || v.Type == nil {
+			return true
+		}
+		if name, ok := v.Type.(*ast.Ident); !ok || name.Name != "Reason" {
+			return true
+		}
+		lit, ok := v.Values[0].(*ast.BasicLit)
+		require.True(t, ok)
+		s, err := strconv.Unquote(lit.Value)
+		require.NoError(t, err)
+		code[s] = true
+		return true
+	})
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	rows := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\| [^|]+ \\| [^|]* \\| [^|]* \\|$").FindAllSubmatch(page, -1) {
+		rows[string(m[1])] = true
+	}
+	require.Equal(t, code, rows)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,6 +38,7 @@
 // send sends the request to a server and passes its answer on if it is one.
 func (r *request) send(c balance.Choice) (fate, Reason) {
 	t := &try{request: r, choice: c}
+	r.choice = c
 	began := time.Now()
 	result, f, reason := t.run()
 	t.freePlace(result)
@@ -48,7 +49,7 @@
 	}
 	r.g.mu.Unlock()
 	if f != answered || r.outcome.reason != Served {
-		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends),
+		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.Duration("estimate", c.Wait),
 			zap.Duration("age", c.Age), zap.Duration("took", time.Since(began)))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -164,6 +164,7 @@
 		changed := g.changed
 		g.mu.Unlock()
 		if why == balance.Picked {
+			r.rule = "picked"
 			if r.sends == 0 {
 				r.queued = time.Since(r.x.Received)
 			}
@@ -191,7 +192,7 @@
 // place asks the holder of the lease for a place. ok is false if the node has
 // to pick by itself.
 func (r *request) place(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
-	p := hub.Place{Item: w, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
+	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
 	for id := range r.exclude {
 		p.Exclude = append(p.Exclude, id)
@@ -230,6 +231,7 @@
 		r.queued = time.Since(r.x.Received)
 	}
 	r.release = release
+	r.rule = "granted"
 	return balance.Choice{Server: s, Wait: placed.Wait}, "", true
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -47,6 +47,8 @@
 
 	waiter struct {
 		place   hub.Place
+		since   time.Time
+		ahead   int // requests that waited when it came
 		decided chan grant.Decision
 	}
 )
@@ -131,7 +133,7 @@
 // Place waits until a request gets a place or is refused. release must be
 // called once if there is no error.
 func (g *Granter) Place(ctx context.Context, p hub.Place) (grant.Decision, func(balance.Result), error) {
-	w := waiter{place: p, decided: make(chan grant.Decision, 1)}
+	w := waiter{place: p, since: time.Now(), decided: make(chan grant.Decision, 1)}
 	g.mu.Lock()
 	if g.schedule == nil {
 		g.mu.Unlock()
@@ -143,6 +145,7 @@
 	for _, s := range p.Lacks {
 		g.picture.Note(now, s, p.Model, p.Adapter, false)
 	}
+	w.ahead = g.schedule.Waiting()
 	g.waiters[id] = w
 	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority,
 		Target: now.Add(p.Target), Expire: now.Add(p.Expire)})
@@ -151,6 +154,7 @@
 	g.mu.Unlock()
 	select {
 	case d := <-w.decided:
+		w.log(g.Log, d)
 		return d, func(r balance.Result) { g.release(id, r) }, nil
 	case <-ctx.Done():
 		g.release(id, balance.Dropped)
@@ -158,6 +162,15 @@
 	}
 }
 
+// log tells how a wait ended and by what.
+func (w waiter) log(log *zap.Logger, d grant.Decision) {
+	log.Info("place", zap.String("request-id", w.place.Request), zap.Bool("granted", d.Granted), zap.String("why", string(d.Why)),
+		zap.String("server", d.Choice.Server.ID), zap.String("model", w.place.Model), zap.String("adapter", w.place.Adapter),
+		zap.Int("priority", w.place.Priority), zap.Int("tokens", w.place.Tokens), zap.Int("ahead", w.ahead),
+		zap.Duration("estimate", d.Choice.Wait), zap.Duration("age", d.Choice.Age), zap.Duration("waited", time.Since(w.since)),
+		zap.Duration("come-back", d.After))
+}
+
 // release ends a grant or a wait.
 func (g *Granter) release(id uint64, r balance.Result) {
 	g.mu.Lock()
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -30,7 +30,8 @@
 	// request may begin; the caller then says with a Released how the send went.
 	Place struct {
 		Item
-		Tokens   int // of the prompt
+		Request  string // id, for the log
+		Tokens   int    // of the prompt
 		Parts    []balance.Part
 		Zone     string
 		Exclude  []string // servers not to be picked
