Keep the place of an adapter that is ordered out while requests use it

Ruled out: models (their memory is followed by the engine's entry) and late orders (they carry a number that has passed). Now the place stays taken and the ledger is read again from the engine's report.

--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -25,7 +25,9 @@
 	adapterTries = 3
 	// adapterIdle is how long an adapter must not have been used before it
 	// makes room for another.
-	adapterIdle = 300 * time.Millisecond
+	adapterIdle = time.Second
+	// reportAge is how old what an engine reports may be.
+	reportAge = time.Second
 )
 
 // tell passes on what an engine holds before its entry says so.
@@ -156,6 +158,12 @@
 			return v, err
 		}
 		p.tell(hub.Note{Server: s.ID, Model: m, Adapter: a, Held: false})
+		if v == platform.Begun {
+			// Requests still use it: it keeps its place until they have ended.
+			e.known = false
+			p.block(e)
+			return platform.Full, nil
+		}
 		p.mu.Lock()
 		delete(e.adapters, victim)
 		p.mu.Unlock()
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -134,14 +134,33 @@
 	}
 	e.sequence = r.Sequence
 	e.known = true
+	e.reread(now, r)
+	return nil
+}
+
+// reread replaces the ledger's adapters by those of a report. The report is
+// some hundred milliseconds old, so what was ordered since stays.
+func (e *engine) reread(now time.Time, r platform.Report) {
+	there := map[string]time.Time{}
 	for _, list := range [][]fleet.Held{r.Held, r.Coming} {
 		for _, h := range list {
 			for _, a := range h.Adapters {
-				if _, ok := e.adapters[h.Model+"/"+a]; !ok {
-					e.adapters[h.Model+"/"+a] = now.Add(-demandLife)
+				key := h.Model + "/" + a
+				there[key] = now.Add(-demandLife)
+				if at, ok := e.adapters[key]; ok {
+					there[key] = at
 				}
 			}
 		}
 	}
-	return nil
+	for key, at := range e.ordered {
+		used, held := e.adapters[key]
+		if held && now.Sub(at) < reportAge {
+			there[key] = used
+		}
+		if now.Sub(at) > unsettled {
+			delete(e.ordered, key)
+		}
+	}
+	e.adapters = there
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -185,3 +185,26 @@
 	require.Contains(t, w.Models()["m0"], "a3")
 	require.False(t, a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "none", Adapter: "a1"}}).Found)
 }
+
+func TestAnAdapterInUseKeepsItsPlace(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0", "a1", "a2").Hold("m1").Start(t)
+	w.Use("m0", "a1", true)
+	w.Use("m0", "a2", true)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "holding", a.Holding)
+	want := func() bool {
+		return a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: "a3"}}).Found
+	}
+	eventually(t, "both places were asked for", func() bool {
+		require.False(t, want())
+		return len(w.Orders()) >= 2
+	})
+	require.Zero(t, w.MostAdapters(), "nothing was loaded into a place that is in use")
+	w.Use("m0", "a1", false)
+	w.Use("m0", "a2", false)
+	eventually(t, "a place is free", want)
+	require.LessOrEqual(t, w.MostAdapters(), 2)
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -18,7 +18,8 @@
 
 const (
 	models   = 4
-	adapters = 4
+	adapters = 6
+	places   = 4 // for adapters
 	engines  = 3
 	plains   = 3
 	clients  = 6
@@ -180,7 +181,7 @@
 			route("stream", "streaming", "llm", false, 1), route("resumable", "streaming", "llm", true, 3),
 			route(fmt.Sprint("v", version), "safe", "plain", false, 2)},
 		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "llm", "engine": map[string]any{
-			"slots": 8, "weights-mb": engineMB, "adapter-slots": 4, "loads-per-s": 4, "models": list}}},
+			"slots": 8, "weights-mb": engineMB, "adapter-slots": places, "loads-per-s": 4, "models": list}}},
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 8000}})
 	if err != nil {
 		panic(err) // of our own making
@@ -252,6 +253,9 @@
 	for _, w := range r.workers {
 		ids = append(ids, w.Runs()...)
 		r.check.Orders(w.ID, w.Orders())
+		if most := w.MostAdapters(); most > places {
+			r.check.Break("memory", "engine %s was to hold %d adapters in %d places", w.ID, most, places)
+		}
 		if most := w.MostModels(); most*modelMB > engineMB {
 			r.check.Break("memory", "engine %s was to hold %d models of %d MB", w.ID, most, modelMB)
 		}
