Let larger nodes hold the lease, and back off reports that fail

A smaller node than the last holder waits 1.5 s longer for the lease, the period of reports grows with the nodes, failed reports back off up to 2 s, and a connection is given up after 1.5 s of silence, not after each timeout.

--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -9,16 +9,25 @@
 	// marginPart is the part of the time to live that a rival waits longer, for
 	// clocks that run differently and answers that are on their way.
 	marginPart = 6
+	// smallerWait is how much longer a node with less processor than the last
+	// holder waits before it takes the lease, so that a larger one goes first. A
+	// node with a fifth of a core that took the lease of 65 was too slow to
+	// answer their handshakes, which all came at once, and held it all the same.
+	smallerWait = 1500 * time.Millisecond
+	// firstWait is the most that a node waits before it takes a lease that nobody
+	// has had, by how far it is from a whole core.
+	firstWait = 800 * time.Millisecond
 )
 
 type (
 	// Lease is the value of the lease row.
 	Lease struct {
-		Node        string `json:"node"`
-		Incarnation string `json:"incarnation"` // of the node's process
-		Address     string `json:"address"`     // where the holder takes digests
-		Key         string `json:"key"`         // fingerprint of the holder's certificate
-		Epoch       int64  `json:"epoch"`
+		Node        string  `json:"node"`
+		Incarnation string  `json:"incarnation"` // of the node's process
+		Address     string  `json:"address"`     // where the holder takes digests
+		Key         string  `json:"key"`         // fingerprint of the holder's certificate
+		Epoch       int64   `json:"epoch"`
+		Cores       float64 `json:"cores"` // processor of the holder
 	}
 
 	// Keeper holds what one node knows of the lease.
@@ -73,8 +82,24 @@
 	l.Epoch++
 	// An earlier process of this node has ended: this one has its ports.
 	own := k.seen.Node == k.Self.Node
-	lapsed := k.version == 0 || k.seen.Node == "" || own || now-k.since >= k.TTL+k.TTL/marginPart
-	return l, k.version, lapsed
+	return l, k.version, own || now-k.since >= k.patience()
+}
+
+// patience returns how long the row must have stood unchanged before this node
+// may take the lease.
+func (k *Keeper) patience() time.Duration {
+	switch {
+	case k.version == 0:
+		return time.Duration(max(0, 1-k.Self.Cores) * float64(firstWait))
+	case k.seen.Node == "" && k.Self.Cores >= k.seen.Cores:
+		return 0
+	case k.seen.Node == "":
+		return smallerWait
+	case k.Self.Cores >= k.seen.Cores:
+		return k.TTL + k.TTL/marginPart
+	default:
+		return k.TTL + k.TTL/marginPart + smallerWait
+	}
 }
 
 // Won notes that a proposal sent at a time was written.
--- a/core/leader/keeper_test.go
+++ b/core/leader/keeper_test.go
@@ -12,7 +12,7 @@
 const ttl = 3 * time.Second
 
 func keeper(node string) *leader.Keeper {
-	return &leader.Keeper{Self: leader.Lease{Node: node, Incarnation: "i"}, TTL: ttl}
+	return &leader.Keeper{Self: leader.Lease{Node: node, Incarnation: "i", Cores: 1}, TTL: ttl}
 }
 
 func TestALeaseIsTakenOnlyAfterItStoodUnchanged(t *testing.T) {
@@ -106,3 +106,28 @@
 	require.EqualValues(t, 20, v)
 	require.EqualValues(t, 5, l.Epoch)
 }
+
+func TestALargerNodeTakesTheLeaseFirst(t *testing.T) {
+	small, large := keeper("small"), keeper("large")
+	small.Self.Cores = 0.19
+	for _, k := range []*leader.Keeper{small, large} {
+		k.Observe(0, leader.Lease{}, 0)
+	}
+	_, _, ok := small.Propose(500 * time.Millisecond)
+	require.False(t, ok)
+	_, _, ok = large.Propose(0)
+	require.True(t, ok)
+	_, _, ok = small.Propose(800 * time.Millisecond)
+	require.True(t, ok, "if there is no larger one it takes it")
+
+	for _, k := range []*leader.Keeper{small, large} {
+		k.Observe(time.Second, leader.Lease{Node: "b", Incarnation: "i", Epoch: 1, Cores: 0.8}, 10)
+	}
+	lapsed := time.Second + ttl + ttl/6
+	_, _, ok = large.Propose(lapsed)
+	require.True(t, ok)
+	_, _, ok = small.Propose(lapsed + time.Second)
+	require.False(t, ok)
+	_, _, ok = small.Propose(lapsed + 1500*time.Millisecond)
+	require.True(t, ok)
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/leader"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/jsonhttp"
@@ -19,13 +21,23 @@
 const (
 	nodeTable = "node"
 
-	// exchangeEvery is how often a node reports to the holder of the lease.
+	// exchangeEvery is how often a node reports to the holder of the lease while
+	// there are few; with more nodes than periodNodes the period grows with
+	// them, so that the holder answers no more than 80 reports a second.
 	exchangeEvery = 200 * time.Millisecond
+	periodNodes   = 16
+	periodMost    = 800 * time.Millisecond
+	// backoffMost bounds the pause after exchanges that failed. Each may cost the
+	// holder a handshake, and a slow one must get the chance to answer.
+	backoffMost = 2 * time.Second
+	// redialAfter is how long the holder must have been silent before the
+	// connection is thought to be lost rather than slow.
+	redialAfter = 1500 * time.Millisecond
 	// exchangeTimeout bounds one exchange and the opening of a connection.
 	exchangeTimeout = 400 * time.Millisecond
-	// leaderSilent is how long the holder may be silent before the node looks
-	// for another one in the store.
-	leaderSilent = 700 * time.Millisecond
+	// leaderSilent is how long the holder may be silent, beyond a period, before
+	// the node looks for another one in the store.
+	leaderSilent = 500 * time.Millisecond
 	// staleFeed is the age from which on the holder's copy of the store's tables
 	// isn't trusted: a feed that works is heard of each second.
 	staleFeed = 1300 * time.Millisecond
@@ -92,7 +104,10 @@
 // exchange reports to the holder of the lease until ctx ends.
 func (n *Node) exchange(ctx context.Context) {
 	c := &hub.Client{Endpoint: n.endpoint}
-	for pause(ctx, exchangeEvery) {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = exchangeEvery, backoffMost
+	for wait := exchangeEvery; pause(ctx, wait); {
+		wait = n.period()
 		l, ok := n.placer.Leader()
 		if !ok || l.Node == "" {
 			continue
@@ -105,16 +120,19 @@
 		if l.Key == n.key.Fingerprint() {
 			p = n.Report(r)
 		} else {
-			call, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			call, cancel := context.WithTimeout(ctx, exchangeTimeout+n.period())
 			p, err = c.Exchange(call, l.Address, r)
 			cancel()
 		}
 		if err != nil || !p.Leading {
 			n.gateway.Keep(r.Marks)
-			n.lost(l.Node, err)
+			n.lost(l, err)
+			wait = b.NextBackOff()
 			continue
 		}
-		if was := n.reached.Swap(int64(bootClock())); was == 0 || time.Duration(int64(bootClock())-was) > leaderSilent {
+		b.Reset()
+		n.nodes.Store(int64(p.Nodes))
+		if was := n.reached.Swap(int64(bootClock())); was == 0 || time.Duration(int64(bootClock())-was) > n.silence() {
 			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 		}
 		n.gateway.Take(p)
@@ -149,21 +167,33 @@
 // beingFed tells whether the holder passes the store's changes on.
 func (n *Node) beingFed() bool {
 	at := n.fedAt.Load()
-	return at != 0 && bootClock()-time.Duration(at) < leaderSilent
+	return at != 0 && bootClock()-time.Duration(at) < n.silence()
 }
 
-// lost logs a failed exchange.
-func (n *Node) lost(leader string, err error) {
+// period returns how often this node reports.
+func (n *Node) period() time.Duration {
+	return min(max(exchangeEvery, exchangeEvery*time.Duration(n.nodes.Load())/periodNodes), periodMost)
+}
+
+// silence returns for how long the holder may be silent.
+func (n *Node) silence() time.Duration { return n.period() + leaderSilent }
+
+// lost logs a failed exchange, and gives a connection up that was silent for
+// long.
+func (n *Node) lost(l leader.Lease, err error) {
+	if at := n.reached.Load(); bootClock()-time.Duration(at) > redialAfter {
+		n.endpoint.Renew(l.Address)
+	}
 	if !n.leaderReached() {
 		n.contact.lose()
 	}
-	n.log.Warn("leader-silent", zap.String("leader", leader), zap.Error(err))
+	n.log.Warn("leader-silent", zap.String("leader", l.Node), zap.Error(err))
 }
 
 // leaderReached tells whether the holder answered of late.
 func (n *Node) leaderReached() bool {
 	at := n.reached.Load()
-	return at != 0 && bootClock()-time.Duration(at) < leaderSilent
+	return at != 0 && bootClock()-time.Duration(at) < n.silence()
 }
 
 // want asks the holder for a model or adapter.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -44,7 +44,7 @@
 func (f *fleetRig) start(name string) *process {
 	f.t.Helper()
 	p := &process{done: make(chan error, 1), settings: front.Settings{Node: name, DataCentre: "z", Clients: freeport.Take(), Ready: freeport.Take(),
-		Peers: freeport.Take(), Metrics: freeport.Take(), Control: freeport.Take(), Store: f.store.Address(), MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
+		Peers: freeport.Take(), Metrics: freeport.Take(), Control: freeport.Take(), Store: f.store.Address(), Cores: 1, MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
 		LoadWindowS: 5, CheckEpochs: true, Seeds: f.seeds}}
 	n, err := front.New(p.settings, zap.NewNop())
 	require.NoError(f.t, err)
@@ -203,7 +203,7 @@
 
 func TestSettingsAreChecked(t *testing.T) {
 	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","control":"1.2.3.4:6","seeds":["1.2.3.4:6"],"store":"1.2.3.4:5",
-"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"engines-check-epochs":true,"log-level":"info"}`
+"cores":0.4,"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"engines-check-epochs":true,"log-level":"info"}`
 	file := filepath.Join(t.TempDir(), "node.json")
 	write := func(text string) error {
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -216,6 +216,7 @@
 		"no node":      {`"node":"n"`, `"node":""`, "$.node"},
 		"bad address":  {`"1.2.3.4:3"`, `"here"`, "$.peers"},
 		"bad seed":     {`["1.2.3.4:6"]`, `["there"]`, "$.seeds[0]"},
+		"no cores":     {`"cores":0.4`, `"cores":0`, "$.cores"},
 		"bad memory":   {`284`, `0`, "$.memory-mb"},
 		"few sockets":  {`4100`, `20`, "$.descriptors"},
 		"no grace":     {`"grace-s":8`, `"grace-s":0`, "$.grace-s"},
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -70,6 +70,7 @@
 	servers   atomic.Bool  // the list was read
 	reached   atomic.Int64 // boot time of the holder's last answer
 	fedAt     atomic.Int64 // boot time at which it last passed the store's changes on
+	nodes     atomic.Int64 // that reported to the holder of late
 	holderHas atomic.Int64 // version of the holder's copy of the table of servers
 	peers     trust
 	contact   contact
@@ -116,7 +117,7 @@
 		Store: n.store, Engines: &platform.Engines{Client: engines.get}, Hub: n.hub, Log: n.log, Clock: bootClock,
 		Keeper: &leader.Keeper{
 			Self: leader.Lease{Node: n.settings.Node, Incarnation: n.key.Fingerprint()[:16],
-				Address: n.settings.Peers, Key: n.key.Fingerprint()},
+				Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores},
 			TTL: time.Duration(n.settings.LeaseMS) * time.Millisecond,
 		},
 		Fencing:   n.settings.CheckEpochs,
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -20,6 +20,7 @@
 		Control     string   `json:"control"`       // IP:port for nodes that the store doesn't serve
 		Seeds       []string `json:"seeds"`         // control addresses of other nodes; some may be stale
 		Store       string   `json:"store"`         // IP:port of the platform's store
+		Cores       float64  `json:"cores"`         // processor that the process may use
 		MemoryMB    int      `json:"memory-mb"`     // bound of the process
 		Descriptors int      `json:"descriptors"`   // bound of open files and sockets
 		GraceS      float64  `json:"grace-s"`       // from SIGTERM to SIGKILL
@@ -82,6 +83,8 @@
 	switch {
 	case s.Node == "":
 		return &SettingsError{Path: "node", Reason: "is missing"}
+	case s.Cores <= 0:
+		return &SettingsError{Path: "cores", Reason: "must be above zero"}
 	case s.MemoryMB <= 0:
 		return &SettingsError{Path: "memory-mb", Reason: "must be above zero"}
 	case s.Descriptors <= reservedDescriptors:
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -158,7 +158,6 @@
 	}
 	a, err := s.Read()
 	if err != nil {
-		c.Endpoint.Renew(address)
 		return err
 	}
 	return a.Decode(out)
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -19,7 +19,7 @@
 	// third of the time to live.
 	leaseTick = 150 * time.Millisecond
 	// searchEvery is how often a node that can't reach the holder reads the row.
-	searchEvery = 500 * time.Millisecond
+	searchEvery = 700 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 900 * time.Millisecond
 	// outageMost is how long orders go on when the store can't be reached and
@@ -197,7 +197,7 @@
 		return
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
-	value, err := json.Marshal(leader.Lease{Epoch: epoch})
+	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores})
 	if err != nil {
 		p.Log.Error("lease-encode", zap.Error(err))
 		return
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	n := &node{binary: binary, file: filepath.Join(dir, name+".json"), proxy: p, settings: front.Settings{
-		Node: name, DataCentre: "z", Store: p.Address(), MemoryMB: 300, Descriptors: 1000, GraceS: graceS, LeaseMS: leaseMS,
+		Node: name, DataCentre: "z", Store: p.Address(), Cores: 1, MemoryMB: 300, Descriptors: 1000, GraceS: graceS, LeaseMS: leaseMS,
 		LoadWindowS: 5, CheckEpochs: true, LogLevel: "info"}}
 	for _, a := range []*string{&n.settings.Clients, &n.settings.Ready, &n.settings.Peers, &n.settings.Metrics, &n.settings.Control} {
 		*a = freeport.Take()
