--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -208,7 +208,7 @@
 		return Choice{}, why
 	}
 	s := p.cheapest(now, fit, r)
-	return Choice{Server: s.Server, Wait: p.wait(now, s, r), Age: now.Sub(s.othersAt)}, Picked
+	return Choice{Server: s.Server, Wait: p.wait(now, s, r), Age: s.age(now)}, Picked
 }
 
 // PickRoom picks the cheapest of all servers where the request's prompt fits
@@ -235,7 +235,7 @@
 	if best == nil {
 		return Choice{}, Busy
 	}
-	return Choice{Server: best.Server, Wait: p.wait(now, best, r), Age: now.Sub(best.othersAt)}, Picked
+	return Choice{Server: best.Server, Wait: p.wait(now, best, r), Age: best.age(now)}, Picked
 }
 
 // fit returns the servers that could run the request: those that aren't
@@ -359,6 +359,14 @@
 	return n
 }
 
+// age returns the age of what other nodes said.
+func (s *server) age(now time.Time) time.Duration {
+	if s.othersAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.othersAt)
+}
+
 // holds tells whether the server has a model or adapter, by its entry and by
 // what was noted since.
 func (s *server) holds(now time.Time, model, adapter string) bool {
