Keep the place of an adapter that is on its way when an engine says it lacks it

After a restart many adapters are fetched at once and take longer than 150 ms; an engine answers 421 meanwhile, and the ledger then took the adapter's place for free and gave it to another. Ruled out: the previous holder's orders (numbers), unloads of models (other orders get 409 until they are done; seen in three logs). Now such a word has the ledger read again from the engine's report, which lists what is on its way; a model's unload no longer frees its adapters' places early.

--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		p.tell(hub.Note{Server: s.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
-		if v == platform.Begun {
+		if v == platform.Begun || p.justOrdered(s.ID, key) {
 			pauseFor(ctx, adapterLoad)
 		}
 		return hub.Offer{Found: true, Server: s.ID}
@@ -79,14 +79,14 @@
 	return hub.Offer{Why: "no-engine"}
 }
 
-// lacking takes an adapter out of the ledgers of engines that said that they
-// don't hold it, unless it was ordered there a moment ago.
+// lacking has the ledgers of engines read again that said that they don't hold
+// an adapter. It may be on its way to them, and takes its place meanwhile.
 func (p *Placer) lacking(ids []string, key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range ids {
 		if e := p.engines[id]; e != nil && time.Since(e.ordered[key]) > lackAfter {
-			delete(e.adapters, key)
+			e.stale = true
 		}
 	}
 }
@@ -135,7 +135,7 @@
 
 // adapter loads an adapter, after it has made room for it; e.mu is held.
 func (p *Placer) adapter(ctx context.Context, e *engine, s fleet.Server, model, adapter string) (platform.Verdict, error) {
-	if e.sequence < 0 || !e.known {
+	if p.unread(e) {
 		if err := p.report(ctx, e, s); err != nil {
 			p.block(e)
 			return 0, err
@@ -183,6 +183,22 @@
 	return v, err
 }
 
+// unread tells whether the ledger has to be read from the engine's report; e.mu
+// is held.
+func (p *Placer) unread(e *engine) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return e.sequence < 0 || !e.known || e.stale
+}
+
+// justOrdered tells whether an adapter may still be on its way.
+func (p *Placer) justOrdered(id, key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[id]
+	return e != nil && time.Since(e.ordered[key]) < reportAge
+}
+
 func (p *Placer) holds(e *engine, key string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,14 +52,11 @@
 	e.blocked = now.Add(pause)
 }
 
-// dropped notes that a model goes, and its adapters with it; p.mu is held.
+// dropped notes that a model goes, and its adapters with it once its requests
+// have ended; p.mu is held.
 func (p *Placer) dropped(e *engine, m residency.Move) {
 	p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
-	for k := range e.adapters {
-		if strings.HasPrefix(k, m.Model+"/") {
-			delete(e.adapters, k)
-		}
-	}
+	e.stale = true
 }
 
 // give gives an order under the present epoch and the engine's sequence; e.mu
@@ -68,7 +64,7 @@
 func (p *Placer) give(ctx context.Context, e *engine, s fleet.Server, o platform.Order) (platform.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if e.sequence < 0 || !e.known {
+	if p.unread(e) {
 		if err := p.report(ctx, e, s); err != nil {
 			return 0, err
 		}
@@ -133,7 +129,7 @@
 		return &UnsettledError{Server: s.ID, Busy: r.Busy}
 	}
 	e.sequence = r.Sequence
-	e.known = true
+	e.known, e.stale = true, false
 	e.reread(now, r)
 	return nil
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -78,6 +78,7 @@
 		adapters map[string]time.Time // held or coming, with the last use
 		ordered  map[string]time.Time // adapters, with the last order
 		known    bool                 // adapters were read from a report
+		stale    bool                 // and have to be again; guarded by the placer
 	}
 )
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -208,3 +208,23 @@
 	eventually(t, "a place is free", want)
 	require.LessOrEqual(t, w.MostAdapters(), 2)
 }
+
+func TestAnAdapterOnItsWayKeepsItsPlace(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").SlowAdapters().Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "holding", a.Holding)
+	want := func(adapter string, lacks ...string) {
+		a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: adapter}, Lacks: lacks})
+	}
+	want("a1")
+	want("a2")
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		want("a1", "i-1") // the engine says that it lacks it
+		want("a3")
+		want("a4")
+	}
+	require.Equal(t, 2, w.MostAdapters(), "two places, both taken")
+}
