Group the test bed apart from the packages that a request passes

internal/ held some forty packages side by side, a third of them stand-ins, sessions, load and measuring tools. They stand in internal/testbed now; nothing else changes.

--- a/cmd/bench/compare.go
+++ b/cmd/bench/compare.go
@@ -14,7 +14,7 @@
 	"gonum.org/v1/plot/plotter"
 
 	"guavapaddle/core/route"
-	"guavapaddle/internal/report"
+	"guavapaddle/internal/testbed/report"
 )
 
 const dirMode = 0o755
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -24,7 +24,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"guavapaddle/internal/experiment"
+	"guavapaddle/internal/testbed/experiment"
 )
 
 const envPrefix = "GUAVAPADDLE_BENCH"
--- a/cmd/bench/main_test.go
+++ b/cmd/bench/main_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/experiment"
-	"guavapaddle/internal/report"
+	"guavapaddle/internal/testbed/experiment"
+	"guavapaddle/internal/testbed/report"
 )
 
 func TestMain(m *testing.M) {
--- a/cmd/bench/single.go
+++ b/cmd/bench/single.go
@@ -11,9 +11,9 @@
 
 	"guavapaddle/core/place"
 	"guavapaddle/core/route"
-	"guavapaddle/internal/experiment"
 	"guavapaddle/internal/node"
-	"guavapaddle/internal/report"
+	"guavapaddle/internal/testbed/experiment"
+	"guavapaddle/internal/testbed/report"
 )
 
 const (
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -20,7 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/lab"
+	"guavapaddle/internal/testbed/lab"
 )
 
 const (
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,7 +8,7 @@
 //	measure -vary models -at 50,200,600,1200 -servers 40 -output json
 //
 // Each point is a process with all nodes in it, and another with the stand-ins.
-// See package guavapaddle/internal/measure.
+// See package guavapaddle/internal/testbed/measure.
 package main
 
 import (
@@ -28,7 +28,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/rotisserie/eris"
 
-	"guavapaddle/internal/measure"
+	"guavapaddle/internal/testbed/measure"
 )
 
 const (
--- a/cmd/measure/main_test.go
+++ b/cmd/measure/main_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/measure"
+	"guavapaddle/internal/testbed/measure"
 )
 
 func TestBadCommandLines(t *testing.T) {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"guavapaddle/internal/soak"
+	"guavapaddle/internal/testbed/soak"
 )
 
 const usage = `Runs seeds of the fault soak one after the other and prints each broken promise.
--- a/cmd/standin/commands.go
+++ b/cmd/standin/commands.go
@@ -7,11 +7,11 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"guavapaddle/internal/standin/capacity"
-	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/platform"
-	"guavapaddle/internal/standin/service"
-	"guavapaddle/internal/standin/weights"
+	"guavapaddle/internal/testbed/standin/capacity"
+	"guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/standin/platform"
+	"guavapaddle/internal/testbed/standin/service"
+	"guavapaddle/internal/testbed/standin/weights"
 )
 
 // platformCommand returns the command for table, object store, weight store and
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -18,7 +18,7 @@
 	"guavapaddle/internal/call"
 	"guavapaddle/internal/claims"
 	"guavapaddle/internal/suspects"
-	"guavapaddle/internal/tabletest"
+	"guavapaddle/internal/testbed/tabletest"
 )
 
 var (
--- a/internal/call/chaos_test.go
+++ b/internal/call/chaos_test.go
@@ -16,7 +16,7 @@
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/row"
 	"guavapaddle/internal/call"
-	"guavapaddle/internal/tabletest"
+	"guavapaddle/internal/testbed/tabletest"
 	"guavapaddle/io/table"
 )
 
--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -15,7 +15,7 @@
 	"guavapaddle/core/claim"
 	"guavapaddle/core/outcome"
 	"guavapaddle/internal/claims"
-	"guavapaddle/internal/tabletest"
+	"guavapaddle/internal/testbed/tabletest"
 )
 
 // objects is an object store in memory.
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -13,7 +13,7 @@
 	"guavapaddle/core/config/head"
 	"guavapaddle/core/row"
 	"guavapaddle/internal/configsync"
-	"guavapaddle/internal/sample"
+	"guavapaddle/internal/testbed/sample"
 	"guavapaddle/io/table"
 )
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"guavapaddle/internal/freeport"
 	"guavapaddle/internal/front"
+	"guavapaddle/internal/testbed/freeport"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -15,9 +15,9 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/internal/keys"
-	"guavapaddle/internal/lab"
 	"guavapaddle/internal/node"
-	"guavapaddle/internal/sample"
+	"guavapaddle/internal/testbed/lab"
+	"guavapaddle/internal/testbed/sample"
 )
 
 const (
--- a/internal/suspects/guard_test.go
+++ b/internal/suspects/guard_test.go
@@ -11,7 +11,7 @@
 	"guavapaddle/core/outcome"
 	"guavapaddle/core/suspect"
 	"guavapaddle/internal/suspects"
-	"guavapaddle/internal/tabletest"
+	"guavapaddle/internal/testbed/tabletest"
 )
 
 const fp = suspect.Fingerprint("a")
--- a/internal/bound/bound.go
+++ b/internal/testbed/bound/bound.go
@@ -22,7 +22,7 @@
 	"time"
 
 	"guavapaddle/core/queue"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/workload"
 )
 
 // cachedTail is the length in tokens of the part of a prompt that is never
--- a/internal/bound/bound_test.go
+++ b/internal/testbed/bound/bound_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/bound"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/bound"
+	"guavapaddle/internal/testbed/workload"
 )
 
 // small returns one engine with two slots and steps of 10 ms.
--- a/internal/experiment/client.go
+++ b/internal/testbed/experiment/client.go
@@ -16,9 +16,9 @@
 
 	"guavapaddle/core/backend"
 	"guavapaddle/core/outcome"
-	"guavapaddle/internal/report"
-	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/report"
+	"guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/workload"
 )
 
 const (
--- a/internal/experiment/experiment_test.go
+++ b/internal/testbed/experiment/experiment_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/experiment"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/experiment"
+	"guavapaddle/internal/testbed/workload"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/experiment/fault.go
+++ b/internal/testbed/experiment/fault.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/fault"
 )
 
 // noticed is the time after which the balancer stops sending to a lost node.
--- a/internal/experiment/moves.go
+++ b/internal/testbed/experiment/moves.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/report"
-	"guavapaddle/internal/standin/engine"
+	"guavapaddle/internal/testbed/report"
+	"guavapaddle/internal/testbed/standin/engine"
 )
 
 // movesPeriod is how often inventories are looked at; no load is shorter.
--- a/internal/experiment/run.go
+++ b/internal/testbed/experiment/run.go
@@ -12,13 +12,13 @@
 
 	"guavapaddle/core/backend"
 	"guavapaddle/core/config"
-	"guavapaddle/internal/bound"
-	"guavapaddle/internal/lab"
 	"guavapaddle/internal/node"
-	"guavapaddle/internal/report"
-	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/platform"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/bound"
+	"guavapaddle/internal/testbed/lab"
+	"guavapaddle/internal/testbed/report"
+	"guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/standin/platform"
+	"guavapaddle/internal/testbed/workload"
 )
 
 const (
--- a/internal/experiment/settings.go
+++ b/internal/testbed/experiment/settings.go
@@ -8,7 +8,7 @@
 	"guavapaddle/core/place"
 	"guavapaddle/core/route"
 	"guavapaddle/internal/node"
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/workload"
 )
 
 // Faults that a run may have. Each comes at a third of the run.
--- a/internal/experiment/spawn.go
+++ b/internal/testbed/experiment/spawn.go
@@ -15,8 +15,8 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/internal/cli"
-	"guavapaddle/internal/lab"
 	"guavapaddle/internal/node"
+	"guavapaddle/internal/testbed/lab"
 )
 
 const (
--- a/internal/measure/measure_test.go
+++ b/internal/testbed/measure/measure_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/measure"
+	"guavapaddle/internal/testbed/measure"
 )
 
 const standInsVariable = "GUAVAPADDLE_MEASURE_TEST_STAND_INS"
--- a/internal/measure/standins.go
+++ b/internal/testbed/measure/standins.go
@@ -8,9 +8,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/platform"
-	"guavapaddle/internal/standin/weights"
+	"guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/standin/platform"
+	"guavapaddle/internal/testbed/standin/weights"
 )
 
 const weightsRate = 50 // loads a second, so that a start does not wait long
--- a/internal/report/report_test.go
+++ b/internal/testbed/report/report_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/report"
+	"guavapaddle/internal/testbed/report"
 )
 
 func request(kind string, u config.Urgency, outcome, reason string, total time.Duration) report.Request {
--- a/internal/sample/sample_test.go
+++ b/internal/testbed/sample/sample_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/sample"
+	"guavapaddle/internal/testbed/sample"
 )
 
 var update = flag.Bool("update", false, "rewrite the sample files")
@@ -25,7 +25,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			file := filepath.Join("..", "..", "samples", tt.name+".json")
+			file := filepath.Join("..", "..", "..", "samples", tt.name+".json")
 			if *update {
 				require.NoError(t, os.WriteFile(file, sample.Text(tt.doc), 0o644))
 			}
--- a/internal/session/booking_test.go
+++ b/internal/testbed/session/booking_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/claim"
-	"guavapaddle/internal/session"
-	"guavapaddle/internal/standin/service"
+	"guavapaddle/internal/testbed/session"
+	"guavapaddle/internal/testbed/standin/service"
 )
 
 // ranWith returns how often calls with a body ran by the services' journals.
--- a/internal/session/config_test.go
+++ b/internal/testbed/session/config_test.go
@@ -25,7 +25,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/config/head"
 	"guavapaddle/internal/cli"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 	"guavapaddle/io/table"
 )
 
--- a/internal/session/explain_test.go
+++ b/internal/testbed/session/explain_test.go
@@ -12,7 +12,7 @@
 
 	"guavapaddle/core/status"
 	"guavapaddle/internal/cli"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 // volatile are the values of an explanation's fields that differ between runs.
--- a/internal/session/memory_test.go
+++ b/internal/testbed/session/memory_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 // late makes orders take effect late, but within their lifetime.
--- a/internal/session/pair_test.go
+++ b/internal/testbed/session/pair_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/claim"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 // TestInvariantPairTableOutageAndNodeDeath takes the table down while a booking
--- a/internal/session/platform_test.go
+++ b/internal/testbed/session/platform_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/status"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 	"guavapaddle/io/vmlist"
 )
 
--- a/internal/session/retry_test.go
+++ b/internal/testbed/session/retry_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 // offered returns the load that callers' requests put on an engine: those that
--- a/internal/session/session_test.go
+++ b/internal/testbed/session/session_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 const (
--- a/internal/session/silent_test.go
+++ b/internal/testbed/session/silent_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 const (
--- a/internal/session/stream_test.go
+++ b/internal/testbed/session/stream_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/config"
-	"guavapaddle/internal/session"
+	"guavapaddle/internal/testbed/session"
 )
 
 const long = 300 // tokens, about two seconds
--- a/internal/session/system.go
+++ b/internal/testbed/session/system.go
@@ -23,7 +23,7 @@
 	"guavapaddle/core/config"
 	"guavapaddle/core/status"
 	"guavapaddle/internal/keys"
-	"guavapaddle/internal/standin/service"
+	"guavapaddle/internal/testbed/standin/service"
 	"guavapaddle/io/operator"
 	"guavapaddle/io/table"
 	"guavapaddle/io/vmlist"
--- a/internal/soak/node.go
+++ b/internal/testbed/soak/node.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"guavapaddle/internal/freeport"
 	"guavapaddle/internal/front"
+	"guavapaddle/internal/testbed/freeport"
 )
 
 const (
--- a/internal/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/soak"
+	"guavapaddle/internal/testbed/soak"
 )
 
 // seeds are run in CI. Seeds that ever failed stay here with their cause.
--- a/internal/standin/engine/calls.go
+++ b/internal/testbed/standin/engine/calls.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/fault"
 	ioengine "guavapaddle/io/engine"
 )
 
--- a/internal/standin/engine/engine.go
+++ b/internal/testbed/standin/engine/engine.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/engine/memory"
-	"guavapaddle/internal/standin/engine/prefix"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/engine/memory"
+	"guavapaddle/internal/testbed/standin/engine/prefix"
+	"guavapaddle/internal/testbed/standin/fault"
 )
 
 const (
--- a/internal/standin/engine/engine_test.go
+++ b/internal/testbed/standin/engine/engine_test.go
@@ -16,9 +16,9 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/engine/prefix"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/standin/engine/prefix"
+	"guavapaddle/internal/testbed/standin/fault"
 	ioengine "guavapaddle/io/engine"
 )
 
--- a/internal/standin/engine/orders.go
+++ b/internal/testbed/standin/engine/orders.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/fault"
-	"guavapaddle/internal/standin/weights"
+	"guavapaddle/internal/testbed/standin/fault"
+	"guavapaddle/internal/testbed/standin/weights"
 	ioengine "guavapaddle/io/engine"
 	"guavapaddle/io/jsonhttp"
 )
--- a/internal/standin/engine/steps.go
+++ b/internal/testbed/standin/engine/steps.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/engine/prefix"
+	"guavapaddle/internal/testbed/standin/engine/prefix"
 )
 
 const maxSamples = 4096
--- a/internal/standin/object/object.go
+++ b/internal/testbed/standin/object/object.go
@@ -15,8 +15,8 @@
 
 	"golang.org/x/time/rate"
 
-	"guavapaddle/internal/standin/capacity"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/capacity"
+	"guavapaddle/internal/testbed/standin/fault"
 )
 
 const maxBody = 64 << 20
--- a/internal/standin/platform/platform.go
+++ b/internal/testbed/standin/platform/platform.go
@@ -15,11 +15,11 @@
 import (
 	"net/http"
 
-	"guavapaddle/internal/standin/fault"
-	"guavapaddle/internal/standin/object"
-	"guavapaddle/internal/standin/table"
-	"guavapaddle/internal/standin/vmlist"
-	"guavapaddle/internal/standin/weights"
+	"guavapaddle/internal/testbed/standin/fault"
+	"guavapaddle/internal/testbed/standin/object"
+	"guavapaddle/internal/testbed/standin/table"
+	"guavapaddle/internal/testbed/standin/vmlist"
+	"guavapaddle/internal/testbed/standin/weights"
 )
 
 // Platform is the stand-in for the platform. Its exported fields are set
--- a/internal/standin/service/service.go
+++ b/internal/testbed/standin/service/service.go
@@ -21,7 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"guavapaddle/core/backend"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/fault"
 	ioservice "guavapaddle/io/service"
 )
 
--- a/internal/standin/table/table.go
+++ b/internal/testbed/standin/table/table.go
@@ -8,8 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"guavapaddle/core/row"
-	"guavapaddle/internal/standin/capacity"
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/capacity"
+	"guavapaddle/internal/testbed/standin/fault"
 	iotable "guavapaddle/io/table"
 )
 
--- a/internal/standin/table/table_test.go
+++ b/internal/testbed/standin/table/table_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/fault"
-	"guavapaddle/internal/standin/table"
+	"guavapaddle/internal/testbed/standin/fault"
+	"guavapaddle/internal/testbed/standin/table"
 )
 
 // TestCapacity checks that calls over the capacity wait.
--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/testbed/standin/vmlist/vmlist.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/fault"
 	iovmlist "guavapaddle/io/vmlist"
 )
 
--- a/internal/standin/vmlist/vmlist_test.go
+++ b/internal/testbed/standin/vmlist/vmlist_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/vmlist"
+	"guavapaddle/internal/testbed/standin/vmlist"
 	iovmlist "guavapaddle/io/vmlist"
 )
 
--- a/internal/standin/weights/weights.go
+++ b/internal/testbed/standin/weights/weights.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/time/rate"
 
-	"guavapaddle/internal/standin/fault"
+	"guavapaddle/internal/testbed/standin/fault"
 )
 
 const (
--- a/internal/standin/weights/weights_test.go
+++ b/internal/testbed/standin/weights/weights_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/weights"
+	"guavapaddle/internal/testbed/standin/weights"
 )
 
 // TestLoadTimes checks when loads that are asked for at once are done: the rate
--- a/internal/workload/workload_test.go
+++ b/internal/testbed/workload/workload_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/workload"
+	"guavapaddle/internal/testbed/workload"
 )
 
 func settings(d workload.Deployment) workload.Settings {
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -17,8 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/backend"
-	standin "guavapaddle/internal/standin/engine"
-	"guavapaddle/internal/standin/fault"
+	standin "guavapaddle/internal/testbed/standin/engine"
+	"guavapaddle/internal/testbed/standin/fault"
 	"guavapaddle/io/engine"
 )
 
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/fault"
-	"guavapaddle/internal/standin/platform"
+	"guavapaddle/internal/testbed/standin/fault"
+	"guavapaddle/internal/testbed/standin/platform"
 	"guavapaddle/io/object"
 	"guavapaddle/io/table"
 )
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/fault"
-	standin "guavapaddle/internal/standin/service"
+	"guavapaddle/internal/testbed/standin/fault"
+	standin "guavapaddle/internal/testbed/standin/service"
 	"guavapaddle/io/service"
 )
 
--- a/io/table/table_test.go
+++ b/io/table/table_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/row"
-	"guavapaddle/internal/standin/fault"
-	standin "guavapaddle/internal/standin/table"
+	"guavapaddle/internal/testbed/standin/fault"
+	standin "guavapaddle/internal/testbed/standin/table"
 	"guavapaddle/io/table"
 )
 
--- a/io/vmlist/vmlist_test.go
+++ b/io/vmlist/vmlist_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/internal/standin/fault"
-	standin "guavapaddle/internal/standin/vmlist"
+	"guavapaddle/internal/testbed/standin/fault"
+	standin "guavapaddle/internal/testbed/standin/vmlist"
 	"guavapaddle/io/vmlist"
 )
 
