Wait until a lost transaction has taken effect before others repeat a booking

Cause: TestInvariantBookingNodeDeath failed in 4 of about 20 runs beside a load. A trace in the test's proxy showed it: the node is killed before its transaction is forwarded, its caller sees that at once, and under load the other nodes' claim reached the table first (committed: false for the dead node's), so the booking rightly ran once. The test's order was wrong, not the claim. Ruled out: a transaction sent twice (one for each case in all 20), a failed forward (none).

--- a/internal/testbed/session/booking_test.go
+++ b/internal/testbed/session/booking_test.go
@@ -103,6 +103,9 @@
 					s.Nodes[victim].Kill()
 				}
 				answers := []session.Answer{<-first}
+				if stage.fate == session.Lose {
+					between.AwaitLost()
+				}
 				between.Decide(nil)
 				s.Nodes[victim].Kill()
 				answers = append(answers, s.Repeat(others, path, body, key)...)
--- a/internal/testbed/session/proxy.go
+++ b/internal/testbed/session/proxy.go
@@ -34,11 +34,15 @@
 
 	mu     sync.Mutex
 	decide func(tx row.Tx) Fate
+	lost   chan struct{} // a transaction took effect whose answer is lost
 }
 
+// lostMost bounds the lost answers that nobody waits for.
+const lostMost = 64
+
 // Between puts a Proxy before the table of nodes that start from now on.
 func (s *System) Between() *Proxy {
-	p := &Proxy{table: s.Platform.Address("address")}
+	p := &Proxy{table: s.Platform.Address("address"), lost: make(chan struct{}, lostMost)}
 	server := httptest.NewServer(p)
 	s.t.Cleanup(server.Close)
 	s.Table = strings.TrimPrefix(server.URL, "http://")
@@ -52,6 +56,11 @@
 	p.decide = f
 }
 
+// AwaitLost waits until a transaction of fate Lose has taken effect. A node
+// that was killed meanwhile breaks its caller's connection before that, so what
+// the caller sees doesn't tell.
+func (p *Proxy) AwaitLost() { <-p.lost }
+
 // Claims decides about transactions that bring a claim into a state, whose
 // request they are for, and lets all others through.
 func (p *Proxy) Claims(state claim.State, f func(c claim.Claim) Fate) {
@@ -85,6 +94,12 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(resp.Body)
+	if fate == Lose {
+		select {
+		case p.lost <- struct{}{}:
+		default:
+		}
+	}
 	if err != nil || fate == Lose {
 		panic(http.ErrAbortHandler)
 	}
