--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -89,12 +89,15 @@
 	r.strike(work)
 	r.faults.Wait()
 	r.heal()
-	if !r.recovered(ctx, "end") {
+	if !r.recovered(ctx, "end") && ctx.Err() == nil {
 		r.check.Break("recover", "not all nodes serve %v after the last fault", recovery)
 	}
 	stop()
 	wg.Wait()
 	pause(ctx, settle) // what was sent before may still run
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // cut short: nothing can be said
+	}
 	r.judge()
 	r.say("answers %v", r.check.Counts())
 	return r.check.Violations(), nil
