--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,33 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/clock"
+)
+
+func TestSleepEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		require.True(t, clock.Sleep(t.Context(), time.Second))
+		require.Equal(t, time.Second, time.Since(began))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.False(t, clock.Sleep(ctx, time.Hour))
+		require.Equal(t, 2*time.Second, time.Since(began))
+	})
+}
+
+func TestBootNeverGoesBack(t *testing.T) {
+	last := clock.Boot()
+	for range 100 {
+		now := clock.Boot()
+		require.GreaterOrEqual(t, now, last)
+		last = now
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 )
 
@@ -133,7 +134,7 @@
 				t.f.Ask(ctx)
 				whole = t.empty()
 			}
-			if !sleep(ctx, b.NextBackOff()) {
+			if !clock.Sleep(ctx, b.NextBackOff()) {
 				return
 			}
 			continue
@@ -338,15 +339,3 @@
 	}
 	f.OnServers(list)
 }
-
-// sleep waits for d and tells whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -8,10 +8,10 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/leader"
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/jsonhttp"
@@ -95,7 +95,7 @@
 			return
 		}
 		n.log.Warn("node-row-failed", zap.Error(err))
-		if !pause(ctx, registerRetry) {
+		if !clock.Sleep(ctx, registerRetry) {
 			return
 		}
 	}
@@ -106,7 +106,7 @@
 	c := &hub.Client{Endpoint: n.endpoint}
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = exchangeEvery, backoffMost
-	for wait := exchangeEvery; pause(ctx, wait); {
+	for wait := exchangeEvery; clock.Sleep(ctx, wait); {
 		wait = n.period()
 		l, ok := n.placer.Leader()
 		if !ok || l.Node == "" {
@@ -132,7 +132,7 @@
 		}
 		b.Reset()
 		n.nodes.Store(int64(p.Nodes))
-		if was := n.reached.Swap(int64(bootClock())); was == 0 || time.Duration(int64(bootClock())-was) > n.silence() {
+		if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
 			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 		}
 		n.gateway.Take(p)
@@ -161,13 +161,13 @@
 		return
 	}
 	n.follower.Take(time.Now(), u)
-	n.fedAt.Store(int64(bootClock()))
+	n.fedAt.Store(int64(clock.Boot()))
 }
 
 // beingFed tells whether the holder passes the store's changes on.
 func (n *Node) beingFed() bool {
 	at := n.fedAt.Load()
-	return at != 0 && bootClock()-time.Duration(at) < n.silence()
+	return at != 0 && clock.Boot()-time.Duration(at) < n.silence()
 }
 
 // period returns how often this node reports.
@@ -181,7 +181,7 @@
 // lost logs a failed exchange, and gives a connection up that was silent for
 // long.
 func (n *Node) lost(l leader.Lease, err error) {
-	if at := n.reached.Load(); bootClock()-time.Duration(at) > redialAfter {
+	if at := n.reached.Load(); clock.Boot()-time.Duration(at) > redialAfter {
 		n.endpoint.Renew(l.Address)
 	}
 	if !n.leaderReached() {
@@ -193,7 +193,7 @@
 // leaderReached tells whether the holder answered of late.
 func (n *Node) leaderReached() bool {
 	at := n.reached.Load()
-	return at != 0 && bootClock()-time.Duration(at) < n.silence()
+	return at != 0 && clock.Boot()-time.Duration(at) < n.silence()
 }
 
 // want asks the holder for a model or adapter.
@@ -332,25 +332,3 @@
 	}
 	return k
 }
-
-// bootClock returns the time since the machine started, suspended time
-// included.
-func bootClock() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic("front: no boot clock: " + err.Error())
-	}
-	return time.Duration(t.Nano())
-}
-
-// pause waits for d and tells whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -23,6 +23,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/gateway"
 	"guavapaddle/internal/granter"
@@ -114,7 +115,7 @@
 	n.registry.MustRegister(orders)
 	engines := &clientCache{}
 	return &placer.Placer{
-		Store: n.store, Engines: &platform.Engines{Client: engines.get}, Hub: n.hub, Log: n.log, Clock: bootClock,
+		Store: n.store, Engines: &platform.Engines{Client: engines.get}, Hub: n.hub, Log: n.log, Clock: clock.Boot,
 		Keeper: &leader.Keeper{
 			Self: leader.Lease{Node: n.settings.Node, Incarnation: n.key.Fingerprint()[:16],
 				Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores},
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -21,6 +21,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/grant"
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 )
 
@@ -209,7 +210,7 @@
 	defer cancel()
 	o := g.Adapter(ctx, hub.Want{Item: w, Lacks: g.lacks(w)})
 	if !o.Found {
-		pause(ctx, Tick)
+		clock.Sleep(ctx, Tick)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -259,13 +260,3 @@
 	}
 	return g.picture.Pace(model)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -10,6 +10,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 	"guavapaddle/platform"
 )
@@ -72,7 +73,7 @@
 		}
 		p.tell(hub.Note{Server: s.ID, Model: w.Model, Adapter: w.Adapter, Held: true})
 		if v == platform.Begun || p.justOrdered(s.ID, key) {
-			pauseFor(ctx, adapterLoad)
+			clock.Sleep(ctx, adapterLoad)
 		}
 		return hub.Offer{Found: true, Server: s.ID}
 	}
@@ -237,13 +238,3 @@
 	}
 	return name, name != "" && time.Since(oldest) > adapterIdle
 }
-
-// pauseFor waits for d or until ctx ends.
-func pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"sync"
+
+	"guavapaddle/platform/standin"
 )
 
 type (
@@ -136,14 +138,12 @@
 }
 
 // Orders checks the orders that an engine got, in order.
-func (c *Checker) Orders(engine string, orders []map[string]any) {
+func (c *Checker) Orders(engine string, orders []standin.Given) {
 	holders := map[int64]string{}
 	for _, o := range orders {
-		fence, _ := o["fencing-token"].(float64)
-		holder, _ := o["holder"].(string)
-		if h, ok := holders[int64(fence)]; ok && h != holder {
-			c.Break("fence", "engine %s got orders of %s and %s under epoch %v", engine, h, holder, fence)
+		if h, ok := holders[o.Fence]; ok && h != o.Holder {
+			c.Break("fence", "engine %s got orders of %s and %s under epoch %d", engine, h, o.Holder, o.Fence)
 		}
-		holders[int64(fence)] = holder
+		holders[o.Fence] = o.Holder
 	}
 }
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
@@ -70,7 +71,7 @@
 			r.faults.Go(func() { f.do(r, own) })
 		}
 		r.refresh()
-		pause(ctx, between(rng, 100, 900))
+		clock.Sleep(ctx, between(rng, 100, 900))
 	}
 }
 
--- a/internal/testbed/soak/load.go
+++ b/internal/testbed/soak/load.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"guavapaddle/internal/clock"
+	"guavapaddle/platform/standin"
 )
 
 const (
@@ -28,7 +31,7 @@
 			c = &http.Client{Timeout: clientTime, Transport: &http.Transport{DisableKeepAlives: true}}
 		}
 		r.request(c, at, fmt.Sprintf("c%d-%d", client, n), rng)
-		pause(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
+		clock.Sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
 	}
 }
 
@@ -51,12 +54,11 @@
 	}
 	req.Host = host
 	req.GetBody = nil // or the client would send it again under the same id
-	req.Header.Set("X-Guavapaddle-Request-Id", id)
-	req.Header.Set("X-Guavapaddle-Request-Deadline-Ms", fmt.Sprint(clientTime.Milliseconds()))
+	call := standin.Call{ID: id, Deadline: clientTime}
 	if model != "" {
-		req.Header.Set("X-Guavapaddle-Model", model)
-		req.Header.Set("X-Guavapaddle-Token-Count", fmt.Sprintf("%d,50", 100+rng.IntN(1500)))
+		call.Model, call.Tokens = model, 100+rng.IntN(1500)
 	}
+	call.Set(req.Header)
 	resp, err := c.Do(req)
 	if err != nil {
 		r.check.Answered(id, at.settings.Node, 0)
@@ -68,7 +70,8 @@
 	switch {
 	case resp.StatusCode != http.StatusOK:
 	case err == nil:
-		r.check.Whole(id, resp.Header.Get("X-Guavapaddle-Request-Id"), resp.Header.Get("X-Guavapaddle-Server-Stamp"), string(b), events)
+		whose, stamp := standin.Signed(resp.Header)
+		r.check.Whole(id, whose, stamp, string(b), events)
 	case events > 0:
 		r.check.Order(id, string(b), events, false)
 	}
@@ -97,7 +100,7 @@
 				}
 				req.Host = host
 				id := fmt.Sprintf("p%d-%s-%d", n, at.settings.Node, v)
-				req.Header.Set("X-Guavapaddle-Request-Id", id)
+				standin.Call{ID: id}.Set(req.Header)
 				resp, err := c.Do(req)
 				if err != nil {
 					continue
@@ -108,16 +111,6 @@
 				}
 			}
 		}
-		pause(ctx, 100*time.Millisecond)
-	}
-}
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		clock.Sleep(ctx, 100*time.Millisecond)
 	}
 }
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
@@ -94,7 +94,7 @@
 	}
 	stop()
 	wg.Wait()
-	pause(ctx, settle) // what was sent before may still run
+	clock.Sleep(ctx, settle) // what was sent before may still run
 	if ctx.Err() != nil {
 		return nil, ctx.Err() // cut short: nothing can be said
 	}
@@ -157,39 +157,13 @@
 
 // enter writes a server's entry, with the proxy's address.
 func (r *Run) enter(w *worker, leaving bool) {
-	var e map[string]any
-	if err := json.Unmarshal(w.Entry(w.service, "z", leaving), &e); err != nil {
-		panic(err) // of our own making
-	}
-	e["address"] = w.proxy.Address()
-	b, err := json.Marshal(e)
-	if err != nil {
-		panic(err) // of our own making
-	}
-	r.store.Put(platform.TableServers, w.ID, b)
+	r.store.Put(platform.TableServers, w.ID, w.EntryAt(w.proxy.Address(), w.service, "z", leaving))
 }
 
 // configure writes a configuration with a route that only it has.
 func (r *Run) configure(version int) {
-	route := func(name, kind, service string, resumable bool, attempts int) map[string]any {
-		return map[string]any{"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeout-ms": 4000,
-			"target-latency-ms": 600, "service": service, "max-attempts": attempts, "resumable": resumable}
-	}
-	var list []map[string]any
-	for m := range models {
-		list = append(list, map[string]any{"name": fmt.Sprint("m", m), "weights-mb": modelMB, "load-time-s": 0.5, "adapters": adapters, "adapter-size-mb": 60})
-	}
-	b, err := json.Marshal(map[string]any{"version": version,
-		"routes": []any{route("safe", "safe", "plain", false, 2), route("unsafe", "unsafe", "plain", false, 1),
-			route("stream", "streaming", "llm", false, 1), route("resumable", "streaming", "llm", true, 3),
-			route(fmt.Sprint("v", version), "safe", "plain", false, 2)},
-		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "llm", "engine": map[string]any{
-			"slots": 8, "weights-mb": engineMB, "adapter-slots": places, "loads-per-s": 4, "models": list}}},
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 8000}})
-	if err != nil {
-		panic(err) // of our own making
-	}
-	r.store.Put(platform.TableOperator, platform.KeyConfig, b)
+	d := standin.Deployment{Host: host, Models: models, Adapters: adapters, Places: places, ModelMB: modelMB, EngineMB: engineMB}
+	r.store.Put(platform.TableOperator, platform.KeyConfig, d.Configuration(version))
 	r.version.Store(int64(version))
 }
 
@@ -207,7 +181,7 @@
 // recovered waits until every node is ready and serves.
 func (r *Run) recovered(ctx context.Context, phase string) bool {
 	rng := rand.New(rand.NewPCG(r.Seed, 1))
-	for end := time.Now().Add(recovery); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(recovery); time.Now().Before(end) && ctx.Err() == nil; clock.Sleep(ctx, 50*time.Millisecond) {
 		r.refresh()
 		all := true
 		for _, n := range r.nodes {
@@ -255,7 +229,7 @@
 	var ids []string
 	for _, w := range r.workers {
 		ids = append(ids, w.Runs()...)
-		r.check.Orders(w.ID, w.Orders())
+		r.check.Orders(w.ID, w.Given())
 		if most := w.MostAdapters(); most > places {
 			r.check.Break("memory", "engine %s was to hold %d adapters in %d places", w.ID, most, places)
 		}
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/internal/testbed/soak"
+	"guavapaddle/platform/standin"
 )
 
 // seeds are run in CI. Seeds that ever failed stay here with their cause.
@@ -54,7 +55,7 @@
 			c.Served("n/1", 2)
 		},
 		"fence": func(c *soak.Checker) {
-			c.Orders("e", []map[string]any{{"fencing-token": 1.0, "holder": "a"}, {"fencing-token": 1.0, "holder": "b"}})
+			c.Orders("e", []standin.Given{{Holder: "a", Fence: 1}, {Holder: "b", Fence: 1}})
 		},
 	} {
 		c := soak.NewChecker()
--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -18,8 +18,8 @@
 //	s.Shutdown(ctx)           // idle connections are closed, open requests end
 //
 //	p := &http1.Pool{}
-//	c, err := p.Get(ctx, address, maxIdle)
-//	wrote, err := c.Send(ctx, request)
+//	c, err := p.Get(ctx, address, maxIdle, false)
+//	wrote, err := c.Send(request, deadline)
 //	resp, err := c.Receive()
 //	...
 //	p.Put(c, resp)            // only after the body was read to its end
