--- /dev/null
+++ b/internal/granter/granter_test.go
@@ -0,0 +1,98 @@
+package granter_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/internal/granter"
+	"guavapaddle/internal/hub"
+)
+
+func start(t *testing.T, adapter func(context.Context, hub.Want) hub.Offer) *granter.Granter {
+	t.Helper()
+	g := &granter.Granter{Log: zap.NewNop(), Adapter: adapter}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		g.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	g.Servers([]fleet.Server{{ID: "i-1", Service: "llm", Slots: 64, Held: []fleet.Held{{Model: "m"}}}})
+	g.Reset()
+	return g
+}
+
+func place(model, adapter string, tokens int) hub.Place {
+	return hub.Place{Item: hub.Item{Service: "llm", Model: model, Adapter: adapter}, Tokens: tokens,
+		Target: time.Second, Expire: 3 * time.Second}
+}
+
+func TestAPlaceIsFreedByItsRelease(t *testing.T) {
+	g := start(t, nil)
+	d, release, err := g.Place(context.Background(), place("m", "", 1500))
+	require.NoError(t, err)
+	require.True(t, d.Granted)
+	second := make(chan bool, 1)
+	go func() {
+		d, release, err := g.Place(context.Background(), place("m", "", 1500))
+		if err == nil {
+			release(balance.Good)
+		}
+		second <- err == nil && d.Granted
+	}()
+	require.Never(t, func() bool { return len(second) > 0 }, 150*time.Millisecond, 10*time.Millisecond)
+	release(balance.Good)
+	require.True(t, <-second)
+}
+
+func TestACallerThatLeavesIsForgotten(t *testing.T) {
+	g := start(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err := g.Place(ctx, place("none", "", 100))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Empty(t, g.Waiting())
+}
+
+func TestAnAdapterThatIsAskedForIsFetchedOnce(t *testing.T) {
+	var fetched atomic.Int64
+	g := start(t, func(_ context.Context, w hub.Want) hub.Offer {
+		fetched.Add(1)
+		return hub.Offer{Found: w.Adapter == "a1", Server: "i-1"}
+	})
+	d, release, err := g.Place(context.Background(), place("m", "a1", 100))
+	require.NoError(t, err)
+	require.True(t, d.Granted)
+	release(balance.Good)
+	d, release, err = g.Place(context.Background(), place("m", "a1", 100))
+	require.NoError(t, err)
+	require.True(t, d.Granted)
+	release(balance.Good)
+	require.EqualValues(t, 1, fetched.Load())
+}
+
+func TestARequestWithoutAModelIsCountedAndRefusedInTheEnd(t *testing.T) {
+	g := start(t, nil)
+	p := place("none", "", 100)
+	p.Target, p.Expire = 0, 200*time.Millisecond
+	waiting := make(chan map[string]int, 1)
+	time.AfterFunc(100*time.Millisecond, func() { waiting <- g.Waiting() })
+	d, release, err := g.Place(context.Background(), p)
+	require.NoError(t, err)
+	defer release(balance.Dropped)
+	require.False(t, d.Granted)
+	require.Equal(t, balance.NoModel, d.Why)
+	require.Positive(t, d.After)
+	require.Equal(t, map[string]int{"none": 1}, <-waiting)
+}
--- /dev/null
+++ b/internal/hub/hub_test.go
@@ -0,0 +1,34 @@
+package hub_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/balance"
+	"guavapaddle/internal/hub"
+)
+
+func TestANodeHearsWhatAllOthersHave(t *testing.T) {
+	h := &hub.Hub{}
+	now := time.Unix(1000, 0)
+	h.Take(now, hub.Report{Node: "a", Counts: map[string]balance.Count{"i-1": {Pending: 1, Running: 2, Tokens: 300}},
+		Demand: []hub.Demand{{Item: hub.Item{Model: "m"}, Tokens: 500}}, Marks: []hub.Mark{{Fingerprint: 7, Server: "i-9"}}})
+	h.Take(now, hub.Report{Node: "b", Counts: map[string]balance.Count{"i-1": {Pending: 1, Tokens: 100}}})
+	h.Note(now, hub.Note{Server: "i-1", Model: "m", Held: true})
+	p := h.Take(now, hub.Report{Node: "c", Counts: map[string]balance.Count{"i-1": {Pending: 50}}})
+	require.True(t, p.Leading)
+	require.Equal(t, 3, p.Nodes)
+	require.Equal(t, balance.Count{Pending: 2, Running: 2, Tokens: 400}, p.Counts["i-1"], "without its own")
+	require.Equal(t, []hub.Mark{{Fingerprint: 7, Server: "i-9"}}, p.Marks)
+	require.Len(t, p.Notes, 1)
+	require.Len(t, h.Demand(), 1)
+	require.Empty(t, h.Demand(), "each demand counts once")
+
+	later := now.Add(5 * time.Second)
+	p = h.Take(later, hub.Report{Node: "c"})
+	require.Equal(t, 1, p.Nodes, "nodes that fell silent don't count")
+	require.Empty(t, p.Notes, "by now the entries tell")
+	require.Len(t, p.Marks, 1, "marks last longer")
+}
