Drop a late extra answer and wait for the request's own behind it

Cause: TestAnExtraAnswerReachesNobody got 502 once beside a load: another answer arrived after the connection was taken and before the request's own. Its id told that it was foreign, the request's fate counted as unknown, and the client of a request that must not run twice got 502 though its answer came right behind. Now that answer is dropped and the own one read, within half a second; the connection isn't used again. A request that may be repeated is sent again at once, as before. The old test stays; one that always sends the extra answer first is new.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -263,6 +263,18 @@
 	require.GreaterOrEqual(t, w.Conns(), 2, "the connection was not used again")
 }
 
+func TestALateExtraAnswerIsDropped(t *testing.T) {
+	w := worker(t, "i-1", standin.LateExtra, standin.OK)
+	r := newRig(t, w)
+	a := r.do("POST", "/unsafe/", "r1", "body")
+	require.Equal(t, 200, a.status)
+	require.Equal(t, "answer", a.body)
+	require.Equal(t, "r1", a.header.Get("X-Guavapaddle-Request-Id"))
+	require.Equal(t, 200, r.do("POST", "/unsafe/", "r2", "body").status)
+	require.Equal(t, 2, w.Conns(), "the connection was not used again")
+	require.Len(t, w.Runs(), 2)
+}
+
 func TestAnEarlyAnswerToALongBodyDoesNotPoisonTheConnection(t *testing.T) {
 	w := worker(t, "i-1", standin.Early, standin.OK)
 	r := newRig(t, w)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,6 +20,11 @@
 	// must not run twice: the older it is, the likelier the server closes it as
 	// the request arrives, and its fate is unknown.
 	unsafeIdle = 1500 * time.Millisecond
+	// extraWait bounds the wait for the own answer behind another request's: a
+	// plain service takes some 60 ms.
+	extraWait = 500 * time.Millisecond
+	// extraMost bounds the answers to other requests that are dropped.
+	extraMost = 2
 	// wholeMost bounds an answer that is read whole before it is passed on.
 	wholeMost = 8 << 20
 )
@@ -33,6 +38,7 @@
 	resp   *http.Response
 	answer platform.Answer
 	first  time.Duration // until the head of the answer
+	extra  bool          // an answer to another request came before
 }
 
 // send sends the request to a server and passes its answer on if it is one.
@@ -85,13 +91,11 @@
 		return t.broken(err)
 	}
 	t.sends++
-	t.resp, err = t.conn.Receive() //nolint:bodyclose // the connection is kept or closed, and the body with it
-	if err != nil {
+	if err := t.receive(); err != nil {
 		t.conn.Close()
 		return t.broken(err)
 	}
 	t.first = time.Since(sent)
-	t.answer = platform.ParseAnswer(t.resp.StatusCode, t.resp.Header)
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
 	t.g.mu.Unlock()
@@ -101,6 +105,45 @@
 	return t.judge()
 }
 
+// receive reads the head of the answer. Where the request must not run again,
+// an answer to another request that comes first, late, is read to its end and
+// dropped: its own comes behind it. Else it is sent again at once.
+func (t *try) receive() error {
+	for range 1 + extraMost {
+		resp, err := t.conn.Receive()
+		if err != nil {
+			return err
+		}
+		t.resp = resp
+		t.answer = platform.ParseAnswer(resp.StatusCode, resp.Header)
+		if !t.foreign() || t.route.Repeatable() {
+			if t.extra {
+				t.conn.ReadBy(t.deadline.Add(answerMargin))
+			}
+			return nil
+		}
+		t.extra = true
+		if t.route.Kind == fleet.Unsafe { // a stream's first event may take longer
+			t.conn.ReadBy(earlier(t.deadline, time.Now().Add(extraWait)))
+		}
+		if _, err := http1.ReadBody(resp, wholeMost); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// foreign tells whether the answer names another request.
+func (t *try) foreign() bool { return t.answer.RequestID != "" && t.answer.RequestID != t.meta.ID }
+
 // freePlace tells the holder of the lease that the prompt is read, or how the
 // send failed.
 func (t *try) freePlace(r balance.Result) {
@@ -152,7 +195,7 @@
 // judge decides what the head of an answer means.
 func (t *try) judge() (balance.Result, fate, Reason) {
 	status := t.resp.StatusCode
-	if t.answer.RequestID != "" && t.answer.RequestID != t.meta.ID {
+	if t.foreign() {
 		t.conn.Close()
 		return balance.Broken, unknown, WrongAnswer
 	}
@@ -209,6 +252,10 @@
 // keep gives the connection back to the pool.
 func (t *try) keep() {
 	t.conn.Settle()
+	if t.extra {
+		t.conn.Close()
+		return
+	}
 	if err := t.g.Pool.Put(t.conn, t.resp); err != nil {
 		t.g.Log.Warn("connection-closed", zap.String("server", t.choice.Server.ID), zap.Error(err))
 	}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -210,6 +210,9 @@
 	}
 }
 
+// ReadBy bounds the reading of the answer.
+func (c *Conn) ReadBy(at time.Time) { _ = c.nc.SetReadDeadline(at) }
+
 // Settle waits for nothing: it notes whether a body that was sent beside the
 // answer is out whole. A connection whose request isn't is never used again.
 func (c *Conn) Settle() {
