--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -110,7 +110,7 @@
 // dropped: its own comes behind it. Else it is sent again at once.
 func (t *try) receive() error {
 	for range 1 + extraMost {
-		resp, err := t.conn.Receive()
+		resp, err := t.conn.Receive() //nolint:bodyclose // the connection is kept or closed, and the body with it
 		if err != nil {
 			return err
 		}
