--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -125,7 +125,7 @@
 	eventually(t, "both", func() bool { return n.has("i-1") && n.has("i-2") })
 	s.Outage(true)
 	calls := s.Calls("/rows-feed")
-	eventually(t, "the outage is noticed", func() bool { return s.Calls("/rows-feed") > calls+2 })
+	eventually(t, "the outage is noticed", func() bool { return s.Calls("/rows-feed") > calls+6 })
 	require.True(t, n.has("i-1"), "known servers stay in use")
 	s.Drop(platform.TableServers, "i-1")
 	s.Drop(platform.TableServers, "i-2")
