--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -35,12 +35,3 @@
 	}
 	return false
 }
-
-// AdapterCount returns how many adapters the server holds.
-func (s Server) AdapterCount() int {
-	n := 0
-	for _, h := range s.Held {
-		n += len(h.Adapters)
-	}
-	return n
-}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"guavapaddle/core/fleet"
 )
@@ -348,21 +347,3 @@
 	}
 	return fromStore
 }
-
-// Estimate returns how long the quickest load of a model takes at any of the
-// servers.
-func Estimate(e fleet.Engine, servers []Server, model string) time.Duration {
-	m := e.Models[model]
-	best := fromStore
-	for i := range servers {
-		best = min(best, source(&servers[i], model))
-	}
-	switch best {
-	case fromMemory:
-		return m.WarmTime
-	case fromDisk:
-		return m.DiskTime
-	default:
-		return m.LoadTime
-	}
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,6 @@
 		mu      sync.Mutex // guards what follows, and Rand
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
-		nodes   int
 		demand  map[hub.Item]*hub.Demand
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
@@ -94,7 +93,6 @@
 	g.marks = map[uint64]map[string]bool{}
 	g.changed = make(chan struct{})
 	g.stopped = make(chan struct{})
-	g.nodes = 1
 }
 
 // SetConfig puts a configuration in force. An older one is ignored.
@@ -290,7 +288,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.nodes = max(1, p.Nodes)
 	g.picture.Others(now, p.Counts)
 	for _, n := range p.Notes {
 		g.picture.Note(now, n.Server, n.Model, n.Adapter, n.Held)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -62,7 +62,6 @@
 		status  int
 		reason  Reason
 		refusal Reason // of the last try, if another reason ended the request
-		server  string
 		first   time.Duration
 		err     error
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,9 +33,9 @@
 		return t.broken(err)
 	}
 	t.keep()
-	t.outcome = outcome{status: http.StatusOK, reason: Served, server: t.choice.Server.ID, first: t.first}
+	t.outcome = outcome{status: http.StatusOK, reason: Served, first: t.first}
 	if err := t.x.End(); err != nil {
-		t.outcome = outcome{reason: ClientLeft, server: t.choice.Server.ID, err: err}
+		t.outcome = outcome{reason: ClientLeft, err: err}
 	}
 	return balance.Good, answered, Served
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -269,10 +269,10 @@
 		return t.broken(err)
 	}
 	t.keep()
-	t.outcome = outcome{status: t.resp.StatusCode, reason: Served, server: t.choice.Server.ID, first: t.first}
+	t.outcome = outcome{status: t.resp.StatusCode, reason: Served, first: t.first}
 	t.begun = true
 	if err := t.x.Respond(t.resp.StatusCode, http1.EndToEnd(t.resp.Header), body); err != nil {
-		t.outcome = outcome{reason: ClientLeft, server: t.choice.Server.ID, err: err}
+		t.outcome = outcome{reason: ClientLeft, err: err}
 	}
 	if t.resp.StatusCode >= http.StatusInternalServerError {
 		return balance.Failed, answered, ServerError
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -106,13 +106,7 @@
 		if name == r.Node {
 			continue
 		}
-		for id, c := range e.report.Counts {
-			sum := p.Counts[id]
-			sum.Pending += c.Pending
-			sum.Running += c.Running
-			sum.Tokens += c.Tokens
-			p.Counts[id] = sum
-		}
+		add(p.Counts, e.report.Counts)
 	}
 	for _, n := range h.notes {
 		p.Notes = append(p.Notes, n.value)
@@ -145,17 +139,22 @@
 	defer h.mu.Unlock()
 	out := map[string]balance.Count{}
 	for _, e := range h.nodes {
-		for id, c := range e.report.Counts {
-			sum := out[id]
-			sum.Pending += c.Pending
-			sum.Running += c.Running
-			sum.Tokens += c.Tokens
-			out[id] = sum
-		}
+		add(out, e.report.Counts)
 	}
 	return out
 }
 
+// add adds one node's counts to a sum by server.
+func add(sum, counts map[string]balance.Count) {
+	for id, c := range counts {
+		n := sum[id]
+		n.Pending += c.Pending
+		n.Running += c.Running
+		n.Tokens += c.Tokens
+		sum[id] = n
+	}
+}
+
 // forget drops what is too old.
 func (h *Hub) forget(now time.Time) {
 	for name, e := range h.nodes {
