Reckon the demand for a model in the slots that its streams take

Cause: copies were shared out by prompt tokens a second times the time that a model takes to read them. Streams of a small model (0.31 of the time) take a slot about as long as others, 1.06 s against 1.31 s, since their steps wait for the larger models beside them.

Nodes now report the time that ended streams took a slot; load is the demand in tokens times the seconds a token, learned by model.

Ruled out: the planner itself.

--- a/core/residency/doc.go
+++ b/core/residency/doc.go
@@ -10,6 +10,9 @@
 // Gain times the load that it serves now; a model that is asked for and has no
 // copy goes first and needs no such gain.
 //
+// The load of a model is the slots that its streams take, learned from those that
+// ended (SlotTimes).
+//
 // A model is loaded where it is in host memory or on disk if it can be, since
 // such a load takes a fifth of the time and nothing of the weight store's
 // budget. Loads from the store are metered over all engines.
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -10,9 +10,9 @@
 	// Gain is how much more load a copy must serve after a move than before, so
 	// that two busy models don't trade places as their load wobbles.
 	Gain = 1.3
-	// quiet is the load, in prompt tokens a second, below which a model counts
-	// as not in use.
-	quiet = 1.0
+	// quiet is the load, in slots, below which a model counts as not in use: a
+	// prompt token a second takes about a thousandth of a slot.
+	quiet = 0.001
 	// movesAtOnce bounds the servers that change at the same time to one in so
 	// many: each has a place less for the seconds of its move.
 	movesAtOnce = 2
@@ -47,7 +47,7 @@
 	Input struct {
 		Engine  fleet.Engine
 		Servers []Server
-		Load    map[string]float64 // prompt tokens a second, by model
+		Load    map[string]float64 // slots of engines that the demand takes, by model
 		Waiting map[string]int     // requests that wait for a model without a copy
 		Stores  int                // loads from the weight store that may begin now
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -140,7 +140,6 @@
 		Began:     n.granter.Reset,
 		Lacking:   n.granter.Waiting,
 		Noted:     n.granter.Note,
-		Pace:      n.granter.Pace,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -266,9 +266,9 @@
 	r := hub.Report{Node: node, Counts: g.picture.Own(), Marks: g.news}
 	g.news = nil
 	for k, d := range g.demand {
-		if d.Tokens > 0 || d.Waiting > 0 {
+		if d.Tokens > 0 || d.Waiting > 0 || d.Ran != (hub.Ran{}) {
 			r.Demand = append(r.Demand, *d)
-			d.Tokens = 0
+			d.Tokens, d.Ran = 0, hub.Ran{}
 		} else {
 			delete(g.demand, k)
 		}
@@ -301,11 +301,26 @@
 func (g *Gateway) ask(w hub.Item, tokens, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	d := g.asked(w)
+	d.Tokens += tokens
+	d.Waiting += waiting
+}
+
+// ran counts a stream that ended well.
+func (g *Gateway) ran(w hub.Item, tokens int, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.asked(w)
+	d.Ran.Tokens += tokens
+	d.Ran.Time += took
+}
+
+// asked returns the demand for an item since the last report; g.mu is held.
+func (g *Gateway) asked(w hub.Item) *hub.Demand {
 	d := g.demand[w]
 	if d == nil {
 		d = &hub.Demand{Item: w}
 		g.demand[w] = d
 	}
-	d.Tokens += tokens
-	d.Waiting += waiting
+	return d
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -102,7 +102,11 @@
 	if !t.answer.NotRun {
 		t.freePlace(balance.Good)
 	}
-	return t.judge()
+	result, f, reason := t.judge()
+	if f == answered && reason == Served && t.engine() {
+		t.g.ran(t.item(), t.meta.PromptTokens, time.Since(sent))
+	}
+	return result, f, reason
 }
 
 // receive reads the head of the answer. Where the request must not run again,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -131,6 +131,11 @@
 	return b
 }
 
+// item returns the model and adapter that the request asks for.
+func (r *request) item() hub.Item {
+	return hub.Item{Service: r.service, Model: r.meta.Model, Adapter: r.meta.Adapter}
+}
+
 // engine tells whether the request goes to a model engine.
 func (r *request) engine() bool {
 	s, ok := r.g.config.Load().Service(r.service)
@@ -141,7 +146,7 @@
 func (r *request) pick() (balance.Choice, Reason) {
 	g := r.g
 	b := r.balanceRequest()
-	w := hub.Item{Service: r.service, Model: b.Model, Adapter: b.Adapter}
+	w := r.item()
 	if b.Model != "" && r.sends == 0 {
 		g.ask(w, b.Tokens, 0)
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -250,13 +250,3 @@
 	}
 	return out
 }
-
-// Pace returns how long a model's prompts take to be read, relative to others.
-func (g *Granter) Pace(model string) float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.picture == nil {
-		return 1
-	}
-	return g.picture.Pace(model)
-}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -29,6 +29,13 @@
 		Item
 		Tokens  int // of prompts
 		Waiting int // requests that wait for it now
+		Ran     Ran // streams that ended
+	}
+
+	// Ran sums streams that ended well.
+	Ran struct {
+		Tokens int           // of their prompts
+		Time   time.Duration // in which they took a slot of an engine
 	}
 
 	// Note tells that a server holds, or lacks, a model or adapter, before its
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -47,16 +47,16 @@
 		Window    time.Duration // over which loads from the weight store are counted
 		Reachable func() bool   // the holder answered of late
 		Ordered   func(verdict string)
-		Began     func()                     // the lease was won
-		Lacking   func() map[string]int      // requests that wait for a model without a copy
-		Noted     func(n hub.Note)           // what an engine holds has changed
-		Pace      func(model string) float64 // time to read a prompt, relative to other models
+		Began     func()                // the lease was won
+		Lacking   func() map[string]int // requests that wait for a model without a copy
+		Noted     func(n hub.Note)      // what an engine holds has changed
 
 		mu       sync.Mutex
 		config   *fleet.Config
 		servers  map[string]fleet.Server
 		engines  map[string]*engine
-		demand   map[string]float64 // tokens a second, by model
+		demand   map[string]float64 // prompt tokens a second, by model
+		slots    residency.SlotTimes
 		waiting  map[string]int
 		decayed  time.Time
 		loads    []time.Time // from the weight store
@@ -170,9 +170,11 @@
 	for m, v := range p.demand {
 		p.demand[m] = v * keep
 	}
+	p.slots.Decay(dt)
 	p.waiting = lacking
 	for _, d := range list {
-		p.demand[d.Model] += float64(d.Tokens) * p.Pace(d.Model) / demandLife.Seconds()
+		p.demand[d.Model] += float64(d.Tokens) / demandLife.Seconds()
+		p.slots.Add(d.Model, d.Ran.Tokens, d.Ran.Time)
 		p.waiting[d.Model] += d.Waiting
 		if d.Adapter != "" {
 			p.used(now, d)
@@ -180,6 +182,16 @@
 	}
 }
 
+// load returns how many slots of engines each model's demand takes; p.mu is
+// held.
+func (p *Placer) load() map[string]float64 {
+	out := make(map[string]float64, len(p.demand))
+	for m, tokens := range p.demand {
+		out[m] = tokens * p.slots.PerToken(m)
+	}
+	return out
+}
+
 // used notes the use of an adapter wherever it is held; p.mu is held.
 func (p *Placer) used(now time.Time, d hub.Demand) {
 	key := d.Model + "/" + d.Adapter
@@ -203,7 +215,7 @@
 		if s.Engine == nil {
 			continue
 		}
-		in := residency.Input{Engine: *s.Engine, Load: p.demand, Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
+		in := residency.Input{Engine: *s.Engine, Load: p.load(), Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
 		in.Engine.WeightsMB -= slackMB
 		for _, f := range p.servers {
 			if f.Service != name {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -56,7 +56,6 @@
 			return h.waiting
 		},
 		Noted: func(hub.Note) {},
-		Pace:  func(string) float64 { return 1 },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
