Refuse early what would become late and not begin then either

Cause: requests that were late for their target went behind all that were not, but were judged by the rate at which all begin. Under lasting overload hardly any of them began; they were held until they expired.

The rate at which late ones begin is now counted by itself, and a request is refused as soon as it can be told that it will be late and won't begin then: within 0.5 s on the mean in that play, with as many begun in time and no place empty (TestUnderLastingOverloadWhatWouldBeLateIsRefusedEarly, which fails before).

--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -26,6 +26,11 @@
 	rateWindow = time.Second
 	// rateLeast is how many grants in it tell a rate.
 	rateLeast = 3
+	// lateLeast is how long requests that are late must have been seen before it
+	// is known how many of them still begin.
+	lateLeast = 500 * time.Millisecond
+	// lateGap is how long there may be none in between.
+	lateGap = 200 * time.Millisecond
 )
 
 type (
@@ -64,7 +69,7 @@
 		look     map[*group]bool // groups that may have a place now
 		items    map[uint64]Item // of waiting requests
 		granted  map[uint64]held
-		rates    map[Item]*rate
+		rates    map[Item]*rates
 	}
 
 	// held is a grant that wasn't released yet.
@@ -89,6 +94,15 @@
 		now    int       // in it
 		before int       // in the one before
 	}
+
+	// rates counts the grants for an item and those of them that went to requests
+	// that were late.
+	rates struct {
+		all      rate
+		late     rate
+		lateFrom time.Time // since when there were late ones all the time
+		lateSeen time.Time // when there were some last
+	}
 )
 
 // New returns a scheduler that decides by a picture, which it changes.
@@ -100,7 +114,7 @@
 		s.Part = Part
 	}
 	return &Scheduler{settings: s, picture: p, groups: map[Item]*group{}, look: map[*group]bool{},
-		items: map[uint64]Item{}, granted: map[uint64]held{}, rates: map[Item]*rate{}}
+		items: map[uint64]Item{}, granted: map[uint64]held{}, rates: map[Item]*rates{}}
 }
 
 // Offer adds a request. Next decides about it.
@@ -216,21 +230,27 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	var out []Decision
 	for _, g := range s.groups {
+		v := s.rate(now, g.item)
 		fresh := g.fresh[:0]
 		for _, r := range g.fresh {
 			if now.After(r.Target) {
 				g.late = insert(g.late, r)
 				continue
 			}
+			if after, ok := v.doomed(now, g, r, len(fresh), len(g.late)); ok {
+				out = s.refuse(out, g, r, after)
+				continue
+			}
 			fresh = append(fresh, r)
 		}
 		g.fresh = fresh
+		if len(g.late) > 0 {
+			v.sawLate(now)
+		}
 		late := g.late[:0]
 		for _, r := range g.late {
-			after, hopeless := s.hopeless(now, g, r, len(g.fresh)+len(late))
-			if hopeless {
-				delete(s.items, r.ID)
-				out = append(out, Decision{ID: r.ID, Why: g.why, After: after})
+			if after, ok := v.hopeless(now, g, r, len(g.fresh), len(late)); ok {
+				out = s.refuse(out, g, r, after)
 				continue
 			}
 			late = append(late, r)
@@ -242,24 +262,68 @@
 	return out
 }
 
+// refuse ends the wait of a request.
+func (s *Scheduler) refuse(out []Decision, g *group, r Request, after time.Duration) []Decision {
+	delete(s.items, r.ID)
+	return append(out, Decision{ID: r.ID, Why: g.why, After: after})
+}
+
+// doomed tells whether a request that isn't late yet will be, and won't begin
+// then either.
+func (v *rates) doomed(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
+	perSecond, known := v.all.get(now)
+	if g.why != balance.Busy || !known || after(fresh, perSecond) <= r.Target.Sub(now) {
+		return 0, false
+	}
+	return v.hopeless(now, g, r, fresh, late)
+}
+
 // hopeless tells whether a request behind so many others won't begin before it
 // expires, by the rate at which its item was granted of late, and when its
-// client may come back. To refuse it at once is better for its caller than to
-// hold it until it expires.
-func (s *Scheduler) hopeless(now time.Time, g *group, r Request, ahead int) (time.Duration, bool) {
+// client may come back. Requests that are late begin only as fast as others of
+// them did. To refuse it at once is better for its caller than to hold it until
+// it expires.
+func (v *rates) hopeless(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
 	if now.After(r.Expire) {
 		return comeBack, true
 	}
-	v := s.rates[g.item]
-	if v == nil || g.why != balance.Busy {
+	perSecond, known := v.all.get(now)
+	if g.why != balance.Busy || !known {
 		return 0, false
 	}
-	perSecond, known := v.get(now)
-	if !known {
-		return 0, false
+	wait := after(fresh+late, perSecond)
+	back := min(max(wait, comeBackLeast), comeBackMost)
+	if now.Sub(v.lateFrom) >= lateLeast && now.Sub(v.lateSeen) <= lateGap {
+		rest, _ := v.late.get(now)
+		wait = max(wait, after(late, rest))
+	}
+	return back, wait > r.Expire.Sub(now)
+}
+
+// after returns when a request behind so many others begins at a rate.
+func after(ahead int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return time.Hour
 	}
-	wait := time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
-	return min(max(wait, comeBackLeast), comeBackMost), wait > r.Expire.Sub(now)
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+}
+
+// sawLate notes that requests are late.
+func (v *rates) sawLate(now time.Time) {
+	if now.Sub(v.lateSeen) > lateGap {
+		v.lateFrom, v.late = now, rate{first: now, since: now}
+	}
+	v.lateSeen = now
+}
+
+// rate returns the rates of an item.
+func (s *Scheduler) rate(now time.Time, i Item) *rates {
+	v := s.rates[i]
+	if v == nil {
+		v = &rates{all: rate{first: now, since: now}}
+		s.rates[i] = v
+	}
+	return v
 }
 
 // count notes a grant.
@@ -283,6 +347,9 @@
 	v.roll(now)
 	part := float64(now.Sub(v.since)) / float64(rateWindow)
 	n := float64(v.now) + float64(v.before)*(1-part)
+	if n == 0 {
+		return 0, false
+	}
 	span := min(rateWindow, now.Sub(v.first))
 	return n / span.Seconds(), n >= rateLeast && span >= rateWindow/4
 }
@@ -302,23 +369,16 @@
 		s.granted[r.ID] = held{server: c.Server.ID, ticket: s.picture.Sent(now, c.Server.ID, r.Pick)}
 		out = append(out, Decision{ID: r.ID, Granted: true, Choice: c})
 		delete(s.items, r.ID)
-		s.counted(now, g.item)
+		s.rate(now, g.item).all.count(now)
+		if len(g.fresh) == 0 {
+			s.rate(now, g.item).late.count(now)
+		}
 		g.pop()
 		s.tidy(g)
 	}
 	return out
 }
 
-// counted notes a grant for an item.
-func (s *Scheduler) counted(now time.Time, i Item) {
-	v := s.rates[i]
-	if v == nil {
-		v = &rate{first: now, since: now}
-		s.rates[i] = v
-	}
-	v.count(now)
-}
-
 // first returns the group to look at whose head is the most urgent.
 func (s *Scheduler) first() *group {
 	var best *group
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -203,6 +203,53 @@
 	require.Less(t, refused, 26, "the twenty that can begin in two seconds stay")
 }
 
+// TestUnderLastingOverloadWhatWouldBeLateIsRefusedEarly plays twice the requests
+// that an engine can begin for ten seconds. Those that would only become late
+// are told soon, and as many begin in time as there are places.
+func TestUnderLastingOverloadWhatWouldBeLateIsRefusedEarly(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	const target = 360 * time.Millisecond
+	came := map[uint64]time.Time{}
+	inTime, late, refused := 0, 0, 0
+	var held time.Duration
+	running, id := uint64(0), uint64(0)
+	take := func(now time.Time) {
+		for _, d := range s.Next(now) {
+			running = d.ID
+			if now.Sub(came[d.ID]) > target+50*time.Millisecond { // a tick later
+				late++
+				continue
+			}
+			inTime++
+		}
+	}
+	for step := range 1000 { // ten milliseconds each
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		if step%5 == 0 {
+			id++
+			r := request(id, "m", 2000, 1)
+			r.Target, r.Expire = now.Add(target), now.Add(2100*time.Millisecond)
+			came[id] = now
+			s.Offer(r)
+		}
+		if step%10 == 0 && running != 0 {
+			s.Release(now, running, balance.Good)
+		}
+		take(now)
+		if step%5 == 0 {
+			for _, d := range s.Tick(now) {
+				refused++
+				held += now.Sub(came[d.ID])
+				require.Positive(t, d.After)
+			}
+		}
+	}
+	require.Equal(t, 100, inTime+late, "no place stays empty")
+	require.Greater(t, inTime, 85)
+	require.Greater(t, refused, 80)
+	require.Less(t, held/time.Duration(refused), 500*time.Millisecond, "mean wait of those refused")
+}
+
 // BenchmarkBusy is one request that ends and one that comes, at 90 engines of
 // 16 slots that hold 3 of 147 models each, while some 600 requests wait.
 func BenchmarkBusy(b *testing.B) {
