Load into room at once after an unload, and count only loads that began

Cause: after an unload the ledger of an engine's adapters was read again from its report, which is some 200 ms old and contradicted the entry: the load that the room was made for was put off by 0.4 to 0.8 s.

The adapters of a model that has gone are taken out of the ledger when the entry shows it, and a load that doesn't begin is taken off the count (TestALoadFollowsTheUnloadThatMadeRoomWithoutAnotherReport fails before).

Ruled out: the plan's rounds each 0.25 s.

--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -41,7 +41,7 @@
 	case v == platform.Begun:
 		e.open = nil
 		if !m.Load {
-			p.dropped(e, m)
+			p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
 		}
 		return
 	case v == platform.Conflict && e.open != nil:
@@ -50,13 +50,17 @@
 	}
 	e.open, e.coming, e.going = nil, "", ""
 	e.blocked = now.Add(pause)
+	if m.Store {
+		p.unspend()
+	}
 }
 
-// dropped notes that a model goes, and its adapters with it once its requests
-// have ended; p.mu is held.
-func (p *Placer) dropped(e *engine, m residency.Move) {
-	p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
-	e.stale = true
+// unspend takes a load from the weight store that didn't begin off the count;
+// p.mu is held. Of 600 orders on a heavy day 120 don't begin.
+func (p *Placer) unspend() {
+	if n := len(p.loads); n > 0 {
+		p.loads = p.loads[:n-1]
+	}
 }
 
 // give gives an order under the present epoch and the engine's sequence; e.mu
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -227,3 +227,22 @@
 	}
 	require.Equal(t, 2, w.MostAdapters(), "two places, both taken")
 }
+
+func TestALoadFollowsTheUnloadThatMadeRoomWithoutAnotherReport(t *testing.T) {
+	s := standin.NewStore(t)
+	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 2, Models: map[string]fleet.Model{}}
+	for _, m := range []string{"m0", "m1", "m2", "m3"} {
+		e.Models[m] = fleet.Model{Name: m, MB: 72000}
+	}
+	one := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").Hold("m2").Start(t)
+	two := (&standin.Worker{ID: "i-2"}).Hold("m0").Hold("m1").Hold("m2").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{}))
+	a.Servers([]fleet.Server{listed(one), listed(two)})
+	eventually(t, "unloaded", func() bool { return len(one.Models())+len(two.Models()) == 5 })
+	reports := one.Reports() + two.Reports()
+	a.Servers([]fleet.Server{listed(one), listed(two)})
+	loaded := func(w *standin.Worker) bool { _, ok := w.Models()["m3"]; return ok }
+	eventually(t, "loaded", func() bool { return loaded(one) || loaded(two) })
+	require.Equal(t, reports, one.Reports()+two.Reports())
+}
