Share the allowance for repeats out over the nodes that there are

Cause: each node took an eighth of 56 repeats a window whatever the number of nodes and the users' figure: 65 nodes with 100 requests a second for a service could send 510 repeats in ten seconds to one that bears 370.

The figures come from the settings now, and a node's part follows the count of nodes that the holder tells.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,7 +45,7 @@
 	f.t.Helper()
 	p := &process{done: make(chan error, 1), settings: front.Settings{Node: name, DataCentre: "z", Clients: freeport.Take(), Ready: freeport.Take(),
 		Peers: freeport.Take(), Metrics: freeport.Take(), Control: freeport.Take(), Store: f.store.Address(), Cores: 1, MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: 900,
-		LoadWindowS: 5, CheckEpochs: true, Seeds: f.seeds}}
+		LoadWindowS: 5, RepeatRatio: 0.2, RepeatExtra: 56, RepeatSpanS: 10, CheckEpochs: true, Seeds: f.seeds}}
 	n, err := front.New(p.settings, zap.NewNop())
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -203,7 +203,7 @@
 
 func TestSettingsAreChecked(t *testing.T) {
 	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","control":"1.2.3.4:6","seeds":["1.2.3.4:6"],"store":"1.2.3.4:5",
-"cores":0.4,"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"engines-check-epochs":true,"log-level":"info"}`
+"cores":0.4,"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"repeat-ratio":0.2,"repeat-extra":56,"repeat-span-s":10,"engines-check-epochs":true,"log-level":"info"}`
 	file := filepath.Join(t.TempDir(), "node.json")
 	write := func(text string) error {
 		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
@@ -222,6 +222,9 @@
 		"no grace":     {`"grace-s":8`, `"grace-s":0`, "$.grace-s"},
 		"no lease":     {`3000`, `-1`, "$.lease-ms"},
 		"no window":    {`"load-window-s":5`, `"load-window-s":0`, "$.load-window-s"},
+		"bad ratio":    {`"repeat-ratio":0.2`, `"repeat-ratio":-1`, "$.repeat-ratio"},
+		"bad extra":    {`"repeat-extra":56`, `"repeat-extra":-1`, "$.repeat-extra"},
+		"no span":      {`"repeat-span-s":10`, `"repeat-span-s":0`, "$.repeat-span-s"},
 		"wrong type":   {`284`, `"much"`, "memory-mb"},
 		"two values":   {`"info"}`, `"info"}{}`, "more than one"},
 	} {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -23,6 +23,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
+	"guavapaddle/core/retry"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/gateway"
@@ -95,7 +96,8 @@
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Repeats: n.repeats()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout,
 		OnMessage: func(string, peer.Frame) {},
@@ -113,6 +115,19 @@
 	return n, nil
 }
 
+// repeats returns what services bear by the settings, where zero means none.
+func (n *Node) repeats() retry.Fleet {
+	s := n.settings
+	f := retry.Fleet{Ratio: s.RepeatRatio, Extra: s.RepeatExtra, Window: time.Duration(s.RepeatSpanS * float64(time.Second))}
+	if f.Ratio == 0 {
+		f.Ratio = -1
+	}
+	if f.Extra == 0 {
+		f.Extra = -1
+	}
+	return f
+}
+
 func (n *Node) newStore() *platform.Store {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "store",
 		Name: "calls_total", Help: "Calls to the platform's store, by their answer; 0 where none came."}, []string{"call", "status"})
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -26,6 +26,9 @@
 		GraceS      float64  `json:"grace-s"`       // from SIGTERM to SIGKILL
 		LeaseMS     int      `json:"lease-ms"`      // time to live of the lease on orders
 		LoadWindowS float64  `json:"load-window-s"` // over which loads from the weight store are counted
+		RepeatRatio float64  `json:"repeat-ratio"`  // sends beyond the first that a service bears, of its requests
+		RepeatExtra float64  `json:"repeat-extra"`  // and beyond that, in a window, over all nodes
+		RepeatSpanS float64  `json:"repeat-span-s"` // the window
 		CheckEpochs bool     `json:"engines-check-epochs"`
 		LogLevel    string   `json:"log-level"`
 	}
@@ -95,6 +98,12 @@
 		return &SettingsError{Path: "lease-ms", Reason: "must be above zero"}
 	case s.LoadWindowS <= 0:
 		return &SettingsError{Path: "load-window-s", Reason: "must be above zero"}
+	case s.RepeatRatio < 0:
+		return &SettingsError{Path: "repeat-ratio", Reason: "must not be below zero"}
+	case s.RepeatExtra < 0:
+		return &SettingsError{Path: "repeat-extra", Reason: "must not be below zero"}
+	case s.RepeatSpanS <= 0:
+		return &SettingsError{Path: "repeat-span-s", Reason: "must be above zero"}
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,11 +46,14 @@
 		// engine may begin. An error means that the holder can't be reached.
 		Place func(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error)
 		Rand  *rand.Rand
+		// Repeats is what a service bears of sends beyond the first of each request.
+		Repeats retry.Fleet
 
 		config  atomic.Pointer[fleet.Config]
 		mu      sync.Mutex // guards what follows, and Rand
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
+		nodes   int                      // that share what a service bears, 0 if unknown
 		demand  map[hub.Item]*hub.Demand
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
@@ -210,23 +213,13 @@
 func (g *Gateway) budget(service string) *retry.Budget {
 	b := g.budgets[service]
 	if b == nil {
-		b = &retry.Budget{Share: budgetShare, Floor: budgetFloor, Burst: budgetBurst}
+		b = &retry.Budget{}
+		g.Repeats.Part(b, g.nodes)
 		g.budgets[service] = b
 	}
 	return b
 }
 
-const (
-	// budgetShare is the repeats earned by each request, under the fifth that
-	// the services bear.
-	budgetShare = 0.12
-	// budgetFloor and budgetBurst bound the repeats of one node without
-	// requests: 4 and 0.2 a second are 6 in ten seconds, of the 7 that are one
-	// of eight nodes' part of 56.
-	budgetFloor = 0.2
-	budgetBurst = 4
-)
-
 // crashed returns how many servers ended while they ran the request.
 func (g *Gateway) crashed(print uint64) int {
 	g.mu.Lock()
@@ -288,6 +281,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.share(p.Nodes)
 	g.picture.Others(now, p.Counts)
 	for _, n := range p.Notes {
 		g.picture.Note(now, n.Server, n.Model, n.Adapter, n.Held)
@@ -297,6 +291,17 @@
 	}
 }
 
+// share takes in how many nodes there are; g.mu is held.
+func (g *Gateway) share(nodes int) {
+	if nodes == g.nodes {
+		return
+	}
+	g.nodes = nodes
+	for _, b := range g.budgets {
+		g.Repeats.Part(b, nodes)
+	}
+}
+
 // ask counts demand for a model and adapter.
 func (g *Gateway) ask(w hub.Item, tokens, waiting int) {
 	g.mu.Lock()
