Count the loads of the holder before against the weight store's budget

The lease tells now how many were begun of late; one that lapsed counts as half at least, as before.

TestTheLoadsOfTheHolderBeforeCount begins two more loads than allowed without it.

--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -28,6 +28,7 @@
 		Key         string  `json:"key"`         // fingerprint of the holder's certificate
 		Epoch       int64   `json:"epoch"`
 		Cores       float64 `json:"cores"` // processor of the holder
+		Loads       int     `json:"loads"` // from the weight store of late, when this was written
 	}
 
 	// Keeper holds what one node knows of the lease.
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -52,7 +52,9 @@
 	}
 	p.mu.Lock()
 	now := p.Clock()
+	before, _ := p.Keeper.Leader()
 	l, version, due := p.Keeper.Propose(now)
+	l.Loads = p.recentLoads(time.Now())
 	was := p.Keeper.Mine()
 	p.mu.Unlock()
 	if !due {
@@ -77,7 +79,7 @@
 		p.Keeper.Won(now, l, got)
 		p.wonAt, p.failedAt = now, 0
 		if !was {
-			p.begin(l.Epoch)
+			p.begin(l.Epoch, before)
 		}
 	default:
 		p.observe(rows)
@@ -141,16 +143,18 @@
 	case was && !mine:
 		p.Log.Warn("lease-lost", zap.String("holder", l.Node), zap.Int64("epoch", l.Epoch))
 	case mine && !was:
-		p.begin(l.Epoch)
+		p.begin(l.Epoch, leader.Lease{Node: l.Node}) // what came before is unknown
 	}
 }
 
 // begin starts a time as holder with nothing known of the engines' orders; p.mu
 // is held.
-func (p *Placer) begin(epoch int64) {
-	p.Log.Info("lease-won", zap.Int64("epoch", epoch))
+func (p *Placer) begin(epoch int64, before leader.Lease) {
+	p.Log.Info("lease-won", zap.Int64("epoch", epoch), zap.String("before", before.Node), zap.Int("loads", before.Loads))
 	p.engines = map[string]*engine{}
 	p.loads = nil
+	p.earlier = before.Loads
+	p.unknown = before.Node != ""
 	p.tookOver = time.Now()
 	p.Began()
 }
@@ -191,13 +195,14 @@
 func (p *Placer) Release(ctx context.Context) {
 	p.mu.Lock()
 	version, epoch, mine := p.Keeper.Release()
+	loads := p.recentLoads(time.Now())
 	p.released = true
 	p.mu.Unlock()
 	if !mine {
 		return
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
-	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores})
+	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads})
 	if err != nil {
 		p.Log.Error("lease-encode", zap.Error(err))
 		return
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -61,6 +61,8 @@
 		waiting  map[string]int
 		decayed  time.Time
 		loads    []time.Time // from the weight store
+		earlier  int         // those of the holder before, as it last told
+		unknown  bool        // it didn't release the lease and may have ordered more
 		tookOver time.Time
 		wonAt    time.Duration
 		failedAt time.Duration
@@ -274,16 +276,27 @@
 }
 
 // stores returns how many loads from the weight store may begin now; p.mu is
-// held. The previous holder's loads are unknown, so a new holder takes half.
+// held. Those of the holder before count for a window: as many as it told when
+// it released the lease, or half of all at least if it just fell silent.
 func (p *Placer) stores(now time.Time, e fleet.Engine) int {
-	for len(p.loads) > 0 && now.Sub(p.loads[0]) > p.Window+p.Window/10 {
-		p.loads = p.loads[1:]
-	}
 	most := int(e.LoadsPerS * p.Window.Seconds())
+	before := 0
 	if now.Sub(p.tookOver) < p.Window {
-		most /= 2
+		before = p.earlier
+		if p.unknown {
+			before = max(before, most/2)
+		}
+	}
+	return max(0, max(1, most-before)-p.recentLoads(now))
+}
+
+// recentLoads returns how many loads from the weight store this node began in
+// the last window; p.mu is held.
+func (p *Placer) recentLoads(now time.Time) int {
+	for len(p.loads) > 0 && now.Sub(p.loads[0]) > p.Window+p.Window/10 {
+		p.loads = p.loads[1:]
 	}
-	return max(0, max(1, most)-len(p.loads))
+	return len(p.loads)
 }
 
 // engine returns the ledger of an engine; p.mu is held.
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -246,3 +246,44 @@
 	eventually(t, "loaded", func() bool { return loaded(one) || loaded(two) })
 	require.Equal(t, reports, one.Reports()+two.Reports())
 }
+
+// TestTheLoadsOfTheHolderBeforeCount lets a holder begin all loads that a window
+// allows and hand the lease over: the next one waits with more of them.
+func TestTheLoadsOfTheHolderBeforeCount(t *testing.T) {
+	s := standin.NewStore(t)
+	e := &fleet.Engine{WeightsMB: 2300000, LoadsPerS: 1, Models: map[string]fleet.Model{}}
+	for _, m := range []string{"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"} {
+		e.Models[m] = fleet.Model{Name: m, MB: 72000}
+	}
+	c := fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+	var list []*standin.Worker
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9"} {
+		list = append(list, (&standin.Worker{ID: id}).Start(t))
+	}
+	loaded := func() int {
+		n := 0
+		for _, w := range list {
+			n += len(w.Models())
+		}
+		return n
+	}
+	tell := func(h *holder) {
+		var servers []fleet.Server
+		for _, w := range list {
+			servers = append(servers, listed(w))
+		}
+		h.Config(c)
+		h.Servers(servers)
+	}
+	a := start(t, s, "a", never)
+	tell(a)
+	eventually(t, "a window's loads", func() bool { return loaded() == 5 })
+	a.Release(context.Background())
+	b := start(t, s, "b", never)
+	tell(b)
+	eventually(t, "released", b.Holding)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		require.LessOrEqual(t, loaded(), 6, "one is always allowed")
+	}
+	require.Equal(t, 6, loaded())
+}
