Remove the rows of nodes that are gone

A node writes its row again each ten minutes; the holder of the lease removes those that stood unchanged for 35, by their versions. The decision is tested (core/roster); that rows go in a running fleet was not shown by a run, which would take 35 minutes.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -12,6 +12,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/leader"
+	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
@@ -80,7 +81,7 @@
 	}
 )
 
-// register writes the node's own row until it is written.
+// register writes the node's own row, and again each refresh.
 func (n *Node) register(ctx context.Context) {
 	value, err := json.Marshal(nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()})
 	if err != nil {
@@ -92,16 +93,50 @@
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, _, ok, err := n.store.Change(call, platform.Change{Set: []platform.Row{row}})
 		cancel()
-		if ok {
-			return
+		pause := roster.Refresh
+		if !ok {
+			n.log.Warn("node-row-failed", zap.Error(err))
+			pause = registerRetry
 		}
-		n.log.Warn("node-row-failed", zap.Error(err))
-		if !clock.Sleep(ctx, registerRetry) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 	}
 }
 
+// tidy removes the rows of nodes that are gone, while this node holds the lease.
+func (n *Node) tidy(ctx context.Context) {
+	var w roster.Watch
+	for clock.Sleep(ctx, roster.Refresh) {
+		if !n.placer.Holding() {
+			w = roster.Watch{}
+			continue
+		}
+		n.removeGone(ctx, &w)
+	}
+}
+
+// removeGone removes the rows that a watch finds left behind, unless they have
+// been written since they were read.
+func (n *Node) removeGone(ctx context.Context, w *roster.Watch) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
+	if err != nil {
+		n.log.Warn("node-rows-failed", zap.Error(err))
+		return
+	}
+	versions := make(map[string]int64, len(rows))
+	for _, r := range rows {
+		versions[r.Key] = r.Version
+	}
+	for _, key := range w.Gone(clock.Boot(), versions) {
+		row := platform.Row{Table: nodeTable, Key: key, Version: versions[key]}
+		_, _, ok, err := n.store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Remove: []platform.Row{row}})
+		n.log.Info("node-row-removed", zap.String("node", key), zap.Int64("version", row.Version), zap.Bool("removed", ok), zap.Error(err))
+	}
+}
+
 // exchange reports to the holder of the lease until ctx ends.
 func (n *Node) exchange(ctx context.Context) {
 	c := n.holder()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -169,7 +169,7 @@
 		zap.String("clients", n.settings.Clients), zap.String("key", n.key.Fingerprint()[:16]))
 	work, end := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	tasks := []func(context.Context){n.follower.Run, n.placer.Run, n.granter.Run, n.register, n.exchange, n.sweep, n.reload, n.servePeers}
+	tasks := []func(context.Context){n.follower.Run, n.placer.Run, n.granter.Run, n.register, n.tidy, n.exchange, n.sweep, n.reload, n.servePeers}
 	for _, task := range tasks {
 		wg.Go(func() { task(work) })
 	}
