Load first what is on an engine's disk, and nothing that hardly anyone asks for

And with demand near nothing 40 of 90 engines were always loading: any load above 0.001 slots was a reason for a copy.

Free room is now filled from memory and disk first, models without a copy before others; a further copy must get 0.3 slots at least (TestAnEngineThatStartedAgainLoadsFirstWhatIsOnItsDisk, TestIdleEnginesKeepWhatTheyHold fail before).

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -13,6 +13,9 @@
 	// quiet is the load, in slots, below which a model counts as not in use: a
 	// prompt token a second takes about a thousandth of a slot.
 	quiet = 0.001
+	// worthACopy is the load, in slots, that a further copy must get: with less
+	// the planner went on moving copies on engines that stood idle.
+	worthACopy = 0.3
 	// movesAtOnce bounds the servers that change at the same time to one in so
 	// many: each has a place less for the seconds of its move.
 	movesAtOnce = 2
@@ -77,6 +80,7 @@
 		anywhere map[string]int // copies that take requests now
 		promised map[string]int // copies that this plan makes room for
 		moving   int
+		quick    bool // only loads from memory or disk
 		moves    []Move
 	}
 )
@@ -100,6 +104,7 @@
 		}
 	}
 	p.dropUndeclared()
+	p.fillQuickly()
 	for _, m := range p.missing() {
 		p.place(m)
 	}
@@ -107,6 +112,34 @@
 	return p.moves
 }
 
+// fillQuickly loads into free room what is in memory or on disk there: first
+// models without a copy, then those with the most load. An engine that has
+// started again serves after 0.8 s so; a load from the weight store would keep
+// all others from it for 4.2 s.
+func (p *planner) fillQuickly() {
+	p.quick = true
+	defer func() { p.quick = false }()
+	for _, m := range p.missing() {
+		p.load(m, p.why(m))
+	}
+	tried := map[string]bool{}
+	for {
+		m, load := p.busiest(tried)
+		if m == "" || load < worthACopy {
+			return
+		}
+		tried[m] = !p.load(m, Busy)
+	}
+}
+
+// why tells why a model without a copy is loaded.
+func (p *planner) why(model string) Why {
+	if p.in.Waiting[model] > 0 || p.in.Load[model] > quiet {
+		return Asked
+	}
+	return Declared
+}
+
 // dropUndeclared unloads models that the configuration no longer has.
 func (p *planner) dropUndeclared() {
 	for i := range p.in.Servers {
@@ -142,10 +175,7 @@
 
 // place gives a model without a copy one, or begins to make room for it.
 func (p *planner) place(model string) {
-	why := Declared
-	if p.in.Waiting[model] > 0 || p.in.Load[model] > quiet {
-		why = Asked
-	}
+	why := p.why(model)
 	if p.load(model, why) {
 		return
 	}
@@ -175,6 +205,9 @@
 		return false
 	}
 	store := source(best, model) == fromStore
+	if store && p.quick {
+		return false
+	}
 	if store && p.in.Stores <= 0 {
 		return true // it waits for the weight store, and needs no other room
 	}
@@ -280,8 +313,8 @@
 // while that pays.
 func (p *planner) rebalance() {
 	for range p.in.Servers {
-		m, load := p.busiest()
-		if m == "" || load < quiet {
+		m, load := p.busiest(nil)
+		if m == "" || load < worthACopy {
 			return
 		}
 		if !p.load(m, Busy) && !p.makeRoom(m, load, false) {
@@ -292,13 +325,13 @@
 }
 
 // busiest returns the model with the most load for each copy if it had one
-// more, counting those that room is being made for.
-func (p *planner) busiest() (string, float64) {
+// more, counting those that room is being made for, and leaving some out.
+func (p *planner) busiest(without map[string]bool) (string, float64) {
 	var name string
 	var most float64
 	for m := range p.in.Engine.Models {
 		n := p.copies[m] + p.promised[m]
-		if n == 0 || n >= len(p.in.Servers) {
+		if n == 0 || n >= len(p.in.Servers) || without[m] {
 			continue
 		}
 		if l := p.in.Load[m] / float64(n+1); l > most || l == most && m < name {
--- a/core/residency/plan_test.go
+++ b/core/residency/plan_test.go
@@ -149,3 +149,22 @@
 	in.Load["m0"], in.Load["m1"], in.Load["m2"] = 30, 30, 30
 	require.Empty(t, residency.Plan(in), "what is on disk alone is no reason")
 }
+
+func TestAnEngineThatStartedAgainLoadsFirstWhatIsOnItsDisk(t *testing.T) {
+	b := server("b")
+	b.OnDisk = []string{"m0", "m1"}
+	moves := residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{server("a", "m0", "m1", "m2"), b, server("c")},
+		Load: map[string]float64{"m0": 30, "m1": 20}, Waiting: map[string]int{"m3": 2}, Stores: 5})
+	loads := map[string]string{}
+	for _, m := range moves {
+		require.True(t, m.Load)
+		loads[m.Server.ID] = m.Model
+	}
+	require.Equal(t, map[string]string{"b": "m0", "c": "m3"}, loads)
+}
+
+func TestIdleEnginesKeepWhatTheyHold(t *testing.T) {
+	require.Empty(t, residency.Plan(residency.Input{Engine: engine(3), Servers: []residency.Server{
+		server("a", "m0", "m1"), server("b", "m1", "m2"), server("c", "m2", "m0")},
+		Load: map[string]float64{"m0": 0.2, "m1": 0.1}, Stores: 5}), "a request every few seconds is no reason for a load")
+}
