Count a request from its grant to the end of its stream

Cause: a place ended with the first byte of the answer; from then on the holder knew a stream by the nodes' digests, up to 0.8 s late with 65 nodes, of streams that last 1.3 s.

A place now lasts until the end of the stream: the node says when the answer begins and when it has ended. Digests leave out what the granter in office counts itself. All slots are used.

--- a/core/balance/picture_test.go
+++ b/core/balance/picture_test.go
@@ -127,3 +127,25 @@
 	require.InDelta(t, 0.32, p.Pace("fast"), 0.05)
 	require.EqualValues(t, 1, p.Pace("unknown"))
 }
+
+func TestWhatAGranterCountsIsToldApart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := balance.New(rand.New(rand.NewPCG(1, 2)))
+	p.Update([]fleet.Server{{ID: "a", Service: "llm", Slots: 8, Held: []fleet.Held{{Model: "m"}}}})
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 100}
+	var tickets []*balance.Ticket
+	for _, granter := range []int64{0, 6, 7, 7} {
+		ticket := p.Sent(start, "a", r)
+		ticket.Granted(granter)
+		p.First(start, ticket)
+		tickets = append(tickets, ticket)
+	}
+	require.Equal(t, balance.Count{Running: 4, Granted: 2}, p.Own(7)["a"])
+	require.Equal(t, balance.Count{Running: 4, Granted: 1}, p.Own(6)["a"], "as the granter before would count")
+	p.Done(start, tickets[2], balance.Good)
+	require.Equal(t, balance.Count{Running: 3, Granted: 1}, p.Own(7)["a"])
+	for _, i := range []int{0, 1, 3} {
+		p.Done(start, tickets[i], balance.Good)
+	}
+	require.Empty(t, p.Own(7))
+}
--- a/core/grant/doc.go
+++ b/core/grant/doc.go
@@ -15,14 +15,15 @@
 // can't begin within its target any more goes behind all that still can. One
 // that can't begin before it expires is refused.
 //
-// A grant holds its tokens until Release, which the entry node calls with the
-// first byte of the answer or when the send has failed.
+// A grant holds its tokens until Begun, which the entry node calls with the first
+// byte of the answer, and a slot of the engine until Release.
 //
 // # Usage
 //
 //	s := grant.New(picture, grant.Settings{})
 //	s.Offer(grant.Request{ID: 1, Pick: r, Priority: 2, Target: t, Expire: e})
 //	for _, d := range s.Next(now) { tell(d.ID, d) }
+//	s.Begun(now, 1)
 //	s.Release(now, 1, balance.Good)
 //
 // A Scheduler is not safe for concurrent use.
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -11,9 +11,10 @@
 const (
 	// Tokens is the default bound of prompt tokens at an engine.
 	Tokens = 2000
-	// Part is the default part of an engine's slots that running streams may
-	// take.
-	Part = 0.85
+	// Part is the default part of an engine's slots that requests may take. All of
+	// them, since each is counted from its grant to its end; what nodes begin
+	// without the scheduler comes in digests.
+	Part = 1.0
 	// comeBack is when a refused client may come back where the queue doesn't
 	// tell: a model may be loaded by then.
 	comeBack = time.Second
@@ -175,6 +176,15 @@
 	return out
 }
 
+// Begun notes that the engine has read the prompt of a request that was granted:
+// its tokens are free, and it takes a slot until Release.
+func (s *Scheduler) Begun(now time.Time, id uint64) {
+	if h, ok := s.granted[id]; ok {
+		s.picture.First(now, h.ticket)
+		s.freed(now, h.server)
+	}
+}
+
 // Release ends a grant, or takes a request that still waits back. The result
 // tells how the send went.
 func (s *Scheduler) Release(now time.Time, id uint64, r balance.Result) {
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -55,6 +55,24 @@
 	require.Equal(t, []uint64{3}, granted(s.Next(start)))
 }
 
+func TestARequestTakesASlotFromItsGrantToItsEnd(t *testing.T) {
+	a := server("a", "m")
+	a.Slots = 3
+	s := scheduler(a)
+	for id := uint64(1); id <= 5; id++ {
+		s.Offer(request(id, "m", 100, 1))
+	}
+	require.Equal(t, []uint64{1, 2, 3}, granted(s.Next(start)))
+	s.Begun(start, 1)
+	s.Begun(start, 2)
+	require.Empty(t, s.Next(start), "their prompts are read, but they still run")
+	s.Release(start, 2, balance.Good)
+	require.Equal(t, []uint64{4}, granted(s.Next(start)))
+	s.Release(start, 3, balance.Broken)
+	s.Release(start, 1, balance.Dropped)
+	require.Equal(t, []uint64{5}, granted(s.Next(start)), "the others avoid an engine that broke off only if there are any")
+}
+
 func TestALongPromptGoesToAnIdleEngine(t *testing.T) {
 	s := scheduler(server("a", "m"))
 	s.Offer(request(1, "m", 9000, 1))
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -10,7 +10,6 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-	"guavapaddle/core/balance"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
@@ -148,7 +147,7 @@
 		if !ok || l.Node == "" {
 			continue
 		}
-		r := n.gateway.Report(n.settings.Node)
+		r := n.gateway.Report(n.settings.Node, l.Epoch)
 		r.Known = n.follower.Known()
 		r.Contact = n.follower.Contact(time.Now())
 		r.Update = n.read(r)
@@ -287,16 +286,17 @@
 func (n *Node) Want(ctx context.Context, w hub.Want) hub.Offer { return n.placer.Want(ctx, w) }
 
 // Place answers a request for a place at an engine.
-func (n *Node) Place(ctx context.Context, p hub.Place, queued func()) (hub.Placed, func(balance.Result), error) {
+func (n *Node) Place(ctx context.Context, p hub.Place, queued func()) (hub.Placed, hub.Grant, error) {
 	if !n.placer.Holding() {
 		return hub.Placed{}, nil, context.Canceled
 	}
-	d, release, err := n.granter.Place(ctx, p, queued)
-	return hub.Placed{Granted: d.Granted, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, release, err
+	l, _ := n.placer.Leader()
+	d, grant, err := n.granter.Place(ctx, p, queued)
+	return hub.Placed{Granted: d.Granted, Granter: l.Epoch, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, grant, err
 }
 
 // place asks the holder of the lease for a place at an engine.
-func (n *Node) place(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error) {
+func (n *Node) place(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error) {
 	l, ok := n.placer.Leader()
 	if !ok || l.Node == "" {
 		return hub.Placed{}, nil, context.Canceled
@@ -311,9 +311,9 @@
 	defer cancel()
 	defer context.AfterFunc(n.contact.context(), cancel)()
 	sent := clock.Boot()
-	placed, release, err := n.holder().Place(ctx, l.Address, p)
+	placed, grant, err := n.holder().Place(ctx, l.Address, p)
 	n.doubt(l, sent, err)
-	return placed, release, err
+	return placed, grant, err
 }
 
 // holder returns a client that notes each sign of life of the holder.
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -51,6 +51,9 @@
 	// works harder; the rest is for stacks, buffers of the kernel, and code.
 	memoryPart = 0.75
 	sweepEvery = time.Second
+	// peerIdle is how long another node may be silent, which reports each 0.8 s,
+	// before its connection ends and with it the places that it had.
+	peerIdle = 5 * time.Second
 )
 
 // Node is one process. New makes one.
@@ -99,7 +102,7 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Repeats: n.repeats()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
-	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout,
+	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdle,
 		OnMessage: func(string, peer.Frame) {},
 		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
 			hub.Serve(ctx, n, f, st)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 		Want func(ctx context.Context, w hub.Want) hub.Offer
 		// Place asks the holder of the lease when and where a request to a model
 		// engine may begin. An error means that the holder can't be reached.
-		Place func(ctx context.Context, p hub.Place) (hub.Placed, func(balance.Result), error)
+		Place func(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error)
 		Rand  *rand.Rand
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
@@ -72,10 +72,11 @@
 		deadline time.Time
 		header   http.Header
 		exclude  map[string]bool
-		lacks    []string             // servers that don't hold the model or adapter
-		runs     int                  // servers that may have run it
-		after    time.Duration        // when a refused client may come back
-		release  func(balance.Result) // of the place that was granted
+		lacks    []string      // servers that don't hold the model or adapter
+		runs     int           // servers that may have run it
+		after    time.Duration // when a refused client may come back
+		place    hub.Grant     // that the request has
+		granter  int64         // who granted it
 		sends    int
 		queued   time.Duration // until the first send
 		print    uint64
@@ -252,11 +253,11 @@
 const marksMost = 4096
 
 // Report returns what this node has at the servers and was asked for since the
-// last report.
-func (g *Gateway) Report(node string) hub.Report {
+// last report, for the granter in office.
+func (g *Gateway) Report(node string, granter int64) hub.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := hub.Report{Node: node, Counts: g.picture.Own(), Marks: g.news}
+	r := hub.Report{Node: node, Counts: g.picture.Own(granter), Marks: g.news}
 	g.news = nil
 	for k, d := range g.demand {
 		if d.Tokens > 0 || d.Waiting > 0 || d.Ran != (hub.Ran{}) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,7 +80,7 @@
 	require.NoError(t, err)
 	r.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: "z", Metrics: gateway.NewMetrics(),
 		Want: func(context.Context, hub.Want) hub.Offer { return hub.Offer{} },
-		Place: func(context.Context, hub.Place) (hub.Placed, func(balance.Result), error) {
+		Place: func(context.Context, hub.Place) (hub.Placed, hub.Grant, error) {
 			return hub.Placed{}, nil, io.EOF
 		},
 		Rand: rand.New(rand.NewPCG(1, 1))}
@@ -406,7 +406,7 @@
 
 func TestRequestsThatWaitAreRefusedWhenTheNodeStops(t *testing.T) {
 	r := newRig(t, worker(t, "i-1"))
-	r.gateway.Place = func(ctx context.Context, _ hub.Place) (hub.Placed, func(balance.Result), error) {
+	r.gateway.Place = func(ctx context.Context, _ hub.Place) (hub.Placed, hub.Grant, error) {
 		<-ctx.Done()
 		return hub.Placed{}, nil, ctx.Err()
 	}
@@ -430,10 +430,19 @@
 	})
 	engine := &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m"}}}
 	r.gateway.SetConfig(fleet.NewConfig(2, routes, []fleet.Service{{Name: "plain", Engine: engine}}, fleet.Limits{}))
-	r.gateway.Place = func(context.Context, hub.Place) (hub.Placed, func(balance.Result), error) {
-		return hub.Placed{Granted: true, Server: "i-1"}, func(balance.Result) {}, nil
+	r.gateway.Place = func(context.Context, hub.Place) (hub.Placed, hub.Grant, error) {
+		return hub.Placed{Granted: true, Server: "i-1"}, noGrant{}, nil
 	}
 	require.Equal(t, 200, r.do("GET", "/stream/", "r1", "", "X-Guavapaddle-Model: m").status)
 	require.Empty(t, leaving.Runs())
 	require.Len(t, staying.Runs(), 1)
 }
+
+// noGrant is a place that nobody counts.
+type noGrant struct{}
+
+// Begun implements hub.Grant.
+func (noGrant) Begun() {}
+
+// Done implements hub.Grant.
+func (noGrant) Done(balance.Result) {}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -79,6 +79,7 @@
 	defer stop()
 	t.g.mu.Lock()
 	t.ticket = t.g.picture.Sent(time.Now(), t.choice.Server.ID, t.balanceRequest())
+	t.ticket.Granted(t.granter)
 	t.g.mu.Unlock()
 	sent := time.Now()
 	wrote, err := t.conn.Send(t.outgoing(t.choice.Server), t.deadline.Add(answerMargin))
@@ -99,8 +100,8 @@
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
 	t.g.mu.Unlock()
-	if !t.answer.NotRun {
-		t.freePlace(balance.Good)
+	if !t.answer.NotRun && t.place != nil {
+		t.place.Begun()
 	}
 	result, f, reason := t.judge()
 	if f == answered && reason == Served && t.engine() {
@@ -148,12 +149,11 @@
 // foreign tells whether the answer names another request.
 func (t *try) foreign() bool { return t.answer.RequestID != "" && t.answer.RequestID != t.meta.ID }
 
-// freePlace tells the holder of the lease that the prompt is read, or how the
-// send failed.
+// freePlace tells the holder of the lease how the send ended.
 func (t *try) freePlace(r balance.Result) {
-	if t.release != nil {
-		t.release(r)
-		t.release = nil
+	if t.place != nil {
+		t.place.Done(r)
+		t.place, t.granter = nil, 0
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -151,7 +151,7 @@
 		g.ask(w, b.Tokens, 0)
 	}
 	if b.Model != "" {
-		c, why, ok := r.place(b, w)
+		c, why, ok := r.ask(b, w)
 		if ok {
 			return c, why
 		}
@@ -194,9 +194,9 @@
 	}
 }
 
-// place asks the holder of the lease for a place. ok is false if the node has
-// to pick by itself.
-func (r *request) place(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
+// ask asks the holder of the lease for a place. ok is false if the node has to
+// pick by itself.
+func (r *request) ask(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
 	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
 	for id := range r.exclude {
@@ -204,10 +204,10 @@
 	}
 	ctx, cancel := r.waiting()
 	defer cancel()
-	placed, release, err := r.g.Place(ctx, p)
+	placed, grant, err := r.g.Place(ctx, p)
 	if ctx.Err() != nil {
 		if err == nil {
-			release(balance.Dropped)
+			grant.Done(balance.Dropped)
 		}
 		if r.x.Context().Err() != nil {
 			return c, ClientLeft, true
@@ -218,7 +218,7 @@
 		return c, "", false
 	}
 	if !placed.Granted {
-		release(balance.Dropped)
+		grant.Done(balance.Dropped)
 		r.after = placed.After
 		return c, Reason(placed.Why), true
 	}
@@ -228,14 +228,14 @@
 	r.g.picture.Note(time.Now(), placed.Server, w.Model, w.Adapter, true)
 	r.g.mu.Unlock()
 	if !known || s.Leaving {
-		release(balance.Dropped) // this node knows more than the holder
+		grant.Done(balance.Dropped) // this node knows more than the holder
 		r.exclude[placed.Server] = true
 		return c, "", false
 	}
 	if r.sends == 0 {
 		r.queued = time.Since(r.x.Received)
 	}
-	r.release = release
+	r.place, r.granter = grant, placed.Granter
 	r.rule = "granted"
 	return balance.Choice{Server: s, Wait: placed.Wait}, "", true
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -6,8 +6,9 @@
 //
 //	g := &granter.Granter{Log: log, Adapter: placer.Want}
 //	g.Reset()                                   // when the lease is won
-//	d, release, err := g.Place(ctx, place)
-//	defer release(balance.Good)                 // with the first byte of the answer
+//	d, place, err := g.Place(ctx, request, func() {})
+//	place.Begun()                               // with the first byte of the answer
+//	place.Done(balance.Good)                    // with the last
 package granter
 
 import (
@@ -116,7 +117,8 @@
 	g.decide()
 }
 
-// Running takes in how many streams all nodes have at each server.
+// Running takes in how many streams all nodes have at each server. Those whose
+// places this granter has granted are known already.
 func (g *Granter) Running(counts map[string]balance.Count) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -125,15 +127,15 @@
 	}
 	running := make(map[string]balance.Count, len(counts))
 	for id, c := range counts {
-		running[id] = balance.Count{Running: c.Running}
+		running[id] = balance.Count{Running: c.Running - c.Granted}
 	}
 	g.picture.Others(time.Now(), running)
 	g.decide()
 }
 
 // Place waits until a request gets a place or is refused, and calls queued if
-// that isn't decided at once. release must be called once if there is no error.
-func (g *Granter) Place(ctx context.Context, p hub.Place, queued func()) (grant.Decision, func(balance.Result), error) {
+// that isn't decided at once.
+func (g *Granter) Place(ctx context.Context, p hub.Place, queued func()) (grant.Decision, hub.Grant, error) {
 	w := waiter{place: p, since: time.Now(), decided: make(chan grant.Decision, 1)}
 	g.mu.Lock()
 	if g.schedule == nil {
@@ -159,7 +161,7 @@
 	select {
 	case d := <-w.decided:
 		w.log(g.Log, d)
-		return d, func(r balance.Result) { g.release(id, r) }, nil
+		return d, &place{g, id}, nil
 	case <-ctx.Done():
 		g.release(id, balance.Dropped)
 		return grant.Decision{}, nil, ctx.Err()
@@ -175,6 +177,23 @@
 		zap.Duration("come-back", d.After))
 }
 
+// place is a grant.
+type place struct {
+	g  *Granter
+	id uint64
+}
+
+// Begun implements hub.Grant.
+func (p *place) Begun() {
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	p.g.schedule.Begun(time.Now(), p.id)
+	p.g.decide()
+}
+
+// Done implements hub.Grant.
+func (p *place) Done(r balance.Result) { p.g.release(p.id, r) }
+
 // release ends a grant or a wait.
 func (g *Granter) release(id uint64, r balance.Result) {
 	g.mu.Lock()
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -47,12 +47,12 @@
 	go func() {
 		d, release, err := g.Place(context.Background(), place("m", "", 1500), func() {})
 		if err == nil {
-			release(balance.Good)
+			release.Done(balance.Good)
 		}
 		second <- err == nil && d.Granted
 	}()
 	require.Never(t, func() bool { return len(second) > 0 }, 150*time.Millisecond, 10*time.Millisecond)
-	release(balance.Good)
+	release.Done(balance.Good)
 	require.True(t, <-second)
 }
 
@@ -74,11 +74,11 @@
 	d, release, err := g.Place(context.Background(), place("m", "a1", 100), func() {})
 	require.NoError(t, err)
 	require.True(t, d.Granted)
-	release(balance.Good)
+	release.Done(balance.Good)
 	d, release, err = g.Place(context.Background(), place("m", "a1", 100), func() {})
 	require.NoError(t, err)
 	require.True(t, d.Granted)
-	release(balance.Good)
+	release.Done(balance.Good)
 	require.EqualValues(t, 1, fetched.Load())
 }
 
@@ -90,7 +90,7 @@
 	time.AfterFunc(100*time.Millisecond, func() { waiting <- g.Waiting() })
 	d, release, err := g.Place(context.Background(), p, func() {})
 	require.NoError(t, err)
-	defer release(balance.Dropped)
+	defer release.Done(balance.Dropped)
 	require.False(t, d.Granted)
 	require.Equal(t, balance.NoModel, d.Why)
 	require.Positive(t, d.After)
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -18,6 +18,7 @@
 	kindPlaced  peer.Kind = 6
 	kindRelease peer.Kind = 7
 	kindQueued  peer.Kind = 8
+	kindBegun   peer.Kind = 9
 )
 
 // AckTimeout bounds the wait for the first answer to a Place: that it is
@@ -34,7 +35,8 @@
 	}
 
 	// Place asks the holder for a place at an engine. Its answer comes when the
-	// request may begin; the caller then says with a Released how the send went.
+	// request may begin; the caller then says when its answer begins, and with a
+	// Released how it ended.
 	Place struct {
 		Item
 		Request  string // id, for the log
@@ -52,11 +54,19 @@
 	Placed struct {
 		Granted bool
 		Server  string // incarnation
+		Granter int64  // who counts it until its end
 		Wait    time.Duration
 		Why     string
 		After   time.Duration // when a refused client may come back
 	}
 
+	// Grant is a place that was granted, or a wait that ended. Done must be called
+	// once.
+	Grant interface {
+		Begun()                // the prompt is read, the answer has begun
+		Done(r balance.Result) // the send has ended
+	}
+
 	// Released ends a place that was granted.
 	Released struct{ Result balance.Result }
 
@@ -81,7 +91,7 @@
 		Report(r Report) Picture
 		Want(ctx context.Context, w Want) Offer
 		// Place calls queued if the request has to wait.
-		Place(ctx context.Context, p Place, queued func()) (Placed, func(balance.Result), error)
+		Place(ctx context.Context, p Place, queued func()) (Placed, Grant, error)
 	}
 )
 
@@ -114,9 +124,8 @@
 	return o, err
 }
 
-// Place asks the holder for a place. If there is no error, release must be
-// called once.
-func (c *Client) Place(ctx context.Context, address string, p Place) (Placed, func(balance.Result), error) {
+// Place asks the holder for a place.
+func (c *Client) Place(ctx context.Context, address string, p Place) (Placed, Grant, error) {
 	f, err := peer.Encode(kindPlace, p)
 	if err != nil {
 		return Placed{}, nil, err
@@ -138,7 +147,32 @@
 		s.Cancel()
 		return Placed{}, nil, err
 	}
-	return answer, func(r balance.Result) { c.release(s, r) }, nil
+	return answer, &streamGrant{s}, nil
+}
+
+// streamGrant tells the holder on the stream of the request for the place.
+type streamGrant struct{ s *peer.Stream }
+
+// Begun implements Grant.
+func (g *streamGrant) Begun() {
+	if g.s.Write(peer.Frame{Kind: kindBegun}) != nil {
+		g.s.Cancel()
+	}
+}
+
+// Done implements Grant. If the result can't be told the end of the stream frees
+// the place all the same.
+func (g *streamGrant) Done(r balance.Result) {
+	f, err := peer.Encode(kindRelease, Released{r})
+	if err == nil {
+		err = g.s.Write(f)
+	}
+	if err != nil {
+		g.s.Cancel()
+		return
+	}
+	_ = g.s.Close()
+	g.s.CancelRead()
 }
 
 // placed reads the answer to a Place.
@@ -165,21 +199,6 @@
 	return f, err
 }
 
-// release tells how a send went. If that can't be told the end of the stream
-// frees the place all the same.
-func (c *Client) release(s *peer.Stream, r balance.Result) {
-	f, err := peer.Encode(kindRelease, Released{r})
-	if err == nil {
-		err = s.Write(f)
-	}
-	if err != nil {
-		s.Cancel()
-		return
-	}
-	_ = s.Close()
-	s.CancelRead()
-}
-
 // call sends one frame and reads one back.
 func (c *Client) call(ctx context.Context, address string, k peer.Kind, in, out any) error {
 	f, err := peer.Encode(k, in)
@@ -246,19 +265,24 @@
 		return
 	}
 	queued := func() { _ = s.Write(peer.Frame{Kind: kindQueued}) } // a write that fails ends ctx
-	placed, release, err := h.Place(ctx, p, queued)
+	placed, grant, err := h.Place(ctx, p, queued)
 	if err != nil {
 		s.Cancel()
 		return
 	}
 	result := balance.Dropped
-	defer func() { release(result) }()
+	defer func() { grant.Done(result) }()
 	answer, err := peer.Encode(kindPlaced, placed)
 	if err != nil || s.Write(answer) != nil || !placed.Granted {
 		return
 	}
 	s.ReadBy(time.Now().Add(placeLife))
 	f, err = s.Read()
+	if err == nil && f.Kind == kindBegun {
+		grant.Begun()
+		s.ReadBy(time.Now().Add(runLife))
+		f, err = s.Read()
+	}
 	if err != nil || f.Kind != kindRelease {
 		return
 	}
@@ -268,5 +292,9 @@
 	}
 }
 
-// placeLife bounds how long a place is held for a node that doesn't say more.
-const placeLife = 10 * time.Second
+const (
+	// placeLife bounds how long a place is held for a node that doesn't say more.
+	placeLife = 10 * time.Second
+	// runLife bounds how long a stream counts; the longest deadline is 30 s.
+	runLife = time.Minute
+)
--- a/internal/hub/client_test.go
+++ b/internal/hub/client_test.go
@@ -22,13 +22,13 @@
 }
 
 // Place implements hub.Holder.
-func (h *holder) Place(ctx context.Context, _ hub.Place, queued func()) (hub.Placed, func(balance.Result), error) {
+func (h *holder) Place(ctx context.Context, _ hub.Place, queued func()) (hub.Placed, hub.Grant, error) {
 	if !h.mute {
 		queued()
 	}
 	select {
 	case <-h.decide:
-		return hub.Placed{Granted: true, Server: "i-1"}, func(balance.Result) {}, nil
+		return hub.Placed{Granted: true, Server: "i-1"}, noGrant{}, nil
 	case <-ctx.Done():
 		return hub.Placed{}, nil, ctx.Err()
 	}
@@ -76,6 +76,15 @@
 	p, release, err := c.Place(context.Background(), e.Address, hub.Place{})
 	require.NoError(t, err)
 	require.True(t, p.Granted)
-	release(balance.Good)
+	release.Done(balance.Good)
 	require.Len(t, told, 2, "queued, then granted")
 }
+
+// noGrant is a place that nobody counts.
+type noGrant struct{}
+
+// Begun implements hub.Grant.
+func (noGrant) Begun() {}
+
+// Done implements hub.Grant.
+func (noGrant) Done(balance.Result) {}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -176,6 +176,7 @@
 		n.Pending += c.Pending
 		n.Running += c.Running
 		n.Tokens += c.Tokens
+		n.Granted += c.Granted
 		sum[id] = n
 	}
 }
