End the place of a request that is given up with it in hand

Cause: a refused request asks for another place before it spends a repeat; if the budget was empty it was given up, and nothing ended the place.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -438,6 +439,39 @@
 	require.Len(t, staying.Runs(), 1)
 }
 
+// counted is a place that counts how often it ended.
+type counted struct{ done *atomic.Int64 }
+
+// Begun implements hub.Grant.
+func (counted) Begun() {}
+
+// Done implements hub.Grant.
+func (c counted) Done(balance.Result) { c.done.Add(1) }
+
+func TestEachPlaceEndsAlsoIfItsRequestIsGivenUp(t *testing.T) {
+	var workers []*standin.Worker
+	var servers []fleet.Server
+	for i := range 4 {
+		w := worker(t, fmt.Sprint("i-", i), standin.Shed)
+		workers = append(workers, w)
+		servers = append(servers, fleet.Server{ID: w.ID, Service: "plain", Address: w.Address(), Zone: "z", Slots: 4, Held: []fleet.Held{{Model: "m"}}})
+	}
+	r := newRig(t, workers...)
+	r.gateway.SetServers(servers)
+	engine := &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m"}}}
+	r.gateway.SetConfig(fleet.NewConfig(2, routes, []fleet.Service{{Name: "plain", Engine: engine}}, fleet.Limits{}))
+	var placed, done atomic.Int64
+	r.gateway.Place = func(_ context.Context, p hub.Place) (hub.Placed, hub.Grant, error) {
+		n := placed.Add(1)
+		return hub.Placed{Granted: true, Server: fmt.Sprint("i-", n%4)}, counted{&done}, nil
+	}
+	for i := range 20 {
+		require.Equal(t, 503, r.do("GET", "/stream/", fmt.Sprint("r", i), "", "X-Guavapaddle-Model: m").status)
+	}
+	require.Contains(t, r.log.String(), "reason=budget", "some were given up with a place in hand")
+	require.Eventually(t, func() bool { return placed.Load() == done.Load() }, 2*time.Second, time.Millisecond, "a place ends after its answer")
+}
+
 // noGrant is a place that nobody counts.
 type noGrant struct{}
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -150,10 +150,10 @@
 func (t *try) foreign() bool { return t.answer.RequestID != "" && t.answer.RequestID != t.meta.ID }
 
 // freePlace tells the holder of the lease how the send ended.
-func (t *try) freePlace(r balance.Result) {
-	if t.place != nil {
-		t.place.Done(r)
-		t.place, t.granter = nil, 0
+func (r *request) freePlace(result balance.Result) {
+	if r.place != nil {
+		r.place.Done(result)
+		r.place, r.granter = nil, 0
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,8 @@
 	r.exclude = map[string]bool{}
 	r.header = http1.EndToEnd(r.x.Request.Header)
 	r.last = r.meta.LastEvent
+	// A request that is given up with a place in hand must not keep it.
+	defer r.freePlace(balance.Dropped)
 	dials := 0
 	var refusal Reason
 	for {
