Keep the places of adapters whose model is being unloaded

An engine's entry stops naming a model as soon as its unload is accepted, but requests that run keep the model's memory and its adapters' places until they end.

--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -41,7 +41,7 @@
 	case v == platform.Begun:
 		e.open = nil
 		if !m.Load {
-			p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
+			p.dropped(e, m)
 		}
 		return
 	case v == platform.Conflict && e.open != nil:
@@ -55,6 +55,15 @@
 	}
 }
 
+// dropped notes that a model goes. Its entry names it no longer, but until its
+// requests have ended it keeps its memory, and its adapters their places: what is
+// free is read from the engine's report once that isn't busy any more; p.mu is
+// held.
+func (p *Placer) dropped(e *engine, m residency.Move) {
+	p.tell(hub.Note{Server: m.Server.ID, Model: m.Model, Held: false})
+	e.stale = true
+}
+
 // unspend takes a load from the weight store that didn't begin off the count;
 // p.mu is held. Of 600 orders on a heavy day 120 don't begin.
 func (p *Placer) unspend() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -124,22 +123,10 @@
 		e.coming = ""
 	}
 	if e.going != "" && !s.Holds(e.going, "") {
-		e.dropped(e.going)
 		e.going = ""
 	}
 }
 
-// dropped takes the adapters of a model that has gone out of the ledger. To read
-// them from a report cost 0.4 to 0.8 s before the next load: the report is older
-// than the entry and contradicts it.
-func (e *engine) dropped(model string) {
-	for key := range e.adapters {
-		if m, _, _ := strings.Cut(key, "/"); m == model {
-			delete(e.adapters, key)
-		}
-	}
-}
-
 // reachable tells whether this node needn't look for the lease: the holder
 // answers, or this node has given the lease up and ends.
 func (p *Placer) reachable() bool {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -228,23 +229,43 @@
 	require.Equal(t, 2, w.MostAdapters(), "two places, both taken")
 }
 
-func TestALoadFollowsTheUnloadThatMadeRoomWithoutAnotherReport(t *testing.T) {
+// TestAdaptersOfAModelThatGoesKeepTheirPlaces lets an unload wait for requests
+// that run: the engine's entry no longer names the model, but its adapters are
+// still there and take the places for adapters.
+func TestAdaptersOfAModelThatGoesKeepTheirPlaces(t *testing.T) {
 	s := standin.NewStore(t)
-	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 2, Models: map[string]fleet.Model{}}
+	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 2, AdapterSlots: 2, Models: map[string]fleet.Model{}}
 	for _, m := range []string{"m0", "m1", "m2", "m3"} {
-		e.Models[m] = fleet.Model{Name: m, MB: 72000}
+		e.Models[m] = fleet.Model{Name: m, MB: 72000, Adapters: 3, AdapterMB: 66}
 	}
-	one := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").Hold("m2").Start(t)
-	two := (&standin.Worker{ID: "i-2"}).Hold("m0").Hold("m1").Hold("m2").Start(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0", "a1", "a2").Hold("m1").Hold("m2").SlowUnloads().Start(t)
+	other := (&standin.Worker{ID: "i-2"}).Hold("m0").Start(t)
 	a := start(t, s, "a", never)
 	a.Config(fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{}))
-	a.Servers([]fleet.Server{listed(one), listed(two)})
-	eventually(t, "unloaded", func() bool { return len(one.Models())+len(two.Models()) == 5 })
-	reports := one.Reports() + two.Reports()
-	a.Servers([]fleet.Server{listed(one), listed(two)})
-	loaded := func(w *standin.Worker) bool { _, ok := w.Models()["m3"]; return ok }
-	eventually(t, "loaded", func() bool { return loaded(one) || loaded(two) })
-	require.Equal(t, reports, one.Reports()+two.Reports())
+	entries := func() []fleet.Server {
+		rest := fleet.Server{ID: "i-1", Service: "llm", Address: w.Address(), Slots: 8, Held: []fleet.Held{{Model: "m1"}, {Model: "m2"}}}
+		if len(w.Leaving()) == 0 {
+			rest = listed(w)
+		}
+		full := listed(other) // as if it had no room, and is the other copy of m0
+		full.Held = []fleet.Held{{Model: "m0"}, {Model: "mx"}, {Model: "my"}}
+		return []fleet.Server{rest, full}
+	}
+	a.Servers(entries())
+	eventually(t, "holding", a.Holding)
+	want := func(model, adapter string) hub.Offer {
+		return a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: model, Adapter: adapter}})
+	}
+	eventually(t, "the ledger is read", func() bool { return want("m0", "a1").Found })
+	eventually(t, "m0 makes room for m3", func() bool { return slices.Contains(w.Leaving(), "m0") })
+	a.Servers(entries())
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		want("m1", "a1")
+		require.Zero(t, w.MostAdapters(), "both places are taken until the engine has done it")
+	}
+	w.FinishUnloads()
+	a.Servers(entries())
+	eventually(t, "then they are free", func() bool { return want("m1", "a1").Found })
 }
 
 // TestTheLoadsOfTheHolderBeforeCount lets a holder begin all loads that a window
