Split scheduler, follower and exchange by subject

Pure moves: core/grant into scheduler, group and rates; internal/follow into follower and table; internal/front/exchange into exchange, members and places. No line of code changed.

--- /dev/null
+++ b/core/grant/group.go
@@ -0,0 +1,91 @@
+package grant
+
+import (
+	"sort"
+	"time"
+
+	"guavapaddle/core/balance"
+)
+
+const (
+	// dueWithin is how long before its target a request is due. Until then it lets
+	// others go first that would become late: batches with a target of seconds,
+	// which come in bursts of four times their usual number for three seconds.
+	dueWithin = time.Second
+)
+
+type (
+	// group is the requests for one item that wait, each list by urgency and
+	// arrival.
+	group struct {
+		item  Item
+		fresh []Request // can still begin within their target
+		late  []Request
+		why   balance.Why // of the last look
+	}
+)
+
+// insert keeps a list in order.
+func insert(list []Request, r Request) []Request {
+	i := sort.Search(len(list), func(i int) bool { return before(r, list[i]) })
+	list = append(list, Request{})
+	copy(list[i+1:], list[i:])
+	list[i] = r
+	return list
+}
+
+// before orders requests by urgency and arrival.
+func before(a, b Request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.ID < b.ID
+}
+
+// without takes a request out of a list.
+func without(list []Request, id uint64) []Request {
+	for i, r := range list {
+		if r.ID == id {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// urgent tells whether a group's head goes before another's.
+func (g *group) urgent(now time.Time, o *group) bool {
+	if a, b := g.rank(now), o.rank(now); a != b {
+		return a < b
+	}
+	return before(g.head(), o.head())
+}
+
+// rank returns where a group's head stands whatever its priority: first what is
+// due, then what can wait without becoming late, then what is late.
+func (g *group) rank(now time.Time) int {
+	switch {
+	case len(g.fresh) == 0:
+		return 2
+	case g.fresh[0].Target.Sub(now) > dueWithin:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// head returns the request of a group that goes first.
+func (g *group) head() Request {
+	if len(g.fresh) > 0 {
+		return g.fresh[0]
+	}
+	return g.late[0]
+}
+
+// pop takes the head off.
+func (g *group) pop() {
+	if len(g.fresh) > 0 {
+		g.fresh = g.fresh[1:]
+		return
+	}
+	g.late = g.late[1:]
+}
--- /dev/null
+++ b/core/grant/rates.go
@@ -0,0 +1,126 @@
+package grant
+
+import (
+	"time"
+
+	"guavapaddle/core/balance"
+)
+
+const (
+	// comeBack is when a refused client may come back where the queue doesn't
+	// tell: a model may be loaded by then.
+	comeBack = time.Second
+	// comeBackLeast and comeBackMost bound what the queue tells: a client that
+	// comes back sooner meets the same queue, one that comes later may have no
+	// time left.
+	comeBackLeast = 400 * time.Millisecond
+	comeBackMost  = 4 * time.Second
+	// rateWindow is over which the grants for an item are counted.
+	rateWindow = time.Second
+	// rateLeast is how many grants in it tell a rate.
+	rateLeast = 3
+	// lateLeast is how long requests that are late must have been seen before it
+	// is known how many of them still begin.
+	lateLeast = 600 * time.Millisecond
+	// lateHope is added to the late requests that begin in a second, since none
+	// in one second doesn't mean none in the next: with 0, requests of a calm day
+	// were refused in bursts that passed (refused 0.7 in 100 against 0.3).
+	lateHope = 1.0
+	// lateGap is how long there may be none in between.
+	lateGap = 200 * time.Millisecond
+)
+
+type (
+	// rate counts the grants for an item.
+	rate struct {
+		first  time.Time // begin of the first window of a row of them
+		since  time.Time // begin of the present window
+		now    int       // in it
+		before int       // in the one before
+	}
+
+	// rates counts the grants for an item and those of them that went to requests
+	// that were late.
+	rates struct {
+		all      rate
+		late     rate
+		lateFrom time.Time // since when there were late ones all the time
+		lateSeen time.Time // when there were some last
+	}
+)
+
+// doomed tells whether a request that isn't late yet will be, and won't begin
+// then either.
+func (v *rates) doomed(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
+	perSecond, known := v.all.get(now)
+	if g.why != balance.Busy || !known || after(fresh, perSecond) <= r.Target.Sub(now) {
+		return 0, false
+	}
+	return v.hopeless(now, g, r, fresh, late)
+}
+
+// hopeless tells whether a request behind so many others won't begin before it
+// expires, by the rate at which its item was granted of late, and when its
+// client may come back. Requests that are late begin only as fast as others of
+// them did. To refuse it at once is better for its caller than to hold it until
+// it expires.
+func (v *rates) hopeless(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
+	if now.After(r.Expire) {
+		return comeBack, true
+	}
+	perSecond, known := v.all.get(now)
+	if g.why != balance.Busy || !known {
+		return 0, false
+	}
+	wait := after(fresh+late, perSecond)
+	back := min(max(wait, comeBackLeast), comeBackMost)
+	if now.Sub(v.lateFrom) >= lateLeast && now.Sub(v.lateSeen) <= lateGap {
+		rest, _ := v.late.get(now)
+		wait = max(wait, after(late, rest+lateHope))
+	}
+	return back, wait > r.Expire.Sub(now)
+}
+
+// after returns when a request behind so many others begins at a rate.
+func after(ahead int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return time.Hour
+	}
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+}
+
+// sawLate notes that requests are late.
+func (v *rates) sawLate(now time.Time) {
+	if now.Sub(v.lateSeen) > lateGap {
+		v.lateFrom, v.late = now, rate{first: now, since: now}
+	}
+	v.lateSeen = now
+}
+
+// count notes a grant.
+func (v *rate) count(now time.Time) {
+	v.roll(now)
+	v.now++
+}
+
+// roll begins a new window if the present one has passed.
+func (v *rate) roll(now time.Time) {
+	switch age := now.Sub(v.since); {
+	case age >= 2*rateWindow:
+		v.first, v.since, v.now, v.before = now, now, 0, 0
+	case age >= rateWindow:
+		v.since, v.now, v.before = v.since.Add(rateWindow), 0, v.now
+	}
+}
+
+// get returns the grants a second of late, if there were enough to tell.
+func (v *rate) get(now time.Time) (float64, bool) {
+	v.roll(now)
+	part := float64(now.Sub(v.since)) / float64(rateWindow)
+	n := float64(v.now) + float64(v.before)*(1-part)
+	if n == 0 {
+		return 0, false
+	}
+	span := min(rateWindow, now.Sub(v.first))
+	return n / span.Seconds(), n >= rateLeast && span >= rateWindow/4
+}
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"sort"
 	"time"
 
 	"guavapaddle/core/balance"
@@ -15,31 +14,6 @@
 	// them, since each is counted from its grant to its end; what nodes begin
 	// without the scheduler comes in digests.
 	Part = 1.0
-	// comeBack is when a refused client may come back where the queue doesn't
-	// tell: a model may be loaded by then.
-	comeBack = time.Second
-	// comeBackLeast and comeBackMost bound what the queue tells: a client that
-	// comes back sooner meets the same queue, one that comes later may have no
-	// time left.
-	comeBackLeast = 400 * time.Millisecond
-	comeBackMost  = 4 * time.Second
-	// rateWindow is over which the grants for an item are counted.
-	rateWindow = time.Second
-	// rateLeast is how many grants in it tell a rate.
-	rateLeast = 3
-	// lateLeast is how long requests that are late must have been seen before it
-	// is known how many of them still begin.
-	lateLeast = 600 * time.Millisecond
-	// lateHope is added to the late requests that begin in a second, since none
-	// in one second doesn't mean none in the next: with 0, requests of a calm day
-	// were refused in bursts that passed (refused 0.7 in 100 against 0.3).
-	lateHope = 1.0
-	// dueWithin is how long before its target a request is due. Until then it lets
-	// others go first that would become late: batches with a target of seconds,
-	// which come in bursts of four times their usual number for three seconds.
-	dueWithin = time.Second
-	// lateGap is how long there may be none in between.
-	lateGap = 200 * time.Millisecond
 )
 
 type (
@@ -86,32 +60,6 @@
 		server string
 		ticket *balance.Ticket
 	}
-
-	// group is the requests for one item that wait, each list by urgency and
-	// arrival.
-	group struct {
-		item  Item
-		fresh []Request // can still begin within their target
-		late  []Request
-		why   balance.Why // of the last look
-	}
-
-	// rate counts the grants for an item.
-	rate struct {
-		first  time.Time // begin of the first window of a row of them
-		since  time.Time // begin of the present window
-		now    int       // in it
-		before int       // in the one before
-	}
-
-	// rates counts the grants for an item and those of them that went to requests
-	// that were late.
-	rates struct {
-		all      rate
-		late     rate
-		lateFrom time.Time // since when there were late ones all the time
-		lateSeen time.Time // when there were some last
-	}
 )
 
 // New returns a scheduler that decides by a picture, which it changes.
@@ -139,23 +87,6 @@
 	s.look[g] = true
 }
 
-// insert keeps a list in order.
-func insert(list []Request, r Request) []Request {
-	i := sort.Search(len(list), func(i int) bool { return before(r, list[i]) })
-	list = append(list, Request{})
-	copy(list[i+1:], list[i:])
-	list[i] = r
-	return list
-}
-
-// before orders requests by urgency and arrival.
-func before(a, b Request) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	return a.ID < b.ID
-}
-
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int { return len(s.items) }
 
@@ -208,16 +139,6 @@
 	s.tidy(g)
 }
 
-// without takes a request out of a list.
-func without(list []Request, id uint64) []Request {
-	for i, r := range list {
-		if r.ID == id {
-			return append(list[:i], list[i+1:]...)
-		}
-	}
-	return list
-}
-
 // tidy forgets a group in which nothing waits.
 func (s *Scheduler) tidy(g *group) {
 	if len(g.fresh)+len(g.late) == 0 {
@@ -286,54 +207,6 @@
 	return append(out, Decision{ID: r.ID, Why: g.why, After: after})
 }
 
-// doomed tells whether a request that isn't late yet will be, and won't begin
-// then either.
-func (v *rates) doomed(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
-	perSecond, known := v.all.get(now)
-	if g.why != balance.Busy || !known || after(fresh, perSecond) <= r.Target.Sub(now) {
-		return 0, false
-	}
-	return v.hopeless(now, g, r, fresh, late)
-}
-
-// hopeless tells whether a request behind so many others won't begin before it
-// expires, by the rate at which its item was granted of late, and when its
-// client may come back. Requests that are late begin only as fast as others of
-// them did. To refuse it at once is better for its caller than to hold it until
-// it expires.
-func (v *rates) hopeless(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
-	if now.After(r.Expire) {
-		return comeBack, true
-	}
-	perSecond, known := v.all.get(now)
-	if g.why != balance.Busy || !known {
-		return 0, false
-	}
-	wait := after(fresh+late, perSecond)
-	back := min(max(wait, comeBackLeast), comeBackMost)
-	if now.Sub(v.lateFrom) >= lateLeast && now.Sub(v.lateSeen) <= lateGap {
-		rest, _ := v.late.get(now)
-		wait = max(wait, after(late, rest+lateHope))
-	}
-	return back, wait > r.Expire.Sub(now)
-}
-
-// after returns when a request behind so many others begins at a rate.
-func after(ahead int, perSecond float64) time.Duration {
-	if perSecond <= 0 {
-		return time.Hour
-	}
-	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
-}
-
-// sawLate notes that requests are late.
-func (v *rates) sawLate(now time.Time) {
-	if now.Sub(v.lateSeen) > lateGap {
-		v.lateFrom, v.late = now, rate{first: now, since: now}
-	}
-	v.lateSeen = now
-}
-
 // rate returns the rates of an item.
 func (s *Scheduler) rate(now time.Time, i Item) *rates {
 	v := s.rates[i]
@@ -344,34 +217,6 @@
 	return v
 }
 
-// count notes a grant.
-func (v *rate) count(now time.Time) {
-	v.roll(now)
-	v.now++
-}
-
-// roll begins a new window if the present one has passed.
-func (v *rate) roll(now time.Time) {
-	switch age := now.Sub(v.since); {
-	case age >= 2*rateWindow:
-		v.first, v.since, v.now, v.before = now, now, 0, 0
-	case age >= rateWindow:
-		v.since, v.now, v.before = v.since.Add(rateWindow), 0, v.now
-	}
-}
-
-// get returns the grants a second of late, if there were enough to tell.
-func (v *rate) get(now time.Time) (float64, bool) {
-	v.roll(now)
-	part := float64(now.Sub(v.since)) / float64(rateWindow)
-	n := float64(v.now) + float64(v.before)*(1-part)
-	if n == 0 {
-		return 0, false
-	}
-	span := min(rateWindow, now.Sub(v.first))
-	return n / span.Seconds(), n >= rateLeast && span >= rateWindow/4
-}
-
 // Next grants all places that there are now.
 func (s *Scheduler) Next(now time.Time) []Decision {
 	var out []Decision
@@ -407,41 +252,3 @@
 	}
 	return best
 }
-
-// urgent tells whether a group's head goes before another's.
-func (g *group) urgent(now time.Time, o *group) bool {
-	if a, b := g.rank(now), o.rank(now); a != b {
-		return a < b
-	}
-	return before(g.head(), o.head())
-}
-
-// rank returns where a group's head stands whatever its priority: first what is
-// due, then what can wait without becoming late, then what is late.
-func (g *group) rank(now time.Time) int {
-	switch {
-	case len(g.fresh) == 0:
-		return 2
-	case g.fresh[0].Target.Sub(now) > dueWithin:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// head returns the request of a group that goes first.
-func (g *group) head() Request {
-	if len(g.fresh) > 0 {
-		return g.fresh[0]
-	}
-	return g.late[0]
-}
-
-// pop takes the head off.
-func (g *group) pop() {
-	if len(g.fresh) > 0 {
-		g.fresh = g.fresh[1:]
-		return
-	}
-	g.late = g.late[1:]
-}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
-	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 )
 
@@ -18,7 +15,6 @@
 	// Grace is how long after the store's return an entry may be missing before
 	// its server counts as gone; they are back within about two seconds.
 	Grace = 1800 * time.Millisecond
-
 	// feedWait is how long a feed waits for a change. A feed that went silent is
 	// noticed after it and answerSlack, which must fit well into the two
 	// seconds in which a leaving server has to be known.
@@ -79,27 +75,6 @@
 
 	// Role tells for whom a node follows.
 	Role int
-
-	// table is the copy of one table.
-	table struct {
-		f     *Follower
-		name  string
-		apply func(*table)
-		wake  chan struct{} // another node tells of a newer version
-
-		mu       sync.Mutex
-		rows     map[string]platform.Row
-		vanished map[string]time.Time // entries that are kept for now, until then
-		gone     []platform.Row       // entries that went of late, for other nodes
-		floor    int64                // gone is whole for changes after this version
-		version  int64
-		contact  time.Time // when the store last answered this node
-		heard    time.Time // up to when the copy is whole, by whoever read it
-		told     int64     // newest version that another node told of
-		back     time.Time // when the store was last reached again
-		lost     bool
-		fedAt    time.Time // when another node last passed changes on
-	}
 )
 
 const (
@@ -121,15 +96,6 @@
 	wg.Wait()
 }
 
-func (t *table) start(f *Follower, name string, apply func(*table)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.f, t.name, t.apply = f, name, apply
-	t.rows = map[string]platform.Row{}
-	t.vanished = map[string]time.Time{}
-	t.wake = make(chan struct{}, 1)
-}
-
 // Age returns how old the copy of the tables is, whoever read them.
 func (f *Follower) Age(now time.Time) time.Duration {
 	operator, _ := f.operator.ages(now)
@@ -145,57 +111,6 @@
 	return max(operator, server)
 }
 
-// ages returns the age of the copy and the time since the store answered.
-func (t *table) ages(now time.Time) (heard, contact time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.heard), now.Sub(t.contact)
-}
-
-// run reads the table and follows it until ctx ends.
-func (t *table) run(ctx context.Context) {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = retryFirst, retryMost
-	led := backoff.NewExponentialBackOff()
-	led.InitialInterval, led.MaxInterval = ledFirst, ledMost
-	whole := true
-	for ctx.Err() == nil {
-		if !whole && t.f.Fed != nil && t.f.Fed() {
-			whole = t.rest(ctx)
-			continue
-		}
-		err := t.step(ctx, whole)
-		if ctx.Err() != nil {
-			return
-		}
-		var status *platform.StatusError
-		if errors.As(err, &status) && status.HistoryGone() {
-			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Int64("after", t.Version()))
-			whole = true
-			continue
-		}
-		if err != nil {
-			t.miss(err)
-			if (whole || t.behind()) && t.f.Ask != nil {
-				t.f.Ask(ctx)
-				whole = t.empty()
-			}
-			if !whole && t.led() {
-				t.pause(ctx, led.NextBackOff())
-			} else {
-				clock.Sleep(ctx, b.NextBackOff())
-			}
-			continue
-		}
-		if !whole {
-			clock.Sleep(ctx, t.f.gap())
-		}
-		whole = false
-		b.Reset()
-		led.Reset()
-	}
-}
-
 // role tells for whom this node follows.
 func (f *Follower) role() Role {
 	if f.Role == nil {
@@ -216,194 +131,6 @@
 	}
 }
 
-// led tells whether another node will tell when the store is back.
-func (t *table) led() bool { return t.f.Led != nil && t.f.Led() }
-
-// pause waits for a time, but no longer than another node leads this one, and
-// only until it passes changes on again.
-func (t *table) pause(ctx context.Context, d time.Duration) {
-	for until := time.Now().Add(d); time.Now().Before(until) && t.led() && !t.f.Fed(); {
-		if !clock.Sleep(ctx, fedCheck) {
-			return
-		}
-	}
-}
-
-// behind tells whether another node told of a newer version than is here.
-func (t *table) behind() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.told > t.own()
-}
-
-// empty tells whether nothing is known of the table.
-func (t *table) empty() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.rows) == 0
-}
-
-// rest waits while another node passes changes on. It returns whether that
-// node knows of a newer version of a table that must be read whole.
-func (t *table) rest(ctx context.Context) bool {
-	timer := time.NewTimer(fedCheck)
-	defer timer.Stop()
-	select {
-	case <-t.wake:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if at := t.nextExpiry(); !at.IsZero() && !time.Now().Before(at) {
-		t.take(nil, t.version)
-	}
-	return false
-}
-
-// step reads the table whole or waits for its next changes.
-func (t *table) step(ctx context.Context, whole bool) error {
-	if whole {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		rows, version, err := t.f.Store.Read(ctx, t.name, "", "")
-		if err != nil {
-			return err
-		}
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.reach()
-		t.replace(rows, version)
-		return nil
-	}
-	t.mu.Lock()
-	wait, after := feedWait, t.version
-	if t.f.role() == Deputy {
-		wait = deputyWait
-	}
-	if at := t.nextExpiry(); !at.IsZero() {
-		wait = max(20*time.Millisecond, min(wait, time.Until(at)))
-	}
-	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
-	defer cancel()
-	rows, version, err := t.f.Store.Feed(ctx, t.name, after, wait)
-	if err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.reach()
-	t.take(rows, version)
-	return nil
-}
-
-// replace takes in all rows of the table; those that are missing have vanished.
-// t.mu is held.
-func (t *table) replace(rows []platform.Row, version int64) {
-	if version < t.version { // a change that came meanwhile is newer
-		return
-	}
-	there := make(map[string]bool, len(rows))
-	for _, r := range rows {
-		there[r.Key] = true
-	}
-	for k := range t.rows {
-		if !there[k] {
-			rows = append(rows, platform.Row{Table: t.name, Key: k, Version: version, Gone: true})
-		}
-	}
-	t.floor = version
-	t.gone = nil
-	t.take(rows, version)
-	t.apply(t)
-}
-
-// take takes in changes in the order of their versions; t.mu is held.
-func (t *table) take(rows []platform.Row, version int64) {
-	now := time.Now()
-	changed := false
-	for _, r := range rows {
-		if r.Part != "" || r.Version < t.rows[r.Key].Version {
-			continue
-		}
-		changed = true
-		if !r.Gone {
-			t.rows[r.Key] = r
-			delete(t.vanished, r.Key)
-			continue
-		}
-		t.forget(r)
-		if _, ok := t.rows[r.Key]; ok && now.Before(t.back.Add(Grace)) {
-			t.vanished[r.Key] = t.back.Add(Grace)
-			continue
-		}
-		delete(t.rows, r.Key)
-	}
-	for k, at := range t.vanished {
-		if !now.Before(at) {
-			changed = true
-			delete(t.rows, k)
-			delete(t.vanished, k)
-		}
-	}
-	t.version = max(t.version, version)
-	if changed {
-		t.apply(t)
-	}
-}
-
-// forget remembers for other nodes that an entry went; t.mu is held.
-func (t *table) forget(r platform.Row) {
-	r.Value = nil
-	t.gone = append(t.gone, r)
-	if n := len(t.gone) - goneMost; n > 0 {
-		t.floor = max(t.floor, t.gone[n-1].Version)
-		t.gone = t.gone[n:]
-	}
-}
-
-// nextExpiry returns when the next entry that is kept for now is given up.
-func (t *table) nextExpiry() time.Time {
-	var next time.Time
-	for _, at := range t.vanished {
-		if next.IsZero() || at.Before(next) {
-			next = at
-		}
-	}
-	return next
-}
-
-// reach notes an answer of the store; t.mu is held.
-func (t *table) reach() {
-	now := time.Now()
-	last := t.contact
-	t.contact, t.heard = now, now
-	if !last.IsZero() && (t.lost || now.Sub(last) > away) && !t.resting(now) {
-		t.back = now
-	}
-	if t.lost {
-		t.lost = false
-		t.f.Log.Info("store-regained", zap.String("table", t.name), zap.Duration("away", now.Sub(last)), zap.Int64("version", t.version))
-	}
-}
-
-// resting tells whether the store wasn't asked because another node passed
-// changes on.
-func (t *table) resting(now time.Time) bool { return now.Sub(t.fedAt) < away }
-
-// miss notes a failed call.
-func (t *table) miss(err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.lost {
-		return
-	}
-	t.lost = true
-	t.f.Log.Warn("store-lost", zap.String("table", t.name), zap.Int64("version", t.version), zap.Error(err))
-}
-
 // config passes the newest configuration on. One that can't be read leaves the
 // last one in force.
 func (f *Follower) config(t *table) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -11,17 +9,13 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/leader"
-	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/jsonhttp"
-	"guavapaddle/platform"
 )
 
 const (
-	nodeTable = "node"
-
 	// exchangeEvery is how often a node reports to the holder of the lease while
 	// there are few; with more nodes than periodNodes the period grows with
 	// them, so that the holder answers no more than 80 reports a second.
@@ -41,38 +35,11 @@
 	leaderSilent = 500 * time.Millisecond
 	// staleFeed is the age from which on the holder's copy of the store's tables
 	// isn't trusted: a feed that works is heard of each second.
-	staleFeed = 1300 * time.Millisecond
-	// registerRetry is the pause before the node's row is written again.
-	registerRetry = 300 * time.Millisecond
-	// trustRetry bounds how often the rows of nodes are read for a key that
-	// isn't known.
-	trustRetry   = 300 * time.Millisecond
+	staleFeed    = 1300 * time.Millisecond
 	storeTimeout = time.Second
 )
 
 type (
-	// nodeRow is the value of a node's own row in the store.
-	nodeRow struct {
-		Address    string `json:"address"`
-		DataCentre string `json:"data-centre"`
-		Key        string `json:"key"` // fingerprint of its certificate
-	}
-
-	// trust holds the keys of the nodes as last read.
-	trust struct {
-		mu   sync.Mutex
-		keys map[string]bool
-		read time.Time
-		busy bool
-	}
-
-	// contact ends the calls that wait for a holder that has fallen silent.
-	contact struct {
-		mu     sync.Mutex
-		ctx    context.Context
-		cancel context.CancelFunc
-	}
-
 	// clientCache keeps one client for each address.
 	clientCache struct {
 		mu      sync.Mutex
@@ -80,62 +47,6 @@
 	}
 )
 
-// register writes the node's own row, and again each refresh.
-func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()})
-	if err != nil {
-		n.log.Error("node-row", zap.Error(err))
-		return
-	}
-	row := platform.Row{Table: nodeTable, Key: n.settings.Node, Value: value}
-	for {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, _, ok, err := n.store.Change(call, platform.Change{Set: []platform.Row{row}})
-		cancel()
-		pause := roster.Refresh
-		if !ok {
-			n.log.Warn("node-row-failed", zap.Error(err))
-			pause = registerRetry
-		}
-		if !clock.Sleep(ctx, pause) {
-			return
-		}
-	}
-}
-
-// tidy removes the rows of nodes that are gone, while this node holds the lease.
-func (n *Node) tidy(ctx context.Context) {
-	var w roster.Watch
-	for clock.Sleep(ctx, roster.Refresh) {
-		if !n.placer.Holding() {
-			w = roster.Watch{}
-			continue
-		}
-		n.removeGone(ctx, &w)
-	}
-}
-
-// removeGone removes the rows that a watch finds left behind, unless they have
-// been written since they were read.
-func (n *Node) removeGone(ctx context.Context, w *roster.Watch) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
-	if err != nil {
-		n.log.Warn("node-rows-failed", zap.Error(err))
-		return
-	}
-	versions := make(map[string]int64, len(rows))
-	for _, r := range rows {
-		versions[r.Key] = r.Version
-	}
-	for _, key := range w.Gone(clock.Boot(), versions) {
-		row := platform.Row{Table: nodeTable, Key: key, Version: versions[key]}
-		_, _, ok, err := n.store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Remove: []platform.Row{row}})
-		n.log.Info("node-row-removed", zap.String("node", key), zap.Int64("version", row.Version), zap.Bool("removed", ok), zap.Error(err))
-	}
-}
-
 // exchange reports to the holder of the lease until ctx ends.
 func (n *Node) exchange(ctx context.Context) {
 	c := n.holder()
@@ -285,120 +196,6 @@
 // Want answers another node's request for an adapter.
 func (n *Node) Want(ctx context.Context, w hub.Want) hub.Offer { return n.placer.Want(ctx, w) }
 
-// Place answers a request for a place at an engine.
-func (n *Node) Place(ctx context.Context, p hub.Place, queued func()) (hub.Placed, hub.Grant, error) {
-	if !n.placer.Holding() {
-		return hub.Placed{}, nil, context.Canceled
-	}
-	l, _ := n.placer.Leader()
-	d, grant, err := n.granter.Place(ctx, p, queued)
-	return hub.Placed{Granted: d.Granted, Granter: l.Epoch, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, grant, err
-}
-
-// place asks the holder of the lease for a place at an engine.
-func (n *Node) place(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error) {
-	l, ok := n.placer.Leader()
-	if !ok || l.Node == "" {
-		return hub.Placed{}, nil, context.Canceled
-	}
-	if l.Key == n.key.Fingerprint() {
-		return n.Place(ctx, p, func() {})
-	}
-	if !n.leaderReached() || n.suspect.Load() {
-		return hub.Placed{}, nil, context.Canceled
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(n.contact.context(), cancel)()
-	sent := clock.Boot()
-	placed, grant, err := n.holder().Place(ctx, l.Address, p)
-	n.doubt(l, sent, err)
-	return placed, grant, err
-}
-
-// holder returns a client that notes each sign of life of the holder.
-func (n *Node) holder() *hub.Client { return &hub.Client{Endpoint: n.endpoint, Heard: n.hear} }
-
-// hear notes a sign of life of the holder.
-func (n *Node) hear() {
-	n.heardAt.Store(int64(clock.Boot()))
-	n.suspect.Store(false)
-}
-
-// doubt ends the waits for a holder from which nothing was heard since a request
-// for a place that it should have answered. Until it answers a report, requests
-// go to servers that this node picks.
-func (n *Node) doubt(l leader.Lease, sent time.Duration, err error) {
-	var silent *hub.SilentError
-	if !errors.As(err, &silent) || time.Duration(n.heardAt.Load()) >= sent || n.suspect.Swap(true) {
-		return
-	}
-	n.contact.lose()
-	n.log.Warn("leader-suspect", zap.String("leader", l.Node), zap.Duration("waited", clock.Boot()-sent))
-}
-
-// trusted tells whether a key is the leader's or stands in a node's row.
-func (n *Node) trusted(key string) bool {
-	if l, ok := n.placer.Leader(); ok && l.Key == key {
-		return true
-	}
-	n.peers.mu.Lock()
-	defer n.peers.mu.Unlock()
-	if n.peers.keys[key] {
-		return true
-	}
-	if !n.peers.busy && time.Since(n.peers.read) > trustRetry {
-		n.peers.busy = true
-		go n.readPeers()
-	}
-	return false
-}
-
-// readPeers reads the rows of all nodes.
-func (n *Node) readPeers() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
-	keys := map[string]bool{}
-	for _, r := range rows {
-		var v nodeRow
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			n.log.Error("node-row-unreadable", zap.String("node", r.Key), zap.Error(err))
-			continue
-		}
-		keys[v.Key] = true
-	}
-	n.peers.mu.Lock()
-	defer n.peers.mu.Unlock()
-	n.peers.busy = false
-	n.peers.read = time.Now()
-	if err != nil {
-		n.log.Warn("node-rows-failed", zap.Error(err))
-		return
-	}
-	n.peers.keys = keys
-}
-
-// context returns a context that lasts until the holder is lost.
-func (c *contact) context() context.Context {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ctx == nil {
-		c.ctx, c.cancel = context.WithCancel(context.Background())
-	}
-	return c.ctx
-}
-
-// lose ends the calls that wait.
-func (c *contact) lose() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ctx != nil {
-		c.cancel()
-		c.ctx = nil
-	}
-}
-
 // get returns the client for an address.
 func (c *clientCache) get(address string) *jsonhttp.Client {
 	c.mu.Lock()
