--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -212,3 +212,19 @@
 	}
 	require.GreaterOrEqual(t, time.Since(began), time.Second, "three pauses of 0.4 s")
 }
+
+func TestAnOldCopyOfAnotherNodeDoesNotHideAnOutage(t *testing.T) {
+	s := standin.NewStore(t)
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	n := start(t, s, nil)
+	eventually(t, "start", func() bool { return n.has("i-1") })
+	s.Outage(true)
+	calls := s.Calls("/rows-feed")
+	eventually(t, "the outage is noticed", func() bool { return s.Calls("/rows-feed") > calls+6 })
+	n.Take(time.Now(), follow.Update{Age: 4 * time.Second}) // as the holder has it, which can't read the store either
+	s.Drop(platform.TableServers, "i-1")
+	s.Outage(false)
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	eventually(t, "contact", func() bool { return n.has("i-2") })
+	require.True(t, n.has("i-1"), "it may come back")
+}
