Spread busy copies over the engines before there is demand

Before there is demand, copies tell what it will be: each of a model with several is supposed to have some. A busy copy then goes from an engine with several of them to one with none, by a swap with a last copy, which is loaded before it is given up. And of victims that are missed as little, the one at the engine with the least other load makes room (TestBusyCopiesAreSpreadBeforeThereIsDemand; TestWithDemandNoBusyCopyIsTakenAwayToSpreadIt holds the other way down).

--- a/core/residency/load_test.go
+++ b/core/residency/load_test.go
@@ -19,6 +19,8 @@
 	servers []residency.Server
 	load    map[string]float64
 	moves   int
+
+	supposed bool
 }
 
 // newWorld returns engines with three models each: the busy ones at many, each
@@ -61,14 +63,20 @@
 
 // round makes one plan and carries it out.
 func (w *world) round() int {
-	plan := residency.Plan(residency.Input{Engine: w.engine, Servers: slices.Clone(w.servers), Load: w.load, Stores: 50})
+	plan := residency.Plan(residency.Input{Engine: w.engine, Servers: slices.Clone(w.servers), Load: w.load, Stores: 50, Supposed: w.supposed})
 	for _, m := range plan {
 		i := slices.IndexFunc(w.servers, func(s residency.Server) bool { return s.ID == m.Server.ID })
 		s := &w.servers[i]
 		if m.Load {
 			s.Held = append(slices.Clone(s.Held), fleet.Held{Model: m.Model})
+			if s.Kept == m.Model {
+				s.Kept = ""
+			}
 			continue
 		}
+		if m.Why == residency.Spread {
+			s.Kept = m.For
+		}
 		s.Held = slices.DeleteFunc(slices.Clone(s.Held), func(h fleet.Held) bool { return h.Model == m.Model })
 	}
 	w.moves += len(plan)
@@ -146,3 +154,34 @@
 		settle("a third lost", 99)
 	}
 }
+
+// TestBusyCopiesAreSpreadBeforeThereIsDemand plays two busy models on the same two
+// engines beside a third with last copies of quiet models only: a swap lets the
+// third take part, and no model is without a copy meanwhile.
+func TestBusyCopiesAreSpreadBeforeThereIsDemand(t *testing.T) {
+	w := &world{engine: engine(7), supposed: true,
+		servers: []residency.Server{server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m3"), server("c", "m4", "m5", "m6")}}
+	var list []fleet.Server
+	for _, s := range w.servers {
+		list = append(list, s.Server)
+	}
+	w.load = residency.Prior(w.engine, list)
+	require.Equal(t, map[string]float64{"m0": 4, "m1": 4}, w.load)
+	require.InDelta(t, 6, w.served(3), 0.01, "of a load of 8")
+	rounds := 0
+	for rounds < 20 && w.round() > 0 {
+		rounds++
+		for i := range 7 {
+			held := slices.ContainsFunc(w.servers, func(s residency.Server) bool { return s.Holds(fmt.Sprintf("m%d", i), "") })
+			require.True(t, held, "m%d in round %d", i, rounds)
+		}
+	}
+	require.Less(t, rounds, 20, "the plan comes to rest")
+	require.Greater(t, w.served(3), 7.5)
+	require.LessOrEqual(t, w.moves, 4, "two unloads and two loads")
+}
+
+func TestWithDemandNoBusyCopyIsTakenAwayToSpreadIt(t *testing.T) {
+	require.Empty(t, residency.Plan(residency.Input{Engine: engine(7), Stores: 5, Load: map[string]float64{"m0": 20, "m1": 20}, Servers: []residency.Server{
+		server("a", "m0", "m1", "m2"), server("b", "m0", "m1", "m3"), server("c", "m4", "m5", "m6")}}), "a swap takes two loads of seconds")
+}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -16,6 +16,9 @@
 	// worthACopy is the load, in slots, that a further copy must get: with less
 	// the planner went on moving copies on engines that stood idle.
 	worthACopy = 0.3
+	// declaredWorth is the load, in slots, that a model counts as while it has no
+	// copy and there is no demand: more than two copies are supposed to have.
+	declaredWorth = 3 * priorCopy
 	// movesAtOnce bounds the servers that change at the same time to one in so
 	// many: each has a place less for the seconds of its move.
 	movesAtOnce = 2
@@ -33,6 +36,9 @@
 	Busy Why = "busy"
 	// Room means that the copy makes room for another.
 	Room Why = "room"
+	// Spread means that the copy goes from an engine with several busy models to
+	// one with none.
+	Spread Why = "spread"
 	// Undeclared means that the configuration no longer has the model.
 	Undeclared Why = "undeclared"
 )
@@ -43,6 +49,7 @@
 		fleet.Server
 		Coming  string // model that is being loaded or may be
 		Going   string // model that is being unloaded or may be
+		Kept    string // model that room was made for by Spread
 		Blocked bool   // takes no orders now
 	}
 
@@ -53,6 +60,8 @@
 		Load    map[string]float64 // slots of engines that the demand takes, by model
 		Waiting map[string]int     // requests that wait for a model without a copy
 		Stores  int                // loads from the weight store that may begin now
+
+		Supposed bool // there is no demand yet, and Load is that of Prior
 	}
 
 	// Move is one order.
@@ -70,6 +79,7 @@
 		server *Server
 		model  string
 		cost   float64 // load that each copy that is left gets then
+		beside float64 // load of the other models there
 		pays   bool    // it is worth less than the new copy
 		from   int     // where the new copy is loaded from
 	}
@@ -104,11 +114,15 @@
 		}
 	}
 	p.dropUndeclared()
+	p.fillKept()
 	p.fillQuickly()
 	for _, m := range p.missing() {
 		p.place(m)
 	}
 	p.rebalance()
+	if in.Supposed {
+		p.spread()
+	}
 	return p.moves
 }
 
@@ -183,7 +197,11 @@
 		return
 	}
 	least := p.in.Load[model]
-	if why == Declared {
+	switch {
+	case why == Asked:
+	case p.in.Supposed:
+		least = declaredWorth
+	default:
 		least = 0
 	}
 	p.makeRoom(model, least, why == Asked)
@@ -194,7 +212,7 @@
 	var best *Server
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if !p.free(s) || s.Leaving || s.Holds(model, "") || p.room(s) < p.in.Engine.Models[model].MB {
+		if !p.free(s) || s.Leaving || s.Kept != "" || s.Holds(model, "") || p.room(s) < p.in.Engine.Models[model].MB {
 			continue
 		}
 		if best == nil || p.quicker(s, best, model) {
@@ -204,21 +222,26 @@
 	if best == nil {
 		return false
 	}
-	store := source(best, model) == fromStore
-	if store && p.quick {
+	if p.quick && source(best, model) == fromStore {
 		return false
 	}
+	p.begin(best, model, why) // else it waits for the weight store, and needs no other room
+	return true
+}
+
+// begin orders a load at a server, unless the weight store has none to spare.
+func (p *planner) begin(s *Server, model string, why Why) {
+	store := source(s, model) == fromStore
 	if store && p.in.Stores <= 0 {
-		return true // it waits for the weight store, and needs no other room
+		return
 	}
 	if store {
 		p.in.Stores--
 	}
-	best.Coming = model
+	s.Coming = model
 	p.copies[model]++
 	p.moving++
-	p.moves = append(p.moves, Move{Server: best.Server, Model: model, Load: true, Store: store, Why: why})
-	return true
+	p.moves = append(p.moves, Move{Server: s.Server, Model: model, Load: true, Store: store, Why: why})
 }
 
 // quicker tells whether a loads the model faster than b, or as fast with less
@@ -266,9 +289,10 @@
 	var best victim
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if !p.free(s) || s.Leaving || s.Holds(model, "") {
+		if !p.free(s) || s.Leaving || s.Kept != "" || s.Holds(model, "") {
 			continue
 		}
+		shared := p.shared(s)
 		for _, h := range s.Held {
 			n := p.copies[h.Model]
 			if n < 2 || p.anywhere[h.Model] < 2 {
@@ -279,7 +303,8 @@
 			if !pays && !must {
 				continue
 			}
-			v := victim{server: s, model: h.Model, cost: c, pays: pays, from: source(s, model)}
+			v := victim{server: s, model: h.Model, cost: c, pays: pays, from: source(s, model),
+				beside: shared - p.in.Load[h.Model]/float64(n)}
 			if best.server == nil || v.before(best) {
 				best = v
 			}
@@ -304,6 +329,8 @@
 		return v.from < o.from
 	case v.cost != o.cost:
 		return v.cost < o.cost
+	case v.beside != o.beside:
+		return v.beside < o.beside
 	default:
 		return v.from < o.from
 	}
--- a/core/residency/slots.go
+++ b/core/residency/slots.go
@@ -1,6 +1,10 @@
 package residency
 
-import "time"
+import (
+	"time"
+
+	"guavapaddle/core/fleet"
+)
 
 const (
 	// slotLife is the time in which the memory of streams that ended falls to a
@@ -30,6 +34,28 @@
 	ended struct{ tokens, seconds float64 }
 )
 
+// priorCopy is the load, in slots, that each copy of a model with several is
+// supposed to have before there is demand.
+const priorCopy = 2.0
+
+// Prior returns the load that is supposed before there is demand: by the copies
+// that the models have, one of which each has in any case.
+func Prior(e fleet.Engine, servers []fleet.Server) map[string]float64 {
+	copies := map[string]int{}
+	for _, s := range servers {
+		for _, h := range s.Held {
+			copies[h.Model]++
+		}
+	}
+	out := map[string]float64{}
+	for m := range e.Models {
+		if copies[m] > 1 {
+			out[m] = priorCopy * float64(copies[m])
+		}
+	}
+	return out
+}
+
 // Decay lets the memory fade over a time.
 func (s *SlotTimes) Decay(dt time.Duration) {
 	keep := max(0, 1-dt.Seconds()/slotLife.Seconds())
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -153,6 +153,7 @@
 	p.Log.Info("lease-won", zap.Int64("epoch", epoch), zap.String("before", before.Node), zap.Int("loads", before.Loads))
 	p.engines = map[string]*engine{}
 	p.loads = nil
+	p.prior = nil
 	p.earlier = before.Loads
 	p.unknown = before.Node != ""
 	p.tookOver = time.Now()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,9 @@
 	unsettled = 13 * time.Second
 	// pause is how long an engine gets no orders after one failed.
 	pause = 400 * time.Millisecond
+	// priorUntil is the load, in slots, from which on demand is believed: half a
+	// dozen requests a second.
+	priorUntil = 8.0
 	// slackMB is kept free beside all that is counted.
 	slackMB = 1.0
 )
@@ -56,6 +61,7 @@
 		servers  map[string]fleet.Server
 		engines  map[string]*engine
 		demand   map[string]float64 // prompt tokens a second, by model
+		prior    map[string]float64 // load that is supposed before there is demand
 		slots    residency.SlotTimes
 		waiting  map[string]int
 		decayed  time.Time
@@ -74,6 +80,7 @@
 		sequence int64      // orders accepted, below zero if unknown
 		coming   string
 		going    string
+		kept     string // model that room was made for by a swap
 		since    time.Time
 		blocked  time.Time
 		open     *residency.Move      // an order without an answer
@@ -122,6 +129,9 @@
 	if e.coming != "" && s.Holds(e.coming, "") {
 		e.coming = ""
 	}
+	if e.kept != "" && s.Holds(e.kept, "") {
+		e.kept = ""
+	}
 	if e.going != "" && !s.Holds(e.going, "") {
 		e.going = ""
 	}
@@ -184,14 +194,22 @@
 	}
 }
 
-// load returns how many slots of engines each model's demand takes; p.mu is
-// held.
-func (p *Placer) load() map[string]float64 {
-	out := make(map[string]float64, len(p.demand))
+// load returns how many slots of engines each model's demand takes, or is
+// supposed to take before there is demand; p.mu is held.
+func (p *Placer) load(e fleet.Engine) (load map[string]float64, supposed bool) {
+	load = make(map[string]float64, len(p.demand))
+	sum := 0.0
 	for m, tokens := range p.demand {
-		out[m] = tokens * p.slots.PerToken(m)
+		load[m] = tokens * p.slots.PerToken(m)
+		sum += load[m]
 	}
-	return out
+	if sum >= priorUntil {
+		return load, false
+	}
+	if p.prior == nil {
+		p.prior = residency.Prior(e, slices.Collect(maps.Values(p.servers)))
+	}
+	return p.prior, true
 }
 
 // used notes the use of an adapter wherever it is held; p.mu is held.
@@ -217,7 +235,8 @@
 		if s.Engine == nil {
 			continue
 		}
-		in := residency.Input{Engine: *s.Engine, Load: p.load(), Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
+		load, supposed := p.load(*s.Engine)
+		in := residency.Input{Engine: *s.Engine, Load: load, Supposed: supposed, Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
 		in.Engine.WeightsMB -= slackMB
 		for _, f := range p.servers {
 			if f.Service != name {
@@ -229,7 +248,7 @@
 				e.blocked = now.Add(2 * pause)
 				out = append(out, *e.open)
 			}
-			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going,
+			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going, Kept: e.kept,
 				Blocked: now.Before(e.blocked)})
 		}
 		for _, m := range residency.Plan(in) {
@@ -246,6 +265,9 @@
 		e.coming, e.going = "", ""
 		e.sequence = -1
 	}
+	if now.Sub(e.since) > 2*unsettled {
+		e.kept = ""
+	}
 }
 
 // note enters a move into the ledger; p.mu is held.
@@ -260,6 +282,9 @@
 	} else {
 		e.going = m.Model
 	}
+	if m.Why == residency.Spread && !m.Load {
+		e.kept = m.For
+	}
 }
 
 // stores returns how many loads from the weight store may begin now; p.mu is
