Judge a lasting overload without pauses, and send clients away for as long

Late requests are judged by those of the last second, also after none waited for a moment. A refused client is told to come back after the overload has lasted as long again, by a quarter more or less, at most 4 s (TestUnderLastingOverloadWhatWouldBeLateIsRefusedEarly, extended, fails before).

--- a/core/grant/rates.go
+++ b/core/grant/rates.go
@@ -15,6 +15,8 @@
 	// time left.
 	comeBackLeast = 400 * time.Millisecond
 	comeBackMost  = 4 * time.Second
+	// comeBackParts is how many different times clients are told in a row.
+	comeBackParts = 8
 	// rateWindow is over which the grants for an item are counted.
 	rateWindow = time.Second
 	// rateLeast is how many grants in it tell a rate.
@@ -26,8 +28,12 @@
 	// in one second doesn't mean none in the next: with 0, requests of a calm day
 	// were refused in bursts that passed (refused 0.7 in 100 against 0.3).
 	lateHope = 1.0
-	// lateGap is how long there may be none in between.
-	lateGap = 200 * time.Millisecond
+	// lateGap is how long there may be none in between: after those that wait in
+	// vain were refused, others become late a target's time later. With 0.2 s all
+	// that waited were refused at once, each 1.2 s.
+	lateGap = time.Second
+	// overloadGap is how long no request may be refused during an overload.
+	overloadGap = 2 * time.Second
 )
 
 type (
@@ -46,6 +52,9 @@
 		late     rate
 		lateFrom time.Time // since when there were late ones all the time
 		lateSeen time.Time // when there were some last
+
+		refusedFrom time.Time // since when requests are refused
+		refused     time.Time // when one was last
 	}
 )
 
@@ -61,7 +70,8 @@
 
 // hopeless tells whether a request behind so many others won't begin before it
 // expires, by the rate at which its item was granted of late, and when its
-// client may come back. Requests that are late begin only as fast as others of
+// client may come back: after the queue ahead of it, and not before an overload has
+// lasted as long again as it has by now. Requests that are late begin only as fast as others of
 // them did. To refuse it at once is better for its caller than to hold it until
 // it expires.
 func (v *rates) hopeless(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
@@ -73,12 +83,35 @@
 		return 0, false
 	}
 	wait := after(fresh+late, perSecond)
-	back := min(max(wait, comeBackLeast), comeBackMost)
+	back := max(wait, v.overloaded(now))
 	if now.Sub(v.lateFrom) >= lateLeast && now.Sub(v.lateSeen) <= lateGap {
 		rest, _ := v.late.get(now)
 		wait = max(wait, after(late, rest+lateHope))
 	}
-	return back, wait > r.Expire.Sub(now)
+	return apart(r, min(back, comeBackMost)), wait > r.Expire.Sub(now)
+}
+
+// overloaded returns for how long requests have been refused by now.
+func (v *rates) overloaded(now time.Time) time.Duration {
+	if now.Sub(v.refused) > overloadGap {
+		return 0
+	}
+	return now.Sub(v.refusedFrom)
+}
+
+// sawRefusal notes that a request was refused.
+func (v *rates) sawRefusal(now time.Time) {
+	if now.Sub(v.refused) > overloadGap {
+		v.refusedFrom = now
+	}
+	v.refused = now
+}
+
+// apart spreads the times at which refused clients come back over a quarter to
+// either side.
+func apart(r Request, back time.Duration) time.Duration {
+	back = back*3/4 + back*time.Duration(r.ID%comeBackParts)/(2*comeBackParts)
+	return min(max(back, comeBackLeast), comeBackMost)
 }
 
 // after returns when a request behind so many others begins at a rate.
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -177,7 +177,7 @@
 				continue
 			}
 			if after, ok := v.doomed(now, g, r, len(fresh), len(g.late)); ok {
-				out = s.refuse(out, g, r, after)
+				out = s.refuse(now, out, g, r, after)
 				continue
 			}
 			fresh = append(fresh, r)
@@ -189,7 +189,7 @@
 		late := g.late[:0]
 		for _, r := range g.late {
 			if after, ok := v.hopeless(now, g, r, len(g.fresh), len(late)); ok {
-				out = s.refuse(out, g, r, after)
+				out = s.refuse(now, out, g, r, after)
 				continue
 			}
 			late = append(late, r)
@@ -202,7 +202,8 @@
 }
 
 // refuse ends the wait of a request.
-func (s *Scheduler) refuse(out []Decision, g *group, r Request, after time.Duration) []Decision {
+func (s *Scheduler) refuse(now time.Time, out []Decision, g *group, r Request, after time.Duration) []Decision {
+	s.rate(now, g.item).sawRefusal(now)
 	delete(s.items, r.ID)
 	return append(out, Decision{ID: r.ID, Why: g.why, After: after})
 }
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -248,6 +248,7 @@
 	const target = 360 * time.Millisecond
 	came := map[uint64]time.Time{}
 	inTime, late, refused := 0, 0, 0
+	backs := map[time.Duration]bool{}
 	var held time.Duration
 	running, id := uint64(0), uint64(0)
 	take := func(now time.Time) {
@@ -277,7 +278,11 @@
 			for _, d := range s.Tick(now) {
 				refused++
 				held += now.Sub(came[d.ID])
-				require.Positive(t, d.After)
+				require.GreaterOrEqual(t, d.After, 300*time.Millisecond)
+				if step > 600 {
+					require.GreaterOrEqual(t, d.After, 2500*time.Millisecond, "it has lasted for six seconds")
+					backs[d.After] = true
+				}
 			}
 		}
 	}
@@ -285,6 +290,7 @@
 	require.Greater(t, inTime, 85)
 	require.Greater(t, refused, 80)
 	require.Less(t, held/time.Duration(refused), 500*time.Millisecond, "mean wait of those refused")
+	require.Greater(t, len(backs), 4, "they don't all come back at once")
 }
 
 // BenchmarkBusy is one request that ends and one that comes, at 90 engines of
