Don't count room that is kept for a swap as made for others

A model that requests wait for was taken to get the place of an unload that a swap had ordered, and waited until that was done (TestRoomThatIsKeptForASwapIsNotCountedForOthers fails before). Found by reading.

--- a/core/grant/group.go
+++ b/core/grant/group.go
@@ -7,23 +7,18 @@
 	"guavapaddle/core/balance"
 )
 
-const (
-	// dueWithin is how long before its target a request is due. Until then it lets
-	// others go first that would become late: batches with a target of seconds,
-	// which come in bursts of four times their usual number for three seconds.
-	dueWithin = time.Second
-)
+// dueWithin is how long before its target a request is due. Until then it lets
+// others go first that would become late: batches with a target of seconds,
+// which come in bursts of four times their usual number for three seconds.
+const dueWithin = time.Second
 
-type (
-	// group is the requests for one item that wait, each list by urgency and
-	// arrival.
-	group struct {
-		item  Item
-		fresh []Request // can still begin within their target
-		late  []Request
-		why   balance.Why // of the last look
-	}
-)
+// group is the requests for one item that wait, each list by urgency and arrival.
+type group struct {
+	item  Item
+	fresh []Request // can still begin within their target
+	late  []Request
+	why   balance.Why // of the last look
+}
 
 // insert keeps a list in order.
 func insert(list []Request, r Request) []Request {
--- a/core/residency/doc.go
+++ b/core/residency/doc.go
@@ -13,7 +13,10 @@
 // The load of a model is the slots that its streams take, learned from those that
 // ended (SlotTimes).
 //
-// A model is loaded where it is in host memory or on disk if it can be, since
+// Before there is demand, the copies of a model tell what it will be (Prior), and
+// busy copies that stand beside each other are spread over the engines.
+//
+// Free room is filled from memory and disk first. A model is loaded where it is in host memory or on disk if it can be, since
 // such a load takes a fifth of the time and nothing of the weight store's
 // budget. Loads from the store are metered over all engines.
 //
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -267,7 +267,7 @@
 func (p *planner) makingRoom(model string) bool {
 	places := 0
 	for i := range p.in.Servers {
-		if p.in.Servers[i].Going != "" {
+		if s := &p.in.Servers[i]; s.Going != "" && s.Kept == "" {
 			places++
 		}
 	}
--- a/core/residency/plan_test.go
+++ b/core/residency/plan_test.go
@@ -168,3 +168,12 @@
 		server("a", "m0", "m1"), server("b", "m1", "m2"), server("c", "m2", "m0")},
 		Load: map[string]float64{"m0": 0.2, "m1": 0.1}, Stores: 5}), "a request every few seconds is no reason for a load")
 }
+
+func TestRoomThatIsKeptForASwapIsNotCountedForOthers(t *testing.T) {
+	a := server("a", "m0", "m1", "m2")
+	a.Going, a.Kept = "m0", "m3"
+	moves := residency.Plan(residency.Input{Engine: engine(5), Stores: 5, Waiting: map[string]int{"m4": 3},
+		Servers: []residency.Server{a, server("b", "m0", "m1", "m3"), server("c", "m0", "m1", "m2"), server("d", "m0", "m1", "m2")}})
+	require.NotEmpty(t, moves)
+	require.Equal(t, "m4", moves[0].For, "room is made elsewhere")
+}
--- a/internal/front/places.go
+++ b/internal/front/places.go
@@ -13,14 +13,12 @@
 	"guavapaddle/internal/hub"
 )
 
-type (
-	// contact ends the calls that wait for a holder that has fallen silent.
-	contact struct {
-		mu     sync.Mutex
-		ctx    context.Context
-		cancel context.CancelFunc
-	}
-)
+// contact ends the calls that wait for a holder that has fallen silent.
+type contact struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
 
 // Place answers a request for a place at an engine.
 func (n *Node) Place(ctx context.Context, p hub.Place, queued func()) (hub.Placed, hub.Grant, error) {
