Let the soak's engines write their entries while it looks whether nodes serve

Cause: reported that nodes did not start. They had; all six requests of the first node drew m2 and m3, which no engine held at first. Both were loaded at once (the holder's log), but the soak wrote no entries of engines while it asked, as their heartbeats would, so no node learned of it. The seed stays as a regression case; it fails before.

--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -194,11 +194,13 @@
 	return false
 }
 
-// serves tells whether each node answers.
+// serves tells whether each node answers. Engines go on writing their entries
+// meanwhile: a node may draw only models that are loaded on demand.
 func (r *Run) serves(phase string, rng *rand.Rand) bool {
 	for _, n := range r.nodes {
 		before := r.check.Counts()["200"]
 		for i := range 6 {
+			r.refresh()
 			r.request(r.oneClient(), n, fmt.Sprintf("%s-%s-%d", phase, n.settings.Node, i), rng)
 		}
 		if r.check.Counts()["200"] == before {
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -21,6 +21,7 @@
 }{
 	{1, ""},
 	{2, "the stand-in answered a stream with a plain body in mode Extra; the system passed it on as it should"},
+	{701005, "a node drew only models without a copy while the engines' entries stood still: the soak didn't write them"},
 }
 
 func TestSeedsHold(t *testing.T) {
