--- a/core/grant/rates.go
+++ b/core/grant/rates.go
@@ -71,9 +71,9 @@
 // hopeless tells whether a request behind so many others won't begin before it
 // expires, by the rate at which its item was granted of late, and when its
 // client may come back: after the queue ahead of it, and not before an overload has
-// lasted as long again as it has by now. Requests that are late begin only as fast as others of
-// them did. To refuse it at once is better for its caller than to hold it until
-// it expires.
+// lasted as long again as it has by now. Requests that are late begin only as fast
+// as others of them did. To refuse it at once is better for its caller than to hold
+// it until it expires.
 func (v *rates) hopeless(now time.Time, g *group, r Request, fresh, late int) (time.Duration, bool) {
 	if now.After(r.Expire) {
 		return comeBack, true
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -319,7 +319,7 @@
 
 // before tells whether a victim is better than another: one that is worth less
 // than what it makes room for, then where that is loaded sooner, then the one
-// that is missed least. A model that was in use before is on the disks of the
+// that is missed least, then the one beside the least other load. A model that was in use before is on the disks of the
 // engines that held it, and there 0.8 s after its demand returns, not 4.2 s.
 func (v victim) before(o victim) bool {
 	switch {
--- a/core/residency/spread.go
+++ b/core/residency/spread.go
@@ -13,7 +13,9 @@
 // engines that hold only last copies of others, by a swap: the busy copy is
 // unloaded, the last copy is loaded in its place, and can then be given up where
 // it was. With 131 models and 180 places a quarter of the engines had last copies
-// of quiet models only and one request a second, while others had 28.
+// of quiet models only and one request a second, while others had 28. Each swap takes
+// two loads of seconds: with demand, that cost more than it gained (0.720 of worth
+// without, 0.703 with it, on the mean of five days).
 func (p *planner) spread() {
 	kept := 0
 	for i := range p.in.Servers {
