Reckon an order's memory by the entry that it was planned by; tell starts apart

Cause: a holder orders a load from the weight store and is replaced. The next one plans another load by an entry without that model; as its order goes out it reads the engine's report, and compared that with the newest entry only. A load that ended between plan and report made both agree, and the order went out for memory that was full.

Ruled out: orders carried out late (the expected number keeps them off, also in the test that mixes them), reports that are old (they tell number, models and business of one moment).

Besides, for entries and reports: a server may start again under its id and tells when it was born; ledger, notes, failures and counts of the earlier start are dropped. An entry in which a field is missing or has no meaning names no server (a state that isn't known counted as ready), and is told once.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -83,13 +83,13 @@
 }
 
 // Update replaces the list of servers and keeps what is known of those that
-// stay.
+// stay. One that has started again under its id is new.
 func (p *Picture) Update(list []fleet.Server) {
 	servers := make(map[string]*server, len(list))
 	groups := map[string][]*server{}
 	for _, f := range list {
 		s := p.servers[f.ID]
-		if s == nil {
+		if s == nil || s.Born != f.Born {
 			s = &server{slowness: 1, granted: map[int64]int{}, notes: map[held]note{}, parts: map[string]time.Time{}}
 		}
 		s.Server = f
--- a/core/balance/picture_test.go
+++ b/core/balance/picture_test.go
@@ -149,3 +149,30 @@
 	}
 	require.Empty(t, p.Own(7))
 }
+
+// TestAServerThatStartsAgainUnderItsIDIsNew checks that neither failures nor notes
+// nor counts of the earlier start are left, and that requests of that start end
+// without being taken off the new one's count.
+func TestAServerThatStartsAgainUnderItsIDIsNew(t *testing.T) {
+	first := engine("a", false)
+	first.Born = 1000
+	p := picture(first)
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 100}
+	running, failed := p.Sent(now, "a", r), p.Sent(now, "a", r)
+	p.Done(now, failed, balance.Broken)
+	p.Note(now, "a", "m", "", false)
+	again := engine("a", false)
+	again.Born = 2000
+	p.Update([]fleet.Server{again, engine("b", false)})
+	require.True(t, p.Holds(now, "a", "m", ""))
+	require.Empty(t, p.Own(0))
+	picked := map[string]bool{}
+	for range 20 {
+		c, _ := p.Pick(now, r)
+		picked[c.Server.ID] = true
+	}
+	require.True(t, picked["a"], "it isn't avoided")
+	p.Sent(now, "a", r)
+	p.Done(now, running, balance.Broken)
+	require.Equal(t, 1, p.Own(0)["a"].Pending)
+}
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -10,9 +10,11 @@
 		Adapters []string
 	}
 
-	// Server is one incarnation of a backend server, as it says of itself.
+	// Server is one incarnation of a backend server, as it says of itself. It may
+	// start again under its id; Born tells the incarnations apart.
 	Server struct {
-		ID       string // of this incarnation; the next start has another
+		ID       string
+		Born     int64 // Unix time of its start in milliseconds, 0 if it doesn't tell
 		Service  string
 		Address  string // IP:port, used by others after the server has ended
 		Zone     string // data centre
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -35,7 +35,10 @@
 	// that still holds.
 	fedCheck = 100 * time.Millisecond
 	// goneMost bounds the entries that went and are remembered for other nodes.
-	goneMost    = 256
+	goneMost = 256
+	// refusedMost bounds the unreadable entries that are remembered, so that each
+	// is told once.
+	refusedMost = 1024
 	readTimeout = 1500 * time.Millisecond
 	retryFirst  = 50 * time.Millisecond
 	retryMost   = 500 * time.Millisecond
@@ -71,6 +74,7 @@
 
 		operator table
 		server   table
+		refused  map[string]int64 // versions of entries that can't be read
 	}
 
 	// Role tells for whom a node follows.
@@ -146,17 +150,32 @@
 	f.OnConfig(c)
 }
 
-// servers passes the list of servers on. An entry that can't be read is left
-// out.
+// servers passes the list of servers on. An entry that can't be read names no
+// server.
 func (f *Follower) servers(t *table) {
 	list := make([]fleet.Server, 0, len(t.rows))
 	for _, r := range t.rows {
 		s, err := platform.Server(r)
 		if err != nil {
-			f.Log.Error("server-unreadable", zap.String("server", r.Key), zap.Error(err))
+			f.unreadable(r, err)
 			continue
 		}
 		list = append(list, s)
 	}
 	f.OnServers(list)
 }
+
+// unreadable tells once of each version of an entry that can't be read.
+func (f *Follower) unreadable(r platform.Row, err error) {
+	if f.refused == nil {
+		f.refused = map[string]int64{}
+	}
+	if f.refused[r.Key] == r.Version {
+		return
+	}
+	if len(f.refused) >= refusedMost {
+		clear(f.refused)
+	}
+	f.refused[r.Key] = r.Version
+	f.Log.Error("server-unreadable", zap.String("server", r.Key), zap.Int64("version", r.Version), zap.Error(err))
+}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -78,7 +78,7 @@
 }
 
 func entry(state string) []byte {
-	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q}`, state)
+	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"seq":1}`, state)
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -105,8 +105,9 @@
 	return v, err
 }
 
-// UnsettledError means that an engine carries out an order, or holds other
-// models than its entry says, so that its memory can't be reckoned.
+// UnsettledError means that an engine carries out an order, has started again
+// since its entry was written, or holds other models than the entry says, so that
+// its memory can't be reckoned.
 type UnsettledError struct {
 	Server string
 	Busy   bool
@@ -128,7 +129,11 @@
 	return true
 }
 
-// report reads the engine's state into the ledger; e.mu is held.
+// report reads the engine's state into the ledger; e.mu is held. The order that
+// follows was planned by the entry s: what the engine reports must be the models
+// of s, not only of the newest entry. A load that an earlier holder began may
+// have ended since the plan was made, and an order that was planned without its
+// model would go beyond the engine's memory, which ends the engine.
 func (p *Placer) report(ctx context.Context, e *engine, s fleet.Server) error {
 	r, err := p.Engines.Report(ctx, s)
 	if err != nil {
@@ -137,7 +142,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if r.Busy || !sameModels(r.Held, p.servers[s.ID].Held) {
+	if r.Busy || r.Born != s.Born || !sameModels(r.Held, s.Held) || !sameModels(r.Held, p.servers[s.ID].Held) {
 		e.blocked = now.Add(pause)
 		return &UnsettledError{Server: s.ID, Busy: r.Busy}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -106,12 +106,17 @@
 	p.config = c
 }
 
-// Servers takes in the list of backend servers.
+// Servers takes in the list of backend servers. One that has started again holds
+// nothing of what the ledger says, and counts its orders anew.
 func (p *Placer) Servers(list []fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.servers
 	p.servers = make(map[string]fleet.Server, len(list))
 	for _, s := range list {
+		if before[s.ID].Born != s.Born {
+			delete(p.engines, s.ID)
+		}
 		p.servers[s.ID] = s
 		if e := p.engines[s.ID]; e != nil {
 			e.follow(s)
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -88,7 +88,7 @@
 }
 
 func listed(w *standin.Worker) fleet.Server {
-	s := fleet.Server{ID: w.ID, Service: "llm", Address: w.Address(), Slots: 8}
+	s := fleet.Server{ID: w.ID, Born: w.Born(), Service: "llm", Address: w.Address(), Slots: 8}
 	for m, a := range w.Models() {
 		s.Held = append(s.Held, fleet.Held{Model: m, Adapters: a})
 	}
@@ -268,6 +268,70 @@
 	eventually(t, "then they are free", func() bool { return want("m1", "a1").Found })
 }
 
+// TestALoadOfTheHolderBeforeKeepsItsMemory lets a holder begin a load and hand the
+// lease over. The engine ends that load between the next holder's plan and its
+// report, so that the report and the newest entry agree: the order that was
+// planned without the model must not go out.
+func TestALoadOfTheHolderBeforeKeepsItsMemory(t *testing.T) {
+	s := standin.NewStore(t)
+	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 1, Models: map[string]fleet.Model{}}
+	for _, m := range []string{"m0", "m1", "m2", "m3"} {
+		e.Models[m] = fleet.Model{Name: m, MB: 72000}
+	}
+	c := fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").SlowLoads().Start(t)
+	a := start(t, s, "a", never)
+	a.Config(c)
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "a load is under way", func() bool { return w.Loading() != "" })
+	a.Release(context.Background())
+	b := start(t, s, "b", never)
+	b.mu.Lock()
+	b.waiting = map[string]int{"m3": 5}
+	b.mu.Unlock()
+	b.Config(c)
+	b.Servers([]fleet.Server{listed(w)})
+	busy := w.Reports() + 2
+	w.OnReport(func() {
+		if w.Reports() > busy {
+			w.FinishLoad()
+			b.Servers([]fleet.Server{listed(w)})
+		}
+	})
+	eventually(t, "the load has ended", func() bool { return w.Loading() == "" })
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		require.LessOrEqual(t, w.MostModels(), 3, "three models fit")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAnEngineThatStartsAgainUnderItsIDIsReadAnew lets an engine with a ledger
+// start again: what it held is gone, and its orders are counted from zero.
+func TestAnEngineThatStartsAgainUnderItsIDIsReadAnew(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0", "a1").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "m1 is loaded", func() bool { _, ok := w.Models()["m1"]; return ok })
+	a.Servers([]fleet.Server{listed(w)})
+	w.Restart()
+	orders := len(w.Orders())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "a model is loaded again", func() bool { return len(w.Orders()) > orders })
+	require.EqualValues(t, 0, w.Orders()[orders]["expected"], "counted anew")
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "both are there", func() bool {
+		a.Servers([]fleet.Server{listed(w)})
+		return len(w.Models()) == 2
+	})
+	eventually(t, "an adapter that it held is loaded again", func() bool {
+		a.Servers([]fleet.Server{listed(w)})
+		a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: "a1"}})
+		return slices.Contains(w.Models()["m0"], "a1")
+	})
+}
+
 // TestTheLoadsOfTheHolderBeforeCount lets a holder begin all loads that a window
 // allows and hand the lease over: the next one waits with more of them.
 func TestTheLoadsOfTheHolderBeforeCount(t *testing.T) {
