Pass loads under way to the next holder, and read engines before orders are planned for them

Cause: after a change of the holder the new one knew neither what was being loaded nor which engines were busy.

Change: the lease tells the models whose loads are under way; an engine is read before it is planned for, and again once it is settled; a move that was planned before a report is not sent any more.

--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -29,6 +29,8 @@
 		Epoch       int64   `json:"epoch"`
 		Cores       float64 `json:"cores"` // processor of the holder
 		Loads       int     `json:"loads"` // from the weight store of late, when this was written
+		// Coming is the models whose loads were under way then, by engine.
+		Coming map[string]string `json:"coming,omitempty"`
 	}
 
 	// Keeper holds what one node knows of the lease.
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -136,7 +136,7 @@
 
 // adapter loads an adapter, after it has made room for it; e.mu is held.
 func (p *Placer) adapter(ctx context.Context, e *engine, s fleet.Server, model, adapter string) (platform.Verdict, error) {
-	if p.unread(e) {
+	if p.isUnread(e) {
 		if err := p.report(ctx, e, s); err != nil {
 			p.block(e)
 			return 0, err
@@ -161,7 +161,7 @@
 		p.tell(hub.Note{Server: s.ID, Model: m, Adapter: a, Held: false})
 		if v == platform.Begun {
 			// Requests still use it: it keeps its place until they have ended.
-			e.known = false
+			p.reread(e)
 			p.block(e)
 			return platform.Full, nil
 		}
@@ -184,14 +184,6 @@
 	return v, err
 }
 
-// unread tells whether the ledger has to be read from the engine's report; e.mu
-// is held.
-func (p *Placer) unread(e *engine) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return e.sequence < 0 || !e.known || e.stale
-}
-
 // justOrdered tells whether an adapter may still be on its way.
 func (p *Placer) justOrdered(id, key string) bool {
 	p.mu.Lock()
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -54,7 +54,7 @@
 	now := p.Clock()
 	before, _ := p.Keeper.Leader()
 	l, version, due := p.Keeper.Propose(now)
-	l.Loads = p.recentLoads(time.Now())
+	l.Loads, l.Coming = p.recentLoads(time.Now()), p.coming()
 	was := p.Keeper.Mine()
 	p.mu.Unlock()
 	if !due {
@@ -147,11 +147,16 @@
 	}
 }
 
-// begin starts a time as holder with nothing known of the engines' orders; p.mu
-// is held.
+// begin starts a time as holder. Of the engines' orders nothing is known but the
+// loads that the holder before told of: without them a new holder ordered second
+// copies of what was on its way for 8 s; p.mu is held.
 func (p *Placer) begin(epoch int64, before leader.Lease) {
-	p.Log.Info("lease-won", zap.Int64("epoch", epoch), zap.String("before", before.Node), zap.Int("loads", before.Loads))
+	p.Log.Info("lease-won", zap.Int64("epoch", epoch), zap.String("before", before.Node), zap.Int("loads", before.Loads), zap.Int("coming", len(before.Coming)))
 	p.engines = map[string]*engine{}
+	for id, model := range before.Coming {
+		e := p.engine(id)
+		e.coming, e.since, e.inherited = model, time.Now(), true
+	}
 	p.loads = nil
 	p.prior = nil
 	p.earlier = before.Loads
@@ -160,6 +165,17 @@
 	p.Began()
 }
 
+// coming returns the models whose loads are under way, by engine; p.mu is held.
+func (p *Placer) coming() map[string]string {
+	out := map[string]string{}
+	for id, e := range p.engines {
+		if e.coming != "" {
+			out[id] = e.coming
+		}
+	}
+	return out
+}
+
 // epoch returns the epoch under which orders may be given now.
 func (p *Placer) epoch() (int64, bool) {
 	p.mu.Lock()
@@ -196,14 +212,14 @@
 func (p *Placer) Release(ctx context.Context) {
 	p.mu.Lock()
 	version, epoch, mine := p.Keeper.Release()
-	loads := p.recentLoads(time.Now())
+	loads, coming := p.recentLoads(time.Now()), p.coming()
 	p.released = true
 	p.mu.Unlock()
 	if !mine {
 		return
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
-	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads})
+	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads, Coming: coming})
 	if err != nil {
 		p.Log.Error("lease-encode", zap.Error(err))
 		return
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -76,18 +76,25 @@
 
 	// engine is what the holder knows of one engine beside its entry.
 	engine struct {
-		mu       sync.Mutex // held while an order is under way
-		sequence int64      // orders accepted, below zero if unknown
-		coming   string
-		going    string
-		kept     string // model that room was made for by a swap
-		since    time.Time
-		blocked  time.Time
-		open     *residency.Move      // an order without an answer
-		adapters map[string]time.Time // held or coming, with the last use
-		ordered  map[string]time.Time // adapters, with the last order
-		known    bool                 // adapters were read from a report
-		stale    bool                 // and have to be again; guarded by the placer
+		mu sync.Mutex // held while an order is under way
+
+		// The rest is guarded by the placer's.
+
+		sequence  int64 // orders accepted, below zero if unknown
+		coming    string
+		inherited bool // coming was told by the holder before
+		going     string
+		kept      string // model that room was made for by a swap
+		since     time.Time
+		blocked   time.Time
+		open      *residency.Move      // an order without an answer
+		adapters  map[string]time.Time // held or coming, with the last use
+		ordered   map[string]time.Time // adapters, with the last order
+		known     bool                 // adapters were read from a report
+		stale     bool                 // and have to be again
+		reading   bool                 // its report is being read
+		reads     int                  // reports that the ledger was read from
+		planned   int                  // reads when its last move was planned
 	}
 )
 
@@ -132,7 +139,7 @@
 // follow settles what the entry shows as done.
 func (e *engine) follow(s fleet.Server) {
 	if e.coming != "" && s.Holds(e.coming, "") {
-		e.coming = ""
+		e.coming, e.inherited = "", false
 	}
 	if e.kept != "" && s.Holds(e.kept, "") {
 		e.kept = ""
@@ -166,6 +173,9 @@
 		if !ok {
 			continue
 		}
+		for _, s := range p.unread(time.Now()) {
+			go p.survey(ctx, s)
+		}
 		for _, m := range p.moves(time.Now()) {
 			go p.order(ctx, epoch, m)
 		}
@@ -254,7 +264,7 @@
 				out = append(out, *e.open)
 			}
 			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going, Kept: e.kept,
-				Blocked: now.Before(e.blocked)})
+				Blocked: now.Before(e.blocked) || e.unread()})
 		}
 		for _, m := range residency.Plan(in) {
 			p.note(now, m)
@@ -278,7 +288,7 @@
 // note enters a move into the ledger; p.mu is held.
 func (p *Placer) note(now time.Time, m residency.Move) {
 	e := p.engine(m.Server.ID)
-	e.since = now
+	e.since, e.planned = now, e.reads
 	if m.Load {
 		e.coming = m.Model
 		if m.Store {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -305,6 +305,40 @@
 	}
 }
 
+// TestLoadsUnderWayPassToTheNextHolder lets a holder begin a load and hand the
+// lease over: the next one counts the copy that is coming, and orders nothing at the
+// engine until its report says that it is done.
+func TestLoadsUnderWayPassToTheNextHolder(t *testing.T) {
+	s := standin.NewStore(t)
+	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 2, Models: map[string]fleet.Model{}}
+	for _, m := range []string{"m0", "m1", "m2"} {
+		e.Models[m] = fleet.Model{Name: m, MB: 72000}
+	}
+	c := fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+	first := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").SlowLoads().Start(t)
+	other := (&standin.Worker{ID: "i-2"}).Hold("m0").Hold("m1").SlowLoads().Start(t)
+	a := start(t, s, "a", never)
+	a.Config(c)
+	a.Servers([]fleet.Server{listed(first)})
+	eventually(t, "a load is under way", func() bool { return first.Loading() == "m2" })
+	a.Release(context.Background())
+	b := start(t, s, "b", never)
+	b.mu.Lock()
+	b.waiting = map[string]int{"m2": 5}
+	b.mu.Unlock()
+	b.Config(c)
+	b.Servers([]fleet.Server{listed(first), listed(other)})
+	eventually(t, "the next one holds the lease", b.Holding)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+		require.Empty(t, other.Orders(), "a copy is coming already")
+		require.Len(t, first.Orders(), 1, "it is busy")
+		time.Sleep(time.Millisecond)
+	}
+	first.Restart() // the load never ends: its copy is missing again
+	b.Servers([]fleet.Server{listed(first), listed(other)})
+	eventually(t, "then it is loaded elsewhere", func() bool { return other.Loading() == "m2" || first.Loading() == "m2" })
+}
+
 // TestAnEngineThatStartsAgainUnderItsIDIsReadAnew lets an engine with a ledger
 // start again: what it held is gone, and its orders are counted from zero.
 func TestAnEngineThatStartsAgainUnderItsIDIsReadAnew(t *testing.T) {
