Tell nodes each note and mark once, and the lease when it has changed

Requests and answers between data centres were some 23 MB each way.

Ruled out: places (4.4 MB both ways), reports (3 MB).

Change: notes and marks are numbered by the hub that took them in, and a node is told those after the number that it has; another hub counts anew. The row of the lease goes out when the node has another version.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -61,6 +61,7 @@
 		r := n.gateway.Report(n.settings.Node, l.Epoch)
 		r.Known = n.follower.Known()
 		r.Contact = n.follower.Contact(time.Now())
+		r.Heard, r.Lease = n.heard, n.placer.LeaseVersion()
 		r.Update = n.read(r)
 		var p hub.Picture
 		var err error
@@ -82,6 +83,7 @@
 		if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
 			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 		}
+		n.heard = p.Heard
 		n.gateway.Take(p)
 		n.holderHas.Store(p.Update.Version)
 		if was := n.deputy.Swap(p.Deputy); was != p.Deputy {
@@ -188,7 +190,9 @@
 		}
 		n.granter.Running(n.hub.Counts())
 		p.Update = n.follower.Since(time.Now(), r.Known)
-		p.Lease = n.placer.LeaseRow()
+		if n.placer.LeaseVersion() != r.Lease {
+			p.Lease = n.placer.LeaseRow()
+		}
 	}
 	return p
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -80,6 +80,7 @@
 	nodes     atomic.Int64 // that reported to the holder of late
 	holderHas atomic.Int64 // version of the holder's copy of the table of servers
 	deputy    atomic.Bool  // this node follows the store for all
+	heard     hub.Heard    // what the holder has told; of the exchange only
 	peers     trust
 	contact   contact
 	seeds     clientCache
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -1,6 +1,8 @@
 package hub
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -63,6 +65,14 @@
 		Update *follow.Update // what this node has read that the holder hasn't
 
 		Contact time.Duration // since the store last answered this node
+		Heard   Heard         // up to where this node was told notes and marks
+		Lease   int64         // version of the lease's row that this node has
+	}
+
+	// Heard says up to which number a node was told what a hub has taken in.
+	Heard struct {
+		Hub    uint64 // that counted
+		Number uint64
 	}
 
 	// Picture is what the holder answers.
@@ -71,10 +81,11 @@
 		Deputy  bool // the asking node shall follow the store
 		Nodes   int  // that reported of late, the asking one included
 		Counts  map[string]balance.Count
-		Notes   []Note
-		Marks   []Mark
+		Notes   []Note // those that the asking node wasn't told yet
+		Marks   []Mark // likewise
+		Heard   Heard
 		Update  follow.Update // of the store's tables
-		Lease   platform.Row  // as the holder last wrote it
+		Lease   platform.Row  // as the holder last wrote it, unless the asking node has it
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
@@ -88,6 +99,8 @@
 		notes  []dated[Note]
 		marks  []dated[Mark]
 		demand []Demand // since the last Demand call
+		id     uint64   // of this hub, not zero once it is used
+		number uint64   // notes and marks taken in
 	}
 
 	entry struct {
@@ -96,8 +109,9 @@
 	}
 
 	dated[T any] struct {
-		value T
-		at    time.Time
+		value  T
+		at     time.Time
+		number uint64
 	}
 )
 
@@ -110,7 +124,7 @@
 	}
 	h.demand = append(h.demand, r.Demand...)
 	for _, m := range r.Marks {
-		h.marks = append(h.marks, dated[Mark]{m, now})
+		h.marks = append(h.marks, dated[Mark]{m, now, h.next()})
 	}
 	r.Demand, r.Marks, r.Update = nil, nil, nil
 	h.nodes[r.Node] = entry{r, now}
@@ -122,15 +136,38 @@
 		}
 		add(p.Counts, e.report.Counts)
 	}
-	for _, n := range h.notes {
-		p.Notes = append(p.Notes, n.value)
+	if h.id == 0 {
+		h.id = 1 + rand.Uint64N(math.MaxUint64)
 	}
-	for _, m := range h.marks {
-		p.Marks = append(p.Marks, m.value)
+	p.Heard = Heard{h.id, h.number}
+	after := uint64(0)
+	if r.Heard.Hub == h.id {
+		after = r.Heard.Number
 	}
+	p.Notes = since(h.notes, after)
+	p.Marks = since(h.marks, after)
 	return p
 }
 
+// next returns the number of the next note or mark; h.mu is held.
+func (h *Hub) next() uint64 {
+	h.number++
+	return h.number
+}
+
+// since returns the values with a higher number. Each node is told each of them
+// once: told again for as long as they last, marks and notes were 35 of 95 MB that
+// a holder sent to 77 nodes in 20 s.
+func since[T any](list []dated[T], number uint64) []T {
+	var out []T
+	for _, d := range list {
+		if d.number > number {
+			out = append(out, d.value)
+		}
+	}
+	return out
+}
+
 // choose returns the node that follows the store beside this one; h.mu is held.
 func (h *Hub) choose(now time.Time) string {
 	list := make([]deputy.Candidate, 0, len(h.nodes))
@@ -146,7 +183,7 @@
 func (h *Hub) Note(now time.Time, n Note) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.notes = append(h.notes, dated[Note]{n, now})
+	h.notes = append(h.notes, dated[Note]{n, now, h.next()})
 }
 
 // Demand returns what was asked for since the last call.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -26,6 +26,16 @@
 	require.Len(t, h.Demand(), 1)
 	require.Empty(t, h.Demand(), "each demand counts once")
 
+	again := h.Take(now, hub.Report{Node: "c", Heard: p.Heard})
+	require.Empty(t, again.Marks, "told once")
+	require.Empty(t, again.Notes)
+	h.Note(now, hub.Note{Server: "i-2", Model: "m", Held: true})
+	again = h.Take(now, hub.Report{Node: "c", Heard: again.Heard})
+	require.Equal(t, []hub.Note{{Server: "i-2", Model: "m", Held: true}}, again.Notes)
+	other := &hub.Hub{}
+	other.Note(now, hub.Note{Server: "i-3"})
+	require.Len(t, other.Take(now, hub.Report{Node: "c", Heard: again.Heard}).Notes, 1, "another holder counts anew")
+
 	later := now.Add(5 * time.Second)
 	p = h.Take(later, hub.Report{Node: "c"})
 	require.Equal(t, 1, p.Nodes, "nodes that fell silent don't count")
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -109,6 +109,14 @@
 	return platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
 }
 
+// LeaseVersion returns the version of the row as last seen, zero if it wasn't.
+func (p *Placer) LeaseVersion() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	version, _, _ := p.Keeper.Release()
+	return version
+}
+
 // read reads the row.
 func (p *Placer) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
