A request that comes again keeps its turn

Cause: a request that an engine turned away, since it lacks the adapter or is full, asks for a place anew and waited behind all that had come meanwhile: 1.7 s in a trace, then refused as busy.

Change: a request for a place tells how long ago it came, and the scheduler orders by that. Test first: the one that came again stood behind two later ones.

--- a/core/grant/group.go
+++ b/core/grant/group.go
@@ -31,10 +31,14 @@
 
 // before orders requests by urgency and arrival.
 func before(a, b Request) bool {
-	if a.Priority != b.Priority {
+	switch {
+	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case !a.Since.Equal(b.Since):
+		return a.Since.Before(b.Since)
+	default:
+		return a.ID < b.ID
 	}
-	return a.ID < b.ID
 }
 
 // without takes a request out of a list.
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -28,7 +28,8 @@
 
 	// Request is a request that waits to begin.
 	Request struct {
-		ID       uint64 // rises with the time of arrival
+		ID       uint64
+		Since    time.Time // when it came first; it keeps its turn when it comes again
 		Pick     balance.Request
 		Priority int       // 0 is the most urgent
 		Target   time.Time // when it should have begun
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -98,6 +98,25 @@
 	require.Equal(t, []uint64{3, 4, 2}, order)
 }
 
+// TestARequestThatAnEngineTurnedAwayKeepsItsTurn has a request come again after the
+// engine of its place lacked the adapter, while two that came later wait.
+func TestARequestThatAnEngineTurnedAwayKeepsItsTurn(t *testing.T) {
+	s := scheduler(server("a", "m"))
+	came := func(id uint64, at time.Time) grant.Request {
+		r := request(id, "m", 2000, 1)
+		r.Since = at
+		return r
+	}
+	s.Offer(came(1, start))
+	require.Equal(t, []uint64{1}, granted(s.Next(start)))
+	s.Offer(came(2, start.Add(10*time.Millisecond)))
+	s.Offer(came(3, start.Add(20*time.Millisecond)))
+	now := start.Add(50 * time.Millisecond)
+	s.Offer(came(4, start)) // the first, again
+	s.Release(now, 1, balance.Good)
+	require.Equal(t, []uint64{4}, granted(s.Next(now)))
+}
+
 func TestWhatCanWaitLetsGoFirstWhatWouldBecomeLate(t *testing.T) {
 	s := scheduler(server("a", "batch", "live"))
 	s.Offer(request(1, "live", 2000, 2))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -200,6 +200,7 @@
 // pick by itself.
 func (r *request) ask(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
 	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
+		Waited: time.Since(r.x.Received),
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
 	for id := range r.exclude {
 		p.Exclude = append(p.Exclude, id)
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -46,6 +46,7 @@
 		Exclude  []string // servers not to be picked
 		Lacks    []string // servers that said of late that they don't hold the item
 		Priority int
+		Waited   time.Duration // since the request came
 		Target   time.Duration // from now until it should have begun
 		Expire   time.Duration // from now until it must have begun
 	}
