Keep room for the model that it was made for

Ruled out: the bound of moves (56 of 112, not reached), the weight store's rate (one load of 16 a second used).

Change: the room is kept for its model until that is loaded or isn't needed; a model that is in memory or on disk there takes it if it is needed a quarter as much, but not the one that made it.

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"sort"
 
 	"guavapaddle/core/fleet"
@@ -49,7 +50,9 @@
 		fleet.Server
 		Coming  string // model that is being loaded or may be
 		Going   string // model that is being unloaded or may be
-		Kept    string // model that room was made for by Spread
+		Kept    string // model that room is, or is being, made for
+		KeptWhy Why    // why the room was made: Room or Spread
+		Victim  string // model whose copy made the room
 		Blocked bool   // takes no orders now
 	}
 
@@ -88,7 +91,8 @@
 		in       Input
 		copies   map[string]int // held or coming, not going
 		anywhere map[string]int // copies that take requests now
-		promised map[string]int // copies that this plan makes room for
+		promised map[string]int // copies that room is kept or made for
+		queued   int            // those of them that come from the weight store
 		moving   int
 		quick    bool // only loads from memory or disk
 		moves    []Move
@@ -98,6 +102,7 @@
 // Plan returns the orders to give now, the most urgent first. It gives each
 // server at most one.
 func Plan(in Input) []Move {
+	in.Servers = slices.Clone(in.Servers)
 	p := &planner{in: in, copies: map[string]int{}, anywhere: map[string]int{}, promised: map[string]int{}}
 	for _, s := range in.Servers {
 		if s.Coming != "" {
@@ -114,6 +119,7 @@
 		}
 	}
 	p.dropUndeclared()
+	p.keep()
 	p.fillKept()
 	p.fillQuickly()
 	for _, m := range p.missing() {
@@ -146,8 +152,11 @@
 	}
 }
 
-// why tells why a model without a copy is loaded.
+// why tells why a model is loaded.
 func (p *planner) why(model string) Why {
+	if p.copies[model] > 0 {
+		return Busy
+	}
 	if p.in.Waiting[model] > 0 || p.in.Load[model] > quiet {
 		return Asked
 	}
@@ -193,7 +202,7 @@
 	if p.load(model, why) {
 		return
 	}
-	if p.makingRoom(model) {
+	if p.promised[model] > 0 || p.makingRoom(model) {
 		return
 	}
 	least := p.in.Load[model]
@@ -230,10 +239,10 @@
 }
 
 // begin orders a load at a server, unless the weight store has none to spare.
-func (p *planner) begin(s *Server, model string, why Why) {
+func (p *planner) begin(s *Server, model string, why Why) bool {
 	store := source(s, model) == fromStore
 	if store && p.in.Stores <= 0 {
-		return
+		return false
 	}
 	if store {
 		p.in.Stores--
@@ -242,6 +251,7 @@
 	p.copies[model]++
 	p.moving++
 	p.moves = append(p.moves, Move{Server: s.Server, Model: model, Load: true, Store: store, Why: why})
+	return true
 }
 
 // quicker tells whether a loads the model faster than b, or as fast with less
@@ -272,7 +282,9 @@
 		}
 	}
 	for _, n := range p.missing() {
-		places--
+		if p.promised[n] == 0 {
+			places--
+		}
 		if n == model {
 			break
 		}
@@ -298,6 +310,9 @@
 			if n < 2 || p.anywhere[h.Model] < 2 {
 				continue
 			}
+			if source(s, model) == fromStore && p.queued >= max(1, p.in.Stores) {
+				continue
+			}
 			c := p.in.Load[h.Model] / float64(n-1)
 			pays := c*Gain <= least
 			if !pays && !must {
@@ -313,6 +328,10 @@
 	if best.server == nil {
 		return false
 	}
+	best.server.Kept, best.server.KeptWhy = model, Room
+	if best.from == fromStore {
+		p.queued++
+	}
 	p.unload(best.server, best.model, Room, model)
 	return true
 }
--- a/core/residency/spread.go
+++ b/core/residency/spread.go
@@ -39,7 +39,7 @@
 		if !ok {
 			continue
 		}
-		from.Kept = quiet
+		from.Kept, from.KeptWhy = quiet, Spread
 		p.unload(from, busy, Spread, quiet)
 	}
 }
@@ -131,14 +131,3 @@
 	}
 	return model, model != ""
 }
-
-// fillKept loads what room was made for by a swap.
-func (p *planner) fillKept() {
-	for i := range p.in.Servers {
-		s := &p.in.Servers[i]
-		m, declared := p.in.Engine.Models[s.Kept]
-		if declared && p.free(s) && !s.Leaving && !s.Holds(s.Kept, "") && p.room(s) >= m.MB {
-			p.begin(s, s.Kept, Spread)
-		}
-	}
-}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -84,7 +84,9 @@
 		coming    string
 		inherited bool // coming was told by the holder before
 		going     string
-		kept      string // model that room was made for by a swap
+		kept      string // model that room was made for
+		keptWhy   residency.Why
+		victim    string // model whose copy made the room
 		since     time.Time
 		blocked   time.Time
 		open      *residency.Move      // an order without an answer
@@ -263,7 +265,7 @@
 				e.blocked = now.Add(2 * pause)
 				out = append(out, *e.open)
 			}
-			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going, Kept: e.kept,
+			in.Servers = append(in.Servers, residency.Server{Server: f, Coming: e.coming, Going: e.going, Kept: e.kept, KeptWhy: e.keptWhy, Victim: e.victim,
 				Blocked: now.Before(e.blocked) || e.unread()})
 		}
 		for _, m := range residency.Plan(in) {
@@ -290,15 +292,15 @@
 	e := p.engine(m.Server.ID)
 	e.since, e.planned = now, e.reads
 	if m.Load {
-		e.coming = m.Model
+		e.coming, e.kept = m.Model, ""
 		if m.Store {
 			p.loads = append(p.loads, now)
 		}
 	} else {
 		e.going = m.Model
 	}
-	if m.Why == residency.Spread && !m.Load {
-		e.kept = m.For
+	if m.For != "" {
+		e.kept, e.keptWhy, e.victim = m.For, m.Why, m.Model
 	}
 }
 
