--- a/core/residency/doc.go
+++ b/core/residency/doc.go
@@ -16,9 +16,10 @@
 // Before there is demand, the copies of a model tell what it will be (Prior), and
 // busy copies that stand beside each other are spread over the engines.
 //
-// Free room is filled from memory and disk first. A model is loaded where it is in host memory or on disk if it can be, since
-// such a load takes a fifth of the time and nothing of the weight store's
-// budget. Loads from the store are metered over all engines.
+// Free room is filled from memory and disk first. A model is loaded where it is in
+// host memory or on disk if it can be, since such a load takes a fifth of the time
+// and nothing of the weight store's budget. Loads from the store are metered over all
+// engines. Room that was made for a model is kept for it until it is loaded.
 //
 // The memory of an engine is counted as the sum of what it holds, what it may
 // be loading, and room for a full set of adapters; an order that got no answer
