--- a/core/balance/picture_test.go
+++ b/core/balance/picture_test.go
@@ -176,3 +176,23 @@
 	p.Done(now, running, balance.Broken)
 	require.Equal(t, 1, p.Own(0)["a"].Pending)
 }
+
+// TestAmongEqualsTheOwnDataCentreIsPicked checks both ways to pick, since bytes
+// between data centres are slower and dear.
+func TestAmongEqualsTheOwnDataCentreIsPicked(t *testing.T) {
+	near, far := engine("a", false), engine("b", false)
+	far.Zone = "elsewhere"
+	p := picture(near, far)
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 800, Zone: "z"}
+	for range 20 {
+		c, _ := p.Pick(now, r)
+		require.Equal(t, "a", c.Server.ID)
+		c, _ = p.PickRoom(now, r, 2000, 1)
+		require.Equal(t, "a", c.Server.ID)
+	}
+	for range 5 {
+		p.Sent(now, "a", r)
+	}
+	c, _ := p.Pick(now, r)
+	require.Equal(t, "b", c.Server.ID, "a longer wait weighs more")
+}
--- a/core/residency/plan_test.go
+++ b/core/residency/plan_test.go
@@ -39,6 +39,26 @@
 	require.Equal(t, residency.Asked, moves[0].Why)
 }
 
+// TestALoadFromDiskGoesBeforeOneBesideLessLoad has room at two engines, of which the
+// one with the model on its disk serves more.
+func TestALoadFromDiskGoesBeforeOneBesideLessLoad(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		a, b := server("a", "m1"), server("b", "m2")
+		disk, idle := &a, &b
+		if first {
+			disk, idle = &b, &a
+		}
+		disk.OnDisk = []string{"m0"}
+		load := map[string]float64{disk.Held[0].Model: 20, idle.Held[0].Model: 1}
+		moves := residency.Plan(residency.Input{Engine: engine(3), Stores: 5, Load: load,
+			Servers: []residency.Server{a, b}, Waiting: map[string]int{"m0": 3}})
+		require.NotEmpty(t, moves)
+		require.Equal(t, "m0", moves[0].Model)
+		require.Equal(t, disk.ID, moves[0].Server.ID)
+		require.False(t, moves[0].Store)
+	}
+}
+
 func TestMemoryIsNeverOvercommitted(t *testing.T) {
 	full := server("a", "m0", "m1", "m2")
 	moves := residency.Plan(residency.Input{Engine: engine(4), Servers: []residency.Server{full},
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -305,6 +305,28 @@
 	}
 }
 
+// TestTheSequenceIsReadAgainAfterAConflict has an engine accept an order of somebody
+// else that the holder doesn't know of.
+func TestTheSequenceIsReadAgainAfterAConflict(t *testing.T) {
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(w)})
+	eventually(t, "holding", a.Holding)
+	want := func(adapter string) bool {
+		return a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: adapter}}).Found
+	}
+	eventually(t, "the ledger is read", func() bool { return want("a1") })
+	w.Accept()
+	require.False(t, want("a2"), "the number differs")
+	orders := w.Orders()
+	require.EqualValues(t, 1, orders[len(orders)-1]["expected"])
+	eventually(t, "it is read again", func() bool { return want("a2") })
+	orders = w.Orders()
+	require.EqualValues(t, 2, orders[len(orders)-1]["expected"])
+}
+
 // TestLoadsUnderWayPassToTheNextHolder lets a holder begin a load and hand the
 // lease over: the next one counts the copy that is coming, and orders nothing at the
 // engine until its report says that it is done.
