--- a/internal/placer/chaos_test.go
+++ b/internal/placer/chaos_test.go
@@ -60,12 +60,7 @@
 
 func newChaos(t *testing.T, seed uint64) *chaos {
 	c := &chaos{t: t, rng: rand.New(rand.NewPCG(seed, 9)), store: standin.NewStore(t)}
-	e := &fleet.Engine{WeightsMB: 230000, LoadsPerS: 10, AdapterSlots: chaosAdapters, Models: map[string]fleet.Model{}}
-	for i := range chaosModels {
-		name := fmt.Sprint("m", i)
-		e.Models[name] = fleet.Model{Name: name, MB: 72000, Adapters: 4, AdapterMB: 66}
-	}
-	c.config = fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+	c.config = configOf(fleet.Engine{WeightsMB: 230000, LoadsPerS: 10, AdapterSlots: chaosAdapters}, chaosModels, 4)
 	for i := range chaosEngines {
 		w := (&standin.Worker{ID: fmt.Sprint("i-", i), Lag: 100 * time.Millisecond}).SlowLoads().SlowUnloads()
 		w.Hold(fmt.Sprint("m", i)).Hold(fmt.Sprint("m", (i+1)%chaosModels))
--- /dev/null
+++ b/internal/placer/rig_test.go
@@ -0,0 +1,107 @@
+package placer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
+	"guavapaddle/internal/hub"
+	"guavapaddle/internal/placer"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const ttl = 900 * time.Millisecond
+
+// holder is a placer with what it told.
+type holder struct {
+	*placer.Placer
+
+	mu       sync.Mutex
+	verdicts map[string]int
+	began    int
+	waiting  map[string]int
+}
+
+func start(t *testing.T, s *standin.Store, node string, reachable func() bool) *holder {
+	t.Helper()
+	h := &holder{verdicts: map[string]int{}}
+	began := time.Now()
+	h.Placer = &placer.Placer{
+		Store:   &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}},
+		Engines: &platform.Engines{Client: func(a string) *jsonhttp.Client { return &jsonhttp.Client{Address: a} }},
+		Hub:     &hub.Hub{}, Log: zap.NewNop(), Fencing: true, Window: 5 * time.Second, Reachable: reachable,
+		Keeper: &leader.Keeper{Self: leader.Lease{Node: node, Incarnation: node, Key: node, Cores: 1}, TTL: ttl},
+		Clock:  func() time.Duration { return time.Since(began) + time.Hour },
+		Ordered: func(v string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.verdicts[v]++
+		},
+		Began: func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.began++
+		},
+		Lacking: func() map[string]int {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.waiting
+		},
+		Noted: func(hub.Note) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		h.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return h
+}
+
+func never() bool { return false }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 8*time.Second, 2*time.Millisecond, what)
+}
+
+// config declares models m0 and m1, m0 with adapters, of which two fit.
+func config() *fleet.Config {
+	e := &fleet.Engine{WeightsMB: 230000, AdapterSlots: 2, LoadsPerS: 2, Models: map[string]fleet.Model{
+		"m0": {Name: "m0", MB: 72000, Adapters: 5, AdapterMB: 66},
+		"m1": {Name: "m1", MB: 72000},
+	}}
+	return fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: e}}, fleet.Limits{})
+}
+
+// configOf declares the models m0 and following, of 72 GB each, beside what the
+// engine says.
+func configOf(e fleet.Engine, models, adapters int) *fleet.Config {
+	e.Models = map[string]fleet.Model{}
+	for i := range models {
+		name := fmt.Sprint("m", i)
+		e.Models[name] = fleet.Model{Name: name, MB: 72000, Adapters: adapters, AdapterMB: 66}
+	}
+	return fleet.NewConfig(1, nil, []fleet.Service{{Name: "llm", Engine: &e}}, fleet.Limits{})
+}
+
+func listed(w *standin.Worker) fleet.Server {
+	s := fleet.Server{ID: w.ID, Born: w.Born(), Service: "llm", Address: w.Address(), Slots: 8}
+	for m, a := range w.Models() {
+		s.Held = append(s.Held, fleet.Held{Model: m, Adapters: a})
+	}
+	return s
+}
