Give the lease up though a renewal is under way

A holder that stops writes the row without a holder under the version that it knows. A renewal under way, or done without its answer, had moved the version: the write found another, nothing was tried again, and the process went on renewing until it ended.

Ruled out: load as such (the test below fails without any).

Change: writes of the row wait for each other, a node that has given the lease up doesn't renew it, and the row that comes back is followed by a second write.

Test first: TestALeaseIsGivenUpThoughARenewalIsUnderWay fails without the change.

--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -22,6 +22,9 @@
 	searchEvery = 700 * time.Millisecond
 	// callTimeout bounds a call to the store.
 	callTimeout = 900 * time.Millisecond
+	// releaseTries is how often the lease's row is written to give the lease up: once
+	// more than there can be a renewal whose answer was lost.
+	releaseTries = 2
 	// outageMost is how long orders go on when the store can't be reached and
 	// engines check epochs: a rival's first order fences ours.
 	outageMost = 20 * time.Second
@@ -50,12 +53,15 @@
 	if !p.mine() {
 		p.read(ctx)
 	}
+	p.writing.Lock()
+	defer p.writing.Unlock()
 	p.mu.Lock()
 	now := p.Clock()
 	before, _ := p.Keeper.Leader()
 	l, version, due := p.Keeper.Propose(now)
 	l.Loads, l.Coming = p.recentLoads(time.Now()), p.coming()
 	was := p.Keeper.Mine()
+	due = due && !p.released
 	p.mu.Unlock()
 	if !due {
 		return
@@ -216,25 +222,49 @@
 	return p.Keeper.Leader()
 }
 
-// Release gives the lease up, so that another node takes it at once.
+// Release gives the lease up, so that another node takes it at once. A renewal
+// that is under way is waited for; if its answer was lost, the row that the store
+// returns tells its version, and the second write follows it. Without that a node
+// that stopped as it renewed kept the others waiting for the lease's whole time.
 func (p *Placer) Release(ctx context.Context) {
+	p.mu.Lock()
+	p.released = true
+	p.mu.Unlock()
+	p.writing.Lock()
+	defer p.writing.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for range releaseTries {
+		if p.release(ctx) {
+			return
+		}
+	}
+}
+
+// release writes the row without a holder, and tells whether there is no more to
+// do.
+func (p *Placer) release(ctx context.Context) bool {
 	p.mu.Lock()
 	version, epoch, mine := p.Keeper.Release()
 	loads, coming := p.recentLoads(time.Now()), p.coming()
-	p.released = true
 	p.mu.Unlock()
 	if !mine {
-		return
+		return true
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
 	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads, Coming: coming})
 	if err != nil {
 		p.Log.Error("lease-encode", zap.Error(err))
-		return
+		return true
 	}
 	row.Value = value
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, _, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	rows, _, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
 	p.Log.Info("lease-released", zap.Int64("epoch", epoch), zap.Bool("written", ok), zap.Error(err))
+	if ok || err != nil {
+		return ok
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observe(rows)
+	return false
 }
--- a/internal/placer/lease_test.go
+++ b/internal/placer/lease_test.go
@@ -25,6 +25,21 @@
 	eventually(t, "the first stops", func() bool { return !a.Holding() })
 }
 
+// TestALeaseIsGivenUpThoughARenewalIsUnderWay has a holder stop while the store has
+// done its renewal but not answered it.
+func TestALeaseIsGivenUpThoughARenewalIsUnderWay(t *testing.T) {
+	s := standin.NewStore(t)
+	a := start(t, s, "a", never)
+	eventually(t, "first", a.Holding)
+	b := start(t, s, "b", never)
+	eventually(t, "the second knows the first", func() bool { l, ok := b.Leader(); return ok && l.Node == "a" })
+	before := s.Row("lease", "orders").Version
+	s.LoseAnswers(1)
+	eventually(t, "a renewal is done", func() bool { return s.Row("lease", "orders").Version > before })
+	a.Release(context.Background())
+	eventually(t, "the second holds it", b.Holding)
+}
+
 func TestARenewalWhoseAnswerIsLostKeepsTheLease(t *testing.T) {
 	s := standin.NewStore(t)
 	a := start(t, s, "a", never)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -56,6 +56,7 @@
 		Lacking   func() map[string]int // requests that wait for a model without a copy
 		Noted     func(n hub.Note)      // what an engine holds has changed
 
+		writing  sync.Mutex // of the lease's row; locked before mu
 		mu       sync.Mutex
 		config   *fleet.Config
 		servers  map[string]fleet.Server
