Write the lease's row in one place, and reckon a copy more in one place

No change of behaviour meant: the renewal and the release of the lease encode and write the row by one function; the keeper tells its version without a release that is no release; the load of a model with one copy more stood in four places, the count of promised copies in two. One difference: an encoding that fails, which the row's fields can't, is logged as a write that failed.

--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -125,6 +125,9 @@
 // Leader returns the lease as last seen, also one that may have lapsed.
 func (k *Keeper) Leader() (Lease, bool) { return k.seen, k.known && k.version != 0 }
 
+// Version returns the version of the row as last seen, zero if it wasn't.
+func (k *Keeper) Version() int64 { return k.version }
+
 // Release returns the row as it is to be written by a holder that stops, so
 // that a rival need not wait, and false if this node isn't the holder.
 func (k *Keeper) Release() (version int64, epoch int64, ok bool) {
--- a/core/residency/keep.go
+++ b/core/residency/keep.go
@@ -15,29 +15,39 @@
 func (p *planner) keep() {
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if s.Kept == "" {
+		if s.Kept == "" || s.KeptWhy != Room {
 			continue
 		}
-		if s.KeptWhy == Room && !p.wanted(s.Kept) {
+		if !p.wanted(s.Kept) {
 			s.Kept, s.KeptWhy = "", ""
 			continue
 		}
-		if s.KeptWhy == Room && s.Coming != s.Kept {
-			p.promised[s.Kept]++
-			if source(s, s.Kept) == fromStore {
-				p.queued++
-			}
+		if s.Coming != s.Kept {
+			p.promise(s, 1)
 		}
 	}
 }
 
+// promise counts one copy more, or one less, that a server's room is kept for.
+func (p *planner) promise(s *Server, by int) {
+	p.promised[s.Kept] += by
+	if source(s, s.Kept) == fromStore {
+		p.queued += by
+	}
+}
+
+// withOneMore returns the load for each copy of a model if it had one more.
+func (p *planner) withOneMore(model string, copies int) float64 {
+	return p.in.Load[model] / float64(copies+1)
+}
+
 // wanted tells whether a model needs a further copy.
 func (p *planner) wanted(model string) bool {
 	if _, ok := p.in.Engine.Models[model]; !ok {
 		return false
 	}
 	n := p.copies[model]
-	return n == 0 || p.in.Load[model]/float64(n+1) >= worthACopy
+	return n == 0 || p.withOneMore(model, n) >= worthACopy
 }
 
 // fillKept loads into the room that was made.
@@ -48,17 +58,13 @@
 		if !declared || !p.free(s) || s.Leaving || s.Holds(s.Kept, "") || p.room(s) < m.MB {
 			continue
 		}
-		why := s.KeptWhy
-		model := s.Kept
-		if why == Room {
-			model = p.atHand(s)
-			why = p.why(model)
+		if s.KeptWhy != Room {
+			p.begin(s, s.Kept, s.KeptWhy)
+			continue
 		}
-		if p.begin(s, model, why) && s.KeptWhy == Room {
-			p.promised[s.Kept]--
-			if source(s, s.Kept) == fromStore {
-				p.queued--
-			}
+		model := p.atHand(s)
+		if p.begin(s, model, p.why(model)) {
+			p.promise(s, -1)
 		}
 	}
 }
@@ -70,13 +76,13 @@
 	if source(s, s.Kept) != fromStore || p.copies[s.Kept] == 0 {
 		return s.Kept
 	}
-	least := p.in.Load[s.Kept] / float64(p.copies[s.Kept]+1) / atHandGain
+	least := p.withOneMore(s.Kept, p.copies[s.Kept]) / atHandGain
 	best := s.Kept
 	for m := range p.in.Engine.Models {
 		if source(s, m) == fromStore || s.Holds(m, "") || m == s.Victim {
 			continue
 		}
-		if l := p.in.Load[m] / float64(p.copies[m]+1); l > least || l == least && m < best {
+		if l := p.withOneMore(m, p.copies[m]); l > least || l == least && m < best {
 			best, least = m, l
 		}
 	}
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -307,7 +307,7 @@
 		if n == 0 || n >= len(p.in.Servers) || without[m] {
 			continue
 		}
-		if l := p.in.Load[m] / float64(n+1); l > most || l == most && m < name {
+		if l := p.withOneMore(m, n); l > most || l == most && m < name {
 			name, most = m, l
 		}
 	}
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -66,15 +66,9 @@
 	if !due {
 		return
 	}
-	value, err := json.Marshal(l)
-	if err != nil {
-		p.Log.Error("lease-encode", zap.Error(err))
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
-	rows, got, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	rows, got, ok, err := p.write(ctx, l, version)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -92,6 +86,17 @@
 	}
 }
 
+// write writes the row under the condition that it has a version. It returns the
+// row as the store has it, or the new version and true.
+func (p *Placer) write(ctx context.Context, l leader.Lease, version int64) ([]platform.Row, int64, bool, error) {
+	value, err := json.Marshal(l)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
+	return p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+}
+
 // Learn takes in the row as another node has it.
 func (p *Placer) Learn(r platform.Row) {
 	if r.Version == 0 {
@@ -111,16 +116,14 @@
 	if !ok || err != nil {
 		return platform.Row{}
 	}
-	version, _, _ := p.Keeper.Release()
-	return platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
+	return platform.Row{Table: leaseTable, Key: leaseKey, Version: p.Keeper.Version(), Value: value}
 }
 
 // LeaseVersion returns the version of the row as last seen, zero if it wasn't.
 func (p *Placer) LeaseVersion() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	version, _, _ := p.Keeper.Release()
-	return version
+	return p.Keeper.Version()
 }
 
 // read reads the row.
@@ -251,14 +254,7 @@
 	if !mine {
 		return true
 	}
-	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version}
-	value, err := json.Marshal(leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads, Coming: coming})
-	if err != nil {
-		p.Log.Error("lease-encode", zap.Error(err))
-		return true
-	}
-	row.Value = value
-	rows, _, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	rows, _, ok, err := p.write(ctx, leader.Lease{Epoch: epoch, Cores: p.Keeper.Self.Cores, Loads: loads, Coming: coming}, version)
 	p.Log.Info("lease-released", zap.Int64("epoch", epoch), zap.Bool("written", ok), zap.Error(err))
 	if ok || err != nil {
 		return ok
