Hub: keep the sum of the nodes' counts, and leave engines out of what nodes are told

Cause: each report of a node made the sum of all nodes' counts anew, twice, which takes the product of nodes and servers: with 295 nodes before 265 servers some 370 reports a second. Each answer also carried the counts of all servers, though requests begin at engines where the holder says, and a node needs only those of plain servers.

Ruled out: encoding the counts once for all nodes: with the engines left out nine entries are left of 265.

Tests: TestTheSumIsThatOfTheLastReports, TestCountsOfServersWithPlacesAreNotTold.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -197,7 +197,6 @@
 	if r.Update != nil {
 		n.follower.Take(time.Now(), *r.Update)
 	}
-	n.granter.Running(n.hub.Counts())
 	p.Update = n.follower.Since(time.Now(), r.Known)
 	return p
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -72,15 +72,17 @@
 	probes    *http1.Server
 	registry  *prometheus.Registry
 	stopping  atomic.Bool
-	servers   atomic.Bool  // the list was read
-	reached   atomic.Int64 // boot time of the holder's last answer to a report
-	heardAt   atomic.Int64 // boot time of its last answer to anything
-	suspect   atomic.Bool  // it left a request for a place without an answer
-	fedAt     atomic.Int64 // boot time at which it last passed the store's changes on
-	nodes     atomic.Int64 // that reported to the holder of late
-	holderHas atomic.Int64 // version of the holder's copy of the table of servers
-	deputy    atomic.Bool  // this node follows the store for all
-	heard     hub.Heard    // what the holder has told; of the exchange only
+	servers   atomic.Bool // the list was read
+	list      atomic.Pointer[[]fleet.Server]
+	engines   atomic.Pointer[map[string]bool] // those of the servers that are model engines
+	reached   atomic.Int64                    // boot time of the holder's last answer to a report
+	heardAt   atomic.Int64                    // boot time of its last answer to anything
+	suspect   atomic.Bool                     // it left a request for a place without an answer
+	fedAt     atomic.Int64                    // boot time at which it last passed the store's changes on
+	nodes     atomic.Int64                    // that reported to the holder of late
+	holderHas atomic.Int64                    // version of the holder's copy of the table of servers
+	deputy    atomic.Bool                     // this node follows the store for all
+	heard     hub.Heard                       // what the holder has told; of the exchange only
 	peers     trust
 	contact   contact
 	seeds     clientCache
@@ -108,7 +110,8 @@
 		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
 			hub.Serve(ctx, n, f, st)
 		}}
-	n.granter = &granter.Granter{Log: log}
+	n.hub.Granted = n.granted
+	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts}
 	n.placer = n.newPlacer()
 	n.granter.Adapter = n.placer.Want
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Led: n.led,
@@ -256,6 +259,28 @@
 func (n *Node) onConfig(c *fleet.Config) {
 	n.gateway.SetConfig(c)
 	n.placer.Config(n.gateway.Config())
+	n.noteEngines()
+}
+
+// granted tells whether the holder of the lease says which requests begin at a server.
+func (n *Node) granted(server string) bool {
+	engines := n.engines.Load()
+	return engines != nil && (*engines)[server]
+}
+
+// noteEngines notes which of the servers are model engines.
+func (n *Node) noteEngines() {
+	c, list := n.gateway.Config(), n.list.Load()
+	if c == nil || list == nil {
+		return
+	}
+	engines := map[string]bool{}
+	for _, s := range *list {
+		if service, ok := c.Service(s.Service); ok && service.Engine != nil {
+			engines[s.ID] = true
+		}
+	}
+	n.engines.Store(&engines)
 }
 
 func (n *Node) onServers(list []fleet.Server) {
@@ -263,6 +288,8 @@
 	n.placer.Servers(list)
 	n.granter.Servers(list)
 	n.servers.Store(true)
+	n.list.Store(&list)
+	n.noteEngines()
 }
 
 // limits returns the bounds on clients of the configuration in force.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -37,6 +37,7 @@
 		Log      *zap.Logger
 		Settings grant.Settings
 		Adapter  func(ctx context.Context, w hub.Want) hub.Offer // has an adapter loaded
+		Counts   func() map[string]balance.Count                 // what all nodes have, nil for nobody
 
 		mu       sync.Mutex
 		picture  *balance.Picture
@@ -79,13 +80,17 @@
 	g.decide()
 }
 
-// Run looks after the requests that wait until ctx ends.
+// Run looks after the requests that wait, and at what nodes began by themselves, until
+// ctx ends.
 func (g *Granter) Run(ctx context.Context) {
 	t := time.NewTicker(Tick)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
+			if g.Counts != nil {
+				g.Running(g.Counts())
+			}
 			g.tick()
 		case <-ctx.Done():
 			return
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -20,6 +21,9 @@
 	markLife = 60 * time.Second
 	// marksMost bounds the marks remembered.
 	marksMost = 512
+	// tidyEvery is how often old reports are dropped and the deputy is looked at, which
+	// takes a look at all nodes.
+	tidyEvery = 50 * time.Millisecond
 )
 
 type (
@@ -89,13 +93,19 @@
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
-	// use. Self is set before the first report.
+	// use. Its exported fields are set before the first report.
 	Hub struct {
 		Self string // the own node's name
+		// Granted tells of a server that requests begin at it where a granter has them
+		// begin, so that nodes needn't know what others have there; nil for none.
+		Granted func(server string) bool
 
 		mu     sync.Mutex
 		deputy deputy.Chooser
+		chosen string // the deputy
+		tidied time.Time
 		nodes  map[string]entry
+		sum    map[string]balance.Count // of all nodes, by server
 		notes  []dated[Note]
 		marks  []dated[Mark]
 		demand []Demand // since the last Demand call
@@ -121,21 +131,23 @@
 	defer h.mu.Unlock()
 	if h.nodes == nil {
 		h.nodes = map[string]entry{}
+		h.sum = map[string]balance.Count{}
 	}
 	h.demand = append(h.demand, r.Demand...)
 	for _, m := range r.Marks {
 		h.marks = append(h.marks, dated[Mark]{m, now, h.next()})
 	}
 	r.Demand, r.Marks, r.Update = nil, nil, nil
+	_, known := h.nodes[r.Node]
+	h.drop(r.Node)
 	h.nodes[r.Node] = entry{r, now}
-	h.forget(now)
-	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: map[string]balance.Count{}, Deputy: h.choose(now) == r.Node}
-	for name, e := range h.nodes {
-		if name == r.Node {
-			continue
-		}
-		add(p.Counts, e.report.Counts)
+	h.add(r.Counts, 1)
+	if !known || now.Sub(h.tidied) >= tidyEvery {
+		h.tidied = now
+		h.forget(now)
+		h.choose(now)
 	}
+	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: h.others(r.Counts), Deputy: h.chosen == r.Node}
 	if h.id == 0 {
 		h.id = 1 + rand.Uint64N(math.MaxUint64)
 	}
@@ -168,15 +180,15 @@
 	return out
 }
 
-// choose returns the node that follows the store beside this one; h.mu is held.
-func (h *Hub) choose(now time.Time) string {
+// choose looks for the node that follows the store beside this one; h.mu is held.
+func (h *Hub) choose(now time.Time) {
 	list := make([]deputy.Candidate, 0, len(h.nodes))
 	for name, e := range h.nodes {
 		if name != h.Self {
 			list = append(list, deputy.Candidate{Node: name, Age: e.report.Contact + now.Sub(e.at)})
 		}
 	}
-	return h.deputy.Choose(now, list)
+	h.chosen = h.deputy.Choose(now, list)
 }
 
 // Note adds a note that all nodes are told for a while.
@@ -199,30 +211,54 @@
 func (h *Hub) Counts() map[string]balance.Count {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return maps.Clone(h.sum)
+}
+
+// others returns what all nodes have but for one, at the servers where no granter says
+// where requests begin; h.mu is held. With hundreds of servers the counts of all of them
+// were most of what each node was sent.
+func (h *Hub) others(own map[string]balance.Count) map[string]balance.Count {
 	out := map[string]balance.Count{}
-	for _, e := range h.nodes {
-		add(out, e.report.Counts)
+	for id, c := range h.sum {
+		if h.Granted != nil && h.Granted(id) {
+			continue
+		}
+		if c = plus(c, own[id], -1); c != (balance.Count{}) {
+			out[id] = c
+		}
 	}
 	return out
 }
 
-// add adds one node's counts to a sum by server.
-func add(sum, counts map[string]balance.Count) {
+// drop forgets a node's last report; h.mu is held.
+func (h *Hub) drop(node string) {
+	h.add(h.nodes[node].report.Counts, -1)
+	delete(h.nodes, node)
+}
+
+// add adds one node's counts to the sum so many times; h.mu is held. The sum is kept,
+// since to make it anew for each report takes the product of nodes and servers.
+func (h *Hub) add(counts map[string]balance.Count, times int) {
 	for id, c := range counts {
-		n := sum[id]
-		n.Pending += c.Pending
-		n.Running += c.Running
-		n.Tokens += c.Tokens
-		n.Granted += c.Granted
-		sum[id] = n
+		if c = plus(h.sum[id], c, times); c == (balance.Count{}) {
+			delete(h.sum, id)
+			continue
+		}
+		h.sum[id] = c
 	}
 }
 
+// plus returns a sum of counts, the second so many times.
+func plus(a, b balance.Count, times int) balance.Count {
+	return balance.Count{Pending: a.Pending + times*b.Pending, Running: a.Running + times*b.Running,
+		Tokens: a.Tokens + times*b.Tokens, Granted: a.Granted + times*b.Granted}
+}
+
 // forget drops what is too old.
 func (h *Hub) forget(now time.Time) {
 	for name, e := range h.nodes {
 		if now.Sub(e.at) > reportLife {
-			delete(h.nodes, name)
+			h.drop(name)
 		}
 	}
 	h.notes = younger(h.notes, now.Add(-reportLife))
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -1,6 +1,8 @@
 package hub_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -69,3 +71,67 @@
 	deputies(later)
 	require.NotEqual(t, first, deputies(later), "the store turns it away")
 }
+
+// TestTheSumIsThatOfTheLastReports plays nodes that report, fall silent and come back,
+// and compares what each is told with the sum of the others' last reports.
+func TestTheSumIsThatOfTheLastReports(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 1))
+	h := &hub.Hub{}
+	now := time.Unix(1000, 0)
+	last := map[string]map[string]balance.Count{}
+	at := map[string]time.Time{}
+	for range 2000 {
+		now = now.Add(time.Duration(50+rng.IntN(350)) * time.Millisecond)
+		node := fmt.Sprint("n", rng.IntN(6))
+		counts := map[string]balance.Count{}
+		for range rng.IntN(3) {
+			counts[fmt.Sprint("i-", rng.IntN(4))] = balance.Count{Pending: rng.IntN(2), Running: rng.IntN(3), Tokens: rng.IntN(500), Granted: rng.IntN(2)}
+		}
+		got := h.Take(now, hub.Report{Node: node, Counts: counts}).Counts
+		last[node], at[node] = counts, now
+		want := map[string]balance.Count{}
+		for n, list := range last {
+			if n == node || now.Sub(at[n]) > 1500*time.Millisecond {
+				continue
+			}
+			for id, c := range list {
+				w := want[id]
+				want[id] = balance.Count{Pending: w.Pending + c.Pending, Running: w.Running + c.Running, Tokens: w.Tokens + c.Tokens, Granted: w.Granted + c.Granted}
+			}
+		}
+		for id, c := range want {
+			if c == (balance.Count{}) {
+				delete(want, id)
+			}
+		}
+		require.Equal(t, want, got)
+	}
+}
+
+// TestCountsOfServersWithPlacesAreNotTold leaves out servers for which a granter says
+// where requests begin: nobody else picks them by counts.
+func TestCountsOfServersWithPlacesAreNotTold(t *testing.T) {
+	h := &hub.Hub{Granted: func(id string) bool { return id == "engine" }}
+	now := time.Unix(1000, 0)
+	counts := map[string]balance.Count{"engine": {Running: 3}, "plain": {Running: 2}}
+	h.Take(now, hub.Report{Node: "a", Counts: counts})
+	require.Equal(t, map[string]balance.Count{"plain": {Running: 2}}, h.Take(now, hub.Report{Node: "b"}).Counts)
+	require.Equal(t, counts, h.Counts())
+}
+
+// BenchmarkReport is one node's report at a holder with many nodes and servers.
+func BenchmarkReport(b *testing.B) {
+	for _, size := range []struct{ nodes, servers int }{{8, 16}, {100, 100}, {300, 265}, {350, 600}} {
+		b.Run(fmt.Sprintf("%d-nodes-%d-servers", size.nodes, size.servers), func(b *testing.B) {
+			h := &hub.Hub{Granted: func(id string) bool { return id >= "i-010" }}
+			now := time.Unix(1000, 0)
+			for i := 0; b.Loop(); i++ {
+				counts := map[string]balance.Count{}
+				for j := range 6 {
+					counts[fmt.Sprintf("i-%03d", (7*i+j)%size.servers)] = balance.Count{Running: 1}
+				}
+				h.Take(now, hub.Report{Node: fmt.Sprint("n", i%size.nodes), Counts: counts})
+			}
+		})
+	}
+}
