Deputy: grants places and passes the store's changes on while nobody holds the lease

Cause: while a lost holder's lease lapses (3.5 s and longer) every node followed the store and picked engines by itself. Slots are few at an engine (12), so blind picks collide, and 295 nodes make over 400 calls to the store a second.

Now the deputy, which the holder has named and which follows the store anyway, answers reports and requests for places as long as it can't reach the holder itself. It gives no orders, so nothing safe rests on it. It is as large as the others. A granter that is reset now ends the waits it had, which would have lasted until their clients left.

Ruled out: a shorter lease (engines of some deployments don't check epochs, so its length is what keeps two holders apart).

Tests: TestTheDeputyGrantsPlacesWhileNobodyHoldsTheLease, TestAResetEndsAllWaits, TestADeputyIsAsLargeAsTheOthers.

--- a/core/deputy/chooser_test.go
+++ b/core/deputy/chooser_test.go
@@ -1,6 +1,7 @@
 package deputy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,15 @@
 	require.Equal(t, "b", c.Choose(start, list(map[string]time.Duration{"b": never})))
 	require.Equal(t, "b", c.Choose(start.Add(time.Minute), list(map[string]time.Duration{"b": never})), "there is no other")
 }
+
+// TestADeputyIsAsLargeAsTheOthers: it does the holder's work while there is none.
+func TestADeputyIsAsLargeAsTheOthers(t *testing.T) {
+	var c deputy.Chooser
+	var candidates []deputy.Candidate
+	for i := range 100 {
+		candidates = append(candidates, deputy.Candidate{Node: fmt.Sprint("small-", i), Cores: 0.192})
+	}
+	require.Contains(t, c.Choose(start, candidates), "small", "there is no other yet")
+	candidates = append(candidates, deputy.Candidate{Node: "large", Cores: 0.8})
+	require.Equal(t, "large", c.Choose(start, candidates))
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -47,9 +47,9 @@
 	}
 )
 
-// exchange reports to the holder of the lease until ctx ends.
+// exchange reports to the holder of the lease, or to its deputy while it is silent,
+// until ctx ends.
 func (n *Node) exchange(ctx context.Context) {
-	c := n.holder()
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = exchangeEvery, backoffMost
 	for wait := exchangeEvery; clock.Sleep(ctx, wait); {
@@ -58,48 +58,81 @@
 		if !ok || l.Node == "" {
 			continue
 		}
-		r := n.gateway.Report(n.settings.Node, l.Epoch)
-		r.Known = n.follower.Known()
-		r.Contact = n.follower.Contact(time.Now())
-		r.Heard, r.Lease = n.heard, n.placer.LeaseVersion()
-		r.Update = n.read(r)
-		var p hub.Picture
-		var err error
-		if l.Key == n.key.Fingerprint() {
-			p = n.Report(r)
-		} else {
-			call, cancel := context.WithTimeout(ctx, exchangeTimeout+n.period())
-			p, err = c.Exchange(call, l.Address, r)
-			cancel()
+		r := n.report(l)
+		p, err := n.tell(ctx, l, r)
+		if err == nil && p.Leading {
+			b.Reset()
+			n.led(l, p)
+			continue
 		}
-		if err != nil || !p.Leading {
+		if err == nil && n.placer.Learn(p.Lease) {
 			n.gateway.Keep(r.Marks)
-			if err == nil && n.placer.Learn(p.Lease) {
-				n.log.Info("leader-left", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
-				continue
-			}
-			n.lost(l, err)
-			wait = b.NextBackOff()
+			n.log.Info("leader-left", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
 			continue
 		}
-		b.Reset()
-		n.nodes.Store(int64(p.Nodes))
-		if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
-			n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
-		}
-		n.heard = p.Heard
-		n.gateway.Take(p)
-		n.holderHas.Store(p.Update.Version)
-		if was := n.deputy.Swap(p.Deputy); was != p.Deputy {
-			n.log.Info("deputy", zap.Bool("following", p.Deputy), zap.String("leader", l.Node))
-		}
-		if l.Key != n.key.Fingerprint() {
-			n.fed(p.Update)
-			n.placer.Learn(p.Lease)
+		n.lost(l, err)
+		if n.tellSecond(ctx, l, r) {
+			continue
 		}
+		n.gateway.Keep(r.Marks)
+		wait = b.NextBackOff()
+	}
+}
+
+// report returns what this node tells the holder.
+func (n *Node) report(l leader.Lease) hub.Report {
+	r := n.gateway.Report(n.settings.Node, l.Epoch)
+	r.At = hub.Contact{Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
+	r.Known = n.follower.Known()
+	r.Contact = n.follower.Contact(time.Now())
+	r.Heard, r.Roster, r.Lease = n.heard, n.roster, n.placer.LeaseVersion()
+	r.Update = n.read(r)
+	return r
+}
+
+// tell reports to the holder of the lease. One that has fallen silent is given less time,
+// since its deputy has to hear of this node too.
+func (n *Node) tell(ctx context.Context, l leader.Lease, r hub.Report) (hub.Picture, error) {
+	if l.Key == n.key.Fingerprint() {
+		return n.Report(r), nil
+	}
+	timeout := exchangeTimeout
+	if n.leaderReached() {
+		timeout += n.period()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return n.holder().Exchange(ctx, l.Address, r)
+}
+
+// led takes in the answer of the holder of the lease.
+func (n *Node) led(l leader.Lease, p hub.Picture) {
+	n.nodes.Store(int64(p.Nodes))
+	if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
+		n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
+	}
+	n.second.Store(&p.Second)
+	if was := n.deputy.Swap(p.Deputy); was != p.Deputy {
+		n.log.Info("deputy", zap.Bool("following", p.Deputy), zap.String("leader", l.Node))
+	}
+	if p.Deputy && len(p.Keys) > 0 {
+		n.peers.add(p.Keys) // who may all ask it
+		n.roster = p.Roster
+	}
+	n.take(p)
+	if l.Key != n.key.Fingerprint() {
+		n.fed(p.Update)
+		n.placer.Learn(p.Lease)
 	}
 }
 
+// take takes in what the holder, or its deputy, answers.
+func (n *Node) take(p hub.Picture) {
+	n.heard = p.Heard
+	n.gateway.Take(p)
+	n.holderHas.Store(p.Update.Version)
+}
+
 // read returns what this node has read of the store's tables of late: the store
 // may serve this node and turn the holder of the lease away.
 func (n *Node) read(r hub.Report) *follow.Update {
@@ -127,14 +160,14 @@
 	return n.role() == follow.Alone && at != 0 && clock.Boot()-time.Duration(at) < n.silence()
 }
 
-// led tells whether another node holds the lease and answers.
-func (n *Node) led() bool { return n.role() == follow.Alone && n.leaderReached() }
+// isLed tells whether another node holds the lease and answers.
+func (n *Node) isLed() bool { return n.role() == follow.Alone && n.leaderReached() }
 
 // role tells for whom this node follows the store.
 func (n *Node) role() follow.Role {
 	l, ok := n.placer.Leader()
 	switch {
-	case ok && l.Key == n.key.Fingerprint():
+	case ok && l.Key == n.key.Fingerprint(), n.isActing():
 		return follow.Holder
 	case n.deputy.Load() && n.leaderReached():
 		return follow.Deputy
@@ -191,7 +224,10 @@
 	if n.placer.LeaseVersion() != r.Lease {
 		p.Lease = n.placer.LeaseRow() // also that it was given up
 	}
-	if !p.Leading {
+	if !p.Leading && n.isActing() {
+		p = n.act(r, p.Lease)
+	}
+	if !p.Leading && !p.Acting {
 		return p
 	}
 	if r.Update != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -278,3 +278,40 @@
 	var bad *front.SettingsError
 	require.ErrorAs(t, err, &bad)
 }
+
+// TestTheDeputyGrantsPlacesWhileNobodyHoldsTheLease ends the holder while the store is
+// away, so that its lease can't be given up nor taken.
+func TestTheDeputyGrantsPlacesWhileNobodyHoldsTheLease(t *testing.T) {
+	f, _, _ := newFleetLeased(t, 3, 3*time.Second)
+	deputy := func() *process {
+		for _, p := range f.nodes {
+			if p.logs.FilterMessage("deputy").Len() > 0 {
+				return p
+			}
+		}
+		return nil
+	}
+	require.Eventually(t, func() bool { return deputy() != nil }, 5*time.Second, time.Millisecond)
+	var l leader.Lease
+	require.NoError(t, json.Unmarshal(f.store.Row("lease", "orders").Value, &l))
+	f.store.Outage(true)
+	for _, p := range f.nodes {
+		if p.settings.Node == l.Node {
+			p.stop()
+		}
+	}
+	acting := deputy()
+	require.Eventually(t, func() bool { return acting.logs.FilterMessage("deputy-acting").Len() > 0 }, 8*time.Second, time.Millisecond)
+	places := func() int { return acting.logs.FilterMessage("place").FilterField(zap.Bool("granted", true)).Len() }
+	for _, p := range f.nodes {
+		if p.settings.Node == l.Node {
+			continue
+		}
+		before, sent := places(), 0
+		require.Eventually(t, func() bool {
+			sent++
+			status, _ := p.get(t, "/plans/x", fmt.Sprint("d", sent, p.settings.Node), "m0")
+			return status == 200 && places() > before
+		}, 8*time.Second, 5*time.Millisecond, "the deputy answers %s", p.settings.Node)
+	}
+}
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -95,11 +96,15 @@
 	}
 }
 
-// trusted tells whether a key is the leader's or stands in a node's row.
+// trusted tells whether a key is the leader's, or its deputy's, or stands in a node's
+// row.
 func (n *Node) trusted(key string) bool {
 	if l, ok := n.placer.Leader(); ok && l.Key == key {
 		return true
 	}
+	if at := n.second.Load(); at != nil && at.Key == key {
+		return true
+	}
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
 	if n.peers.keys[key] {
@@ -112,6 +117,20 @@
 	return false
 }
 
+// add notes keys that another node vouches for.
+func (t *trust) add(keys []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := maps.Clone(t.keys)
+	if known == nil {
+		known = map[string]bool{}
+	}
+	for _, k := range keys {
+		known[k] = true
+	}
+	t.keys = known
+}
+
 // readPeers reads the rows of all nodes.
 func (n *Node) readPeers() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -82,7 +82,12 @@
 	nodes     atomic.Int64                    // that reported to the holder of late
 	holderHas atomic.Int64                    // version of the holder's copy of the table of servers
 	deputy    atomic.Bool                     // this node follows the store for all
+	second    atomic.Pointer[hub.Contact]     // the deputy
+	secondAt  atomic.Int64                    // boot time of the deputy's last answer to a report
+	secondNo  atomic.Int64                    // boot time at which the deputy last refused
+	acting    atomic.Bool                     // this node is the deputy and grants places
 	heard     hub.Heard                       // what the holder has told; of the exchange only
+	roster    uint64                          // up to where it told a deputy who reports; likewise
 	peers     trust
 	contact   contact
 	seeds     clientCache
@@ -114,7 +119,7 @@
 	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts}
 	n.placer = n.newPlacer()
 	n.granter.Adapter = n.placer.Want
-	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Led: n.led,
+	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Led: n.isLed,
 		Role: n.role, Ask: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond}
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
@@ -159,7 +164,7 @@
 		},
 		Fencing:   n.settings.CheckEpochs,
 		Window:    time.Duration(n.settings.LoadWindowS * float64(time.Second)),
-		Reachable: n.leaderReached,
+		Reachable: n.isCovered,
 		Ordered:   func(v string) { orders.WithLabelValues(v).Inc() },
 		Began:     n.granter.Reset,
 		Lacking:   n.granter.Waiting,
--- a/internal/front/places.go
+++ b/internal/front/places.go
@@ -22,12 +22,16 @@
 
 // Place answers a request for a place at an engine.
 func (n *Node) Place(ctx context.Context, p hub.Place, queued func()) (hub.Placed, hub.Grant, error) {
+	l, _ := n.placer.Leader()
+	by := l.Epoch
 	if !n.placer.Holding() {
-		return hub.Placed{}, nil, context.Canceled
+		if !n.isActing() {
+			return hub.Placed{}, nil, context.Canceled
+		}
+		by = actingEpoch(l)
 	}
-	l, _ := n.placer.Leader()
 	d, grant, err := n.granter.Place(ctx, p, queued)
-	return hub.Placed{Granted: d.Granted, Granter: l.Epoch, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, grant, err
+	return hub.Placed{Granted: d.Granted, Granter: by, Server: d.Choice.Server.ID, Wait: d.Choice.Wait, Why: string(d.Why), After: d.After}, grant, err
 }
 
 // place asks the holder of the lease for a place at an engine.
@@ -40,7 +44,7 @@
 		return n.Place(ctx, p, func() {})
 	}
 	if !n.leaderReached() || n.suspect.Load() {
-		return hub.Placed{}, nil, context.Canceled
+		return n.placeBySecond(ctx, p)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -270,6 +270,13 @@
 	return r
 }
 
+// Counts returns what this node has at each server, and what of it a granter counts.
+func (g *Gateway) Counts(granter int64) map[string]balance.Count {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picture.Own(granter)
+}
+
 // Keep puts marks back that could not be reported.
 func (g *Gateway) Keep(marks []hub.Mark) {
 	g.mu.Lock()
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -46,6 +46,7 @@
 		next     uint64
 		waiters  map[uint64]waiter
 		fetching map[hub.Item]bool
+		reset    chan struct{} // closed by the next Reset
 	}
 
 	waiter struct {
@@ -56,10 +57,14 @@
 	}
 )
 
-// Reset forgets all grants, as a node that wins the lease must.
+// Reset forgets all grants, as a node that wins the lease must, and ends all waits.
 func (g *Granter) Reset() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.reset != nil {
+		close(g.reset)
+	}
+	g.reset = make(chan struct{})
 	g.picture = balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.picture.Update(g.servers)
 	g.schedule = grant.New(g.picture, g.Settings)
@@ -159,6 +164,7 @@
 		Target: now.Add(p.Target), Expire: now.Add(p.Expire)})
 	g.decide()
 	g.lacking()
+	reset := g.reset
 	g.mu.Unlock()
 	if len(w.decided) == 0 {
 		queued()
@@ -167,6 +173,8 @@
 	case d := <-w.decided:
 		w.log(g.Log, d)
 		return d, &place{g, id}, nil
+	case <-reset:
+		return grant.Decision{}, nil, context.Canceled
 	case <-ctx.Done():
 		g.release(id, balance.Dropped)
 		return grant.Decision{}, nil, ctx.Err()
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -96,3 +96,18 @@
 	require.Positive(t, d.After)
 	require.Equal(t, map[string]int{"none": 1}, <-waiting)
 }
+
+// TestAResetEndsAllWaits: a node that wins the lease knows nothing of requests that
+// waited at it before, and they would wait until their clients leave.
+func TestAResetEndsAllWaits(t *testing.T) {
+	g := start(t, nil)
+	waits := make(chan error, 1)
+	queued := make(chan struct{})
+	go func() {
+		_, _, err := g.Place(context.Background(), place("other", "", 100), func() { close(queued) })
+		waits <- err
+	}()
+	<-queued
+	g.Reset()
+	require.ErrorIs(t, <-waits, context.Canceled)
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -59,9 +59,18 @@
 		Server      string // incarnation that ended
 	}
 
+	// Contact is where a node is reached, the fingerprint of its certificate, and the
+	// processor that it may use.
+	Contact struct {
+		Address string
+		Key     string
+		Cores   float64
+	}
+
 	// Report is what a node tells the holder.
 	Report struct {
 		Node   string
+		At     Contact
 		Counts map[string]balance.Count // by server
 		Demand []Demand
 		Marks  []Mark // new ones
@@ -71,6 +80,7 @@
 		Contact time.Duration // since the store last answered this node
 		Heard   Heard         // up to where this node was told notes and marks
 		Lease   int64         // version of the lease's row that this node has
+		Roster  uint64        // up to where this node was told who reports
 	}
 
 	// Heard says up to which number a node was told what a hub has taken in.
@@ -81,9 +91,13 @@
 
 	// Picture is what the holder answers.
 	Picture struct {
-		Leading bool // the answering node holds the lease
-		Deputy  bool // the asking node shall follow the store
-		Nodes   int  // that reported of late, the asking one included
+		Leading bool     // the answering node holds the lease
+		Acting  bool     // the answering node is the deputy, and grants places while nobody holds the lease
+		Deputy  bool     // the asking node shall follow the store
+		Second  Contact  // of the deputy
+		Keys    []string // of all nodes that report, told to the deputy when they have changed
+		Roster  uint64   // up to where they are told
+		Nodes   int      // that reported of late, the asking one included
 		Counts  map[string]balance.Count
 		Notes   []Note // those that the asking node wasn't told yet
 		Marks   []Mark // likewise
@@ -111,6 +125,7 @@
 		demand []Demand // since the last Demand call
 		id     uint64   // of this hub, not zero once it is used
 		number uint64   // notes and marks taken in
+		roster uint64   // changes of who reports
 	}
 
 	entry struct {
@@ -138,7 +153,10 @@
 		h.marks = append(h.marks, dated[Mark]{m, now, h.next()})
 	}
 	r.Demand, r.Marks, r.Update = nil, nil, nil
-	_, known := h.nodes[r.Node]
+	before, known := h.nodes[r.Node]
+	if !known || before.report.At.Key != r.At.Key {
+		h.roster++
+	}
 	h.drop(r.Node)
 	h.nodes[r.Node] = entry{r, now}
 	h.add(r.Counts, 1)
@@ -147,9 +165,14 @@
 		h.forget(now)
 		h.choose(now)
 	}
-	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: h.others(r.Counts), Deputy: h.chosen == r.Node}
+	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: h.others(r.Counts), Deputy: h.chosen == r.Node,
+		Second: h.nodes[h.chosen].report.At}
 	if h.id == 0 {
 		h.id = 1 + rand.Uint64N(math.MaxUint64)
+		h.roster += h.id // another hub counts from elsewhere
+	}
+	if p.Roster = h.roster; p.Deputy && r.Roster != h.roster {
+		p.Keys = h.keys()
 	}
 	p.Heard = Heard{h.id, h.number}
 	after := uint64(0)
@@ -161,6 +184,16 @@
 	return p
 }
 
+// keys returns the keys of all nodes that report; h.mu is held. The deputy has to know them
+// before it is asked: the store may be out of reach then.
+func (h *Hub) keys() []string {
+	out := make([]string, 0, len(h.nodes))
+	for _, e := range h.nodes {
+		out = append(out, e.report.At.Key)
+	}
+	return out
+}
+
 // next returns the number of the next note or mark; h.mu is held.
 func (h *Hub) next() uint64 {
 	h.number++
@@ -185,7 +218,7 @@
 	list := make([]deputy.Candidate, 0, len(h.nodes))
 	for name, e := range h.nodes {
 		if name != h.Self {
-			list = append(list, deputy.Candidate{Node: name, Age: e.report.Contact + now.Sub(e.at)})
+			list = append(list, deputy.Candidate{Node: name, Age: e.report.Contact + now.Sub(e.at), Cores: e.report.At.Cores})
 		}
 	}
 	h.chosen = h.deputy.Choose(now, list)
