Fewer calls to the store: after a start, while the holder is cut off from it, and in search of the lease

While the holder was cut off, its copy was as old as the deputy's reports are apart (0.8 s) and two calls more, and was not trusted from 1.3 s on, also where servers may be sent to for 4 s after they leave.

Now a node that has read a table whole gives the holder a second before it follows the feed, and asks first for what is there already; a deputy reports each 0.2 s; the settings tell how long after its leaving a server may be sent to (server-notice-ms), less 0.7 s of which a copy is trusted; a lease that was renewed within half its time isn't looked at again.

Ruled out: waiting without asking first for what is there: a call without an answer then counts as an outage in which entries lapse (TestALostCallIsNoOutageInWhichEntriesLapse failed).

Tests: TestALeaseThatWasJustRenewedNeedsNoLook, settings.

--- a/core/leader/keeper.go
+++ b/core/leader/keeper.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// Settled tells whether another node has taken or renewed the lease so lately that it is no
+// use to look for a change of it: an end of its time is half of it away at least.
+func (k *Keeper) Settled(now time.Duration) bool {
+	return k.known && k.version != 0 && k.seen.Node != "" && k.seen.Node != k.Self.Node && now-k.since < k.TTL/2
+}
+
 // Won notes that a proposal sent at a time was written.
 func (k *Keeper) Won(sent time.Duration, l Lease, version int64) {
 	k.seen, k.version, k.since, k.known = l, version, sent, true
--- a/core/leader/keeper_test.go
+++ b/core/leader/keeper_test.go
@@ -131,3 +131,20 @@
 	_, _, ok = small.Propose(lapsed + 1500*time.Millisecond)
 	require.True(t, ok)
 }
+
+// TestALeaseThatWasJustRenewedNeedsNoLook: after a start of hundreds of nodes each would
+// read the row again and again until the holder has taken its connection.
+func TestALeaseThatWasJustRenewedNeedsNoLook(t *testing.T) {
+	other := leader.Lease{Node: "b", Incarnation: "2", Epoch: 1}
+	k := &leader.Keeper{Self: leader.Lease{Node: "a", Incarnation: "1"}, TTL: 3 * time.Second}
+	require.False(t, k.Settled(0), "nothing is known")
+	k.Observe(time.Second, other, 5)
+	require.True(t, k.Settled(2*time.Second))
+	require.False(t, k.Settled(2500*time.Millisecond), "it may lapse soon")
+	k.Observe(3*time.Second, other, 6)
+	require.True(t, k.Settled(4*time.Second))
+	k.Observe(4*time.Second, leader.Lease{Epoch: 1}, 7)
+	require.False(t, k.Settled(4*time.Second), "nobody holds it")
+	k.Observe(5*time.Second, leader.Lease{Node: "a", Incarnation: "0", Epoch: 1}, 8)
+	require.False(t, k.Settled(5*time.Second), "an earlier process of this node held it")
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -34,6 +34,9 @@
 	gapHolder = 100 * time.Millisecond
 	gapDeputy = 250 * time.Millisecond
 	gapAlone  = 400 * time.Millisecond
+	// gapWhole is the most time from a reading of the whole table to the first call of
+	// its feed.
+	gapWhole = time.Second
 	// answerSlack is added for the answer itself; a slow store takes 200 ms.
 	answerSlack = 400 * time.Millisecond
 	// fedCheck is how often a node to which changes are passed on looks whether
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -87,7 +87,9 @@
 			}
 			continue
 		}
-		if !whole {
+		if whole {
+			t.wait(ctx)
+		} else {
 			clock.Sleep(ctx, t.f.gap())
 		}
 		whole = false
@@ -112,6 +114,20 @@
 	}
 }
 
+// wait gives another node the time to pass changes on before this one, which has just
+// read the table whole, follows it by itself: a node that starts finds the holder of the
+// lease within a second, and hundreds may start at once.
+func (t *table) wait(ctx context.Context) {
+	t.mu.Lock()
+	t.quick = t.f.role() == Alone
+	t.mu.Unlock()
+	for until := time.Now().Add(gapWhole); time.Now().Before(until) && t.f.role() == Alone && !t.isFed(); {
+		if !clock.Sleep(ctx, fedCheck) {
+			return
+		}
+	}
+}
+
 // behind tells whether another node told of a newer version than is here.
 func (t *table) behind() bool {
 	t.mu.Lock()
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -33,9 +34,13 @@
 	// leaderSilent is how long the holder may be silent, beyond a period, before
 	// the node looks for another one in the store.
 	leaderSilent = 500 * time.Millisecond
-	// staleFeed is the age from which on the holder's copy of the store's tables
-	// isn't trusted: a feed that works is heard of each second.
-	staleFeed    = 1300 * time.Millisecond
+	// defaultNotice is how long after the store's word that a server leaves requests may
+	// reach it, where nothing says so.
+	defaultNotice = 2 * time.Second
+	// ownRead is the part of that time in which a node reads the store itself: the
+	// holder's copy isn't trusted when it is older than the rest. A feed that works is
+	// heard of each second, over a deputy a little later.
+	ownRead      = 700 * time.Millisecond
 	storeTimeout = time.Second
 )
 
@@ -137,18 +142,25 @@
 // may serve this node and turn the holder of the lease away.
 func (n *Node) read(r hub.Report) *follow.Update {
 	has := n.holderHas.Load()
-	if has == 0 || r.Contact > staleFeed && r.Known.Servers <= has {
+	if has == 0 || r.Contact > n.staleFeed() && r.Known.Servers <= has {
 		return nil
 	}
 	u := n.follower.Since(time.Now(), follow.Known{Operator: r.Known.Operator, Servers: has})
 	return &u
 }
 
+// staleFeed returns the age from which on the holder's copy of the store's tables isn't
+// trusted.
+func (n *Node) staleFeed() time.Duration {
+	notice := time.Duration(n.settings.NoticeMS) * time.Millisecond
+	return max(0, cmp.Or(notice, defaultNotice)-ownRead)
+}
+
 // fed takes in the holder's copy of the store's tables. A copy that is old
 // doesn't keep this node from following the store.
 func (n *Node) fed(u follow.Update) {
 	n.follower.Take(time.Now(), u)
-	if u.Age <= staleFeed {
+	if u.Age <= n.staleFeed() {
 		n.fedAt.Store(int64(clock.Boot()))
 	}
 }
@@ -176,8 +188,11 @@
 	}
 }
 
-// period returns how often this node reports.
+// period returns how often this node reports. What a deputy has read is news for all.
 func (n *Node) period() time.Duration {
+	if n.deputy.Load() {
+		return exchangeEvery
+	}
 	return min(max(exchangeEvery, exchangeEvery*time.Duration(n.nodes.Load())/periodNodes), periodMost)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -264,6 +264,7 @@
 		"bad ratio":    {`"repeat-ratio":0.2`, `"repeat-ratio":-1`, "$.repeat-ratio"},
 		"bad extra":    {`"repeat-extra":56`, `"repeat-extra":-1`, "$.repeat-extra"},
 		"bad beat":     {`"log-level"`, `"server-heartbeat-ms":-1,"log-level"`, "$.server-heartbeat-ms"},
+		"bad notice":   {`"log-level"`, `"server-notice-ms":-1,"log-level"`, "$.server-notice-ms"},
 		"no span":      {`"repeat-span-s":10`, `"repeat-span-s":0`, "$.repeat-span-s"},
 		"wrong type":   {`284`, `"much"`, "memory-mb"},
 		"two values":   {`"info"}`, `"info"}{}`, "more than one"},
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -31,6 +31,7 @@
 		RepeatSpanS float64  `json:"repeat-span-s"` // the window
 		CheckEpochs bool     `json:"engines-check-epochs"`
 		HeartbeatMS int      `json:"server-heartbeat-ms"` // how often backend servers write their entries; 0 if nothing says so
+		NoticeMS    int      `json:"server-notice-ms"`    // from the store's word that a backend server leaves until none may send to it; 0 for 2000
 		LogLevel    string   `json:"log-level"`
 	}
 
@@ -101,6 +102,8 @@
 		return &SettingsError{Path: "load-window-s", Reason: "must be above zero"}
 	case s.HeartbeatMS < 0:
 		return &SettingsError{Path: "server-heartbeat-ms", Reason: "must not be below zero"}
+	case s.NoticeMS < 0:
+		return &SettingsError{Path: "server-notice-ms", Reason: "must not be below zero"}
 	case s.RepeatRatio < 0:
 		return &SettingsError{Path: "repeat-ratio", Reason: "must not be below zero"}
 	case s.RepeatExtra < 0:
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -176,13 +176,15 @@
 }
 
 // reachable tells whether this node needn't look for the lease: somebody holds it
-// and answers.
+// and answers, or has taken it just now. After a start of all nodes each read the row two
+// or three times while the holder still took their connections.
 func (p *Placer) reachable() bool {
 	p.mu.Lock()
 	l, known := p.Keeper.Leader()
+	settled := p.Keeper.Settled(p.Clock())
 	p.mu.Unlock()
 	free := known && l.Node == ""
-	return !free && p.Reachable()
+	return !free && (settled || p.Reachable())
 }
 
 // engine returns the ledger of an engine; p.mu is held.
