--- a/core/residency/doc.go
+++ b/core/residency/doc.go
@@ -10,6 +10,10 @@
 // Gain times the load that it serves now; a model that is asked for and has no
 // copy goes first and needs no such gain.
 //
+// Where models outnumber places a last copy makes room for a model that is asked for
+// more, and the claim of a model grows while it is asked for without a copy, so that all
+// get their turn.
+//
 // The load of a model is the slots that its streams take, learned from those that
 // ended (SlotTimes).
 //
