--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -219,14 +219,12 @@
 	if p.promised[model] > 0 || p.placesComing() > ahead {
 		return
 	}
-	least := p.in.Load[model]
+	least := 0.0
 	switch {
 	case why == Asked:
 		least = p.claim(model)
 	case p.in.Supposed:
 		least = declaredWorth
-	default:
-		least = 0
 	}
 	p.makeRoom(model, least, why == Asked)
 }
