Residency: room for a model without a copy leaves no engine stuck with last copies

An engine full of last copies can take no busy model. 128 of the 471 models have no copy at the start; the copy that made room for each was the one beside the least load, which stood at an engine whose other copies were last ones: in a test 60 of 256 engines were stuck after a second, 8 at the start.

Now a copy that leaves its engine, or the engine of the only other copy, with last copies goes after those that don't, and a load prefers an engine that it doesn't fill with them.

Ruled out: crashed engines that start again (three plans fill them with copies that may go); more swaps before there is demand (they wait for loads of 4 s).

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -92,9 +92,10 @@
 		moves    []Move
 
 		sizes   Sizes
-		scarce  bool      // models outnumber places
-		ranking *ranking  // while busy models get further copies
-		roomy   []*Server // all that may have room, and perhaps some that don't any more
+		holders map[string][]*Server // by model, as the plan began
+		scarce  bool                 // models outnumber places
+		ranking *ranking             // while busy models get further copies
+		roomy   []*Server            // all that may have room, and perhaps some that don't any more
 	}
 )
 
@@ -104,7 +105,9 @@
 	in.Servers = slices.Clone(in.Servers)
 	p := &planner{in: in, copies: map[string]int{}, anywhere: map[string]int{}, promised: map[string]int{}, sizes: NewSizes(in.Engine)}
 	p.scarce = len(in.Engine.Models) > p.places()
-	for _, s := range in.Servers {
+	p.holders = make(map[string][]*Server, len(in.Engine.Models))
+	for i := range in.Servers {
+		s := &in.Servers[i]
 		if s.Coming != "" {
 			p.copies[s.Coming]++
 		}
@@ -115,6 +118,7 @@
 			if h.Model != s.Going && !s.Leaving {
 				p.copies[h.Model]++
 				p.anywhere[h.Model]++
+				p.holders[h.Model] = append(p.holders[h.Model], s)
 			}
 		}
 	}
@@ -267,12 +271,15 @@
 	return true
 }
 
-// quicker tells whether a loads the model faster than b, or as fast with less
-// load beside it.
+// quicker tells whether a loads the model faster than b, or as fast without being filled
+// with last copies, or with less load beside it.
 func (p *planner) quicker(a, b *Server, model string) bool {
 	if x, y := source(a, model), source(b, model); x != y {
 		return x < y
 	}
+	if x, y := p.stuckWith(a, model), p.stuckWith(b, model); x != y {
+		return y
+	}
 	return p.shared(a) < p.shared(b)
 }
 
--- a/core/residency/room.go
+++ b/core/residency/room.go
@@ -8,6 +8,7 @@
 	beside float64 // load of the other models there
 	pays   bool    // it is worth less than the new copy
 	last   bool    // its model has no other
+	stuck  bool    // an engine holds last copies only then
 	from   int     // where the new copy is loaded from
 }
 
@@ -33,6 +34,7 @@
 			if !v.pays && (v.last || !must) || v.last && !p.yields(s, model) {
 				continue
 			}
+			v.stuck = p.stuckWithout(s, h.Model, model)
 			v.from, v.beside = from, p.shared(s)-p.in.Load[h.Model]/float64(max(1, p.copies[h.Model]))
 			if best.server == nil || v.before(best) {
 				best = v
@@ -62,8 +64,8 @@
 }
 
 // before tells whether a victim is better than another: one that is worth less
-// than what it makes room for, then one whose model has another copy, then where that is loaded sooner, then the one
-// that is missed least, then the one beside the least other load. A model that was
+// than what it makes room for, then one whose model has another copy, then where that is loaded sooner, then one
+// after which no engine is stuck, then the one that is missed least, then the one beside the least other load. A model that was
 // in use before is on the disks of the engines that held it, and there 0.8 s after
 // its demand returns, not 4.2 s.
 func (v victim) before(o victim) bool {
@@ -74,6 +76,8 @@
 		return o.last
 	case v.pays && v.from != o.from:
 		return v.from < o.from
+	case v.stuck != o.stuck:
+		return o.stuck
 	case v.cost != o.cost:
 		return v.cost < o.cost
 	case v.beside != o.beside:
--- a/core/residency/spread.go
+++ b/core/residency/spread.go
@@ -49,7 +49,7 @@
 	var best *Server
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if used[s] || !p.free(s) || s.Leaving || s.Kept != "" || !p.onlyLast(s) || p.room(s) >= p.sizes.Smallest() {
+		if used[s] || !p.free(s) || s.Leaving || s.Kept != "" || !p.onlyLastBeside(s, "") || p.room(s) >= p.sizes.Smallest() {
 			continue
 		}
 		if best == nil || p.shared(s) < p.shared(best) {
@@ -59,16 +59,6 @@
 	return best
 }
 
-// onlyLast tells whether an engine holds only last copies.
-func (p *planner) onlyLast(s *Server) bool {
-	for _, h := range s.Held {
-		if p.copies[h.Model] > 1 {
-			return false
-		}
-	}
-	return true
-}
-
 // crowded returns the engine with the most load from which a copy would go to
 // another one with profit, and the copy's model.
 func (p *planner) crowded(to *Server) (*Server, string) {
