--- a/core/residency/stuck.go
+++ b/core/residency/stuck.go
@@ -1,9 +1,8 @@
 package residency
 
 // An engine is stuck if it is full of last copies: none of them may go, so that no busy
-// model can come to it, and its slots serve the few requests for what it holds. Where half
-// of the models are quiet, a quarter of the engines had a stream or none while others were
-// full and refused hundreds of requests a second.
+// model can come to it, and its slots serve the few requests for what it holds, while
+// other engines are full.
 
 // lastAt tells whether a model has one copy at most.
 func (p *planner) lastAt(model string) bool { return p.copies[model] <= 1 }
--- a/core/residency/stuck_test.go
+++ b/core/residency/stuck_test.go
@@ -34,8 +34,8 @@
 
 // TestRoomForQuietModelsLeavesNoEngineStuck begins with 128 of 471 models without a
 // copy, and 70 that have all places beyond one for each other model. Before there is demand
-// the missing ones get a place each: with the copy that stood beside the least load making
-// it, 60 of 256 engines held last copies only after a second.
+// the missing ones get a place each, which must not come from engines whose other copies
+// are last ones.
 func TestRoomForQuietModelsLeavesNoEngineStuck(t *testing.T) {
 	for seed := range uint64(3) {
 		w := newWorld(seed, 256, 343, 70)
--- a/internal/front/second.go
+++ b/internal/front/deputy.go
@@ -12,17 +12,16 @@
 	"guavapaddle/platform"
 )
 
-// secondPause is how long a deputy that didn't answer, or reaches the holder, isn't
+// deputyPause is how long a deputy that didn't answer, or reaches the holder, isn't
 // asked again.
-const secondPause = 500 * time.Millisecond
+const deputyPause = 500 * time.Millisecond
 
 // isActing tells whether this node is the deputy of a holder that it can't reach, and so
 // says where requests begin. Places are no orders: two nodes that grant them cost time
-// and nothing else. A fleet whose nodes picked engines by themselves until the lease had
-// lapsed had a third of its sends refused by full engines, and all of its nodes followed
-// the store.
+// and nothing else. Without it nodes pick engines by themselves until the lease has lapsed,
+// so that their picks collide at engines with few slots, and all of them follow the store.
 func (n *Node) isActing() bool {
-	acting := n.deputy.Load() && !n.placer.Holding() && (!n.leaderReached() || n.suspect.Load())
+	acting := n.isDeputy.Load() && !n.placer.Holding() && (!n.leaderReached() || n.suspect.Load())
 	if n.acting.Swap(acting) == acting {
 		return acting
 	}
@@ -44,23 +43,23 @@
 // actingEpoch returns what names the deputy of a holder among those that grant places.
 func actingEpoch(l leader.Lease) int64 { return -l.Epoch }
 
-// asked returns the deputy if it may be asked in place of the holder.
-func (n *Node) asked() (hub.Contact, bool) {
-	at := n.second.Load()
+// deputyToAsk returns the deputy if it may be asked in place of the holder.
+func (n *Node) deputyToAsk() (hub.Contact, bool) {
+	at := n.deputyAt.Load()
 	if at == nil || at.Address == "" || at.Key == n.key.Fingerprint() {
 		return hub.Contact{}, false
 	}
-	no := n.secondNo.Load()
-	return *at, no == 0 || clock.Boot()-time.Duration(no) > secondPause
+	no := n.deputyRefused.Load()
+	return *at, no == 0 || clock.Boot()-time.Duration(no) > deputyPause
 }
 
-// tellSecond reports to the deputy, and tells whether it took the report.
-func (n *Node) tellSecond(ctx context.Context, l leader.Lease, r hub.Report) bool {
+// tellDeputy reports to the deputy, and tells whether it took the report.
+func (n *Node) tellDeputy(ctx context.Context, l leader.Lease, r hub.Report) bool {
 	if n.isActing() {
 		n.take(n.Report(r))
 		return true
 	}
-	at, ok := n.asked()
+	at, ok := n.deputyToAsk()
 	if !ok || n.leaderReached() && !n.suspect.Load() {
 		return false
 	}
@@ -72,7 +71,7 @@
 		n.refusedBy(at, err)
 		return false
 	}
-	n.secondAt.Store(int64(clock.Boot()))
+	n.deputyHeard.Store(int64(clock.Boot()))
 	n.take(p)
 	n.fed(p.Update)
 	n.placer.Learn(p.Lease)
@@ -86,16 +85,16 @@
 	if n.leaderReached() {
 		return true
 	}
-	at, answered := n.second.Load(), n.secondAt.Load()
+	at, answered := n.deputyAt.Load(), n.deputyHeard.Load()
 	return at != nil && n.settings.Cores < at.Cores && answered != 0 && clock.Boot()-time.Duration(answered) < n.silence()
 }
 
-// placeBySecond asks the deputy for a place at an engine.
-func (n *Node) placeBySecond(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error) {
+// placeByDeputy asks the deputy for a place at an engine.
+func (n *Node) placeByDeputy(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error) {
 	if n.isActing() {
 		return n.Place(ctx, p, func() {})
 	}
-	at, ok := n.asked()
+	at, ok := n.deputyToAsk()
 	if !ok {
 		return hub.Placed{}, nil, context.Canceled
 	}
@@ -108,6 +107,6 @@
 
 // refusedBy notes that the deputy didn't answer, or reaches the holder.
 func (n *Node) refusedBy(at hub.Contact, err error) {
-	n.secondNo.Store(int64(clock.Boot()))
+	n.deputyRefused.Store(int64(clock.Boot()))
 	n.log.Info("deputy-refused", zap.String("deputy", at.Address), zap.Error(err))
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -37,10 +37,12 @@
 	// defaultNotice is how long after the store's word that a server leaves requests may
 	// reach it, where nothing says so.
 	defaultNotice = 2 * time.Second
-	// ownRead is the part of that time in which a node reads the store itself: the
-	// holder's copy isn't trusted when it is older than the rest. A feed that works is
-	// heard of each second, over a deputy a little later.
-	ownRead      = 700 * time.Millisecond
+	// ownRead is the part of that time in which a node reads the store itself, once the
+	// holder's copy isn't trusted any more.
+	ownRead = 700 * time.Millisecond
+	// staleLeast is the age up to which the holder's copy is trusted in any case: a feed
+	// that works is heard of each second.
+	staleLeast   = 1300 * time.Millisecond
 	storeTimeout = time.Second
 )
 
@@ -76,7 +78,7 @@
 			continue
 		}
 		n.lost(l, err)
-		if n.tellSecond(ctx, l, r) {
+		if n.tellDeputy(ctx, l, r) {
 			continue
 		}
 		n.gateway.Keep(r.Marks)
@@ -116,8 +118,8 @@
 	if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
 		n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
 	}
-	n.second.Store(&p.Second)
-	if was := n.deputy.Swap(p.Deputy); was != p.Deputy {
+	n.deputyAt.Store(&p.DeputyAt)
+	if was := n.isDeputy.Swap(p.Deputy); was != p.Deputy {
 		n.log.Info("deputy", zap.Bool("following", p.Deputy), zap.String("leader", l.Node))
 	}
 	if p.Deputy && len(p.Keys) > 0 {
@@ -150,10 +152,11 @@
 }
 
 // staleFeed returns the age from which on the holder's copy of the store's tables isn't
-// trusted.
+// trusted. A copy that is just young enough is believed for as long as the holder may be
+// silent.
 func (n *Node) staleFeed() time.Duration {
 	notice := time.Duration(n.settings.NoticeMS) * time.Millisecond
-	return max(0, cmp.Or(notice, defaultNotice)-ownRead)
+	return max(staleLeast, cmp.Or(notice, defaultNotice)-n.silence()-ownRead)
 }
 
 // fed takes in the holder's copy of the store's tables. A copy that is old
@@ -181,7 +184,7 @@
 	switch {
 	case ok && l.Key == n.key.Fingerprint(), n.isActing():
 		return follow.Holder
-	case n.deputy.Load() && n.leaderReached():
+	case n.isDeputy.Load() && n.leaderReached():
 		return follow.Deputy
 	default:
 		return follow.Alone
@@ -190,7 +193,7 @@
 
 // period returns how often this node reports. What a deputy has read is news for all.
 func (n *Node) period() time.Duration {
-	if n.deputy.Load() {
+	if n.isDeputy.Load() {
 		return exchangeEvery
 	}
 	return min(max(exchangeEvery, exchangeEvery*time.Duration(n.nodes.Load())/periodNodes), periodMost)
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -102,7 +102,7 @@
 	if l, ok := n.placer.Leader(); ok && l.Key == key {
 		return true
 	}
-	if at := n.second.Load(); at != nil && at.Key == key {
+	if at := n.deputyAt.Load(); at != nil && at.Key == key {
 		return true
 	}
 	n.peers.mu.Lock()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -50,7 +50,7 @@
 	// memoryPart is the part of the memory bound at which the garbage collector
 	// works harder; the rest is for stacks, buffers of the kernel, and code.
 	memoryPart = 0.75
-	sweepEvery = time.Second
+	sweepEvery   = time.Second
 	// peerIdle is how long another node may be silent, which reports each 0.8 s,
 	// before its connection ends and with it the places that it had.
 	peerIdle = 5 * time.Second
@@ -58,40 +58,40 @@
 
 // Node is one process. New makes one.
 type Node struct {
-	settings  Settings
-	log       *zap.Logger
-	store     *platform.Store
-	gateway   *gateway.Gateway
-	placer    *placer.Placer
-	hub       *hub.Hub
-	granter   *granter.Granter
-	follower  *follow.Follower
-	endpoint  *peer.Endpoint
-	key       *keys.Memory
-	clients   *http1.Server
-	probes    *http1.Server
-	registry  *prometheus.Registry
-	stopping  atomic.Bool
-	servers   atomic.Bool // the list was read
-	list      atomic.Pointer[[]fleet.Server]
-	engines   atomic.Pointer[map[string]bool] // those of the servers that are model engines
-	reached   atomic.Int64                    // boot time of the holder's last answer to a report
-	heardAt   atomic.Int64                    // boot time of its last answer to anything
-	suspect   atomic.Bool                     // it left a request for a place without an answer
-	fedAt     atomic.Int64                    // boot time at which it last passed the store's changes on
-	nodes     atomic.Int64                    // that reported to the holder of late
-	holderHas atomic.Int64                    // version of the holder's copy of the table of servers
-	deputy    atomic.Bool                     // this node follows the store for all
-	second    atomic.Pointer[hub.Contact]     // the deputy
-	secondAt  atomic.Int64                    // boot time of the deputy's last answer to a report
-	secondNo  atomic.Int64                    // boot time at which the deputy last refused
-	acting    atomic.Bool                     // this node is the deputy and grants places
-	heard     hub.Heard                       // what the holder has told; of the exchange only
-	roster    uint64                          // up to where it told a deputy who reports; likewise
-	peers     trust
-	contact   contact
-	seeds     clientCache
-	listeners []net.Listener
+	settings      Settings
+	log           *zap.Logger
+	store         *platform.Store
+	gateway       *gateway.Gateway
+	placer        *placer.Placer
+	hub           *hub.Hub
+	granter       *granter.Granter
+	follower      *follow.Follower
+	endpoint      *peer.Endpoint
+	key           *keys.Memory
+	clients       *http1.Server
+	probes        *http1.Server
+	registry      *prometheus.Registry
+	stopping      atomic.Bool
+	servers       atomic.Bool // the list was read
+	list          atomic.Pointer[[]fleet.Server]
+	engines       atomic.Pointer[map[string]bool] // those of the servers that are model engines
+	reached       atomic.Int64                    // boot time of the holder's last answer to a report
+	heardAt       atomic.Int64                    // boot time of its last answer to anything
+	suspect       atomic.Bool                     // it left a request for a place without an answer
+	fedAt         atomic.Int64                    // boot time at which it last passed the store's changes on
+	nodes         atomic.Int64                    // that reported to the holder of late
+	holderHas     atomic.Int64                    // version of the holder's copy of the table of servers
+	isDeputy      atomic.Bool                     // this node follows the store for all
+	deputyAt      atomic.Pointer[hub.Contact]     // the deputy
+	deputyHeard   atomic.Int64                    // boot time of the deputy's last answer to a report
+	deputyRefused atomic.Int64                    // boot time at which the deputy last refused
+	acting        atomic.Bool                     // this node is the deputy and grants places
+	heard         hub.Heard                       // what the holder has told; of the exchange only
+	roster        uint64                          // up to where it told a deputy who reports; likewise
+	peers         trust
+	contact       contact
+	seeds         clientCache
+	listeners     []net.Listener
 }
 
 // New returns a node that hasn't opened anything yet.
--- a/internal/front/places.go
+++ b/internal/front/places.go
@@ -44,7 +44,7 @@
 		return n.Place(ctx, p, func() {})
 	}
 	if !n.leaderReached() || n.suspect.Load() {
-		return n.placeBySecond(ctx, p)
+		return n.placeByDeputy(ctx, p)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/hub/client_test.go
+++ b/internal/hub/client_test.go
@@ -35,7 +35,7 @@
 }
 
 // endpoint runs an endpoint that trusts everyone.
-func endpoint(t *testing.T, name string, h hub.Holder) *peer.Endpoint {
+func endpoint(t testing.TB, name string, h hub.Holder) *peer.Endpoint {
 	t.Helper()
 	key, err := keys.NewMemory(name)
 	require.NoError(t, err)
@@ -88,3 +88,27 @@
 
 // Done implements hub.Grant.
 func (noGrant) Done(balance.Result) {}
+
+// granting grants every place at once.
+type granting struct{ hub.Holder }
+
+// Place implements hub.Holder.
+func (granting) Place(context.Context, hub.Place, func()) (hub.Placed, hub.Grant, error) {
+	return hub.Placed{Granted: true, Server: "i-1"}, noGrant{}, nil
+}
+
+// BenchmarkPlace asks for places, from their request to their end, by both ends of one
+// connection in one process.
+func BenchmarkPlace(b *testing.B) {
+	e := endpoint(b, "holder", granting{})
+	c := &hub.Client{Endpoint: endpoint(b, "node", nil)}
+	p := hub.Place{Item: hub.Item{Service: "drafter", Model: "mizi247a5b"}, Request: "9c41d07be2a35f68", Tokens: 1460, Zone: "seq-a", Priority: 2,
+		Parts:  []balance.Part{{ID: "5c1e07a2", Tokens: 800}, {ID: "91bd3f06", Tokens: 410}, {ID: "e4402b7d", Tokens: 250}},
+		Target: 360 * time.Millisecond, Expire: 2 * time.Second}
+	for b.Loop() {
+		_, grant, err := c.Place(context.Background(), e.Address, p)
+		require.NoError(b, err)
+		grant.Begun()
+		grant.Done(balance.Good)
+	}
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -91,19 +91,19 @@
 
 	// Picture is what the holder answers.
 	Picture struct {
-		Leading bool     // the answering node holds the lease
-		Acting  bool     // the answering node is the deputy, and grants places while nobody holds the lease
-		Deputy  bool     // the asking node shall follow the store
-		Second  Contact  // of the deputy
-		Keys    []string // of all nodes that report, told to the deputy when they have changed
-		Roster  uint64   // up to where they are told
-		Nodes   int      // that reported of late, the asking one included
-		Counts  map[string]balance.Count
-		Notes   []Note // those that the asking node wasn't told yet
-		Marks   []Mark // likewise
-		Heard   Heard
-		Update  follow.Update // of the store's tables
-		Lease   platform.Row  // as the holder last wrote it, unless the asking node has it
+		Leading  bool     // the answering node holds the lease
+		Acting   bool     // the answering node is the deputy, and grants places while nobody holds the lease
+		Deputy   bool     // the asking node shall follow the store
+		DeputyAt Contact  // of the deputy
+		Keys     []string // of all nodes that report, told to the deputy when they have changed
+		Roster   uint64   // up to where they are told
+		Nodes    int      // that reported of late, the asking one included
+		Counts   map[string]balance.Count
+		Notes    []Note // those that the asking node wasn't told yet
+		Marks    []Mark // likewise
+		Heard    Heard
+		Update   follow.Update // of the store's tables
+		Lease    platform.Row  // as the holder last wrote it, unless the asking node has it
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
@@ -166,7 +166,7 @@
 		h.choose(now)
 	}
 	p := Picture{Leading: true, Nodes: len(h.nodes), Counts: h.others(r.Counts), Deputy: h.chosen == r.Node,
-		Second: h.nodes[h.chosen].report.At}
+		DeputyAt: h.nodes[h.chosen].report.At}
 	if h.id == 0 {
 		h.id = 1 + rand.Uint64N(math.MaxUint64)
 		h.roster += h.id // another hub counts from elsewhere
