--- /dev/null
+++ b/internal/follow/stale_test.go
@@ -0,0 +1,27 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/follow"
+)
+
+// TestACopyIsTrustedNoLongerThanLeavingServersAllow adds up the longest time without news:
+// a copy that is just young enough, silence of the node that passes it on, and a reading
+// of the store itself.
+func TestACopyIsTrustedNoLongerThanLeavingServersAllow(t *testing.T) {
+	const read = 420 * time.Millisecond // the first call after a rest, and its answer
+	for _, c := range []struct{ notice, silence time.Duration }{
+		{4 * time.Second, 700 * time.Millisecond},
+		{4 * time.Second, 1300 * time.Millisecond},
+		{10 * time.Second, 1300 * time.Millisecond},
+	} {
+		stale := follow.StaleAfter(c.notice, c.silence)
+		require.Less(t, stale+c.silence+read, c.notice)
+		require.GreaterOrEqual(t, stale, 1300*time.Millisecond)
+	}
+	require.Equal(t, 1300*time.Millisecond, follow.StaleAfter(0, 700*time.Millisecond), "a feed that works is heard of each second")
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -34,15 +33,6 @@
 	// leaderSilent is how long the holder may be silent, beyond a period, before
 	// the node looks for another one in the store.
 	leaderSilent = 500 * time.Millisecond
-	// defaultNotice is how long after the store's word that a server leaves requests may
-	// reach it, where nothing says so.
-	defaultNotice = 2 * time.Second
-	// ownRead is the part of that time in which a node reads the store itself, once the
-	// holder's copy isn't trusted any more.
-	ownRead = 700 * time.Millisecond
-	// staleLeast is the age up to which the holder's copy is trusted in any case: a feed
-	// that works is heard of each second.
-	staleLeast   = 1300 * time.Millisecond
 	storeTimeout = time.Second
 )
 
@@ -152,11 +142,9 @@
 }
 
 // staleFeed returns the age from which on the holder's copy of the store's tables isn't
-// trusted. A copy that is just young enough is believed for as long as the holder may be
-// silent.
+// trusted.
 func (n *Node) staleFeed() time.Duration {
-	notice := time.Duration(n.settings.NoticeMS) * time.Millisecond
-	return max(staleLeast, cmp.Or(notice, defaultNotice)-n.silence()-ownRead)
+	return follow.StaleAfter(time.Duration(n.settings.NoticeMS)*time.Millisecond, n.silence())
 }
 
 // fed takes in the holder's copy of the store's tables. A copy that is old
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -50,7 +50,7 @@
 	// memoryPart is the part of the memory bound at which the garbage collector
 	// works harder; the rest is for stacks, buffers of the kernel, and code.
 	memoryPart = 0.75
-	sweepEvery   = time.Second
+	sweepEvery = time.Second
 	// peerIdle is how long another node may be silent, which reports each 0.8 s,
 	// before its connection ends and with it the places that it had.
 	peerIdle = 5 * time.Second
