--- a/core/residency/room.go
+++ b/core/residency/room.go
@@ -64,8 +64,9 @@
 }
 
 // before tells whether a victim is better than another: one that is worth less
-// than what it makes room for, then one whose model has another copy, then where that is loaded sooner, then one
-// after which no engine is stuck, then the one that is missed least, then the one beside the least other load. A model that was
+// than what it makes room for, then one whose model has another copy, then where what
+// needs the room is loaded sooner, then one after which no engine is stuck, then the
+// one that is missed least, then the one beside the least other load. A model that was
 // in use before is on the disks of the engines that held it, and there 0.8 s after
 // its demand returns, not 4.2 s.
 func (v victim) before(o victim) bool {
