--- a/internal/cli/environment.go
+++ b/internal/cli/environment.go
@@ -57,6 +57,7 @@
 		e.diff(),
 		e.status(),
 		e.explain(),
+		e.losses(),
 		e.node(),
 		e.front(),
 		e.keys(),
