One check for an engine that can take any order, and one for a holder that is in doubt

The plan's spread still spelled out what planner.open tells, and three places of the front what makes a node doubt the holder. A comment told of picks where the deputy is asked now. No behaviour is meant to change.

--- a/core/residency/spread.go
+++ b/core/residency/spread.go
@@ -49,7 +49,7 @@
 	var best *Server
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if used[s] || !p.free(s) || s.Leaving || s.Kept != "" || !p.onlyLastBeside(s, "") || p.room(s) >= p.sizes.Smallest() {
+		if used[s] || !p.open(s) || !p.onlyLastBeside(s, "") || p.room(s) >= p.sizes.Smallest() {
 			continue
 		}
 		if best == nil || p.shared(s) < p.shared(best) {
@@ -66,7 +66,7 @@
 	var model string
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if !p.free(s) || s.Leaving || s.Kept != "" || best != nil && p.shared(s) <= p.shared(best) {
+		if !p.open(s) || best != nil && p.shared(s) <= p.shared(best) {
 			continue
 		}
 		if m, ok := p.movable(s, to); ok {
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -21,7 +21,7 @@
 // and nothing else. Without it nodes pick engines by themselves until the lease has lapsed,
 // so that their picks collide at engines with few slots, and all of them follow the store.
 func (n *Node) isActing() bool {
-	acting := n.isDeputy.Load() && !n.placer.Holding() && (!n.leaderReached() || n.suspect.Load())
+	acting := n.isDeputy.Load() && !n.placer.Holding() && n.leaderDoubted()
 	if n.acting.Swap(acting) == acting {
 		return acting
 	}
@@ -60,7 +60,7 @@
 		return true
 	}
 	at, ok := n.deputyToAsk()
-	if !ok || n.leaderReached() && !n.suspect.Load() {
+	if !ok || !n.leaderDoubted() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -208,6 +208,10 @@
 	return at != 0 && clock.Boot()-time.Duration(at) < n.silence()
 }
 
+// leaderDoubted tells whether the holder didn't answer of late, or left a request for a
+// place without a sign of life.
+func (n *Node) leaderDoubted() bool { return !n.leaderReached() || n.suspect.Load() }
+
 // want asks the holder for a model or adapter.
 func (n *Node) want(ctx context.Context, w hub.Want) hub.Offer {
 	l, ok := n.placer.Leader()
--- a/internal/front/places.go
+++ b/internal/front/places.go
@@ -43,7 +43,7 @@
 	if l.Key == n.key.Fingerprint() {
 		return n.Place(ctx, p, func() {})
 	}
-	if !n.leaderReached() || n.suspect.Load() {
+	if n.leaderDoubted() {
 		return n.placeByDeputy(ctx, p)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -65,8 +65,8 @@
 }
 
 // doubt ends the waits for a holder from which nothing was heard since a request
-// for a place that it should have answered. Until it answers a report, requests
-// go to servers that this node picks.
+// for a place that it should have answered. Until it is heard of
+// again, the deputy is asked, or this node picks servers by itself.
 func (n *Node) doubt(l leader.Lease, sent time.Duration, err error) {
 	var silent *hub.SilentError
 	if !errors.As(err, &silent) || time.Duration(n.heardAt.Load()) >= sent || n.suspect.Swap(true) {
