--- a/cmd/demo/document.go
+++ b/cmd/demo/document.go
@@ -4,7 +4,7 @@
 // are replaced by those of the stand-ins.
 const document = `{
   "deployment": "demo",
-  "customers": [{
+  "teams": [{
     "name": "crew",
     "key-hashes": ["sha256:c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c"],
     "models": ["*"], "services": ["bookings"],
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -78,10 +78,10 @@
 
 // parse reads flags and environment.
 func parse(args []string) (*options, error) {
-	o := &options{size: measure.Size{Nodes: 8, Servers: 16, Models: 50, Adapters: 150, Customers: 20}}
+	o := &options{size: measure.Size{Nodes: 8, Servers: 16, Models: 50, Adapters: 150, Teams: 20}}
 	fs := flag.NewFlagSet("measure", flag.ContinueOnError)
 	o.size.Register(fs)
-	fs.StringVar(&o.vary, "vary", string(measure.Ray), "what varies: nodes, servers, models, customers, rate or ray (nodes with two servers each)")
+	fs.StringVar(&o.vary, "vary", string(measure.Ray), "what varies: nodes, servers, models, teams, rate or ray (nodes with two servers each)")
 	fs.StringVar(&o.at, "at", "8,16,32,64", "values of it")
 	fs.StringVar(&o.output, "output", "table", "table or json")
 	fs.BoolVar(&o.busiest, "busiest", false, "show the busiest node's figures too")
--- a/core/claim/ask.go
+++ b/core/claim/ask.go
@@ -53,7 +53,7 @@
 		return Verdict{Kind: Free}, nil
 	case c.State == Released:
 		return Verdict{Kind: Free, Revision: r.Revision}, nil
-	case c.Customer != mine.Customer || c.BodyHash != mine.BodyHash:
+	case c.Team != mine.Team || c.BodyHash != mine.BodyHash:
 		return closed(outcome.Refuse(outcome.KeyReused, "the key belongs to another call", 0)), nil
 	case c.State == Done:
 		return Verdict{Kind: Stored, Answer: c.Answer}, nil
--- a/core/claim/ask_test.go
+++ b/core/claim/ask_test.go
@@ -16,7 +16,7 @@
 	return row.Row{Key: "k", Value: claim.Change{Claim: c}.Value(), Revision: 7}
 }
 
-func TestKeyScopeIsTheCustomer(t *testing.T) {
+func TestKeyScopeIsTheTeam(t *testing.T) {
 	require.NotEqual(t, claim.Key("corella", "k"), claim.Key("kabinaki", "k"))
 	require.NotEqual(t, claim.Key("ab", "c"), claim.Key("a", "bc"))
 	require.Equal(t, claim.Key("corella", "k"), claim.Key("corella", "k"))
@@ -34,9 +34,9 @@
 
 func TestAsk(t *testing.T) {
 	now := time.UnixMilli(1_800_000_000_000)
-	mine := claim.Claim{Customer: "corella", BodyHash: "h", Attempt: "mine"}
+	mine := claim.Claim{Team: "corella", BodyHash: "h", Attempt: "mine"}
 	other := claim.Claim{
-		State: claim.Claimed, Customer: "corella", BodyHash: "h", Attempt: "other", Node: "n1", Incarnation: 3,
+		State: claim.Claimed, Team: "corella", BodyHash: "h", Attempt: "other", Node: "n1", Incarnation: 3,
 		DeadlineMS: now.Add(5 * time.Second).UnixMilli(),
 	}
 	late := other
--- a/core/claim/bench_test.go
+++ b/core/claim/bench_test.go
@@ -15,9 +15,9 @@
 		b.Run(fmt.Sprint("claims=", n), func(b *testing.B) {
 			changes := make([]claim.Change, n)
 			for i := range changes {
-				key := claim.Key("customer-0001", fmt.Sprintf("booking-%06d", i))
+				key := claim.Key("team-0001", fmt.Sprintf("booking-%06d", i))
 				changes[i] = claim.Insert(key, claim.Claim{
-					Customer: "customer-0001", BodyHash: claim.BodyHash("bookings", "POST", "/bookings/confirm", []byte("b")),
+					Team: "team-0001", BodyHash: claim.BodyHash("bookings", "POST", "/bookings/confirm", []byte("b")),
 					Attempt: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Node: "node-001", Incarnation: 1 << 60,
 					RequestID: "0123456789abcdef01234567", AtMS: 1 << 40, DeadlineMS: 1 << 40,
 				}, 0)
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -47,7 +47,7 @@
 	// Claim is the value of a claim row.
 	Claim struct {
 		State       State          `json:"state"`
-		Customer    string         `json:"customer"`
+		Team    string         `json:"team"`
 		BodyHash    string         `json:"body-hash"` // see BodyHash
 		Attempt     string         `json:"attempt"`   // unique for each try of a node to send a call
 		Node        string         `json:"node"`      // holder
@@ -76,10 +76,10 @@
 	}
 )
 
-// Key returns the row key of a customer's idempotency key. Two customers never
+// Key returns the row key of a team's idempotency key. Two teams never
 // share a row.
-func Key(customer, idempotencyKey string) string {
-	sum := sha256.Sum256([]byte(strconv.Itoa(len(customer)) + ":" + customer + idempotencyKey))
+func Key(team, idempotencyKey string) string {
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(team)) + ":" + team + idempotencyKey))
 	return Prefix + hex.EncodeToString(sum[:])[:keyHexDigits]
 }
 
--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -1,7 +1,7 @@
 // Package claim decides who may send a call that must run at most once, and
 // what everyone else who asks for the same call is told.
 //
-// A claim is one row of the table for each pair of customer and idempotency
+// A claim is one row of the table for each pair of team and idempotency
 // key. Its states:
 //
 //	absent ──insert──▶ claimed ──▶ done      (the answer is stored)
--- a/core/claim/invariant_test.go
+++ b/core/claim/invariant_test.go
@@ -39,7 +39,7 @@
 	// try is one call of one caller through one node.
 	try struct {
 		id, node  int
-		customer  string
+		team  string
 		key, body string
 		phase     phase
 		mine      claim.Claim
@@ -86,14 +86,14 @@
 }
 
 // start begins a try.
-func (w *world) start(node int, customer, key, body string) *try {
-	t := &try{id: len(w.tries), node: node, customer: customer, key: key, body: body}
+func (w *world) start(node int, team, key, body string) *try {
+	t := &try{id: len(w.tries), node: node, team: team, key: key, body: body}
 	t.mine = claim.Claim{
-		Customer: customer, BodyHash: claim.BodyHash("s", "POST", "/p", []byte(body)),
+		Team: team, BodyHash: claim.BodyHash("s", "POST", "/p", []byte(body)),
 		Attempt: fmt.Sprint("a", t.id), Node: fmt.Sprint("n", node),
 		AtMS: w.now.UnixMilli(), DeadlineMS: w.now.Add(deadline).UnixMilli(),
 	}
-	t.change = claim.Insert(claim.Key(customer, key), t.mine, 0)
+	t.change = claim.Insert(claim.Key(team, key), t.mine, 0)
 	w.tries = append(w.tries, t)
 	return t
 }
@@ -229,7 +229,7 @@
 	return map[string]func(*rapid.T){
 		"call": func(rt *rapid.T) {
 			w.start(rapid.IntRange(0, nodes-1).Draw(rt, "node"),
-				rapid.SampledFrom([]string{"corella", "corella", "kabinaki"}).Draw(rt, "customer"),
+				rapid.SampledFrom([]string{"corella", "corella", "kabinaki"}).Draw(rt, "team"),
 				rapid.SampledFrom([]string{"k1", "k1", "k2"}).Draw(rt, "key"),
 				rapid.SampledFrom([]string{"b1", "b1", "b1", "b2"}).Draw(rt, "body"))
 		},
@@ -289,10 +289,10 @@
 	}
 }
 
-// ran tells whether t's customer's call ran.
+// ran tells whether t's team's call ran.
 func (w *world) ran(t *try) bool {
-	runs := w.runs[claim.Key(t.customer, t.key)]
-	return len(runs) == 1 && runs[0].customer == t.customer
+	runs := w.runs[claim.Key(t.team, t.key)]
+	return len(runs) == 1 && runs[0].team == t.team
 }
 
 // newWorld returns a world in which nothing has happened.
@@ -346,18 +346,18 @@
 		w.heal(rt)
 		refused := map[string]bool{}
 		for _, t := range w.tries {
-			key := claim.Key(t.customer, t.key)
+			key := claim.Key(t.team, t.key)
 			if _, seen := refused[key]; !seen {
 				refused[key] = true
 			}
 			refused[key] = refused[key] && !t.died && t.told != nil && t.told.Outcome == outcome.RefusedNotRun
 		}
 		for _, t := range slices.Clone(w.tries) {
-			if !refused[claim.Key(t.customer, t.key)] {
+			if !refused[claim.Key(t.team, t.key)] {
 				continue
 			}
-			refused[claim.Key(t.customer, t.key)] = false
-			repeat := w.start(t.node, t.customer, t.key, t.body)
+			refused[claim.Key(t.team, t.key)] = false
+			repeat := w.start(t.node, t.team, t.key, t.body)
 			w.write(rt, repeat, "answered")
 			if repeat.phase == inserting {
 				w.write(rt, repeat, "answered")
--- a/core/config/canonical.go
+++ b/core/config/canonical.go
@@ -35,12 +35,12 @@
 // sorted returns a copy of d in canonical order.
 func (d *Document) sorted() *Document {
 	c := *d
-	c.Customers = byName(d.Customers, func(c Customer) string { return c.Name })
-	for i := range c.Customers {
-		c.Customers[i].KeyHashes = sortedNames(lower(c.Customers[i].KeyHashes))
-		c.Customers[i].Models = sortedNames(c.Customers[i].Models)
-		c.Customers[i].Services = sortedNames(c.Customers[i].Services)
-		c.Customers[i].Kinds = sortedNames(c.Customers[i].Kinds)
+	c.Teams = byName(d.Teams, func(c Team) string { return c.Name })
+	for i := range c.Teams {
+		c.Teams[i].KeyHashes = sortedNames(lower(c.Teams[i].KeyHashes))
+		c.Teams[i].Models = sortedNames(c.Teams[i].Models)
+		c.Teams[i].Services = sortedNames(c.Teams[i].Services)
+		c.Teams[i].Kinds = sortedNames(c.Teams[i].Kinds)
 	}
 	c.Kinds = byName(d.Kinds, func(k Kind) string { return k.Name })
 	c.Models = byName(d.Models, func(m Model) string { return m.Name })
--- a/core/config/defaults.go
+++ b/core/config/defaults.go
@@ -5,7 +5,7 @@
 const (
 	// DefaultMinCopies is a model's or adapter's min-copies if it is omitted.
 	DefaultMinCopies = 1
-	// DefaultWeight is a customer's weight if it is omitted.
+	// DefaultWeight is a team's weight if it is omitted.
 	DefaultWeight = 1.0
 )
 
@@ -28,14 +28,14 @@
 	return Placement{MovePrice: 1, MinResidenceMS: 60_000, PeriodMS: 1000}
 }
 
-// UnmarshalJSON reads a customer over its defaults.
-func (c *Customer) UnmarshalJSON(b []byte) error {
-	type plain Customer
+// UnmarshalJSON reads a team over its defaults.
+func (c *Team) UnmarshalJSON(b []byte) error {
+	type plain Team
 	p := plain{Weight: DefaultWeight}
 	if err := json.Unmarshal(b, &p); err != nil {
 		return err
 	}
-	*c = Customer(p)
+	*c = Team(p)
 	return nil
 }
 
--- a/core/config/doc.go
+++ b/core/config/doc.go
@@ -14,7 +14,7 @@
 //
 //	doc, err := config.Load(text)
 //	index := config.NewIndex(doc, version)
-//	customer, ok := index.CustomerByKey(bearer)
+//	team, ok := index.TeamByKey(bearer)
 //	item, ok := index.Resolve("drafter")
 //
 // Diff lists what differs between two documents. Package core/config/head
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -28,7 +28,7 @@
 	// Document is the whole configuration, applied at once.
 	Document struct {
 		Deployment string          `json:"deployment"`
-		Customers  []Customer      `json:"customers"`
+		Teams  []Team      `json:"teams"`
 		Kinds      []Kind          `json:"kinds"`
 		Models     []Model         `json:"models"`
 		Adapters   []Adapter       `json:"adapters" config:"optional"`
@@ -38,8 +38,8 @@
 		Placement  Placement       `json:"placement" config:"optional"`
 	}
 
-	// Customer is one who calls, with its keys and what it may use.
-	Customer struct {
+	// Team is one who calls, with its keys and what it may use.
+	Team struct {
 		Name        string   `json:"name"`
 		KeyHashes   []string `json:"key-hashes"`                 // "sha256:" and 64 hex digits each
 		Models      []string `json:"models" config:"optional"`   // names of models and adapters; "*" for all
--- a/core/config/document_test.go
+++ b/core/config/document_test.go
@@ -26,7 +26,7 @@
 
 const small = `{
   "deployment": "small",
-  "customers": [
+  "teams": [
     {"name": "shire", "key-hashes": ["` + keyHash + `"], "models": ["drafter", "terse"],
      "services": ["bookings"], "kinds": ["live", "confirm"], "default-kind": "live"},
     {"name": "control", "key-hashes": ["sha256:` + digits + `"], "models": ["*"],
@@ -64,13 +64,18 @@
 	require.Equal(t, config.DefaultLimits(), doc.Limits)
 	require.Equal(t, config.DefaultPlacement(), doc.Placement)
 	require.Equal(t, config.DefaultMinCopies, doc.Models[1].MinCopies)
-	require.Equal(t, config.DefaultWeight, doc.Customers[0].Weight)
+	require.Equal(t, config.DefaultWeight, doc.Teams[0].Weight)
 	zero, err := config.Parse([]byte(strings.Replace(small, `"deployment"`, `"limits": {"retry-share": 0}, "deployment"`, 1)))
 	require.NoError(t, err)
 	require.Zero(t, zero.Limits.RetryShare, "a zero that is given is no omission")
 	require.Equal(t, config.DefaultLimits().BodyBytes, zero.Limits.BodyBytes)
 }
 
+func TestANameOfEarlierVersionsTellsTheNewOne(t *testing.T) {
+	_, err := config.Parse([]byte(strings.Replace(small, `"teams"`, `"customers"`, 1)))
+	require.ErrorContains(t, err, "it is called teams")
+}
+
 func TestCanonicalFormIgnoresOrder(t *testing.T) {
 	doc := document(t)
 	again, err := config.Load(doc.Canonical())
@@ -83,10 +88,10 @@
 	random.Shuffle(len(shuffled.Servers), func(i, j int) {
 		shuffled.Servers[i], shuffled.Servers[j] = shuffled.Servers[j], shuffled.Servers[i]
 	})
-	random.Shuffle(len(shuffled.Customers), func(i, j int) {
-		shuffled.Customers[i], shuffled.Customers[j] = shuffled.Customers[j], shuffled.Customers[i]
+	random.Shuffle(len(shuffled.Teams), func(i, j int) {
+		shuffled.Teams[i], shuffled.Teams[j] = shuffled.Teams[j], shuffled.Teams[i]
 	})
-	shuffled.Customers[0].KeyHashes[0] = strings.ToUpper(shuffled.Customers[0].KeyHashes[0][:8]) + shuffled.Customers[0].KeyHashes[0][8:]
+	shuffled.Teams[0].KeyHashes[0] = strings.ToUpper(shuffled.Teams[0].KeyHashes[0][:8]) + shuffled.Teams[0].KeyHashes[0][8:]
 	require.Equal(t, doc.Hash(), shuffled.Hash())
 
 	calls := document(t).Services[0].Calls
@@ -99,7 +104,7 @@
 	require.Empty(t, config.Diff(a, b))
 	b.Models[0].Version = "2"
 	b.Adapters = nil
-	b.Customers[0].Models = []string{"terse", "checker"}
+	b.Teams[0].Models = []string{"terse", "checker"}
 	b.Limits.RetryShare = 0.5
 	var lines []string
 	for _, c := range config.Diff(a, b) {
@@ -107,10 +112,10 @@
 	}
 	require.Equal(t, []string{
 		`remove adapters["terse"]: {"bytes":200,"load-peak-bytes":0,"min-copies":1,"model":"drafter","name":"terse","version":"2"}`,
-		`add customers["shire"].models["checker"]: "checker"`,
-		`remove customers["shire"].models["drafter"]: "drafter"`,
 		`replace limits.retry-share: 0.1 -> 0.5`,
 		`replace models["drafter"].version: "1" -> "2"`,
+		`add teams["shire"].models["checker"]: "checker"`,
+		`remove teams["shire"].models["drafter"]: "drafter"`,
 	}, lines)
 	require.Len(t, config.Diff(nil, a), 9, "one line each top-level name")
 }
@@ -118,15 +123,15 @@
 func TestIndexAnswersRequestPath(t *testing.T) {
 	x := config.NewIndex(document(t), 7)
 	require.Equal(t, uint64(7), x.Version())
-	shire, ok := x.CustomerByKey(key)
+	shire, ok := x.TeamByKey(key)
 	require.True(t, ok)
 	require.Equal(t, "shire", shire.Name)
 	for _, wrong := range []string{"", "test-ke", "test-key ", keyHash} {
-		_, ok = x.CustomerByKey(wrong)
+		_, ok = x.TeamByKey(wrong)
 		require.False(t, ok, wrong)
 	}
 	tests := []struct {
-		customer, name string
+		team, name string
 		want           bool
 	}{
 		{"shire", "drafter", true},
@@ -137,7 +142,7 @@
 		{"nobody", "drafter", false},
 	}
 	for _, tt := range tests {
-		require.Equal(t, tt.want, x.Allowed(tt.customer, tt.name), tt)
+		require.Equal(t, tt.want, x.Allowed(tt.team, tt.name), tt)
 	}
 	require.True(t, x.AllowedService("shire", "bookings"))
 	require.False(t, x.AllowedService("control", "bookings"))
@@ -173,10 +178,10 @@
 	}
 }
 
-func BenchmarkIndexCustomerByKey(b *testing.B) {
+func BenchmarkIndexTeamByKey(b *testing.B) {
 	x := config.NewIndex(document(b), 1)
 	for b.Loop() {
-		x.CustomerByKey(key)
+		x.TeamByKey(key)
 	}
 }
 
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -1,17 +1,15 @@
 package config
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"strings"
 
+	"guavapaddle/core/apikey"
 	"guavapaddle/core/backend"
 )
 
 const (
-	// AnyName in a customer's list allows all models and adapters.
+	// AnyName in a team's list allows all models and adapters.
 	AnyName = "*"
 	// AnyMethod in a call matches every method.
 	AnyMethod = "*"
@@ -26,8 +24,8 @@
 		doc       *Document
 		version   uint64
 		hash      string
-		keys      map[[keyBucketBytes]byte][]keyEntry
-		customers map[string]access
+		keys      apikey.Index[Team]
+		teams map[string]access
 		items     map[string]backend.Item
 		kinds     map[string]Kind
 		services  []PlainService // longest path first
@@ -35,11 +33,6 @@
 		servers   map[string]BackendServer
 	}
 
-	keyEntry struct {
-		digest   [sha256.Size]byte
-		customer Customer
-	}
-
 	access struct {
 		all      bool // any model or adapter
 		names    map[string]bool
@@ -48,11 +41,6 @@
 	}
 )
 
-// keyBucketBytes is how much of a key's digest picks the bucket in which
-// digests are compared in constant time. The time of a lookup can at most tell
-// whether a digest with this prefix exists, which doesn't help to find a key.
-const keyBucketBytes = 2
-
 // NewIndex returns an index of doc, which was accepted as the given version.
 // doc must come from Parse and may not be changed afterwards.
 func NewIndex(doc *Document, version uint64) *Index {
@@ -60,15 +48,14 @@
 		doc:       doc,
 		version:   version,
 		hash:      doc.Hash(),
-		keys:      make(map[[keyBucketBytes]byte][]keyEntry),
-		customers: make(map[string]access, len(doc.Customers)),
+		teams: make(map[string]access, len(doc.Teams)),
 		items:     make(map[string]backend.Item, len(doc.Models)+len(doc.Adapters)),
 		kinds:     make(map[string]Kind, len(doc.Kinds)),
 		byService: make(map[string]PlainService, len(doc.Services)),
 		servers:   make(map[string]BackendServer, len(doc.Servers)),
 	}
-	for _, c := range doc.Customers {
-		x.addCustomer(c)
+	for _, c := range doc.Teams {
+		x.addTeam(c)
 	}
 	for _, m := range doc.Models {
 		x.items[m.Name] = m.Item()
@@ -90,21 +77,17 @@
 	return x
 }
 
-func (x *Index) addCustomer(c Customer) {
-	x.customers[c.Name] = access{
+func (x *Index) addTeam(c Team) {
+	x.teams[c.Name] = access{
 		all:      slices.Contains(c.Models, AnyName),
 		names:    set(c.Models),
 		services: set(c.Services),
 		kinds:    set(c.Kinds),
 	}
 	for _, h := range c.KeyHashes {
-		raw, err := hex.DecodeString(strings.TrimPrefix(h, KeyHashPrefix))
-		if err != nil || len(raw) != sha256.Size {
-			continue
+		if d, ok := apikey.Parse(strings.TrimPrefix(h, KeyHashPrefix)); ok {
+			x.keys.Add(d, c)
 		}
-		e := keyEntry{digest: [sha256.Size]byte(raw), customer: c}
-		b := [keyBucketBytes]byte(raw)
-		x.keys[b] = append(x.keys[b], e)
 	}
 }
 
@@ -125,38 +108,30 @@
 // Document returns the document, which may not be changed.
 func (x *Index) Document() *Document { return x.doc }
 
-// CustomerByKey returns the customer whose key is bearer. Digests are compared
+// TeamByKey returns the team whose key is bearer. Digests are compared
 // in constant time.
-func (x *Index) CustomerByKey(bearer string) (Customer, bool) {
-	digest := sha256.Sum256([]byte(bearer))
-	var found Customer
-	ok := false
-	for _, e := range x.keys[[keyBucketBytes]byte(digest[:])] {
-		if subtle.ConstantTimeCompare(e.digest[:], digest[:]) == 1 {
-			found, ok = e.customer, true
-		}
-	}
-	return found, ok
+func (x *Index) TeamByKey(bearer string) (Team, bool) {
+	return x.keys.Find(apikey.Sum(bearer))
 }
 
-// Allowed tells whether the named customer may call the named model or
+// Allowed tells whether the named team may call the named model or
 // adapter, which must be declared.
-func (x *Index) Allowed(customer, name string) bool {
-	a, ok := x.customers[customer]
+func (x *Index) Allowed(team, name string) bool {
+	a, ok := x.teams[team]
 	if _, declared := x.items[name]; !ok || !declared {
 		return false
 	}
 	return a.all || a.names[name]
 }
 
-// AllowedService tells whether the named customer may call the named service.
-func (x *Index) AllowedService(customer, service string) bool {
-	return x.customers[customer].services[service]
+// AllowedService tells whether the named team may call the named service.
+func (x *Index) AllowedService(team, service string) bool {
+	return x.teams[team].services[service]
 }
 
-// AllowedKind tells whether the named customer may ask for the named kind.
-func (x *Index) AllowedKind(customer, kind string) bool {
-	return x.customers[customer].kinds[kind]
+// AllowedKind tells whether the named team may ask for the named kind.
+func (x *Index) AllowedKind(team, kind string) bool {
+	return x.teams[team].kinds[kind]
 }
 
 // Resolve returns the item that serves calls of a model's or adapter's name.
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -9,7 +9,7 @@
 )
 
 // MaxDocumentBytes bounds a document: 32 MiB, above thirty times what 1,200
-// models, 10,000 customers and 600 engines take.
+// models, 10,000 teams and 600 engines take.
 const MaxDocumentBytes = 32 << 20
 
 // Parse reads a document. It refuses text that is not one JSON object, names
--- a/core/config/problem.go
+++ b/core/config/problem.go
@@ -39,7 +39,7 @@
 	Duplicate Code = "duplicate"
 	// UnknownReference means that a name refers to nothing in the document.
 	UnknownReference Code = "unknown-reference"
-	// KindNotAllowed means that a customer's default kind is not among its kinds.
+	// KindNotAllowed means that a team's default kind is not among its kinds.
 	KindNotAllowed Code = "kind-not-allowed"
 	// ServiceWithoutServers means that no backend server runs the service.
 	ServiceWithoutServers Code = "service-without-servers"
--- a/core/config/scale_test.go
+++ b/core/config/scale_test.go
@@ -16,7 +16,7 @@
 	scaleModels    = 1200
 	scaleAdapters  = 4800
 	scaleEngines   = 600
-	scaleCustomers = 2000
+	scaleTeams = 2000
 )
 
 // large returns a document of the size of two years from now.
@@ -35,10 +35,10 @@
 			DataCentre: fmt.Sprintf("dc-%d", i%7), MemoryBytes: 640e9, KVReserveBytes: 160e9, ChecksOrders: true, Slots: 64, StepMS: 7,
 		})
 	}
-	for i := range scaleCustomers {
+	for i := range scaleTeams {
 		sum := sha256.Sum256(fmt.Append(nil, i))
-		d.Customers = append(d.Customers, config.Customer{
-			Name: fmt.Sprintf("customer-%04d", i), KeyHashes: []string{config.KeyHashPrefix + hex.EncodeToString(sum[:])},
+		d.Teams = append(d.Teams, config.Team{
+			Name: fmt.Sprintf("team-%04d", i), KeyHashes: []string{config.KeyHashPrefix + hex.EncodeToString(sum[:])},
 			Models: []string{d.Models[i%scaleModels].Name, d.Adapters[i].Name}, Kinds: []string{"live"}, DefaultKind: "live", Weight: 1,
 		})
 	}
@@ -67,10 +67,10 @@
 			config.NewIndex(doc, 1)
 		}
 	})
-	b.Run("customer by key", func(b *testing.B) {
+	b.Run("team by key", func(b *testing.B) {
 		x := config.NewIndex(doc, 1)
 		for b.Loop() {
-			x.CustomerByKey("7")
+			x.TeamByKey("7")
 		}
 	})
 }
--- a/core/config/shape.go
+++ b/core/config/shape.go
@@ -19,6 +19,9 @@
 	plainName = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
 )
 
+// renamed maps names of earlier versions to what they are called now.
+var renamed = map[string]string{"customers": "teams", "customer": "team"}
+
 // shape compares the tokens of a document with the types of this package. It
 // finds what encoding/json lets pass: names that come twice or in other case,
 // null in place of a value, and missing values.
@@ -81,7 +84,7 @@
 		seen[name] = true
 		f, ok := fields[name]
 		if !ok {
-			s.add(at, UnknownName, "no such name is defined here")
+			s.add(at, UnknownName, unknownDetail(name))
 			s.skip(s.next())
 			continue
 		}
@@ -96,6 +99,14 @@
 	}
 }
 
+// unknownDetail tells what is wrong with a name that isn't defined.
+func unknownDetail(name string) string {
+	if now, ok := renamed[name]; ok {
+		return "no such name is defined here; it is called " + now
+	}
+	return "no such name is defined here"
+}
+
 func (s *shape) array(t reflect.Type, path string) {
 	for i := 0; s.dec.More(); i++ {
 		s.value(t, path+"["+strconv.Itoa(i)+"]")
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -22,7 +22,7 @@
 	if len(c.problems) == before {
 		c.checkCapacity()
 	}
-	c.checkCustomers()
+	c.checkTeams()
 	c.checkLimits()
 	c.checkPlacement()
 	return c.problems
--- a/core/config/validate_customers.go
+++ b/core/config/validate_teams.go
@@ -5,20 +5,20 @@
 	"strings"
 )
 
-func (c *checker) checkCustomers() {
-	if len(c.doc.Customers) == 0 {
-		c.add("customers", Missing, "at least one customer is required")
+func (c *checker) checkTeams() {
+	if len(c.doc.Teams) == 0 {
+		c.add("teams", Missing, "at least one team is required")
 	}
 	names, hashes := make(map[string]string), make(map[string]string)
-	for i, customer := range c.doc.Customers {
-		p := at("customers", i)
-		c.name(p+".name", customer.Name)
-		c.unique(names, p+".name", customer.Name, "name")
-		c.checkKeys(p+".key-hashes", customer.KeyHashes, hashes)
-		c.checkCustomerModels(p+".models", customer.Models)
-		c.checkCustomerKinds(p, customer)
-		c.checkCustomerServices(p+".services", customer)
-		c.float(p+".weight", customer.Weight, positiveBound)
+	for i, team := range c.doc.Teams {
+		p := at("teams", i)
+		c.name(p+".name", team.Name)
+		c.unique(names, p+".name", team.Name, "name")
+		c.checkKeys(p+".key-hashes", team.KeyHashes, hashes)
+		c.checkTeamModels(p+".models", team.Models)
+		c.checkTeamKinds(p, team)
+		c.checkTeamServices(p+".services", team)
+		c.float(p+".weight", team.Weight, positiveBound)
 	}
 }
 
@@ -32,7 +32,7 @@
 	}
 }
 
-func (c *checker) checkCustomerModels(path string, models []string) {
+func (c *checker) checkTeamModels(path string, models []string) {
 	seen := make(map[string]string)
 	for i, name := range models {
 		c.unique(seen, at(path, i), name, "name")
@@ -48,26 +48,26 @@
 	}
 }
 
-func (c *checker) checkCustomerKinds(path string, customer Customer) {
-	if len(customer.Kinds) == 0 {
+func (c *checker) checkTeamKinds(path string, team Team) {
+	if len(team.Kinds) == 0 {
 		c.add(path+".kinds", Missing, "at least one kind of work is required")
 	}
 	seen := make(map[string]string)
-	for i, k := range customer.Kinds {
+	for i, k := range team.Kinds {
 		c.unique(seen, at(path+".kinds", i), k, "name")
 		c.reference(at(path+".kinds", i), k, "kind", c.kinds[k])
 	}
-	c.reference(path+".default-kind", customer.DefaultKind, "kind", c.kinds[customer.DefaultKind])
-	if c.kinds[customer.DefaultKind] && !slices.Contains(customer.Kinds, customer.DefaultKind) {
-		c.add(path+".default-kind", KindNotAllowed, "%q is not among the customer's kinds", customer.DefaultKind)
+	c.reference(path+".default-kind", team.DefaultKind, "kind", c.kinds[team.DefaultKind])
+	if c.kinds[team.DefaultKind] && !slices.Contains(team.Kinds, team.DefaultKind) {
+		c.add(path+".default-kind", KindNotAllowed, "%q is not among the team's kinds", team.DefaultKind)
 	}
 }
 
-// checkCustomerServices checks the services that a customer may use: it must
+// checkTeamServices checks the services that a team may use: it must
 // be allowed the kind of at least one call of each.
-func (c *checker) checkCustomerServices(path string, customer Customer) {
+func (c *checker) checkTeamServices(path string, team Team) {
 	seen := make(map[string]string)
-	for i, name := range customer.Services {
+	for i, name := range team.Services {
 		c.unique(seen, at(path, i), name, "name")
 		index, ok := c.services[name]
 		c.reference(at(path, i), name, "service", ok)
@@ -75,9 +75,9 @@
 			continue
 		}
 		calls := c.doc.Services[index].Calls
-		allowed := func(call Call) bool { return slices.Contains(customer.Kinds, call.Kind) }
+		allowed := func(call Call) bool { return slices.Contains(team.Kinds, call.Kind) }
 		if len(calls) > 0 && !slices.ContainsFunc(calls, allowed) {
-			c.add(at(path, i), KindNotAllowed, "no call of service %q has a kind that the customer is allowed", name)
+			c.add(at(path, i), KindNotAllowed, "no call of service %q has a kind that the team is allowed", name)
 		}
 	}
 }
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -22,8 +22,8 @@
 	Job struct {
 		Server      string         `cbor:"1,keyasint"`
 		RequestID   string         `cbor:"2,keyasint"`
-		EngineID    string         `cbor:"3,keyasint"` // request id at the engine, scoped by customer
-		Customer    string         `cbor:"4,keyasint"`
+		EngineID    string         `cbor:"3,keyasint"` // request id at the engine, scoped by team
+		Team    string         `cbor:"4,keyasint"`
 		Kind        string         `cbor:"5,keyasint"`
 		Urgency     config.Urgency `cbor:"6,keyasint"`
 		Value       float64        `cbor:"7,keyasint"`
@@ -34,7 +34,7 @@
 		Offset      int            `cbor:"12,keyasint"` // tokens the caller has
 		Resume      bool           `cbor:"13,keyasint"` // continue what the engine runs already
 		Alone       bool           `cbor:"14,keyasint"` // suspected of crashing servers
-		Fingerprint string         `cbor:"15,keyasint"` // of customer, model and body
+		Fingerprint string         `cbor:"15,keyasint"` // of team, model and body
 	}
 
 	// Load is what an owner knows of its server at this moment.
--- a/core/forward/token.go
+++ b/core/forward/token.go
@@ -43,10 +43,10 @@
 }
 
 // EngineID returns the request id at the engine. It contains a hash of the
-// customer, so that no customer can resume another's answer.
-func EngineID(customer, requestID string) string {
+// team, so that no team can resume another's answer.
+func EngineID(team, requestID string) string {
 	var b [8]byte
-	h := xxhash.Sum64String(customer)
+	h := xxhash.Sum64String(team)
 	for i := range b {
 		b[i] = byte(h >> (8 * i))
 	}
--- a/core/limit/doc.go
+++ b/core/limit/doc.go
@@ -1,12 +1,12 @@
-// Package limit decides whether a customer's request is taken on, by shares of
+// Package limit decides whether a team's request is taken on, by shares of
 // the node's capacity.
 //
 // As long as the node's whole use is below its capacity nobody is limited. Once
-// it is not, a customer is taken on only while its own use is below its share:
-// the capacity divided by the weights of the customers in use, where what a
-// customer leaves of its share is divided among the others (max-min fairness).
+// it is not, a team is taken on only while its own use is below its share:
+// the capacity divided by the weights of the teams in use, where what a
+// team leaves of its share is divided among the others (max-min fairness).
 // Work of lesser urgency is taken on only up to a part of the capacity, so that
-// urgent work finds room. Rules bound a customer and kind in any case.
+// urgent work finds room. Rules bound a team and kind in any case.
 //
 // Use is measured in units a second over a window: of units settled it fades
 // with the window, of units reserved it stays until they are settled. A
@@ -22,9 +22,9 @@
 // # Usage
 //
 //	var p limit.Policy = limit.NewByCost(limit.Settings{Capacity: 4000})
-//	r, ok, retryAfter := p.Admit(now, customer, kind, estimate)
+//	r, ok, retryAfter := p.Admit(now, team, kind, estimate)
 //	if !ok {
-//		return outcome.Refuse(outcome.CustomerLimit, "", retryAfter)
+//		return outcome.Refuse(outcome.TeamLimit, "", retryAfter)
 //	}
 //	...
 //	p.Settle(now, r, actual)
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -24,25 +24,25 @@
 type (
 	// Policy takes requests on or refuses them.
 	Policy interface {
-		// Admit tells whether a request of customer is taken on at now, and if
+		// Admit tells whether a request of team is taken on at now, and if
 		// not, when its caller may come back.
-		Admit(now time.Time, customer config.Customer, kind config.Kind, estimate float64) (Reservation, bool, time.Duration)
+		Admit(now time.Time, team config.Team, kind config.Kind, estimate float64) (Reservation, bool, time.Duration)
 		// Settle replaces the units that r reserved by the actual ones. It does
 		// nothing for a reservation that is settled already.
 		Settle(now time.Time, r Reservation, actual float64)
 	}
 
-	// Reservation is the hold of an admitted request on its customer's share.
+	// Reservation is the hold of an admitted request on its team's share.
 	Reservation struct {
 		id       uint64
-		customer string
+		team string
 		kind     string
 		units    float64
 	}
 
-	// Rule bounds the use of one customer and kind, whatever the capacity.
+	// Rule bounds the use of one team and kind, whatever the capacity.
 	Rule struct {
-		Customer string  `json:"customer"` // "*" for each customer on its own
+		Team string  `json:"team"` // "*" for each team on its own
 		Kind     string  `json:"kind"`     // "*" for all kinds together
 		Rate     float64 `json:"rate"`     // units a second
 	}
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -19,12 +19,12 @@
 	later  = config.Kind{Name: "batch", Urgency: config.Deferrable}
 )
 
-// customer returns a customer.
-func customer(name string, weight float64) config.Customer {
-	return config.Customer{Name: name, Weight: weight}
+// team returns a team.
+func team(name string, weight float64) config.Team {
+	return config.Team{Name: name, Weight: weight}
 }
 
-// load lets customers ask at their rates, in units a second, of requests of
+// load lets teams ask at their rates, in units a second, of requests of
 // cost units, for the given seconds. It returns the units admitted to each.
 func load(p limit.Policy, seconds int, cost float64, kind config.Kind, rates map[string]float64, weights map[string]float64) map[string]float64 {
 	r := rand.New(rand.NewPCG(1, 1))
@@ -38,7 +38,7 @@
 				n++
 			}
 			for range n {
-				if res, ok, _ := p.Admit(now, customer(name, weights[name]), kind, cost); ok {
+				if res, ok, _ := p.Admit(now, team(name, weights[name]), kind, cost); ok {
 					p.Settle(now, res, cost)
 					got[name] += cost
 				}
@@ -85,7 +85,7 @@
 	const window = 10.0
 	cost := limit.NewByCost(limit.Settings{Capacity: 100 / window, NormalPart: 1})
 	count := limit.NewByRequests(limit.Settings{Capacity: 100 / window, NormalPart: 1})
-	c := customer("northstar", 1)
+	c := team("northstar", 1)
 	r, ok, _ := cost.Admit(start, c, normal, 40)
 	require.True(t, ok)
 	cost.Settle(start, r, 40)
@@ -115,13 +115,13 @@
 // by the clock.
 func TestUnsettledStaysReserved(t *testing.T) {
 	p := limit.NewByCost(limit.Settings{Capacity: 10, NormalPart: 1})
-	r, ok, _ := p.Admit(start, customer("a", 1), normal, 100)
+	r, ok, _ := p.Admit(start, team("a", 1), normal, 100)
 	require.True(t, ok)
-	_, ok, _ = p.Admit(start.Add(24*time.Hour), customer("a", 1), normal, 10)
+	_, ok, _ = p.Admit(start.Add(24*time.Hour), team("a", 1), normal, 10)
 	require.False(t, ok)
 	require.Equal(t, 1, p.Open())
 	p.Settle(start.Add(24*time.Hour), r, 0)
-	_, ok, _ = p.Admit(start.Add(24*time.Hour), customer("a", 1), normal, 10)
+	_, ok, _ = p.Admit(start.Add(24*time.Hour), team("a", 1), normal, 10)
 	require.True(t, ok)
 }
 
@@ -131,19 +131,19 @@
 	require.InDelta(t, 80, got["a"]/60, 15)
 	end := start.Add(time.Minute)
 	for range 1000 {
-		p.Admit(end, customer("a", 1), later, 1)
+		p.Admit(end, team("a", 1), later, 1)
 	}
-	_, ok, _ := p.Admit(end, customer("a", 1), later, 1)
+	_, ok, _ := p.Admit(end, team("a", 1), later, 1)
 	require.False(t, ok)
 	for range 100 {
-		_, ok, _ = p.Admit(end, customer("a", 1), urgent, 1)
+		_, ok, _ = p.Admit(end, team("a", 1), urgent, 1)
 		require.True(t, ok)
 	}
 }
 
 func TestRetryAfterTellsTheTruth(t *testing.T) {
 	p := limit.NewByCost(limit.Settings{Capacity: 100, NormalPart: 1})
-	c := customer("a", 1)
+	c := team("a", 1)
 	now := start
 	for range 200 {
 		if r, ok, _ := p.Admit(now, c, normal, 10); ok {
@@ -162,13 +162,13 @@
 
 func TestRules(t *testing.T) {
 	p := limit.NewByRequests(limit.Settings{Rules: []limit.Rule{
-		{Customer: "*", Kind: "batch", Rate: 2},
-		{Customer: "a", Kind: "*", Rate: 5},
+		{Team: "*", Kind: "batch", Rate: 2},
+		{Team: "a", Kind: "*", Rate: 5},
 	}})
 	admitted := func(name string, k config.Kind) int {
 		n := 0
 		for range 1000 {
-			if r, ok, _ := p.Admit(start, customer(name, 1), k, 1); ok {
+			if r, ok, _ := p.Admit(start, team(name, 1), k, 1); ok {
 				p.Settle(start, r, 1)
 				n++
 			}
@@ -176,7 +176,7 @@
 		return n
 	}
 	require.Equal(t, 20, admitted("b", later), "two a second over ten seconds")
-	require.Equal(t, 20, admitted("c", later), "each customer on its own")
+	require.Equal(t, 20, admitted("c", later), "each team on its own")
 	require.Equal(t, 1000, admitted("b", normal))
 	require.Equal(t, 20, admitted("a", later))
 	require.Equal(t, 30, admitted("a", normal), "all kinds together")
@@ -186,20 +186,20 @@
 // when nothing else is in use.
 func TestLargeRequestIsNotLockedOut(t *testing.T) {
 	p := limit.NewByCost(limit.Settings{Capacity: 1})
-	_, ok, _ := p.Admit(start, customer("a", 1), normal, 500)
+	_, ok, _ := p.Admit(start, team("a", 1), normal, 500)
 	require.True(t, ok)
-	_, ok, _ = p.Admit(start, customer("a", 1), normal, 500)
+	_, ok, _ = p.Admit(start, team("a", 1), normal, 500)
 	require.False(t, ok)
 }
 
 func BenchmarkAdmit(b *testing.B) {
-	for _, customers := range []int{10, 1000} {
+	for _, teams := range []int{10, 1000} {
 		for name, capacity := range map[string]float64{"free": 1e9, "overloaded": 1} {
-			b.Run(fmt.Sprint(customers, " customers ", name), func(b *testing.B) {
+			b.Run(fmt.Sprint(teams, " teams ", name), func(b *testing.B) {
 				p := limit.NewByCost(limit.Settings{Capacity: capacity})
-				var all []config.Customer
-				for i := range customers {
-					all = append(all, customer(fmt.Sprint("c", i), 1))
+				var all []config.Team
+				for i := range teams {
+					all = append(all, team(fmt.Sprint("c", i), 1))
 					r, _, _ := p.Admit(start, all[i], normal, 100)
 					p.Settle(start, r, 100)
 				}
@@ -207,7 +207,7 @@
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					now = now.Add(time.Microsecond)
-					if r, ok, _ := p.Admit(now, all[i%customers], normal, 1); ok {
+					if r, ok, _ := p.Admit(now, all[i%teams], normal, 1); ok {
 						p.Settle(now, r, 1)
 					}
 				}
--- a/core/limit/shares.go
+++ b/core/limit/shares.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// idle is the level in units below which a customer counts as not in use.
+	// idle is the level in units below which a team counts as not in use.
 	idle = 1e-3
-	// sweepEvery is the admissions between removals of idle customers.
+	// sweepEvery is the admissions between removals of idle teams.
 	sweepEvery = 1024
 	wildcard   = "*"
 )
@@ -33,16 +33,16 @@
 	// they cost. It is not safe for concurrent use.
 	ByRequests struct{ shares ByCost }
 
-	// user is one customer in use.
+	// user is one team in use.
 	user struct {
 		usage
 		weight float64
 	}
 
-	// ruleKey names what a rule counts: each customer on its own.
+	// ruleKey names what a rule counts: each team on its own.
 	ruleKey struct {
 		rule     Rule
-		customer string
+		team string
 	}
 )
 
@@ -59,23 +59,23 @@
 // NewByRequests returns a policy that limits by the number of requests.
 func NewByRequests(s Settings) *ByRequests { return &ByRequests{shares: *NewByCost(s)} }
 
-// Admit implements Policy. A request that does not fit into its customer's
-// whole share is taken on when the customer has nothing else in use.
-func (c *ByCost) Admit(now time.Time, customer config.Customer, kind config.Kind, estimate float64) (Reservation, bool, time.Duration) {
+// Admit implements Policy. A request that does not fit into its team's
+// whole share is taken on when the team has nothing else in use.
+func (c *ByCost) Admit(now time.Time, team config.Team, kind config.Kind, estimate float64) (Reservation, bool, time.Duration) {
 	c.sweep(now)
-	u := c.user(customer)
-	if ok, wait := c.admitRules(now, customer.Name, kind.Name, estimate); !ok {
+	u := c.user(team)
+	if ok, wait := c.admitRules(now, team.Name, kind.Name, estimate); !ok {
 		return Reservation{}, false, wait
 	}
 	if ok, wait := c.admitShare(now, u, kind.Urgency, estimate); !ok {
 		return Reservation{}, false, wait
 	}
 	c.next++
-	r := Reservation{id: c.next, customer: customer.Name, kind: kind.Name, units: estimate}
+	r := Reservation{id: c.next, team: team.Name, kind: kind.Name, units: estimate}
 	c.open[r.id] = r
 	c.total.reserved += estimate
 	u.reserved += estimate
-	c.eachRule(customer.Name, kind.Name, func(_ Rule, use *usage) { use.reserved += estimate })
+	c.eachRule(team.Name, kind.Name, func(_ Rule, use *usage) { use.reserved += estimate })
 	return r, true, 0
 }
 
@@ -87,10 +87,10 @@
 	delete(c.open, r.id)
 	w := c.settings.window()
 	c.total.settle(now, w, r.units, actual)
-	if u := c.users[r.customer]; u != nil {
+	if u := c.users[r.team]; u != nil {
 		u.settle(now, w, r.units, actual)
 	}
-	c.eachRule(r.customer, r.kind, func(_ Rule, use *usage) { use.settle(now, w, r.units, actual) })
+	c.eachRule(r.team, r.kind, func(_ Rule, use *usage) { use.settle(now, w, r.units, actual) })
 }
 
 // Reconfigure changes the settings. What is in use stays counted, but for rules
@@ -101,8 +101,8 @@
 func (c *ByCost) Open() int { return len(c.open) }
 
 // Admit implements Policy.
-func (q *ByRequests) Admit(now time.Time, customer config.Customer, kind config.Kind, _ float64) (Reservation, bool, time.Duration) {
-	return q.shares.Admit(now, customer, kind, 1)
+func (q *ByRequests) Admit(now time.Time, team config.Team, kind config.Kind, _ float64) (Reservation, bool, time.Duration) {
+	return q.shares.Admit(now, team, kind, 1)
 }
 
 // Settle implements Policy.
@@ -165,10 +165,10 @@
 }
 
 // admitRules tells whether every rule has room for estimate more.
-func (c *ByCost) admitRules(now time.Time, customer, kind string, estimate float64) (bool, time.Duration) {
+func (c *ByCost) admitRules(now time.Time, team, kind string, estimate float64) (bool, time.Duration) {
 	w := c.settings.window()
 	ok, wait := true, time.Duration(0)
-	c.eachRule(customer, kind, func(r Rule, use *usage) {
+	c.eachRule(team, kind, func(r Rule, use *usage) {
 		level, room := use.level(now, w), r.Rate*w
 		if level+estimate <= room || level <= idle {
 			return
@@ -179,13 +179,13 @@
 	return ok, wait
 }
 
-// eachRule calls f for each rule that counts the customer and kind.
-func (c *ByCost) eachRule(customer, kind string, f func(Rule, *usage)) {
+// eachRule calls f for each rule that counts the team and kind.
+func (c *ByCost) eachRule(team, kind string, f func(Rule, *usage)) {
 	for _, r := range c.settings.Rules {
-		if (r.Customer != wildcard && r.Customer != customer) || (r.Kind != wildcard && r.Kind != kind) {
+		if (r.Team != wildcard && r.Team != team) || (r.Kind != wildcard && r.Kind != kind) {
 			continue
 		}
-		key := ruleKey{rule: r, customer: customer}
+		key := ruleKey{rule: r, team: team}
 		use := c.ruled[key]
 		if use == nil {
 			use = &usage{}
@@ -195,14 +195,14 @@
 	}
 }
 
-// user returns the customer's use, with its weight as it is now.
-func (c *ByCost) user(customer config.Customer) *user {
-	u := c.users[customer.Name]
+// user returns the team's use, with its weight as it is now.
+func (c *ByCost) user(team config.Team) *user {
+	u := c.users[team.Name]
 	if u == nil {
 		u = &user{}
-		c.users[customer.Name] = u
+		c.users[team.Name] = u
 	}
-	u.weight = or(customer.Weight, 1)
+	u.weight = or(team.Weight, 1)
 	return u
 }
 
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -30,9 +30,9 @@
 	BodyTooLarge Reason = "body-too-large"
 	// HeaderTooLarge means that the headers exceeded the configured bound.
 	HeaderTooLarge Reason = "header-too-large"
-	// Unauthorized means that no customer has the given key.
+	// Unauthorized means that no team has the given key.
 	Unauthorized Reason = "unauthorized"
-	// NotFound means that the model or path is not declared for the customer.
+	// NotFound means that the model or path is not declared for the team.
 	NotFound Reason = "not-found"
 	// KeyReused means that an idempotency key came with another body.
 	KeyReused Reason = "key-reused"
@@ -42,8 +42,8 @@
 	InProgress Reason = "in-progress"
 	// AnswerLost means that the call ran and its stored answer can't be read.
 	AnswerLost Reason = "answer-lost"
-	// CustomerLimit means that the customer is over its share.
-	CustomerLimit Reason = "customer-limit"
+	// TeamLimit means that the team is over its share.
+	TeamLimit Reason = "team-limit"
 	// QueueFull means that the queue is at its bound.
 	QueueFull Reason = "queue-full"
 	// DeadlineUnreachable means that the request can't end before its deadline.
--- a/core/suspect/mark.go
+++ b/core/suspect/mark.go
@@ -11,7 +11,7 @@
 const fingerprintBytes = 16
 
 type (
-	// Fingerprint tells requests apart by customer, model and body.
+	// Fingerprint tells requests apart by team, model and body.
 	Fingerprint string
 
 	// Incident is one crash of a server, or one trial whose end is not known.
@@ -31,9 +31,9 @@
 )
 
 // Of returns the fingerprint of a request.
-func Of(customer, model string, body []byte) Fingerprint {
+func Of(team, model string, body []byte) Fingerprint {
 	h := sha256.New()
-	_, _ = fmt.Fprintf(h, "%d:%s%d:%s", len(customer), customer, len(model), model) // a hash does not fail
+	_, _ = fmt.Fprintf(h, "%d:%s%d:%s", len(team), team, len(model), model) // a hash does not fail
 	_, _ = h.Write(body)
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
--- a/core/suspect/set_test.go
+++ b/core/suspect/set_test.go
@@ -19,7 +19,7 @@
 	trial = suspect.Incident{Server: "s2", Trial: "t1"}
 )
 
-func TestOfTellsCustomerModelAndBodyApart(t *testing.T) {
+func TestOfTellsTeamModelAndBodyApart(t *testing.T) {
 	base := suspect.Of("c", "m", []byte("b"))
 	require.Len(t, string(base), 32)
 	require.NotEqual(t, base, suspect.Of("d", "m", []byte("b")))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -14,9 +14,9 @@
 )
 
 type (
-	// Request is one call of a plain service by a customer.
+	// Request is one call of a plain service by a team.
 	Request struct {
-		Customer       string
+		Team       string
 		Kind           config.Kind // its Repeatable decides how the call is treated
 		Service        string      // name of the plain service
 		Method         string
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -107,7 +107,7 @@
 // request returns a request.
 func request(kind config.Kind, id, key, body string) call.Request {
 	return call.Request{
-		Customer: "corella", Kind: kind, Service: "bookings", Method: "POST", Path: "/bookings/confirm",
+		Team: "corella", Kind: kind, Service: "bookings", Method: "POST", Path: "/bookings/confirm",
 		Body: []byte(body), IdempotencyKey: key, RequestID: id,
 	}
 }
@@ -245,7 +245,7 @@
 		r.Body = []byte("other")
 		_, err = other.Do(t.Context(), r)
 		ends(t, err, outcome.RefusedNotRun, outcome.KeyReused)
-		r.Customer = "kabinaki"
+		r.Team = "kabinaki"
 		b, err := other.Do(t.Context(), r)
 		require.NoError(t, err)
 		require.Equal(t, answer(r), b.Body)
--- a/internal/call/caller.go
+++ b/internal/call/caller.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	t := &try{c: c, r: r, sole: !r.Kind.Repeatable && !keyed,
-		fp: suspect.Of(r.Customer, r.Service+" "+r.Method+" "+r.Path, r.Body)}
+		fp: suspect.Of(r.Team, r.Service+" "+r.Method+" "+r.Path, r.Body)}
 	if keyed {
 		return c.claimed(ctx, t)
 	}
@@ -92,9 +92,9 @@
 // claimed carries out a call that runs at most once under its key.
 func (c *Caller) claimed(ctx context.Context, t *try) (Answer, error) {
 	r := t.r
-	row := claim.Key(r.Customer, r.IdempotencyKey)
+	row := claim.Key(r.Team, r.IdempotencyKey)
 	g, err := c.Claims.Claim(ctx, claims.Call{
-		Customer: r.Customer, Key: r.IdempotencyKey, RequestID: r.RequestID, Deadline: r.Deadline,
+		Team: r.Team, Key: r.IdempotencyKey, RequestID: r.RequestID, Deadline: r.Deadline,
 		BodyHash: claim.BodyHash(r.Service, r.Method, r.Path, r.Body),
 	})
 	if err != nil {
--- a/internal/claims/doc.go
+++ b/internal/claims/doc.go
@@ -18,7 +18,7 @@
 //
 //	s := &claims.Store{Table: table, Objects: objects, Node: "n1", Incarnation: 4}
 //	go s.Run(ctx)
-//	g, err := s.Claim(ctx, claims.Call{Customer: "corella", Key: key, ...})
+//	g, err := s.Claim(ctx, claims.Call{Team: "corella", Key: key, ...})
 //	switch {
 //	case err != nil:        // tell the caller
 //	case g.Stored != nil:   // give the stored answer
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -64,7 +64,7 @@
 
 	// Call is a call that is to run at most once.
 	Call struct {
-		Customer  string
+		Team  string
 		Key       string // idempotency key, not empty
 		BodyHash  string // see claim.BodyHash
 		RequestID string
@@ -128,12 +128,12 @@
 func (s *Store) Claim(_ context.Context, c Call) (Grant, error) {
 	s.once.Do(s.init)
 	mine := claim.Claim{
-		Customer: c.Customer, BodyHash: c.BodyHash, Attempt: rand.Text(),
+		Team: c.Team, BodyHash: c.BodyHash, Attempt: rand.Text(),
 		Node: s.Node, Incarnation: s.Incarnation, RequestID: c.RequestID,
 		AtMS: time.Now().UnixMilli(), DeadlineMS: c.Deadline.UnixMilli(),
 	}
 	limit := time.Now().Add(s.Wait)
-	key := claim.Key(c.Customer, c.Key)
+	key := claim.Key(c.Team, c.Key)
 	change := claim.Insert(key, mine, 0)
 	for range maxRounds {
 		e := s.insertOnce(change, limit)
--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -68,7 +68,7 @@
 
 // booking returns the call of a key.
 func booking(key string) claims.Call {
-	return claims.Call{Customer: "corella", Key: key, BodyHash: "h", RequestID: "r-" + key, Deadline: time.Now().Add(5 * time.Second)}
+	return claims.Call{Team: "corella", Key: key, BodyHash: "h", RequestID: "r-" + key, Deadline: time.Now().Add(5 * time.Second)}
 }
 
 // flush demands that all answers and releases take effect within a minute.
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -26,7 +26,7 @@
 	Valid      bool   `json:"valid"`
 	Deployment string `json:"deployment"`
 	Hash       string `json:"hash"`
-	Customers  int    `json:"customers"`
+	Teams  int    `json:"teams"`
 	Models     int    `json:"models"`
 	Adapters   int    `json:"adapters"`
 	Servers    int    `json:"backend-servers"`
@@ -59,14 +59,14 @@
 	}
 	v := validity{
 		Valid: true, Deployment: doc.Deployment, Hash: doc.Hash(),
-		Customers: len(doc.Customers), Models: len(doc.Models), Adapters: len(doc.Adapters), Servers: len(doc.Servers),
+		Teams: len(doc.Teams), Models: len(doc.Models), Adapters: len(doc.Adapters), Servers: len(doc.Servers),
 	}
 	if e.output == outputJSON {
 		e.printJSON(v)
 		return nil
 	}
-	e.printf("valid: deployment %s, %d customers, %d models, %d adapters, %d backend servers, hash %s\n",
-		v.Deployment, v.Customers, v.Models, v.Adapters, v.Servers, v.Hash)
+	e.printf("valid: deployment %s, %d teams, %d models, %d adapters, %d backend servers, hash %s\n",
+		v.Deployment, v.Teams, v.Models, v.Adapters, v.Servers, v.Hash)
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,7 +50,7 @@
 	Limits interface {
 		// Admit returns a function that settles what the request used, or
 		// false and when to come back.
-		Admit(c config.Customer, k config.Kind, estimate float64) (settle func(actual float64), after time.Duration, ok bool)
+		Admit(c config.Team, k config.Kind, estimate float64) (settle func(actual float64), after time.Duration, ok bool)
 	}
 
 	// Demand learns what callers ask for.
@@ -76,7 +76,7 @@
 
 	// request is what is known of one request while it runs.
 	request struct {
-		customer config.Customer
+		team config.Team
 		kind     config.Kind
 		deadline time.Time
 		started  time.Time
@@ -98,34 +98,34 @@
 	return names, nil
 }
 
-// who returns the configuration in force and the customer of a key.
-func (e *Entry) who(bearer string) (*config.Index, config.Customer, error) {
+// who returns the configuration in force and the team of a key.
+func (e *Entry) who(bearer string) (*config.Index, config.Team, error) {
 	x := e.Index()
 	if x == nil || !e.Fresh() {
-		return nil, config.Customer{}, outcome.Refuse(outcome.NoConfig, "", noConfigRetry)
+		return nil, config.Team{}, outcome.Refuse(outcome.NoConfig, "", noConfigRetry)
 	}
-	c, ok := x.CustomerByKey(bearer)
+	c, ok := x.TeamByKey(bearer)
 	if !ok {
 		return nil, c, outcome.Refuse(outcome.Unauthorized, "", 0)
 	}
 	return x, c, nil
 }
 
-// kind returns the kind of a request that names one, or the customer's default.
-func kind(x *config.Index, c config.Customer, name string) (config.Kind, error) {
+// kind returns the kind of a request that names one, or the team's default.
+func kind(x *config.Index, c config.Team, name string) (config.Kind, error) {
 	if name == "" {
 		name = c.DefaultKind
 	}
 	k, ok := x.Kind(name)
 	if !ok || !x.AllowedKind(c.Name, name) {
-		return k, outcome.Refuse(outcome.BadRequest, fmt.Sprintf("kind %q is not declared for the customer", name), 0)
+		return k, outcome.Refuse(outcome.BadRequest, fmt.Sprintf("kind %q is not declared for the team", name), 0)
 	}
 	return k, nil
 }
 
 // begin fixes kind and deadline of a request.
-func begin(c config.Customer, k config.Kind, asked time.Duration) request {
-	r := request{customer: c, kind: k, started: time.Now()}
+func begin(c config.Team, k config.Kind, asked time.Duration) request {
+	r := request{team: c, kind: k, started: time.Now()}
 	d := time.Duration(k.DeadlineMS) * time.Millisecond
 	if asked > 0 && asked < d {
 		d = asked
@@ -153,7 +153,7 @@
 	e.Demand.Asked(g.Model, k.Urgency)
 	q := generate.Request{
 		ID:         g.RequestID,
-		Customer:   c.Name,
+		Team:   c.Name,
 		Kind:       k,
 		Item:       item,
 		Prompt:     g.Prompt,
@@ -170,9 +170,9 @@
 
 // admitted applies limits and runs a generation.
 func (e *Entry) admitted(ctx context.Context, g caller.Generation, q generate.Request, r request, emit forward.Emit) error {
-	settle, after, ok := e.Limits.Admit(r.customer, r.kind, float64(q.MaxTokens))
+	settle, after, ok := e.Limits.Admit(r.team, r.kind, float64(q.MaxTokens))
 	if !ok {
-		return outcome.Refuse(outcome.CustomerLimit, r.customer.Name, after)
+		return outcome.Refuse(outcome.TeamLimit, r.team.Name, after)
 	}
 	tokens := 0
 	defer func() { settle(float64(tokens)) }()
@@ -181,7 +181,7 @@
 		first = time.Now()
 		e.Metrics.First(r.kind.Name, first.Sub(r.started))
 	}
-	q.Fingerprint = suspect.Of(r.customer.Name, g.Model, g.Body)
+	q.Fingerprint = suspect.Of(r.team.Name, g.Model, g.Body)
 	err := e.run(ctx, g, q, func(reply forward.Reply, at forward.Token) error {
 		tokens++
 		return emit(reply, at)
@@ -243,9 +243,9 @@
 
 // call applies limits and runs a call of a plain service.
 func (e *Entry) call(ctx context.Context, sc caller.ServiceCall, s config.PlainService, r request) (call.Answer, error) {
-	settle, after, ok := e.Limits.Admit(r.customer, r.kind, 1)
+	settle, after, ok := e.Limits.Admit(r.team, r.kind, 1)
 	if !ok {
-		return call.Answer{}, outcome.Refuse(outcome.CustomerLimit, r.customer.Name, after)
+		return call.Answer{}, outcome.Refuse(outcome.TeamLimit, r.team.Name, after)
 	}
 	defer settle(1)
 	path := sc.Path
@@ -253,7 +253,7 @@
 		path += "?" + sc.Query
 	}
 	return e.Calls.Do(ctx, call.Request{
-		Customer:       r.customer.Name,
+		Team:       r.team.Name,
 		Kind:           r.kind,
 		Service:        s.Name,
 		Method:         sc.Method,
@@ -292,7 +292,7 @@
 	e.Metrics.End(r.kind.Name, err, took, now.After(r.deadline))
 	fields := append([]zap.Field{
 		zap.String("request-id", id),
-		zap.String("customer", r.customer.Name),
+		zap.String("team", r.team.Name),
 		zap.String("kind", r.kind.Name),
 		zap.Int64("took-ms", took.Milliseconds()),
 	}, more...)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -48,17 +48,17 @@
 // its caller is gone, so that the answer is there when the caller asks again.
 func (e *Entry) once(ctx context.Context, g caller.Generation, q generate.Request, emit forward.Emit) error {
 	grant, err := e.Claims.Claim(ctx, claims.Call{
-		Customer: q.Customer, Key: g.Key, RequestID: q.ID, Deadline: q.Deadline,
+		Team: q.Team, Key: g.Key, RequestID: q.ID, Deadline: q.Deadline,
 		BodyHash: claim.BodyHash(modelAPI, http.MethodPost, g.Model, g.Body),
 	})
 	if err != nil {
 		return err
 	}
 	if grant.Stored != nil {
-		e.Note(q.ID, "stored-answer", zap.String("row", claim.Key(q.Customer, g.Key)))
+		e.Note(q.ID, "stored-answer", zap.String("row", claim.Key(q.Team, g.Key)))
 		return replay(*grant.Stored, q.ID, emit)
 	}
-	e.Note(q.ID, "claimed", zap.String("row", claim.Key(q.Customer, g.Key)), zap.String("attempt", grant.Held.Claim.Attempt))
+	e.Note(q.ID, "claimed", zap.String("row", claim.Key(q.Team, g.Key)), zap.String("attempt", grant.Held.Claim.Attempt))
 	r := &recording{held: grant.Held, claims: e.Claims, emit: emit}
 	err = e.Router.Do(context.WithoutCancel(ctx), q, r.take)
 	switch f := outcome.From(err); {
--- a/internal/generate/lost_test.go
+++ b/internal/generate/lost_test.go
@@ -49,7 +49,7 @@
 		r.Init(1, &retry.Budget{})
 		for range 3 {
 			q := generate.Request{
-				ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(200 * time.Millisecond),
+				ID: "r", Team: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(200 * time.Millisecond),
 				Kind: config.Kind{Name: "k", Urgency: config.Urgent, Repeatable: true},
 			}
 			err := r.Do(t.Context(), q, func(forward.Reply, forward.Token) error { return nil })
--- a/internal/generate/outcome_test.go
+++ b/internal/generate/outcome_test.go
@@ -75,7 +75,7 @@
 				r := newRouter(owner, "s1", "s2", "s3")
 				r.Init(1, &retry.Budget{})
 				err := r.Do(t.Context(), generate.Request{
-					ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
+					ID: "r", Team: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
 					Kind: config.Kind{Name: "k", Urgency: config.Urgent, Repeatable: test.repeatable},
 				}, func(forward.Reply, forward.Token) error { return nil })
 				e := outcome.From(err)
@@ -112,7 +112,7 @@
 			r.SetRetryShare(test.share)
 			for range 200 {
 				_ = r.Do(t.Context(), generate.Request{
-					ID: "r", Customer: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
+					ID: "r", Team: "c", Item: item, MaxTokens: 1, Deadline: time.Now().Add(10 * time.Second),
 					Kind: config.Kind{Name: "k", Urgency: config.Urgent, Repeatable: true},
 				}, func(forward.Reply, forward.Token) error { return nil })
 			}
--- a/internal/generate/send.go
+++ b/internal/generate/send.go
@@ -80,8 +80,8 @@
 	return forward.Job{
 		Server:      a.server,
 		RequestID:   a.q.ID,
-		EngineID:    forward.EngineID(a.q.Customer, a.engineRequest()),
-		Customer:    a.q.Customer,
+		EngineID:    forward.EngineID(a.q.Team, a.engineRequest()),
+		Team:    a.q.Team,
 		Kind:        a.q.Kind.Name,
 		Urgency:     a.q.Kind.Urgency,
 		Value:       a.q.Kind.Value,
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -14,7 +14,7 @@
 // Keys that stand in many lines.
 const (
 	requestKey  = "request-id"
-	customerKey = "customer"
+	teamKey = "team"
 	kindKey     = "kind"
 	modelKey    = "model"
 	serverKey   = "server"
@@ -57,8 +57,8 @@
 // Request returns the field that names a request.
 func Request(id string) zap.Field { return zap.String(requestKey, id) }
 
-// Customer returns the field that names a customer.
-func Customer(name string) zap.Field { return zap.String(customerKey, name) }
+// Team returns the field that names a team.
+func Team(name string) zap.Field { return zap.String(teamKey, name) }
 
 // Kind returns the field that names a kind of work.
 func Kind(name string) zap.Field { return zap.String(kindKey, name) }
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -94,7 +94,7 @@
 	require.Positive(t, status.Leases[0].ExpiresIn)
 }
 
-// refused sends a request that is refused before its customer is known, and one
+// refused sends a request that is refused before its team is known, and one
 // that can't be understood.
 func refused(ctx context.Context, t *testing.T, address string) {
 	t.Helper()
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// LimitCost limits customers by the estimated cost of their requests.
+	// LimitCost limits teams by the estimated cost of their requests.
 	LimitCost = "cost"
-	// LimitRequests limits customers by the count of their requests.
+	// LimitRequests limits teams by the count of their requests.
 	LimitRequests = "requests"
 	// LimitNone limits nobody.
 	LimitNone = "none"
@@ -27,7 +27,7 @@
 	assumedTokens = 128.0
 )
 
-// Limits returns the names of all ways to limit customers.
+// Limits returns the names of all ways to limit teams.
 func Limits() []string { return []string{LimitCost, LimitRequests, LimitNone} }
 
 // limits applies core/limit to the requests of this node.
@@ -43,7 +43,7 @@
 func newLimits(kind string) *limits { return &limits{kind: kind} }
 
 // Admit implements entry.Limits.
-func (l *limits) Admit(c config.Customer, k config.Kind, estimate float64) (func(float64), time.Duration, bool) {
+func (l *limits) Admit(c config.Team, k config.Kind, estimate float64) (func(float64), time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.policy == nil {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -34,7 +34,7 @@
 		Seeds      string // IP:port of other nodes, separated by commas
 		Policy     string // of routing, see core/route
 		Planner    string // of placement, see core/place
-		Limit      string // of customers: cost, requests or none
+		Limit      string // of teams: cost, requests or none
 		Notice     time.Duration
 		Seed       uint64
 		LogLevel   string
@@ -66,7 +66,7 @@
 	f.StringVar(&s.Seeds, "seeds", "", "IP:port of other nodes, separated by commas; the VM list adds to them")
 	f.StringVar(&s.Policy, "policy", route.NameHome, "routing policy: "+strings.Join(route.Names(), ", "))
 	f.StringVar(&s.Planner, "planner", "gain", "placement policy: gain, static, lru")
-	f.StringVar(&s.Limit, "limit", LimitCost, "how customers are limited when overloaded: cost, requests, none")
+	f.StringVar(&s.Limit, "limit", LimitCost, "how teams are limited when overloaded: cost, requests, none")
 	f.DurationVar(&s.Notice, "notice", defaultNotice, "time from the loss of readiness to the refusal of new requests at a planned stop")
 	f.Uint64Var(&s.Seed, "seed", 0, "seed of random choices, 0 for a new one each start")
 	f.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
--- a/internal/testbed/experiment/client.go
+++ b/internal/testbed/experiment/client.go
@@ -136,7 +136,7 @@
 	}
 	now := time.Now()
 	r := report.Request{
-		At: a.At, Kind: a.Mix.Name, Urgency: a.Mix.Urgency, Customer: a.Customer, Value: a.Mix.Value,
+		At: a.At, Kind: a.Mix.Name, Urgency: a.Mix.Urgency, Team: a.Team, Value: a.Mix.Value,
 		Deadline: deadline, Outcome: got.outcome, Reason: got.reason, Total: now.Sub(at), Gaps: got.gaps,
 	}
 	if r.Outcome == "" {
@@ -159,7 +159,7 @@
 	}
 	req.GetBody = nil // the transport must not send it again by itself
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Authorization", "Bearer "+workload.Key(a.Customer))
+	req.Header.Set("Authorization", "Bearer "+workload.Key(a.Team))
 	req.Header.Set("X-Kind", a.Mix.Name)
 	left := time.Until(c.start.Add(a.At + time.Duration(a.Mix.DeadlineMS)*time.Millisecond))
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
--- a/internal/testbed/experiment/settings.go
+++ b/internal/testbed/experiment/settings.go
@@ -46,7 +46,7 @@
 		Nodes      int           // default 8
 		Warm       time.Duration // between readiness and the first request, default 3 s
 		MovePrice  float64       // default the deployment's; negative for zero
-		Limit      string        // of customers, default by cost
+		Limit      string        // of teams, default by cost
 		LogDir     string        // directory for the nodes' logs, default none
 	}
 
--- a/internal/testbed/measure/callers.go
+++ b/internal/testbed/measure/callers.go
@@ -28,9 +28,9 @@
 			return
 		case <-t.C:
 		}
-		customer := random.IntN(s.Customers)
-		model := ModelName((customer + random.IntN(min(modelsEach, s.Models))) % s.Models)
-		go one(ctx, client, nodes[random.IntN(len(nodes))], Key(customer), model)
+		team := random.IntN(s.Teams)
+		model := ModelName((team + random.IntN(min(modelsEach, s.Models))) % s.Models)
+		go one(ctx, client, nodes[random.IntN(len(nodes))], Key(team), model)
 	}
 }
 
--- a/internal/testbed/measure/doc.go
+++ b/internal/testbed/measure/doc.go
@@ -15,6 +15,6 @@
 //
 // # Usage
 //
-//	p, err := measure.Run(ctx, measure.Size{Nodes: 8, Servers: 16, Models: 50, Customers: 20}, settings)
+//	p, err := measure.Run(ctx, measure.Size{Nodes: 8, Servers: 16, Models: 50, Teams: 20}, settings)
 //	line := measure.Fit(xs, ys)
 package measure
--- a/internal/testbed/measure/measure_test.go
+++ b/internal/testbed/measure/measure_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestSizeFlagsComeBack(t *testing.T) {
-	want := measure.Size{Nodes: 3, Servers: 5, Models: 7, Adapters: 11, Customers: 13, Rate: 2.5}
+	want := measure.Size{Nodes: 3, Servers: 5, Models: 7, Adapters: 11, Teams: 13, Rate: 2.5}
 	var got measure.Size
 	fs := flag.NewFlagSet("size", flag.ContinueOnError)
 	got.Register(fs)
@@ -64,11 +64,11 @@
 }
 
 func TestSizeWith(t *testing.T) {
-	base := measure.Size{Nodes: 8, Servers: 16, Models: 50, Customers: 20}
+	base := measure.Size{Nodes: 8, Servers: 16, Models: 50, Teams: 20}
 	ray, err := base.With(measure.Ray, 32)
 	require.NoError(t, err)
-	require.Equal(t, measure.Size{Nodes: 32, Servers: 64, Models: 50, Customers: 20}, ray)
-	for d, v := range map[measure.Dimension]int{"moons": 1, measure.Nodes: 0, measure.Customers: -1} {
+	require.Equal(t, measure.Size{Nodes: 32, Servers: 64, Models: 50, Teams: 20}, ray)
+	for d, v := range map[measure.Dimension]int{"moons": 1, measure.Nodes: 0, measure.Teams: -1} {
 		_, err := base.With(d, v)
 		require.ErrorAs(t, err, new(*measure.UsageError), d)
 	}
@@ -80,7 +80,7 @@
 }
 
 func TestDocumentIsValid(t *testing.T) {
-	s := measure.Size{Nodes: 1, Servers: 3, Models: 10, Adapters: 30, Customers: 4}
+	s := measure.Size{Nodes: 1, Servers: 3, Models: 10, Adapters: 30, Teams: 4}
 	d := s.Document([]string{"10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3"})
 	require.Empty(t, d.Validate())
 }
@@ -107,7 +107,7 @@
 	t.Setenv(standInsVariable, "1")
 	program, err := os.Executable()
 	require.NoError(t, err)
-	p, err := measure.Run(t.Context(), measure.Size{Nodes: 2, Servers: 4, Models: 4, Customers: 2}, measure.Settings{
+	p, err := measure.Run(t.Context(), measure.Size{Nodes: 2, Servers: 4, Models: 4, Teams: 2}, measure.Settings{
 		StandIns: []string{program}, Ready: 30 * time.Second, Window: time.Second, Windows: 1,
 	})
 	require.NoError(t, err)
--- a/internal/testbed/measure/size.go
+++ b/internal/testbed/measure/size.go
@@ -19,7 +19,7 @@
 	kvReserve     = int64(1e9)
 	slots         = 64
 	stepMS        = 7
-	modelsEach    = 3 // that a customer may call
+	modelsEach    = 3 // that a team may call
 	deadlineMS    = 10_000
 	kindName      = "live"
 	orderLifetime = 30_000
@@ -32,7 +32,7 @@
 		Servers   int     `json:"servers"` // model engines
 		Models    int     `json:"models"`
 		Adapters  int     `json:"adapters"` // in all
-		Customers int     `json:"customers"`
+		Teams int     `json:"teams"`
 		Rate      float64 `json:"rate"` // requests a second to all nodes together
 	}
 
@@ -49,7 +49,7 @@
 	Nodes     Dimension = "nodes"
 	Servers   Dimension = "servers"
 	Models    Dimension = "models"
-	Customers Dimension = "customers"
+	Teams Dimension = "teams"
 	Rate      Dimension = "rate"
 	// Ray varies nodes and servers together, two servers a node, as the size
 	// of two years from now has them.
@@ -70,7 +70,7 @@
 	f.IntVar(&s.Servers, "servers", s.Servers, "model engines")
 	f.IntVar(&s.Models, "models", s.Models, "models")
 	f.IntVar(&s.Adapters, "adapters", s.Adapters, "adapters in all")
-	f.IntVar(&s.Customers, "customers", s.Customers, "customers")
+	f.IntVar(&s.Teams, "teams", s.Teams, "teams")
 	f.Float64Var(&s.Rate, "rate", s.Rate, "requests a second to all nodes together")
 }
 
@@ -78,14 +78,14 @@
 func (s Size) Flags() []string {
 	return []string{
 		"-nodes", strconv.Itoa(s.Nodes), "-servers", strconv.Itoa(s.Servers), "-models", strconv.Itoa(s.Models),
-		"-adapters", strconv.Itoa(s.Adapters), "-customers", strconv.Itoa(s.Customers),
+		"-adapters", strconv.Itoa(s.Adapters), "-teams", strconv.Itoa(s.Teams),
 		"-rate", strconv.FormatFloat(s.Rate, 'g', -1, 64),
 	}
 }
 
 // Check returns a *UsageError if s can't be measured.
 func (s Size) Check() error {
-	if s.Nodes < 1 || s.Servers < 1 || s.Models < 1 || s.Customers < 1 || s.Adapters < 0 || s.Rate < 0 {
+	if s.Nodes < 1 || s.Servers < 1 || s.Models < 1 || s.Teams < 1 || s.Adapters < 0 || s.Rate < 0 {
 		return &UsageError{Text: fmt.Sprintf("size %+v: counts must be positive", s)}
 	}
 	return nil
@@ -100,8 +100,8 @@
 		s.Servers = v
 	case Models:
 		s.Models, s.Adapters = v, v*adaptersEach
-	case Customers:
-		s.Customers = v
+	case Teams:
+		s.Teams = v
 	case Rate:
 		s.Rate = float64(v)
 	case Ray:
@@ -125,8 +125,8 @@
 	return out, nil
 }
 
-// Key returns the key of a customer.
-func Key(customer int) string { return "key-" + strconv.Itoa(customer) }
+// Key returns the key of a team.
+func Key(team int) string { return "key-" + strconv.Itoa(team) }
 
 // ModelName returns the name of a model.
 func ModelName(i int) string { return fmt.Sprintf("model-%04d", i) }
@@ -148,16 +148,16 @@
 			ChecksOrders: true, OrderLifetimeMS: orderLifetime, Slots: slots, StepMS: stepMS,
 		})
 	}
-	for i := range s.Customers {
+	for i := range s.Teams {
 		sum := sha256.Sum256([]byte(Key(i)))
-		c := config.Customer{
-			Name: fmt.Sprintf("customer-%04d", i), KeyHashes: []string{config.KeyHashPrefix + hex.EncodeToString(sum[:])},
+		c := config.Team{
+			Name: fmt.Sprintf("team-%04d", i), KeyHashes: []string{config.KeyHashPrefix + hex.EncodeToString(sum[:])},
 			Kinds: []string{kindName}, DefaultKind: kindName, Weight: 1,
 		}
 		for j := range min(modelsEach, s.Models) {
 			c.Models = append(c.Models, ModelName((i+j)%s.Models))
 		}
-		d.Customers = append(d.Customers, c)
+		d.Teams = append(d.Teams, c)
 	}
 	// Just enough memory for what is there from the start and for the change
 	// of one version, so that next to nothing moves while control is measured.
--- a/internal/testbed/report/compare.go
+++ b/internal/testbed/report/compare.go
@@ -34,7 +34,7 @@
 		Urgent         Spread  `json:"urgent-attainment"`
 		Value          Spread  `json:"value-attainment"`
 		PerAccelerator Spread  `json:"met-per-accelerator-second"`
-		WorstCustomer  Spread  `json:"worst-customer-attainment"`
+		WorstTeam  Spread  `json:"worst-team-attainment"`
 		FirstToken95   Spread  `json:"first-token-p95-ms"`
 		Between95      Spread  `json:"between-tokens-p95-ms"`
 		Moves          Spread  `json:"moves"`
@@ -86,7 +86,7 @@
 		Urgent:         of(func(s *Summary) float64 { return s.Urgent.Attainment }),
 		Value:          of(func(s *Summary) float64 { return s.ValueAttainment }),
 		PerAccelerator: of(func(s *Summary) float64 { return s.PerAccelerator }),
-		WorstCustomer:  of(func(s *Summary) float64 { return s.WorstCustomer }),
+		WorstTeam:  of(func(s *Summary) float64 { return s.WorstTeam }),
 		FirstToken95:   of(func(s *Summary) float64 { return s.All.FirstToken.P95 }),
 		Between95:      of(func(s *Summary) float64 { return s.All.Between.P95 }),
 		Moves:          of(func(s *Summary) float64 { return float64(s.Moves) }),
@@ -110,11 +110,11 @@
 // WriteTable writes the comparison for a terminal, medians with least and most.
 func (c *Comparison) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tplanner\tlimit\tfault\tload\tprice\truns\tattainment\tof bound\turgent\tvalue\tmet/acc s\tworst customer\tfirst p95 ms\tbetween p95 ms\tmoves")
+	_, _ = fmt.Fprintln(t, "deployment\tpolicy\tplanner\tlimit\tfault\tload\tprice\truns\tattainment\tof bound\turgent\tvalue\tmet/acc s\tworst team\tfirst p95 ms\tbetween p95 ms\tmoves")
 	for _, r := range c.Rows {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.2f\t%g\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Deployment, r.Policy, r.Planner, r.Limit,
 			orNone(r.Fault), r.Load, r.MovePrice, r.Runs, r.All.format(3), r.OfBound.format(3), r.Urgent.format(3), r.Value.format(3),
-			r.PerAccelerator.format(2), r.WorstCustomer.format(2), r.FirstToken95.format(0), r.Between95.format(0), r.Moves.format(0))
+			r.PerAccelerator.format(2), r.WorstTeam.format(2), r.FirstToken95.format(0), r.Between95.format(0), r.Moves.format(0))
 	}
 	return t.Flush()
 }
--- a/internal/testbed/report/recorder.go
+++ b/internal/testbed/report/recorder.go
@@ -25,7 +25,7 @@
 		At         time.Duration // intended send time since the start
 		Kind       string
 		Urgency    config.Urgency
-		Customer   string
+		Team   string
 		Value      float64
 		Deadline   time.Duration // since At
 		Bound      bool          // met in time by the bound
@@ -112,7 +112,7 @@
 		ValueAttainment float64        `json:"value-attainment"`
 		ValueOfBound    float64        `json:"value-share-of-bound"`
 		PerAccelerator  float64        `json:"met-per-accelerator-second"`
-		WorstCustomer   float64        `json:"worst-customer-attainment"` // with at least 10 requests
+		WorstTeam   float64        `json:"worst-team-attainment"` // with at least 10 requests
 		Moves           int            `json:"moves"`
 		Reasons         map[string]int `json:"reasons"`
 		Series          []Point        `json:"series"`
@@ -176,19 +176,19 @@
 	s.All, s.Urgent = all.sum(), urgent.sum()
 	s.ValueAttainment, s.ValueOfBound = ratio(met, value), ratio(met, bound)
 	s.PerAccelerator = ratio(float64(s.All.Met), float64(m.Accelerators)*m.Duration.Seconds())
-	s.WorstCustomer = r.worstCustomer()
+	s.WorstTeam = r.worstTeam()
 	s.Series = r.series()
 	return s
 }
 
-// worstCustomer returns the least attainment of a customer with at least ten
+// worstTeam returns the least attainment of a team with at least ten
 // requests.
-func (r *Recorder) worstCustomer() float64 {
+func (r *Recorder) worstTeam() float64 {
 	offered, met := map[string]int{}, map[string]int{}
 	for i := range r.requests {
-		offered[r.requests[i].Customer]++
+		offered[r.requests[i].Team]++
 		if r.requests[i].Met() {
-			met[r.requests[i].Customer]++
+			met[r.requests[i].Team]++
 		}
 	}
 	worst := 1.0
--- a/internal/testbed/report/report_test.go
+++ b/internal/testbed/report/report_test.go
@@ -16,7 +16,7 @@
 
 func request(kind string, u config.Urgency, outcome, reason string, total time.Duration) report.Request {
 	return report.Request{
-		At: time.Second, Kind: kind, Urgency: u, Customer: "c", Value: 2, Deadline: time.Second, Bound: true,
+		At: time.Second, Kind: kind, Urgency: u, Team: "c", Value: 2, Deadline: time.Second, Bound: true,
 		Outcome: outcome, Reason: reason, FirstToken: total / 2, Total: total, Gaps: []time.Duration{9 * time.Millisecond}, Whole: outcome == "done",
 	}
 }
--- a/internal/testbed/sample/corella.go
+++ b/internal/testbed/sample/corella.go
@@ -36,15 +36,15 @@
 	}
 	doc.Limits.WeightLoads, doc.Limits.WeightLoadsRate = 7, 2
 	doc.Adapters = adapters("crew-style", 80, doc.Models)
-	doc.Customers = corellaCustomers(doc)
+	doc.Teams = corellaTeams(doc)
 	return doc
 }
 
-func corellaCustomers(doc *config.Document) []config.Customer {
+func corellaTeams(doc *config.Document) []config.Team {
 	names := []string{"shire-north", "shire-south", "ballast-contractors", "signal-contractors", "bridge-crew", "track-crew-east", "track-crew-west"}
-	var list []config.Customer
+	var list []config.Team
 	for i, name := range names {
-		list = append(list, config.Customer{
+		list = append(list, config.Team{
 			Name:        name,
 			KeyHashes:   []string{KeyHash(Key(name))},
 			Models:      dealt(doc, i, len(names)),
@@ -54,7 +54,7 @@
 			Weight:      1,
 		})
 	}
-	return append(list, config.Customer{
+	return append(list, config.Team{
 		Name:        "network-control",
 		KeyHashes:   []string{KeyHash(Key("network-control")), KeyHash(Key("network-control-next"))},
 		Models:      []string{config.AnyName},
--- a/internal/testbed/sample/doc.go
+++ b/internal/testbed/sample/doc.go
@@ -2,8 +2,8 @@
 // that they have today. The committed files in the directory samples are their
 // output; a test compares them.
 //
-// The customers' keys are test keys and known to everybody: Key gives the key
-// of a customer.
+// The teams' keys are test keys and known to everybody: Key gives the key
+// of a team.
 //
 // # Usage
 //
--- a/internal/testbed/sample/kabinaki.go
+++ b/internal/testbed/sample/kabinaki.go
@@ -36,15 +36,15 @@
 	}
 	doc.Limits.WeightLoads, doc.Limits.WeightLoadsRate = 17, 2
 	doc.Adapters = adapters("airline-style", 110, doc.Models)
-	doc.Customers = kabinakiCustomers(doc)
+	doc.Teams = kabinakiTeams(doc)
 	return doc
 }
 
-func kabinakiCustomers(doc *config.Document) []config.Customer {
+func kabinakiTeams(doc *config.Document) []config.Team {
 	names := []string{"air-coral", "air-mangrove", "island-hopper", "outback-air", "reef-regional", "strait-air"}
-	var list []config.Customer
+	var list []config.Team
 	for i, name := range names {
-		list = append(list, config.Customer{
+		list = append(list, config.Team{
 			Name:        name,
 			KeyHashes:   []string{KeyHash(Key(name))},
 			Models:      dealt(doc, i, len(names)),
@@ -54,7 +54,7 @@
 			Weight:      1,
 		})
 	}
-	return append(list, config.Customer{
+	return append(list, config.Team{
 		Name:        "records-office",
 		KeyHashes:   []string{KeyHash(Key("records-office"))},
 		Models:      []string{config.AnyName},
--- a/internal/testbed/sample/sample.go
+++ b/internal/testbed/sample/sample.go
@@ -40,8 +40,8 @@
 	servers     int // of the plain service
 }
 
-// Key returns the test key of a customer of a sample document.
-func Key(customer string) string { return keyPrefix + customer }
+// Key returns the test key of a team of a sample document.
+func Key(team string) string { return keyPrefix + team }
 
 // KeyHash returns the hash of a key as a document holds it.
 func KeyHash(key string) string {
--- a/internal/testbed/sample/sample_test.go
+++ b/internal/testbed/sample/sample_test.go
@@ -48,8 +48,8 @@
 			require.Equal(t, tt.services, len(doc.Servers)-engines)
 			require.Len(t, centres, tt.dataCentre)
 			x := config.NewIndex(doc, 1)
-			for _, c := range doc.Customers {
-				found, ok := x.CustomerByKey(sample.Key(c.Name))
+			for _, c := range doc.Teams {
+				found, ok := x.TeamByKey(sample.Key(c.Name))
 				require.True(t, ok)
 				require.Equal(t, c.Name, found.Name)
 			}
--- a/internal/testbed/session/config_test.go
+++ b/internal/testbed/session/config_test.go
@@ -48,20 +48,20 @@
 	return all
 }
 
-// withoutRival returns doc without the customer rival.
+// withoutRival returns doc without the team rival.
 func withoutRival(doc *config.Document) *config.Document {
 	changed := *doc
-	changed.Customers = nil
-	for _, c := range doc.Customers {
+	changed.Teams = nil
+	for _, c := range doc.Teams {
 		if c.Name != "rival" {
-			changed.Customers = append(changed.Customers, c)
+			changed.Teams = append(changed.Teams, c)
 		}
 	}
 	return &changed
 }
 
 // TestInvariantPausedNodeAdmitsUnderNoOldConfiguration stops a node, applies a
-// configuration that shuts a customer out, takes the platform down and lets
+// configuration that shuts a team out, takes the platform down and lets
 // the node go on: a request that waited in its socket must not be served.
 func TestInvariantPausedNodeAdmitsUnderNoOldConfiguration(t *testing.T) {
 	t.Parallel()
--- a/internal/testbed/session/document.go
+++ b/internal/testbed/session/document.go
@@ -14,7 +14,7 @@
 
 // Small returns a document with engines gpu-1 and so on, of which every second
 // one checks who gives orders, services desk-1 and so on, the models drafter
-// and checker, the adapter shire-style, and two customers.
+// and checker, the adapter shire-style, and two teams.
 func Small(t testing.TB, engines, services int) *config.Document {
 	var servers []string
 	for i := range engines {
@@ -39,7 +39,7 @@
 
 const small = `{
   "deployment": "small",
-  "customers": [
+  "teams": [
     {"name": "crew", "key-hashes": ["CREW"], "models": ["*"], "services": ["bookings"],
      "kinds": ["live-desk", "overnight-draft", "signed-plan", "booking-confirm", "booking-cancel", "booking-read"],
      "default-kind": "live-desk", "weight": 1},
--- a/internal/testbed/session/notrun_test.go
+++ b/internal/testbed/session/notrun_test.go
@@ -30,10 +30,10 @@
 func TestInvariantRefusedNotRun(t *testing.T) {
 	t.Parallel()
 	doc := session.Small(t, 2, 1)
-	doc.Customers[1].Models = append(doc.Customers[1].Models, "drafter")
+	doc.Teams[1].Models = append(doc.Teams[1].Models, "drafter")
 	for i := range doc.Servers {
 		if doc.Servers[i].Type == config.Engine {
-			doc.Servers[i].Slots = 1 // so that one request can be over its customer's limit
+			doc.Servers[i].Slots = 1 // so that one request can be over its team's limit
 		}
 	}
 	s := session.New(t, doc, session.Options{})
@@ -59,7 +59,7 @@
 	refused(t, post(chat, session.Whole("unknown", "x", 5)), "not-found")
 	refused(t, post("/bookings/other", `{}`), "not-found")
 	refused(t, post("/bookings/confirm", `{"once":2}`, "Idempotency-Key", "used"), "key-reused")
-	refused(t, post(chat, session.Whole("drafter", "x", 30000)), "customer-limit")
+	refused(t, post(chat, session.Whole("drafter", "x", 30000)), "team-limit")
 	require.Equal(t, before, s.Ran())
 
 	services := func(faults string) { s.Fault(s.Servers["desk-1"], "/fault", faults) }
@@ -135,7 +135,7 @@
 
 // TestInvariantRefusedNotRunUnderLoad floods small engines with requests of all
 // kinds. What is refused for a full queue, for more urgent work, for its
-// deadline or for its customer's limit did not run: the engines ran as many as
+// deadline or for its team's limit did not run: the engines ran as many as
 // were answered.
 func TestInvariantRefusedNotRunUnderLoad(t *testing.T) {
 	t.Parallel()
--- a/internal/testbed/session/session_test.go
+++ b/internal/testbed/session/session_test.go
@@ -29,9 +29,9 @@
 	s.StartNodes(2)
 	var r session.Transcript
 
-	r.Step("models that the customer crew may call")
+	r.Step("models that the team crew may call")
 	r.Answer(s.Do(0, http.MethodGet, "/v1/models", ""))
-	r.Step("models that the customer rival may call")
+	r.Step("models that the team rival may call")
 	r.Answer(s.Do(1, http.MethodGet, "/v1/models", "", "Authorization", "Bearer "+session.OtherKey))
 	r.Step("a key that nobody has")
 	r.Answer(s.Do(1, http.MethodGet, "/v1/models", "", "Authorization", "Bearer nobody"))
@@ -42,7 +42,7 @@
 		r.Step("a streamed answer of an adapter, asked of node %d", node+1)
 		r.Answer(s.Do(node, http.MethodPost, chat, `{"model":"shire-style","stream":true,"max_tokens":3,`+prompt+`}`))
 	}
-	r.Step("a model of another customer")
+	r.Step("a model of another team")
 	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":"drafter",`+prompt+`}`, "Authorization", "Bearer "+session.OtherKey))
 	r.Step("a body that is not JSON")
 	r.Answer(s.Do(0, http.MethodPost, chat, `{"model":`))
--- a/internal/testbed/session/silent_test.go
+++ b/internal/testbed/session/silent_test.go
@@ -31,8 +31,8 @@
 		Calls: []config.Call{{Method: http.MethodGet, Path: "", Kind: "booking-read"}},
 	})
 	doc.Servers[len(doc.Servers)-1].Service = "records"
-	for i := range doc.Customers {
-		doc.Customers[i].Services = append(doc.Customers[i].Services, "records")
+	for i := range doc.Teams {
+		doc.Teams[i].Services = append(doc.Teams[i].Services, "records")
 	}
 	return doc
 }
--- a/internal/testbed/session/stream_test.go
+++ b/internal/testbed/session/stream_test.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// TestInvariantStreamOfAnotherCustomer shows that a resume token is worth
-// nothing to another customer.
-func TestInvariantStreamOfAnotherCustomer(t *testing.T) {
+// TestInvariantStreamOfAnotherTeam shows that a resume token is worth
+// nothing to another team.
+func TestInvariantStreamOfAnotherTeam(t *testing.T) {
 	t.Parallel()
 	s := session.New(t, allCopies(session.Small(t, 1, 1)), session.Options{})
 	s.StartNodes(2)
--- a/internal/testbed/session/system.go
+++ b/internal/testbed/session/system.go
@@ -30,9 +30,9 @@
 )
 
 const (
-	// Key is the key of the customer "crew" in Small.
+	// Key is the key of the team "crew" in Small.
 	Key = "crew-key"
-	// OtherKey is the key of the customer "rival" in Small.
+	// OtherKey is the key of the team "rival" in Small.
 	OtherKey = "rival-key"
 
 	pollPeriod    = 20 * time.Millisecond
--- a/internal/testbed/workload/deployment.go
+++ b/internal/testbed/workload/deployment.go
@@ -23,7 +23,7 @@
 		Engines     int
 		Models      int
 		Adapters    int
-		Customers   int
+		Teams   int
 		DataCentres int
 		Delay       time.Duration // one way between data centres
 		ClientDelay time.Duration // one way between clients and nodes
@@ -53,7 +53,7 @@
 // report lag are ours; the brief gives the rest.
 func Corella() Deployment {
 	return Deployment{
-		Name: "corella", Engines: 12, Models: 20, Adapters: 80, Customers: 40,
+		Name: "corella", Engines: 12, Models: 20, Adapters: 80, Teams: 40,
 		DataCentres: 4, Delay: 500 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
 		Slots: 8, Step: 7 * time.Millisecond, StepSlope: 300 * time.Microsecond,
 		Prefill: 100 * time.Microsecond, ReportLag: 500 * time.Millisecond,
@@ -73,7 +73,7 @@
 // and report lag are ours; the brief gives the rest.
 func Kabinaki() Deployment {
 	return Deployment{
-		Name: "kabinaki", Engines: 20, Models: 30, Adapters: 110, Customers: 60,
+		Name: "kabinaki", Engines: 20, Models: 30, Adapters: 110, Teams: 60,
 		DataCentres: 3, Delay: 1500 * time.Microsecond, ClientDelay: time.Millisecond,
 		Slots: 8, Step: 9 * time.Millisecond, StepSlope: 300 * time.Microsecond,
 		Prefill: 100 * time.Microsecond, ReportLag: 500 * time.Millisecond,
@@ -89,7 +89,7 @@
 	}
 }
 
-// Scaled returns d with its engines, models, adapters and customers times f,
+// Scaled returns d with its engines, models, adapters and teams times f,
 // at least one of each that it has.
 func (d Deployment) Scaled(f float64) Deployment {
 	scale := func(n int) int {
@@ -99,7 +99,7 @@
 		return max(1, int(float64(n)*f+0.5))
 	}
 	d.Engines, d.Models = scale(d.Engines), scale(d.Models)
-	d.Adapters, d.Customers = scale(d.Adapters), scale(d.Customers)
+	d.Adapters, d.Teams = scale(d.Adapters), scale(d.Teams)
 	return d
 }
 
@@ -134,8 +134,8 @@
 // AdapterName returns the name of the i-th adapter.
 func (d Deployment) AdapterName(i int) string { return fmt.Sprintf("adapter-%03d", i) }
 
-// CustomerName returns the name of the i-th customer.
-func (d Deployment) CustomerName(i int) string { return fmt.Sprintf("customer-%02d", i) }
+// TeamName returns the name of the i-th team.
+func (d Deployment) TeamName(i int) string { return fmt.Sprintf("team-%02d", i) }
 
 // EngineName returns the name of the i-th engine.
 func (d Deployment) EngineName(i int) string { return fmt.Sprintf("engine-%02d", i) }
--- a/internal/testbed/workload/doc.go
+++ b/internal/testbed/workload/doc.go
@@ -8,7 +8,7 @@
 // as off. All rates together are scaled so that the mean work that arrives is
 // Load of what the accelerators can do. Arrivals are a Poisson process of the
 // resulting rates, open loop: they don't wait for answers. Prompts begin with
-// one of a few prefixes of their item. Customers' shares follow Zipf's law too.
+// one of a few prefixes of their item. Teams' shares follow Zipf's law too.
 //
 // The capacity is that of full batches: slots / step(slots) tokens a second
 // for each engine, less the processing of prompts that no cache has.
--- a/internal/testbed/workload/document.go
+++ b/internal/testbed/workload/document.go
@@ -7,8 +7,8 @@
 	"guavapaddle/core/config"
 )
 
-// Key returns the key that a customer calls with.
-func Key(customer string) string { return "key-of-" + customer }
+// Key returns the key that a team calls with.
+func Key(team string) string { return "key-of-" + team }
 
 // Document returns the configuration of the deployment with its engines at the
 // given addresses, as many as it has.
@@ -22,12 +22,12 @@
 		doc.Kinds = append(doc.Kinds, m.Kind)
 		kinds = append(kinds, m.Name)
 	}
-	for i := range d.Customers {
-		name := d.CustomerName(i)
+	for i := range d.Teams {
+		name := d.TeamName(i)
 		sum := sha256.Sum256([]byte(Key(name)))
-		doc.Customers = append(doc.Customers, config.Customer{
+		doc.Teams = append(doc.Teams, config.Team{
 			Name: name, KeyHashes: []string{"sha256:" + hex.EncodeToString(sum[:])},
-			Models: []string{"*"}, Kinds: kinds, DefaultKind: kinds[0], Weight: zipf(i, customerExponent),
+			Models: []string{"*"}, Kinds: kinds, DefaultKind: kinds[0], Weight: zipf(i, teamExponent),
 		})
 	}
 	for i := range d.Models {
--- a/internal/testbed/workload/generate.go
+++ b/internal/testbed/workload/generate.go
@@ -18,12 +18,12 @@
 	defaultOff         = 20 * time.Second
 	defaultPrefixes    = 4
 	popularityExponent = 0.9
-	customerExponent   = 1.1
+	teamExponent   = 1.1
 	prefixExponent     = 1.0
 	prefixBytes        = 1024
 	tailBytes          = 96
 	bytesPerToken      = 4
-	customersOfItem    = 3
+	teamsOfItem    = 3
 	adapterPart        = 0.5 // of the requests that name an adapter
 	lengthSpread       = 0.5 // answers are between this part less and more than their mean
 	maxTokens          = 4096
@@ -47,7 +47,7 @@
 	Arrival struct {
 		At       time.Duration // since the start
 		Model    string        // name of the model or adapter asked for
-		Customer string
+		Team string
 		Mix      Mix // kind of work, with its deadline
 		Tokens   int // of the answer
 		Prefix   int // which shared prefix
@@ -63,7 +63,7 @@
 	// item is a model or an adapter with its turns.
 	item struct {
 		name      string
-		customers []int
+		teams []int
 		turns     []turn
 	}
 )
@@ -88,15 +88,15 @@
 	prefixes := distuv.NewCategorical(zipfs(s.Prefixes, prefixExponent), random)
 	for i := range items {
 		it := &items[i]
-		weights := make([]float64, len(it.customers))
-		for k, c := range it.customers {
-			weights[k] = zipf(c, customerExponent)
+		weights := make([]float64, len(it.teams))
+		for k, c := range it.teams {
+			weights[k] = zipf(c, teamExponent)
 		}
-		customers := distuv.NewCategorical(weights, random)
+		teams := distuv.NewCategorical(weights, random)
 		for _, at := range it.arrivals(scale, random) {
 			mix := s.Deployment.Mixes[int(kinds.Rand())]
 			out = append(out, Arrival{
-				At: at, Model: it.name, Customer: s.Deployment.CustomerName(it.customers[int(customers.Rand())]),
+				At: at, Model: it.name, Team: s.Deployment.TeamName(it.teams[int(teams.Rand())]),
 				Mix: mix, Tokens: length(mix.Tokens, random), Prefix: int(prefixes.Rand()),
 			})
 		}
@@ -112,11 +112,11 @@
 func (a Arrival) Prompt() string {
 	head := fmt.Sprintf("%s prefix %d. ", a.Model, a.Prefix)
 	prefix := strings.Repeat(head, prefixBytes/len(head)+1)[:prefixBytes]
-	tail := fmt.Sprintf(" request %d of %s ", a.Number, a.Customer)
+	tail := fmt.Sprintf(" request %d of %s ", a.Number, a.Team)
 	return prefix + (tail + strings.Repeat(".", tailBytes))[:tailBytes]
 }
 
-// items draws each item's popularity, customers and turns.
+// items draws each item's popularity, teams and turns.
 func (s Settings) items(random *rand.Rand) []item {
 	d := s.Deployment
 	out := append(s.group(d.Models, d.ModelName, 1-adapterPart, random), s.group(d.Adapters, d.AdapterName, adapterPart, random)...)
@@ -129,17 +129,17 @@
 	before, after := random.Perm(n), random.Perm(n)
 	out := make([]item, n)
 	for i := range out {
-		out[i] = item{name: name(i), customers: s.customers(random)}
+		out[i] = item{name: name(i), teams: s.teams(random)}
 		out[i].turns = s.turns(part*weights[before[i]], part*weights[after[i]], random)
 	}
 	return out
 }
 
-// customers draws who asks for an item, large customers more often.
-func (s Settings) customers(random *rand.Rand) []int {
-	draw := distuv.NewCategorical(zipfs(s.Deployment.Customers, customerExponent), random)
+// teams draws who asks for an item, large teams more often.
+func (s Settings) teams(random *rand.Rand) []int {
+	draw := distuv.NewCategorical(zipfs(s.Deployment.Teams, teamExponent), random)
 	var out []int
-	for range customersOfItem {
+	for range teamsOfItem {
 		if c := int(draw.Rand()); !slices.Contains(out, c) {
 			out = append(out, c)
 		}
--- a/internal/testbed/workload/workload_test.go
+++ b/internal/testbed/workload/workload_test.go
@@ -87,9 +87,9 @@
 }
 
 func TestPromptsShareTheirPrefix(t *testing.T) {
-	a := workload.Arrival{Model: "m", Prefix: 1, Number: 1, Customer: "c"}
-	b := workload.Arrival{Model: "m", Prefix: 1, Number: 2, Customer: "c"}
-	c := workload.Arrival{Model: "m", Prefix: 2, Number: 1, Customer: "c"}
+	a := workload.Arrival{Model: "m", Prefix: 1, Number: 1, Team: "c"}
+	b := workload.Arrival{Model: "m", Prefix: 1, Number: 2, Team: "c"}
+	c := workload.Arrival{Model: "m", Prefix: 2, Number: 1, Team: "c"}
 	require.Equal(t, a.Prompt()[:1024], b.Prompt()[:1024])
 	require.NotEqual(t, a.Prompt(), b.Prompt())
 	require.NotEqual(t, a.Prompt()[:1024], c.Prompt()[:1024])
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -37,7 +37,7 @@
 		RequestID string
 		Bearer    string
 		Model     string
-		Kind      string        // empty for the customer's default
+		Kind      string        // empty for the team's default
 		Deadline  time.Duration // zero for the kind's
 		Prompt    string
 		MaxTokens int
