Keys, revocation and quotas on the machines' platform

Cause: nothing of the teams in the operator's configuration was decoded.

Keys: digests only, from the moment the row is read; hops and logs carry digests. A key that isn't known has the holder asked once a second at most for a newer configuration; one that was taken away is refused at once. The team's priority goes before the route's, as ranks of pairs.

Revocation: a node serves keys while it can show that its configuration was the newest no longer ago than the bound less 250 ms. The age counts from the start of the call of the store, on the clock that goes on in a freeze; it grows on each hop (the answer of the holder counts from the question; a report counts from the last answer that it echoes). The holder's call of the configuration's feed lasts a twelfth of the bound. A node whose proof is older than 0.6 of the bound reads for itself. Checked at admission and before each send. A node past the bound isn't ready.

Quotas, three ways weighed: (a) all at the holder: exact, a call more for each plain request (210 a second at the deployment, which has no place to ask for); (b) allowances leased by demand: no call, short of the quota when demand moves; (c) fixed parts by number of nodes: a small team's part is below one request (2,700 tokens a second over 80 nodes, 1,600 a request). Built: engine requests are charged with their place (a), others in the node and told later while the bucket is half full (else asked for first), and a node without a granter spends a share by demand (b) that the granter keeps back from the node's last report on. Shares sum to one. Ruled out on the way, by the played load of core/quota: shares that count from the moment a node is found silent (25 in 100 over), shares that may sum to more than one (2 in 100 over), a new granter with half of the tolerance (0.2 in 100 over).

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -38,6 +38,7 @@
 		Gap         time.Duration // longest pause between events that is on time
 		Priority    int           // 0 is the most urgent
 		MaxAttempts int           // most backend servers that may run one attempt
+		Public      bool          // needs no key
 		Splits      []Split       // at least one
 	}
 
@@ -84,6 +85,7 @@
 		byHost   map[string][]Route // longest prefix first
 		services map[string]Service
 		limits   Limits
+		access   Access
 	}
 )
 
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,233 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/quota"
+)
+
+var (
+	start     = time.Unix(1000, 0)
+	tolerance = quota.Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 11000}
+	desk      = fleet.Team{Name: "desk", Quota: fleet.Quota{Rate: 1000, Burst: 1000, Tokens: true, Plain: 200}}
+)
+
+func newLedger() *quota.Ledger {
+	l := &quota.Ledger{Tolerance: tolerance}
+	l.Reset(start, []fleet.Team{desk})
+	return l
+}
+
+func newPurse(seed uint64) *quota.Purse {
+	return &quota.Purse{Tolerance: tolerance, Rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func TestChargeTakesTheBurstAndThenTheRate(t *testing.T) {
+	l := newLedger()
+	ok, _ := l.Charge(start, "desk", 900)
+	require.True(t, ok)
+	ok, after := l.Charge(start, "desk", 600)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, after)
+	ok, _ = l.Charge(start.Add(after), "desk", 600)
+	require.True(t, ok, "it may come back when it is told to")
+	l.Refund(start.Add(after), "desk", 600)
+	ok, _ = l.Charge(start.Add(after), "desk", 600)
+	require.True(t, ok, "what hasn't run is given back")
+}
+
+func TestARequestLargerThanTheBurstIsTakenFromAFullBucket(t *testing.T) {
+	l := newLedger()
+	ok, _ := l.Charge(start, "desk", 5000)
+	require.True(t, ok)
+	ok, after := l.Charge(start, "desk", 100)
+	require.False(t, ok)
+	require.Equal(t, 4100*time.Millisecond, after)
+}
+
+func TestTeamsWithoutAQuotaAreNotBound(t *testing.T) {
+	l := &quota.Ledger{Tolerance: tolerance}
+	l.Reset(start, []fleet.Team{{Name: "free"}})
+	for range 100 {
+		ok, _ := l.Charge(start, "free", 1e6)
+		require.True(t, ok)
+	}
+	p := newPurse(1)
+	ok, _ := p.SpendAlone(start, fleet.Team{Name: "free"}, 1e6)
+	require.True(t, ok)
+}
+
+func TestALowerQuotaBindsAtOnce(t *testing.T) {
+	l := newLedger()
+	lower := desk
+	lower.Quota.Rate, lower.Quota.Burst = 100, 100
+	l.Configure(start, []fleet.Team{lower})
+	ok, _ := l.Charge(start, "desk", 100)
+	require.True(t, ok)
+	ok, after := l.Charge(start, "desk", 50)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, after)
+}
+
+// TestReportsThatAreLostOrComeTwiceCountOnce loses the answer to a report, has the report
+// come again late, and has another granter take over.
+func TestReportsThatAreLostOrComeTwiceCountOnce(t *testing.T) {
+	l := newLedger()
+	left := func(l *quota.Ledger) float64 { return l.Accounts(start)[0].Left }
+	p := newPurse(1)
+	report := func() quota.Uses {
+		r := p.Report()
+		r.Node, r.Incarnation = "n1", "a"
+		return r
+	}
+	p.Spend("desk", 200)
+	lost := report()
+	l.Report(start, lost) // its answer doesn't arrive
+	require.Equal(t, 800.0, left(l))
+	p.Spend("desk", 100)
+	second := report()
+	l.Report(start, second)
+	p.Answered(second.Number)
+	require.Equal(t, 700.0, left(l))
+	l.Report(start, lost)
+	require.Equal(t, 700.0, left(l), "a late report changes nothing")
+
+	other := newLedger()
+	p.Spend("desk", 50)
+	other.Report(start, report())
+	require.Equal(t, 950.0, left(other), "another granter charges what none has answered for")
+
+	p = newPurse(2)
+	p.Spend("desk", 40)
+	again := p.Report()
+	again.Node, again.Incarnation = "n1", "b"
+	l.Report(start, again)
+	require.Equal(t, 660.0, left(l), "the node's next process counts from zero")
+}
+
+// TestSharesOfSilentNodesAreKeptBack has one of two nodes fall silent, which may spend its
+// share by itself, and return.
+func TestSharesOfSilentNodesAreKeptBack(t *testing.T) {
+	l := newLedger()
+	purses := map[string]*quota.Purse{"n1": newPurse(1), "n2": newPurse(2)}
+	report := func(now time.Time, name string) {
+		r := purses[name].Report()
+		r.Node, r.Incarnation = name, name
+		purses[name].Told(l.Report(now, r), 2)
+		purses[name].Answered(r.Number)
+	}
+	for _, name := range []string{"n1", "n2"} {
+		purses[name].Spend("desk", 400)
+		report(start, name)
+	}
+	report(start, "n1") // now that all are known
+	report(start, "n2")
+	now := start
+	for range 40 { // 4 s without n2
+		now = now.Add(100 * time.Millisecond)
+		report(now, "n1")
+	}
+	ok, _ := l.Charge(now, "desk", 1000)
+	require.True(t, ok)
+	now = now.Add(time.Second)
+	report(now, "n1")
+	ok, _ = l.Charge(now, "desk", 700)
+	require.False(t, ok, "the share of n2 is kept back")
+	ok, _ = l.Charge(now, "desk", 300)
+	require.True(t, ok)
+
+	report(now, "n2")
+	now = now.Add(time.Second)
+	report(now, "n1")
+	report(now, "n2")
+	ok, _ = l.Charge(now, "desk", 950)
+	require.True(t, ok, "n2 is back and has spent nothing")
+}
+
+// TestNoWindowGoesOverWithinTheTolerance plays a team that asks many times its quota at
+// nodes that lose their granter, and the granter its memory, at random.
+func TestNoWindowGoesOverWithinTheTolerance(t *testing.T) {
+	const nodes, step, length = 40, 50 * time.Millisecond, 40 * time.Second
+	for seed := range uint64(12) {
+		rnd := rand.New(rand.NewPCG(seed, 7))
+		team := desk
+		team.Quota.Rate = 2700 * float64(1+seed*seed)
+		team.Quota.Burst = team.Quota.Rate
+		l := &quota.Ledger{Tolerance: tolerance}
+		l.Reset(start, []fleet.Team{team})
+		var purses []*quota.Purse
+		cut := make([]time.Time, nodes) // until when the node reaches no granter
+		for i := range nodes {
+			purses = append(purses, newPurse(seed*100+uint64(i)))
+		}
+		type run struct {
+			at   time.Time
+			cost float64
+		}
+		var runs []run
+		asked := 4 * team.Quota.Rate * step.Seconds() // by all nodes in a step
+		for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+			if rnd.Float64() < 0.004 {
+				l = &quota.Ledger{Tolerance: tolerance}
+				l.Reset(now, []fleet.Team{team})
+			}
+			if rnd.Float64() < 0.01 {
+				for i := range nodes {
+					if rnd.Float64() < 0.33 {
+						cut[i] = now.Add(time.Duration(rnd.Float64() * 4 * float64(time.Second)))
+					}
+				}
+			}
+			for i, p := range purses {
+				if now.Before(cut[i]) || rnd.IntN(16) != 0 {
+					continue
+				}
+				r := p.Report()
+				r.Node, r.Incarnation = string(rune('A'+i)), "x"
+				p.Told(l.Report(now, r), nodes)
+				p.Led()
+				p.Answered(r.Number)
+			}
+			for spent := 0.0; spent < asked; {
+				i, cost, plain := rnd.IntN(nodes), 200+2800*rnd.Float64(), rnd.IntN(3) == 0
+				if plain {
+					cost = 200
+				}
+				spent += cost
+				ok := true
+				switch p := purses[i]; {
+				case now.Before(cut[i]):
+					ok, _ = p.SpendAlone(now, team, cost)
+				case plain && !p.Scarce("desk"):
+					p.Spend("desk", cost)
+				default:
+					if ok, _ = l.Charge(now, "desk", cost); ok {
+						p.Charged("desk", cost)
+					}
+				}
+				if ok {
+					runs = append(runs, run{now, cost})
+				}
+			}
+		}
+		q := team.Quota
+		bound := (q.Rate*tolerance.Window.Seconds()+q.Burst)*(1+tolerance.Over) + tolerance.Slack
+		most, all, sum, first := 0.0, 0.0, 0.0, 0
+		for _, x := range runs {
+			all += x.cost
+			sum += x.cost
+			for x.at.Sub(runs[first].at) > tolerance.Window {
+				sum -= runs[first].cost
+				first++
+			}
+			most = max(most, sum)
+		}
+		require.LessOrEqual(t, most, bound, "seed %d", seed)
+		require.Greater(t, all, 0.7*q.Rate*length.Seconds(), "seed %d: callers get what they are owed", seed)
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 )
 
@@ -58,6 +59,9 @@
 	// defaultHeartbeat is how often servers write their entries where nothing says so;
 	// the users' platforms say 1.2 s.
 	defaultHeartbeat = 1200 * time.Millisecond
+	// proofParts is how many waits of the operator's feed fit into ProofWithin: a proof is
+	// as old as the wait when it comes, and the last one holds for the next wait.
+	proofParts = 12
 	// lapsePart is how many heartbeats the store must have been away for entries to
 	// lapse in it: they do after three without one, the last of which may just have been
 	// due. A little less, for heartbeats that come late.
@@ -89,15 +93,23 @@
 		// Role tells for whom this node follows, nil for itself.
 		Role func() Role
 
+		// ProofWithin is the age up to which the configuration is to be known as the newest,
+		// zero for any: the holder and its deputy ask often enough for all nodes to.
+		ProofWithin time.Duration
+
 		// Heartbeat is how often servers write their entries, zero for 1.2 s.
 		Heartbeat time.Duration
 
+		// Clock returns a time that goes on while the process stands still, clock.Boot if nil.
+		Clock func() time.Duration
+
 		// Ask asks another node for its copy when a table can't be read, nil for
 		// never.
 		Ask func(ctx context.Context)
 
 		operator table
 		server   table
+		proof    proof
 		entries  map[string]fleet.Server // as last read, by key
 		refused  map[string]int64        // versions of entries that can't be read
 		known    map[string]bool         // servers that were passed on, and whether they leave
@@ -158,6 +170,41 @@
 	return f.Role()
 }
 
+// ConfigAge returns how long ago the configuration that was passed on was the newest for
+// certain, whoever read it.
+func (f *Follower) ConfigAge() time.Duration { return f.proof.age(f.now()) }
+
+// now returns the time of the clock.
+func (f *Follower) now() time.Duration {
+	if f.Clock == nil {
+		return clock.Boot()
+	}
+	return f.Clock()
+}
+
+// Proved takes in that a version of the configuration's row was the newest at a time of
+// the clock.
+func (f *Follower) Proved(version int64, at time.Duration) {
+	t := &f.operator
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if own := t.own(); own > 0 && own >= version {
+		f.proof.advance(at)
+	}
+}
+
+// feedTime returns how long a feed of a table waits for a change.
+func (f *Follower) feedTime(t *table) time.Duration {
+	wait := feedWait
+	if f.role() == Deputy {
+		wait = deputyWait
+	}
+	if t == &f.operator && f.ProofWithin > 0 && f.role() != Alone {
+		wait = min(wait, f.ProofWithin/proofParts)
+	}
+	return wait
+}
+
 // gap returns the least time between two calls of a feed.
 func (f *Follower) gap() time.Duration {
 	switch f.role() {
@@ -178,6 +225,7 @@
 		return
 	}
 	c, err := platform.Config(r)
+	f.proof.readable(err == nil)
 	if err != nil {
 		f.Log.Error("config-unreadable", zap.Int64("version", r.Version), zap.Error(err))
 		return
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -251,7 +251,7 @@
 	eventually(t, "gone", func() bool { return !n.has("i-1") })
 	n.Take(time.Now(), follow.Update{Servers: []platform.Row{old}, Version: old.Version})
 	require.False(t, n.has("i-1"), "by an update")
-	n.Load(time.Now(), follow.Copy{Servers: []platform.Row{old}, Version: old.Version})
+	n.Load(time.Now(), follow.Copy{Servers: []platform.Row{old}, Version: old.Version}, 0)
 	require.False(t, n.has("i-1"), "by a whole copy")
 	s.Put(platform.TableServers, "i-1", entry("ready"))
 	eventually(t, "a newer entry counts", func() bool { return n.has("i-1") })
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -19,6 +19,8 @@
 		Servers  []platform.Row `json:"servers"`
 		Version  int64          `json:"version"` // of the table of servers
 		Age      time.Duration  `json:"age"`
+
+		ConfigAge time.Duration `json:"config-age"` // as of ConfigAge
 	}
 
 	// Update is what another node has beyond that.
@@ -30,6 +32,8 @@
 		Whole    bool  // Servers are all rows
 		Age      time.Duration
 		Grace    time.Duration // for which entries that went are still kept
+
+		ConfigAge time.Duration // how long ago Operator was the newest for certain
 	}
 )
 
@@ -47,6 +51,9 @@
 	return t.version
 }
 
+// Behind tells whether another node told of a configuration newer than this one's.
+func (f *Follower) Behind() bool { return f.operator.behind() }
+
 // newest returns the version of the newest row that this node has or was told
 // of.
 func (t *table) newest() int64 {
@@ -67,7 +74,8 @@
 // Since returns what this node has beyond what another one knows. The
 // configuration is large and changes seldom, so only its version is told.
 func (f *Follower) Since(now time.Time, k Known) Update {
-	u := Update{Operator: f.operator.newest(), After: k.Servers, Age: f.Age(now)}
+	age := f.ConfigAge() // before the version, which may be newer than what the age proves
+	u := Update{Operator: f.operator.newest(), After: k.Servers, Age: f.Age(now), ConfigAge: age}
 	t := &f.server
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -137,7 +145,8 @@
 
 // Copy returns all that this node has; ok is false if that isn't whole.
 func (f *Follower) Copy(now time.Time) (Copy, bool) {
-	c := Copy{Operator: f.operator.all(), Servers: f.server.all(), Version: f.server.Version(), Age: f.Age(now)}
+	age := f.ConfigAge()
+	c := Copy{ConfigAge: age, Operator: f.operator.all(), Servers: f.server.all(), Version: f.server.Version(), Age: f.Age(now)}
 	return c, len(c.Operator) > 0 && len(c.Servers) > 0
 }
 
@@ -152,9 +161,15 @@
 	return rows
 }
 
-// Load takes in another node's copy. Newer rows that are here stay.
-func (f *Follower) Load(now time.Time, c Copy) {
+// Load takes in another node's copy, for which this node asked at a boot time. Newer rows
+// that are here stay.
+func (f *Follower) Load(now time.Time, c Copy, asked time.Duration) {
 	f.operator.load(c.Operator, 0)
+	for _, r := range c.Operator {
+		if r.Key == platform.KeyConfig {
+			f.Proved(r.Version, asked-c.ConfigAge)
+		}
+	}
 	f.Take(now, Update{Servers: c.Servers, Version: c.Version, Age: c.Age})
 }
 
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -164,6 +164,7 @@
 
 // step reads the table whole or waits for its next changes.
 func (t *table) step(ctx context.Context, whole bool) error {
+	began := t.f.now()
 	if whole {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
@@ -171,17 +172,16 @@
 		if err != nil {
 			return err
 		}
+		hideKeys(rows)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.reach()
 		t.replace(rows, version)
+		t.prove(began)
 		return nil
 	}
 	t.mu.Lock()
-	wait, after := feedWait, t.version
-	if t.f.role() == Deputy {
-		wait = deputyWait
-	}
+	wait, after := t.f.feedTime(t), t.version
 	if t.quick {
 		wait = quickWait
 	}
@@ -192,6 +192,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	rows, version, err := t.f.Store.Feed(ctx, t.name, after, wait)
+	hideKeys(rows)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.quick = err != nil
@@ -200,9 +201,27 @@
 	}
 	t.reach()
 	t.take(rows, version)
+	t.prove(began)
 	return nil
 }
 
+// hideKeys replaces keys of callers in the configuration's row by their digests, before
+// it is kept or passed on.
+func hideKeys(rows []platform.Row) {
+	for i, r := range rows {
+		if r.Table == platform.TableOperator && r.Key == platform.KeyConfig && !r.Gone {
+			rows[i].Value = platform.HideKeys(r.Value)
+		}
+	}
+}
+
+// prove notes that the copy held all that the store had when a call began; t.mu is held.
+func (t *table) prove(began time.Duration) {
+	if t == &t.f.operator && t.own() > 0 {
+		t.f.proof.advance(began)
+	}
+}
+
 // replace takes in all rows of the table; those that are missing have vanished.
 // t.mu is held.
 func (t *table) replace(rows []platform.Row, version int64) {
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -56,7 +56,9 @@
 // tellDeputy reports to the deputy, and tells whether it took the report.
 func (n *Node) tellDeputy(ctx context.Context, l leader.Lease, r hub.Report) bool {
 	if n.isActing() {
-		n.take(n.Report(r))
+		p := n.Report(r)
+		n.take(p)
+		n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
 		return true
 	}
 	at, ok := n.deputyToAsk()
@@ -66,6 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r.Counts = n.gateway.Counts(actingEpoch(l))
+	asked := clock.Boot()
 	p, err := (&hub.Client{Endpoint: n.endpoint}).Exchange(ctx, at.Address, r)
 	if err != nil || !p.Acting {
 		n.refusedBy(at, err)
@@ -73,7 +76,8 @@
 	}
 	n.deputyHeard.Store(int64(clock.Boot()))
 	n.take(p)
-	n.fed(p.Update)
+	n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
+	n.fed(p.Update, asked)
 	n.placer.Learn(p.Lease)
 	return true
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -34,6 +34,9 @@
 	// the node looks for another one in the store.
 	leaderSilent = 500 * time.Millisecond
 	storeTimeout = time.Second
+	// ownProofPart is the part, in percent, of the age up to which keys are relied on from
+	// which on a node asks the store itself. Nodes that the holder answers stay below it.
+	ownProofPart = 60
 )
 
 type (
@@ -49,17 +52,19 @@
 func (n *Node) exchange(ctx context.Context) {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = exchangeEvery, backoffMost
-	for wait := exchangeEvery; clock.Sleep(ctx, wait); {
+	for wait := exchangeEvery; n.refresher.sleep(ctx, wait); n.refresher.done() {
 		wait = n.period()
 		l, ok := n.placer.Leader()
 		if !ok || l.Node == "" {
 			continue
 		}
 		r := n.report(l)
+		asked := clock.Boot()
 		p, err := n.tell(ctx, l, r)
 		if err == nil && p.Leading {
 			b.Reset()
-			n.led(l, p)
+			n.led(l, p, asked)
+			n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
 			continue
 		}
 		if err == nil && n.placer.Learn(p.Lease) {
@@ -72,6 +77,7 @@
 			continue
 		}
 		n.gateway.Keep(r.Marks)
+		n.gateway.Unled()
 		wait = b.NextBackOff()
 	}
 }
@@ -84,9 +90,22 @@
 	r.Contact = n.follower.Contact(time.Now())
 	r.Heard, r.Roster, r.Lease = n.heard, n.roster, n.placer.LeaseVersion()
 	r.Update = n.read(r)
+	r.Echo = n.echo
+	r.Quotas = n.gateway.Spent()
+	r.Quotas.Node, r.Quotas.Incarnation = n.settings.Node, n.key.Fingerprint()
+	r.Echo.After = clock.Boot() - n.follower.ConfigAge() - n.echoAt
 	return r
 }
 
+// proved takes in that the configuration was the newest when the store answered another
+// node: at a time of this node's clock that is known by the last answer it got from here.
+func (n *Node) proved(r hub.Report, id uint64) {
+	if r.Update == nil || r.Echo.Hub == 0 || r.Echo.Hub != id {
+		return
+	}
+	n.follower.Proved(r.Update.Operator, r.Echo.Stamp+r.Echo.After)
+}
+
 // tell reports to the holder of the lease. One that has fallen silent is given less time,
 // since its deputy has to hear of this node too.
 func (n *Node) tell(ctx context.Context, l leader.Lease, r hub.Report) (hub.Picture, error) {
@@ -103,7 +122,8 @@
 }
 
 // led takes in the answer of the holder of the lease.
-func (n *Node) led(l leader.Lease, p hub.Picture) {
+// It was asked for at a boot time.
+func (n *Node) led(l leader.Lease, p hub.Picture, asked time.Duration) {
 	n.nodes.Store(int64(p.Nodes))
 	if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
 		n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
@@ -118,7 +138,7 @@
 	}
 	n.take(p)
 	if l.Key != n.key.Fingerprint() {
-		n.fed(p.Update)
+		n.fed(p.Update, asked)
 		n.placer.Learn(p.Lease)
 	}
 }
@@ -126,6 +146,7 @@
 // take takes in what the holder, or its deputy, answers.
 func (n *Node) take(p hub.Picture) {
 	n.heard = p.Heard
+	n.echo, n.echoAt = hub.Echo{Hub: p.Heard.Hub, Stamp: p.Stamp}, clock.Boot()
 	n.gateway.Take(p)
 	n.holderHas.Store(p.Update.Version)
 }
@@ -149,8 +170,10 @@
 
 // fed takes in the holder's copy of the store's tables. A copy that is old
 // doesn't keep this node from following the store.
-func (n *Node) fed(u follow.Update) {
+// It was asked for at a boot time.
+func (n *Node) fed(u follow.Update, asked time.Duration) {
 	n.follower.Take(time.Now(), u)
+	n.follower.Proved(u.Operator, asked-u.ConfigAge)
 	if u.Age <= n.staleFeed() {
 		n.fedAt.Store(int64(clock.Boot()))
 	}
@@ -160,7 +183,14 @@
 // node needn't follow them.
 func (n *Node) beingFed() bool {
 	at := n.fedAt.Load()
-	return n.role() == follow.Alone && at != 0 && clock.Boot()-time.Duration(at) < n.silence()
+	return n.role() == follow.Alone && at != 0 && clock.Boot()-time.Duration(at) < n.silence() && !n.proofDue()
+}
+
+// proofDue tells whether this node should ask the store itself whether its configuration
+// is the newest, before it is too old for keys.
+func (n *Node) proofDue() bool {
+	bound := n.gateway.KeyAge
+	return bound > 0 && n.follower.ConfigAge() > bound*ownProofPart/100
 }
 
 // isLed tells whether another node holds the lease and answers.
@@ -240,10 +270,13 @@
 	if !p.Leading && !p.Acting {
 		return p
 	}
+	p.Quotas = n.granter.Spent(r.Quotas)
 	if r.Update != nil {
 		n.follower.Take(time.Now(), *r.Update)
+		n.proved(r, p.Heard.Hub)
 	}
 	p.Update = n.follower.Since(time.Now(), r.Known)
+	p.Stamp = clock.Boot()
 	return p
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -36,12 +36,15 @@
 	store *standin.Store
 	seeds []string
 	lease time.Duration // time to live of the lease, 0.9 s if zero
+	tune  func(s *front.Settings)
+	key   string
 	nodes []*process
 }
 
 // process is a node with the means to end it.
 type process struct {
 	settings front.Settings
+	key      string // of the client that asks
 	logs     *observer.ObservedLogs
 	stop     context.CancelFunc
 	done     chan error
@@ -52,8 +55,11 @@
 	p := &process{done: make(chan error, 1), settings: front.Settings{Node: name, DataCentre: "z", Clients: freeport.Take(), Ready: freeport.Take(),
 		Peers: freeport.Take(), Metrics: freeport.Take(), Control: freeport.Take(), Store: f.store.Address(), Cores: 1, MemoryMB: 500, Descriptors: 1000, GraceS: 2, LeaseMS: int(cmp.Or(f.lease, 900*time.Millisecond).Milliseconds()),
 		LoadWindowS: 5, RepeatRatio: 0.2, RepeatExtra: 56, RepeatSpanS: 10, CheckEpochs: true, Seeds: f.seeds}}
+	if f.tune != nil {
+		f.tune(&p.settings)
+	}
 	core, logs := observer.New(zap.InfoLevel)
-	p.logs = logs
+	p.logs, p.key = logs, f.key
 	n, err := front.New(p.settings, zap.New(core))
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -87,6 +93,9 @@
 		req.Header.Set("X-Guavapaddle-Model", model)
 		req.Header.Set("X-Guavapaddle-Token-Count", "100,10")
 	}
+	if p.key != "" {
+		req.Header.Set("Authorization", "Bearer "+p.key)
+	}
 	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -107,8 +116,16 @@
 func newFleetLeased(t *testing.T, nodes int, lease time.Duration) (*fleetRig, *standin.Worker, *standin.Worker) {
 	t.Helper()
 	f := &fleetRig{t: t, store: standin.NewStore(t), lease: lease}
-	engine := (&standin.Worker{ID: "i-engine", Stream: 5}).Hold("m0").Start(t)
-	plain := (&standin.Worker{ID: "i-plain"}).Start(t)
+	engine, plain := f.run(nodes, configuration)
+	return f, engine, plain
+}
+
+// run starts the backend servers and so many nodes with a configuration.
+func (f *fleetRig) run(nodes int, configuration string) (engine, plain *standin.Worker) {
+	t := f.t
+	t.Helper()
+	engine = (&standin.Worker{ID: "i-engine", Stream: 5}).Hold("m0").Start(t)
+	plain = (&standin.Worker{ID: "i-plain"}).Start(t)
 	f.store.Put(platform.TableOperator, platform.KeyConfig, []byte(configuration))
 	f.store.Put(platform.TableServers, "i-engine", engine.Entry("llm", "z", false))
 	f.store.Put(platform.TableServers, "i-plain", plain.Entry("plain", "z", false))
@@ -118,7 +135,7 @@
 	for _, p := range f.nodes {
 		require.Eventually(t, p.ready, 5*time.Second, 5*time.Millisecond)
 	}
-	return f, engine, plain
+	return engine, plain
 }
 
 func TestNodesServeLoadModelsAndOutliveTheHolder(t *testing.T) {
@@ -265,6 +282,11 @@
 		"bad extra":    {`"repeat-extra":56`, `"repeat-extra":-1`, "$.repeat-extra"},
 		"bad beat":     {`"log-level"`, `"server-heartbeat-ms":-1,"log-level"`, "$.server-heartbeat-ms"},
 		"bad notice":   {`"log-level"`, `"server-notice-ms":-1,"log-level"`, "$.server-notice-ms"},
+		"bad over":     {`"log-level"`, `"quota-over":-1,"log-level"`, "$.quota-over"},
+		"bad slack":    {`"log-level"`, `"quota-slack":-1,"log-level"`, "$.quota-slack"},
+		"bad window":   {`"log-level"`, `"quota-span-s":-1,"log-level"`, "$.quota-span-s"},
+		"bad revoking": {`"log-level"`, `"key-revocation-ms":-1,"log-level"`, "$.key-revocation-ms"},
+		"no margin":    {`"log-level"`, `"key-revocation-ms":200,"log-level"`, "$.key-revocation-ms"},
 		"no span":      {`"repeat-span-s":10`, `"repeat-span-s":0`, "$.repeat-span-s"},
 		"wrong type":   {`284`, `"much"`, "memory-mb"},
 		"two values":   {`"info"}`, `"info"}{}`, "more than one"},
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
 )
@@ -49,6 +50,7 @@
 			continue
 		}
 		var a joinAnswer
+		asked := clock.Boot()
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
 		got, err := n.seeds.get(seed).JSON(call, http.MethodPost, joinPath, r, &a)
 		cancel()
@@ -57,7 +59,7 @@
 			continue
 		}
 		n.log.Info("joined", zap.String("seed", seed), zap.Int64("version", a.Copy.Version), zap.Duration("age", a.Copy.Age))
-		n.follower.Load(time.Now(), a.Copy)
+		n.follower.Load(time.Now(), a.Copy, asked)
 		n.placer.Learn(a.Lease)
 		return
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -88,6 +88,9 @@
 	acting        atomic.Bool                     // this node is the deputy and grants places
 	heard         hub.Heard                       // what the holder has told; of the exchange only
 	roster        uint64                          // up to where it told a deputy who reports; likewise
+	echo          hub.Echo                        // of the last answer to a report; likewise
+	echoAt        time.Duration                   // boot time of its arrival; likewise
+	refresher     refresher
 	peers         trust
 	contact       contact
 	seeds         clientCache
@@ -108,7 +111,7 @@
 	n.registry.MustRegister(m.Collectors()...)
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Repeats: n.repeats()}
+		Repeats: n.repeats(), Refresh: n.refresh, KeyAge: s.keyAge(), Charge: n.charge, Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdle,
 		OnMessage: func(string, peer.Frame) {},
@@ -116,11 +119,13 @@
 			hub.Serve(ctx, n, f, st)
 		}}
 	n.hub.Granted = n.granted
-	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts}
+	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts, Tolerance: s.tolerance()}
+	n.registry.MustRegister(n.granter)
 	n.placer = n.newPlacer()
 	n.granter.Adapter = n.placer.Want
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Led: n.isLed,
-		Role: n.role, Ask: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond}
+		Role: n.role, Ask: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, ProofWithin: n.gateway.KeyAge}
+	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
 	n.probes = &http1.Server{Handler: readiness{n}}
@@ -258,12 +263,13 @@
 
 // ready tells whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Config() != nil && n.servers.Load()
+	return !n.stopping.Load() && n.gateway.Serves() && n.servers.Load()
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
 	n.gateway.SetConfig(c)
 	n.placer.Config(n.gateway.Config())
+	n.granter.Teams(n.gateway.Config().Teams())
 	n.noteEngines()
 }
 
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -2,12 +2,23 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"time"
+
+	"guavapaddle/core/quota"
 )
 
+// revokeMargin is kept of the time in which a revoked key must be refused, in ms: a
+// request is read and checked in it.
+const revokeMargin = 250
+
+// defaultQuotaSpanS is the window in which the use of quotas is looked at, in seconds.
+const defaultQuotaSpanS = 10
+
 type (
 	// Settings of a node, read from a JSON file.
 	Settings struct {
@@ -32,6 +43,10 @@
 		CheckEpochs bool     `json:"engines-check-epochs"`
 		HeartbeatMS int      `json:"server-heartbeat-ms"` // how often backend servers write their entries; 0 if nothing says so
 		NoticeMS    int      `json:"server-notice-ms"`    // from the store's word that a backend server leaves until none may send to it; 0 for 2000
+		RevokeMS    int      `json:"key-revocation-ms"`   // from the store's word that a key is gone until no request sent later may run; 0 for no bound
+		QuotaOver   float64  `json:"quota-over"`          // by which part the use of a quota may go over in a window
+		QuotaSlack  float64  `json:"quota-slack"`         // and by how many units beside that, over all nodes
+		QuotaSpanS  float64  `json:"quota-span-s"`        // the window; 0 for 10
 		LogLevel    string   `json:"log-level"`
 	}
 
@@ -70,6 +85,21 @@
 	return s, nil
 }
 
+// keyAge returns the age of the configuration from which on keys aren't relied on, zero
+// for none.
+func (s Settings) keyAge() time.Duration {
+	if s.RevokeMS == 0 {
+		return 0
+	}
+	return time.Duration(s.RevokeMS-revokeMargin) * time.Millisecond
+}
+
+// tolerance returns how far the use of a quota may go over.
+func (s Settings) tolerance() quota.Tolerance {
+	return quota.Tolerance{Window: time.Duration(cmp.Or(s.QuotaSpanS, defaultQuotaSpanS) * float64(time.Second)),
+		Over: s.QuotaOver, Slack: s.QuotaSlack}
+}
+
 // check returns the first setting that can't be used.
 func (s Settings) check() *SettingsError {
 	addresses := []struct{ path, value string }{
@@ -104,6 +134,14 @@
 		return &SettingsError{Path: "server-heartbeat-ms", Reason: "must not be below zero"}
 	case s.NoticeMS < 0:
 		return &SettingsError{Path: "server-notice-ms", Reason: "must not be below zero"}
+	case s.RevokeMS < 0 || s.RevokeMS > 0 && s.RevokeMS <= revokeMargin:
+		return &SettingsError{Path: "key-revocation-ms", Reason: fmt.Sprintf("must be 0 or above %d", revokeMargin)}
+	case s.QuotaOver < 0:
+		return &SettingsError{Path: "quota-over", Reason: "must not be below zero"}
+	case s.QuotaSlack < 0:
+		return &SettingsError{Path: "quota-slack", Reason: "must not be below zero"}
+	case s.QuotaSpanS < 0:
+		return &SettingsError{Path: "quota-span-s", Reason: "must not be below zero"}
 	case s.RepeatRatio < 0:
 		return &SettingsError{Path: "repeat-ratio", Reason: "must not be below zero"}
 	case s.RepeatExtra < 0:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,8 +11,10 @@
 
 	"go.uber.org/zap"
 
+	"guavapaddle/core/apikey"
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/quota"
 	"guavapaddle/core/retry"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/http1"
@@ -45,7 +47,18 @@
 		// Place asks the holder of the lease when and where a request to a model
 		// engine may begin. An error means that the holder can't be reached.
 		Place func(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error)
-		Rand  *rand.Rand
+		// Charge asks the granter whether a quota allows a request.
+		Charge func(ctx context.Context, c hub.Charge) (hub.Charged, error)
+		// Tolerance is how far the use of a quota may go over.
+		Tolerance quota.Tolerance
+		// Refresh asks another node for a newer configuration, and returns when it is in
+		// force or none is known of; nil for nobody to ask.
+		Refresh func(ctx context.Context)
+		// ConfigAge returns how long ago the configuration in force was the newest for
+		// certain, and KeyAge the age from which on keys aren't relied on; zero for never.
+		ConfigAge func() time.Duration
+		KeyAge    time.Duration
+		Rand      *rand.Rand
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
 
@@ -53,7 +66,9 @@
 		mu      sync.Mutex // guards what follows, and Rand
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
-		nodes   int                      // that share what a service bears, 0 if unknown
+		purse   quota.Purse
+		led     bool // a granter has answered the last report
+		nodes   int  // that share what a service bears, 0 if unknown
 		demand  map[hub.Item]*hub.Demand
 		marks   map[uint64]map[string]bool
 		news    []hub.Mark
@@ -69,6 +84,13 @@
 		route    fleet.Route
 		service  string
 		version  int64 // of the configuration that chose the route
+		team     fleet.Team
+		key      apikey.Digest
+		keyed    bool   // the request has a key that is valid
+		problem  string // with the credentials
+		charged  bool   // of its team's quota
+		alone    bool   // without a granter
+		ran      bool   // a server may have run it
 		deadline time.Time
 		header   http.Header
 		exclude  map[string]bool
@@ -93,6 +115,7 @@
 func (g *Gateway) Run(p *balance.Picture) {
 	g.picture = p
 	g.budgets = map[string]*retry.Budget{}
+	g.purse = quota.Purse{Tolerance: g.Tolerance, Rand: g.Rand}
 	g.demand = map[hub.Item]*hub.Demand{}
 	g.marks = map[uint64]map[string]bool{}
 	g.changed = make(chan struct{})
@@ -106,6 +129,9 @@
 		if old != nil && old.Version() >= c.Version() {
 			return
 		}
+		if old != nil {
+			c = c.WithRevokedSince(old)
+		}
 		if g.config.CompareAndSwap(old, c) {
 			g.Log.Info("config-in-force", zap.Int64("version", c.Version()))
 			g.wake()
@@ -141,6 +167,7 @@
 func (g *Gateway) Handle(x *http1.Exchange) {
 	r := &request{g: g, x: x, meta: platform.ParseRequest(x.Request.Header)}
 	defer r.finish()
+	defer r.refund()
 	if r.meta.ID == "" {
 		r.answer(http.StatusBadRequest, NoID, 0)
 		return
@@ -161,6 +188,9 @@
 	r.service = route.Service(g.Rand.Float64())
 	g.mu.Unlock()
 	r.deadline = x.Received.Add(r.patience())
+	if !r.authenticate(c) {
+		return
+	}
 	r.print = fingerprint(x)
 	if g.crashed(r.print) >= crashesMost {
 		r.answer(http.StatusServiceUnavailable, Crashes, 0)
@@ -170,6 +200,9 @@
 	r.serve()
 }
 
+// urgency returns the rank of the request, 0 for the most urgent.
+func (r *request) urgency() int { return r.g.config.Load().Urgency(r.route, r.team) }
+
 // patience returns how long the request may take.
 func (r *request) patience() time.Duration {
 	d := noDeadline
@@ -188,6 +221,9 @@
 	r.outcome = outcome{status: status, reason: why}
 	h := http.Header{}
 	platform.Echo(h, r.meta.ID)
+	if status == http.StatusUnauthorized {
+		platform.Challenge(h)
+	}
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -20,6 +20,13 @@
 	NoConfig Reason = "no-config"
 	// NoRoute means that the configuration in force has no route for it.
 	NoRoute Reason = "no-route"
+	// Unauthorized means that the request has no key that the configuration in force allows.
+	Unauthorized Reason = "unauthorized"
+	// StaleConfig means that the configuration in force may not be the newest any more, so
+	// that the key may have been revoked.
+	StaleConfig Reason = "stale-config"
+	// Quota means that the team has spent its quota.
+	Quota Reason = "quota"
 	// Crashes means that the request ended several servers.
 	Crashes Reason = "crashes"
 	// NoServer means that the service has no server left to try.
@@ -125,5 +132,5 @@
 		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.refusal)), zap.Int("status", o.status),
 		zap.String("server", r.choice.Server.ID), zap.String("rule", r.rule), zap.Duration("estimate", r.choice.Wait),
 		zap.Duration("age", r.choice.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
-		zap.Duration("queued", r.queued), zap.Duration("first", o.first), zap.Duration("gap", r.gap), zap.Duration("took", took), zap.Error(o.err))
+		zap.Duration("queued", r.queued), zap.Duration("first", o.first), zap.Duration("gap", r.gap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -89,13 +89,16 @@
 			return balance.Broken, notSent, Reset
 		}
 		t.sends++
+		t.ran = true
 		return t.broken(err)
 	}
 	t.sends++
 	if err := t.receive(); err != nil {
+		t.ran = true
 		t.conn.Close()
 		return t.broken(err)
 	}
+	t.ran = t.ran || !t.answer.NotRun
 	t.first = time.Since(sent)
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,6 +59,13 @@
 			r.giveUp(why, refusal)
 			return
 		}
+		if !r.spend() {
+			return
+		}
+		if why := r.allowed(); why != "" {
+			r.giveUp(why, refusal)
+			return
+		}
 		if r.sends > 0 && !g.spend(r.service) {
 			r.giveUp(Budget, refusal)
 			return
@@ -115,6 +122,12 @@
 		status, after = http.StatusGatewayTimeout, 0
 	case r.runs > 0:
 		status, after = http.StatusBadGateway, 0
+	case why == Unauthorized:
+		status, after = http.StatusUnauthorized, 0
+	case why == StaleConfig:
+		after = staleRetry
+	case why == Quota:
+		status, after = http.StatusTooManyRequests, r.spread(r.after)
 	}
 	r.answer(status, why, after)
 	r.outcome.refusal = refusal
@@ -199,9 +212,10 @@
 // ask asks the holder of the lease for a place. ok is false if the node has to
 // pick by itself.
 func (r *request) ask(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
-	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.route.Priority,
+	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.urgency(),
 		Waited: time.Since(r.x.Received),
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
+	p.Charge = r.due()
 	for id := range r.exclude {
 		p.Exclude = append(p.Exclude, id)
 	}
@@ -220,6 +234,9 @@
 	if err != nil {
 		return c, "", false
 	}
+	if placed.Granted {
+		r.paid(p.Charge)
+	}
 	if !placed.Granted {
 		grant.Done(balance.Dropped)
 		r.after = placed.After
@@ -339,9 +356,12 @@
 	h := r.header.Clone()
 	priority := -1
 	if r.route.Kind == fleet.Stream {
-		priority = r.route.Priority
+		priority = r.urgency()
 	}
 	platform.Forward(h, s.ID, time.Until(r.deadline), priority)
+	if r.g.config.Load().KeysRequired() {
+		platform.Identify(h, r.team.Name)
+	}
 	if r.last != "" && r.route.Resumable {
 		platform.Resume(h, r.last)
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -22,6 +22,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/grant"
+	"guavapaddle/core/quota"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 )
@@ -30,6 +31,9 @@
 // that expire.
 const Tick = 50 * time.Millisecond
 
+// OverQuota means that a request's team has spent its quota.
+const OverQuota balance.Why = "quota"
+
 type (
 	// Granter decides about places. Its exported fields are set before the first
 	// call. It is safe for concurrent use.
@@ -38,11 +42,15 @@
 		Settings grant.Settings
 		Adapter  func(ctx context.Context, w hub.Want) hub.Offer // has an adapter loaded
 		Counts   func() map[string]balance.Count                 // what all nodes have, nil for nobody
+		// Tolerance is how far the use of a quota may go over.
+		Tolerance quota.Tolerance
 
 		mu       sync.Mutex
 		picture  *balance.Picture
 		schedule *grant.Scheduler
 		servers  []fleet.Server
+		teams    []fleet.Team
+		ledger   quota.Ledger
 		next     uint64
 		waiters  map[uint64]waiter
 		fetching map[hub.Item]bool
@@ -70,6 +78,8 @@
 	g.schedule = grant.New(g.picture, g.Settings)
 	g.waiters = map[uint64]waiter{}
 	g.fetching = map[hub.Item]bool{}
+	g.ledger = quota.Ledger{Tolerance: g.Tolerance}
+	g.ledger.Reset(time.Now(), g.teams)
 }
 
 // Servers takes in the list of backend servers.
@@ -158,6 +168,12 @@
 	for _, s := range p.Lacks {
 		g.picture.Note(now, s, p.Model, p.Adapter, false)
 	}
+	if ok, after := g.ledger.Charge(now, p.Charge.Team, p.Charge.Cost); !ok {
+		g.mu.Unlock()
+		d := grant.Decision{Why: OverQuota, After: after}
+		w.log(g.Log, d)
+		return d, &place{g, id}, nil
+	}
 	w.ahead = g.schedule.Waiting()
 	g.waiters[id] = w
 	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority, Since: now.Add(-p.Waited),
@@ -171,11 +187,15 @@
 	}
 	select {
 	case d := <-w.decided:
+		if !d.Granted {
+			g.refund(p.Charge)
+		}
 		w.log(g.Log, d)
 		return d, &place{g, id}, nil
 	case <-reset:
 		return grant.Decision{}, nil, context.Canceled
 	case <-ctx.Done():
+		g.refund(p.Charge)
 		g.release(id, balance.Dropped)
 		return grant.Decision{}, nil, ctx.Err()
 	}
@@ -187,7 +207,7 @@
 		zap.String("server", d.Choice.Server.ID), zap.String("model", w.place.Model), zap.String("adapter", w.place.Adapter),
 		zap.Int("priority", w.place.Priority), zap.Int("tokens", w.place.Tokens), zap.Int("ahead", w.ahead),
 		zap.Duration("estimate", d.Choice.Wait), zap.Duration("age", d.Choice.Age), zap.Duration("waited", time.Since(w.since)),
-		zap.Duration("come-back", d.After))
+		zap.Duration("come-back", d.After), zap.String("team", w.place.Charge.Team), zap.Float64("charge", w.place.Charge.Cost))
 }
 
 // place is a grant.
--- /dev/null
+++ b/internal/granter/quotas.go
@@ -0,0 +1,75 @@
+package granter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/quota"
+	"guavapaddle/internal/hub"
+)
+
+// Teams puts the quotas of teams in force.
+func (g *Granter) Teams(teams []fleet.Team) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.teams = teams
+	g.ledger.Tolerance = g.Tolerance
+	g.ledger.Configure(time.Now(), teams)
+}
+
+// Charge takes a request's cost out of its team's quota.
+func (g *Granter) Charge(c hub.Charge) hub.Charged {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ok, after := g.ledger.Charge(time.Now(), c.Team, c.Cost)
+	return hub.Charged{Done: true, OK: ok, After: after}
+}
+
+// Spent takes in what a node has spent, and returns what it is told of the quotas.
+func (g *Granter) Spent(u quota.Uses) map[string]quota.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Report(time.Now(), u)
+}
+
+// Accounts returns the use of all teams with a quota.
+func (g *Granter) Accounts() []quota.Account {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Accounts(time.Now())
+}
+
+// quotaLabels are the labels of the metrics of quotas.
+var quotaLabels = []string{"team"}
+
+// Descriptions of the metrics of quotas.
+var (
+	quotaLeft = prometheus.NewDesc("guavapaddle_quota_left", "Units left of a team's quota, below zero for debt, at the node that grants places.", quotaLabels, nil)
+	quotaUsed = prometheus.NewDesc("guavapaddle_quota_used_per_second", "Units of its quota that a team used of late.", quotaLabels, nil)
+	quotaRate = prometheus.NewDesc("guavapaddle_quota_rate", "Units a second that a team's quota allows.", quotaLabels, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (g *Granter) Describe(c chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{quotaLeft, quotaUsed, quotaRate} {
+		c <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (g *Granter) Collect(c chan<- prometheus.Metric) {
+	for _, a := range g.Accounts() {
+		for d, v := range map[*prometheus.Desc]float64{quotaLeft: a.Left, quotaUsed: a.Used, quotaRate: a.Quota.Rate} {
+			c <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, a.Team)
+		}
+	}
+}
+
+// refund gives back what a request was charged that got no place.
+func (g *Granter) refund(c hub.Charge) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Refund(time.Now(), c.Team, c.Cost)
+}
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -19,6 +19,8 @@
 	kindRelease peer.Kind = 7
 	kindQueued  peer.Kind = 8
 	kindBegun   peer.Kind = 9
+	kindCharge  peer.Kind = 10
+	kindCharged peer.Kind = 11
 )
 
 // AckTimeout bounds the wait for the first answer to a Place: that it is
@@ -49,6 +51,20 @@
 		Waited   time.Duration // since the request came
 		Target   time.Duration // from now until it should have begun
 		Expire   time.Duration // from now until it must have begun
+		Charge   Charge        // of the team's quota, zero if that is done
+	}
+
+	// Charge is what a request takes of its team's quota.
+	Charge struct {
+		Team string
+		Cost float64
+	}
+
+	// Charged answers a Charge.
+	Charged struct {
+		Done  bool          // else the answering node grants nothing
+		OK    bool          // the quota allows it
+		After time.Duration // when a refused client may come back
 	}
 
 	// Placed answers a Place.
@@ -91,6 +107,7 @@
 	Holder interface {
 		Report(r Report) Picture
 		Want(ctx context.Context, w Want) Offer
+		Charge(c Charge) Charged
 		// Place calls queued if the request has to wait.
 		Place(ctx context.Context, p Place, queued func()) (Placed, Grant, error)
 	}
@@ -125,6 +142,13 @@
 	return o, err
 }
 
+// Charge asks the holder whether a quota allows a request.
+func (c *Client) Charge(ctx context.Context, address string, charge Charge) (Charged, error) {
+	var a Charged
+	err := c.call(ctx, address, kindCharge, charge, &a)
+	return a, err
+}
+
 // Place asks the holder for a place.
 func (c *Client) Place(ctx context.Context, address string, p Place) (Placed, Grant, error) {
 	f, err := peer.Encode(kindPlace, p)
@@ -243,6 +267,12 @@
 		ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 		defer cancel()
 		answer, err = peer.Encode(kindOffer, h.Want(ctx, w))
+	case kindCharge:
+		var c Charge
+		if f.Decode(&c) != nil {
+			return
+		}
+		answer, err = peer.Encode(kindCharged, h.Charge(c))
 	case kindPlace:
 		servePlace(ctx, h, f, s)
 		return
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -10,6 +10,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/deputy"
 	"guavapaddle/core/grant"
+	"guavapaddle/core/quota"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
 )
@@ -81,6 +82,16 @@
 		Heard   Heard         // up to where this node was told notes and marks
 		Lease   int64         // version of the lease's row that this node has
 		Roster  uint64        // up to where this node was told who reports
+		Echo    Echo
+		Quotas  quota.Uses
+	}
+
+	// Echo places what a node read of the store on the clock of the node to which it
+	// reports, whatever time the report takes: it names the last answer that came.
+	Echo struct {
+		Hub   uint64        // that answered, 0 for none
+		Stamp time.Duration // of its answer
+		After time.Duration // from the answer's arrival until the configuration was the newest for certain
 	}
 
 	// Heard says up to which number a node was told what a hub has taken in.
@@ -102,8 +113,10 @@
 		Notes    []Note // those that the asking node wasn't told yet
 		Marks    []Mark // likewise
 		Heard    Heard
-		Update   follow.Update // of the store's tables
-		Lease    platform.Row  // as the holder last wrote it, unless the asking node has it
+		Stamp    time.Duration          // boot time of the answering node
+		Quotas   map[string]quota.State // by team
+		Update   follow.Update          // of the store's tables
+		Lease    platform.Row           // as the holder last wrote it, unless the asking node has it
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
