Soak: keys are taken away and a team keeps to a quota under all faults

Each configuration brings a key a team and drops the one before the last; one request in ten uses a dropped key. Checked from outside: no key reaches a server, the team that a server is told is the key's, nothing runs that was sent later than the bound after its key went, and no window holds more of a team's tokens than its quota and the tolerance. Who calls is drawn from the request's id, so that the draws of old seeds stay.

--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"guavapaddle/platform/standin"
 )
@@ -11,7 +13,7 @@
 type (
 	// Violation is a promise that was broken.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "recover"
 		What    string
 	}
 
@@ -23,12 +25,30 @@
 		unsafe     map[string]bool   // requests that must not run twice
 		counts     map[string]int    // answers, by status
 		newest     map[string]int    // by process: newest configuration that it was seen to serve
+		callers    map[string]Caller // by request
+		revoked    map[int]time.Time // until when keys of a configuration may be used, once they are gone
+		spent      map[string][]spending
+	}
+
+	// Caller is who sent a request, with what key and when.
+	Caller struct {
+		Team    string
+		Version int // of the configuration that brought the key
+		At      time.Time
+		Tokens  int // that the request counts as
+	}
+
+	// spending is a request that ran.
+	spending struct {
+		sent, ran time.Time
+		tokens    int
 	}
 )
 
 // NewChecker returns a checker that has seen nothing.
 func NewChecker() *Checker {
-	return &Checker{promised: map[string]string{}, unsafe: map[string]bool{}, counts: map[string]int{}, newest: map[string]int{}}
+	return &Checker{promised: map[string]string{}, unsafe: map[string]bool{}, counts: map[string]int{}, newest: map[string]int{},
+		callers: map[string]Caller{}, revoked: map[int]time.Time{}, spent: map[string][]spending{}}
 }
 
 // Break notes a broken promise.
@@ -46,9 +66,10 @@
 }
 
 // Sent notes a request before it is sent.
-func (c *Checker) Sent(id string, repeatable bool) {
+func (c *Checker) Sent(id string, repeatable bool, who Caller) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.callers[id] = who
 	if !repeatable {
 		c.unsafe[id] = true
 	}
@@ -137,6 +158,56 @@
 	}
 }
 
+// Revoked notes until when the keys of a configuration may be used.
+func (c *Checker) Revoked(version int, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.revoked[version]; !ok {
+		c.revoked[version] = until
+	}
+}
+
+// Keys checks who the requests were of that a server ran, and notes what they spent.
+func (c *Checker) Keys(list []standin.Ran) {
+	for _, ran := range list {
+		c.mu.Lock()
+		who, known := c.callers[ran.ID]
+		until, revoked := c.revoked[who.Version]
+		c.spent[who.Team] = append(c.spent[who.Team], spending{who.At, ran.At, who.Tokens})
+		c.mu.Unlock()
+		switch {
+		case !known:
+			c.Break("key", "request %s ran and nobody sent it", ran.ID)
+		case ran.Key != "":
+			c.Break("key", "request %s reached a server with its key", ran.ID)
+		case ran.Team != who.Team:
+			c.Break("key", "request %s of team %s ran as one of %q", ran.ID, who.Team, ran.Team)
+		case revoked && who.At.After(until):
+			c.Break("key", "request %s was sent %v after its key was to be refused, and ran", ran.ID, who.At.Sub(until))
+		}
+	}
+}
+
+// Quota checks that in no window more of a team's tokens were sent and ran than allowed.
+func (c *Checker) Quota(team string, window time.Duration, most float64) {
+	c.mu.Lock()
+	list := slices.Clone(c.spent[team])
+	c.mu.Unlock()
+	slices.SortFunc(list, func(a, b spending) int { return a.sent.Compare(b.sent) })
+	for i, first := range list {
+		sum := 0
+		for _, s := range list[i:] {
+			if s.ran.Sub(first.sent) <= window {
+				sum += s.tokens
+			}
+		}
+		if float64(sum) > most {
+			c.Break("quota", "team %s had %d tokens served in %v, %.0f are allowed", team, sum, window, most)
+			return
+		}
+	}
+}
+
 // Orders checks the orders that an engine got, in order.
 func (c *Checker) Orders(engine string, orders []standin.Given) {
 	holders := map[int64]string{}
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -11,7 +11,9 @@
 // never does; one that was refused as not run never runs; a node never goes back
 // to an older configuration; orders to an engine never come under an older
 // epoch after a newer one, or from two nodes under one; no engine is loaded
-// beyond its memory; and when all faults have ended, every node serves again.
+// beyond its memory; no key reaches a server, nor does a request whose key was revoked
+// in time, and a server is told whose request it is; a team has no more tokens served
+// than its quota and the tolerance allow; and when all faults have ended, every node serves again.
 //
 // # Usage
 //
--- a/internal/testbed/soak/load.go
+++ b/internal/testbed/soak/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -47,18 +48,21 @@
 	case 3:
 		path, model, events = "/resumable/x", r.model(rng), streamEvents
 	}
-	r.check.Sent(id, repeatable)
+	who := r.caller(id)
 	req, err := http.NewRequest(method, "http://"+at.settings.Clients+path, strings.NewReader(strings.Repeat("b", rng.IntN(2000))))
 	if err != nil {
 		panic(err) // of our own making
 	}
 	req.Host = host
 	req.GetBody = nil // or the client would send it again under the same id
-	call := standin.Call{ID: id, Deadline: clientTime}
+	call := standin.Call{ID: id, Deadline: clientTime, Key: key(who.Team, who.Version)}
+	who.Tokens = standin.PlainTokens
 	if model != "" {
 		call.Model, call.Tokens = model, 100+rng.IntN(1500)
+		who.Tokens = call.Tokens + standin.CallOutput
 	}
 	call.Set(req.Header)
+	r.check.Sent(id, repeatable, who)
 	resp, err := c.Do(req)
 	if err != nil {
 		r.check.Answered(id, at.settings.Node, 0)
@@ -77,6 +81,33 @@
 	}
 }
 
+// Teams that call.
+const (
+	freeTeam  = "free"
+	boundTeam = "bound"
+)
+
+// key returns a team's key of a configuration; each configuration also allows the one
+// before it.
+func key(team string, version int) string { return fmt.Sprintf("key-%s-%d", team, version) }
+
+// caller draws who sends a request: one in three is of the team with a quota, and one in
+// ten uses a key that was revoked of late. It is drawn from the request's id, so that a
+// seed's other draws stay as they were.
+func (r *Run) caller(id string) Caller {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // never fails
+	rng := rand.New(rand.NewPCG(r.Seed, h.Sum64()))
+	c := Caller{Team: freeTeam, Version: int(r.version.Load()), At: time.Now()}
+	if rng.IntN(3) == 0 {
+		c.Team = boundTeam
+	}
+	if rng.IntN(10) == 0 {
+		c.Version -= 2
+	}
+	return c
+}
+
 // model picks a model, with an adapter now and then.
 func (r *Run) model(rng *rand.Rand) string {
 	m := fmt.Sprint("m", rng.IntN(models))
@@ -100,7 +131,8 @@
 				}
 				req.Host = host
 				id := fmt.Sprintf("p%d-%s-%d", n, at.settings.Node, v)
-				standin.Call{ID: id}.Set(req.Header)
+				r.check.Sent(id, true, Caller{Team: freeTeam, Version: version, At: time.Now(), Tokens: standin.PlainTokens})
+				standin.Call{ID: id, Key: key(freeTeam, version)}.Set(req.Header)
 				resp, err := c.Do(req)
 				if err != nil {
 					continue
--- a/internal/testbed/soak/node.go
+++ b/internal/testbed/soak/node.go
@@ -44,7 +44,8 @@
 	}
 	n := &node{binary: binary, file: filepath.Join(dir, name+".json"), proxy: p, settings: front.Settings{
 		Node: name, DataCentre: "z", Store: p.Address(), Cores: 1, MemoryMB: 300, Descriptors: 1000, GraceS: graceS, LeaseMS: leaseMS,
-		LoadWindowS: 5, RepeatRatio: 0.2, RepeatExtra: 56, RepeatSpanS: 10, CheckEpochs: true, LogLevel: "info"}}
+		LoadWindowS: 5, RepeatRatio: 0.2, RepeatExtra: 56, RepeatSpanS: 10, CheckEpochs: true, LogLevel: "info",
+		RevokeMS: int(revocation.Milliseconds()), QuotaOver: boundOver, QuotaSlack: boundSlack, QuotaSpanS: boundWindow.Seconds()}}
 	for _, a := range []*string{&n.settings.Clients, &n.settings.Ready, &n.settings.Peers, &n.settings.Metrics, &n.settings.Control} {
 		*a = freeport.Take()
 	}
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -29,6 +29,17 @@
 	// lease that lapses, a start, and the store's feeds.
 	recovery = 10 * time.Second
 	settle   = 1500 * time.Millisecond
+	// revocation is how long after its removal a key may be used.
+	revocation = 2 * time.Second
+)
+
+// The team that is bound: its quota, and how far it may go over in a window.
+const (
+	boundRate   = 4000 // tokens a second
+	boundBurst  = 4000
+	boundWindow = 4 * time.Second
+	boundOver   = 0.1
+	boundSlack  = 4000
 )
 
 type (
@@ -162,9 +173,12 @@
 
 // configure writes a configuration with a route that only it has.
 func (r *Run) configure(version int) {
-	d := standin.Deployment{Host: host, Models: models, Adapters: adapters, Places: places, ModelMB: modelMB, EngineMB: engineMB}
+	d := standin.Deployment{Host: host, Models: models, Adapters: adapters, Places: places, ModelMB: modelMB, EngineMB: engineMB,
+		Teams: []standin.Team{{Name: freeTeam, Keys: []string{key(freeTeam, version), key(freeTeam, version-1)}},
+			{Name: boundTeam, Keys: []string{key(boundTeam, version), key(boundTeam, version-1)}, Rate: boundRate, Burst: boundBurst}}}
 	r.store.Put(platform.TableOperator, platform.KeyConfig, d.Configuration(version))
 	r.version.Store(int64(version))
+	r.check.Revoked(version-2, time.Now().Add(revocation))
 }
 
 // refresh writes the entries of engines as they are, as their heartbeats do.
@@ -240,6 +254,10 @@
 		}
 	}
 	r.check.Runs(ids)
+	for _, w := range r.workers {
+		r.check.Keys(w.Ran())
+	}
+	r.check.Quota(boundTeam, boundWindow, (boundRate*boundWindow.Seconds()+boundBurst)*(1+boundOver)+boundSlack)
 }
 
 // end ends the processes that the soak started.
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -43,11 +43,11 @@
 		"whole": func(c *soak.Checker) { c.Whole("a", "b", "stamp", "answer", 0) },
 		"order": func(c *soak.Checker) { c.Whole("a", "a", "stamp", "id: 1\ndata: event 1\n\n", 2) },
 		"twice": func(c *soak.Checker) {
-			c.Sent("a", false)
+			c.Sent("a", false, soak.Caller{})
 			c.Runs([]string{"a", "a"})
 		},
 		"not-run": func(c *soak.Checker) {
-			c.Sent("a", false)
+			c.Sent("a", false, soak.Caller{})
 			c.Answered("a", "n", 503)
 			c.Runs([]string{"a"})
 		},
@@ -55,6 +55,20 @@
 			c.Served("n/1", 3)
 			c.Served("n/1", 2)
 		},
+		"key": func(c *soak.Checker) {
+			now := time.Now()
+			c.Revoked(1, now)
+			c.Sent("a", true, soak.Caller{Team: "t", Version: 1, At: now.Add(time.Second)})
+			c.Keys([]standin.Ran{{ID: "a", Team: "t"}})
+		},
+		"quota": func(c *soak.Checker) {
+			now := time.Now()
+			for _, id := range []string{"a", "b", "c"} {
+				c.Sent(id, true, soak.Caller{Team: "t", At: now, Tokens: 100})
+				c.Keys([]standin.Ran{{ID: id, Team: "t", At: now}})
+			}
+			c.Quota("t", time.Second, 200)
+		},
 		"fence": func(c *soak.Checker) {
 			c.Orders("e", []standin.Given{{Holder: "a", Fence: 1}, {Holder: "b", Fence: 1}})
 		},
@@ -65,11 +79,14 @@
 		require.Equal(t, promise, c.Violations()[0].Promise)
 	}
 	c := soak.NewChecker()
-	c.Sent("a", true)
+	c.Sent("a", true, soak.Caller{})
 	c.Answered("a", "n", 503)
 	c.Runs([]string{"a", "a"})
 	c.Served("n/1", 3)
 	c.Served("n/2", 2)
+	c.Revoked(1, time.Now())
+	c.Keys([]standin.Ran{{ID: "a"}})
+	c.Quota("", time.Second, 0)
 	c.Whole("a", "a", "stamp", "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", 2)
 	require.Empty(t, c.Violations(), "what may be is not counted")
 }
