Quotas: plain requests keep to a share of the node, without a call to the granter

Two ways for plain requests while little is left of a team's quota: ask the granter for each (a call more, and none answers while one takes over), or keep to the node's share, whose use the granter's bucket then lacks. The share stays, since it needs no frames of its own. A new granter tells shares once it has listened for 2 s: the first node to report was told all of them.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -47,7 +47,7 @@
 	// Claim is the value of a claim row.
 	Claim struct {
 		State       State          `json:"state"`
-		Team    string         `json:"team"`
+		Team        string         `json:"team"`
 		BodyHash    string         `json:"body-hash"` // see BodyHash
 		Attempt     string         `json:"attempt"`   // unique for each try of a node to send a call
 		Node        string         `json:"node"`      // holder
--- a/core/claim/invariant_test.go
+++ b/core/claim/invariant_test.go
@@ -39,7 +39,7 @@
 	// try is one call of one caller through one node.
 	try struct {
 		id, node  int
-		team  string
+		team      string
 		key, body string
 		phase     phase
 		mine      claim.Claim
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -28,7 +28,7 @@
 	// Document is the whole configuration, applied at once.
 	Document struct {
 		Deployment string          `json:"deployment"`
-		Teams  []Team      `json:"teams"`
+		Teams      []Team          `json:"teams"`
 		Kinds      []Kind          `json:"kinds"`
 		Models     []Model         `json:"models"`
 		Adapters   []Adapter       `json:"adapters" config:"optional"`
--- a/core/config/document_test.go
+++ b/core/config/document_test.go
@@ -132,7 +132,7 @@
 	}
 	tests := []struct {
 		team, name string
-		want           bool
+		want       bool
 	}{
 		{"shire", "drafter", true},
 		{"shire", "terse", true},
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -25,7 +25,7 @@
 		version   uint64
 		hash      string
 		keys      apikey.Index[Team]
-		teams map[string]access
+		teams     map[string]access
 		items     map[string]backend.Item
 		kinds     map[string]Kind
 		services  []PlainService // longest path first
@@ -48,7 +48,7 @@
 		doc:       doc,
 		version:   version,
 		hash:      doc.Hash(),
-		teams: make(map[string]access, len(doc.Teams)),
+		teams:     make(map[string]access, len(doc.Teams)),
 		items:     make(map[string]backend.Item, len(doc.Models)+len(doc.Adapters)),
 		kinds:     make(map[string]Kind, len(doc.Kinds)),
 		byService: make(map[string]PlainService, len(doc.Services)),
--- a/core/config/scale_test.go
+++ b/core/config/scale_test.go
@@ -13,10 +13,10 @@
 
 // Sizes of two years from now.
 const (
-	scaleModels    = 1200
-	scaleAdapters  = 4800
-	scaleEngines   = 600
-	scaleTeams = 2000
+	scaleModels   = 1200
+	scaleAdapters = 4800
+	scaleEngines  = 600
+	scaleTeams    = 2000
 )
 
 // large returns a document of the size of two years from now.
--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -23,7 +23,7 @@
 		Server      string         `cbor:"1,keyasint"`
 		RequestID   string         `cbor:"2,keyasint"`
 		EngineID    string         `cbor:"3,keyasint"` // request id at the engine, scoped by team
-		Team    string         `cbor:"4,keyasint"`
+		Team        string         `cbor:"4,keyasint"`
 		Kind        string         `cbor:"5,keyasint"`
 		Urgency     config.Urgency `cbor:"6,keyasint"`
 		Value       float64        `cbor:"7,keyasint"`
--- a/core/grant/doc.go
+++ b/core/grant/doc.go
@@ -11,9 +11,10 @@
 // go beyond waits here, where it can still go to another engine and more
 // urgent requests pass it.
 //
-// Requests wait in the order of their urgency, then of their arrival; one that
-// can't begin within its target any more goes behind all that still can. One
-// that can't begin before it expires is refused.
+// Requests wait in the order of their urgency; of the same urgency, those of teams
+// that use much of their quota wait behind the others; then in the order of their
+// arrival. One that can't begin within its target any more goes behind all that
+// still can. One that can't begin before it expires is refused.
 //
 // A grant holds its tokens until Begun, which the entry node calls with the first
 // byte of the answer, and a slot of the engine until Release.
--- a/core/grant/group.go
+++ b/core/grant/group.go
@@ -60,11 +60,13 @@
 	return list
 }
 
-// before orders requests by urgency and arrival.
+// before orders requests by urgency, by what their teams have used, and by arrival.
 func before(a, b Request) bool {
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
+	case a.Greedy != b.Greedy:
+		return b.Greedy
 	case !a.Since.Equal(b.Since):
 		return a.Since.Before(b.Since)
 	default:
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -35,6 +35,7 @@
 		Since    time.Time // when it came first; it keeps its turn when it comes again
 		Pick     balance.Request
 		Priority int       // 0 is the most urgent
+		Greedy   bool      // its team has used much of its quota of late, and lets others of the same priority go first
 		Target   time.Time // when it should have begun
 		Expire   time.Time // when it must have begun, or is refused
 	}
--- a/core/grant/scheduler_test.go
+++ b/core/grant/scheduler_test.go
@@ -347,3 +347,40 @@
 		offer()
 	}
 }
+
+// TestATeamThatSendsMuchTakesNoOthersPart plays two teams at one engine that can't serve
+// both: one sends ten times as much as the other, and earlier. All requests of the small one
+// begin within their target.
+func TestATeamThatSendsMuchTakesNoOthersPart(t *testing.T) {
+	for _, greedy := range []bool{false, true} {
+		s := scheduler(server("a", "m"))
+		began := map[bool]int{} // by whether the request is of the small team
+		small := map[uint64]bool{}
+		id, now := uint64(0), start
+		offer := func(mine, greedy bool) {
+			id++
+			small[id] = mine
+			s.Offer(grant.Request{ID: id, Pick: balance.Request{Service: "llm", Model: "m", Tokens: 900}, Priority: 1, Greedy: greedy,
+				Since: now, Target: now.Add(400 * time.Millisecond), Expire: now.Add(2 * time.Second)})
+		}
+		for range 100 { // the engine reads two prompts in a step
+			for range 9 {
+				offer(false, greedy)
+			}
+			offer(true, false)
+			s.Tick(now)
+			list := granted(s.Next(now))
+			now = now.Add(50 * time.Millisecond)
+			for _, g := range list {
+				began[small[g]]++
+				s.Release(now, g, balance.Good)
+			}
+		}
+		if greedy {
+			require.Equal(t, 100, began[true], "the small team is served")
+			require.Positive(t, began[false], "and the other one with what is left")
+			continue
+		}
+		require.Less(t, began[true], 100, "by arrival alone it isn't")
+	}
+}
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -34,17 +34,17 @@
 
 	// Reservation is the hold of an admitted request on its team's share.
 	Reservation struct {
-		id       uint64
-		team string
-		kind     string
-		units    float64
+		id    uint64
+		team  string
+		kind  string
+		units float64
 	}
 
 	// Rule bounds the use of one team and kind, whatever the capacity.
 	Rule struct {
 		Team string  `json:"team"` // "*" for each team on its own
-		Kind     string  `json:"kind"`     // "*" for all kinds together
-		Rate     float64 `json:"rate"`     // units a second
+		Kind string  `json:"kind"` // "*" for all kinds together
+		Rate float64 `json:"rate"` // units a second
 	}
 
 	// Settings are the settings of a policy. Capacity zero means no limit but
--- a/core/limit/shares.go
+++ b/core/limit/shares.go
@@ -41,7 +41,7 @@
 
 	// ruleKey names what a rule counts: each team on its own.
 	ruleKey struct {
-		rule     Rule
+		rule Rule
 		team string
 	}
 )
--- a/core/queue/entry.go
+++ b/core/queue/entry.go
@@ -12,7 +12,7 @@
 	// Entry is a request that waits for a slot of the server.
 	Entry struct {
 		ID       string
-		Team string
+		Team     string
 		Kind     string // service times are learned for each kind
 		Item     backend.Item
 		Urgency  config.Urgency // empty counts as normal
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -6,9 +6,9 @@
 //   - A request to a model engine is charged in the granter's ledger together
 //     with its place, so that it costs no call of its own.
 //   - Another request is charged in the node's purse and told to the granter with
-//     the next report. While the team's bucket runs low the node asks the granter
-//     first.
-//   - A node that reaches no granter spends its share of the team's quota. Shares
+//     the next report. While the team's bucket runs low the node keeps to its share
+//     of the quota; what it spends is missing from what the granter can charge.
+//   - A node that reaches no granter spends its share for all requests. Shares
 //     follow what nodes have spent of late; they sum to one. The granter keeps the
 //     shares of nodes that have fallen silent back for as long as they may be
 //     spent.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -16,10 +16,14 @@
 	// evenPart is the part of a quota that all nodes share evenly, since callers may turn
 	// to any of them.
 	evenPart = 0.2
-	// scarcePart is the part of the burst below which nodes ask before they spend.
+	// scarcePart is the part of the burst below which nodes keep to their shares.
 	scarcePart = 0.5
+	// greedyPart is the part of its quota from which on a team lets others go first.
+	greedyPart = 0.75
 	// tidyEvery is how often silent nodes are looked for.
 	tidyEvery = 100 * time.Millisecond
+	// settleTime is how long a granter listens to the nodes before it tells them shares.
+	settleTime = 2 * time.Second
 	// rounding, in milliseconds, is what sums of floating-point numbers may be off by.
 	rounding = 1e-6
 )
@@ -50,8 +54,8 @@
 
 	// State is what a node is told of a team's quota.
 	State struct {
-		Share  float64 // of the quota, while the node reaches no granter
-		Scarce bool    // ask before spending
+		Share  float64 // of the quota, for what no granter charges; zero leaves the last one
+		Scarce bool    // little is left: keep to the share
 	}
 
 	// Account is a team's use as an operator sees it.
@@ -153,6 +157,14 @@
 	return true, 0
 }
 
+// Greedy tells whether a team has used so much of its quota of late that it lets others
+// go first while there isn't enough for all. A team that sends many times its usual would
+// else take their part, also below its quota.
+func (l *Ledger) Greedy(now time.Time, team string) bool {
+	a := l.teams[team]
+	return a != nil && a.used.sum(now) > greedyPart*a.quota.Rate*memory.Seconds()
+}
+
 // Refund gives back what a request was charged that hasn't run.
 func (l *Ledger) Refund(now time.Time, team string, cost float64) {
 	if a := l.teams[team]; a != nil {
@@ -220,7 +232,7 @@
 	for name, a := range l.teams {
 		l.refill(now, a)
 		s := State{Scarce: a.level < scarcePart*a.quota.Burst}
-		if d := m.used[name]; d != nil {
+		if d := m.used[name]; d != nil && now.Sub(a.begun) >= settleTime {
 			s.Share = min(l.share(now, a, d), max(0, 1-a.told))
 			m.shares[name] = s.Share
 			a.told += s.Share
--- a/core/quota/purse.go
+++ b/core/quota/purse.go
@@ -27,52 +27,49 @@
 		nodes    int
 	}
 
-	// reserve is a node's share of a quota while it reaches no granter.
+	// reserve is what a node may spend of its share.
 	reserve struct {
 		level   float64
 		at      time.Time
-		alone   bool // when it was last looked at
+		bound   bool // to the share, when it was last looked at
 		started bool
 	}
 )
 
 // Told takes in what the granter told, and how many nodes report to it.
 func (p *Purse) Told(states map[string]State, nodes int) {
+	for team, now := range states {
+		if now.Share == 0 {
+			now.Share = p.states[team].Share
+			states[team] = now
+		}
+	}
 	p.states = states
 	p.nodes = nodes
 }
 
-// Scarce tells whether the granter must be asked before a team's quota is spent.
-func (p *Purse) Scarce(team string) bool { return p.states[team].Scarce }
-
 // Charged notes what a granter has charged for a request of this node.
 func (p *Purse) Charged(team string, cost float64) { p.use(team, cost, 0) }
 
-// Spend charges a request here; the granter learns of it with the next report that it answers.
-func (p *Purse) Spend(team string, cost float64) { p.use(team, cost, cost) }
-
-// Refund gives back what a request was charged that hasn't run.
-func (p *Purse) Refund(team string, cost float64) { p.use(team, -cost, -cost) }
-
-func (p *Purse) use(team string, spent, owed float64) {
-	if p.sums == nil {
-		p.sums = map[string]Sum{}
-	}
-	u := p.sums[team]
-	p.sums[team] = Sum{Spent: u.Spent + spent, Owed: u.Owed + owed}
-}
-
-// SpendAlone charges a request while no granter is reached, if this node's share of the
-// quota allows it, or tells when to come back.
-func (p *Purse) SpendAlone(now time.Time, team fleet.Team, cost float64) (ok bool, after time.Duration) {
+// Spend charges a request here; the granter learns of it with the next report that it
+// answers. led tells whether there is a granter: without one, and while little is left,
+// the node keeps to its share of the quota. It returns whether the quota allows the
+// request, or when to come back.
+func (p *Purse) Spend(now time.Time, team fleet.Team, cost float64, led bool) (ok bool, after time.Duration) {
 	q := team.Quota
 	if q.Rate <= 0 {
 		return true, 0
 	}
 	share := p.share(team.Name)
+	rate := share * q.Rate
 	most := share * reservePart * p.Tolerance.Excess(q)
 	r := p.reserve(team.Name)
-	r.refill(now, share*q.Rate, most/p.Tolerance.Window.Seconds())
+	bound := !led || p.states[team.Name].Scarce
+	r.refill(now, rate, most/p.Tolerance.Window.Seconds(), bound)
+	if !bound {
+		p.use(team.Name, cost, cost)
+		return true, 0
+	}
 	if !r.started {
 		// Each node may go over its share by one request. At random, all nodes together
 		// begin with no more than their shares.
@@ -81,13 +78,24 @@
 	}
 	r.level = min(r.level, most)
 	if r.level < 0 {
-		return false, seconds(-r.level / (share * q.Rate))
+		return false, seconds(-r.level / rate)
 	}
 	r.level -= cost
-	p.Spend(team.Name, cost)
+	p.use(team.Name, cost, cost)
 	return true, 0
 }
 
+// Refund gives back what a request was charged that hasn't run.
+func (p *Purse) Refund(team string, cost float64) { p.use(team, -cost, -cost) }
+
+func (p *Purse) use(team string, spent, owed float64) {
+	if p.sums == nil {
+		p.sums = map[string]Sum{}
+	}
+	u := p.sums[team]
+	p.sums[team] = Sum{Spent: u.Spent + spent, Owed: u.Owed + owed}
+}
+
 // share returns this node's part of a team's quota.
 func (p *Purse) share(team string) float64 {
 	if s, ok := p.states[team]; ok && s.Share > 0 {
@@ -112,24 +120,17 @@
 	return r
 }
 
-// Led notes that a granter is reached.
-func (p *Purse) Led() {
-	for _, r := range p.reserves {
-		r.alone = false
-	}
-}
-
-// refill adds what has come in since the last look: the node's share while it was alone,
-// else a little of the reserve.
-func (r *reserve) refill(now time.Time, alone, led float64) {
+// refill adds what has come in since the last look: the share of the rate while the node
+// was bound to it, else a little of the reserve.
+func (r *reserve) refill(now time.Time, share, little float64, bound bool) {
 	if r.started {
-		rate := led
-		if r.alone {
-			rate = alone
+		rate := little
+		if r.bound {
+			rate = share
 		}
 		r.level += rate * now.Sub(r.at).Seconds()
 	}
-	r.at, r.alone = now, true
+	r.at, r.bound = now, bound
 }
 
 // Report returns what this node has spent, of the teams whose sums have changed since the
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -16,7 +16,7 @@
 type (
 	// Request is one call of a plain service by a team.
 	Request struct {
-		Team       string
+		Team           string
 		Kind           config.Kind // its Repeatable decides how the call is treated
 		Service        string      // name of the plain service
 		Method         string
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -64,7 +64,7 @@
 
 	// Call is a call that is to run at most once.
 	Call struct {
-		Team  string
+		Team      string
 		Key       string // idempotency key, not empty
 		BodyHash  string // see claim.BodyHash
 		RequestID string
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -26,7 +26,7 @@
 	Valid      bool   `json:"valid"`
 	Deployment string `json:"deployment"`
 	Hash       string `json:"hash"`
-	Teams  int    `json:"teams"`
+	Teams      int    `json:"teams"`
 	Models     int    `json:"models"`
 	Adapters   int    `json:"adapters"`
 	Servers    int    `json:"backend-servers"`
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -232,7 +232,7 @@
 func entry(job forward.Job, now time.Time) queue.Entry {
 	return queue.Entry{
 		ID:       job.EngineID,
-		Team: job.Team,
+		Team:     job.Team,
 		Kind:     job.Kind,
 		Item:     job.Item,
 		Urgency:  job.Urgency,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,7 @@
 
 	// request is what is known of one request while it runs.
 	request struct {
-		team config.Team
+		team     config.Team
 		kind     config.Kind
 		deadline time.Time
 		started  time.Time
@@ -153,7 +153,7 @@
 	e.Demand.Asked(g.Model, k.Urgency)
 	q := generate.Request{
 		ID:         g.RequestID,
-		Team:   c.Name,
+		Team:       c.Name,
 		Kind:       k,
 		Item:       item,
 		Prompt:     g.Prompt,
@@ -253,7 +253,7 @@
 		path += "?" + sc.Query
 	}
 	return e.Calls.Do(ctx, call.Request{
-		Team:       r.team.Name,
+		Team:           r.team.Name,
 		Kind:           r.kind,
 		Service:        s.Name,
 		Method:         sc.Method,
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -111,7 +111,7 @@
 	n.registry.MustRegister(m.Collectors()...)
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Repeats: n.repeats(), Refresh: n.refresh, KeyAge: s.keyAge(), Charge: n.charge, Tolerance: s.tolerance()}
+		Repeats: n.repeats(), Refresh: n.refresh, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdle,
 		OnMessage: func(string, peer.Frame) {},
--- a/internal/front/places.go
+++ b/internal/front/places.go
@@ -55,30 +55,6 @@
 	return placed, grant, err
 }
 
-// Charge answers a request for a charge of a quota.
-func (n *Node) Charge(c hub.Charge) hub.Charged {
-	if !n.placer.Holding() && !n.isActing() {
-		return hub.Charged{}
-	}
-	return n.granter.Charge(c)
-}
-
-// charge asks the holder of the lease, or its deputy, to charge a quota.
-func (n *Node) charge(ctx context.Context, c hub.Charge) (hub.Charged, error) {
-	l, ok := n.placer.Leader()
-	switch {
-	case ok && l.Key == n.key.Fingerprint(), n.isActing():
-		return n.Charge(c), nil
-	case ok && l.Node != "" && !n.leaderDoubted():
-		return n.holder().Charge(ctx, l.Address, c)
-	}
-	at, ok := n.deputyToAsk()
-	if !ok {
-		return hub.Charged{}, nil
-	}
-	return (&hub.Client{Endpoint: n.endpoint}).Charge(ctx, at.Address, c)
-}
-
 // holder returns a client that notes each sign of life of the holder.
 func (n *Node) holder() *hub.Client { return &hub.Client{Endpoint: n.endpoint, Heard: n.hear} }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,8 +47,6 @@
 		// Place asks the holder of the lease when and where a request to a model
 		// engine may begin. An error means that the holder can't be reached.
 		Place func(ctx context.Context, p hub.Place) (hub.Placed, hub.Grant, error)
-		// Charge asks the granter whether a quota allows a request.
-		Charge func(ctx context.Context, c hub.Charge) (hub.Charged, error)
 		// Tolerance is how far the use of a quota may go over.
 		Tolerance quota.Tolerance
 		// Refresh asks another node for a newer configuration, and returns when it is in
@@ -89,7 +87,7 @@
 		keyed    bool   // the request has a key that is valid
 		problem  string // with the credentials
 		charged  bool   // of its team's quota
-		alone    bool   // without a granter
+		alone    bool   // no granter was reached when it was charged
 		ran      bool   // a server may have run it
 		deadline time.Time
 		header   http.Header
--- a/internal/gateway/spend.go
+++ b/internal/gateway/spend.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -10,8 +9,9 @@
 )
 
 const (
-	// chargeWait bounds the wait for the granter's answer to a charge.
-	chargeWait = 150 * time.Millisecond
+	// granterBack is when a client may come back that was refused while no granter was
+	// reached: one is there again within some seconds, and other nodes may reach it.
+	granterBack = time.Second
 	// returnSpread is by how much, at most, clients over their quota are told to come
 	// back later than their tokens are there, so that they don't come back together.
 	returnSpread = 0.5
@@ -47,53 +47,27 @@
 	g.purse.Charged(c.Team, c.Cost)
 }
 
-// spend charges a request that asks for no place: here, or at the granter if little is
-// left. It answers the request and returns false if that is over the quota.
+// spend charges a request that got no place from a granter. It answers the request and
+// returns false if that is over the quota.
 func (r *request) spend() bool {
 	if r.charged || !r.limited() {
 		return true
 	}
-	c, g := r.due(), r.g
+	g := r.g
 	g.mu.Lock()
-	led, scarce := g.led, g.purse.Scarce(c.Team)
-	if led && !scarce {
-		g.purse.Spend(c.Team, c.Cost)
-		r.charged = true
-	}
+	led := g.led
+	ok, after := g.purse.Spend(time.Now(), r.team, r.cost(), led)
 	g.mu.Unlock()
-	if r.charged {
-		return true
-	}
-	if led {
-		ctx, cancel := context.WithTimeout(r.x.Context(), chargeWait)
-		defer cancel()
-		if a, err := g.Charge(ctx, c); err == nil && a.Done {
-			if a.OK {
-				r.paid(c)
-				return true
-			}
-			r.overQuota(a.After)
-			return false
-		}
-	}
-	return r.spendAlone(c)
-}
-
-// spendAlone charges a request of this node's share of the quota.
-func (r *request) spendAlone(c hub.Charge) bool {
-	if c == (hub.Charge{}) {
+	r.alone = !led
+	if ok {
+		r.charged = true
 		return true
 	}
-	g := r.g
-	g.mu.Lock()
-	ok, after := g.purse.SpendAlone(time.Now(), r.team, c.Cost)
-	g.mu.Unlock()
-	if !ok {
-		r.overQuota(after)
-		return false
+	if !led {
+		after = min(after, granterBack)
 	}
-	r.charged, r.alone = true, true
-	return true
+	r.overQuota(after)
+	return false
 }
 
 // overQuota refuses a request whose team has spent its quota.
@@ -133,7 +107,6 @@
 	defer g.mu.Unlock()
 	g.purse.Answered(number)
 	g.purse.Told(states, nodes)
-	g.purse.Led()
 	g.led = true
 }
 
--- a/internal/generate/router.go
+++ b/internal/generate/router.go
@@ -40,7 +40,7 @@
 	// Request is one generation that a caller asked this node for.
 	Request struct {
 		ID          string
-		Team    string
+		Team        string
 		Kind        config.Kind
 		Item        backend.Item
 		Prompt      string
--- a/internal/generate/send.go
+++ b/internal/generate/send.go
@@ -81,7 +81,7 @@
 		Server:      a.server,
 		RequestID:   a.q.ID,
 		EngineID:    forward.EngineID(a.q.Team, a.engineRequest()),
-		Team:    a.q.Team,
+		Team:        a.q.Team,
 		Kind:        a.q.Kind.Name,
 		Urgency:     a.q.Kind.Urgency,
 		Value:       a.q.Kind.Value,
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -176,7 +176,7 @@
 	}
 	w.ahead = g.schedule.Waiting()
 	g.waiters[id] = w
-	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority, Since: now.Add(-p.Waited),
+	g.schedule.Offer(grant.Request{ID: id, Pick: p.Pick(), Priority: p.Priority, Greedy: g.ledger.Greedy(now, p.Charge.Team), Since: now.Add(-p.Waited),
 		Target: now.Add(p.Target), Expire: now.Add(p.Expire)})
 	g.decide()
 	g.lacking()
--- a/internal/granter/quotas.go
+++ b/internal/granter/quotas.go
@@ -10,6 +10,15 @@
 	"guavapaddle/internal/hub"
 )
 
+// Labels and descriptions of the metrics of quotas.
+var (
+	quotaLabels = []string{"team"}
+
+	quotaLeft = prometheus.NewDesc("guavapaddle_quota_left", "Units left of a team's quota, below zero for debt, at the node that grants places.", quotaLabels, nil)
+	quotaUsed = prometheus.NewDesc("guavapaddle_quota_used_per_second", "Units of its quota that a team used of late.", quotaLabels, nil)
+	quotaRate = prometheus.NewDesc("guavapaddle_quota_rate", "Units a second that a team's quota allows.", quotaLabels, nil)
+)
+
 // Teams puts the quotas of teams in force.
 func (g *Granter) Teams(teams []fleet.Team) {
 	g.mu.Lock()
@@ -19,14 +28,6 @@
 	g.ledger.Configure(time.Now(), teams)
 }
 
-// Charge takes a request's cost out of its team's quota.
-func (g *Granter) Charge(c hub.Charge) hub.Charged {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	ok, after := g.ledger.Charge(time.Now(), c.Team, c.Cost)
-	return hub.Charged{Done: true, OK: ok, After: after}
-}
-
 // Spent takes in what a node has spent, and returns what it is told of the quotas.
 func (g *Granter) Spent(u quota.Uses) map[string]quota.State {
 	g.mu.Lock()
@@ -41,16 +42,6 @@
 	return g.ledger.Accounts(time.Now())
 }
 
-// quotaLabels are the labels of the metrics of quotas.
-var quotaLabels = []string{"team"}
-
-// Descriptions of the metrics of quotas.
-var (
-	quotaLeft = prometheus.NewDesc("guavapaddle_quota_left", "Units left of a team's quota, below zero for debt, at the node that grants places.", quotaLabels, nil)
-	quotaUsed = prometheus.NewDesc("guavapaddle_quota_used_per_second", "Units of its quota that a team used of late.", quotaLabels, nil)
-	quotaRate = prometheus.NewDesc("guavapaddle_quota_rate", "Units a second that a team's quota allows.", quotaLabels, nil)
-)
-
 // Describe implements prometheus.Collector.
 func (g *Granter) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{quotaLeft, quotaUsed, quotaRate} {
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -19,8 +19,6 @@
 	kindRelease peer.Kind = 7
 	kindQueued  peer.Kind = 8
 	kindBegun   peer.Kind = 9
-	kindCharge  peer.Kind = 10
-	kindCharged peer.Kind = 11
 )
 
 // AckTimeout bounds the wait for the first answer to a Place: that it is
@@ -60,13 +58,6 @@
 		Cost float64
 	}
 
-	// Charged answers a Charge.
-	Charged struct {
-		Done  bool          // else the answering node grants nothing
-		OK    bool          // the quota allows it
-		After time.Duration // when a refused client may come back
-	}
-
 	// Placed answers a Place.
 	Placed struct {
 		Granted bool
@@ -107,7 +98,6 @@
 	Holder interface {
 		Report(r Report) Picture
 		Want(ctx context.Context, w Want) Offer
-		Charge(c Charge) Charged
 		// Place calls queued if the request has to wait.
 		Place(ctx context.Context, p Place, queued func()) (Placed, Grant, error)
 	}
@@ -142,13 +132,6 @@
 	return o, err
 }
 
-// Charge asks the holder whether a quota allows a request.
-func (c *Client) Charge(ctx context.Context, address string, charge Charge) (Charged, error) {
-	var a Charged
-	err := c.call(ctx, address, kindCharge, charge, &a)
-	return a, err
-}
-
 // Place asks the holder for a place.
 func (c *Client) Place(ctx context.Context, address string, p Place) (Placed, Grant, error) {
 	f, err := peer.Encode(kindPlace, p)
@@ -267,12 +250,6 @@
 		ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 		defer cancel()
 		answer, err = peer.Encode(kindOffer, h.Want(ctx, w))
-	case kindCharge:
-		var c Charge
-		if f.Decode(&c) != nil {
-			return
-		}
-		answer, err = peer.Encode(kindCharged, h.Charge(c))
 	case kindPlace:
 		servePlace(ctx, h, f, s)
 		return
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,14 +13,14 @@
 
 // Keys that stand in many lines.
 const (
-	requestKey  = "request-id"
-	teamKey = "team"
-	kindKey     = "kind"
-	modelKey    = "model"
-	serverKey   = "server"
-	outcomeKey  = "outcome"
-	reasonKey   = "reason"
-	nodeKey     = "node"
+	requestKey = "request-id"
+	teamKey    = "team"
+	kindKey    = "kind"
+	modelKey   = "model"
+	serverKey  = "server"
+	outcomeKey = "outcome"
+	reasonKey  = "reason"
+	nodeKey    = "node"
 )
 
 // LevelError means that a level is not one that zap knows.
--- a/internal/testbed/measure/size.go
+++ b/internal/testbed/measure/size.go
@@ -28,12 +28,12 @@
 type (
 	// Size is how much there is of everything.
 	Size struct {
-		Nodes     int     `json:"nodes"`
-		Servers   int     `json:"servers"` // model engines
-		Models    int     `json:"models"`
-		Adapters  int     `json:"adapters"` // in all
-		Teams int     `json:"teams"`
-		Rate      float64 `json:"rate"` // requests a second to all nodes together
+		Nodes    int     `json:"nodes"`
+		Servers  int     `json:"servers"` // model engines
+		Models   int     `json:"models"`
+		Adapters int     `json:"adapters"` // in all
+		Teams    int     `json:"teams"`
+		Rate     float64 `json:"rate"` // requests a second to all nodes together
 	}
 
 	// Dimension names a field of Size, or "ray": nodes with twice as many
@@ -46,11 +46,11 @@
 
 // Dimensions of a Size.
 const (
-	Nodes     Dimension = "nodes"
-	Servers   Dimension = "servers"
-	Models    Dimension = "models"
-	Teams Dimension = "teams"
-	Rate      Dimension = "rate"
+	Nodes   Dimension = "nodes"
+	Servers Dimension = "servers"
+	Models  Dimension = "models"
+	Teams   Dimension = "teams"
+	Rate    Dimension = "rate"
 	// Ray varies nodes and servers together, two servers a node, as the size
 	// of two years from now has them.
 	Ray Dimension = "ray"
--- a/internal/testbed/report/compare.go
+++ b/internal/testbed/report/compare.go
@@ -34,7 +34,7 @@
 		Urgent         Spread  `json:"urgent-attainment"`
 		Value          Spread  `json:"value-attainment"`
 		PerAccelerator Spread  `json:"met-per-accelerator-second"`
-		WorstTeam  Spread  `json:"worst-team-attainment"`
+		WorstTeam      Spread  `json:"worst-team-attainment"`
 		FirstToken95   Spread  `json:"first-token-p95-ms"`
 		Between95      Spread  `json:"between-tokens-p95-ms"`
 		Moves          Spread  `json:"moves"`
@@ -86,7 +86,7 @@
 		Urgent:         of(func(s *Summary) float64 { return s.Urgent.Attainment }),
 		Value:          of(func(s *Summary) float64 { return s.ValueAttainment }),
 		PerAccelerator: of(func(s *Summary) float64 { return s.PerAccelerator }),
-		WorstTeam:  of(func(s *Summary) float64 { return s.WorstTeam }),
+		WorstTeam:      of(func(s *Summary) float64 { return s.WorstTeam }),
 		FirstToken95:   of(func(s *Summary) float64 { return s.All.FirstToken.P95 }),
 		Between95:      of(func(s *Summary) float64 { return s.All.Between.P95 }),
 		Moves:          of(func(s *Summary) float64 { return float64(s.Moves) }),
--- a/internal/testbed/report/recorder.go
+++ b/internal/testbed/report/recorder.go
@@ -25,7 +25,7 @@
 		At         time.Duration // intended send time since the start
 		Kind       string
 		Urgency    config.Urgency
-		Team   string
+		Team       string
 		Value      float64
 		Deadline   time.Duration // since At
 		Bound      bool          // met in time by the bound
@@ -112,7 +112,7 @@
 		ValueAttainment float64        `json:"value-attainment"`
 		ValueOfBound    float64        `json:"value-share-of-bound"`
 		PerAccelerator  float64        `json:"met-per-accelerator-second"`
-		WorstTeam   float64        `json:"worst-team-attainment"` // with at least 10 requests
+		WorstTeam       float64        `json:"worst-team-attainment"` // with at least 10 requests
 		Moves           int            `json:"moves"`
 		Reasons         map[string]int `json:"reasons"`
 		Series          []Point        `json:"series"`
--- a/internal/testbed/workload/deployment.go
+++ b/internal/testbed/workload/deployment.go
@@ -23,7 +23,7 @@
 		Engines     int
 		Models      int
 		Adapters    int
-		Teams   int
+		Teams       int
 		DataCentres int
 		Delay       time.Duration // one way between data centres
 		ClientDelay time.Duration // one way between clients and nodes
--- a/internal/testbed/workload/generate.go
+++ b/internal/testbed/workload/generate.go
@@ -18,12 +18,12 @@
 	defaultOff         = 20 * time.Second
 	defaultPrefixes    = 4
 	popularityExponent = 0.9
-	teamExponent   = 1.1
+	teamExponent       = 1.1
 	prefixExponent     = 1.0
 	prefixBytes        = 1024
 	tailBytes          = 96
 	bytesPerToken      = 4
-	teamsOfItem    = 3
+	teamsOfItem        = 3
 	adapterPart        = 0.5 // of the requests that name an adapter
 	lengthSpread       = 0.5 // answers are between this part less and more than their mean
 	maxTokens          = 4096
@@ -45,13 +45,13 @@
 
 	// Arrival is a request that arrives.
 	Arrival struct {
-		At       time.Duration // since the start
-		Model    string        // name of the model or adapter asked for
-		Team string
-		Mix      Mix // kind of work, with its deadline
-		Tokens   int // of the answer
-		Prefix   int // which shared prefix
-		Number   int // place in the arrivals
+		At     time.Duration // since the start
+		Model  string        // name of the model or adapter asked for
+		Team   string
+		Mix    Mix // kind of work, with its deadline
+		Tokens int // of the answer
+		Prefix int // which shared prefix
+		Number int // place in the arrivals
 	}
 
 	// turn is a time in which an item's rate doesn't change.
@@ -62,9 +62,9 @@
 
 	// item is a model or an adapter with its turns.
 	item struct {
-		name      string
+		name  string
 		teams []int
-		turns     []turn
+		turns []turn
 	}
 )
 
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -33,7 +33,7 @@
 	outcome.KeyReused:      http.StatusUnprocessableEntity,
 	outcome.KeyRequired:    http.StatusBadRequest,
 	outcome.InProgress:     http.StatusConflict,
-	outcome.TeamLimit:  http.StatusTooManyRequests,
+	outcome.TeamLimit:      http.StatusTooManyRequests,
 	outcome.CrashSuspect:   http.StatusUnprocessableEntity,
 	outcome.DeadlinePassed: http.StatusGatewayTimeout,
 	outcome.Internal:       http.StatusInternalServerError,
