--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -10,7 +10,7 @@
 const (
 	// silentAfter is how long after a node's last report its share is kept back: it may
 	// have begun to spend by itself.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 2500 * time.Millisecond
 	// memory is the time over which shares follow what nodes spend.
 	memory = 4 * time.Second
 	// evenPart is the part of a quota that all nodes share evenly, since callers may turn
--- a/internal/gateway/spend.go
+++ b/internal/gateway/spend.go
@@ -10,8 +10,8 @@
 
 const (
 	// granterBack is when a client may come back that was refused while no granter was
-	// reached: one is there again within some seconds, and other nodes may reach it.
-	granterBack = time.Second
+	// reached: another node may reach one.
+	granterBack = 500 * time.Millisecond
 	// returnSpread is by how much, at most, clients over their quota are told to come
 	// back later than their tokens are there, so that they don't come back together.
 	returnSpread = 0.5
@@ -106,7 +106,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.purse.Answered(number)
-	g.purse.Told(states, nodes)
+	g.purse.Told(time.Now(), states, nodes)
 	g.led = true
 }
 
