--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -23,5 +23,5 @@
 //	l := &quota.Ledger{Tolerance: tolerance}
 //	l.Reset(now, teams)
 //	ok, after := l.Charge(now, "desk", 1460)
-//	l.Report(now, "node-1", purse.Report())
+//	l.Report(now, "node-1", "process-1", purse.Report())
 package quota
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -46,10 +46,8 @@
 	// Uses is what a node reports. Reports of a node are numbered, so that one that comes
 	// late or twice counts once.
 	Uses struct {
-		Node        string
-		Incarnation string // of the node's process
-		Number      uint64
-		Uses        []Use
+		Number uint64
+		Uses   []Use
 	}
 
 	// State is what a node is told of a team's quota.
@@ -173,22 +171,22 @@
 	}
 }
 
-// Report takes in what a node has spent and returns what it is told of the teams that it
-// serves.
-func (l *Ledger) Report(now time.Time, r Uses) map[string]State {
+// Report takes in what a node has spent, one process of which is an incarnation, and
+// returns what it is told of the teams that it serves.
+func (l *Ledger) Report(now time.Time, node, incarnation string, r Uses) map[string]State {
 	if len(l.teams) == 0 {
 		return nil
 	}
 	l.tidy(now)
-	m := l.nodes[r.Node]
+	m := l.nodes[node]
 	if m == nil {
 		m = &member{used: map[string]*decaying{}, shares: map[string]float64{}}
-		l.nodes[r.Node] = m
+		l.nodes[node] = m
 	}
 	l.resume(now, m)
 	m.heard = now
-	if m.incarnation != r.Incarnation {
-		m.incarnation, m.number, m.sums = r.Incarnation, 0, map[string]Sum{}
+	if m.incarnation != incarnation {
+		m.incarnation, m.number, m.sums = incarnation, 0, map[string]Sum{}
 	}
 	if r.Number > m.number {
 		m.number = r.Number
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -87,33 +87,26 @@
 	l := newLedger()
 	left := func(l *quota.Ledger) float64 { return l.Accounts(start)[0].Left }
 	p := newPurse(1)
-	report := func() quota.Uses {
-		r := p.Report()
-		r.Node, r.Incarnation = "n1", "a"
-		return r
-	}
 	spend(t, p, 200)
-	lost := report()
-	l.Report(start, lost) // its answer doesn't arrive
+	lost := p.Report()
+	l.Report(start, "n1", "a", lost) // its answer doesn't arrive
 	require.Equal(t, 800.0, left(l))
 	spend(t, p, 100)
-	second := report()
-	l.Report(start, second)
+	second := p.Report()
+	l.Report(start, "n1", "a", second)
 	p.Answered(second.Number)
 	require.Equal(t, 700.0, left(l))
-	l.Report(start, lost)
+	l.Report(start, "n1", "a", lost)
 	require.Equal(t, 700.0, left(l), "a late report changes nothing")
 
 	other := newLedger()
 	spend(t, p, 50)
-	other.Report(start, report())
+	other.Report(start, "n1", "a", p.Report())
 	require.Equal(t, 950.0, left(other), "another granter charges what none has answered for")
 
 	p = newPurse(2)
 	spend(t, p, 40)
-	again := p.Report()
-	again.Node, again.Incarnation = "n1", "b"
-	l.Report(start, again)
+	l.Report(start, "n1", "b", p.Report())
 	require.Equal(t, 660.0, left(l), "the node's next process counts from zero")
 }
 
@@ -124,8 +117,7 @@
 	purses := map[string]*quota.Purse{"n1": newPurse(1), "n2": newPurse(2)}
 	report := func(now time.Time, name string) {
 		r := purses[name].Report()
-		r.Node, r.Incarnation = name, name
-		purses[name].Told(now, l.Report(now, r), 2)
+		purses[name].Told(now, l.Report(now, name, name, r), 2)
 		purses[name].Answered(r.Number)
 	}
 	for _, name := range []string{"n1", "n2"} {
@@ -211,8 +203,7 @@
 					continue
 				}
 				r := p.Report()
-				r.Node, r.Incarnation = string(rune('A'+i)), "x"
-				p.Told(now, l.Report(now, r), nodes)
+				p.Told(now, l.Report(now, string(rune('A'+i)), "x", r), nodes)
 				p.Answered(r.Number)
 			}
 			for spent := 0.0; spent < asked; {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -92,7 +92,6 @@
 	r.Update = n.read(r)
 	r.Echo = n.echo
 	r.Quotas = n.gateway.Spent()
-	r.Quotas.Node, r.Quotas.Incarnation = n.settings.Node, n.key.Fingerprint()
 	r.Echo.After = clock.Boot() - n.follower.ConfigAge() - n.echoAt
 	return r
 }
@@ -270,7 +269,7 @@
 	if !p.Leading && !p.Acting {
 		return p
 	}
-	p.Quotas = n.granter.Spent(r.Quotas)
+	p.Quotas = n.granter.Spent(r)
 	if r.Update != nil {
 		n.follower.Take(time.Now(), *r.Update)
 		n.proved(r, p.Heard.Hub)
--- a/internal/granter/quotas.go
+++ b/internal/granter/quotas.go
@@ -28,11 +28,11 @@
 	g.ledger.Configure(time.Now(), teams)
 }
 
-// Spent takes in what a node has spent, and returns what it is told of the quotas.
-func (g *Granter) Spent(u quota.Uses) map[string]quota.State {
+// Spent takes in what a node reports to have spent, and returns what it is told of the quotas.
+func (g *Granter) Spent(r hub.Report) map[string]quota.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Report(time.Now(), u)
+	return g.ledger.Report(time.Now(), r.Node, r.At.Key, r.Quotas)
 }
 
 // Accounts returns the use of all teams with a quota.
