--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -85,7 +85,7 @@
 		byHost   map[string][]Route // longest prefix first
 		services map[string]Service
 		limits   Limits
-		access   Access
+		access   access
 	}
 )
 
--- a/core/fleet/team.go
+++ b/core/fleet/team.go
@@ -36,8 +36,8 @@
 		Quota    Quota
 	}
 
-	// Access says who may call. The zero value lets everybody call.
-	Access struct {
+	// access says who may call. The zero value lets everybody call.
+	access struct {
 		required bool
 		teams    []Team // in order of their names
 		keys     apikey.Index[*Team]
@@ -70,7 +70,7 @@
 // that aren't public.
 func (c *Config) WithTeams(members []Member) *Config {
 	d := *c
-	a := Access{required: true, digests: map[apikey.Digest]bool{}}
+	a := access{required: true, digests: map[apikey.Digest]bool{}}
 	for _, m := range members {
 		t := m.Team
 		a.teams = append(a.teams, t)
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -78,10 +78,10 @@
 		quota    fleet.Quota
 		level    float64 // units left, below zero for debt
 		at       time.Time
-		told     float64 // sum of the nodes' shares, one at most
-		withheld float64 // part of the rate kept back for silent nodes
-		begun    time.Time
-		claimed  float64 // shares that an earlier granter told the nodes that report
+		told     float64   // sum of the nodes' shares, one at most
+		withheld float64   // part of the rate kept back for silent nodes
+		begun    time.Time // when this ledger began to keep it
+		claimed  float64   // sum of the shares that nodes held when they first reported here
 		used     decaying
 	}
 
@@ -223,7 +223,7 @@
 	d.add(now, spent)
 }
 
-// state returns what a node is told, and notes it.
+// state returns what a node is told of each team, and notes its shares.
 func (l *Ledger) state(now time.Time, m *member) map[string]State {
 	out := map[string]State{}
 	l.untell(m)
@@ -286,7 +286,7 @@
 	}
 }
 
-// withhold changes what is kept back by a node's shares, so many times.
+// withhold adds a node's shares, so many times, to the part of the rate that is kept back.
 func (l *Ledger) withhold(now time.Time, m *member, times float64) {
 	for team, share := range m.shares {
 		if a := l.teams[team]; a != nil {
@@ -307,8 +307,8 @@
 	m.silent = time.Time{}
 }
 
-// lend adds what a silent node's shares have brought in since it was last heard of, so
-// many times.
+// lend adds to the buckets, so many times, what a silent node's shares have brought in since
+// it was last heard of.
 func (l *Ledger) lend(now time.Time, m *member, times float64) {
 	for team, share := range m.shares {
 		if a := l.teams[team]; a != nil {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -78,9 +78,10 @@
 // unauthorized refuses a caller without a valid key.
 func (r *request) unauthorized() { r.answer(http.StatusUnauthorized, Unauthorized, 0) }
 
-// allowed tells whether the request may still be sent to a server: its key is in the
-// configuration in force, which isn't too old. The request may have waited since it was
-// admitted, or the process may have stood still.
+// allowed returns why the request may not be sent to a server, or nothing: its key must be
+// in the configuration in force, which must not be too old. The request may have waited
+// since it was admitted, or the process may have stood still. The age is looked at first:
+// a newer configuration may be put in force between the two.
 func (r *request) allowed() Reason {
 	if !r.keyed || r.route.Public {
 		return ""
@@ -95,8 +96,7 @@
 }
 
 // fresh tells whether the configuration in force was the newest so short a time ago that
-// keys may be relied on. The age is taken before the configuration is: a newer one may be
-// put in force between.
+// keys may be relied on.
 func (g *Gateway) fresh() bool {
 	return g.KeyAge <= 0 || g.ConfigAge() < g.KeyAge
 }
--- a/internal/gateway/spend.go
+++ b/internal/gateway/spend.go
@@ -27,7 +27,7 @@
 	return r.team.Quota.Cost(r.meta.PromptTokens, r.meta.OutputTokens, r.meta.Counted)
 }
 
-// due returns what is still to be charged, with the request's place.
+// due returns what is still to be charged together with a place.
 func (r *request) due() hub.Charge {
 	if r.charged || !r.limited() {
 		return hub.Charge{}
