--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -212,7 +212,7 @@
 					cost = 200
 				}
 				spent += cost
-				ok := true
+				var ok bool
 				switch p := purses[i]; {
 				case now.Before(cut[i]), plain:
 					ok, _ = p.Spend(now, team, cost, !now.Before(cut[i]))
--- a/internal/follow/proof_test.go
+++ b/internal/follow/proof_test.go
@@ -48,7 +48,6 @@
 		follower *follow.Follower
 		mu       sync.Mutex
 		inForce  int64
-		still    time.Time // stands still until then
 	}
 )
 
@@ -133,7 +132,7 @@
 }
 
 // TestNoConfigurationIsTakenForNewerThanItIsInTime plays nodes that read the store, are
-// turned away by it, pass on what they have, get answers late and stand still. Whatever age
+// turned away by it, pass on what they have, and get answers late. Whatever age
 // a node tells of its configuration, no version had been acknowledged by then that it
 // doesn't have.
 func TestNoConfigurationIsTakenForNewerThanItIsInTime(t *testing.T) {
