--- a/core/grant/group.go
+++ b/core/grant/group.go
@@ -53,7 +53,7 @@
 
 // insert keeps a list in order.
 func insert(list []Request, r Request) []Request {
-	i := sort.Search(len(list), func(i int) bool { return before(r, list[i]) })
+	i := sort.Search(len(list), func(i int) bool { return before(&r, &list[i]) })
 	list = append(list, Request{})
 	copy(list[i+1:], list[i:])
 	list[i] = r
@@ -61,7 +61,7 @@
 }
 
 // before orders requests by urgency, by what their teams have used, and by arrival.
-func before(a, b Request) bool {
+func before(a, b *Request) bool {
 	switch {
 	case a.Priority != b.Priority:
 		return a.Priority < b.Priority
@@ -106,11 +106,11 @@
 }
 
 // head returns the request of a group that goes first.
-func (g *group) head() Request {
+func (g *group) head() *Request {
 	if len(g.fresh) > 0 {
-		return g.fresh[0]
+		return &g.fresh[0]
 	}
-	return g.late[0]
+	return &g.late[0]
 }
 
 // pop takes the head off.
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -249,7 +249,7 @@
 	heap.Init(queue)
 	for queue.Len() > 0 {
 		g := queue.groups[0]
-		r := g.head()
+		r := *g.head()
 		c, why := s.picture.PickRoom(now, r.Pick, s.settings.Tokens, s.settings.Part)
 		g.why = why
 		if why != balance.Picked {
