Growth tests measure processor time

They compared wall time: the tenfold sample lasts long enough to be preempted in each of its 20 calls, the small one isn't. The bound stays.

--- a/core/grant/growth_test.go
+++ b/core/grant/growth_test.go
@@ -10,6 +10,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/grant"
+	"guavapaddle/internal/testbed/cputime"
 )
 
 // backlog returns a scheduler of engines that are full, three models each, before which
@@ -56,14 +57,10 @@
 	const times = 10
 	fastest := func(waiting int) time.Duration {
 		s, _ := backlog(600, 1200, waiting)
-		least := time.Hour
-		for range 20 {
-			began := time.Now()
+		return cputime.Least(20, func() {
 			s.Changed()
 			s.Next(start)
-			least = min(least, time.Since(began))
-		}
-		return least
+		})
 	}
 	few, many := fastest(100), fastest(100*times)
 	require.Less(t, many, 3*times*few, "ten times the groups take %v, not %v", many, few)
--- a/core/residency/growth_test.go
+++ b/core/residency/growth_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/residency"
+	"guavapaddle/internal/testbed/cputime"
 )
 
 // crowd returns the input of a plan for engines that are full of models, with more
@@ -28,15 +29,9 @@
 	return in
 }
 
-// fastest returns the least time of several plans.
+// fastest returns the least processor time of several plans.
 func fastest(in residency.Input) time.Duration {
-	least := time.Hour
-	for range 20 {
-		began := time.Now()
-		residency.Plan(in)
-		least = min(least, time.Since(began))
-	}
-	return least
+	return cputime.Least(20, func() { residency.Plan(in) })
 }
 
 // TestThePlanGrowsWithTheModels plays few engines and many models without a copy, for
