Gateway and front: one way to give a request up, one to take an answer in

A request over its quota was answered in two places, of which one now returns the reason to giveUp, as all others do; each answer to a report was taken in and then told to the gateway at three places, now at one. No behaviour meant.

--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -56,9 +56,7 @@
 // tellDeputy reports to the deputy, and tells whether it took the report.
 func (n *Node) tellDeputy(ctx context.Context, l leader.Lease, r hub.Report) bool {
 	if n.isActing() {
-		p := n.Report(r)
-		n.take(p)
-		n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
+		n.take(r, n.Report(r))
 		return true
 	}
 	at, ok := n.deputyToAsk()
@@ -75,8 +73,7 @@
 		return false
 	}
 	n.deputyHeard.Store(int64(clock.Boot()))
-	n.take(p)
-	n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
+	n.take(r, p)
 	n.fed(p.Update, asked)
 	n.placer.Learn(p.Lease)
 	return true
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -63,8 +63,7 @@
 		p, err := n.tell(ctx, l, r)
 		if err == nil && p.Leading {
 			b.Reset()
-			n.led(l, p, asked)
-			n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
+			n.led(l, r, p, asked)
 			continue
 		}
 		if err == nil && n.placer.Learn(p.Lease) {
@@ -122,7 +121,7 @@
 
 // led takes in the answer of the holder of the lease.
 // It was asked for at a boot time.
-func (n *Node) led(l leader.Lease, p hub.Picture, asked time.Duration) {
+func (n *Node) led(l leader.Lease, r hub.Report, p hub.Picture, asked time.Duration) {
 	n.nodes.Store(int64(p.Nodes))
 	if was := n.reached.Swap(int64(clock.Boot())); was == 0 || time.Duration(int64(clock.Boot())-was) > n.silence() {
 		n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", p.Nodes))
@@ -135,18 +134,19 @@
 		n.peers.add(p.Keys) // who may all ask it
 		n.roster = p.Roster
 	}
-	n.take(p)
+	n.take(r, p)
 	if l.Key != n.key.Fingerprint() {
 		n.fed(p.Update, asked)
 		n.placer.Learn(p.Lease)
 	}
 }
 
-// take takes in what the holder, or its deputy, answers.
-func (n *Node) take(p hub.Picture) {
+// take takes in what the holder, or its deputy, answers to a report.
+func (n *Node) take(r hub.Report, p hub.Picture) {
 	n.heard = p.Heard
 	n.echo, n.echoAt = hub.Echo{Hub: p.Heard.Hub, Stamp: p.Stamp}, clock.Boot()
 	n.gateway.Take(p)
+	n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
 	n.holderHas.Store(p.Update.Version)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,7 +59,8 @@
 			r.giveUp(why, refusal)
 			return
 		}
-		if !r.spend() {
+		if why := r.spend(); why != "" {
+			r.giveUp(why, refusal)
 			return
 		}
 		if why := r.allowed(); why != "" {
--- a/internal/gateway/spend.go
+++ b/internal/gateway/spend.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"time"
 
 	"guavapaddle/core/quota"
@@ -47,11 +46,10 @@
 	g.purse.Charged(c.Team, c.Cost)
 }
 
-// spend charges a request that got no place from a granter. It answers the request and
-// returns false if that is over the quota.
-func (r *request) spend() bool {
+// spend charges a request that got no place from a granter, or returns why it can't.
+func (r *request) spend() Reason {
 	if r.charged || !r.limited() {
-		return true
+		return ""
 	}
 	g := r.g
 	g.mu.Lock()
@@ -61,18 +59,13 @@
 	r.alone = !led
 	if ok {
 		r.charged = true
-		return true
+		return ""
 	}
 	if !led {
 		after = min(after, granterBack)
 	}
-	r.overQuota(after)
-	return false
-}
-
-// overQuota refuses a request whose team has spent its quota.
-func (r *request) overQuota(after time.Duration) {
-	r.answer(http.StatusTooManyRequests, Quota, r.spread(after))
+	r.after = after
+	return Quota
 }
 
 // spread returns when a client over its quota may come back.
