Gateway: the rate that a server names in its answers is logged when it changes

Decoded in platform/, kept in core/throttle by the order of requests and answers, one line a change (event=server-limit). No decision uses it yet.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/throttle"
 )
 
 const (
@@ -52,6 +53,7 @@
 		base     time.Duration // learned time to the first byte, plain services
 		notes    map[held]note
 		parts    map[string]time.Time
+		throttle throttle.Throttle
 	}
 
 	// held names a model, or an adapter of it.
@@ -191,6 +193,13 @@
 	}
 }
 
+// Limit takes in what a server said of the rate that it takes. It returns whether that
+// changes its limit.
+func (p *Picture) Limit(id string, l throttle.Limit) bool {
+	s := p.servers[id]
+	return s != nil && s.throttle.Learn(l)
+}
+
 // Own returns what this node has at each server where it has anything, and what
 // of it the granter in office counts itself.
 func (p *Picture) Own(granter int64) map[string]Count {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/throttle"
 	"guavapaddle/io/http1"
 	"guavapaddle/platform"
 )
@@ -101,6 +102,7 @@
 	}
 	t.ran = t.ran || !t.answer.NotRun
 	t.first = time.Since(sent)
+	t.learnLimit(sent)
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
 	t.g.mu.Unlock()
@@ -114,6 +116,21 @@
 	return result, f, reason
 }
 
+// learnLimit takes in what the answer to a request says of the rate that its server takes.
+func (t *try) learnLimit(sent time.Time) {
+	l := throttle.Withdrawn(sent)
+	if t.answer.Rate != nil {
+		l = throttle.Named(time.Now(), *t.answer.Rate)
+	}
+	t.g.mu.Lock()
+	changed := t.g.picture.Limit(t.choice.Server.ID, l)
+	t.g.mu.Unlock()
+	if changed {
+		t.g.Log.Info("server-limit", zap.String("request-id", t.meta.ID), zap.String("server", t.choice.Server.ID),
+			zap.Bool("named", l.Active), zap.Float64("rate", l.Rate), zap.String("rule", t.rule))
+	}
+}
+
 // receive reads the head of the answer. Where the request must not run again,
 // an answer to another request that comes first, late, is read to its end and
 // dropped: its own comes behind it. Else it is sent again at once.
