--- /dev/null
+++ b/core/departure/set_test.go
@@ -0,0 +1,37 @@
+package departure_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/departure"
+	"guavapaddle/core/fleet"
+)
+
+func TestWhatAServerSaidHoldsOverAnyList(t *testing.T) {
+	var s departure.Set
+	list := []fleet.Server{{ID: "a", Born: 1}, {ID: "b", Born: 1}, {ID: "c", Leaving: true}}
+	require.Empty(t, s.Among(list))
+	require.Equal(t, list, s.Apply(list))
+	require.True(t, s.Add(departure.Incarnation{ID: "b", Born: 1}))
+	require.False(t, s.Add(departure.Incarnation{ID: "b", Born: 1}))
+	got := s.Apply(list)
+	require.False(t, got[0].Leaving)
+	require.True(t, got[1].Leaving)
+	require.True(t, got[2].Leaving)
+	require.False(t, list[1].Leaving, "the list itself stays as it was")
+	require.Equal(t, []departure.Incarnation{{ID: "b", Born: 1}}, s.Among(list))
+	require.False(t, s.Apply([]fleet.Server{{ID: "b", Born: 2}})[0].Leaving, "it has started again")
+	require.Empty(t, s.Apply(nil))
+}
+
+func TestTheOldestAreForgotten(t *testing.T) {
+	var s departure.Set
+	for i := range 5000 {
+		s.Add(departure.Incarnation{ID: fmt.Sprint(i)})
+	}
+	require.False(t, s.Apply([]fleet.Server{{ID: "0"}})[0].Leaving)
+	require.True(t, s.Apply([]fleet.Server{{ID: "4999"}})[0].Leaving)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"guavapaddle/core/apikey"
 	"guavapaddle/core/balance"
+	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/quota"
 	"guavapaddle/core/retry"
@@ -60,18 +61,19 @@
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
 
-		config  atomic.Pointer[fleet.Config]
-		mu      sync.Mutex // guards what follows, and Rand
-		picture *balance.Picture
-		budgets map[string]*retry.Budget // by service
-		purse   quota.Purse
-		led     bool // a granter has answered the last report
-		nodes   int  // that share what a service bears, 0 if unknown
-		demand  map[hub.Item]*hub.Demand
-		marks   map[uint64]map[string]bool
-		news    []hub.Mark
-		changed chan struct{} // closed when the picture changes
-		stopped chan struct{}
+		config   atomic.Pointer[fleet.Config]
+		mu       sync.Mutex // guards what follows, and Rand
+		picture  *balance.Picture
+		budgets  map[string]*retry.Budget // by service
+		purse    quota.Purse
+		led      bool // a granter has answered the last report
+		nodes    int  // that share what a service bears, 0 if unknown
+		demand   map[hub.Item]*hub.Demand
+		marks    map[uint64]map[string]bool
+		news     []hub.Mark
+		departed departure.Set
+		changed  chan struct{} // closed when the picture changes
+		stopped  chan struct{}
 	}
 
 	// request is one request on its way.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/throttle"
 	"guavapaddle/io/http1"
@@ -103,6 +104,7 @@
 	t.ran = t.ran || !t.answer.NotRun
 	t.first = time.Since(sent)
 	t.learnLimit(sent)
+	t.learnNeeds()
 	t.g.mu.Lock()
 	t.g.picture.First(time.Now(), t.ticket)
 	t.g.mu.Unlock()
@@ -134,6 +136,23 @@
 	}
 }
 
+// learnNeeds takes in whether the answer says that its server leaves or wants rest.
+func (t *try) learnNeeds() {
+	s := t.choice.Server
+	if t.answer.Leaving {
+		t.g.mu.Lock()
+		isNew := t.g.departed.Add(departure.Of(s))
+		t.g.mu.Unlock()
+		if isNew {
+			t.g.Log.Info("server-departs", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.String("rule", t.rule))
+		}
+	}
+	if t.answer.Rest > 0 {
+		t.g.Log.Info("server-rests", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.Duration("rest", t.answer.Rest),
+			zap.String("rule", t.rule))
+	}
+}
+
 // receive reads the head of the answer. Where the request must not run again,
 // an answer to another request that comes first, late, is read to its end and
 // dropped: its own comes behind it. Else it is sent again at once.
