A server that says that it leaves gets no further requests

Cause: nobody read Server-Leaving. A node knew of a leaving by the store alone, which was away. Class of fault: as with the named rate, what an answer says of its server isn't decoded, or stays where it came.

Now what a server says binds for its incarnation over any list of servers. The list that gateway, placer and granter get is made at one place (front/servers.go); a server that departs changes it at once. Reports carry who departs to the holder and from there to all nodes. A place that is granted meanwhile at such a server is declined and asked for again, with the server excluded; before, the node then picked by itself.

Ruled out: an old list that overwrote what was known (nothing was known); the grants alone (plain servers too).

--- a/core/departure/set.go
+++ b/core/departure/set.go
@@ -62,11 +62,12 @@
 	return out
 }
 
-// Among returns those of the servers that have said that they leave.
+// Among returns those of the servers that have said that they leave while their entries
+// don't.
 func (s *Set) Among(list []fleet.Server) []Incarnation {
 	var out []Incarnation
 	for _, v := range list {
-		if s.left[Of(v)] {
+		if !v.Leaving && s.left[Of(v)] {
 			out = append(out, Of(v))
 		}
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -91,6 +91,7 @@
 	r.Update = n.read(r)
 	r.Echo = n.echo
 	r.Quotas = n.gateway.Spent()
+	r.Departed = n.departing()
 	r.Echo.After = clock.Boot() - n.follower.ConfigAge() - n.echoAt
 	return r
 }
@@ -146,6 +147,7 @@
 	n.heard = p.Heard
 	n.echo, n.echoAt = hub.Echo{Hub: p.Heard.Hub, Stamp: p.Stamp}, clock.Boot()
 	n.gateway.Take(p)
+	n.departs(p.Departed...)
 	n.gateway.Told(r.Quotas.Number, p.Quotas, p.Nodes)
 	n.holderHas.Store(p.Update.Version)
 }
@@ -271,6 +273,8 @@
 	}
 	p.Quotas = n.granter.Spent(r)
 	n.granter.Limited(r.Limits)
+	n.departs(r.Departed...)
+	p.Departed = n.departing()
 	if r.Update != nil {
 		n.follower.Take(time.Now(), *r.Update)
 		n.proved(r, p.Heard.Hub)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/retry"
@@ -72,8 +73,7 @@
 	probes        *http1.Server
 	registry      *prometheus.Registry
 	stopping      atomic.Bool
-	servers       atomic.Bool // the list was read
-	list          atomic.Pointer[[]fleet.Server]
+	servers       servers
 	engines       atomic.Pointer[map[string]bool] // those of the servers that are model engines
 	reached       atomic.Int64                    // boot time of the holder's last answer to a report
 	heardAt       atomic.Int64                    // boot time of its last answer to anything
@@ -111,7 +111,8 @@
 	n.registry.MustRegister(m.Collectors()...)
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Repeats: n.repeats(), Refresh: n.refresh, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
+		Repeats: n.repeats(), Refresh: n.refresh,
+		Departs: func(i departure.Incarnation) bool { return n.departs(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdle,
 		OnMessage: func(string, peer.Frame) {},
@@ -263,44 +264,16 @@
 
 // ready tells whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Serves() && n.servers.Load()
+	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers()
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
 	n.gateway.SetConfig(c)
 	n.placer.Config(n.gateway.Config())
 	n.granter.Teams(n.gateway.Config().Teams())
-	n.noteEngines()
-}
-
-// granted tells whether the holder of the lease says which requests begin at a server.
-func (n *Node) granted(server string) bool {
-	engines := n.engines.Load()
-	return engines != nil && (*engines)[server]
-}
-
-// noteEngines notes which of the servers are model engines.
-func (n *Node) noteEngines() {
-	c, list := n.gateway.Config(), n.list.Load()
-	if c == nil || list == nil {
-		return
-	}
-	engines := map[string]bool{}
-	for _, s := range *list {
-		if service, ok := c.Service(s.Service); ok && service.Engine != nil {
-			engines[s.ID] = true
-		}
-	}
-	n.engines.Store(&engines)
-}
-
-func (n *Node) onServers(list []fleet.Server) {
-	n.gateway.SetServers(list)
-	n.placer.Servers(list)
-	n.granter.Servers(list)
-	n.servers.Store(true)
-	n.list.Store(&list)
-	n.noteEngines()
+	n.servers.mu.Lock()
+	defer n.servers.mu.Unlock()
+	n.noteEngines(n.servers.list)
 }
 
 // limits returns the bounds on clients of the configuration in force.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,22 +58,24 @@
 		ConfigAge func() time.Duration
 		KeyAge    time.Duration
 		Rand      *rand.Rand
+		// Departs takes in that a server has said that it leaves, and returns whether that is
+		// new; nil for nobody.
+		Departs func(departure.Incarnation) bool
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
 
-		config   atomic.Pointer[fleet.Config]
-		mu       sync.Mutex // guards what follows, and Rand
-		picture  *balance.Picture
-		budgets  map[string]*retry.Budget // by service
-		purse    quota.Purse
-		led      bool // a granter has answered the last report
-		nodes    int  // that share what a service bears, 0 if unknown
-		demand   map[hub.Item]*hub.Demand
-		marks    map[uint64]map[string]bool
-		news     []hub.Mark
-		departed departure.Set
-		changed  chan struct{} // closed when the picture changes
-		stopped  chan struct{}
+		config  atomic.Pointer[fleet.Config]
+		mu      sync.Mutex // guards what follows, and Rand
+		picture *balance.Picture
+		budgets map[string]*retry.Budget // by service
+		purse   quota.Purse
+		led     bool // a granter has answered the last report
+		nodes   int  // that share what a service bears, 0 if unknown
+		demand  map[hub.Item]*hub.Demand
+		marks   map[uint64]map[string]bool
+		news    []hub.Mark
+		changed chan struct{} // closed when the picture changes
+		stopped chan struct{}
 	}
 
 	// request is one request on its way.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -139,13 +139,8 @@
 // learnNeeds takes in whether the answer says that its server leaves or wants rest.
 func (t *try) learnNeeds() {
 	s := t.choice.Server
-	if t.answer.Leaving {
-		t.g.mu.Lock()
-		isNew := t.g.departed.Add(departure.Of(s))
-		t.g.mu.Unlock()
-		if isNew {
-			t.g.Log.Info("server-departs", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.String("rule", t.rule))
-		}
+	if t.answer.Leaving && t.g.Departs != nil && t.g.Departs(departure.Of(s)) {
+		t.g.Log.Info("server-departs", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.String("rule", t.rule))
 	}
 	if t.answer.Rest > 0 {
 		t.g.Log.Info("server-rests", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.Duration("rest", t.answer.Rest),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,9 @@
 const (
 	// sendsMost bounds the sends of one request, refused ones included.
 	sendsMost = 4
+	// asksMost bounds the places that are asked for at once: the holder of the lease may grant
+	// them at servers of which this node knows more.
+	asksMost = 4
 	// dialsMost bounds the servers tried that could not be reached at all.
 	dialsMost = 4
 	// modelWait bounds the wait for a model that no server holds, beside the
@@ -34,6 +37,15 @@
 	comeBack = 400 * time.Millisecond
 )
 
+// asked says what came of asking the holder of the lease for a place.
+type asked int
+
+const (
+	unreached asked = iota // the node has to pick by itself
+	decided                // the request has a place, or was refused
+	declined               // the place is at a server that this node knows better not to use
+)
+
 // fate says what is known of a request after a send.
 type fate int
 
@@ -170,9 +182,14 @@
 		g.ask(w, b.Tokens, 0)
 	}
 	if b.Model != "" {
-		c, why, ok := r.ask(b, w)
-		if ok {
-			return c, why
+		for range asksMost {
+			c, why, a := r.ask(b, w)
+			if a == decided {
+				return c, why
+			}
+			if a == unreached {
+				break
+			}
 		}
 	}
 	waiting := false
@@ -224,9 +241,8 @@
 	}
 }
 
-// ask asks the holder of the lease for a place. ok is false if the node has to
-// pick by itself.
-func (r *request) ask(b balance.Request, w hub.Item) (c balance.Choice, why Reason, ok bool) {
+// ask asks the holder of the lease for a place.
+func (r *request) ask(b balance.Request, w hub.Item) (c balance.Choice, why Reason, a asked) {
 	p := hub.Place{Item: w, Request: r.meta.ID, Tokens: b.Tokens, Parts: b.Parts, Zone: b.Zone, Lacks: r.lacks, Priority: r.urgency(),
 		Waited: time.Since(r.x.Received),
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
@@ -242,12 +258,12 @@
 			grant.Done(balance.Dropped)
 		}
 		if r.x.Context().Err() != nil {
-			return c, ClientLeft, true
+			return c, ClientLeft, decided
 		}
-		return c, Stopping, true
+		return c, Stopping, decided
 	}
 	if err != nil {
-		return c, "", false
+		return c, "", unreached
 	}
 	if placed.Granted {
 		r.paid(p.Charge)
@@ -255,7 +271,7 @@
 	if !placed.Granted {
 		grant.Done(balance.Dropped)
 		r.after = placed.After
-		return c, Reason(placed.Why), true
+		return c, Reason(placed.Why), decided
 	}
 	r.lacks = slices.DeleteFunc(r.lacks, func(id string) bool { return id == placed.Server })
 	r.g.mu.Lock()
@@ -265,14 +281,14 @@
 	if !known || s.Leaving {
 		grant.Done(balance.Dropped) // this node knows more than the holder
 		r.exclude[placed.Server] = true
-		return c, "", false
+		return c, "", declined
 	}
 	if r.sends == 0 {
 		r.queued = time.Since(r.x.Received)
 	}
 	r.place, r.granter = grant, placed.Granter
 	r.rule = "granted"
-	return balance.Choice{Server: s, Wait: placed.Wait}, "", true
+	return balance.Choice{Server: s, Wait: placed.Wait}, "", decided
 }
 
 // waiting returns a context that ends when the client leaves or the node stops.
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/departure"
 	"guavapaddle/core/deputy"
 	"guavapaddle/core/grant"
 	"guavapaddle/core/quota"
@@ -81,13 +82,14 @@
 		Known  follow.Known
 		Update *follow.Update // what this node has read that the holder hasn't
 
-		Contact time.Duration // since the store last answered this node
-		Heard   Heard         // up to where this node was told notes and marks
-		Lease   int64         // version of the lease's row that this node has
-		Roster  uint64        // up to where this node was told who reports
-		Echo    Echo
-		Quotas  quota.Uses
-		Limits  []Limit // that servers named to this node, or withdrew of late
+		Contact  time.Duration // since the store last answered this node
+		Heard    Heard         // up to where this node was told notes and marks
+		Lease    int64         // version of the lease's row that this node has
+		Roster   uint64        // up to where this node was told who reports
+		Echo     Echo
+		Quotas   quota.Uses
+		Limits   []Limit                 // that servers named to this node, or withdrew of late
+		Departed []departure.Incarnation // servers that have said that they leave while their entries don't
 	}
 
 	// Limit is what a server said of the rate that it takes.
@@ -125,11 +127,12 @@
 		Notes    []Note // those that the asking node wasn't told yet
 		Marks    []Mark // likewise
 		Heard    Heard
-		Stamp    time.Duration          // boot time of the answering node
-		Quotas   map[string]quota.State // by team
-		Limits   []Limit                // that servers named to any node, or withdrew of late
-		Update   follow.Update          // of the store's tables
-		Lease    platform.Row           // as the holder last wrote it, unless the asking node has it
+		Stamp    time.Duration           // boot time of the answering node
+		Quotas   map[string]quota.State  // by team
+		Limits   []Limit                 // that servers named to any node, or withdrew of late
+		Departed []departure.Incarnation // that have said so to any node
+		Update   follow.Update           // of the store's tables
+		Lease    platform.Row            // as the holder last wrote it, unless the asking node has it
 	}
 
 	// Hub merges the reports. The zero value is ready and safe for concurrent
