A server that asks a node for rest gets nothing from there until its end

What callers saw: 85 requests of a few seconds refused with the repeats used up, since each send to a server that turns requests away is sent once more elsewhere. What the servers saw: up to 7 requests of one node inside the 3 s of rest that they had asked it for; allowed 2.

Cause: nobody read Retry-After of a server's refusal. A server that refused was left out for 50 ms, and taken all the same where no other fits.

Now a node leaves the server out until the end of the rest, whether others fit or not; it asks for places without it, and declines one that was granted meanwhile. The rest holds for that node: others may go on. Where nothing else is left the request is refused at once (reason resting) and may come back soon, since it comes to another node. At the node that grants places, a request that excludes all servers that hold its model is refused at once too, and holds up nobody behind it; it waited until it expired.

Ruled out: what the node that grants knows (one node and plain servers show it).

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -51,7 +51,7 @@
 	// Choice is a server that was picked.
 	Choice struct {
 		Server fleet.Server
-		Wait   time.Duration // estimated until it begins the request, or until one may be sent where all are Limited
+		Wait   time.Duration // estimated until it begins the request, or until one may be sent where there is none now, zero if unknown
 		Age    time.Duration // of what other nodes said of it
 	}
 
@@ -71,6 +71,8 @@
 	// Limited means that all servers that could run the request have got as many as they
 	// named as their limit.
 	Limited Why = "limited"
+	// Resting means that the servers that could run the request want none from this node now.
+	Resting Why = "resting"
 	// NoAdapter means that servers hold the model but not the adapter.
 	NoAdapter Why = "no-adapter"
 )
@@ -127,20 +129,24 @@
 
 // fit returns the servers that could run the request: those that aren't
 // avoided, or else all of them. The named rates of servers leave room after the
-// time that limited returns; fit returns the least where they leave none now.
+// time that limited returns. Where all servers are left out, fit returns the least
+// time after which a rate or a rest leaves one.
 func (p *Picture) fit(now time.Time, r Request, limited func(*server) time.Duration) ([]*server, time.Duration, Why) {
 	h := p.holding(now, r.Service, held{r.Model, r.Adapter})
 	fit := p.fitting[:0]
 	var avoided []*server
-	least := time.Duration(0)
+	least, out := time.Duration(0), h.why
+	if len(h.list) > 0 && out == NoModel {
+		out = NoServer // others lack the model, but one that holds it is left out
+	}
 	for _, s := range h.list {
-		wait := limited(s)
+		wait, rest := limited(s), s.rest.Sub(now)
 		switch {
 		case r.Exclude[s.ID]:
+		case rest > 0:
+			out, least = Resting, sooner(least, rest)
 		case wait > 0:
-			if least == 0 || wait < least {
-				least = wait
-			}
+			out, least = Limited, sooner(least, wait)
 		case now.Before(s.avoid):
 			avoided = append(avoided, s)
 		default:
@@ -151,10 +157,18 @@
 	if len(fit) == 0 {
 		fit = avoided
 	}
-	if len(fit) == 0 && least > 0 {
-		return nil, least, Limited
+	if len(fit) == 0 {
+		return nil, least, out
+	}
+	return fit, 0, Picked
+}
+
+// sooner returns the shorter of two times, where zero stands for none.
+func sooner(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
 	}
-	return fit, 0, h.why
+	return min(a, b)
 }
 
 // Limits returns the rates that servers name which could run the request, by server.
--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -55,6 +55,7 @@
 		notes    map[held]note
 		parts    map[string]time.Time
 		throttle throttle.Throttle
+		rest     time.Time // until when it wants no request from this node
 	}
 
 	// held names a model, or an adapter of it.
@@ -202,6 +203,24 @@
 	return s != nil && s.throttle.Learn(l)
 }
 
+// Rest notes that a server wants no request from this node until a time.
+func (p *Picture) Rest(id string, until time.Time) {
+	if s := p.servers[id]; s != nil && until.After(s.rest) {
+		s.rest = until
+	}
+}
+
+// Resting returns the servers of a service that want no request from this node now.
+func (p *Picture) Resting(now time.Time, service string) []string {
+	var out []string
+	for _, s := range p.groups[service] {
+		if now.Before(s.rest) {
+			out = append(out, s.ID)
+		}
+	}
+	return out
+}
+
 // Known returns what servers said of their rates that name one, or did so since a time.
 func (p *Picture) Known(since time.Time) map[string]throttle.Limit {
 	out := map[string]throttle.Limit{}
--- a/core/grant/limited_test.go
+++ b/core/grant/limited_test.go
@@ -122,3 +122,19 @@
 	require.Len(t, granted(s.Next(now)), 7)
 	require.Empty(t, s.Limit(now, 99, nil))
 }
+
+// TestARequestWithNoServerLeftHoldsNobodyUp has the most urgent request exclude the only
+// server.
+func TestARequestWithNoServerLeftHoldsNobodyUp(t *testing.T) {
+	s := scheduler(server("a", "m"), server("b", "n"))
+	r := request(1, "m", 100, 0)
+	r.Pick.Exclude = map[string]bool{"a": true}
+	s.Offer(r)
+	s.Offer(request(2, "m", 100, 1))
+	list := s.Next(start)
+	require.Len(t, list, 2)
+	require.Equal(t, []uint64{2}, granted(list))
+	require.Equal(t, balance.NoServer, list[0].Why)
+	require.Positive(t, list[0].After)
+	require.Zero(t, s.Waiting())
+}
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -293,6 +293,12 @@
 		r := *g.head()
 		c, why := s.picture.PickRoom(now, r.Pick, s.settings.Tokens, s.settings.Part)
 		g.why = why
+		if why == balance.NoServer && len(r.Pick.Exclude) > 0 {
+			// Nothing is left for it, and others of its group must not wait behind it.
+			out = s.refuse(out, g, r, apart(r, comeBackLeast))
+			s.next(queue, g)
+			continue
+		}
 		if why != balance.Picked {
 			delete(s.look, g)
 			heap.Pop(queue)
@@ -306,13 +312,18 @@
 		if len(g.fresh) == 0 {
 			v.late.count(now)
 		}
-		g.pop()
-		if g.waiting() > 0 {
-			heap.Fix(queue, 0)
-			continue
-		}
-		heap.Pop(queue)
-		s.tidy(g)
+		s.next(queue, g)
 	}
 	return out
 }
+
+// next takes off the head of the first group of a queue.
+func (s *Scheduler) next(queue *urgency, g *group) {
+	g.pop()
+	if g.waiting() > 0 {
+		heap.Fix(queue, 0)
+		return
+	}
+	heap.Pop(queue)
+	s.tidy(g)
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -38,6 +38,8 @@
 	// Limited means that all servers that could run it have got as many as they named as
 	// their limit.
 	Limited Reason = "limited"
+	// Resting means that the servers that could run it want no requests from this node now.
+	Resting Reason = "resting"
 	// Stopping means that the node ends before a server is free for the request.
 	Stopping Reason = "stopping"
 	// Budget means that the budget for repeats is spent.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -143,6 +143,9 @@
 		t.g.Log.Info("server-departs", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.String("rule", t.rule))
 	}
 	if t.answer.Rest > 0 {
+		t.g.mu.Lock()
+		t.g.picture.Rest(s.ID, time.Now().Add(t.answer.Rest))
+		t.g.mu.Unlock()
 		t.g.Log.Info("server-rests", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.Duration("rest", t.answer.Rest),
 			zap.String("rule", t.rule))
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -31,7 +31,8 @@
 	// recheck is how often a waiting request asks for its model again.
 	recheck = 300 * time.Millisecond
 	// limitedBack is when a client may come back, at most, that was refused since all servers
-	// have got as many requests as they named: it may reach a node that may send one.
+	// have got as many requests as they named, or want rest from this node: it may reach a
+	// node that may send one.
 	limitedBack = time.Second
 	// comeBack is when a refused client may come back where nothing tells more.
 	comeBack = 400 * time.Millisecond
@@ -217,9 +218,9 @@
 		if time.Now().After(until) {
 			return c, Reason(why)
 		}
-		if why == balance.Limited && c.Wait > time.Until(until) {
+		if c.Wait > time.Until(until) || why == balance.Resting {
 			r.after = min(max(c.Wait, comeBack), limitedBack)
-			return c, Limited
+			return c, Reason(why)
 		}
 		if !waiting && b.Model != "" {
 			waiting = true
@@ -250,6 +251,10 @@
 	for id := range r.exclude {
 		p.Exclude = append(p.Exclude, id)
 	}
+	r.g.mu.Lock()
+	resting := r.g.picture.Resting(time.Now(), r.service)
+	r.g.mu.Unlock()
+	p.Exclude = append(p.Exclude, resting...)
 	ctx, cancel := r.waiting()
 	defer cancel()
 	placed, grant, err := r.g.Place(ctx, p)
@@ -271,14 +276,18 @@
 	if !placed.Granted {
 		grant.Done(balance.Dropped)
 		r.after = placed.After
+		if placed.Why == string(balance.NoServer) && len(resting) > 0 {
+			return c, Resting, decided
+		}
 		return c, Reason(placed.Why), decided
 	}
 	r.lacks = slices.DeleteFunc(r.lacks, func(id string) bool { return id == placed.Server })
 	r.g.mu.Lock()
 	s, known := r.g.picture.Server(placed.Server)
 	r.g.picture.Note(time.Now(), placed.Server, w.Model, w.Adapter, true)
+	rests := slices.Contains(r.g.picture.Resting(time.Now(), r.service), placed.Server)
 	r.g.mu.Unlock()
-	if !known || s.Leaving {
+	if !known || s.Leaving || rests {
 		grant.Done(balance.Dropped) // this node knows more than the holder
 		r.exclude[placed.Server] = true
 		return c, "", declined
