Adapters are loaded at engines that the waiting requests may go to

What callers saw: requests for an adapter whose only engine had turned them away, or wants rest, waited 2.1 s and were refused with no-adapter.

Cause: the node that grants places has an adapter loaded that waiting requests lack, and was told each time that it is there already, at the engine that they exclude.

What is refused now has used up the repeats.

Tests fail before: the granter asked without the excluded engine, the placer named it.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -248,13 +249,7 @@
 		Waited: time.Since(r.x.Received),
 		Target: time.Until(r.x.Received.Add(r.route.Target * targetPart / 100)), Expire: r.waitMost(b.Model)}
 	p.Charge = r.due()
-	for id := range r.exclude {
-		p.Exclude = append(p.Exclude, id)
-	}
-	r.g.mu.Lock()
-	resting := r.g.picture.Resting(time.Now(), r.service)
-	r.g.mu.Unlock()
-	p.Exclude = append(p.Exclude, resting...)
+	p.Exclude = r.unusable()
 	ctx, cancel := r.waiting()
 	defer cancel()
 	placed, grant, err := r.g.Place(ctx, p)
@@ -276,7 +271,7 @@
 	if !placed.Granted {
 		grant.Done(balance.Dropped)
 		r.after = placed.After
-		if placed.Why == string(balance.NoServer) && len(resting) > 0 {
+		if placed.Why == string(balance.NoServer) && len(p.Exclude) > len(r.exclude) {
 			return c, Resting, decided
 		}
 		return c, Reason(placed.Why), decided
@@ -300,6 +295,20 @@
 	return balance.Choice{Server: s, Wait: placed.Wait}, "", decided
 }
 
+// unusable returns the servers that the request can't go to: it was tried there, or they
+// want rest from this node.
+func (r *request) unusable() []string {
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	out := slices.Collect(maps.Keys(r.exclude))
+	for _, id := range r.g.picture.Resting(time.Now(), r.service) {
+		if !r.exclude[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // waiting returns a context that ends when the client leaves or the node stops.
 func (r *request) waiting() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(r.x.Context())
@@ -321,7 +330,7 @@
 func (r *request) want(w hub.Item) {
 	ctx, cancel := context.WithTimeout(r.x.Context(), recheck)
 	defer cancel()
-	o := r.g.Want(ctx, hub.Want{Item: w, Lacks: r.lacks})
+	o := r.g.Want(ctx, hub.Want{Item: w, Lacks: r.lacks, Exclude: r.unusable()})
 	if !o.Found {
 		return
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -302,7 +302,7 @@
 func (g *Granter) fetch(w hub.Item) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	o := g.Adapter(ctx, hub.Want{Item: w, Lacks: g.lacks(w)})
+	o := g.Adapter(ctx, g.wanted(w))
 	if !o.Found {
 		clock.Sleep(ctx, Tick)
 	}
@@ -316,14 +316,15 @@
 	g.decide()
 }
 
-// lacks returns the servers that told waiting requests that they lack an item.
-func (g *Granter) lacks(i hub.Item) []string {
+// wanted returns what the requests that wait for an item need.
+func (g *Granter) wanted(i hub.Item) hub.Want {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []string
+	out := hub.Want{Item: i}
 	for _, w := range g.waiters {
 		if w.place.Item == i {
-			out = append(out, w.place.Lacks...)
+			out.Lacks = append(out.Lacks, w.place.Lacks...)
+			out.Exclude = append(out.Exclude, w.place.Exclude...)
 		}
 	}
 	return out
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -82,6 +82,28 @@
 	require.EqualValues(t, 1, fetched.Load())
 }
 
+// TestAnAdapterIsFetchedWhereItsRequestsMayGo has a request exclude the engine that holds its
+// adapter.
+func TestAnAdapterIsFetchedWhereItsRequestsMayGo(t *testing.T) {
+	wants := make(chan hub.Want, 1)
+	g := start(t, func(_ context.Context, w hub.Want) hub.Offer {
+		wants <- w
+		return hub.Offer{Found: true, Server: "i-2"}
+	})
+	g.Servers([]fleet.Server{
+		{ID: "i-1", Service: "llm", Slots: 64, Held: []fleet.Held{{Model: "m", Adapters: []string{"a1"}}}},
+		{ID: "i-2", Service: "llm", Slots: 64, Held: []fleet.Held{{Model: "m"}}},
+	})
+	p := place("m", "a1", 100)
+	p.Exclude = []string{"i-1"}
+	d, release, err := g.Place(context.Background(), p, func() {})
+	require.NoError(t, err)
+	defer release.Done(balance.Good)
+	require.True(t, d.Granted)
+	require.Equal(t, "i-2", d.Choice.Server.ID)
+	require.Equal(t, []string{"i-1"}, (<-wants).Exclude)
+}
+
 func TestARequestWithoutAModelIsCountedAndRefusedInTheEnd(t *testing.T) {
 	g := start(t, nil)
 	p := place("none", "", 100)
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -32,7 +32,8 @@
 	// Want asks the holder for a model or adapter at once.
 	Want struct {
 		Item
-		Lacks []string // servers that said of late that they don't hold it
+		Lacks   []string // servers that said of late that they don't hold it
+		Exclude []string // servers that requests for it exclude
 	}
 
 	// Place asks the holder for a place at an engine. Its answer comes when the
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -108,6 +109,9 @@
 	var list []host
 	for _, s := range p.servers {
 		e := p.engine(s.ID)
+		if slices.Contains(w.Exclude, s.ID) {
+			continue // the requests that wait can't go there
+		}
 		if s.Service != w.Service || s.Leaving || !s.Holds(w.Model, "") || e.going == w.Model || now.Before(e.blocked) {
 			continue
 		}
--- a/internal/placer/adapter_test.go
+++ b/internal/placer/adapter_test.go
@@ -39,6 +39,21 @@
 	require.False(t, a.Want(context.Background(), hub.Want{Item: hub.Item{Service: "llm", Model: "none", Adapter: "a1"}}).Found)
 }
 
+func TestAnAdapterIsLoadedBesideExcludedEngines(t *testing.T) {
+	s := standin.NewStore(t)
+	holds := (&standin.Worker{ID: "i-1"}).Hold("m0", "a1").Hold("m1").Start(t)
+	lacks := (&standin.Worker{ID: "i-2"}).Hold("m0").Hold("m1").Start(t)
+	a := start(t, s, "a", never)
+	a.Config(config())
+	a.Servers([]fleet.Server{listed(holds), listed(lacks)})
+	eventually(t, "holding", a.Holding)
+	w := hub.Want{Item: hub.Item{Service: "llm", Model: "m0", Adapter: "a1"}}
+	require.Equal(t, "i-1", a.Want(context.Background(), w).Server)
+	w.Exclude = []string{"i-1"}
+	require.Equal(t, "i-2", a.Want(context.Background(), w).Server)
+	require.Equal(t, []string{"a1"}, lacks.Models()["m0"])
+}
+
 func TestAnAdapterInUseKeepsItsPlace(t *testing.T) {
 	s := standin.NewStore(t)
 	w := (&standin.Worker{ID: "i-1"}).Hold("m0", "a1", "a2").Hold("m1").Start(t)
