What a server asked for outlives a lapse of its entry

An entry that the store loses for a while took rest, rate, counts and slowness of its server with it: a server that had asked for rest got requests again when its entry was back, if it lived in the same incarnation. Found by reading, the test fails before. Counts of requests under way are kept too, which went to an object that nobody looked at.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,6 +19,8 @@
 	// noteLife is how long an overlay on a server's entry counts: the entry
 	// follows within a heartbeat of 1.2 s and a report's lag.
 	noteLife = 3 * time.Second
+	// vanishedMost bounds the servers remembered that the list has lost.
+	vanishedMost = 256
 )
 
 type (
@@ -38,6 +41,10 @@
 		holders map[model]map[string]*holders // found of late, by model and adapter
 		fitting []*server                     // reused by each pick
 		nodes   int                           // that pick by themselves, 0 if unknown
+
+		// vanished are servers that the list has lost, the oldest first. Their entries come
+		// back when the store has lost them and the servers live.
+		vanished []*server
 	}
 
 	server struct {
@@ -85,12 +92,15 @@
 }
 
 // Update replaces the list of servers and keeps what is known of those that
-// stay. One that has started again under its id is new.
+// stay, or come back. One that has started again under its id is new.
 func (p *Picture) Update(list []fleet.Server) {
 	servers := make(map[string]*server, len(list))
 	groups := map[string][]*server{}
 	for _, f := range list {
 		s := p.servers[f.ID]
+		if s == nil {
+			s = p.reappeared(f.ID)
+		}
 		if s == nil || s.Born != f.Born {
 			s = &server{slowness: 1, granted: map[int64]int{}, notes: map[held]note{}, parts: map[string]time.Time{},
 				throttle: throttle.New(p.rng.Float64())}
@@ -104,10 +114,29 @@
 	for _, g := range groups {
 		sort.Slice(g, func(i, j int) bool { return g[i].ID < g[j].ID })
 	}
+	for id, s := range p.servers {
+		if servers[id] == nil {
+			p.vanished = append(p.vanished, s)
+		}
+	}
+	if n := len(p.vanished) - vanishedMost; n > 0 {
+		p.vanished = slices.Delete(p.vanished, 0, n)
+	}
 	p.servers, p.groups = servers, groups
 	clear(p.holders)
 }
 
+// reappeared returns a server that the list had lost, nil if there is none of that id.
+func (p *Picture) reappeared(id string) *server {
+	i := slices.IndexFunc(p.vanished, func(s *server) bool { return s.ID == id })
+	if i < 0 {
+		return nil
+	}
+	s := p.vanished[i]
+	p.vanished = slices.Delete(p.vanished, i, i+1)
+	return s
+}
+
 // Server returns a server by its id.
 func (p *Picture) Server(id string) (fleet.Server, bool) {
 	s := p.servers[id]
--- a/core/balance/rest_test.go
+++ b/core/balance/rest_test.go
@@ -1,12 +1,15 @@
 package balance_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/throttle"
 )
 
 func TestAServerThatRestsIsNeverPicked(t *testing.T) {
@@ -28,3 +31,33 @@
 	require.Equal(t, balance.Picked, why)
 	p.Rest("gone", now)
 }
+
+// TestWhatAServerAskedForOutlivesALapseOfItsEntry takes the server off the list while the
+// store has lost its entry, and puts it back.
+func TestWhatAServerAskedForOutlivesALapseOfItsEntry(t *testing.T) {
+	a := engine("a", false)
+	a.Born = 1
+	p := picture(a)
+	r := balance.Request{Service: "llm", Model: "m", Tokens: 500}
+	p.Rest("a", now.Add(time.Second))
+	p.Limit("a", throttle.Named(now, 1.5))
+	ticket := p.Sent(now, "a", r)
+	p.Update(nil)
+	p.Update([]fleet.Server{a})
+	require.Equal(t, []string{"a"}, p.Resting(now, "llm"))
+	require.Len(t, p.Known(now), 1)
+	require.Equal(t, 1, p.Own(0)["a"].Pending)
+	p.Done(now, ticket, balance.Good)
+	require.Empty(t, p.Own(0))
+
+	p.Update(nil)
+	a.Born = 2
+	p.Update([]fleet.Server{a})
+	require.Empty(t, p.Resting(now, "llm"), "it has started again")
+	require.Empty(t, p.Known(now))
+	for i := range 1000 {
+		p.Update([]fleet.Server{engine(fmt.Sprint(i), false)})
+	}
+	p.Update([]fleet.Server{a})
+	require.Empty(t, p.Own(0))
+}
