Soak: servers leave by their answers, ask for rest and name rates, and what they get is checked

Requests are told apart by node through their ids. Each check has a play that it has to find, and one that it must pass.

--- a/internal/front/rest_test.go
+++ b/internal/front/rest_test.go
@@ -50,12 +50,12 @@
 			began := time.Now()
 			statuses := f.press(x.path, x.model, 20*time.Millisecond, 5*time.Second)
 			require.Less(t, time.Since(began), 6*time.Second, "what can't be served is refused at once")
-			came := resting.Came()
+			came := resting.Visits()
 			require.NotEmpty(t, came)
-			for i, at := range came {
+			for i, first := range came {
 				n := 0
 				for _, later := range came[i:] {
-					if d := later.Sub(at); d > restSlack && d < restAsked {
+					if d := later.At.Sub(first.At); d > restSlack && d < restAsked {
 						n++
 					}
 				}
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is a promise that was broken.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "recover"
 		What    string
 	}
 
@@ -28,6 +28,8 @@
 		callers    map[string]Caller // by request
 		revoked    map[int]time.Time // until when keys of a configuration may be used, once they are gone
 		spent      map[string][]spending
+		served     map[string]time.Time     // when requests had their answer
+		disturbed  map[string][]disturbance // of nodes and servers
 	}
 
 	// Caller is who sent a request, with what key and when.
@@ -35,7 +37,8 @@
 		Team    string
 		Version int // of the configuration that brought the key
 		At      time.Time
-		Tokens  int // that the request counts as
+		Tokens  int    // that the request counts as
+		Node    string // to which it was sent
 	}
 
 	// spending is a request that ran.
@@ -48,7 +51,8 @@
 // NewChecker returns a checker that has seen nothing.
 func NewChecker() *Checker {
 	return &Checker{promised: map[string]string{}, unsafe: map[string]bool{}, counts: map[string]int{}, newest: map[string]int{},
-		callers: map[string]Caller{}, revoked: map[int]time.Time{}, spent: map[string][]spending{}}
+		callers: map[string]Caller{}, revoked: map[int]time.Time{}, spent: map[string][]spending{},
+		served: map[string]time.Time{}, disturbed: map[string][]disturbance{}}
 }
 
 // Break notes a broken promise.
@@ -81,6 +85,8 @@
 	defer c.mu.Unlock()
 	c.counts[fmt.Sprint(status)]++
 	switch status {
+	case 200:
+		c.served[id] = time.Now()
 	case 408, 421, 429, 503:
 		c.promised[id] = node
 	}
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -13,7 +13,8 @@
 // epoch after a newer one, or from two nodes under one; no engine is loaded
 // beyond its memory; no key reaches a server, nor does a request whose key was revoked
 // in time, and a server is told whose request it is; a team has no more tokens served
-// than its quota and the tolerance allow; and when all faults have ended, every node serves again.
+// than its quota and the tolerance allow; a server that says that it leaves, asks a node for
+// rest or names a rate gets no more than that allows; and when all faults have ended, every node serves again.
 //
 // # Usage
 //
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -24,9 +24,11 @@
 	{"stop", func(r *Run, rng *rand.Rand) { r.restart(r.anyNode(rng), syscall.SIGTERM, rng) }},
 	{"pause", func(r *Run, rng *rand.Rand) {
 		n := r.anyNode(rng)
+		began := time.Now()
 		_ = n.signal(syscall.SIGSTOP) // one that has ended needs no pause
 		time.Sleep(between(rng, 200, 3000))
 		_ = n.signal(syscall.SIGCONT)
+		r.check.Disturbed(n.settings.Node, began, time.Now(), false)
 	}},
 	{"reload", func(r *Run, rng *rand.Rand) { _ = r.anyNode(rng).signal(syscall.SIGHUP) }},
 	{"store-down", func(r *Run, rng *rand.Rand) {
@@ -36,8 +38,14 @@
 	}},
 	{"store-loses-answers", func(r *Run, rng *rand.Rand) { r.store.LoseAnswers(1 + rng.IntN(4)) }},
 	{"store-forgets", func(r *Run, _ *rand.Rand) { r.store.Compact() }},
-	{"node-cut-from-store", func(r *Run, rng *rand.Rand) { r.through(r.anyNode(rng).proxy, rng, 4000) }},
-	{"server-cut", func(r *Run, rng *rand.Rand) { r.through(r.anyWorker(rng).proxy, rng, 2000) }},
+	{"node-cut-from-store", func(r *Run, rng *rand.Rand) {
+		n := r.anyNode(rng)
+		r.through(n.settings.Node, n.proxy, rng, 4000)
+	}},
+	{"server-cut", func(r *Run, rng *rand.Rand) {
+		w := r.anyWorker(rng)
+		r.through(w.ID, w.proxy, rng, 2000)
+	}},
 	{"server-misbehaves", func(r *Run, rng *rand.Rand) {
 		w := r.anyWorker(rng)
 		bad := []standin.Behaviour{standin.Shed, standin.Fail, standin.Truncate, standin.Extra, standin.WrongID,
@@ -87,8 +95,10 @@
 	return r.workers[rng.IntN(len(r.workers))]
 }
 
-// through changes the mode of a proxy for a while.
-func (r *Run) through(p *Proxy, rng *rand.Rand, most int) {
+// through changes the mode of the proxy of a node or server for a while.
+func (r *Run) through(name string, p *Proxy, rng *rand.Rand, most int) {
+	began := time.Now()
+	defer func() { r.check.Disturbed(name, began, time.Now(), true) }()
 	p.Set(Mode(1 + rng.IntN(int(modes)-1)))
 	time.Sleep(between(rng, 200, most))
 	p.Set(Pass)
@@ -98,6 +108,8 @@
 func (r *Run) restart(n *node, s syscall.Signal, rng *rand.Rand) {
 	n.turn.Lock()
 	defer n.turn.Unlock()
+	began := time.Now()
+	defer func() { r.check.Disturbed(n.settings.Node, began, time.Now(), false) }()
 	_ = n.signal(s)
 	kill := time.AfterFunc(time.Duration(graceS*float64(time.Second)), func() {
 		_ = n.signal(syscall.SIGCONT)
--- a/internal/testbed/soak/load.go
+++ b/internal/testbed/soak/load.go
@@ -49,6 +49,7 @@
 		path, model, events = "/resumable/x", r.model(rng), streamEvents
 	}
 	who := r.caller(id)
+	who.Node = at.settings.Node
 	req, err := http.NewRequest(method, "http://"+at.settings.Clients+path, strings.NewReader(strings.Repeat("b", rng.IntN(2000))))
 	if err != nil {
 		panic(err) // of our own making
@@ -131,7 +132,8 @@
 				}
 				req.Host = host
 				id := fmt.Sprintf("p%d-%s-%d", n, at.settings.Node, v)
-				r.check.Sent(id, true, Caller{Team: freeTeam, Version: version, At: time.Now(), Tokens: standin.PlainTokens})
+				r.check.Sent(id, true, Caller{Team: freeTeam, Version: version, At: time.Now(), Tokens: standin.PlainTokens,
+					Node: at.settings.Node})
 				standin.Call{ID: id, Key: key(freeTeam, version)}.Set(req.Header)
 				resp, err := c.Do(req)
 				if err != nil {
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -97,6 +97,7 @@
 		wg.Go(func() { r.load(work, i) })
 	}
 	wg.Go(func() { r.probe(work) })
+	wg.Go(func() { r.need(work) })
 	r.strike(work)
 	r.faults.Wait()
 	r.heal()
@@ -235,6 +236,8 @@
 	for _, w := range r.workers {
 		w.proxy.Set(Pass)
 		w.Do(standin.OK)
+		w.NameRate(0)
+		w.AskRest(0)
 	}
 }
 
@@ -256,6 +259,7 @@
 	r.check.Runs(ids)
 	for _, w := range r.workers {
 		r.check.Keys(w.Ran())
+		r.check.Needs(w.ID, w.Visits())
 	}
 	r.check.Quota(boundTeam, boundWindow, (boundRate*boundWindow.Seconds()+boundBurst)*(1+boundOver)+boundSlack)
 }
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -69,6 +69,32 @@
 			}
 			c.Quota("t", time.Second, 200)
 		},
+		"leaving": func(c *soak.Checker) {
+			now := time.Now()
+			c.Sent("a", true, soak.Caller{Node: "n", At: now})
+			c.Answered("a", "n", 200)
+			c.Sent("b", true, soak.Caller{Node: "n", At: now.Add(3 * time.Second)})
+			c.Needs("s", []standin.Visit{{ID: "a", At: now, Departs: true}, {ID: "b", At: now.Add(3 * time.Second), Departs: true}})
+		},
+		"rest": func(c *soak.Checker) {
+			now := time.Now()
+			list := []standin.Visit{{ID: "a", At: now, Did: standin.Shed, Rest: 2 * time.Second}}
+			for range 3 {
+				list = append(list, standin.Visit{ID: "a", At: now.Add(time.Second)})
+			}
+			c.Sent("a", true, soak.Caller{Node: "n", At: now})
+			c.Needs("s", list)
+		},
+		"rate": func(c *soak.Checker) {
+			now := time.Now()
+			var list []standin.Visit
+			c.Sent("a", true, soak.Caller{Node: "n", At: now})
+			c.Answered("a", "n", 200)
+			for i := range 20 {
+				list = append(list, standin.Visit{ID: "a", At: now.Add(time.Duration(i) * 250 * time.Millisecond), Rate: 1})
+			}
+			c.Needs("s", list)
+		},
 		"fence": func(c *soak.Checker) {
 			c.Orders("e", []standin.Given{{Holder: "a", Fence: 1}, {Holder: "b", Fence: 1}})
 		},
@@ -88,5 +114,13 @@
 	c.Keys([]standin.Ran{{ID: "a"}})
 	c.Quota("", time.Second, 0)
 	c.Whole("a", "a", "stamp", "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", 2)
+	now := time.Now()
+	c.Sent("n", true, soak.Caller{Node: "n", At: now})
+	c.Answered("n", "n", 200)
+	c.Sent("m", true, soak.Caller{Node: "m", At: now.Add(3 * time.Second)})
+	c.Sent("late", true, soak.Caller{Node: "n", At: now.Add(3 * time.Second)})
+	c.Disturbed("n", now.Add(time.Second), now.Add(2*time.Second), false)
+	c.Needs("s", []standin.Visit{{ID: "n", At: now, Departs: true}, {ID: "m", At: now.Add(3 * time.Second), Departs: true},
+		{ID: "late", At: now.Add(3 * time.Second), Departs: true}})
 	require.Empty(t, c.Violations(), "what may be is not counted")
 }
