A server that had no room is left out for 400 ms

What callers saw: engines that turn a part of their requests away were asked again 50 ms later, while others had room, so that a fifth of the service's requests came twice and the rest was refused with the repeats used up.

--- a/core/balance/ticket.go
+++ b/core/balance/ticket.go
@@ -16,6 +16,8 @@
 	// avoidFirst and avoidMost bound how long a failed server is avoided.
 	avoidFirst = 400 * time.Millisecond
 	avoidMost  = 5 * time.Second
+	// fullAvoid is how long a server is avoided that had no room.
+	fullAvoid = 400 * time.Millisecond
 	// smoothing is the part of a new sample in a server's learned slowness.
 	smoothing = 0.2
 	// slownessMost bounds the learned slowness, so that one bad sample doesn't
@@ -157,7 +159,7 @@
 			s.avoid = now.Add(min(avoidFirst<<min(s.failures-1, 8), avoidMost))
 		}
 	case Full:
-		s.avoid = now.Add(avoidFirst / 8)
+		s.avoid = now.Add(fullAvoid)
 	}
 }
 
