Test of racing operators: a node's log is read once the node has ended

A node serves a version, and its status tells so, before it logs config-in-force; the test read the log as soon as the status told the version. The check is stricter than before: the node is stopped, must end with code 0, and its whole log counts, also what comes after.

Ruled out: a lost or reverted version (the status had the winner's hash on all nodes).

--- a/internal/testbed/session/config_test.go
+++ b/internal/testbed/session/config_test.go
@@ -37,8 +37,11 @@
 // inForce finds the versions that a node's log says came into force.
 var inForce = regexp.MustCompile(`event=config-in-force .*version=(\d+)`)
 
-// versions returns the versions that came into force on a process, in order.
+// versions stops a node and returns the versions that came into force on it, in order. A
+// node's log is whole only once it has ended: it serves a version before it logs so.
 func versions(t *testing.T, p *session.Process) []uint64 {
+	t.Helper()
+	require.Zero(t, p.Terminate(), p.Name)
 	var all []uint64
 	for _, m := range inForce.FindAllStringSubmatch(p.Log(), -1) {
 		v, err := strconv.ParseUint(m[1], 10, 64)
