A server that departs or asks for rest between pick and send gets no request

The opening of a connection takes up to 0.3 s, and a request whose server said meanwhile that it leaves, or asked for rest, was sent all the same. Found by reading; the test (the list changes after the pick) fails before.

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -51,8 +51,10 @@
 	// Choice is a server that was picked.
 	Choice struct {
 		Server fleet.Server
-		Wait   time.Duration // estimated until it begins the request, or until one may be sent where there is none now, zero if unknown
-		Age    time.Duration // of what other nodes said of it
+		// Wait is estimated until the server begins the request, or where there is none now
+		// until one may get it, zero if that is unknown.
+		Wait time.Duration
+		Age  time.Duration // of what other nodes said of it
 	}
 
 	// Why tells why no server was picked.
@@ -73,6 +75,8 @@
 	Limited Why = "limited"
 	// Resting means that the servers that could run the request want none from this node now.
 	Resting Why = "resting"
+	// Leaving means that the server that was picked leaves.
+	Leaving Why = "leaving"
 	// NoAdapter means that servers hold the model but not the adapter.
 	NoAdapter Why = "no-adapter"
 )
--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -250,6 +250,22 @@
 	return out
 }
 
+// Withheld tells whether a server that was picked must get no request any more, and why:
+// it has begun to leave, or wants rest.
+func (p *Picture) Withheld(now time.Time, id string) (Why, bool) {
+	s := p.servers[id]
+	switch {
+	case s == nil:
+		return Picked, false
+	case s.Leaving:
+		return Leaving, true
+	case now.Before(s.rest):
+		return Resting, true
+	default:
+		return Picked, false
+	}
+}
+
 // Known returns what servers said of their rates that name one, or did so since a time.
 func (p *Picture) Known(since time.Time) map[string]throttle.Limit {
 	out := map[string]throttle.Limit{}
--- a/core/grant/limited_test.go
+++ b/core/grant/limited_test.go
@@ -109,7 +109,7 @@
 		s.Offer(request(id, "m", 100, 1))
 		if id == 1 {
 			require.Equal(t, []uint64{1}, granted(s.Next(start)))
-			require.Equal(t, "a", s.Limit(start.Add(time.Millisecond), 1, &rate))
+			s.Limit(start.Add(time.Millisecond), 1, &rate)
 		}
 	}
 	require.Empty(t, s.Next(start.Add(time.Second)))
@@ -120,7 +120,7 @@
 	s.Limit(now, first[0], nil)
 	s.Changed()
 	require.Len(t, granted(s.Next(now)), 7)
-	require.Empty(t, s.Limit(now, 99, nil))
+	s.Limit(now, 99, nil) // an unknown grant tells of no server
 }
 
 // TestARequestWithNoServerLeftHoldsNobodyUp has the most urgent request exclude the only
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -185,12 +185,12 @@
 	}
 }
 
-// Limit takes in what the server of a granted request said of the rate that it takes, and
-// returns the server, empty if the grant is unknown.
-func (s *Scheduler) Limit(now time.Time, id uint64, perSecond *float64) string {
+// Limit takes in what the server of a granted request said of the rate that it takes, nil
+// if it named none.
+func (s *Scheduler) Limit(now time.Time, id uint64, perSecond *float64) {
 	h, ok := s.granted[id]
 	if !ok {
-		return ""
+		return
 	}
 	l := throttle.Withdrawn(h.at)
 	if perSecond != nil {
@@ -199,7 +199,6 @@
 	if s.picture.Limit(h.server, l) {
 		s.freed(now, h.server)
 	}
-	return h.server
 }
 
 // shareLimits divides what servers with a named rate may get among the groups that wait for
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -213,3 +213,28 @@
 	spent := float64(200 * (scarce[200] + 10))
 	require.Equal(t, []quota.Use{{Team: "desk", Now: quota.Sum{Spent: spent, Owed: spent}, Share: 1}}, r.gateway.Spent().Uses)
 }
+
+// TestAServerThatDepartsBetweenPickAndSendGetsNoRequest has the list change while the
+// request's key is checked, which comes after its pick.
+func TestAServerThatDepartsBetweenPickAndSendGetsNoRequest(t *testing.T) {
+	departs, stays := worker(t, "i-1", standin.OK), worker(t, "i-2", standin.OK)
+	r := newRig(t, departs, stays)
+	list := func(leaving bool) []fleet.Server {
+		return []fleet.Server{{ID: "i-1", Service: "plain", Address: departs.Address(), Zone: "z", Slots: 4, Leaving: leaving},
+			{ID: "i-2", Service: "plain", Address: stays.Address(), Zone: "away", Slots: 4}}
+	}
+	r.gateway.SetServers(list(false))
+	r.gateway.SetConfig(keyed(2, fleet.Quota{}, deskKey))
+	asked := 0
+	r.gateway.KeyAge = time.Second
+	r.gateway.ConfigAge = func() time.Duration {
+		if asked++; asked > 1 { // first at its admission
+			r.gateway.SetServers(list(true))
+		}
+		return 0
+	}
+	require.Equal(t, 200, r.do("GET", "/safe/x", "id", "", deskAuth).status)
+	require.Empty(t, departs.Visits())
+	require.Len(t, stays.Visits(), 1)
+	require.Contains(t, r.log.String(), "reason=leaving")
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -40,6 +40,8 @@
 	Limited Reason = "limited"
 	// Resting means that the servers that could run it want no requests from this node now.
 	Resting Reason = "resting"
+	// Leaving means that the server has begun to leave since it was picked.
+	Leaving Reason = "leaving"
 	// Stopping means that the node ends before a server is free for the request.
 	Stopping Reason = "stopping"
 	// Budget means that the budget for repeats is spent.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -80,6 +80,10 @@
 	}
 	t.unbind = context.AfterFunc(t.x.Context(), t.conn.Close)
 	defer t.unbind()
+	if why, ok := t.withheld(); ok {
+		t.conn.Close()
+		return balance.Dropped, notSent, why
+	}
 	t.g.mu.Lock()
 	t.ticket = t.g.picture.Sent(time.Now(), t.choice.Server.ID, t.balanceRequest())
 	t.ticket.Granted(t.granter)
@@ -151,6 +155,15 @@
 	}
 }
 
+// withheld tells whether the server must get no request any more, and why: the connection
+// may have taken long to open.
+func (t *try) withheld() (Reason, bool) {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	why, ok := t.g.picture.Withheld(time.Now(), t.choice.Server.ID)
+	return Reason(why), ok
+}
+
 // receive reads the head of the answer. Where the request must not run again,
 // an answer to another request that comes first, late, is read to its end and
 // dropped: its own comes behind it. Else it is sent again at once.
