--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -225,9 +225,9 @@
 	}
 }
 
-// Limit takes in what a server said of the rate that it takes. It returns whether that
+// LearnLimit takes in what a server said of the rate that it takes. It returns whether that
 // changes its limit.
-func (p *Picture) Limit(id string, l throttle.Limit) bool {
+func (p *Picture) LearnLimit(id string, l throttle.Limit) bool {
 	s := p.servers[id]
 	return s != nil && s.throttle.Learn(l)
 }
@@ -266,8 +266,8 @@
 	}
 }
 
-// Known returns what servers said of their rates that name one, or did so since a time.
-func (p *Picture) Known(since time.Time) map[string]throttle.Limit {
+// KnownLimits returns what servers said of their rates that name one, or did so since a time.
+func (p *Picture) KnownLimits(since time.Time) map[string]throttle.Limit {
 	out := map[string]throttle.Limit{}
 	for id, s := range p.servers {
 		if l := s.throttle.Limit(); l.Active || l.At.After(since) {
@@ -277,9 +277,9 @@
 	return out
 }
 
-// Share sets how many nodes pick servers by themselves, which share the rates that
+// SetNodes sets how many nodes pick servers by themselves, which share the rates that
 // servers name.
-func (p *Picture) Share(nodes int) { p.nodes = nodes }
+func (p *Picture) SetNodes(nodes int) { p.nodes = nodes }
 
 // Own returns what this node has at each server where it has anything, and what
 // of it the granter in office counts itself.
--- a/core/balance/rest_test.go
+++ b/core/balance/rest_test.go
@@ -40,12 +40,12 @@
 	p := picture(a)
 	r := balance.Request{Service: "llm", Model: "m", Tokens: 500}
 	p.Rest("a", now.Add(time.Second))
-	p.Limit("a", throttle.Named(now, 1.5))
+	p.LearnLimit("a", throttle.Named(now, 1.5))
 	ticket := p.Sent(now, "a", r)
 	p.Update(nil)
 	p.Update([]fleet.Server{a})
 	require.Equal(t, []string{"a"}, p.Resting(now, "llm"))
-	require.Len(t, p.Known(now), 1)
+	require.Len(t, p.KnownLimits(now), 1)
 	require.Equal(t, 1, p.Own(0)["a"].Pending)
 	p.Done(now, ticket, balance.Good)
 	require.Empty(t, p.Own(0))
@@ -54,7 +54,7 @@
 	a.Born = 2
 	p.Update([]fleet.Server{a})
 	require.Empty(t, p.Resting(now, "llm"), "it has started again")
-	require.Empty(t, p.Known(now))
+	require.Empty(t, p.KnownLimits(now))
 	for i := range 1000 {
 		p.Update([]fleet.Server{engine(fmt.Sprint(i), false)})
 	}
--- a/core/grant/limited_test.go
+++ b/core/grant/limited_test.go
@@ -36,7 +36,7 @@
 			if d.Granted {
 				running = append(running, run{d.ID, now.Add(300 * time.Millisecond)})
 				if r, ok := rates[d.Choice.Server.ID]; ok {
-					s.Limit(now, d.ID, &r)
+					s.LearnLimit(now, d.ID, &r)
 				}
 				s.Begun(now, d.ID)
 			}
@@ -109,7 +109,7 @@
 		s.Offer(request(id, "m", 100, 1))
 		if id == 1 {
 			require.Equal(t, []uint64{1}, granted(s.Next(start)))
-			s.Limit(start.Add(time.Millisecond), 1, &rate)
+			s.LearnLimit(start.Add(time.Millisecond), 1, &rate)
 		}
 	}
 	require.Empty(t, s.Next(start.Add(time.Second)))
@@ -117,10 +117,10 @@
 	s.Changed()
 	first := granted(s.Next(now))
 	require.Len(t, first, 1)
-	s.Limit(now, first[0], nil)
+	s.LearnLimit(now, first[0], nil)
 	s.Changed()
 	require.Len(t, granted(s.Next(now)), 7)
-	s.Limit(now, 99, nil) // an unknown grant tells of no server
+	s.LearnLimit(now, 99, nil) // an unknown grant tells of no server
 }
 
 // TestARequestWithNoServerLeftHoldsNobodyUp has the most urgent request exclude the only
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -185,9 +185,9 @@
 	}
 }
 
-// Limit takes in what the server of a granted request said of the rate that it takes, nil
+// LearnLimit takes in what the server of a granted request said of the rate that it takes, nil
 // if it named none.
-func (s *Scheduler) Limit(now time.Time, id uint64, perSecond *float64) {
+func (s *Scheduler) LearnLimit(now time.Time, id uint64, perSecond *float64) {
 	h, ok := s.granted[id]
 	if !ok {
 		return
@@ -196,7 +196,7 @@
 	if perSecond != nil {
 		l = throttle.Named(now, *perSecond)
 	}
-	if s.picture.Limit(h.server, l) {
+	if s.picture.LearnLimit(h.server, l) {
 		s.freed(now, h.server)
 	}
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -272,7 +272,7 @@
 		return p
 	}
 	p.Quotas = n.granter.Spent(r)
-	n.granter.Limited(r.Limits)
+	n.granter.LearnLimits(r.Limits)
 	n.departs(r.Departed...)
 	p.Departed = n.departing()
 	if r.Update != nil {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -112,7 +112,7 @@
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, Want: n.want, Place: n.place,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Repeats: n.repeats(), Refresh: n.refresh,
-		Departs: func(i departure.Incarnation) bool { return n.departs(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
+		OnDeparture: func(i departure.Incarnation) bool { return n.departs(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdle,
 		OnMessage: func(string, peer.Frame) {},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,9 +58,9 @@
 		ConfigAge func() time.Duration
 		KeyAge    time.Duration
 		Rand      *rand.Rand
-		// Departs takes in that a server has said that it leaves, and returns whether that is
+		// OnDeparture takes in that a server has said that it leaves, and returns whether that is
 		// new; nil for nobody.
-		Departs func(departure.Incarnation) bool
+		OnDeparture func(departure.Incarnation) bool
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
 
@@ -116,7 +116,7 @@
 // Run prepares the gateway. It must be called before the first request.
 func (g *Gateway) Run(p *balance.Picture) {
 	g.picture = p
-	g.picture.Share(retry.UnknownNodes)
+	g.picture.SetNodes(retry.UnknownNodes)
 	g.budgets = map[string]*retry.Budget{}
 	g.purse = quota.Purse{Tolerance: g.Tolerance, Rand: g.Rand}
 	g.demand = map[hub.Item]*hub.Demand{}
@@ -319,7 +319,7 @@
 // limits returns what servers said of the rates that they take; g.mu is held.
 func (g *Gateway) limits() []hub.Limit {
 	now := time.Now()
-	return hub.Limits(now, g.picture.Known(now.Add(-hub.LimitLife)))
+	return hub.Limits(now, g.picture.KnownLimits(now.Add(-hub.LimitLife)))
 }
 
 // Counts returns what this node has at each server, and what of it a granter counts.
@@ -344,7 +344,7 @@
 	g.share(p.Nodes)
 	g.picture.Others(now, p.Counts)
 	for _, l := range p.Limits {
-		g.picture.Limit(l.Server, l.Said(now))
+		g.picture.LearnLimit(l.Server, l.Said(now))
 	}
 	for _, n := range p.Notes {
 		g.picture.Note(now, n.Server, n.Model, n.Adapter, n.Held)
@@ -360,7 +360,7 @@
 		return
 	}
 	g.nodes = nodes
-	g.picture.Share(nodes)
+	g.picture.SetNodes(nodes)
 	for _, b := range g.budgets {
 		g.Repeats.Part(b, nodes)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -442,8 +442,8 @@
 // counted is a place that counts how often it ended.
 type counted struct{ done *atomic.Int64 }
 
-// Rate implements hub.Grant.
-func (counted) Rate(*float64) {}
+// NamedRate implements hub.Grant.
+func (counted) NamedRate(*float64) {}
 
 // Begun implements hub.Grant.
 func (counted) Begun() {}
@@ -478,8 +478,8 @@
 // noGrant is a place that nobody counts.
 type noGrant struct{}
 
-// Rate implements hub.Grant.
-func (noGrant) Rate(*float64) {}
+// NamedRate implements hub.Grant.
+func (noGrant) NamedRate(*float64) {}
 
 // Begun implements hub.Grant.
 func (noGrant) Begun() {}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -129,10 +129,10 @@
 		l = throttle.Named(time.Now(), *t.answer.Rate)
 	}
 	t.g.mu.Lock()
-	changed := t.g.picture.Limit(t.choice.Server.ID, l)
+	changed := t.g.picture.LearnLimit(t.choice.Server.ID, l)
 	t.g.mu.Unlock()
 	if t.place != nil && (l.Active || changed) {
-		t.place.Rate(t.answer.Rate)
+		t.place.NamedRate(t.answer.Rate)
 	}
 	if changed {
 		t.g.Log.Info("server-limit", zap.String("request-id", t.meta.ID), zap.String("server", t.choice.Server.ID),
@@ -143,7 +143,7 @@
 // learnNeeds takes in whether the answer says that its server leaves or wants rest.
 func (t *try) learnNeeds() {
 	s := t.choice.Server
-	if t.answer.Leaving && t.g.Departs != nil && t.g.Departs(departure.Of(s)) {
+	if t.answer.Leaving && t.g.OnDeparture != nil && t.g.OnDeparture(departure.Of(s)) {
 		t.g.Log.Info("server-departs", zap.String("request-id", t.meta.ID), zap.String("server", s.ID), zap.String("rule", t.rule))
 	}
 	if t.answer.Rest > 0 {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -81,7 +81,7 @@
 	g.reset = make(chan struct{})
 	g.picture = balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.picture.Update(g.servers)
-	g.limit(limits)
+	g.learnLimits(limits)
 	g.schedule = grant.New(g.picture, g.Settings)
 	g.waiters = map[uint64]waiter{}
 	g.fetching = map[hub.Item]bool{}
@@ -144,26 +144,26 @@
 	g.decide()
 }
 
-// Limited takes in what servers said to another node of the rates that they take.
-func (g *Granter) Limited(list []hub.Limit) {
+// LearnLimits takes in what servers said to another node of the rates that they take.
+func (g *Granter) LearnLimits(list []hub.Limit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.picture == nil {
 		return
 	}
-	if g.limit(list) {
+	if g.learnLimits(list) {
 		g.schedule.Changed()
 	}
 	g.decide()
 }
 
-// limit takes in what servers said of their rates, and returns whether that changes any;
+// learnLimits takes in what servers said of their rates, and returns whether that changes any;
 // g.mu is held.
-func (g *Granter) limit(list []hub.Limit) bool {
+func (g *Granter) learnLimits(list []hub.Limit) bool {
 	changed := false
 	now := time.Now()
 	for _, l := range list {
-		changed = g.picture.Limit(l.Server, l.Said(now)) || changed
+		changed = g.picture.LearnLimit(l.Server, l.Said(now)) || changed
 	}
 	return changed
 }
@@ -247,11 +247,11 @@
 	id uint64
 }
 
-// Rate implements hub.Grant.
-func (p *place) Rate(perSecond *float64) {
+// NamedRate implements hub.Grant.
+func (p *place) NamedRate(perSecond *float64) {
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
-	p.g.schedule.Limit(time.Now(), p.id, perSecond)
+	p.g.schedule.LearnLimit(time.Now(), p.id, perSecond)
 	p.g.decide()
 }
 
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -73,9 +73,9 @@
 	// Grant is a place that was granted, or a wait that ended. Done must be called
 	// once.
 	Grant interface {
-		Rate(perSecond *float64) // the answer's server names a rate, or nil for no longer
-		Begun()                  // the prompt is read, the answer has begun
-		Done(r balance.Result)   // the send has ended
+		NamedRate(perSecond *float64) // the answer's server names a rate, or nil for no longer
+		Begun()                       // the prompt is read, the answer has begun
+		Done(r balance.Result)        // the send has ended
 	}
 
 	// Released ends a place that was granted.
@@ -167,8 +167,8 @@
 // streamGrant tells the holder on the stream of the request for the place.
 type streamGrant struct{ s *peer.Stream }
 
-// Rate implements Grant.
-func (g *streamGrant) Rate(perSecond *float64) {
+// NamedRate implements Grant.
+func (g *streamGrant) NamedRate(perSecond *float64) {
 	f, err := peer.Encode(kindRate, Rated{perSecond})
 	if err != nil || g.s.Write(f) != nil {
 		g.s.Cancel()
@@ -310,7 +310,7 @@
 			if f.Decode(&r) != nil {
 				return
 			}
-			grant.Rate(r.PerSecond)
+			grant.NamedRate(r.PerSecond)
 		case kindBegun:
 			grant.Begun()
 			s.ReadBy(time.Now().Add(runLife))
--- a/internal/hub/client_test.go
+++ b/internal/hub/client_test.go
@@ -83,8 +83,8 @@
 // noGrant is a place that nobody counts.
 type noGrant struct{}
 
-// Rate implements hub.Grant.
-func (noGrant) Rate(*float64) {}
+// NamedRate implements hub.Grant.
+func (noGrant) NamedRate(*float64) {}
 
 // Begun implements hub.Grant.
 func (noGrant) Begun() {}
