--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -65,17 +65,24 @@
 	return n
 }
 
+// scheduled returns a limited throttle and the requests that a scheduler sends by it under
+// any load, in so many milliseconds.
+func scheduled(perSecond float64, lasts int) (throttle.Throttle, []time.Time) {
+	v := throttle.New(0)
+	v.Learn(throttle.Named(start, perSecond))
+	var sent []time.Time
+	for ms := range lasts {
+		if now := at(ms); v.Free(now) == 0 {
+			v.Take(now)
+			sent = append(sent, now)
+		}
+	}
+	return v, sent
+}
+
 func TestASchedulerKeepsToTheRate(t *testing.T) {
 	for _, perSecond := range []float64{0, 0.3, 1.3, 2.1, 20} {
-		v := throttle.New(0)
-		v.Learn(throttle.Named(start, perSecond))
-		var sent []time.Time
-		for ms := range 60_000 {
-			if now := at(ms); v.Free(now) == 0 {
-				v.Take(now)
-				sent = append(sent, now)
-			}
-		}
+		v, sent := scheduled(perSecond, 60_000)
 		require.LessOrEqual(t, float64(most(sent)), v.Rate()*span.Seconds()+3, "rate %v", perSecond)
 		require.GreaterOrEqual(t, float64(len(sent)), v.Rate()*60-2, "rate %v", perSecond)
 	}
@@ -104,15 +111,7 @@
 		nodes := []int{1, 3, 8, 80, 300}[seed%5]
 		perSecond := 0.5 + 4*rng.Float64()
 		share := throttle.Share{Nodes: nodes, Part: 0.5}
-		scheduler := throttle.New(0)
-		scheduler.Learn(throttle.Named(start, perSecond))
-		var sent []time.Time
-		for ms := range 8_000 {
-			if now := at(ms); scheduler.Free(now) == 0 {
-				scheduler.Take(now)
-				sent = append(sent, now)
-			}
-		}
+		_, sent := scheduled(perSecond, 8_000)
 		all := make([]throttle.Throttle, nodes)
 		for i := range all {
 			all[i] = throttle.New(rng.Float64())
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -14,6 +14,26 @@
 // drainWithin is how long after its answer a server that leaves may get requests.
 const drainWithin = 2 * time.Second
 
+// newPair starts nodes before a server of a service, an engine if there is a model, and returns it
+// with its service. Another server that it is preferred to stands beside it if asked for.
+func newPair(t *testing.T, nodes int, model string, beside bool) (f *fleetRig, preferred *standin.Worker, service string) {
+	t.Helper()
+	f = &fleetRig{t: t, store: standin.NewStore(t)}
+	service = "plain"
+	if model != "" {
+		service = "llm"
+	}
+	if beside {
+		other := (&standin.Worker{ID: "i-other", Stream: 5}).Hold("m0").Start(t)
+		f.store.Put(platform.TableServers, "i-other", other.Entry(service, "away", false))
+	}
+	engine, plain := f.run(nodes, configuration)
+	if model != "" {
+		return f, engine, service
+	}
+	return f, plain, service
+}
+
 // TestAServerThatSaysItLeavesGetsNoRequests has the store be away, so that only the
 // server's answers say that it leaves, and its entry come again as ready.
 func TestAServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
@@ -24,18 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := &fleetRig{t: t, store: standin.NewStore(t)}
-			other := (&standin.Worker{ID: "i-other", Stream: 5}).Hold("m0").Start(t)
-			service := "plain"
-			if x.model != "" {
-				service = "llm"
-			}
-			f.store.Put(platform.TableServers, "i-other", other.Entry(service, "away", false)) // so that the other one is preferred
-			engine, plain := f.run(3, configuration)
-			leaving := plain
-			if x.model != "" {
-				leaving = engine
-			}
+			f, leaving, service := newPair(t, 3, x.model, true)
 			f.store.Outage(true)
 			leaving.Depart()
 			time.AfterFunc(2*time.Second, func() {
--- a/internal/front/rest_test.go
+++ b/internal/front/rest_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
 
@@ -31,20 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := &fleetRig{t: t, store: standin.NewStore(t)}
-			other := (&standin.Worker{ID: "i-other", Stream: 5}).Hold("m0").Start(t)
-			service := "plain"
-			if x.model != "" {
-				service = "llm"
-			}
-			if !x.alone {
-				f.store.Put(platform.TableServers, "i-other", other.Entry(service, "away", false))
-			}
-			engine, plain := f.run(1, configuration)
-			resting := plain
-			if x.model != "" {
-				resting = engine
-			}
+			f, resting, _ := newPair(t, 1, x.model, !x.alone)
 			resting.Do(standin.Shed)
 			resting.AskRest(restAsked)
 			began := time.Now()
