--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -280,9 +280,9 @@
 	r.g.mu.Lock()
 	s, known := r.g.picture.Server(placed.Server)
 	r.g.picture.Note(time.Now(), placed.Server, w.Model, w.Adapter, true)
-	rests := slices.Contains(r.g.picture.Resting(time.Now(), r.service), placed.Server)
+	_, withheld := r.g.picture.Withheld(time.Now(), placed.Server)
 	r.g.mu.Unlock()
-	if !known || s.Leaving || rests {
+	if !known || withheld {
 		grant.Done(balance.Dropped) // this node knows more than the holder
 		r.exclude[placed.Server] = true
 		return c, "", declined
