Server of callers: a stop right after the start ends

Cause: a poller of nbio sets its stop mark to false as its loop begins, so a stop before its goroutine has run for the first time is forgotten; the event that should wake it is never read, and epoll returns at once for ever.

Ruled out: a stop that waits for a connection: another line of Stop, no core busy.

Fix: one poller (it only reads and parses, handlers have goroutines), and Listen returns when that has read from a connection that Listen opens and closes.

Tests of this package wait for the end of a server through testbed/await, which fails after 30 s with all stacks.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"guavapaddle/core/forward"
@@ -29,6 +28,8 @@
 	defaultHeader  = 32 << 10
 	hardReadBytes  = hardBodyBytes + 1<<20 // of one request, headers included
 	headerOverhead = 4                     // bytes of ": " and the line's end
+	pollers        = 1                     // it only reads and parses; handlers have goroutines
+	pollerTimeout  = 10 * time.Second      // from the engine's start to the poller's first read
 )
 
 type (
@@ -91,13 +92,14 @@
 		Idle      time.Duration                // of a connection without request, default 2 min
 		NewID     func() string                // of requests
 		Draining  func() (time.Duration, bool) // when to come back, and whether new requests are refused
-		// Panicked is told of a handler that panicked, may be nil.
+		// Panicked is called for a handler that panicked, may be nil.
 		Panicked func(requestID string, value any, stack []byte)
 
-		engine *nbhttp.Engine
-		open   atomic.Int64
-		mu     sync.Mutex
-		watch  map[net.Conn]*watched
+		engine  *nbhttp.Engine
+		polling chan struct{} // closed when the engine's poller has read
+		open    atomic.Int64
+		mu      sync.Mutex
+		watch   map[net.Conn]*watched
 	}
 
 	// watched is the connection of a request that runs.
@@ -106,11 +108,16 @@
 		lifted bool // the read deadline, for good
 	}
 
-	// ListenError tells that the address can't be used.
+	// ListenError reports an address that can't be used.
 	ListenError struct {
 		Address string
 		Err     error
 	}
+
+	// PollerError reports an engine whose poller has not read within Timeout.
+	PollerError struct {
+		Timeout time.Duration
+	}
 )
 
 // Error returns address and cause.
@@ -119,65 +126,8 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// Listen starts to accept connections and returns the address.
-func (s *Server) Listen() (string, error) {
-	logging.SetLevel(logging.LevelNone)
-	s.watch = map[net.Conn]*watched{}
-	if s.Idle == 0 {
-		s.Idle = defaultIdle
-	}
-	var bound string
-	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:            "tcp",
-		Addrs:              []string{s.Address},
-		Handler:            http.HandlerFunc(s.serve),
-		MaxHTTPBodySize:    hardBodyBytes,
-		ReadLimit:          hardReadBytes,
-		MaxWriteBufferSize: writeBuffer,
-		KeepaliveTime:      s.Idle,
-		ServerExecutor:     func(f func()) { go f() },
-		Listen: func(network, address string) (net.Listener, error) {
-			l, err := net.Listen(network, address)
-			if err == nil {
-				bound = l.Addr().String()
-			}
-			return l, err
-		},
-	})
-	s.handOver()
-	if err := s.engine.Start(); err != nil {
-		return "", &ListenError{Address: s.Address, Err: err}
-	}
-	return bound, nil
-}
-
-// handOver orders the accept of a connection before its first read. The kernel
-// orders them already (a connection is read when epoll says so, after it was
-// added), but the race detector can't see that.
-func (s *Server) handOver() {
-	var accepted atomic.Int64
-	s.engine.Engine.OnOpen(func(*nbio.Conn) { accepted.Add(1) })
-	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
-		accepted.Load()
-		return s.engine.PollerBufferPtr(c)
-	})
-}
-
-// Run watches connections until ctx ends and then closes what is open. Callers
-// of Run wait for Open to be zero first if nothing may be cut.
-func (s *Server) Run(ctx context.Context) error {
-	t := time.NewTicker(watchPeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			s.cancelClosed()
-		case <-ctx.Done():
-			s.engine.Stop()
-			return nil
-		}
-	}
-}
+// Error returns the timeout.
+func (e *PollerError) Error() string { return fmt.Sprintf("poller reads nothing within %v", e.Timeout) }
 
 // Open returns how many requests are open.
 func (s *Server) Open() int { return int(s.open.Load()) }
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -17,6 +17,7 @@
 
 	"guavapaddle/core/forward"
 	"guavapaddle/core/outcome"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/caller"
 )
 
@@ -62,11 +63,11 @@
 	address, err := s.Listen()
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
+	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		require.NoError(t, <-done)
+		require.NoError(t, await.Value(t, done, "the server's end"))
 	})
 	return "http://" + address
 }
