Server of callers: a connection that comes during the stop doesn't keep it

Callers and operators saw: a planned stop that lasts up to the two minutes of an idle connection, or a process that panics in its stop ("WaitGroup is reused before previous Wait has returned").

Cause: nbhttp's loop of accepts goes on while the engine stops; Engine.Stop waits for all connections, and closes those that it finds when it looks. One added after that look is waited for and never closed.

Fix: the server accepts by itself, waits for the end of that loop after the listener is closed, and stops the engine then. The engine's loop tried again at once after a failure to accept; ours pauses, and the node logs accept-failed.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -209,7 +209,8 @@
 		Panicked: func(id string, value any, stack []byte) {
 			n.log.Error("panic", zap.String("request-id", id), zap.Any("value", value), zap.ByteString("stack", stack))
 		},
-		Draining: func() (time.Duration, bool) { return drainRetry, n.draining.Load() },
+		AcceptFailed: func(err error) { n.log.Error("accept-failed", zap.Error(err)) },
+		Draining:     func() (time.Duration, bool) { return drainRetry, n.draining.Load() },
 	}
 }
 
--- a/io/caller/listen.go
+++ b/io/caller/listen.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
@@ -21,10 +23,12 @@
 	if s.Idle == 0 {
 		s.Idle = defaultIdle
 	}
-	var bound string
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return "", &ListenError{Address: s.Address, Err: err}
+	}
+	s.listener = l
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:            "tcp",
-		Addrs:              []string{s.Address},
 		Handler:            http.HandlerFunc(s.serve),
 		NPoller:            pollers,
 		MaxHTTPBodySize:    hardBodyBytes,
@@ -32,20 +36,18 @@
 		MaxWriteBufferSize: writeBuffer,
 		KeepaliveTime:      s.Idle,
 		ServerExecutor:     func(f func()) { go f() },
-		Listen: func(network, address string) (net.Listener, error) {
-			l, err := net.Listen(network, address)
-			if err == nil {
-				bound = l.Addr().String()
-			}
-			return l, err
-		},
 	})
 	s.polling = make(chan struct{})
 	s.handOver()
 	if err := s.engine.Start(); err != nil {
+		_ = l.Close()
 		return "", &ListenError{Address: s.Address, Err: err}
 	}
+	s.accepting = make(chan struct{})
+	go s.accept()
+	bound := l.Addr().String()
 	if err := s.awaitPoller(bound); err != nil {
+		_ = l.Close()
 		return "", &ListenError{Address: s.Address, Err: err}
 	}
 	return bound, nil
@@ -57,7 +59,12 @@
 func (s *Server) handOver() {
 	var accepted atomic.Int64
 	var first sync.Once
-	s.engine.Engine.OnOpen(func(*nbio.Conn) { accepted.Add(1) })
+	s.engine.Engine.OnOpen(func(*nbio.Conn) {
+		accepted.Add(1)
+		if s.accepted != nil {
+			s.accepted()
+		}
+	})
 	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
 		accepted.Load()
 		first.Do(func() { close(s.polling) })
@@ -84,6 +91,31 @@
 	}
 }
 
+// accept passes connections to the engine until the listener is closed. Unlike
+// the engine's own loop it can be waited for: the engine's Stop waits for all
+// connections but closes only those added before, and a connection added during
+// Stop would keep it until that is idle.
+func (s *Server) accept() {
+	defer close(s.accepting)
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = acceptRetry, acceptRetryMax
+	for {
+		c, err := s.listener.Accept()
+		switch {
+		case err == nil:
+			pause.Reset()
+			s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
+		case errors.Is(err, net.ErrClosed):
+			return
+		default:
+			if s.AcceptFailed != nil {
+				s.AcceptFailed(err)
+			}
+			<-time.After(pause.NextBackOff())
+		}
+	}
+}
+
 // Run watches connections until ctx ends and then closes what is open. Callers
 // of Run wait for Open to be zero first if nothing may be cut.
 func (s *Server) Run(ctx context.Context) error {
@@ -94,8 +126,10 @@
 		case <-t.C:
 			s.cancelClosed()
 		case <-ctx.Done():
+			err := s.listener.Close()
+			<-s.accepting
 			s.engine.Stop()
-			return nil
+			return err
 		}
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -30,6 +30,8 @@
 	headerOverhead = 4                     // bytes of ": " and the line's end
 	pollers        = 1                     // it only reads and parses; handlers have goroutines
 	pollerTimeout  = 10 * time.Second      // from the engine's start to the poller's first read
+	acceptRetry    = 5 * time.Millisecond  // first pause after a failure to accept
+	acceptRetryMax = time.Second
 )
 
 type (
@@ -94,12 +96,18 @@
 		Draining  func() (time.Duration, bool) // when to come back, and whether new requests are refused
 		// Panicked is called for a handler that panicked, may be nil.
 		Panicked func(requestID string, value any, stack []byte)
-
-		engine  *nbhttp.Engine
-		polling chan struct{} // closed when the engine's poller has read
-		open    atomic.Int64
-		mu      sync.Mutex
-		watch   map[net.Conn]*watched
+		// AcceptFailed is called for a connection that could not be accepted,
+		// may be nil. The server tries again.
+		AcceptFailed func(err error)
+
+		engine    *nbhttp.Engine
+		listener  net.Listener
+		accepting chan struct{} // closed when accept has returned
+		polling   chan struct{} // closed when the engine's poller has read
+		accepted  func()        // called while a connection is added, nil but in tests
+		open      atomic.Int64
+		mu        sync.Mutex
+		watch     map[net.Conn]*watched
 	}
 
 	// watched is the connection of a request that runs.
