Configuration: a version is logged before a node's status has it

Cause: the follower put a version in force, which status reads, and wrote the line then. Beside it the test's harness read the output of processes through a pipe, whose reader may be behind.

Ruled out: a lost or reverted version (status had the winner's hash); the bounds of a log (this node's has none); lost answers (4 in each run, the winner's among them, also in those that pass).

Fix: the line goes first; the harness lets a process write to a file. Test: TestVersionIsLoggedBeforeItIsReported failed before (reported [1 2] at the lines, now [0 1]).

--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -59,12 +59,14 @@
 	if f.OnChange != nil {
 		f.OnChange(index)
 	}
+	packed := pack(body)
+	// So does the line: whoever reads a version in the node's status finds it in its log.
+	f.Log.Info("config-in-force", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.String("source", source))
 	f.mu.Lock()
 	f.state = f.state.WithAdopted(ref)
-	f.body, f.packed, f.index = body, pack(body), index
+	f.body, f.packed, f.index = body, packed, index
 	f.mu.Unlock()
 	f.Metrics.version.Set(float64(ref.Version))
-	f.Log.Info("config-in-force", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.String("source", source))
 	return nil
 }
 
--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"guavapaddle/core/config"
 	"guavapaddle/core/config/head"
@@ -139,6 +142,32 @@
 	})
 }
 
+// TestVersionIsLoggedBeforeItIsReported guards against a node whose status has a
+// version that its log doesn't have yet.
+func TestVersionIsLoggedBeforeItIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		var atLine []uint64 // the version that the node reports when it logs one
+		m := &member{}
+		m.Follower = &configsync.Follower{Table: p, Store: p}
+		core, lines := observer.New(zap.InfoLevel)
+		m.Log = zap.New(core, zap.Hooks(func(e zapcore.Entry) error {
+			if e.Message == "config-in-force" {
+				atLine = append(atLine, m.InForce().Version)
+			}
+			return nil
+		}))
+		go func() { _ = m.Run(t.Context()) }()
+		p.apply(t, 1)
+		after(3 * time.Second)
+		p.apply(t, 2)
+		after(3 * time.Second)
+		require.Equal(t, uint64(2), m.InForce().Version)
+		require.Equal(t, 2, lines.FilterMessage("config-in-force").Len())
+		require.Equal(t, []uint64{0, 1}, atLine)
+	})
+}
+
 func countVersions(versions []uint64, v uint64) int {
 	n := 0
 	for _, x := range versions {
--- a/internal/testbed/session/config_test.go
+++ b/internal/testbed/session/config_test.go
@@ -37,11 +37,8 @@
 // inForce finds the versions that a node's log says came into force.
 var inForce = regexp.MustCompile(`event=config-in-force .*version=(\d+)`)
 
-// versions stops a node and returns the versions that came into force on it, in order. A
-// node's log is whole only once it has ended: it serves a version before it logs so.
+// versions returns the versions that came into force on a process, in order.
 func versions(t *testing.T, p *session.Process) []uint64 {
-	t.Helper()
-	require.Zero(t, p.Terminate(), p.Name)
 	var all []uint64
 	for _, m := range inForce.FindAllStringSubmatch(p.Log(), -1) {
 		v, err := strconv.ParseUint(m[1], 10, 64)
@@ -211,4 +208,8 @@
 	for _, n := range s.Nodes {
 		require.Equal(t, []uint64{1, 2}, versions(t, n), n.Name)
 	}
+	for _, n := range s.Nodes {
+		require.Zero(t, n.Terminate(), n.Name)
+		require.Equal(t, []uint64{1, 2}, versions(t, n), "%s: the log up to its end", n.Name)
+	}
 }
--- a/internal/testbed/session/process.go
+++ b/internal/testbed/session/process.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"bufio"
 	"bytes"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 const (
 	startTimeout = 20 * time.Second
 	stopTimeout  = 60 * time.Second
+	readyPoll    = 5 * time.Millisecond
 	readyEvent   = "listening"
 )
 
@@ -35,8 +35,7 @@
 	t      testing.TB
 	cmd    *exec.Cmd
 	args   []string
-	mu     sync.Mutex
-	lines  []string
+	out    string       // file of its standard output, of all its lives
 	errors lockedBuffer // standard error
 	ready  map[string]string
 	ended  chan struct{}
@@ -82,51 +81,65 @@
 // start runs a program and waits until it listens. The process is killed at
 // the end of the test if it still runs.
 func start(t testing.TB, name, program string, args ...string) *Process {
-	p := &Process{Name: name, t: t, args: append([]string{filepath.Join(build(t), program)}, args...)}
+	p := &Process{Name: name, t: t, out: filepath.Join(t.TempDir(), "output"),
+		args: append([]string{filepath.Join(build(t), program)}, args...)}
 	p.launch()
 	t.Cleanup(p.Kill)
 	return p
 }
 
-// launch starts the process.
+// launch starts the process. Its output goes to a file and not through a pipe,
+// whose reader may be behind: a test that has seen an effect of the process
+// finds the line that was written before it.
 func (p *Process) launch() {
-	p.cmd = exec.Command(p.args[0], p.args[1:]...)
-	out, err := p.cmd.StdoutPipe()
+	out, err := os.OpenFile(p.out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	require.NoError(p.t, err)
+	defer func() { _ = out.Close() }()
+	earlier := len(p.output())
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stdout = out
 	p.cmd.Stderr = &p.errors
 	// A test that panics or times out leaves no process behind.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(p.t, p.cmd.Start())
-	ready := make(chan map[string]string, 1)
 	p.ended = make(chan struct{})
-	go p.read(bufio.NewScanner(out), ready)
-	select {
-	case p.ready = <-ready:
-	case <-p.ended:
-		require.Fail(p.t, "process ended", "%s: %s", p.Name, p.Log())
-	case <-time.After(startTimeout):
-		require.Fail(p.t, "process does not listen", "%s: %s", p.Name, p.Log())
+	go func() {
+		_ = p.cmd.Wait()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.ended)
+	}()
+	p.awaitReady(earlier)
+}
+
+// awaitReady waits until the process listens, and finds its addresses in what
+// it has printed beyond the bytes of its earlier lives.
+func (p *Process) awaitReady(earlier int) {
+	timeout := time.NewTimer(startTimeout)
+	defer timeout.Stop()
+	look := time.NewTicker(readyPoll)
+	defer look.Stop()
+	for {
+		for line := range strings.Lines(p.output()[earlier:]) {
+			if f := fields(strings.TrimSuffix(line, "\n")); f["event"] == readyEvent && strings.HasSuffix(line, "\n") {
+				p.ready = f
+				return
+			}
+		}
+		select {
+		case <-look.C:
+		case <-p.ended:
+			require.Fail(p.t, "process ended", "%s: %s", p.Name, p.Log())
+		case <-timeout.C:
+			require.Fail(p.t, "process does not listen", "%s: %s", p.Name, p.Log())
+		}
 	}
 }
 
-// read keeps the process's output and finds its addresses.
-func (p *Process) read(s *bufio.Scanner, ready chan<- map[string]string) {
-	s.Buffer(nil, 1<<20)
-	told := false
-	for s.Scan() {
-		line := s.Text()
-		p.mu.Lock()
-		p.lines = append(p.lines, line)
-		p.mu.Unlock()
-		f := fields(line)
-		if !told && f["event"] == readyEvent {
-			told = true
-			ready <- f
-		}
-	}
-	_ = p.cmd.Wait()
-	p.code = p.cmd.ProcessState.ExitCode()
-	close(p.ended)
+// output returns the process's standard output.
+func (p *Process) output() string {
+	b, err := os.ReadFile(p.out)
+	require.NoError(p.t, err)
+	return string(b)
 }
 
 // lockedBuffer collects what a process writes.
@@ -177,9 +190,7 @@
 
 // Log returns what the process has printed.
 func (p *Process) Log() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return strings.Join(p.lines, "\n") + p.errors.String()
+	return p.output() + p.errors.String()
 }
 
 // Signal sends a signal to the process.
