Gateway: a version is logged before requests are served by it

Cause: the line was written after the configuration was put in force. Now the line comes first, under a lock of its own, so that versions are logged in the order in which they come into force.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,9 @@
 		// Repeats is what a service bears of sends beyond the first of each request.
 		Repeats retry.Fleet
 
-		config  atomic.Pointer[fleet.Config]
+		configuring sync.Mutex // held while a configuration comes into force
+		config      atomic.Pointer[fleet.Config]
+
 		mu      sync.Mutex // guards what follows, and Rand
 		picture *balance.Picture
 		budgets map[string]*retry.Budget // by service
@@ -125,22 +127,21 @@
 	g.stopped = make(chan struct{})
 }
 
-// SetConfig puts a configuration in force. An older one is ignored.
+// SetConfig puts a configuration in force. An older one is ignored. The line comes first, so
+// that no line of a request has a version that the log doesn't have yet.
 func (g *Gateway) SetConfig(c *fleet.Config) {
-	for {
-		old := g.config.Load()
-		if old != nil && old.Version() >= c.Version() {
-			return
-		}
-		if old != nil {
-			c = c.WithRevokedSince(old)
-		}
-		if g.config.CompareAndSwap(old, c) {
-			g.Log.Info("config-in-force", zap.Int64("version", c.Version()))
-			g.wake()
-			return
-		}
+	g.configuring.Lock()
+	defer g.configuring.Unlock()
+	old := g.config.Load()
+	if old != nil && old.Version() >= c.Version() {
+		return
+	}
+	if old != nil {
+		c = c.WithRevokedSince(old)
 	}
+	g.Log.Info("config-in-force", zap.Int64("version", c.Version()))
+	g.config.Store(c)
+	g.wake()
 }
 
 // Stop refuses the requests that wait for a server, now and from now on: the
