Planned stops: a part that doesn't end is named, and doesn't keep the process

Operators saw a node that stayed after its planned stop without a line that says why (the hang of the server of callers).

Cause: both kinds of nodes wait for their parts without a bound, and the end of a bounded log waits for its reader.

Fix: internal/parts runs them and bounds their end (5 s; on the platform what is left of the grace, less 200 ms); past that a line names the parts with all stacks and the process ends with code 1. The log's end waits for its reader 200 ms at most.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +30,7 @@
 	"guavapaddle/internal/granter"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/parts"
 	"guavapaddle/internal/placer"
 	"guavapaddle/io/http1"
 	"guavapaddle/io/jsonhttp"
@@ -44,6 +44,9 @@
 	Notice = 3 * time.Second
 	// lastMargin is kept before the platform's kill.
 	lastMargin = 500 * time.Millisecond
+	// partsMargin is the part of lastMargin in which what doesn't serve clients
+	// may still end; the rest is for the last lines.
+	partsMargin = 300 * time.Millisecond
 	// reservedDescriptors are kept for files, and connections to servers.
 	reservedDescriptors = 200
 	// clientPart is the part of the other descriptors that clients may use.
@@ -186,17 +189,25 @@
 	n.log.Info("start", zap.String("node", n.settings.Node), zap.String("data-centre", n.settings.DataCentre),
 		zap.String("clients", n.settings.Clients), zap.String("key", n.key.Fingerprint()[:16]))
 	work, end := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	tasks := []func(context.Context){n.follower.Run, n.placer.Run, n.granter.Run, n.register, n.tidy, n.exchange, n.sweep, n.reload, n.servePeers}
-	for _, task := range tasks {
-		wg.Go(func() { task(work) })
+	running := parts.Group{Log: n.log}
+	for name, task := range map[string]func(context.Context){
+		"follower": n.follower.Run, "placer": n.placer.Run, "granter": n.granter.Run, "register": n.register, "tidy": n.tidy,
+		"exchange": n.exchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers,
+	} {
+		running.Go(name, func() { task(work) })
 	}
 	<-ctx.Done()
+	last := time.Now().Add(n.grace() + partsMargin)
 	n.stop()
 	end()
-	wg.Wait()
+	err := running.Wait(time.Until(last))
 	n.log.Info("stopped", zap.Int("connections", n.clients.Open()))
-	return nil
+	return err
+}
+
+// grace returns how long a stop may take for the sake of clients.
+func (n *Node) grace() time.Duration {
+	return time.Duration(n.settings.GraceS*float64(time.Second)) - lastMargin
 }
 
 func (n *Node) servePeers(ctx context.Context) {
@@ -247,7 +258,7 @@
 	n.stopping.Store(true)
 	n.clients.Drain()
 	n.log.Info("stopping", zap.Int("connections", n.clients.Open()))
-	grace := time.Duration(n.settings.GraceS*float64(time.Second)) - lastMargin
+	grace := n.grace()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	n.placer.Release(ctx)
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -21,6 +21,8 @@
 	bufferLines = 2048
 	// summaryEvery is how often the count of lines that were left out is told.
 	summaryEvery = 5 * time.Second
+	// closeTimeout bounds how long Close waits for a slow reader of the output.
+	closeTimeout = 200 * time.Millisecond
 )
 
 type (
@@ -124,8 +126,14 @@
 	}
 }
 
-// Close writes what waits and ends the writer.
+// Close writes what waits and ends the writer. A reader that does not read
+// keeps it for closeTimeout at most; what waits then is lost.
 func (b *Bounded) Close() {
 	close(b.end)
-	<-b.done
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+	case <-timer.C:
+	}
 }
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/internal/logging"
+	"guavapaddle/internal/testbed/await"
 )
 
 // stuck is a reader of the output that doesn't read until it is told to.
@@ -36,6 +37,22 @@
 	require.Less(t, strings.Count(text, "\n"), 3000)
 }
 
+// TestCloseDoesNotWaitForItsReader guards against a process that stays after its
+// planned stop because nobody reads its log.
+func TestCloseDoesNotWaitForItsReader(t *testing.T) {
+	w := &stuck{free: make(chan struct{})}
+	log, err := logging.NewBounded(w, "info")
+	require.NoError(t, err)
+	log.Info("event")
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		log.Close()
+	}()
+	await.Value(t, closed, "the end of Close")
+	close(w.free)
+}
+
 func TestLinesOfOneEventAreThinnedAndCounted(t *testing.T) {
 	w := &bytes.Buffer{}
 	log, err := logging.NewBounded(w, "info")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	mathrand "math/rand/v2"
 	"net"
@@ -26,6 +27,7 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/metrics"
 	"guavapaddle/internal/owner"
+	"guavapaddle/internal/parts"
 	"guavapaddle/internal/planner"
 	"guavapaddle/internal/suspects"
 	"guavapaddle/internal/trace"
@@ -44,6 +46,7 @@
 	firstTimeout   = 15 * time.Second // for an engine's first token, once a slot is free
 	progressWindow = 2 * time.Second  // between two tokens of an engine
 	drainRetry     = time.Second
+	partsTimeout   = 5 * time.Second // for the parts to end, once no request is open
 )
 
 type (
@@ -166,10 +169,10 @@
 	defer stop()
 	owning, disown := context.WithCancel(run)
 	defer disown()
-	var wg sync.WaitGroup
+	running := parts.Group{Log: n.log}
 	failed := make(chan error, 1)
 	start := func(name string, f func() error) {
-		wg.Go(func() {
+		running.Go(name, func() {
 			if err := f(); err != nil && run.Err() == nil {
 				n.log.Error("part failed", zap.String("part", name), zap.Error(err))
 				select {
@@ -197,8 +200,7 @@
 	}
 	stop()
 	_ = web.Close()
-	wg.Wait()
-	return err
+	return errors.Join(err, running.Wait(partsTimeout))
 }
 
 // Ready implements operator.Readiness.
--- a/internal/testbed/session/process.go
+++ b/internal/testbed/session/process.go
@@ -85,6 +85,7 @@
 		args: append([]string{filepath.Join(build(t), program)}, args...)}
 	p.launch()
 	t.Cleanup(p.Kill)
+	p.awaitReady(0)
 	return p
 }
 
@@ -95,7 +96,6 @@
 	out, err := os.OpenFile(p.out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	require.NoError(p.t, err)
 	defer func() { _ = out.Close() }()
-	earlier := len(p.output())
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = &p.errors
@@ -108,7 +108,6 @@
 		p.code = p.cmd.ProcessState.ExitCode()
 		close(p.ended)
 	}()
-	p.awaitReady(earlier)
 }
 
 // awaitReady waits until the process listens, and finds its addresses in what
@@ -239,5 +238,16 @@
 // Restart starts a process anew, with the same arguments.
 func (p *Process) Restart() {
 	p.Kill()
+	earlier := len(p.output())
 	p.launch()
+	p.awaitReady(earlier)
+}
+
+// RestartAndStop starts a process anew and asks it to stop after a delay,
+// whether it listens by then or not.
+func (p *Process) RestartAndStop(after time.Duration) {
+	p.Kill()
+	p.launch()
+	<-time.After(after)
+	p.Signal(syscall.SIGTERM)
 }
