Servers of clients go on accepting after a lack of descriptors

Looked for beside the stop of the server of callers: what its loop of accepts does, elsewhere. Clients of a node whose process had once too many open files would get no connection until it was restarted: io/http1's Serve returned on any failure to accept, while the node, once descriptors were free again, stayed in rotation by its probes' listener.

Fix: one loop, io/tcp.Accept, for both servers: it logs accept-failed, pauses 5 ms up to 1 s, and tries again.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -130,9 +130,9 @@
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, Fed: n.beingFed, Led: n.isLed,
 		Role: n.role, Ask: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, ProofWithin: n.gateway.KeyAge}
 	n.gateway.ConfigAge = n.follower.ConfigAge
-	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused,
+	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, Refused: n.refused, AcceptFailed: n.acceptFailed,
 		Most: int(float64(s.Descriptors-reservedDescriptors) * clientPart)}
-	n.probes = &http1.Server{Handler: readiness{n}}
+	n.probes = &http1.Server{Handler: readiness{n}, AcceptFailed: n.acceptFailed}
 	return n, nil
 }
 
@@ -225,8 +225,8 @@
 		address string
 		serve   func(net.Listener) error
 	}{
-		{n.settings.Clients, n.clients.Serve},
-		{n.settings.Ready, n.probes.Serve},
+		{n.settings.Clients, serveUntilClosed(n.clients)},
+		{n.settings.Ready, serveUntilClosed(n.probes)},
 		{n.settings.Metrics, n.serveMetrics},
 		{n.settings.Control, n.serveControl},
 	} {
@@ -244,6 +244,13 @@
 	return nil
 }
 
+func serveUntilClosed(s *http1.Server) func(net.Listener) error {
+	return func(l net.Listener) error {
+		s.Serve(l)
+		return nil
+	}
+}
+
 func (n *Node) serveMetrics(l net.Listener) error {
 	s := &http.Server{Handler: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: time.Second}
 	if err := s.Serve(l); !errors.Is(err, net.ErrClosed) {
@@ -297,6 +304,11 @@
 	return http1.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
+// acceptFailed logs a connection that could not be accepted.
+func (n *Node) acceptFailed(err error) {
+	n.log.Error("accept-failed", zap.Error(err))
+}
+
 // refused logs a request that could not be read.
 func (n *Node) refused(err error) {
 	n.log.Info("request-unreadable", zap.Error(err))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -90,7 +90,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	r.address = l.Addr().String()
-	go func() { _ = r.server.Serve(l) }()
+	go r.server.Serve(l)
 	t.Cleanup(func() {
 		_ = l.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -303,7 +303,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	go func() { _ = s.Serve(l) }()
+	go s.Serve(l)
 	r := &rig{t: t, address: l.Addr().String()}
 	a := r.do("GET", "/safe/", "r1", "")
 	require.Equal(t, 503, a.status)
--- a/io/caller/listen.go
+++ b/io/caller/listen.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"guavapaddle/io/tcp"
 )
 
 // Listen starts to accept connections and returns the address. It returns once
@@ -97,23 +97,9 @@
 // Stop would keep it until that is idle.
 func (s *Server) accept() {
 	defer close(s.accepting)
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = acceptRetry, acceptRetryMax
-	for {
-		c, err := s.listener.Accept()
-		switch {
-		case err == nil:
-			pause.Reset()
-			s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
-		case errors.Is(err, net.ErrClosed):
-			return
-		default:
-			if s.AcceptFailed != nil {
-				s.AcceptFailed(err)
-			}
-			<-time.After(pause.NextBackOff())
-		}
-	}
+	tcp.Accept(s.listener, func(c net.Conn) {
+		s.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
+	}, s.AcceptFailed)
 }
 
 // Run watches connections until ctx ends and then closes what is open. Callers
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -30,8 +30,6 @@
 	headerOverhead = 4                     // bytes of ": " and the line's end
 	pollers        = 1                     // it only reads and parses; handlers have goroutines
 	pollerTimeout  = 10 * time.Second      // from the engine's start to the poller's first read
-	acceptRetry    = 5 * time.Millisecond  // first pause after a failure to accept
-	acceptRetryMax = time.Second
 )
 
 type (
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -52,6 +54,9 @@
 		Limits  func() Limits // of this moment
 		Most    int           // connections; beyond it an idle one is closed, zero for no bound
 		Refused func(err error)
+		// AcceptFailed is called for a connection that could not be accepted,
+		// may be nil. The server tries again.
+		AcceptFailed func(err error)
 
 		draining atomic.Bool
 		stopping atomic.Bool
@@ -70,26 +75,15 @@
 )
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var n net.Error
-			if errors.As(err, &n) && n.Timeout() {
-				continue
-			}
-			return err
-		}
+func (s *Server) Serve(l net.Listener) {
+	tcp.Accept(l, func(nc net.Conn) {
 		c := &serverConn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}
 		if !s.add(c) {
 			_ = nc.Close()
-			continue
+			return
 		}
 		go c.run()
-	}
+	}, s.AcceptFailed)
 }
 
 // Drain makes every further answer the last one of its connection.
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/http1"
 )
 
@@ -46,7 +47,7 @@
 	s := &http1.Server{Handler: h, Limits: func() http1.Limits { return l }}
 	nl, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = s.Serve(nl) }()
+	go s.Serve(nl)
 	t.Cleanup(func() {
 		_ = nl.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -169,7 +170,7 @@
 	require.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 	require.True(t, resp.Close, "the last answer says so")
-	<-done
+	await.Value(t, done, "the end of Shutdown")
 }
 
 func TestTheContextEndsWhenTheClientLeaves(t *testing.T) {
@@ -206,7 +207,7 @@
 			return http1.Limits{HeaderTimeout: 20 * time.Millisecond, IdleTimeout: 20 * time.Millisecond}
 		}}
 		l := &oneConn{c: b, done: make(chan struct{})}
-		go func() { _ = s.Serve(l) }()
+		go s.Serve(l)
 		go func() { _, _ = io.Copy(io.Discard, a) }()
 		_ = a.SetDeadline(time.Now().Add(200 * time.Millisecond))
 		_, _ = io.WriteString(a, text)
