Calls: a failed one tells how far it got

The error of a call now has the times at which it was connected, written, answered and given up; on-call engineers find them in each line with its error. Stand-ins count the calls that they read and ended, and the longest time between, which the test prints when it fails.

Test: TestFailureTellsHowFarTheCallGot.

--- a/internal/testbed/standin/fault/fault.go
+++ b/internal/testbed/standin/fault/fault.go
@@ -106,9 +106,17 @@
 	}
 }
 
-// Wrap returns h under the faults in force.
+// Wrap returns h under the faults in force. It counts the calls that were read
+// and those that h has ended with, and keeps the longest time between the two:
+// for a call that failed on the way they tell whether the stand-in had it.
 func (s *Set) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		read := time.Now()
+		s.Counters.Add("calls-read", 1)
+		defer func() {
+			s.Counters.Add("calls-ended", 1)
+			s.Counters.Max("longest-call-ms", time.Since(read).Milliseconds())
+		}()
 		f, drop := s.begin()
 		before := 0
 		c, ok := r.Context().Value(connKey{}).(*conn)
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -47,6 +47,11 @@
 	address, err := e.Start()
 	require.NoError(t, err)
 	t.Cleanup(e.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the engine's counters: %v", e.Faults.Counters.All())
+		}
+	})
 	require.True(t, e.Preload(model, 10))
 	c := &engine.Client{Address: address}
 	t.Cleanup(c.Close)
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -78,10 +78,10 @@
 // failure is an *Error. The Stream ends early when ctx ends.
 func (c *Client) Open(ctx context.Context, call Call) (*Stream, error) {
 	c.once.Do(c.init)
-	t := &tracker{}
+	t := &tracker{began: time.Now()}
 	req, err := c.request(httptrace.WithClientTrace(ctx, t.trace()), call)
 	if err != nil {
-		return nil, c.fail(NotSent, err)
+		return nil, c.fail(NotSent, t, err)
 	}
 	resp, err := c.transport.RoundTrip(req) //nolint:bodyclose // the Stream closes it
 	if err != nil {
@@ -90,7 +90,7 @@
 			stage = Sent
 		}
 		c.transport.CloseIdleConnections()
-		return nil, c.fail(stage, err)
+		return nil, c.fail(stage, t, err)
 	}
 	return &Stream{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body,
 		body: resp.Body, tracker: t, address: c.Address}, nil
@@ -109,11 +109,11 @@
 	if err != nil {
 		s.Abort()
 		c.transport.CloseIdleConnections()
-		return Answer{}, c.fail(Sent, err)
+		return Answer{}, c.fail(Sent, s.tracker, err)
 	}
 	if int64(len(body)) > limit {
 		s.Abort()
-		return Answer{}, c.fail(TooLarge, errTooLarge)
+		return Answer{}, c.fail(TooLarge, s.tracker, errTooLarge)
 	}
 	s.Close()
 	return Answer{Status: s.Status, Header: s.Header, Body: body}, nil
@@ -126,7 +126,7 @@
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return Answer{}, c.fail(NotSent, err)
+			return Answer{}, c.fail(NotSent, nil, err)
 		}
 		call.Body = b
 		call.Header.Set("Content-Type", "application/json")
@@ -139,7 +139,7 @@
 		return a, nil
 	}
 	if err := json.Unmarshal(a.Body, out); err != nil {
-		return a, c.fail(Malformed, err)
+		return a, c.fail(Malformed, nil, err)
 	}
 	return a, nil
 }
@@ -198,9 +198,14 @@
 	return req, nil
 }
 
-// fail returns an *Error.
-func (c *Client) fail(stage Stage, err error) *Error {
-	return &Error{Stage: stage, Address: c.Address, Err: err}
+// fail returns the *Error of a call, whose tracker is nil if it never began or
+// ended.
+func (c *Client) fail(stage Stage, t *tracker, err error) *Error {
+	e := &Error{Stage: stage, Address: c.Address, Err: err}
+	if t != nil {
+		e.Progress = t.failed()
+	}
+	return e
 }
 
 // StageOf returns the stage of the *Error inside err, or Sent if there is none.
--- a/io/jsonhttp/client_test.go
+++ b/io/jsonhttp/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +86,47 @@
 	_, err = c.Do(t.Context(), jsonhttp.Call{Method: http.MethodGet, Path: "/"})
 	require.Equal(t, jsonhttp.TooLarge, jsonhttp.StageOf(err))
 }
+
+// TestFailureTellsHowFarTheCallGot guards against a call that runs into its
+// timeout and leaves open whether it waited for a connection, for the server or
+// for its own process.
+func TestFailureTellsHowFarTheCallGot(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/half" {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+		}
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	for _, test := range []struct {
+		name, address, path string
+		connected, answered bool
+	}{
+		{"no listener", "127.0.0.1:1", "/", false, false},
+		{"no answer", server.Listener.Addr().String(), "/", true, false},
+		{"half an answer", server.Listener.Addr().String(), "/half", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			const timeout = 100 * time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
+			defer cancel()
+			c := &jsonhttp.Client{Address: test.address}
+			defer c.Close()
+			_, err := c.Do(ctx, jsonhttp.Call{Method: http.MethodPost, Path: test.path, Body: []byte("x")})
+			var failure *jsonhttp.Error
+			require.ErrorAs(t, err, &failure)
+			p := failure.Progress
+			require.Equal(t, test.connected, p.Connected > 0, p)
+			require.Equal(t, test.connected, p.Written > 0, p)
+			require.Equal(t, test.answered, p.Answered > 0, p)
+			if test.connected {
+				require.GreaterOrEqual(t, p.Failed, timeout, p)
+			}
+			require.Contains(t, err.Error(), "failed "+p.Failed.Round(time.Microsecond).String())
+		})
+	}
+}
--- a/io/jsonhttp/conn.go
+++ b/io/jsonhttp/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // conn is a connection that knows whether anything was written to it.
@@ -60,25 +61,52 @@
 	before uint64
 }
 
-// tracker records the connections that a call was given.
+// tracker records the connections that a call was given, and how far it got.
 type tracker struct {
+	began time.Time
+
 	mu       sync.Mutex
+	progress Progress
 	attempts []attempt
 	foreign  bool // a connection of unknown type: nothing can be proved
 }
 
 // trace returns the hooks by which the transport reports to t.
 func (t *tracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		c, ok := i.Conn.(*conn)
-		if !ok {
-			t.foreign = true
-			return
-		}
-		t.attempts = append(t.attempts, attempt{conn: c, before: c.count()})
-	}}
+	return &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.progress.Connected = time.Since(t.began)
+			c, ok := i.Conn.(*conn)
+			if !ok {
+				t.foreign = true
+				return
+			}
+			t.attempts = append(t.attempts, attempt{conn: c, before: c.count()})
+		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if i.Err == nil {
+				t.progress.Written = time.Since(t.began)
+			}
+		},
+		GotFirstResponseByte: func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.progress.Answered = time.Since(t.began)
+		},
+	}
+}
+
+// failed returns how far a call got that fails now.
+func (t *tracker) failed() Progress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.progress
+	p.Failed = time.Since(t.began)
+	return p
 }
 
 // abandon seals all connections of a failed call and tells whether any byte of
--- a/io/jsonhttp/error.go
+++ b/io/jsonhttp/error.go
@@ -1,6 +1,10 @@
 package jsonhttp
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // Stage tells how far a failed call got.
 type Stage string
@@ -16,16 +20,44 @@
 	TooLarge Stage = "too-large"
 )
 
+// Progress is how far a call got, in time since its begin. Zero means that it
+// did not get there.
+type Progress struct {
+	Connected time.Duration // it was given a connection
+	Written   time.Duration // it was written whole
+	Answered  time.Duration // the first byte of the answer was read
+	Failed    time.Duration
+}
+
+// String returns the steps that were reached, such as "connected 1ms, written
+// 1ms, failed 2s".
+func (p Progress) String() string {
+	var steps []string
+	for _, s := range []struct {
+		name string
+		at   time.Duration
+	}{{"connected", p.Connected}, {"written", p.Written}, {"answered", p.Answered}, {"failed", p.Failed}} {
+		if s.at > 0 {
+			steps = append(steps, s.name+" "+s.at.Round(time.Microsecond).String())
+		}
+	}
+	return strings.Join(steps, ", ")
+}
+
 // Error is the failure of a call.
 type Error struct {
-	Stage   Stage
-	Address string
-	Err     error
+	Stage    Stage
+	Address  string
+	Progress Progress // the zero Progress of a call that never began
+	Err      error
 }
 
-// Error returns stage, address and cause in one line.
+// Error returns stage, address, progress and cause in one line.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%s: %s: %v", e.Stage, e.Address, e.Err)
+	if e.Progress == (Progress{}) {
+		return fmt.Sprintf("%s: %s: %v", e.Stage, e.Address, e.Err)
+	}
+	return fmt.Sprintf("%s: %s (%v): %v", e.Stage, e.Address, e.Progress, e.Err)
 }
 
 // Unwrap returns the cause.
