Calls: an answer that came while the process stood still is read

Cause: when the process runs again the deadline has passed and the answer lies in the buffer; the end of the context wins.

TestAnswerToAProcessThatStoodStill fails without the change.

Ruled out: an answer lost in the engine (counters), load of the processor alone.

Fix: a call whose context ends over 20 ms after its deadline has 100 ms more to read what has come; a silent server is given up as before.

--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -99,7 +99,12 @@
 // Do sends a call and returns the whole answer. Every failure is an *Error. A
 // connection whose call failed is closed, and unused ones with it: they may be
 // as silent as the first.
+//
+// If the process stood still past the deadline of ctx, an answer that came
+// meanwhile is still read.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	ctx, done := lenient(ctx)
+	defer done()
 	s, err := c.Open(ctx, call)
 	if err != nil {
 		return Answer{}, err
--- a/io/jsonhttp/client_test.go
+++ b/io/jsonhttp/client_test.go
@@ -130,3 +130,59 @@
 		})
 	}
 }
+
+// overdue is a context whose deadline has passed before it ends, as that of a
+// process that stood still.
+type overdue struct {
+	context.Context
+	done chan struct{}
+}
+
+func (o *overdue) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+func (o *overdue) Done() <-chan struct{}       { return o.done }
+func (o *overdue) Err() error {
+	select {
+	case <-o.done:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// TestAnswerToAProcessThatStoodStill guards against a call that is given up as
+// lost although its answer is there, because its process did not run when the
+// deadline passed.
+func TestAnswerToAProcessThatStoodStill(t *testing.T) {
+	read, release := make(chan struct{}, 1), make(chan struct{}, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		read <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "answer")
+	}))
+	defer server.Close()
+	c := &jsonhttp.Client{Address: server.Listener.Addr().String()}
+	defer c.Close()
+
+	ctx := &overdue{Context: t.Context(), done: make(chan struct{})}
+	go func() {
+		<-read
+		close(ctx.done)
+		<-time.After(10 * time.Millisecond)
+		release <- struct{}{}
+	}()
+	a, err := c.Do(ctx, jsonhttp.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(a.Body))
+
+	ctx = &overdue{Context: t.Context(), done: make(chan struct{})}
+	go func() {
+		<-read
+		close(ctx.done)
+	}()
+	began := time.Now()
+	_, err = c.Do(ctx, jsonhttp.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+	release <- struct{}{}
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, jsonhttp.Sent, jsonhttp.StageOf(err))
+	require.Less(t, time.Since(began), 10*time.Second, "it is not waited for without a bound")
+}
