--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,6 +122,29 @@
 
 // TestAResetEndsAllWaits: a node that wins the lease knows nothing of requests that
 // waited at it before, and they would wait until their clients leave.
+// TestKnownRatesBindFromTheFirstGrant guards against a node that, as it becomes the
+// granter, grants all that waits at a server whose rate it knows, until a node reports it.
+func TestKnownRatesBindFromTheFirstGrant(t *testing.T) {
+	const asked, burst = 20, 2
+	g := start(t, nil)
+	g.Limits = func() []hub.Limit { return []hub.Limit{{Server: "i-1", Rate: 0.5, Active: true, Age: time.Minute}} }
+	g.Reset()
+	granted := make(chan hub.Grant, asked)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	var all sync.WaitGroup
+	for range asked {
+		all.Go(func() {
+			if d, grant, err := g.Place(ctx, place("m", "", 1), func() {}); err == nil && d.Granted {
+				granted <- grant
+			}
+		})
+	}
+	all.Wait()
+	require.NotEmpty(t, granted)
+	require.LessOrEqual(t, len(granted), burst)
+}
+
 func TestAResetEndsAllWaits(t *testing.T) {
 	g := start(t, nil)
 	waits := make(chan error, 1)
