A deputy grants half of the rate that a server names

Servers bear 1.5 times their rate over 4 s and 5 more; two whole rates are more than that from 2.5 requests a second on.

Cost: while the holder is gone and no lease is won yet (3.5 s), limited servers get half of what they take by the deputy.

Left: nodes that reach neither use half of the rate by themselves; holder, deputy and such nodes at once make two rates.

--- a/core/balance/picture.go
+++ b/core/balance/picture.go
@@ -42,6 +42,8 @@
 		fitting []*server                     // reused by each pick
 		nodes   int                           // that pick by themselves, 0 if unknown
 
+		ratePart float64 // of the rates that servers name, that is used
+
 		// vanished are servers that the list has lost, the oldest first. Their entries come
 		// back when the store has lost them and the servers live.
 		vanished []*server
@@ -88,7 +90,7 @@
 // New returns an empty picture that draws from rng.
 func New(rng *rand.Rand) *Picture {
 	return &Picture{rng: rng, pace: map[string]float64{}, servers: map[string]*server{}, groups: map[string][]*server{},
-		holders: map[model]map[string]*holders{}}
+		holders: map[model]map[string]*holders{}, ratePart: 1}
 }
 
 // Update replaces the list of servers and keeps what is known of those that
@@ -228,6 +230,7 @@
 // LearnLimit takes in what a server said of the rate that it takes. It returns whether that
 // changes its limit.
 func (p *Picture) LearnLimit(id string, l throttle.Limit) bool {
+	l.Rate *= p.ratePart
 	s := p.servers[id]
 	return s != nil && s.throttle.Learn(l)
 }
@@ -277,6 +280,10 @@
 	return out
 }
 
+// SetRatePart sets which part of the rates that servers name from now on is used, above
+// zero; all of them if it isn't set.
+func (p *Picture) SetRatePart(part float64) { p.ratePart = part }
+
 // SetNodes sets how many nodes pick servers by themselves, which share the rates that
 // servers name.
 func (p *Picture) SetNodes(nodes int) { p.nodes = nodes }
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -27,7 +27,7 @@
 	}
 	n.log.Info("deputy-acting", zap.Bool("acting", acting))
 	if acting {
-		n.granter.Reset()
+		n.granter.ResetAsDeputy()
 	}
 	return acting
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -27,9 +27,16 @@
 	"guavapaddle/internal/hub"
 )
 
-// Tick is how often waiting requests are looked at without a cause, for those
-// that expire.
-const Tick = 50 * time.Millisecond
+const (
+	// Tick is how often waiting requests are looked at without a cause, for those
+	// that expire.
+	Tick = 50 * time.Millisecond
+
+	// deputyRatePart is the part of the rates that servers name which a deputy grants. The
+	// holder, which it can't reach, may be granting all of them to other nodes, and servers
+	// bear half as many requests again.
+	deputyRatePart = 0.5
+)
 
 // OverQuota means that a request's team has spent its quota.
 const OverQuota balance.Why = "quota"
@@ -68,7 +75,13 @@
 
 // Reset forgets all grants, as a node that wins the lease must, and ends all waits. The
 // rates that servers have named bind on: what waits is offered anew at once.
-func (g *Granter) Reset() {
+func (g *Granter) Reset() { g.begin(1) }
+
+// ResetAsDeputy is Reset of a node that grants in place of a holder that it can't reach.
+func (g *Granter) ResetAsDeputy() { g.begin(deputyRatePart) }
+
+// begin forgets all grants. From now on a part of the rates that servers name is granted.
+func (g *Granter) begin(ratePart float64) {
 	var limits []hub.Limit
 	if g.Limits != nil {
 		limits = g.Limits()
@@ -80,6 +93,7 @@
 	}
 	g.reset = make(chan struct{})
 	g.picture = balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.picture.SetRatePart(ratePart)
 	g.picture.Update(g.servers)
 	g.learnLimits(limits)
 	g.schedule = grant.New(g.picture, g.Settings)
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -145,6 +147,61 @@
 	require.LessOrEqual(t, len(granted), burst)
 }
 
+// TestHolderAndDeputyTogetherKeepARate guards against a server that gets twice the requests
+// that it takes while a deputy grants beside a holder that it can't reach.
+func TestHolderAndDeputyTogetherKeepARate(t *testing.T) {
+	const (
+		rate       = 4.0             // requests a second, named by the server
+		span       = 4 * time.Second // over which its requests are counted
+		most       = 29              // 1.5 times its rate over the span, and 5 more
+		spans      = 5
+		askingEach = 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), spans*span)
+		defer cancel()
+		var mu sync.Mutex
+		var granted []time.Time
+		var all sync.WaitGroup
+		for _, begin := range []func(*granter.Granter){(*granter.Granter).Reset, (*granter.Granter).ResetAsDeputy} {
+			g := &granter.Granter{Log: zap.NewNop(), Limits: func() []hub.Limit {
+				return []hub.Limit{{Server: "i-1", Rate: rate, Active: true}}
+			}}
+			g.Servers([]fleet.Server{{ID: "i-1", Service: "llm", Slots: 64, Held: []fleet.Held{{Model: "m"}}}})
+			begin(g)
+			all.Go(func() { g.Run(ctx) })
+			for range askingEach {
+				all.Go(func() {
+					for ctx.Err() == nil {
+						d, grant, err := g.Place(ctx, place("m", "", 1), func() {})
+						if err != nil || !d.Granted {
+							<-time.After(100 * time.Millisecond)
+							continue
+						}
+						mu.Lock()
+						granted = append(granted, time.Now())
+						mu.Unlock()
+						<-time.After(50 * time.Millisecond)
+						grant.Done(balance.Good)
+					}
+				})
+			}
+		}
+		all.Wait()
+		slices.SortFunc(granted, time.Time.Compare)
+		for i, first := range granted {
+			n := 0
+			for _, at := range granted[i:] {
+				if at.Sub(first) < span {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, most, "from %v on", first.Sub(granted[0]))
+		}
+		require.Greater(t, len(granted), int(rate*spans*span.Seconds()), "more than the holder alone grants")
+	})
+}
+
 func TestAResetEndsAllWaits(t *testing.T) {
 	g := start(t, nil)
 	waits := make(chan error, 1)
