--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -110,23 +110,42 @@
 		rng := rand.New(rand.NewPCG(seed, 1))
 		nodes := []int{1, 3, 8, 80, 300}[seed%5]
 		perSecond := 0.5 + 4*rng.Float64()
-		share := throttle.Share{Nodes: nodes, Part: 0.5}
-		_, sent := scheduled(perSecond, 8_000)
-		all := make([]throttle.Throttle, nodes)
+		sent := scheduledThenAlone(rng, nodes, perSecond)
+		require.LessOrEqual(t, float64(most(sent)), 1.5*perSecond*span.Seconds()+5, "seed %d: %d nodes, rate %v", seed, nodes, perSecond)
+	}
+}
+
+// TestRatesBelowTheLeastKeepTheBound guards against servers that name a rate below the least
+// one that is used, zero among them, and get more requests than they bear.
+func TestRatesBelowTheLeastKeepTheBound(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		nodes := []int{1, 3, 8, 80, 300}[seed%5]
+		perSecond := []float64{0, 0.05, 0.1, 0.2}[seed/5%4]
+		sent := scheduledThenAlone(rng, nodes, perSecond)
+		require.LessOrEqual(t, float64(most(sent)), 1.5*perSecond*span.Seconds()+5, "seed %d: %d nodes, rate %v", seed, nodes, perSecond)
+	}
+}
+
+// scheduledThenAlone returns the requests that a scheduler sends in 8 s and nodes by
+// themselves in the 12 s after.
+func scheduledThenAlone(rng *rand.Rand, nodes int, perSecond float64) []time.Time {
+	share := throttle.Share{Nodes: nodes, Part: 0.5}
+	_, sent := scheduled(perSecond, 8_000)
+	all := make([]throttle.Throttle, nodes)
+	for i := range all {
+		all[i] = throttle.New(rng.Float64())
+		all[i].Learn(throttle.Named(start, perSecond))
+	}
+	for ms := 8_000; ms < 20_000; ms += 5 {
 		for i := range all {
-			all[i] = throttle.New(rng.Float64())
-			all[i].Learn(throttle.Named(start, perSecond))
-		}
-		for ms := 8_000; ms < 20_000; ms += 5 {
-			for i := range all {
-				if now := at(ms); all[i].Opens(now, share) == 0 {
-					all[i].Take(now)
-					sent = append(sent, now)
-				}
+			if now := at(ms); all[i].Opens(now, share) == 0 {
+				all[i].Take(now)
+				sent = append(sent, now)
 			}
 		}
-		require.LessOrEqual(t, float64(most(sent)), 1.5*perSecond*span.Seconds()+5, "seed %d: %d nodes, rate %v", seed, nodes, perSecond)
 	}
+	return sent
 }
 
 func TestOpensTellsWhenTheWindowComes(t *testing.T) {
