Hub: a rate that holds is in each answer

TestARateThatHoldsIsInEachAnswer: the rate was missing in an answer 10 s after it was named; now it is in each as long as a node reports it, and forgotten 10 s after that.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -151,11 +151,12 @@
 		sum    map[string]balance.Count // of all nodes, by server
 		notes  []dated[Note]
 		marks  []dated[Mark]
-		demand []Demand // since the last Demand call
-		limits map[string]throttle.Limit
-		id     uint64 // of this hub, not zero once it is used
-		number uint64 // notes and marks taken in
-		roster uint64 // changes of who reports
+		demand []Demand                  // since the last Demand call
+		limits map[string]throttle.Limit // by server
+		named  map[string]time.Time      // when a node last reported what is in limits
+		id     uint64                    // of this hub, not zero once it is used
+		number uint64                    // notes and marks taken in
+		roster uint64                    // changes of who reports
 	}
 
 	entry struct {
@@ -230,15 +231,17 @@
 	return throttle.Limit{Rate: l.Rate, Active: l.Active, At: now.Add(-l.Age)}
 }
 
-// learn takes in what servers said to a node; h.mu is held.
+// learn takes in what servers said to a node; h.mu is held. A rate is forgotten once no
+// node reports it any more, however long ago the server named it.
 func (h *Hub) learn(now time.Time, list []Limit) {
+	if h.limits == nil {
+		h.limits, h.named = map[string]throttle.Limit{}, map[string]time.Time{}
+	}
 	for _, l := range list {
 		if said := l.Said(now); said.At.After(h.limits[l.Server].At) {
-			if h.limits == nil {
-				h.limits = map[string]throttle.Limit{}
-			}
 			h.limits[l.Server] = said
 		}
+		h.named[l.Server] = now
 	}
 }
 
@@ -353,7 +356,8 @@
 		}
 	}
 	h.notes = younger(h.notes, now.Add(-reportLife))
-	maps.DeleteFunc(h.limits, func(_ string, l throttle.Limit) bool { return now.Sub(l.At) > LimitLife })
+	maps.DeleteFunc(h.named, func(_ string, at time.Time) bool { return now.Sub(at) > LimitLife })
+	maps.DeleteFunc(h.limits, func(id string, _ throttle.Limit) bool { return h.named[id].IsZero() })
 	h.marks = younger(h.marks, now.Add(-markLife))
 	if n := len(h.marks) - marksMost; n > 0 {
 		h.marks = h.marks[n:]
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -135,3 +135,23 @@
 		})
 	}
 }
+
+// TestARateThatHoldsIsInEachAnswer guards against nodes that join, and get no rate of a server
+// because its last answer is some time ago.
+func TestARateThatHoldsIsInEachAnswer(t *testing.T) {
+	h := &hub.Hub{}
+	named := time.Unix(1000, 0)
+	limit := func(now time.Time) []hub.Limit {
+		return []hub.Limit{{Server: "i-1", Rate: 2, Active: true, Age: now.Sub(named)}}
+	}
+	now := named
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		h.Take(now, hub.Report{Node: "a", Limits: limit(now)})
+		p := h.Take(now.Add(100*time.Millisecond), hub.Report{Node: "b"})
+		require.Len(t, p.Limits, 1, "%v after the rate was named", now.Sub(named))
+		require.Equal(t, now.Add(100*time.Millisecond).Sub(named), p.Limits[0].Age)
+	}
+	p := h.Take(now.Add(2*hub.LimitLife), hub.Report{Node: "b"})
+	require.Empty(t, p.Limits, "no node reports it any more")
+}
