--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -18,6 +18,7 @@
 	"guavapaddle/internal/call"
 	"guavapaddle/internal/claims"
 	"guavapaddle/internal/suspects"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/internal/testbed/tabletest"
 )
 
@@ -94,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { store.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
+	t.Cleanup(func() { cancel(); await.Value(t, done, "the store's end") })
 	var list []config.BackendServer
 	for i := range servers {
 		list = append(list, config.BackendServer{Name: fmt.Sprint("s", i), Type: config.Service, Service: "bookings"})
--- a/internal/claims/store_test.go
+++ b/internal/claims/store_test.go
@@ -15,6 +15,7 @@
 	"guavapaddle/core/claim"
 	"guavapaddle/core/outcome"
 	"guavapaddle/internal/claims"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/internal/testbed/tabletest"
 )
 
@@ -62,7 +63,7 @@
 	}
 	done := make(chan struct{})
 	go func() { s.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
+	t.Cleanup(func() { cancel(); await.Value(t, done, "the store's end") })
 	return s
 }
 
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -12,6 +12,7 @@
 
 	"guavapaddle/core/fleet"
 	"guavapaddle/internal/follow"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/jsonhttp"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
@@ -53,7 +54,7 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		await.Value(t, done, "the follower's end")
 	})
 	return n
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -19,6 +19,7 @@
 
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/front"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/internal/testbed/freeport"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
@@ -67,7 +68,7 @@
 	go func() { p.done <- n.Run(ctx) }()
 	f.t.Cleanup(func() {
 		stop()
-		require.NoError(f.t, <-p.done)
+		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
 	})
 	f.nodes = append(f.nodes, p)
 	return p
@@ -235,7 +236,7 @@
 	r := <-got
 	require.Equal(t, 200, r.status)
 	require.Equal(t, 5, strings.Count(r.body, "data:"))
-	require.NoError(t, <-p.done)
+	require.NoError(t, await.Value(t, p.done, "the node's end"))
 	p.done <- nil // for the end of the test
 }
 
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -16,6 +16,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/internal/granter"
 	"guavapaddle/internal/hub"
+	"guavapaddle/internal/testbed/await"
 )
 
 func start(t *testing.T, adapter func(context.Context, hub.Want) hub.Offer) *granter.Granter {
@@ -29,7 +30,7 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		await.Value(t, done, "the granter's end")
 	})
 	g.Servers([]fleet.Server{{ID: "i-1", Service: "llm", Slots: 64, Held: []fleet.Held{{Model: "m"}}}})
 	g.Reset()
--- a/internal/hub/client_test.go
+++ b/internal/hub/client_test.go
@@ -10,6 +10,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/internal/testbed/freeport"
 	"guavapaddle/io/peer"
 )
@@ -49,7 +50,7 @@
 	go func() { done <- e.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		require.NoError(t, <-done)
+		require.NoError(t, await.Value(t, done, "the endpoint's end"))
 	})
 	return e
 }
--- a/internal/placer/rig_test.go
+++ b/internal/placer/rig_test.go
@@ -14,6 +14,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/placer"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/jsonhttp"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
@@ -66,7 +67,7 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		await.Value(t, done, "the placer's end")
 	})
 	return h
 }
--- a/io/peer/endpoint_test.go
+++ b/io/peer/endpoint_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/peer"
 )
 
@@ -44,7 +45,7 @@
 	go func() { done <- e.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		require.NoError(t, <-done)
+		require.NoError(t, await.Value(t, done, "the endpoint's end"))
 	})
 	return address
 }
