Nodes of the own interface never wait for the reader of their log

Callers of a node whose log isn't read any more got no answer after some 375 requests (the pipe is full), and its planned stop didn't end. Found while tracing the order of log and status.

Cause: guavapaddle node wrote its lines itself; the bounded log was used by front only.

A version must still be logged before status has it, so Sync of the bounded log waits for the lines before it, 50 ms at most; the follower calls it.

With it: the error of a call shows its progress only where it got a connection or ran into its timeout.

stop that takes long waits for one long stream that began within the notice, no fault.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -62,11 +62,12 @@
 	if err := s.Check(); err != nil {
 		return &UsageError{Problem: err.Error()}
 	}
-	log, err := logging.New(e.Stdout, s.LogLevel)
+	log, err := logging.NewBounded(e.Stdout, s.LogLevel)
 	if err != nil {
 		return &UsageError{Problem: err.Error()}
 	}
-	n, err := node.New(s, log)
+	defer log.Close()
+	n, err := node.New(s, log.Logger)
 	if err != nil {
 		return err
 	}
--- a/internal/configsync/fetch.go
+++ b/internal/configsync/fetch.go
@@ -62,6 +62,9 @@
 	packed := pack(body)
 	// So does the line: whoever reads a version in the node's status finds it in its log.
 	f.Log.Info("config-in-force", zap.Uint64("version", ref.Version), zap.String("hash", ref.Hash), zap.String("source", source))
+	if err := f.Log.Sync(); err != nil {
+		f.Log.Warn("log-behind", zap.Error(err))
+	}
 	f.mu.Lock()
 	f.state = f.state.WithAdopted(ref)
 	f.body, f.packed, f.index = body, packed, index
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	bufferLines = 2048
 	// summaryEvery is how often the count of lines that were left out is told.
 	summaryEvery = 5 * time.Second
+	// syncTimeout bounds how long Sync waits for a slow reader of the output.
+	syncTimeout = 50 * time.Millisecond
 	// closeTimeout bounds how long Close waits for a slow reader of the output.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -28,10 +31,11 @@
 type (
 	// Bounded is a logger that never blocks its callers and whose volume is
 	// bounded. Lines that were left out are counted in a line of their own.
+	// Sync waits for the lines before it, for syncTimeout at most.
 	Bounded struct {
 		*zap.Logger
 
-		lines   chan []byte
+		lines   chan line
 		out     io.Writer
 		dropped atomic.Int64 // lines for which there was no room
 		mu      sync.Mutex
@@ -40,14 +44,29 @@
 		end     chan struct{}
 	}
 
+	// line is one line to write, or a mark that is closed when all lines before
+	// it are written.
+	line struct {
+		text    []byte
+		written chan struct{}
+	}
+
 	// queue hands lines to the writer.
 	queue struct{ b *Bounded }
+
+	// SyncError reports lines that were not written within Timeout.
+	SyncError struct {
+		Timeout time.Duration
+	}
 )
 
+// Error returns the timeout.
+func (e *SyncError) Error() string { return fmt.Sprintf("lines not written within %v", e.Timeout) }
+
 // NewBounded returns a logger that writes to w from a level on. Close writes
 // what waits. The error is a *LevelError.
 func NewBounded(w io.Writer, level string) (*Bounded, error) {
-	b := &Bounded{lines: make(chan []byte, bufferLines), out: w, thinned: map[string]int64{},
+	b := &Bounded{lines: make(chan line, bufferLines), out: w, thinned: map[string]int64{},
 		done: make(chan struct{}), end: make(chan struct{})}
 	l, err := New(queue{b}, level)
 	if err != nil {
@@ -63,13 +82,32 @@
 // Write takes a line, or counts it if there is no room.
 func (q queue) Write(p []byte) (int, error) {
 	select {
-	case q.b.lines <- append([]byte(nil), p...):
+	case q.b.lines <- line{text: append([]byte(nil), p...)}:
 	default:
 		q.b.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// Sync waits until the lines that were taken are written. The error is a
+// *SyncError.
+func (q queue) Sync() error {
+	mark := line{written: make(chan struct{})}
+	timer := time.NewTimer(syncTimeout)
+	defer timer.Stop()
+	select {
+	case q.b.lines <- mark:
+	case <-timer.C:
+		return &SyncError{Timeout: syncTimeout}
+	}
+	select {
+	case <-mark.written:
+		return nil
+	case <-timer.C:
+		return &SyncError{Timeout: syncTimeout}
+	}
+}
+
 // sampled counts lines that are thinned out.
 func (b *Bounded) sampled(e zapcore.Entry, d zapcore.SamplingDecision) {
 	if d&zapcore.LogDropped == 0 {
@@ -87,8 +125,8 @@
 	defer t.Stop()
 	for {
 		select {
-		case p := <-b.lines:
-			_, _ = b.out.Write(p) // there is nowhere to tell of it
+		case l := <-b.lines:
+			b.put(l)
 		case <-t.C:
 			b.summary()
 		case <-b.end:
@@ -100,12 +138,21 @@
 	}
 }
 
+// put writes a line.
+func (b *Bounded) put(l line) {
+	if l.written != nil {
+		close(l.written)
+		return
+	}
+	_, _ = b.out.Write(l.text) // there is nowhere to report a failure
+}
+
 // rest writes the lines that wait.
 func (b *Bounded) rest() {
 	for {
 		select {
-		case p := <-b.lines:
-			_, _ = b.out.Write(p)
+		case l := <-b.lines:
+			b.put(l)
 		default:
 			return
 		}
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -53,6 +53,19 @@
 	close(w.free)
 }
 
+func TestSyncWaitsForTheLinesBeforeIt(t *testing.T) {
+	w := &stuck{free: make(chan struct{})}
+	log, err := logging.NewBounded(w, "info")
+	require.NoError(t, err)
+	log.Info("event")
+	var late *logging.SyncError
+	require.ErrorAs(t, log.Sync(), &late, "the reader doesn't read")
+	close(w.free)
+	require.NoError(t, log.Sync())
+	require.Contains(t, w.String(), "event=event")
+	log.Close()
+}
+
 func TestLinesOfOneEventAreThinnedAndCounted(t *testing.T) {
 	w := &bytes.Buffer{}
 	log, err := logging.NewBounded(w, "info")
--- /dev/null
+++ b/internal/testbed/session/log_test.go
@@ -0,0 +1,33 @@
+package session_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/testbed/session"
+)
+
+// TestInvariantUnreadLogHoldsNothingUp guards against a node that serves nobody any more,
+// and doesn't stop, once the reader of its log has stopped to read.
+func TestInvariantUnreadLogHoldsNothingUp(t *testing.T) {
+	t.Parallel()
+	const requests = 1500 // their lines are more than the pipe holds
+	s := session.New(t, session.Small(t, 2, 1), session.Options{})
+	s.StartNodes(1)
+	node := s.Nodes[0]
+	node.RestartUnread()
+	s.Eventually("a request on the new node", func() bool {
+		return s.Do(0, http.MethodPost, chat, `{"model":"drafter","max_tokens":1,`+prompt+`}`).Status == http.StatusOK
+	})
+	for i := range requests {
+		began := time.Now()
+		a := s.Do(0, http.MethodPost, chat, `{"model":"drafter","max_tokens":1,`+prompt+`}`)
+		require.NoError(t, a.Err, "request %d", i)
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+		require.Less(t, time.Since(began), 10*time.Second, "request %d", i)
+	}
+	require.Zero(t, node.Terminate())
+}
--- a/internal/testbed/session/process.go
+++ b/internal/testbed/session/process.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"bufio"
 	"bytes"
 	"os"
 	"os/exec"
@@ -83,18 +84,23 @@
 func start(t testing.TB, name, program string, args ...string) *Process {
 	p := &Process{Name: name, t: t, out: filepath.Join(t.TempDir(), "output"),
 		args: append([]string{filepath.Join(build(t), program)}, args...)}
-	p.launch()
+	p.launch(p.openOutput())
 	t.Cleanup(p.Kill)
 	p.awaitReady(0)
 	return p
 }
 
-// launch starts the process. Its output goes to a file and not through a pipe,
-// whose reader may be behind: a test that has seen an effect of the process
-// finds the line that was written before it.
-func (p *Process) launch() {
+// openOutput opens the file of the process's output. It is a file and not a
+// pipe, whose reader may be behind: a test that has seen an effect of the
+// process finds the line that was written before it.
+func (p *Process) openOutput() *os.File {
 	out, err := os.OpenFile(p.out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	require.NoError(p.t, err)
+	return out
+}
+
+// launch starts the process with an output, which is closed on this side.
+func (p *Process) launch(out *os.File) {
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
 	p.cmd.Stdout = out
@@ -239,15 +245,32 @@
 func (p *Process) Restart() {
 	p.Kill()
 	earlier := len(p.output())
-	p.launch()
+	p.launch(p.openOutput())
 	p.awaitReady(earlier)
 }
 
+// RestartUnread starts a process anew. Its output is read until it listens, and
+// then no more.
+func (p *Process) RestartUnread() {
+	p.Kill()
+	r, w, err := os.Pipe()
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { _ = r.Close() })
+	p.launch(w)
+	lines := bufio.NewReaderSize(r, 1)
+	require.NoError(p.t, r.SetReadDeadline(time.Now().Add(startTimeout)))
+	for p.ready = nil; p.ready["event"] != readyEvent; {
+		line, err := lines.ReadString('\n')
+		require.NoError(p.t, err)
+		p.ready = fields(strings.TrimSuffix(line, "\n"))
+	}
+}
+
 // RestartAndStop starts a process anew and asks it to stop after a delay,
 // whether it listens by then or not.
 func (p *Process) RestartAndStop(after time.Duration) {
 	p.Kill()
-	p.launch()
+	p.launch(p.openOutput())
 	<-time.After(after)
 	p.Signal(syscall.SIGTERM)
 }
--- a/io/jsonhttp/error.go
+++ b/io/jsonhttp/error.go
@@ -1,7 +1,9 @@
 package jsonhttp
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"strings"
 	"time"
 )
@@ -52,9 +54,11 @@
 	Err      error
 }
 
-// Error returns stage, address, progress and cause in one line.
+// Error returns stage, address and cause in one line, and the progress of a call
+// that got a connection or ran into its timeout.
 func (e *Error) Error() string {
-	if e.Progress == (Progress{}) {
+	var n net.Error
+	if e.Progress.Connected == 0 && !(errors.As(e.Err, &n) && n.Timeout()) {
 		return fmt.Sprintf("%s: %s: %v", e.Stage, e.Address, e.Err)
 	}
 	return fmt.Sprintf("%s: %s (%v): %v", e.Stage, e.Address, e.Progress, e.Err)
