Docs and lines of a node's stop; what the linter found

A planned stop logs each 5 s what it waits for. The linter failed on (a negated condition in the text of an error); tests of departures and rates share the kinds of services.

--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -14,6 +14,12 @@
 // drainWithin is how long after its answer a server that leaves may get requests.
 const drainWithin = 2 * time.Second
 
+// bothKinds names a path and, for an engine, a model of each kind of service.
+var bothKinds = map[string]struct{ path, model string }{
+	"engine": {"/plans/x", "m0"},
+	"plain":  {"/calls/x", ""},
+}
+
 // newPair starts nodes before a server of a service, an engine if there is a model, and returns it
 // with its service. Another server that it is preferred to stands beside it if asked for.
 func newPair(t *testing.T, nodes int, model string, beside bool) (f *fleetRig, preferred *standin.Worker, service string) {
@@ -38,10 +44,7 @@
 // server's answers say that it leaves, and its entry come again as ready.
 func TestAServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
 	t.Parallel()
-	for name, x := range map[string]struct{ path, model string }{
-		"engine": {"/plans/x", "m0"},
-		"plain":  {"/calls/x", ""},
-	} {
+	for name, x := range bothKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f, leaving, service := newPair(t, 3, x.model, true)
--- a/internal/front/limit_test.go
+++ b/internal/front/limit_test.go
@@ -71,10 +71,7 @@
 func TestARateThatAServerNamesBindsAllNodesTogether(t *testing.T) {
 	t.Parallel()
 	const rate = 2.0
-	for name, x := range map[string]struct{ path, model string }{
-		"engine": {"/plans/x", "m0"},
-		"plain":  {"/calls/x", ""},
-	} {
+	for name, x := range bothKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f, engine, plain := newFleet(t, 3)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -244,6 +244,7 @@
 	return nil
 }
 
+// serveUntilClosed returns what serves on a listener until that is closed.
 func serveUntilClosed(s *http1.Server) func(net.Listener) error {
 	return func(l net.Listener) error {
 		s.Serve(l)
--- a/internal/front/spread_test.go
+++ b/internal/front/spread_test.go
@@ -29,10 +29,7 @@
 // store, which is away, can't tell them.
 func TestADepartureReachesNodesThatGotNoAnswer(t *testing.T) {
 	t.Parallel()
-	for name, x := range map[string]struct{ path, model string }{
-		"engine": {"/plans/x", "m0"},
-		"plain":  {"/calls/x", ""},
-	} {
+	for name, x := range bothKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f, leaving, _ := newPair(t, 3, x.model, true)
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -29,6 +29,7 @@
 	vmFew         = 40
 	keysPeriod    = 10 * time.Second
 	drainPoll     = 20 * time.Millisecond
+	drainReport   = 5 * time.Second // between lines of what a shutdown waits for
 	flushTimeout  = 5 * time.Second
 	leaveTimeout  = time.Second
 	noRetries     = -1 // as a share: zero would be the default
@@ -257,8 +258,11 @@
 	n.draining.Store(true)
 	release()
 	n.publishViews(time.Now())
-	for n.callers.Open() > 0 || n.dispatch.Active() > 0 {
-		wait(ctx, drainPoll)
+	for last := time.Now(); n.callers.Open() > 0 || n.dispatch.Active() > 0; wait(ctx, drainPoll) {
+		if time.Since(last) >= drainReport {
+			last = time.Now()
+			n.log.Info("shutdown-waits", zap.Int("callers", n.callers.Open()), zap.Int("dispatched", n.dispatch.Active()))
+		}
 	}
 	flush, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
--- a/io/jsonhttp/error.go
+++ b/io/jsonhttp/error.go
@@ -57,11 +57,15 @@
 // Error returns stage, address and cause in one line, and the progress of a call
 // that got a connection or ran into its timeout.
 func (e *Error) Error() string {
-	var n net.Error
-	if e.Progress.Connected == 0 && !(errors.As(e.Err, &n) && n.Timeout()) {
-		return fmt.Sprintf("%s: %s: %v", e.Stage, e.Address, e.Err)
+	if e.Progress.Connected > 0 || e.timedOut() {
+		return fmt.Sprintf("%s: %s (%v): %v", e.Stage, e.Address, e.Progress, e.Err)
 	}
-	return fmt.Sprintf("%s: %s (%v): %v", e.Stage, e.Address, e.Progress, e.Err)
+	return fmt.Sprintf("%s: %s: %v", e.Stage, e.Address, e.Err)
+}
+
+func (e *Error) timedOut() bool {
+	var n net.Error
+	return errors.As(e.Err, &n) && n.Timeout()
 }
 
 // Unwrap returns the cause.
