A model whose servers take no more requests gets one more copy

Fix: the granter keeps the models that it refused requests of as limited in the last 3 s; the plan gives each of them one copy more, or room by the usual gain, unless one comes already. Without rates nothing changes.

Left: a copy may make room at the expense of one on a server without a rate; resting servers are not counted (a rest binds one node for its length).

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -32,6 +32,8 @@
 const (
 	// Asked means that requests wait for a model without a copy.
 	Asked Why = "asked-for"
+	// Limited means that all copies of a model are at servers that take no more requests.
+	Limited Why = "limited"
 	// Declared means that a declared model has no copy.
 	Declared Why = "declared"
 	// Busy means that the model's copies have far more load than others.
@@ -66,6 +68,7 @@
 		Load    map[string]float64       // slots of engines that the demand takes, by model
 		Waiting map[string]int           // requests that wait for a model without a copy
 		Starved map[string]time.Duration // for how long models were asked for without a copy
+		Limited map[string]bool          // models whose servers take no more requests by the rates that they name
 		Stores  int                      // loads from the weight store that may begin now
 
 		Supposed bool // there is no demand yet, and Load is that of Prior
@@ -128,6 +131,7 @@
 	p.findRoom()
 	p.fillQuickly()
 	p.placeMissing()
+	p.placeLimited()
 	p.rebalance()
 	if in.Supposed {
 		p.spread()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -177,6 +177,7 @@
 		Ordered:   func(v string) { orders.WithLabelValues(v).Inc() },
 		Began:     n.granter.Reset,
 		Lacking:   n.granter.Waiting,
+		Limited:   n.granter.Limited,
 		Noted:     n.granter.Note,
 	}
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -36,6 +36,10 @@
 	// holder, which it can't reach, may be granting all of them to other nodes, and servers
 	// bear half as many requests again.
 	deputyRatePart = 0.5
+
+	// limitedLife is how long a model counts as one whose servers take no more requests
+	// after one of its requests was refused for that reason.
+	limitedLife = 3 * time.Second
 )
 
 // OverQuota means that a request's team has spent its quota.
@@ -62,7 +66,8 @@
 		next     uint64
 		waiters  map[uint64]waiter
 		fetching map[hub.Item]bool
-		reset    chan struct{} // closed by the next Reset
+		limited  map[string]time.Time // when a model's servers last took no more requests
+		reset    chan struct{}        // closed by the next Reset
 	}
 
 	waiter struct {
@@ -99,6 +104,7 @@
 	g.schedule = grant.New(g.picture, g.Settings)
 	g.waiters = map[uint64]waiter{}
 	g.fetching = map[hub.Item]bool{}
+	g.limited = map[string]time.Time{}
 	g.ledger = quota.Ledger{Tolerance: g.Tolerance}
 	g.ledger.Reset(time.Now(), g.teams)
 }
@@ -297,11 +303,31 @@
 	for _, d := range list {
 		if w, ok := g.waiters[d.ID]; ok {
 			delete(g.waiters, d.ID)
+			if !d.Granted && d.Why == balance.Limited {
+				g.limited[w.place.Model] = time.Now()
+			}
 			w.decided <- d
 		}
 	}
 }
 
+// Limited returns the models of which requests were refused of late because all their servers
+// have got as many as they named as their rate.
+func (g *Granter) Limited() map[string]bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := map[string]bool{}
+	now := time.Now()
+	for m, at := range g.limited {
+		if now.Sub(at) > limitedLife {
+			delete(g.limited, m)
+			continue
+		}
+		out[m] = true
+	}
+	return out
+}
+
 // lacking has the adapters loaded that requests wait for; g.mu is held.
 func (g *Granter) lacking() {
 	for i := range g.schedule.Lacking() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -66,9 +66,10 @@
 		Window    time.Duration // over which loads from the weight store are counted
 		Reachable func() bool   // the holder answered of late
 		Ordered   func(verdict string)
-		Began     func()                // the lease was won
-		Lacking   func() map[string]int // requests that wait for a model without a copy
-		Noted     func(n hub.Note)      // what an engine holds has changed
+		Began     func()                 // the lease was won
+		Lacking   func() map[string]int  // requests that wait for a model without a copy
+		Limited   func() map[string]bool // models whose servers take no more requests, nil for none
+		Noted     func(n hub.Note)       // what an engine holds has changed
 
 		mu       sync.Mutex
 		writing  *semaphore.Weighted // of the lease's row; taken before mu
@@ -79,6 +80,7 @@
 		prior    map[string]float64 // load that is supposed before there is demand
 		slots    residency.SlotTimes
 		waiting  map[string]int
+		limited  map[string]bool
 		starved  map[string]map[string]time.Time // since when models are asked for that no server holds, by service
 		decayed  time.Time
 		loads    *loads.Budget // from the weight store
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -47,6 +47,10 @@
 func (p *Placer) learn(now time.Time) {
 	list := p.Hub.Demand()
 	lacking := p.Lacking()
+	var limited map[string]bool
+	if p.Limited != nil {
+		limited = p.Limited()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.demand == nil {
@@ -61,7 +65,7 @@
 		}
 	}
 	p.slots.Decay(dt)
-	p.waiting = lacking
+	p.waiting, p.limited = lacking, limited
 	for _, d := range list {
 		p.demand[d.Model] += float64(d.Tokens) / demandLife.Seconds()
 		p.slots.Add(d.Model, d.Ran.Tokens, d.Ran.Time)
@@ -131,7 +135,7 @@
 		}
 		load, supposed := p.load(*s.Engine)
 		t := task{tookOver: p.tookOver, reads: map[string]int{}}
-		t.in = residency.Input{Engine: *s.Engine, Load: load, Supposed: supposed, Waiting: p.waiting, Stores: p.stores(now, *s.Engine)}
+		t.in = residency.Input{Engine: *s.Engine, Load: load, Supposed: supposed, Waiting: p.waiting, Limited: p.limited, Stores: p.stores(now, *s.Engine)}
 		t.in.Engine.WeightsMB -= slackMB
 		for _, f := range p.servers {
 			if f.Service != name {
