follow, placer: log full reads and refused writes of the lease

The record of the incident can't tell a full read that was dropped from one that was applied, nor show what the store answered to the leader's writes of its lease: 198 writes in 6 s got a response and left no line. A full read is now logged with its version and the one held, a refused write with the version that it expected and the one that the row has. No logic changes.

--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -178,6 +178,8 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.recordResponse()
+		t.f.Log.Info("table-read", zap.String("table", t.name), zap.Int64("version", version), zap.Int64("held", t.version),
+			zap.Int("rows", len(rows)), zap.Bool("applied", version >= t.version))
 		t.applyAll(rows, version)
 		t.confirm(began)
 		return nil
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -92,10 +92,20 @@
 			p.startTerm(l.Epoch, previous)
 		}
 	default:
+		p.logRefused(l, version, rows)
 		p.observe(rows)
 	}
 }
 
+// logRefused logs a write that the store refused because the row has another version.
+func (p *Placer) logRefused(l leader.Lease, expected int64, rows []platform.Row) {
+	current := platform.Row{}
+	if len(rows) > 0 {
+		current = rows[0]
+	}
+	p.Log.Warn("lease-write-refused", zap.Int64("epoch", l.Epoch), zap.Int64("expected", expected), zap.Int64("version", current.Version))
+}
+
 // writeSemaphore returns the semaphore that serializes this node's writes of the row.
 func (p *Placer) writeSemaphore() *semaphore.Weighted {
 	p.mu.Lock()
