--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -28,10 +28,15 @@
 }
 
 func startNode(t testing.TB, s *standin.Store, hasFeed func() bool) *node {
+	t.Helper()
+	return startNodeAs(t, s, hasFeed, nil)
+}
+
+func startNodeAs(t testing.TB, s *standin.Store, hasFeed func() bool, role func() follow.Role) *node {
 	t.Helper()
 	n := &node{}
 	n.Follower = &follow.Follower{
-		Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, Log: zap.NewNop(), HasFeed: hasFeed,
+		Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, Log: zap.NewNop(), HasFeed: hasFeed, Role: role,
 		OnConfig: func(c *fleet.Config) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- /dev/null
+++ b/internal/follow/restore_test.go
@@ -0,0 +1,91 @@
+package follow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/follow"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+// inForceBound is how long after its write a configuration or a departure must be known.
+const inForceBound = 2 * time.Second
+
+func configOf(version int) []byte { return fmt.Appendf(nil, `{"version":%d}`, version) }
+
+// TestChangesAfterRestoreAreApplied guards against nodes that ignore the store's changes after it was
+// restored from a copy, until its versions have passed those from before.
+func TestChangesAfterRestoreAreApplied(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		outage   time.Duration // before the store is back
+		written  int           // rows written to the restored store before any node calls it
+		restores int
+	}{
+		"versions behind":              {outage: 100 * time.Millisecond, restores: 1},
+		"versions past":                {outage: 100 * time.Millisecond, written: 40, restores: 1},
+		"without outage":               {restores: 1},
+		"after long outage":            {outage: 2500 * time.Millisecond, restores: 1},
+		"twice, versions behind":       {outage: 100 * time.Millisecond, restores: 2},
+		"twice, then versions past":    {outage: 100 * time.Millisecond, written: 40, restores: 2},
+		"nothing lost, as the control": {outage: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := standin.NewStore(t)
+			s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
+			s.Put(platform.TableServers, "i-1", entry("ready"))
+			s.Put(platform.TableServers, "i-2", entry("ready"))
+			n := startNode(t, s, nil)
+			eventually(t, "start", func() bool { return n.version() == 1 && n.has("i-1") && n.has("i-2") })
+			copied := s.Backup()
+			for i := 2; i < 12; i++ {
+				s.Put(platform.TableOperator, platform.KeyConfig, configOf(i))
+				s.Put(platform.TableServers, "i-2", entry("ready"))
+			}
+			eventually(t, "lost changes", func() bool { return n.version() == 11 })
+			change := func() {
+				s.Put(platform.TableOperator, platform.KeyConfig, configOf(12))
+				s.Put(platform.TableServers, "i-1", entry("draining"))
+				s.Put(platform.TableServers, "i-3", entry("ready"))
+			}
+			for range c.restores {
+				s.Outage(c.outage > 0)
+				<-time.After(c.outage)
+				s.Restore(copied)
+				change()
+				for i := range c.written {
+					s.Put("other", fmt.Sprint(i), nil)
+				}
+				s.Outage(false)
+			}
+			if c.restores == 0 {
+				change()
+			}
+			require.Eventually(t, func() bool { return n.version() == 12 && n.leaving("i-1") && n.has("i-3") }, inForceBound, time.Millisecond,
+				"version %d", n.version())
+			require.True(t, n.has("i-2"))
+		})
+	}
+}
+
+// TestRestoreDoesNotCauseEndlessReads guards against a node that reads its tables in full again and
+// again because the restored store lacks the versions that the node has.
+func TestRestoreDoesNotCauseEndlessReads(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore(t)
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
+	n := startNodeAs(t, s, nil, func() follow.Role { return follow.Leader })
+	eventually(t, "start", func() bool { return n.version() == 1 })
+	copied := s.Backup()
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(2))
+	eventually(t, "lost change", func() bool { return n.version() == 2 })
+	s.Restore(copied)
+	before := s.Calls("/rows-get")
+	<-time.After(2 * time.Second)
+	require.LessOrEqual(t, s.Calls("/rows-get")-before, 4, "two tables, each read at most twice")
+}
