follow: apply the tables of a store that was restored from a copy

Cause: all comparisons took the store's version for a counter that never goes back. After the restore the feed answered 410 to the version that the nodes had, and the full read that followed was dropped, since its version was lower (applyAll, meant for reads overtaken by a feed); then the same again without a pause, 113 refused calls a second at two nodes. Where the versions had passed the old ones by the next call, the feed went on and skipped what was written in between.

Tables, updates between nodes, their acknowledgements and the cache of decoded entries compare revisions. A response of a later era leads to a full read that replaces the copy; entries that it lacks are kept for the grace period, as after an outage. An update of a node that hasn't seen the era yet is ignored and doesn't count as a feed; a confirmation of the configuration counts only within one era. New: event store-restored, guavapaddle_store_restores_total.

--- a/internal/follow/confirmation_test.go
+++ b/internal/follow/confirmation_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
@@ -68,9 +69,9 @@
 	return clock.Sleep(ctx, d) && !unreachable
 }
 
-func (v confirmView) Read(ctx context.Context, table, _, _ string) ([]platform.Row, int64, error) {
+func (v confirmView) Read(ctx context.Context, table, _, _ string) ([]platform.Row, revision.Revision, error) {
 	if !v.delay(ctx) {
-		return nil, 0, errNoReply
+		return nil, revision.Revision{}, errNoReply
 	}
 	v.mu.Lock()
 	version, rows := v.version, []platform.Row(nil)
@@ -79,14 +80,14 @@
 	}
 	v.mu.Unlock()
 	if !v.delay(ctx) {
-		return nil, 0, errNoReply
+		return nil, revision.Revision{}, errNoReply
 	}
-	return rows, version, nil
+	return rows, revision.Revision{Number: version}, nil
 }
 
-func (v confirmView) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.Row, int64, error) {
+func (v confirmView) Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) ([]platform.Row, revision.Revision, error) {
 	if !v.delay(ctx) {
-		return nil, 0, errNoReply
+		return nil, revision.Revision{}, errNoReply
 	}
 	until := time.Now().Add(wait)
 	for {
@@ -95,20 +96,20 @@
 		row := v.row()
 		v.mu.Unlock()
 		left := time.Until(until)
-		if table == platform.TableOperator && version > after || left <= 0 {
+		if table == platform.TableOperator && version > after.Number || left <= 0 {
 			if !v.delay(ctx) {
-				return nil, 0, errNoReply
+				return nil, revision.Revision{}, errNoReply
 			}
-			if table == platform.TableOperator && version > after {
-				return []platform.Row{row}, version, nil
+			if table == platform.TableOperator && version > after.Number {
+				return []platform.Row{row}, revision.Revision{Number: version}, nil
 			}
-			return nil, max(version, after), nil
+			return nil, revision.Max(revision.Revision{Number: version}, after), nil
 		}
 		select {
 		case <-changed:
 		case <-time.After(left):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 )
@@ -75,11 +76,12 @@
 type (
 	// Store is the part of the platform's store that a follower uses.
 	Store interface {
-		// Read returns the rows of a table and the version of the table that they
+		// Read returns the rows of a table and the revision of the store that they
 		// represent.
-		Read(ctx context.Context, table, from, to string) ([]platform.Row, int64, error)
-		// Feed waits for changes after a version, and returns them with the new version.
-		Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.Row, int64, error)
+		Read(ctx context.Context, table, from, to string) ([]platform.Row, revision.Revision, error)
+		// Feed waits for changes after a revision, and returns them with the new revision. The
+		// changes are incomplete if that is of another era.
+		Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) ([]platform.Row, revision.Revision, error)
 	}
 
 	// Follower follows the store. Its exported fields are set before Run. Calls of
@@ -110,15 +112,25 @@
 		// nil.
 		Clock func() time.Duration
 
+		// OnRestore is invoked when this node learns, by itself or from another node, that the store
+		// was restored from a copy, once for each table and era; nil for never.
+		OnRestore func(table string, era int64)
+
 		// FetchSnapshot fetches another node's copy when a table can't be read, nil for never.
 		FetchSnapshot func(ctx context.Context)
 
 		operator     table
 		server       table
 		confirmation confirmation
-		entries      map[string]fleet.Server // as last read, by key
-		unreadable   map[string]int64        // versions of unreadable entries that were logged
-		leaving      map[string]bool         // servers in the last call of OnServers, and whether they leave
+		entries      map[string]parsedEntry       // as last read, by key
+		unreadable   map[string]revision.Revision // of unreadable entries that were logged
+		leaving      map[string]bool              // servers in the last call of OnServers, and whether they leave
+	}
+
+	// parsedEntry is a server's entry at a revision.
+	parsedEntry struct {
+		at     revision.Revision
+		server fleet.Server
 	}
 
 	// Role is the part that a node takes in the distribution of the tables.
@@ -188,13 +200,14 @@
 	return f.Clock()
 }
 
-// ConfirmConfig records that a version of the configuration's row was the newest at a time of
-// Clock.
-func (f *Follower) ConfirmConfig(version int64, at time.Duration) {
+// ConfirmConfig records that a revision of the configuration's row was the newest at a time of
+// Clock. One of another era than this node's copy is ignored, since the configurations can't be
+// compared.
+func (f *Follower) ConfirmConfig(newest revision.Revision, at time.Duration) {
 	t := &f.operator
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if own := t.ownVersion(); own > 0 && own >= version {
+	if own := t.ownRevision(); own.Number > 0 && own.Era == newest.Era && !own.Before(newest) {
 		f.confirmation.advance(at)
 	}
 }
@@ -244,18 +257,19 @@
 // all the time.
 func (f *Follower) applyServers(t *table) {
 	list := make([]fleet.Server, 0, len(t.rows))
-	entries := make(map[string]fleet.Server, len(t.rows))
+	entries := make(map[string]parsedEntry, len(t.rows))
 	for key, r := range t.rows {
-		s, ok := f.entries[key]
-		if !ok || s.Version != r.Version {
-			var err error
-			if s, err = platform.Server(r); err != nil {
+		e, ok := f.entries[key]
+		if at := r.Revision(); !ok || e.at != at {
+			s, err := platform.Server(r)
+			if err != nil {
 				f.logUnreadable(r, err)
 				continue
 			}
+			e = parsedEntry{at: at, server: s}
 		}
-		entries[key] = s
-		list = append(list, s)
+		entries[key] = e
+		list = append(list, e.server)
 	}
 	f.entries = entries
 	f.logDepartures(list, time.Since(t.lastComplete))
@@ -282,14 +296,14 @@
 // logUnreadable logs an entry that can't be parsed, once for each version.
 func (f *Follower) logUnreadable(r platform.Row, err error) {
 	if f.unreadable == nil {
-		f.unreadable = map[string]int64{}
+		f.unreadable = map[string]revision.Revision{}
 	}
-	if f.unreadable[r.Key] == r.Version {
+	if f.unreadable[r.Key] == r.Revision() {
 		return
 	}
 	if len(f.unreadable) >= maxUnreadable {
 		clear(f.unreadable)
 	}
-	f.unreadable[r.Key] = r.Version
+	f.unreadable[r.Key] = r.Revision()
 	f.Log.Error("server-unreadable", zap.String("server", r.Key), zap.Int64("version", r.Version), zap.Error(err))
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/testbed/await"
 	"guavapaddle/io/jsonhttp"
@@ -174,7 +175,7 @@
 	eventually(t, "gone at the leader", func() bool { return !leader.has("i-2") })
 	n.ApplyUpdate(time.Now(), leader.ChangesSince(time.Now(), n.Versions()))
 	require.False(t, n.has("i-2"))
-	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{{Table: platform.TableServers, Key: "i-1", Version: 2, Value: entry("ready")}}, Version: 2})
+	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{{Table: platform.TableServers, Key: "i-1", Version: 2, Value: entry("ready")}}, Version: revision.Revision{Number: 2}})
 	require.True(t, n.leaving("i-1"), "an older row never replaces a newer one")
 }
 
@@ -208,7 +209,7 @@
 	eventually(t, "start", func() bool { return n.has("i-1") })
 	gone := platform.Row{Table: platform.TableServers, Key: "i-1", Version: 100, Gone: true}
 	began := time.Now()
-	n.ApplyUpdate(began, follow.Update{Servers: []platform.Row{gone}, Version: 100, Grace: 500 * time.Millisecond})
+	n.ApplyUpdate(began, follow.Update{Servers: []platform.Row{gone}, Version: revision.Revision{Number: 100}, Grace: 500 * time.Millisecond})
 	require.True(t, n.has("i-1"), "the store has just come back")
 	eventually(t, "gone", func() bool { return !n.has("i-1") })
 	require.GreaterOrEqual(t, time.Since(began), 500*time.Millisecond)
@@ -255,9 +256,9 @@
 	old := s.Row(platform.TableServers, "i-1")
 	s.Drop(platform.TableServers, "i-1")
 	eventually(t, "gone", func() bool { return !n.has("i-1") })
-	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{old}, Version: old.Version})
+	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{old}, Version: old.Revision()})
 	require.False(t, n.has("i-1"), "from an update")
-	n.ApplySnapshot(time.Now(), follow.Snapshot{Servers: []platform.Row{old}, Version: old.Version}, 0)
+	n.ApplySnapshot(time.Now(), follow.Snapshot{Servers: []platform.Row{old}, Version: old.Revision()}, 0)
 	require.False(t, n.has("i-1"), "from a full copy")
 	s.Put(platform.TableServers, "i-1", entry("ready"))
 	eventually(t, "a newer entry is applied", func() bool { return n.has("i-1") })
@@ -278,7 +279,7 @@
 	s.Outage(false)
 	eventually(t, "contact", func() bool { return n.has("i-2") })
 	require.True(t, n.has("i-1"), "it may come back")
-	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{old}, Version: old.Version})
+	n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{old}, Version: old.Revision()})
 	eventually(t, "it is dropped", func() bool { return !n.has("i-1") })
 }
 
@@ -316,7 +317,7 @@
 			r := s.Row(platform.TableServers, last)
 			for b.Loop() {
 				r.Version++
-				n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{r}, After: r.Version - 1, Version: r.Version})
+				n.ApplyUpdate(time.Now(), follow.Update{Servers: []platform.Row{r}, After: revision.Revision{Number: r.Version - 1}, Version: r.Revision()})
 			}
 		})
 	}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -3,33 +3,34 @@
 import (
 	"time"
 
+	"guavapaddle/core/revision"
 	"guavapaddle/platform"
 )
 
 type (
-	// Versions holds the versions up to which a node has the tables.
+	// Versions holds the revisions up to which a node has the tables.
 	Versions struct {
-		Operator int64
-		Servers  int64
+		Operator revision.Revision
+		Servers  revision.Revision
 	}
 
 	// Snapshot is a node's full copy of the tables.
 	Snapshot struct {
-		Operator []platform.Row `json:"operator"`
-		Servers  []platform.Row `json:"servers"`
-		Version  int64          `json:"version"` // of the table of servers
-		Age      time.Duration  `json:"age"`
+		Operator []platform.Row    `json:"operator"`
+		Servers  []platform.Row    `json:"servers"`
+		Version  revision.Revision `json:"revision"` // of the table of servers
+		Age      time.Duration     `json:"age"`
 
 		ConfigAge time.Duration `json:"config-age"` // as Follower.ConfigAge returns it
 	}
 
 	// Update holds the changes that one node has and another one lacks.
 	Update struct {
-		Operator int64 // version of the newest configuration row
+		Operator revision.Revision // of the newest configuration row
 		Servers  []platform.Row
-		After    int64 // unless Whole, Servers are all changes after this version
-		Version  int64 // of the table of servers
-		Whole    bool  // Servers are all rows of the table
+		After    revision.Revision // unless Whole, Servers are all changes after this revision
+		Version  revision.Revision // of the table of servers
+		Whole    bool              // Servers are all rows of the table
 		Age      time.Duration
 		Grace    time.Duration // for which removed entries are still kept
 
@@ -37,38 +38,38 @@
 	}
 )
 
-// Versions returns the versions up to which this node has the tables.
+// Versions returns the revisions up to which this node has the tables.
 func (f *Follower) Versions() Versions {
 	f.operator.mu.Lock()
 	defer f.operator.mu.Unlock()
-	return Versions{Operator: f.operator.ownVersion(), Servers: f.server.Version()}
+	return Versions{Operator: f.operator.ownRevision(), Servers: f.server.Revision()}
 }
 
-// Version returns the version up to which this node has all changes.
-func (t *table) Version() int64 {
+// Revision returns the revision up to which this node has all changes.
+func (t *table) Revision() revision.Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version
+	return t.revision
 }
 
 // IsBehind reports whether another node announced a newer configuration than this node has.
 func (f *Follower) IsBehind() bool { return f.operator.behind() }
 
-// newest returns the version of the newest row that this node has or that another
+// newest returns the revision of the newest row that this node has or that another
 // node announced.
-func (t *table) newest() int64 {
+func (t *table) newest() revision.Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.announced, t.ownVersion())
+	return revision.Max(t.announced, t.ownRevision())
 }
 
-// ownVersion returns the version of the newest row in this copy; t.mu is held.
-func (t *table) ownVersion() int64 {
-	v := int64(0)
+// ownRevision returns the revision of the newest row in this copy; t.mu is held.
+func (t *table) ownRevision() revision.Revision {
+	var at revision.Revision
 	for _, r := range t.rows {
-		v = max(v, r.Version)
+		at = revision.Max(at, r.Revision())
 	}
-	return v
+	return at
 }
 
 // ChangesSince returns the changes that this node has and another one, with the given
@@ -80,41 +81,48 @@
 	t := &f.server
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u.Version = t.version
+	u.Version = t.revision
 	u.Grace = max(0, t.outageEnd.Add(MissingGrace).Sub(now))
-	u.Whole = k.Servers < t.removedAfter
+	u.Whole = k.Servers.Before(t.removedAfter)
 	for _, r := range t.rows {
-		if _, missing := t.missing[r.Key]; !missing && (u.Whole || r.Version > k.Servers) {
+		if _, missing := t.missing[r.Key]; !missing && (u.Whole || k.Servers.Before(r.Revision())) {
 			u.Servers = append(u.Servers, r)
 		}
 	}
 	for _, r := range t.removed {
-		if !u.Whole && r.Version > k.Servers && t.rows[r.Key].Version <= r.Version {
+		if !u.Whole && k.Servers.Before(r.Revision()) && !r.Revision().Before(t.rows[r.Key].Revision()) {
 			u.Servers = append(u.Servers, r)
 		}
 	}
 	return u
 }
 
-// ApplyUpdate applies another node's update. Changes that begin after the version of this copy
-// don't advance its version. A node reports the changes that the leader lacked at its last
-// reply, and the copy of a new leader may be older; if its version advanced, the leader
+// ApplyUpdate applies another node's update. It returns false if that node's copy is of an earlier era
+// of the store than this one's, and the update was ignored. Changes that begin after the revision of this
+// copy don't advance its revision. A node reports the changes that the leader lacked at its last
+// reply, and the copy of a new leader may be older; if its revision advanced, the leader
 // would never get the changes in between.
-func (f *Follower) ApplyUpdate(now time.Time, u Update) {
-	f.operator.recordAnnounced(now, u)
+func (f *Follower) ApplyUpdate(now time.Time, u Update) bool {
 	t := &f.server
+	if u.Version.Era < t.Revision().Era {
+		return false
+	}
+	f.operator.recordAnnounced(now, u)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !u.Whole && u.After > t.version {
-		t.applyChanges(u.Servers, t.version)
-		return
+	if !u.Whole && t.revision.Before(u.After) {
+		if u.After.Era == t.revision.Era {
+			t.applyChanges(u.Servers, t.revision)
+		}
+		return true
 	}
 	t.recordFeed(now, u)
 	if u.Whole {
 		t.applyAll(u.Servers, u.Version)
-		return
+		return true
 	}
 	t.applyChanges(u.Servers, u.Version)
+	return true
 }
 
 // recordAnnounced records the newest version that another node announces, and wakes the table's
@@ -122,9 +130,9 @@
 func (t *table) recordAnnounced(now time.Time, u Update) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.announced = max(t.announced, u.Operator)
-	t.recordFeed(now, u) // even without the row, its version is known
-	if t.ownVersion() >= u.Operator {
+	t.announced = revision.Max(t.announced, u.Operator)
+	t.recordFeed(now, u) // even without the row, its revision is known
+	if !t.ownRevision().Before(u.Operator) {
 		return
 	}
 	select {
@@ -147,7 +155,7 @@
 // Snapshot returns this node's copy of the tables, and false if either table is empty.
 func (f *Follower) Snapshot(now time.Time) (Snapshot, bool) {
 	age := f.ConfigAge()
-	c := Snapshot{ConfigAge: age, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Version(), Age: f.Age(now)}
+	c := Snapshot{ConfigAge: age, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Revision(), Age: f.Age(now)}
 	return c, len(c.Operator) > 0 && len(c.Servers) > 0
 }
 
@@ -165,18 +173,19 @@
 // ApplySnapshot applies another node's copy, which this node requested at a boot time. Newer local
 // rows stay.
 func (f *Follower) ApplySnapshot(now time.Time, c Snapshot, requestedAt time.Duration) {
-	f.operator.applyRows(c.Operator, 0)
+	f.operator.applyRows(c.Operator)
 	for _, r := range c.Operator {
 		if r.Key == platform.KeyConfig {
-			f.ConfirmConfig(r.Version, requestedAt-c.ConfigAge)
+			f.ConfirmConfig(r.Revision(), requestedAt-c.ConfigAge)
 		}
 	}
-	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Age: c.Age})
+	laterEra := f.server.Revision().Era < c.Version.Era
+	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Age: c.Age})
 }
 
 // applyRows applies rows of another node's copy.
-func (t *table) applyRows(rows []platform.Row, version int64) {
+func (t *table) applyRows(rows []platform.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applyChanges(rows, version)
+	t.applyChanges(rows, revision.Revision{})
 }
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
@@ -70,9 +71,9 @@
 
 		mu             sync.Mutex
 		list           map[string]fleet.Server
-		fedAt          time.Time // when the leader last passed its copy on
-		leaderVersion  int64     // version of the leader's copy
-		suspendedUntil time.Time // its exchange is suspended until then
+		fedAt          time.Time         // when the leader last passed its copy on
+		leaderVersion  revision.Revision // revision of the leader's copy
+		suspendedUntil time.Time         // its exchange is suspended until then
 	}
 )
 
@@ -171,7 +172,7 @@
 		known := n.Versions()
 		update := n.ChangesSince(time.Now(), follow.Versions{Operator: known.Operator, Servers: leaderVersion})
 		clock.Sleep(ctx, max(pause, outward)) // a suspended node reports what it had read before
-		if leaderVersion != 0 {
+		if !leaderVersion.IsZero() {
 			target.ApplyUpdate(time.Now(), update)
 		}
 		reply := target.ChangesSince(time.Now(), known)
@@ -216,10 +217,10 @@
 }
 
 // Read implements follow.Store.
-func (n *simNode) Read(ctx context.Context, table, _, _ string) ([]platform.Row, int64, error) {
+func (n *simNode) Read(ctx context.Context, table, _, _ string) ([]platform.Row, revision.Revision, error) {
 	f := n.fleet
 	if err := n.call(ctx, table); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -229,14 +230,14 @@
 			out = append(out, r)
 		}
 	}
-	return out, f.version, nil
+	return out, revision.Revision{Number: f.version}, nil
 }
 
 // Feed implements follow.Store.
-func (n *simNode) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]platform.Row, int64, error) {
+func (n *simNode) Feed(ctx context.Context, table string, after revision.Revision, wait time.Duration) ([]platform.Row, revision.Revision, error) {
 	f := n.fleet
 	if err := n.call(ctx, table); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	end := time.NewTimer(wait)
 	defer end.Stop()
@@ -244,21 +245,21 @@
 		f.mu.Lock()
 		var out []platform.Row
 		for _, r := range f.log {
-			if r.Table == table && r.Version > after {
+			if r.Table == table && r.Version > after.Number {
 				out = append(out, r)
 			}
 		}
 		version, changed := f.version, f.changed
 		f.mu.Unlock()
 		if len(out) > 0 {
-			return out, version, nil
+			return out, revision.Revision{Number: version}, nil
 		}
 		select {
 		case <-changed:
 		case <-end.C:
-			return nil, version, nil
+			return nil, revision.Revision{Number: version}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 }
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
 )
@@ -25,12 +26,12 @@
 		rows         map[string]platform.Row
 		missing      map[string]time.Time // missing entries, and until when they are kept
 		removed      []platform.Row       // recently removed entries, for other nodes
-		removedAfter int64                // removed is complete for changes after this version
-		version      int64
-		lastContact  time.Time // when the store last responded to this node
-		lastComplete time.Time // up to when the copy is complete, whichever node read it
-		announced    int64     // newest version that another node announced
-		outageEnd    time.Time // when the store's last outage ended
+		removedAfter revision.Revision    // removed is complete for changes after this revision
+		revision     revision.Revision    // up to which the copy is complete
+		lastContact  time.Time            // when the store last responded to this node
+		lastComplete time.Time            // up to when the copy is complete, whichever node read it
+		announced    revision.Revision    // newest revision that another node announced
+		outageEnd    time.Time            // when the store's last outage ended
 		unreachable  bool
 		quick        bool // the next feed call uses quickWait
 	}
@@ -58,7 +59,7 @@
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay, maxRetryDelay
 	leaderRetry := backoff.NewExponentialBackOff()
 	leaderRetry.InitialInterval, leaderRetry.MaxInterval = minLeaderRetryDelay, maxLeaderRetryDelay
-	full := true
+	full, again := true, false // whether to read the table in full, and whether that follows a feed that could not be continued
 	for ctx.Err() == nil {
 		if !full && t.hasFeed() {
 			full = t.idle(ctx)
@@ -68,10 +69,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		var status *platform.StatusError
-		if errors.As(err, &status) && status.HistoryGone() {
-			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Int64("after", t.Version()))
-			full = true
+		if feedBroken(err) {
+			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Stringer("after", t.Revision()), zap.Error(err))
+			if again {
+				clock.Sleep(ctx, maxRetryDelay)
+			}
+			full, again = true, true
 			continue
 		}
 		if err != nil {
@@ -90,6 +93,7 @@
 		if full {
 			t.awaitFeed(ctx)
 		} else {
+			again = false
 			clock.Sleep(ctx, t.f.gap())
 		}
 		full = false
@@ -98,6 +102,14 @@
 	}
 }
 
+// feedBroken reports whether a feed can't be continued, so that the table must be read in full: the
+// store no longer has the changes, or was restored from a copy.
+func feedBroken(err error) bool {
+	var status *platform.StatusError
+	var era *EraError
+	return errors.As(err, &status) && status.HistoryGone() || errors.As(err, &era)
+}
+
 // hasFeed reports whether this node receives changes from another one.
 func (t *table) hasFeed() bool { return t.f.HasFeed != nil && t.f.HasFeed() }
 
@@ -133,7 +145,7 @@
 func (t *table) behind() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.announced > t.ownVersion()
+	return t.ownRevision().Before(t.announced)
 }
 
 // empty reports whether the copy has no rows.
@@ -159,7 +171,7 @@
 	defer t.mu.Unlock()
 	t.quick = true
 	if at := t.nextExpiry(); !at.IsZero() && !time.Now().Before(at) {
-		t.applyChanges(nil, t.version)
+		t.applyChanges(nil, t.revision)
 	}
 	return false
 }
@@ -170,7 +182,7 @@
 	if full {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		rows, version, err := t.f.Store.Read(ctx, t.name, "", "")
+		rows, at, err := t.f.Store.Read(ctx, t.name, "", "")
 		if err != nil {
 			return err
 		}
@@ -178,14 +190,18 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.recordResponse()
-		t.f.Log.Info("table-read", zap.String("table", t.name), zap.Int64("version", version), zap.Int64("held", t.version),
-			zap.Int("rows", len(rows)), zap.Bool("applied", version >= t.version))
-		t.applyAll(rows, version)
+		held := t.revision
+		applied := t.applyAll(rows, at)
+		t.f.Log.Info("table-read", zap.String("table", t.name), zap.Stringer("revision", at), zap.Stringer("held", held),
+			zap.Int("rows", len(rows)), zap.Bool("applied", applied))
+		if at.Era < held.Era {
+			return &EraError{Table: t.name, Held: held.Era, Store: at.Era}
+		}
 		t.confirm(began)
 		return nil
 	}
 	t.mu.Lock()
-	wait, after := t.f.waitTime(t), t.version
+	wait, after := t.f.waitTime(t), t.revision
 	if t.quick {
 		wait = quickWait
 	}
@@ -195,7 +211,7 @@
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
-	rows, version, err := t.f.Store.Feed(ctx, t.name, after, wait)
+	rows, at, err := t.f.Store.Feed(ctx, t.name, after, wait)
 	hideKeys(rows)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -204,7 +220,10 @@
 		return err
 	}
 	t.recordResponse()
-	t.applyChanges(rows, version)
+	if at.Era != after.Era {
+		return &EraError{Table: t.name, Held: after.Era, Store: at.Era}
+	}
+	t.applyChanges(rows, at)
 	t.confirm(began)
 	return nil
 }
@@ -221,16 +240,20 @@
 
 // confirm records that the copy is complete up to the start of a store call; t.mu is held.
 func (t *table) confirm(began time.Duration) {
-	if t == &t.f.operator && t.ownVersion() > 0 {
+	if t == &t.f.operator && t.ownRevision().Number > 0 {
 		t.f.confirmation.advance(began)
 	}
 }
 
-// applyAll applies a full read of the table: local rows that it lacks were removed.
+// applyAll applies a full read of the table: local rows that it lacks were removed. It returns false
+// if the copy is newer, because changes were applied meanwhile or the read is of an earlier era.
 // t.mu is held.
-func (t *table) applyAll(rows []platform.Row, version int64) {
-	if version < t.version { // changes applied meanwhile are newer
-		return
+func (t *table) applyAll(rows []platform.Row, at revision.Revision) bool {
+	if at.Before(t.revision) {
+		return false
+	}
+	if !t.revision.IsZero() && at.Era > t.revision.Era {
+		t.beginEra(rows, at)
 	}
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
@@ -238,13 +261,31 @@
 	}
 	for k := range t.rows {
 		if !present[k] {
-			rows = append(rows, platform.Row{Table: t.name, Key: k, Version: version, Gone: true})
+			rows = append(rows, platform.Row{Table: t.name, Key: k, Version: at.Number, Era: at.Era, Gone: true})
 		}
 	}
-	t.removedAfter = version
+	t.removedAfter = at
 	t.removed = nil
-	t.merge(rows, version)
+	t.merge(rows, at)
 	t.apply(t)
+	return true
+}
+
+// beginEra records that the store was restored from a copy. Entries that the copy lacks are kept for a
+// grace period, as after an outage, since their servers write them again. t.mu is held.
+func (t *table) beginEra(rows []platform.Row, at revision.Revision) {
+	t.outageEnd = time.Now()
+	present := 0
+	for _, r := range rows {
+		if _, ok := t.rows[r.Key]; ok {
+			present++
+		}
+	}
+	t.f.Log.Warn("store-restored", zap.String("table", t.name), zap.Stringer("held", t.revision), zap.Stringer("revision", at),
+		zap.Int("replaced", present), zap.Int("added", len(rows)-present), zap.Int("missing", len(t.rows)-present))
+	if t.f.OnRestore != nil {
+		t.f.OnRestore(t.name, at.Era)
+	}
 }
 
 // applyChanges applies changes, from the store or another node, in the order of their
@@ -253,25 +294,25 @@
 // removal, for instance if it was in transit while this node read the store itself. If
 // such a row were added it would never be removed, and requests would be sent to a server
 // that is gone.
-func (t *table) applyChanges(rows []platform.Row, version int64) {
+func (t *table) applyChanges(rows []platform.Row, at revision.Revision) {
 	fresh := make([]platform.Row, 0, len(rows))
 	for _, r := range rows {
 		_, present := t.rows[r.Key]
 		_, missing := t.missing[r.Key]
-		if present && !missing || r.Gone || r.Version > t.version {
+		if present && !missing || r.Gone || t.revision.Before(r.Revision()) {
 			fresh = append(fresh, r)
 		}
 	}
-	t.merge(fresh, version)
+	t.merge(fresh, at)
 }
 
 // merge stores rows that are not older than the local ones, drops entries whose grace
 // period is over, and calls apply if anything changed; t.mu is held.
-func (t *table) merge(rows []platform.Row, version int64) {
+func (t *table) merge(rows []platform.Row, at revision.Revision) {
 	now := time.Now()
 	changed := false
 	for _, r := range rows {
-		if r.Part != "" || r.Version < t.rows[r.Key].Version {
+		if r.Part != "" || r.Revision().Before(t.rows[r.Key].Revision()) {
 			continue
 		}
 		changed = true
@@ -294,7 +335,7 @@
 			delete(t.missing, k)
 		}
 	}
-	t.version = max(t.version, version)
+	t.revision = revision.Max(t.revision, at)
 	if changed {
 		t.apply(t)
 	}
@@ -305,7 +346,7 @@
 	r.Value = nil
 	t.removed = append(t.removed, r)
 	if n := len(t.removed) - maxRemoved; n > 0 {
-		t.removedAfter = max(t.removedAfter, t.removed[n-1].Version)
+		t.removedAfter = revision.Max(t.removedAfter, t.removed[n-1].Revision())
 		t.removed = t.removed[n:]
 	}
 }
@@ -335,7 +376,7 @@
 	}
 	if t.unreachable {
 		t.unreachable = false
-		t.f.Log.Info("store-regained", zap.String("table", t.name), zap.Duration("away", now.Sub(last)), zap.Int64("version", t.version))
+		t.f.Log.Info("store-regained", zap.String("table", t.name), zap.Duration("away", now.Sub(last)), zap.Stringer("revision", t.revision))
 	}
 }
 
@@ -347,5 +388,5 @@
 		return
 	}
 	t.unreachable = true
-	t.f.Log.Warn("store-lost", zap.String("table", t.name), zap.Int64("version", t.version), zap.Error(err))
+	t.f.Log.Warn("store-lost", zap.String("table", t.name), zap.Stringer("revision", t.revision), zap.Error(err))
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -152,17 +152,17 @@
 	n.gateway.ApplyReply(reply)
 	n.addLeaving(reply.Departed...)
 	n.gateway.UpdateQuotas(r.Quotas.Number, reply.Quotas, reply.Nodes)
-	n.leaderServersVersion.Store(reply.Update.Version)
+	n.leaderServers.Store(&reply.Update.Version)
 }
 
 // recentUpdate returns what this node has recently read of the store's tables: the store may
 // serve this node and reject the leader.
 func (n *Node) recentUpdate(r hub.Report) *follow.Update {
-	version := n.leaderServersVersion.Load()
-	if version == 0 || r.Contact > n.maxFeedAge() && r.Known.Servers <= version {
+	at := n.leaderServers.Load()
+	if at == nil || at.IsZero() || r.Contact > n.maxFeedAge() && !at.Before(r.Known.Servers) {
 		return nil
 	}
-	u := n.follower.ChangesSince(time.Now(), follow.Versions{Operator: r.Known.Operator, Servers: version})
+	u := n.follower.ChangesSince(time.Now(), follow.Versions{Operator: r.Known.Operator, Servers: *at})
 	return &u
 }
 
@@ -172,11 +172,14 @@
 	return follow.StaleAfter(time.Duration(n.settings.NoticeMS)*time.Millisecond, n.leaderTimeout())
 }
 
-// onFeed applies the leader's copy of the store's tables. A copy that is outdated doesn't
-// keep this node from following the store. sentAt is the boot time at which this node
+// onFeed applies the leader's copy of the store's tables. A copy that is outdated, or of an earlier
+// era of the store, doesn't keep this node from following the store. sentAt is the boot time at which this node
 // sent the report that the copy answers.
 func (n *Node) onFeed(u follow.Update, sentAt time.Duration) {
-	n.follower.ApplyUpdate(time.Now(), u)
+	if !n.follower.ApplyUpdate(time.Now(), u) {
+		n.log.Info("update-of-earlier-era", zap.Stringer("revision", u.Version))
+		return
+	}
 	n.follower.ConfirmConfig(u.Operator, sentAt-u.ConfigAge)
 	if u.Age <= n.maxFeedAge() {
 		n.feedAt.Store(int64(clock.SinceBoot()))
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -58,7 +58,7 @@
 			n.log.Info("join-failed", zap.String("seed", seed), zap.Int("status", got.Status), zap.Error(err))
 			continue
 		}
-		n.log.Info("joined", zap.String("seed", seed), zap.Int64("version", reply.Copy.Version), zap.Duration("age", reply.Copy.Age))
+		n.log.Info("joined", zap.String("seed", seed), zap.Stringer("revision", reply.Copy.Version), zap.Duration("age", reply.Copy.Age))
 		n.follower.ApplySnapshot(time.Now(), reply.Copy, sentAt)
 		n.placer.ObserveLease(reply.Lease)
 		return
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -24,6 +24,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/retry"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/gateway"
@@ -63,42 +64,42 @@
 
 // Node is one process of the service, created by New.
 type Node struct {
-	settings             Settings
-	log                  *zap.Logger
-	store                *platform.Store
-	gateway              *gateway.Gateway
-	placer               *placer.Placer
-	hub                  *hub.Hub
-	granter              *granter.Granter
-	follower             *follow.Follower
-	endpoint             *peer.Endpoint
-	key                  *keys.SelfSigned
-	clients              *http1.Server
-	probes               *http1.Server
-	registry             *prometheus.Registry
-	stopping             atomic.Bool
-	servers              servers
-	engineIDs            atomic.Pointer[map[string]bool] // IDs of the servers that are model engines
-	leaderReplyAt        atomic.Int64                    // boot time of the leader's last reply to a report
-	leaderMessageAt      atomic.Int64                    // boot time of the leader's last message of any kind
-	leaderSuspect        atomic.Bool                     // the leader left a slot request without a reply
-	feedAt               atomic.Int64                    // boot time of the last update from the leader that was not outdated
-	nodeCount            atomic.Int64                    // number of nodes that recently reported to the leader
-	leaderServersVersion atomic.Int64                    // version of the leader's copy of the server table
-	isDeputy             atomic.Bool                     // this node follows the store on behalf of all nodes
-	deputy               atomic.Pointer[hub.Contact]     // address and key of the deputy
-	deputyReplyAt        atomic.Int64                    // boot time of the deputy's last reply to a report
-	deputyRefusedAt      atomic.Int64                    // boot time of the deputy's last refusal
-	acting               atomic.Bool                     // this node is the deputy and grants slots
-	ack                  hub.Ack                         // acknowledges the updates in the leader's last reply; used by runExchange only
-	roster               uint64                          // version of the leader's roster that a deputy has; likewise
-	clockEcho            hub.ClockEcho                   // clock echo of the last reply to a report; likewise
-	clockEchoAt          time.Duration                   // boot time of the arrival of that reply; likewise
-	refresher            refresher
-	peerKeys             trustedKeys
-	leaderCalls          callGroup
-	seeds                clientCache
-	listeners            []net.Listener
+	settings        Settings
+	log             *zap.Logger
+	store           *platform.Store
+	gateway         *gateway.Gateway
+	placer          *placer.Placer
+	hub             *hub.Hub
+	granter         *granter.Granter
+	follower        *follow.Follower
+	endpoint        *peer.Endpoint
+	key             *keys.SelfSigned
+	clients         *http1.Server
+	probes          *http1.Server
+	registry        *prometheus.Registry
+	stopping        atomic.Bool
+	servers         servers
+	engineIDs       atomic.Pointer[map[string]bool]   // IDs of the servers that are model engines
+	leaderReplyAt   atomic.Int64                      // boot time of the leader's last reply to a report
+	leaderMessageAt atomic.Int64                      // boot time of the leader's last message of any kind
+	leaderSuspect   atomic.Bool                       // the leader left a slot request without a reply
+	feedAt          atomic.Int64                      // boot time of the last update from the leader that was not outdated
+	nodeCount       atomic.Int64                      // number of nodes that recently reported to the leader
+	leaderServers   atomic.Pointer[revision.Revision] // revision of the leader's copy of the server table
+	isDeputy        atomic.Bool                       // this node follows the store on behalf of all nodes
+	deputy          atomic.Pointer[hub.Contact]       // address and key of the deputy
+	deputyReplyAt   atomic.Int64                      // boot time of the deputy's last reply to a report
+	deputyRefusedAt atomic.Int64                      // boot time of the deputy's last refusal
+	acting          atomic.Bool                       // this node is the deputy and grants slots
+	ack             hub.Ack                           // acknowledges the updates in the leader's last reply; used by runExchange only
+	roster          uint64                            // version of the leader's roster that a deputy has; likewise
+	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
+	clockEchoAt     time.Duration                     // boot time of the arrival of that reply; likewise
+	refresher       refresher
+	peerKeys        trustedKeys
+	leaderCalls     callGroup
+	seeds           clientCache
+	listeners       []net.Listener
 }
 
 // New returns a node that hasn't opened any listener or connection yet.
@@ -129,7 +130,7 @@
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
-		Role: n.role, FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
+		Role: n.role, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
@@ -161,6 +162,14 @@
 	}
 }
 
+// onRestore returns the function that counts restores of the store from a copy.
+func (n *Node) onRestore() func(table string, era int64) {
+	restores := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "store",
+		Name: "restores_total", Help: "Restores of the platform's store from a copy that this node has seen, by table."}, []string{"table"})
+	n.registry.MustRegister(restores)
+	return func(table string, _ int64) { restores.WithLabelValues(table).Inc() }
+}
+
 func (n *Node) newPlacer() *placer.Placer {
 	orders := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "placer",
 		Name: "orders_total", Help: "Orders to model engines, by their answer."}, []string{"verdict"})
--- a/internal/front/restore_test.go
+++ b/internal/front/restore_test.go
@@ -57,7 +57,7 @@
 				time.AfterFunc(3*time.Second, depart)
 				before := len(leaving.Visits())
 				statuses := f.sendLoad(x.path, x.model, 50*time.Millisecond, 4*time.Second)
-				require.Len(t, leaving.Visits(), before, "statuses %v", statuses)
+				require.Equal(t, before, len(leaving.Visits()), "statuses %v", statuses)
 				require.Len(t, statuses, 1, fmt.Sprint(statuses))
 				require.NotZero(t, statuses[200])
 			})
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -124,7 +124,8 @@
 		return nil, 0, false, err
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
-	return p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	rows, at, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	return rows, at.Number, ok, err
 }
 
 // ObserveLease updates the row from another node's copy and reports whether that copy was newer.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -12,6 +12,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/core/loads"
 	"guavapaddle/core/residency"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/hub"
 	"guavapaddle/platform"
 )
@@ -45,7 +46,7 @@
 	// Store accesses the row of the lease.
 	Store interface {
 		ReadOne(ctx context.Context, table, key string) (platform.Row, error)
-		Change(ctx context.Context, c platform.Change) (rows []platform.Row, version int64, ok bool, err error)
+		Change(ctx context.Context, c platform.Change) (rows []platform.Row, at revision.Revision, ok bool, err error)
 	}
 
 	// Engines calls the model engines.
--- a/internal/placer/sim_world_test.go
+++ b/internal/placer/sim_world_test.go
@@ -15,6 +15,7 @@
 
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
+	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/placer"
@@ -286,23 +287,23 @@
 }
 
 // Change implements placer.Store for one row.
-func (n *simNode) Change(ctx context.Context, c platform.Change) ([]platform.Row, int64, bool, error) {
+func (n *simNode) Change(ctx context.Context, c platform.Change) ([]platform.Row, revision.Revision, bool, error) {
 	if err := n.storeCall(ctx); err != nil {
-		return nil, 0, false, err
+		return nil, revision.Revision{}, false, err
 	}
 	w := n.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if c.Expect[0].Version != w.row.Version {
-		return []platform.Row{w.row}, 0, false, nil
+		return []platform.Row{w.row}, revision.Revision{}, false, nil
 	}
 	w.version++
 	w.row = c.Set[0]
 	w.row.Version = w.version
 	if w.rng.IntN(20) == 0 {
-		return nil, 0, false, errNoReply
+		return nil, revision.Revision{}, false, errNoReply
 	}
-	return nil, w.version, true, nil
+	return nil, revision.Revision{Number: w.version}, true, nil
 }
 
 // storeCall takes the time of a call to the store, and fails while the node can't reach it.
