leader: elect over a restore of the store

Cause: the elector took versions of the lease's row, and epochs, for counters that never go back. The row of a refused write was ignored, since its version was lower, so every further write expected a version that the store didn't have. A node that starts after the restore and knows no better versions took an epoch that was already held: two holders with one fence.

Change: the elector compares revisions. Epochs are assigned from a range that depends on the era (era * 2^20), so none is assigned twice. A row written in an earlier era doesn't show who held the lease in the seconds that were lost: a node whose own lease can't have been taken meanwhile acquires it again at once, under a new epoch and the same term; all others wait for time to live and margin, also for a released row and the row of their own node. A write that is executed after the restore counts only for the holder. A row of a leader that another one has replaced isn't passed on. Grants are attributed to the term, which outlives an epoch, so the leader doesn't count its own twice. New: event lease-restored.

Ruled out: letting the holder of the restored row go on (the lost acquisition may run), a wait for everybody (3.5 s without orders after each restore).

--- a/core/leader/doc.go
+++ b/core/leader/doc.go
@@ -23,6 +23,14 @@
 // renewal without an answer has an unknown outcome, which is learned from the row
 // that the store returns next.
 //
+// The store may be restored from a copy that lacks the last acquisitions. Its
+// revisions are ordered by era, so the restored row replaces the one known before,
+// and epochs are assigned from a range that depends on the era, so none is assigned
+// twice. A row that was last written in an earlier era doesn't show who held the
+// lease when the store was restored. Only the node whose own lease can't have been
+// taken by another one acquires it again at once; all others wait for the time to
+// live plus the margin, even if the row names nobody or their own node.
+//
 // The alternative is one lease for each backend server (core/lease). With a single
 // lease, one node reads the state of at most a few hundred engines and can meter
 // loads from the weight store as one budget, which owners of single servers can't.
@@ -31,10 +39,10 @@
 // # Usage
 //
 //	e := &leader.Elector{Self: leader.Lease{Node: "n1", Incarnation: "x"}, TTL: 3 * time.Second}
-//	e.Observe(now, lease, version)
-//	if l, version, ok := e.Propose(now); ok {
-//		// write l on the condition that the row has that version
-//		e.Acquired(sent, l, newVersion)
+//	e.Observe(now, lease, revision)
+//	if l, expected, ok := e.Propose(now); ok {
+//		// write l on the condition that the row has that revision
+//		e.Acquired(sent, l, newRevision)
 //	}
 //	if epoch, ok := e.Epoch(now); ok { order(epoch) }
 //
--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -1,6 +1,11 @@
 package leader
 
-import "time"
+import (
+	"cmp"
+	"time"
+
+	"guavapaddle/core/revision"
+)
 
 const (
 	// renewalsPerTTL is how often a lease is renewed within its time to live: two renewals may be
@@ -19,6 +24,9 @@
 	// has held. The wait is proportional to how much the node's capacity falls short of a whole
 	// core.
 	firstElectionWait = 800 * time.Millisecond
+	// epochsPerEra is the number of epochs reserved for each era of the store. An epoch that was
+	// assigned by an acquisition that the store has lost is thus never assigned again.
+	epochsPerEra = 1 << 20
 )
 
 type (
@@ -29,8 +37,9 @@
 		Address     string  `json:"address"`     // where the leader receives load reports
 		Key         string  `json:"key"`         // fingerprint of the leader's certificate
 		Epoch       int64   `json:"epoch"`
-		Cores       float64 `json:"cores"` // processor cores of the leader
-		RecentLoads int     `json:"loads"` // recent loads from the weight store as of the write
+		Term        int64   `json:"term,omitempty"` // epoch under which the leader first acquired the lease; see TermID
+		Cores       float64 `json:"cores"`          // processor cores of the leader
+		RecentLoads int     `json:"loads"`          // recent loads from the weight store as of the write
 		// UnackedOrders holds orders for loads from the weight store that an engine had not
 		// acknowledged when the row was written. The value is the number of orders that the engine
 		// must have accepted for such a load to still start.
@@ -45,10 +54,15 @@
 		TTL  time.Duration
 
 		observed    Lease
-		version     int64
-		observedAt  time.Duration // when version was first observed
+		revision    revision.Revision
+		observedAt  time.Duration // when revision was first observed
 		known       bool          // whether the row has been observed
-		leaseEnd    time.Duration // end of this node's lease
+		restored    bool          // the store was restored since the row was first observed
+		holding     bool          // this node holds the lease, or did until leaseEnd and may renew it
+		epoch       int64         // under which this node holds it
+		term        int64         // epoch under which this node first acquired it
+		leaseEnd    time.Duration // end of this node's lease, zero if the time of its renewal isn't known
+		lastEpoch   int64         // highest epoch that was observed
 		fencedEpoch int64         // highest epoch that an engine refused
 	}
 )
@@ -59,51 +73,97 @@
 	return l
 }
 
-// Observe records the row as read from the store. Version zero means that the row doesn't exist.
-func (e *Elector) Observe(now time.Duration, l Lease, version int64) {
-	if e.known && version <= e.version && version != 0 {
+// TermID identifies the term of the leader. Unlike the epoch it stays the same when the leader acquires
+// the lease again.
+func (l Lease) TermID() int64 { return cmp.Or(l.Term, l.Epoch) }
+
+// Observe records the row as read from the store. Number zero means that the row doesn't exist.
+// A row of an earlier revision is ignored, and one of a later era replaces any other.
+func (e *Elector) Observe(now time.Duration, l Lease, at revision.Revision) {
+	if e.known && at.Era < e.revision.Era {
 		return
 	}
-	if e.known && version == 0 && e.version == 0 {
+	laterEra := e.known && at.Era > e.revision.Era
+	if e.known && !laterEra && (at.Number != 0 && !e.revision.Before(at) || at.Number == 0 && e.revision.Number == 0) {
 		return
 	}
-	e.observed, e.version, e.observedAt, e.known = l, version, now, true
-	if !e.IsLeader() {
+	e.set(now, l, at)
+	switch {
+	case laterEra:
+		e.restored = true
+		e.holding = e.holding && e.mayStillHold(now)
+	case at.Number == 0 || l.Node != e.Self.Node || l.Incarnation != e.Self.Incarnation:
+		e.holding = false
+	case !e.isRestored(): // the reply to the write was lost
+		e.holding, e.epoch, e.term = true, l.Epoch, l.TermID()
+	}
+	if !e.holding {
 		e.leaseEnd = 0
 	}
 }
 
-// IsLeader reports whether the last observed row names this process.
-func (e *Elector) IsLeader() bool {
-	return e.known && e.version != 0 && e.observed.Node == e.Self.Node && e.observed.Incarnation == e.Self.Incarnation
+// set records the row.
+func (e *Elector) set(now time.Duration, l Lease, at revision.Revision) {
+	e.observed, e.revision, e.observedAt, e.known = l, at, now, true
+	e.lastEpoch = max(e.lastEpoch, l.Epoch)
+}
+
+// mayStillHold reports whether no other node can have acquired the lease before now since this node
+// last renewed it, given that it was the last holder.
+func (e *Elector) mayStillHold(now time.Duration) bool {
+	return e.leaseEnd != 0 && now < e.leaseEnd+e.TTL/marginDivisor
+}
+
+// isRestored reports whether the row was last written before the store was restored from a copy. The
+// copy may lack a later acquisition, whose holder still relies on it.
+func (e *Elector) isRestored() bool {
+	if e.revision.Number == 0 {
+		return e.restored
+	}
+	return e.observed.Epoch < e.revision.Era*epochsPerEra
+}
+
+// nextEpoch returns an epoch that is higher than all that were assigned so far, including those whose
+// assignment the store has lost.
+func (e *Elector) nextEpoch() int64 {
+	return max(e.lastEpoch, e.revision.Era*epochsPerEra) + 1
 }
 
-// Propose returns the lease to write and the version that the row must have. It also reports
-// whether it is time to write it, to renew this node's lease or to take one that has lapsed.
-func (e *Elector) Propose(now time.Duration) (Lease, int64, bool) {
+// IsLeader reports whether this process holds the lease, as far as is known from the row.
+func (e *Elector) IsLeader() bool { return e.holding }
+
+// Propose returns the lease to write and the revision that the row must have. It also reports
+// whether it is time to write it, to renew this node's lease or to take one that has lapsed. A leader
+// acquires the lease again under a new epoch if an engine refused its epoch or the store was restored.
+func (e *Elector) Propose(now time.Duration) (Lease, revision.Revision, bool) {
 	if !e.known {
-		return Lease{}, 0, false
+		return Lease{}, revision.Revision{}, false
 	}
 	l := e.Self
-	l.Epoch = e.observed.Epoch
-	if e.IsLeader() {
-		if e.observed.Epoch == e.fencedEpoch {
-			l.Epoch++
-			return l, e.version, true
+	if e.holding {
+		l.Epoch, l.Term = e.epoch, e.term
+		if e.epoch == e.fencedEpoch || e.isRestored() {
+			l.Epoch = e.nextEpoch()
+			return l, e.revision, true
 		}
-		return l, e.version, now >= e.leaseEnd-e.TTL+e.TTL/renewalsPerTTL
+		return l, e.revision, now >= e.leaseEnd-e.TTL+e.TTL/renewalsPerTTL
 	}
-	l.Epoch++
+	l.Epoch = e.nextEpoch()
+	l.Term = l.Epoch
 	// An earlier process of this node must have ended, because this one has its ports.
-	ownNode := e.observed.Node == e.Self.Node
-	return l, e.version, ownNode || now-e.observedAt >= e.takeoverWait()
+	ownNode := e.observed.Node == e.Self.Node && !e.isRestored()
+	return l, e.revision, ownNode || now-e.observedAt >= e.takeoverWait()
 }
 
 // takeoverWait returns how long the row must have been unchanged before this node may take the
 // lease.
 func (e *Elector) takeoverWait() time.Duration {
 	switch {
-	case e.version == 0:
+	case e.isRestored() && e.Self.Cores < e.observed.Cores:
+		return e.TTL + e.TTL/marginDivisor + smallNodeWait
+	case e.isRestored():
+		return e.TTL + e.TTL/marginDivisor
+	case e.revision.Number == 0:
 		return time.Duration(max(0, 1-e.Self.Cores) * float64(firstElectionWait))
 	case e.observed.Node == "" && e.Self.Cores >= e.observed.Cores:
 		return 0
@@ -119,12 +179,23 @@
 // RecentlyRenewed reports whether another node has taken or renewed the lease so recently that
 // reading the row again is pointless: at least half of the time to live remains.
 func (e *Elector) RecentlyRenewed(now time.Duration) bool {
-	return e.known && e.version != 0 && e.observed.Node != "" && e.observed.Node != e.Self.Node && now-e.observedAt < e.TTL/2
+	return e.known && e.revision.Number != 0 && e.observed.Node != "" && e.observed.Node != e.Self.Node && now-e.observedAt < e.TTL/2
 }
 
-// Acquired records that a proposal sent at a given time was written.
-func (e *Elector) Acquired(sent time.Duration, l Lease, version int64) {
-	e.observed, e.version, e.observedAt, e.known = l, version, sent, true
+// Acquired records that a proposal sent at a given time was written. If the store was restored between
+// the proposal and the write, only a renewal counts: the copy may lack an acquisition that would have
+// kept another node from taking the lease.
+func (e *Elector) Acquired(sent time.Duration, l Lease, at revision.Revision) {
+	if at.Before(e.revision) {
+		return // the store has been restored since
+	}
+	if at.Era != e.revision.Era && !(e.holding && e.mayStillHold(sent)) {
+		e.Observe(sent, l, at)
+		return
+	}
+	e.restored = e.restored || at.Era != e.revision.Era
+	e.set(sent, l, at)
+	e.holding, e.epoch, e.term = true, l.Epoch, l.TermID()
 	e.leaseEnd = sent + e.TTL
 }
 
@@ -133,20 +204,37 @@
 
 // Epoch returns the epoch under which this node may send orders now, and whether it may send any.
 func (e *Elector) Epoch(now time.Duration) (int64, bool) {
-	if !e.IsLeader() || e.observed.Epoch <= e.fencedEpoch {
+	if !e.holding || e.epoch <= e.fencedEpoch {
 		return 0, false
 	}
-	return e.observed.Epoch, now < e.leaseEnd-e.TTL/marginDivisor
+	return e.epoch, now < e.leaseEnd-e.TTL/marginDivisor
 }
 
-// Leader returns the last observed lease, which may have lapsed.
-func (e *Elector) Leader() (Lease, bool) { return e.observed, e.known && e.version != 0 }
+// Leader returns the lease of the last known leader, which may have lapsed. After a restore the row may
+// name an earlier one.
+func (e *Elector) Leader() (Lease, bool) {
+	if e.holding {
+		l := e.Self.WithLoads(e.observed)
+		l.Epoch, l.Term = e.epoch, e.term
+		return l, true
+	}
+	return e.observed, e.known && e.revision.Number != 0
+}
 
-// Version returns the last observed version of the row, zero if there is none.
-func (e *Elector) Version() int64 { return e.version }
+// Row returns the row as last observed, and false if it doesn't exist or isn't known.
+func (e *Elector) Row() (Lease, revision.Revision, bool) {
+	return e.observed, e.revision, e.known && e.revision.Number != 0
+}
 
-// Release returns the version and the epoch of the row that a stopping leader writes so that other
+// Revision returns the last observed revision of the row, zero if there is none.
+func (e *Elector) Revision() revision.Revision { return e.revision }
+
+// Release returns the revision and the epoch of the row that a stopping leader writes so that other
 // nodes needn't wait. It returns false if this node isn't the leader.
-func (e *Elector) Release() (version int64, epoch int64, ok bool) {
-	return e.version, e.observed.Epoch, e.IsLeader()
+func (e *Elector) Release() (at revision.Revision, epoch int64, ok bool) {
+	epoch = e.epoch
+	if e.isRestored() {
+		epoch = e.nextEpoch()
+	}
+	return e.revision, epoch, e.holding
 }
--- a/core/leader/elector_test.go
+++ b/core/leader/elector_test.go
@@ -7,57 +7,61 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/leader"
+	"guavapaddle/core/revision"
 )
 
 const ttl = 3 * time.Second
 
+// at returns a revision of the first era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
+
 func newElector(node string) *leader.Elector {
 	return &leader.Elector{Self: leader.Lease{Node: node, Incarnation: "i", Cores: 1}, TTL: ttl}
 }
 
 func TestLeaseIsTakenOnlyAfterWait(t *testing.T) {
 	a, b := newElector("a"), newElector("b")
-	a.Observe(0, leader.Lease{}, 0)
+	a.Observe(0, leader.Lease{}, at(0))
 	l, v, ok := a.Propose(0)
 	require.True(t, ok)
-	require.Zero(t, v)
+	require.Zero(t, v.Number)
 	require.EqualValues(t, 1, l.Epoch)
-	a.Acquired(0, l, 10)
+	a.Acquired(0, l, at(10))
 
-	b.Observe(time.Second, l, 10)
+	b.Observe(time.Second, l, at(10))
 	_, _, ok = b.Propose(time.Second + ttl)
 	require.False(t, ok, "within the margin")
-	b.Observe(2*time.Second, l, 11) // renewed, so the wait starts again
+	b.Observe(2*time.Second, l, at(11)) // renewed, so the wait starts again
 	_, _, ok = b.Propose(2*time.Second + ttl + ttl/8)
 	require.False(t, ok)
 	taken, v, ok := b.Propose(2*time.Second + 2*ttl)
 	require.True(t, ok)
-	require.EqualValues(t, 11, v)
+	require.Equal(t, at(11), v)
 	require.EqualValues(t, 2, taken.Epoch, "the next epoch fences the last leader")
 }
 
 func TestLeaderHasEpochOnlyWithinLease(t *testing.T) {
 	e := newElector("a")
-	e.Observe(0, leader.Lease{}, 0)
+	e.Observe(0, leader.Lease{}, at(0))
 	l, _, _ := e.Propose(0)
-	e.Acquired(0, l, 10)
+	e.Acquired(0, l, at(10))
 	_, ok := e.Epoch(time.Second)
 	require.True(t, ok)
 	_, ok = e.Epoch(ttl)
 	require.False(t, ok, "the lease ends by a clock that ran on while the node was suspended")
 	_, _, due := e.Propose(ttl / 2)
 	require.True(t, due, "due after a third of the time to live")
-	e.Acquired(ttl/2, l, 11)
+	e.Acquired(ttl/2, l, at(11))
 	_, ok = e.Epoch(ttl)
 	require.True(t, ok)
 }
 
 func TestLeaseTakenByAnotherNodeIsLost(t *testing.T) {
 	e := newElector("a")
-	e.Observe(0, leader.Lease{}, 0)
+	e.Observe(0, leader.Lease{}, at(0))
 	l, _, _ := e.Propose(0)
-	e.Acquired(0, l, 10)
-	e.Observe(time.Second, leader.Lease{Node: "b", Incarnation: "i", Epoch: 2}, 12)
+	e.Acquired(0, l, at(10))
+	e.Observe(time.Second, leader.Lease{Node: "b", Incarnation: "i", Epoch: 2}, at(12))
 	_, ok := e.Epoch(time.Second)
 	require.False(t, ok)
 	require.False(t, e.IsLeader())
@@ -65,22 +69,22 @@
 
 func TestRenewalWithoutAnswerIsObserved(t *testing.T) {
 	e := newElector("a")
-	e.Observe(0, leader.Lease{}, 0)
+	e.Observe(0, leader.Lease{}, at(0))
 	l, _, _ := e.Propose(0)
-	e.Observe(time.Second, l, 10) // read back: the write succeeded
+	e.Observe(time.Second, l, at(10)) // read back: the write succeeded
 	require.True(t, e.IsLeader())
 	_, ok := e.Epoch(time.Second)
 	require.False(t, ok, "the time of the write is unknown, so the lease has to be renewed first")
 	_, v, due := e.Propose(time.Second)
 	require.True(t, due)
-	require.EqualValues(t, 10, v)
+	require.Equal(t, at(10), v)
 }
 
 func TestFencedLeaderTakesNewEpoch(t *testing.T) {
 	e := newElector("a")
-	e.Observe(0, leader.Lease{}, 0)
+	e.Observe(0, leader.Lease{}, at(0))
 	l, _, _ := e.Propose(0)
-	e.Acquired(0, l, 10)
+	e.Acquired(0, l, at(10))
 	e.RecordFenced(1)
 	_, ok := e.Epoch(time.Second)
 	require.False(t, ok)
@@ -91,7 +95,7 @@
 
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
 	b := newElector("b")
-	b.Observe(0, leader.Lease{Epoch: 4}, 20)
+	b.Observe(0, leader.Lease{Epoch: 4}, at(20))
 	l, _, ok := b.Propose(0)
 	require.True(t, ok)
 	require.EqualValues(t, 5, l.Epoch)
@@ -99,11 +103,11 @@
 
 func TestRestartedNodeTakesItsLeaseAtOnce(t *testing.T) {
 	e := newElector("a")
-	e.Observe(0, leader.Lease{Node: "a", Incarnation: "earlier", Epoch: 4}, 20)
+	e.Observe(0, leader.Lease{Node: "a", Incarnation: "earlier", Epoch: 4}, at(20))
 	require.False(t, e.IsLeader())
 	l, v, ok := e.Propose(0)
 	require.True(t, ok)
-	require.EqualValues(t, 20, v)
+	require.Equal(t, at(20), v)
 	require.EqualValues(t, 5, l.Epoch)
 }
 
@@ -111,7 +115,7 @@
 	small, large := newElector("small"), newElector("large")
 	small.Self.Cores = 0.19
 	for _, e := range []*leader.Elector{small, large} {
-		e.Observe(0, leader.Lease{}, 0)
+		e.Observe(0, leader.Lease{}, at(0))
 	}
 	_, _, ok := small.Propose(500 * time.Millisecond)
 	require.False(t, ok)
@@ -121,7 +125,7 @@
 	require.True(t, ok, "it takes the lease if there is no larger node")
 
 	for _, e := range []*leader.Elector{small, large} {
-		e.Observe(time.Second, leader.Lease{Node: "b", Incarnation: "i", Epoch: 1, Cores: 0.8}, 10)
+		e.Observe(time.Second, leader.Lease{Node: "b", Incarnation: "i", Epoch: 1, Cores: 0.8}, at(10))
 	}
 	lapsed := time.Second + ttl + ttl/6
 	_, _, ok = large.Propose(lapsed)
@@ -139,13 +143,13 @@
 	other := leader.Lease{Node: "b", Incarnation: "2", Epoch: 1}
 	e := &leader.Elector{Self: leader.Lease{Node: "a", Incarnation: "1"}, TTL: 3 * time.Second}
 	require.False(t, e.RecentlyRenewed(0), "no row has been observed")
-	e.Observe(time.Second, other, 5)
+	e.Observe(time.Second, other, at(5))
 	require.True(t, e.RecentlyRenewed(2*time.Second))
 	require.False(t, e.RecentlyRenewed(2500*time.Millisecond), "the lease may lapse soon")
-	e.Observe(3*time.Second, other, 6)
+	e.Observe(3*time.Second, other, at(6))
 	require.True(t, e.RecentlyRenewed(4*time.Second))
-	e.Observe(4*time.Second, leader.Lease{Epoch: 1}, 7)
+	e.Observe(4*time.Second, leader.Lease{Epoch: 1}, at(7))
 	require.False(t, e.RecentlyRenewed(4*time.Second), "nobody holds the lease")
-	e.Observe(5*time.Second, leader.Lease{Node: "a", Incarnation: "0", Epoch: 1}, 8)
+	e.Observe(5*time.Second, leader.Lease{Node: "a", Incarnation: "0", Epoch: 1}, at(8))
 	require.False(t, e.RecentlyRenewed(5*time.Second), "an earlier process of this node held the lease")
 }
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -41,9 +41,9 @@
 	return reply
 }
 
-// actingEpoch returns the negated epoch of the lease, which identifies the leader's deputy
+// actingEpoch returns the negated term of the lease, which identifies the leader's deputy
 // among the nodes that grant slots.
-func actingEpoch(l leader.Lease) int64 { return -l.Epoch }
+func actingEpoch(l leader.Lease) int64 { return -l.TermID() }
 
 // availableDeputy returns the deputy if it may be queried in place of the leader.
 func (n *Node) availableDeputy() (hub.Contact, bool) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -84,11 +84,11 @@
 
 // newReport returns the report of this node to the leader.
 func (n *Node) newReport(l leader.Lease) hub.Report {
-	r := n.gateway.Report(n.settings.Node, l.Epoch)
+	r := n.gateway.Report(n.settings.Node, l.TermID())
 	r.At = hub.Contact{Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
 	r.Known = n.follower.Versions()
 	r.Contact = n.follower.StoreAge(time.Now())
-	r.Heard, r.Roster, r.Lease = n.ack, n.roster, n.placer.LeaseVersion()
+	r.Heard, r.Roster, r.Lease = n.ack, n.roster, n.placer.LeaseRevision()
 	r.Update = n.recentUpdate(r)
 	r.Echo = n.clockEcho
 	r.Quotas = n.gateway.QuotaUsage()
@@ -269,7 +269,7 @@
 // HandleReport processes the report of a node, which may be this one, and returns the reply.
 func (n *Node) HandleReport(r hub.Report) hub.ReportReply {
 	reply := n.placer.Report(r)
-	if n.placer.LeaseVersion() != r.Lease {
+	if n.placer.LeaseRevision() != r.Lease {
 		reply.Lease = n.placer.LeaseRow() // even if the lease was released
 	}
 	if !reply.Leading && n.isActing() {
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -24,7 +24,7 @@
 // engine or refused.
 func (n *Node) AcquireSlot(ctx context.Context, q hub.SlotRequest, queued func()) (hub.SlotReply, hub.SlotGrant, error) {
 	l, _ := n.placer.Leader()
-	granter := l.Epoch
+	granter := l.TermID()
 	if !n.placer.IsLeading() {
 		if !n.isActing() {
 			return hub.SlotReply{}, nil, context.Canceled
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -12,6 +12,7 @@
 	"guavapaddle/core/deputy"
 	"guavapaddle/core/grant"
 	"guavapaddle/core/quota"
+	"guavapaddle/core/revision"
 	"guavapaddle/core/throttle"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
@@ -83,10 +84,10 @@
 		Known  follow.Versions
 		Update *follow.Update // changes that this node has read and the leader lacks
 
-		Contact  time.Duration // since the store last responded to this node
-		Heard    Ack           // residency updates and crash marks that this node has received
-		Lease    int64         // version of the lease's row that this node has
-		Roster   uint64        // version of the list of reporting nodes that this node has
+		Contact  time.Duration     // since the store last responded to this node
+		Heard    Ack               // residency updates and crash marks that this node has received
+		Lease    revision.Revision // of the lease's row that this node has
+		Roster   uint64            // version of the list of reporting nodes that this node has
 		Echo     ClockEcho
 		Quotas   quota.UsageReport
 		Limits   []Limit                 // rate limits that servers set or removed in responses to this node
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"guavapaddle/core/leader"
+	"guavapaddle/core/revision"
 	"guavapaddle/platform"
 )
 
@@ -64,7 +65,7 @@
 	p.mu.Lock()
 	now := p.Clock()
 	previous, _ := p.Elector.Leader()
-	l, version, due := p.Elector.Propose(now)
+	l, expected, due := p.Elector.Propose(now)
 	wasLeader := p.Elector.IsLeader()
 	if wasLeader {
 		l = p.withHandover(l)
@@ -78,32 +79,45 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, newVersion, ok, err := p.writeRow(ctx, l, version)
+	rows, at, ok, err := p.writeRow(ctx, l, expected)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case err != nil:
 		p.failedAt = p.Clock()
-		p.Log.Warn("lease-write-failed", zap.Int64("epoch", l.Epoch), zap.Int64("version", version), zap.Error(err))
+		p.Log.Warn("lease-write-failed", zap.Int64("epoch", l.Epoch), zap.Stringer("expected", expected), zap.Error(err))
 	case ok:
-		p.Elector.Acquired(now, l, newVersion)
+		before := p.Elector.Revision()
+		p.Elector.Acquired(now, l, at)
+		p.logRestore(before)
 		p.renewedAt, p.failedAt = now, 0
-		if !wasLeader {
+		if !wasLeader && p.Elector.IsLeader() {
 			p.startTerm(l.Epoch, previous)
 		}
 	default:
-		p.logRefused(l, version, rows)
-		p.observe(rows)
+		p.logRefused(l, expected, rows)
+		p.observe(rows, at.Era)
 	}
 }
 
 // logRefused logs a write that the store refused because the row has another version.
-func (p *Placer) logRefused(l leader.Lease, expected int64, rows []platform.Row) {
+func (p *Placer) logRefused(l leader.Lease, expected revision.Revision, rows []platform.Row) {
 	current := platform.Row{}
 	if len(rows) > 0 {
 		current = rows[0]
 	}
-	p.Log.Warn("lease-write-refused", zap.Int64("epoch", l.Epoch), zap.Int64("expected", expected), zap.Int64("version", current.Version))
+	p.Log.Warn("lease-write-refused", zap.Int64("epoch", l.Epoch), zap.Stringer("expected", expected), zap.Stringer("revision", current.Revision()))
+}
+
+// logRestore logs that the row was found restored from a copy since it had the given revision, and
+// whether this node still holds the lease; p.mu is held.
+func (p *Placer) logRestore(before revision.Revision) {
+	l, at, _ := p.Elector.Row()
+	if before.IsZero() || at.Era == before.Era {
+		return
+	}
+	p.Log.Warn("lease-restored", zap.Stringer("held", before), zap.Stringer("revision", at), zap.String("holder", l.Node),
+		zap.Int64("epoch", l.Epoch), zap.Bool("leading", p.Elector.IsLeader()))
 }
 
 // writeSemaphore returns the semaphore that serializes this node's writes of the row.
@@ -116,16 +130,15 @@
 	return p.writeSem
 }
 
-// writeRow writes the row on condition that it still has the given version. It returns the
-// new version and true, or the row as it is in the store.
-func (p *Placer) writeRow(ctx context.Context, l leader.Lease, version int64) ([]platform.Row, int64, bool, error) {
+// writeRow writes the row on condition that it still has the given revision. It returns the
+// new revision and true, or the row as it is in the store.
+func (p *Placer) writeRow(ctx context.Context, l leader.Lease, expected revision.Revision) ([]platform.Row, revision.Revision, bool, error) {
 	value, err := json.Marshal(l)
 	if err != nil {
-		return nil, 0, false, err
+		return nil, revision.Revision{}, false, err
 	}
-	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: version, Value: value}
-	rows, at, ok, err := p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
-	return rows, at.Number, ok, err
+	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: expected.Number, Value: value}
+	return p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
 }
 
 // ObserveLease updates the row from another node's copy and reports whether that copy was newer.
@@ -135,28 +148,29 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	oldVersion := p.Elector.Version()
-	p.observe([]platform.Row{r})
-	return p.Elector.Version() > oldVersion
+	before := p.Elector.Revision()
+	p.observe([]platform.Row{r}, r.Era)
+	return before.Before(p.Elector.Revision())
 }
 
-// LeaseRow returns the row as last observed, with version zero if it has never been observed.
+// LeaseRow returns the row as last observed, with version zero if it has never been observed, or if it
+// names an earlier leader than this node because the store was restored.
 func (p *Placer) LeaseRow() platform.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.Elector.Leader()
+	l, at, ok := p.Elector.Row()
 	value, err := json.Marshal(l)
-	if !ok || err != nil {
+	if !ok || err != nil || p.Elector.IsLeader() && l.Incarnation != p.Elector.Self.Incarnation {
 		return platform.Row{}
 	}
-	return platform.Row{Table: leaseTable, Key: leaseKey, Version: p.Elector.Version(), Value: value}
+	return platform.Row{Table: leaseTable, Key: leaseKey, Version: at.Number, Era: at.Era, Value: value}
 }
 
-// LeaseVersion returns the version of the row as last observed, zero if it has never been observed.
-func (p *Placer) LeaseVersion() int64 {
+// LeaseRevision returns the revision of the row as last observed, zero if it has never been observed.
+func (p *Placer) LeaseRevision() revision.Revision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.Elector.Version()
+	return p.Elector.Revision()
 }
 
 // readRow reads the row from the store.
@@ -170,23 +184,25 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.observe([]platform.Row{r})
+	p.observe([]platform.Row{r}, r.Era)
 }
 
-// observe updates the lease from the row as it is in the store; p.mu is held.
-func (p *Placer) observe(rows []platform.Row) {
+// observe updates the lease from the row as it is in the store in an era, where no row means that it
+// doesn't exist; p.mu is held.
+func (p *Placer) observe(rows []platform.Row, era int64) {
+	defer p.logRestore(p.Elector.Revision())
 	wasLeader := p.Elector.IsLeader()
 	if len(rows) == 0 {
-		p.Elector.Observe(p.Clock(), leader.Lease{}, 0)
+		p.Elector.Observe(p.Clock(), leader.Lease{}, revision.Revision{Era: era})
 	}
 	for _, r := range rows {
 		var l leader.Lease
 		if r.Version != 0 {
 			if err := json.Unmarshal(r.Value, &l); err != nil {
-				p.Log.Error("lease-unreadable", zap.Int64("version", r.Version), zap.Error(err))
+				p.Log.Error("lease-unreadable", zap.Stringer("revision", r.Revision()), zap.Error(err))
 			}
 		}
-		p.Elector.Observe(p.Clock(), l, r.Version)
+		p.Elector.Observe(p.Clock(), l, r.Revision())
 	}
 	l, _ := p.Elector.Leader()
 	switch isLeader := p.Elector.IsLeader(); {
@@ -310,13 +326,13 @@
 // releaseRow writes the row without a leader and reports whether the release is complete.
 func (p *Placer) releaseRow(ctx context.Context) bool {
 	p.mu.Lock()
-	version, epoch, isLeader := p.Elector.Release()
+	expected, epoch, isLeader := p.Elector.Release()
 	l := p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores})
 	p.mu.Unlock()
 	if !isLeader {
 		return true
 	}
-	rows, newVersion, ok, err := p.writeRow(ctx, l, version)
+	rows, at, ok, err := p.writeRow(ctx, l, expected)
 	p.Log.Info("lease-released", zap.Int64("epoch", epoch), zap.Bool("written", ok), zap.Error(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -324,10 +340,10 @@
 	case err != nil:
 		return false
 	case ok:
-		p.Elector.Observe(p.Clock(), l, newVersion)
+		p.Elector.Observe(p.Clock(), l, at)
 		return true
 	default:
-		p.observe(rows)
+		p.observe(rows, at.Era)
 		return false
 	}
 }
