follow, front: departures outlast a restore of the store

What callers would see: requests at a server that has left, seconds after its entry said so (DRAIN). After a restore the entry is there again, as ready.

Cause: what a node knew of a departure was the row of the store, which goes back. Only departures that a server had announced in a response were kept.

Change: a departure read from the store is kept for its incarnation like an announced one, and nodes pass it on the same way. An entry that had been removed and is restored is withheld until its server writes it again; if it is still there after four heartbeat intervals, the store has had time to find it silent, and it is used. Updates between nodes carry what is withheld.

TestRestoredEntryIsWithheldUntilWrittenAgain checks when the entry is used again.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -171,13 +171,17 @@
 	return max(operator, server)
 }
 
+// heartbeat returns how often servers write their entries.
+func (f *Follower) heartbeat() time.Duration {
+	if f.Heartbeat <= 0 {
+		return defaultHeartbeat
+	}
+	return f.Heartbeat
+}
+
 // minOutage returns how long the store must have been unreachable for entries to expire.
 func (f *Follower) minOutage() time.Duration {
-	heartbeat := f.Heartbeat
-	if heartbeat <= 0 {
-		heartbeat = defaultHeartbeat
-	}
-	return time.Duration(float64(heartbeat) * outageHeartbeats)
+	return time.Duration(float64(f.heartbeat()) * outageHeartbeats)
 }
 
 // role returns the node's role.
@@ -253,12 +257,15 @@
 }
 
 // applyServers calls OnServers with the list of servers, leaving out entries that can't be
-// parsed. Only changed entries are parsed, since among hundreds of servers some change
+// parsed or are withheld. Only changed entries are parsed, since among hundreds of servers some change
 // all the time.
 func (f *Follower) applyServers(t *table) {
 	list := make([]fleet.Server, 0, len(t.rows))
 	entries := make(map[string]parsedEntry, len(t.rows))
 	for key, r := range t.rows {
+		if _, withheld := t.withheld[key]; withheld {
+			continue
+		}
 		e, ok := f.entries[key]
 		if at := r.Revision(); !ok || e.at != at {
 			s, err := platform.Server(r)
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -30,14 +30,14 @@
 
 func startNode(t testing.TB, s *standin.Store, hasFeed func() bool) *node {
 	t.Helper()
-	return startNodeAs(t, s, hasFeed, nil)
+	return startAdjustedNode(t, s, func(f *follow.Follower) { f.HasFeed = hasFeed })
 }
 
-func startNodeAs(t testing.TB, s *standin.Store, hasFeed func() bool, role func() follow.Role) *node {
+func startAdjustedNode(t testing.TB, s *standin.Store, adjust func(*follow.Follower)) *node {
 	t.Helper()
 	n := &node{}
 	n.Follower = &follow.Follower{
-		Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, Log: zap.NewNop(), HasFeed: hasFeed, Role: role,
+		Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, Log: zap.NewNop(),
 		OnConfig: func(c *fleet.Config) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -52,6 +52,7 @@
 			}
 		},
 	}
+	adjust(n.Follower)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -79,7 +79,7 @@
 	t.Parallel()
 	s := standin.NewStore(t)
 	s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
-	n := startNodeAs(t, s, nil, func() follow.Role { return follow.Leader })
+	n := startAdjustedNode(t, s, func(f *follow.Follower) { f.Role = func() follow.Role { return follow.Leader } })
 	eventually(t, "start", func() bool { return n.version() == 1 })
 	copied := s.Backup()
 	s.Put(platform.TableOperator, platform.KeyConfig, configOf(2))
@@ -89,3 +89,42 @@
 	<-time.After(2 * time.Second)
 	require.LessOrEqual(t, s.Calls("/rows-get")-before, 4, "two tables, each read at most twice")
 }
+
+// TestRestoredEntryIsWithheldUntilWrittenAgain checks what becomes of the entry of a server that was gone
+// before the store was restored: it is used once the server has written it again, or once the store would
+// have removed it if the server were silent. Other nodes withhold it too.
+func TestRestoredEntryIsWithheldUntilWrittenAgain(t *testing.T) {
+	t.Parallel()
+	const heartbeat = 300 * time.Millisecond
+	for name, again := range map[string]bool{"written again": true, "kept by heartbeats": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := standin.NewStore(t)
+			s.Put(platform.TableServers, "i-1", entry("ready"))
+			s.Put(platform.TableServers, "i-2", entry("ready"))
+			n := startAdjustedNode(t, s, func(f *follow.Follower) { f.Heartbeat = heartbeat })
+			other := startNode(t, s, func() bool { return true })
+			eventually(t, "start", func() bool { return n.has("i-1") && n.has("i-2") && other.has("i-1") })
+			copied := s.Backup()
+			s.Drop(platform.TableServers, "i-1")
+			eventually(t, "gone", func() bool { return !n.has("i-1") })
+			s.Restore(copied)
+			restored := time.Now()
+			s.Put(platform.TableServers, "i-3", entry("ready"))
+			eventually(t, "the restored table is known", func() bool { return n.has("i-3") })
+			other.ApplyUpdate(time.Now(), n.ChangesSince(time.Now(), other.Versions()))
+			require.True(t, other.has("i-3"))
+			require.False(t, n.has("i-1"))
+			require.False(t, other.has("i-1"), "it didn't learn of the removal before the restore")
+			if again {
+				s.Put(platform.TableServers, "i-1", entry("ready"))
+			}
+			eventually(t, "used again", func() bool { return n.has("i-1") })
+			if !again {
+				require.GreaterOrEqual(t, time.Since(restored), 3*heartbeat, "the store needs that long to remove it again")
+			}
+			other.ApplyUpdate(time.Now(), n.ChangesSince(time.Now(), other.Versions()))
+			eventually(t, "used again by the other node", func() bool { return other.has("i-1") })
+		})
+	}
+}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -32,7 +32,8 @@
 		Version  revision.Revision // of the table of servers
 		Whole    bool              // Servers are all rows of the table
 		Age      time.Duration
-		Grace    time.Duration // for which removed entries are still kept
+		Grace    time.Duration            // for which removed entries are still kept
+		Withheld map[string]time.Duration // restored entries that aren't used, and for how long
 
 		ConfigAge time.Duration // since Operator was last confirmed as the newest version
 	}
@@ -83,6 +84,7 @@
 	defer t.mu.Unlock()
 	u.Version = t.revision
 	u.Grace = max(0, t.outageEnd.Add(MissingGrace).Sub(now))
+	u.Withheld = t.withheldFor(now)
 	u.Whole = k.Servers.Before(t.removedAfter)
 	for _, r := range t.rows {
 		if _, missing := t.missing[r.Key]; !missing && (u.Whole || k.Servers.Before(r.Revision())) {
@@ -117,11 +119,15 @@
 		return true
 	}
 	t.recordFeed(now, u)
+	withheld := t.withhold(now, u)
 	if u.Whole {
 		t.applyAll(u.Servers, u.Version)
 		return true
 	}
 	t.applyChanges(u.Servers, u.Version)
+	if withheld {
+		t.apply(t)
+	}
 	return true
 }
 
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -25,6 +25,8 @@
 		mu           sync.Mutex
 		rows         map[string]platform.Row
 		missing      map[string]time.Time // missing entries, and until when they are kept
+		gone         map[string]time.Time // when entries were removed, as far as that is recent
+		withheld     map[string]time.Time // restored entries that had been removed, and until when they aren't used
 		removed      []platform.Row       // recently removed entries, for other nodes
 		removedAfter revision.Revision    // removed is complete for changes after this revision
 		revision     revision.Revision    // up to which the copy is complete
@@ -43,6 +45,8 @@
 	t.f, t.name, t.apply = f, name, apply
 	t.rows = map[string]platform.Row{}
 	t.missing = map[string]time.Time{}
+	t.gone = map[string]time.Time{}
+	t.withheld = map[string]time.Time{}
 	t.wake = make(chan struct{}, 1)
 }
 
@@ -252,7 +256,7 @@
 	if at.Before(t.revision) {
 		return false
 	}
-	if !t.revision.IsZero() && at.Era > t.revision.Era {
+	if t.isRestoredBy(at) {
 		t.beginEra(rows, at)
 	}
 	present := make(map[string]bool, len(rows))
@@ -271,6 +275,12 @@
 	return true
 }
 
+// isRestoredBy reports whether the store was restored from a copy between the revision of this copy and
+// a later one; t.mu is held.
+func (t *table) isRestoredBy(at revision.Revision) bool {
+	return !t.revision.IsZero() && at.Era > t.revision.Era
+}
+
 // beginEra records that the store was restored from a copy. Entries that the copy lacks are kept for a
 // grace period, as after an outage, since their servers write them again. t.mu is held.
 func (t *table) beginEra(rows []platform.Row, at revision.Revision) {
@@ -310,6 +320,7 @@
 // period is over, and calls apply if anything changed; t.mu is held.
 func (t *table) merge(rows []platform.Row, at revision.Revision) {
 	now := time.Now()
+	restored := t.isRestoredBy(at)
 	changed := false
 	for _, r := range rows {
 		if r.Part != "" || r.Revision().Before(t.rows[r.Key].Revision()) {
@@ -317,6 +328,7 @@
 		}
 		changed = true
 		if !r.Gone {
+			t.reviewWithheld(now, r, restored)
 			t.rows[r.Key] = r
 			delete(t.missing, r.Key)
 			continue
@@ -326,15 +338,16 @@
 			t.missing[r.Key] = t.outageEnd.Add(MissingGrace)
 			continue
 		}
-		delete(t.rows, r.Key)
+		t.drop(now, r.Key)
 	}
 	for k, at := range t.missing {
 		if !now.Before(at) {
 			changed = true
-			delete(t.rows, k)
+			t.drop(now, k)
 			delete(t.missing, k)
 		}
 	}
+	changed = t.releaseWithheld(now) || changed
 	t.revision = revision.Max(t.revision, at)
 	if changed {
 		t.apply(t)
@@ -351,13 +364,15 @@
 	}
 }
 
-// nextExpiry returns when the next missing entry is dropped, zero if there is none; t.mu is
-// held.
+// nextExpiry returns when the next missing entry is dropped or the next withheld one is released, zero
+// if there is none; t.mu is held.
 func (t *table) nextExpiry() time.Time {
 	var next time.Time
-	for _, at := range t.missing {
-		if next.IsZero() || at.Before(next) {
-			next = at
+	for _, entries := range []map[string]time.Time{t.missing, t.withheld} {
+		for _, at := range entries {
+			if next.IsZero() || at.Before(next) {
+				next = at
+			}
 		}
 	}
 	return next
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -8,7 +8,7 @@
 )
 
 // servers is the list of backend servers as read from the store, and the servers that have
-// announced that they are leaving.
+// announced, there or in a response, that they are leaving.
 type servers struct {
 	mu      sync.Mutex
 	list    []fleet.Server
@@ -16,10 +16,16 @@
 	leaving departure.Set
 }
 
-// onServers sets the list as it is in the store now.
+// onServers sets the list as it is in the store now. A server that leaves never returns in the same
+// incarnation, whatever a store shows that was restored from a copy.
 func (n *Node) onServers(list []fleet.Server) {
 	n.servers.mu.Lock()
 	defer n.servers.mu.Unlock()
+	for _, s := range list {
+		if s.Leaving {
+			n.servers.leaving.Add(departure.IncarnationOf(s))
+		}
+	}
 	n.servers.list, n.servers.read = list, true
 	n.setServers()
 }
