front: write the node's row again after a restore of the store

What callers would see: a node whose row the store has lost is refused by every node that opens a new connection to it or gets one from it, until it refreshes its row, up to ten minutes later.

Cause: the row was written at the start and each ten minutes, since the store was taken never to lose it.

Change: a node that learns of a new era, by itself or from the leader, writes its row again within a second, spread at random for the store's write rate.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	nodeTable = "node"
 	// registerRetry is the delay before a failed write of the node's row is repeated.
 	registerRetry = 300 * time.Millisecond
+	// registerSpread is the time over which the nodes write their rows again after a restore of the
+	// store, so that 350 nodes stay within its write rate.
+	registerSpread = time.Second
 	// minKeyReadInterval is the minimum time between two reads of the node rows that unknown
 	// keys trigger.
 	minKeyReadInterval = 300 * time.Millisecond
@@ -41,7 +45,8 @@
 	}
 )
 
-// register writes the node's row, and again after each refresh period.
+// register writes the node's row, again after each refresh period, and after a restore of the
+// store, which may have lost it.
 func (n *Node) register(ctx context.Context) {
 	value, err := json.Marshal(nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()})
 	if err != nil {
@@ -58,12 +63,26 @@
 			n.log.Warn("node-row-failed", zap.Error(err))
 			delay = registerRetry
 		}
-		if !clock.Sleep(ctx, delay) {
+		if !n.awaitRegistration(ctx, delay) {
 			return
 		}
 	}
 }
 
+// awaitRegistration waits until the node's row is to be written again, and reports whether ctx is still
+// active.
+func (n *Node) awaitRegistration(ctx context.Context, delay time.Duration) bool {
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.storeRestored:
+		clock.Sleep(ctx, rand.N(registerSpread))
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // cleanUpRows removes the rows of nodes that have left, while this node is the leader.
 func (n *Node) cleanUpRows(ctx context.Context) {
 	var w roster.Watcher
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, key: key, hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry()}
+	n := &Node{settings: s, log: log, key: key, hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
 	key.Trusted = n.isTrusted
 	n.store = n.newStore()
 	m := gateway.NewMetrics()
@@ -162,12 +162,19 @@
 	}
 }
 
-// onRestore returns the function that counts restores of the store from a copy.
+// onRestore returns the function that counts restores of the store from a copy, and has the node's row
+// written again.
 func (n *Node) onRestore() func(table string, era int64) {
 	restores := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "store",
 		Name: "restores_total", Help: "Restores of the platform's store from a copy that this node has seen, by table."}, []string{"table"})
 	n.registry.MustRegister(restores)
-	return func(table string, _ int64) { restores.WithLabelValues(table).Inc() }
+	return func(table string, _ int64) {
+		restores.WithLabelValues(table).Inc()
+		select {
+		case n.storeRestored <- struct{}{}:
+		default: // the other table's follower was first
+		}
+	}
 }
 
 func (n *Node) newPlacer() *placer.Placer {
