roster: rows of a restored store are new

A restored store assigns versions again, so a live node's row may by chance have the version that the watcher saw 35 minutes before, and would be removed. Rows are compared by revision now.

--- a/core/roster/watcher.go
+++ b/core/roster/watcher.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"guavapaddle/core/revision"
 )
 
 const (
@@ -15,22 +17,22 @@
 )
 
 type (
-	// Watcher tracks the versions of rows over time. The zero value is ready to
+	// Watcher tracks the revisions of rows over time. The zero value is ready to
 	// use and has seen no row.
 	Watcher struct {
 		seen map[string]observed
 	}
 
-	// observed is a row version and the time when it was first seen.
+	// observed is the revision of a row and the time when it was first seen.
 	observed struct {
-		version int64
+		version revision.Revision
 		since   time.Duration
 	}
 )
 
-// Expired records the versions of all rows, by key, and returns the sorted keys of
+// Expired records the revisions of all rows, by key, and returns the sorted keys of
 // the expired rows. now is the time of the read on a clock that never stops.
-func (w *Watcher) Expired(now time.Duration, versions map[string]int64) []string {
+func (w *Watcher) Expired(now time.Duration, versions map[string]revision.Revision) []string {
 	seen := make(map[string]observed, len(versions))
 	var expired []string
 	for key, v := range versions {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"guavapaddle/core/revision"
 	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
 	"guavapaddle/platform"
@@ -105,14 +106,14 @@
 		n.log.Warn("node-rows-failed", zap.Error(err))
 		return
 	}
-	versions := make(map[string]int64, len(rows))
+	versions := make(map[string]revision.Revision, len(rows))
 	for _, r := range rows {
-		versions[r.Key] = r.Version
+		versions[r.Key] = r.Revision()
 	}
 	for _, key := range w.Expired(clock.SinceBoot(), versions) {
-		row := platform.Row{Table: nodeTable, Key: key, Version: versions[key]}
+		row := platform.Row{Table: nodeTable, Key: key, Version: versions[key].Number, Era: versions[key].Era}
 		_, _, ok, err := n.store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Remove: []platform.Row{row}})
-		n.log.Info("node-row-removed", zap.String("node", key), zap.Int64("version", row.Version), zap.Bool("removed", ok), zap.Error(err))
+		n.log.Info("node-row-removed", zap.String("node", key), zap.Stringer("revision", row.Revision()), zap.Bool("removed", ok), zap.Error(err))
 	}
 }
 
