--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -99,6 +99,7 @@
 	peerKeys        trustedKeys
 	leaderCalls     callGroup
 	seeds           clientCache
+	storeRestored   chan struct{} // holds a value after a restore of the store until register has seen it
 	listeners       []net.Listener
 }
 
