follow: the newest configuration outlasts a restore of the store

What callers would see: a route that was in force answered 404 by a node that starts before the operator has written again, and, where there are API keys, a revoked key accepted again: the restored store counted as confirming its older configuration.

Cause: the configuration in force was the row of the store, and only the gateway refused to go back. Other nodes learned no more than the row's version, which the store no longer has.

Change: a follower keeps the newest configuration that it has seen and doesn't put an older one in force.

Left: a node that starts after the restore, where no other node has the newest configuration, confirms what the store has.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -122,6 +122,7 @@
 		operator     table
 		server       table
 		confirmation confirmation
+		newest       newestConfig                 // guarded by operator.mu
 		entries      map[string]parsedEntry       // as last read, by key
 		unreadable   map[string]revision.Revision // of unreadable entries that were logged
 		leaving      map[string]bool              // servers in the last call of OnServers, and whether they leave
@@ -211,8 +212,8 @@
 	t := &f.operator
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if own := t.ownRevision(); own.Number > 0 && own.Era == newest.Era && !own.Before(newest) {
-		f.confirmation.advance(at)
+	if own := t.ownRevision(); own.Era == newest.Era && !own.Before(newest) {
+		t.confirm(at)
 	}
 }
 
@@ -240,11 +241,12 @@
 	}
 }
 
-// applyConfig calls OnConfig with the newest configuration. If that can't be parsed, the
-// last one stays in force.
+// applyConfig calls OnConfig with the newest configuration. If that can't be parsed, or the store was
+// restored and has an older one, the last one stays in force.
 func (f *Follower) applyConfig(t *table) {
 	r, ok := t.rows[platform.KeyConfig]
 	if !ok {
+		f.newest.stored = 0
 		return
 	}
 	c, err := platform.Config(r)
@@ -253,7 +255,8 @@
 		f.Log.Error("config-unreadable", zap.Int64("version", r.Version), zap.Error(err))
 		return
 	}
-	f.OnConfig(c)
+	f.newest.stored = c.Version()
+	f.putInForce(r, c)
 }
 
 // applyServers calls OnServers with the list of servers, leaving out entries that can't be
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -128,3 +128,27 @@
 		})
 	}
 }
+
+// TestStoreThatIsBehindConfirmsNothing guards against a configuration that counts as the newest, and with
+// it API keys that were revoked, because a restored store shows it again.
+func TestStoreThatIsBehindConfirmsNothing(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore(t)
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
+	n := startAdjustedNode(t, s, func(f *follow.Follower) { f.Role = func() follow.Role { return follow.Leader } })
+	eventually(t, "start", func() bool { return n.version() == 1 })
+	copied := s.Backup()
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(2))
+	eventually(t, "lost change", func() bool { return n.version() == 2 })
+	s.Restore(copied)
+	restored := time.Now()
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	eventually(t, "the restored store is known", func() bool { return n.has("i-1") })
+	for time.Since(restored) < 3*time.Second {
+		require.EqualValues(t, 2, n.version())
+		require.GreaterOrEqual(t, n.ConfigAge()+100*time.Millisecond, time.Since(restored))
+		<-time.After(20 * time.Millisecond)
+	}
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(2))
+	eventually(t, "confirmed", func() bool { return n.ConfigAge() < 2*time.Second })
+}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -12,6 +12,7 @@
 	Versions struct {
 		Operator revision.Revision
 		Servers  revision.Revision
+		Config   int64 // version of the configuration in force
 	}
 
 	// Snapshot is a node's full copy of the tables.
@@ -22,6 +23,7 @@
 		Age      time.Duration     `json:"age"`
 
 		ConfigAge time.Duration `json:"config-age"` // as Follower.ConfigAge returns it
+		Config    *platform.Row `json:"config"`     // the configuration in force if the store has lost it, or nil
 	}
 
 	// Update holds the changes that one node has and another one lacks.
@@ -35,6 +37,9 @@
 		Grace    time.Duration            // for which removed entries are still kept
 		Withheld map[string]time.Duration // restored entries that aren't used, and for how long
 
+		Config        *platform.Row // the configuration in force if the other node lacks it and the store has lost it, or nil
+		ConfigVersion int64         // of the configuration in force
+
 		ConfigAge time.Duration // since Operator was last confirmed as the newest version
 	}
 )
@@ -43,7 +48,7 @@
 func (f *Follower) Versions() Versions {
 	f.operator.mu.Lock()
 	defer f.operator.mu.Unlock()
-	return Versions{Operator: f.operator.ownRevision(), Servers: f.server.Revision()}
+	return Versions{Operator: f.operator.ownRevision(), Servers: f.server.Revision(), Config: f.newest.version}
 }
 
 // Revision returns the revision up to which this node has all changes.
@@ -79,6 +84,7 @@
 func (f *Follower) ChangesSince(now time.Time, k Versions) Update {
 	age := f.ConfigAge() // read before the version: a version read earlier might be older than the one confirmed
 	u := Update{Operator: f.operator.newest(), After: k.Servers, Age: f.Age(now), ConfigAge: age}
+	u.Config, u.ConfigVersion = f.lackedConfig(k.Config)
 	t := &f.server
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,6 +115,7 @@
 	if u.Version.Era < t.Revision().Era {
 		return false
 	}
+	f.adoptConfig(u.Config)
 	f.operator.recordAnnounced(now, u)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -161,7 +168,8 @@
 // Snapshot returns this node's copy of the tables, and false if either table is empty.
 func (f *Follower) Snapshot(now time.Time) (Snapshot, bool) {
 	age := f.ConfigAge()
-	c := Snapshot{ConfigAge: age, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Revision(), Age: f.Age(now)}
+	config, _ := f.lackedConfig(0)
+	c := Snapshot{ConfigAge: age, Config: config, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Revision(), Age: f.Age(now)}
 	return c, len(c.Operator) > 0 && len(c.Servers) > 0
 }
 
@@ -180,6 +188,7 @@
 // rows stay.
 func (f *Follower) ApplySnapshot(now time.Time, c Snapshot, requestedAt time.Duration) {
 	f.operator.applyRows(c.Operator)
+	f.adoptConfig(c.Config)
 	for _, r := range c.Operator {
 		if r.Key == platform.KeyConfig {
 			f.ConfirmConfig(r.Revision(), requestedAt-c.ConfigAge)
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -34,6 +34,7 @@
 		lastComplete time.Time            // up to when the copy is complete, whichever node read it
 		announced    revision.Revision    // newest revision that another node announced
 		outageEnd    time.Time            // when the store's last outage ended
+		eraBegan     time.Time            // when this node learned of the last restore of the store
 		unreachable  bool
 		quick        bool // the next feed call uses quickWait
 	}
@@ -242,11 +243,16 @@
 	}
 }
 
-// confirm records that the copy is complete up to the start of a store call; t.mu is held.
+// confirm records that the copy is complete up to the start of a store call. A store that was just
+// restored, or has an older configuration than the one in force, confirms nothing; t.mu is held.
 func (t *table) confirm(began time.Duration) {
-	if t == &t.f.operator && t.ownRevision().Number > 0 {
-		t.f.confirmation.advance(began)
+	if t != &t.f.operator || t.ownRevision().Number == 0 || t.f.newest.isStoreBehind() {
+		return
+	}
+	if !t.eraBegan.IsZero() && time.Since(t.eraBegan) < rewriteTime {
+		return
 	}
+	t.f.confirmation.advance(began)
 }
 
 // applyAll applies a full read of the table: local rows that it lacks were removed. It returns false
@@ -285,6 +291,7 @@
 // grace period, as after an outage, since their servers write them again. t.mu is held.
 func (t *table) beginEra(rows []platform.Row, at revision.Revision) {
 	t.outageEnd = time.Now()
+	t.eraBegan = t.outageEnd
 	present := 0
 	for _, r := range rows {
 		if _, ok := t.rows[r.Key]; ok {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -153,16 +153,21 @@
 	n.addLeaving(reply.Departed...)
 	n.gateway.UpdateQuotas(r.Quotas.Number, reply.Quotas, reply.Nodes)
 	n.leaderServers.Store(&reply.Update.Version)
+	n.leaderConfig.Store(reply.Update.ConfigVersion)
 }
 
-// recentUpdate returns what this node has recently read of the store's tables: the store may
-// serve this node and reject the leader.
+// recentUpdate returns what this node has recently read of the store's tables, since the store may
+// serve this node and reject the leader, and a configuration that the store has lost.
 func (n *Node) recentUpdate(r hub.Report) *follow.Update {
 	at := n.leaderServers.Load()
-	if at == nil || at.IsZero() || r.Contact > n.maxFeedAge() && !at.Before(r.Known.Servers) {
+	if at == nil || at.IsZero() {
 		return nil
 	}
-	u := n.follower.ChangesSince(time.Now(), follow.Versions{Operator: r.Known.Operator, Servers: *at})
+	leader := follow.Versions{Operator: r.Known.Operator, Servers: *at, Config: n.leaderConfig.Load()}
+	if r.Contact > n.maxFeedAge() && !at.Before(r.Known.Servers) && !n.follower.HasLostConfig(leader.Config) {
+		return nil
+	}
+	u := n.follower.ChangesSince(time.Now(), leader)
 	return &u
 }
 
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -86,6 +86,7 @@
 	feedAt          atomic.Int64                      // boot time of the last update from the leader that was not outdated
 	nodeCount       atomic.Int64                      // number of nodes that recently reported to the leader
 	leaderServers   atomic.Pointer[revision.Revision] // revision of the leader's copy of the server table
+	leaderConfig    atomic.Int64                      // version of the configuration in force at the leader
 	isDeputy        atomic.Bool                       // this node follows the store on behalf of all nodes
 	deputy          atomic.Pointer[hub.Contact]       // address and key of the deputy
 	deputyReplyAt   atomic.Int64                      // boot time of the deputy's last reply to a report
