--- a/internal/placer/sim_engine_test.go
+++ b/internal/placer/sim_engine_test.go
@@ -154,6 +154,7 @@
 // quarter is executed at once, and a quarter is never executed.
 func (s *simEngines) SendOrder(ctx context.Context, f fleet.Server, o platform.Order) (platform.Verdict, error) {
 	e := s.world.engine(f.ID)
+	s.world.recordHolder(o)
 	wait, lost, how := e.draw(simMaxLatency)
 	if !clock.Sleep(ctx, wait/2) {
 		return 0, ctx.Err()
--- a/internal/placer/sim_test.go
+++ b/internal/placer/sim_test.go
@@ -75,8 +75,14 @@
 
 // runSeed runs the simulation of one seed.
 func runSeed(t *testing.T, seed uint64) *simWorld {
+	return runSeedWith(t, seed, func(*simWorld, context.Context, *rand.Rand) {})
+}
+
+// runSeedWith runs the simulation of one seed, and beside it an activity with a random source of its own.
+func runSeedWith(t *testing.T, seed uint64, beside func(*simWorld, context.Context, *rand.Rand)) *simWorld {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := newSimWorld(ctx, seed, simEngineN)
+	w.wg.Go(func() { beside(w, ctx, rand.New(rand.NewPCG(seed, 3))) })
 	for range simNodes {
 		w.start(nil)
 	}
--- a/internal/placer/sim_world_test.go
+++ b/internal/placer/sim_world_test.go
@@ -43,9 +43,12 @@
 		rng          *rand.Rand
 		origin       time.Time // start of the run
 		version      int64
+		era          int64
+		copies       []simCopy        // of the store, taken every simCopyInterval
+		holders      map[int64]string // by epoch, the node that sent orders under it
 		engines      map[string]*simEngine
-		missingUntil map[string]time.Time // until when an engine's entry is missing
-		row          platform.Row
+		missingUntil map[string]time.Time    // until when an engine's entry is missing
+		rows         map[string]platform.Row // of the lease's table, by key
 		nodes        []*simNode
 		started      int
 		loads        []time.Time // start times of loads from the weight store
@@ -71,7 +74,8 @@
 
 // newSimWorld returns a deployment with the given number of engines and no nodes.
 func newSimWorld(ctx context.Context, seed uint64, engines int) *simWorld {
-	w := &simWorld{ctx: ctx, rng: rand.New(rand.NewPCG(seed, 1)), origin: time.Now(), engines: map[string]*simEngine{}, missingUntil: map[string]time.Time{}}
+	w := &simWorld{ctx: ctx, rng: rand.New(rand.NewPCG(seed, 1)), origin: time.Now(), engines: map[string]*simEngine{}, missingUntil: map[string]time.Time{},
+		rows: map[string]platform.Row{}, holders: map[int64]string{}}
 	e := &fleet.Engine{WeightsMB: simWeightsMB, AdapterSlots: simAdapterSlots, LoadsPerS: simLoadsPerS, Models: map[string]fleet.Model{}}
 	for i := range simModelN {
 		name := fmt.Sprint("m", i)
@@ -280,13 +284,12 @@
 	}
 	n.world.mu.Lock()
 	defer n.world.mu.Unlock()
-	if n.world.row.Version == 0 {
-		return platform.Row{Table: table, Key: key}, nil
-	}
-	return n.world.row, nil
+	r := n.world.rows[key]
+	r.Table, r.Key, r.Era = table, key, n.world.era
+	return r, nil
 }
 
-// Change implements placer.Store for one row.
+// Change implements placer.Store.
 func (n *simNode) Change(ctx context.Context, c platform.Change) ([]platform.Row, revision.Revision, bool, error) {
 	if err := n.storeCall(ctx); err != nil {
 		return nil, revision.Revision{}, false, err
@@ -294,16 +297,33 @@
 	w := n.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if c.Expect[0].Version != w.row.Version {
-		return []platform.Row{w.row}, revision.Revision{}, false, nil
+	at := revision.Revision{Era: w.era}
+	var current []platform.Row
+	holds := true
+	for _, e := range c.Expect {
+		r := w.rows[e.Key]
+		r.Era = w.era
+		holds = holds && r.Version == e.Version
+		if r.Version != 0 {
+			current = append(current, r)
+		}
+	}
+	if !holds {
+		return current, at, false, nil
 	}
 	w.version++
-	w.row = c.Set[0]
-	w.row.Version = w.version
+	for _, r := range c.Remove {
+		delete(w.rows, r.Key)
+	}
+	for _, r := range c.Set {
+		r.Version = w.version
+		w.rows[r.Key] = r
+	}
 	if w.rng.IntN(20) == 0 {
 		return nil, revision.Revision{}, false, errNoReply
 	}
-	return nil, revision.Revision{Number: w.version}, true, nil
+	at.Number = w.version
+	return nil, at, true, nil
 }
 
 // storeCall takes the time of a call to the store, and fails while the node can't reach it.
@@ -327,7 +347,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var l leader.Lease
-	if w.row.Version == 0 || json.Unmarshal(w.row.Value, &l) != nil {
+	if r := w.rows["orders"]; r.Version == 0 || json.Unmarshal(r.Value, &l) != nil {
 		return nil
 	}
 	for _, n := range w.nodes {
