placer: a lease write expects the write before it, not only its version

What callers would see: two leaders at once. A node that was cut off while the store was restored and another node took the lease renews its own and replaces the other's row, if that has by chance the version that it expects; a node that then reads the row may take an epoch that the other one has used.

Cause: a version identified a row's content, which holds within one era only. The store's conditions know no era.

Change: each write of the lease sets a second row under a key that no other write uses and removes that of the write before, on condition that it has the same version. A write over a row of another content is refused.

Ruled out: to look at the era of the reply, which comes when the row is already replaced.

--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -37,9 +37,10 @@
 		Address     string  `json:"address"`     // where the leader receives load reports
 		Key         string  `json:"key"`         // fingerprint of the leader's certificate
 		Epoch       int64   `json:"epoch"`
-		Term        int64   `json:"term,omitempty"` // epoch under which the leader first acquired the lease; see TermID
-		Cores       float64 `json:"cores"`          // processor cores of the leader
-		RecentLoads int     `json:"loads"`          // recent loads from the weight store as of the write
+		Term        int64   `json:"term,omitempty"`  // epoch under which the leader first acquired the lease; see TermID
+		Cores       float64 `json:"cores"`           // processor cores of the leader
+		Write       string  `json:"write,omitempty"` // identifies the write of this row among those of all eras
+		RecentLoads int     `json:"loads"`           // recent loads from the weight store as of the write
 		// UnackedOrders holds orders for loads from the weight store that an engine had not
 		// acknowledged when the row was written. The value is the number of orders that the engine
 		// must have accepted for such a load to still start.
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +18,9 @@
 const (
 	leaseTable = "lease"
 	leaseKey   = "orders"
+	// writeKeyPrefix begins the key of a row that is written with the lease's row and replaced by the
+	// next write of it.
+	writeKeyPrefix = "write/"
 
 	// leaseInterval is the time between two checks of the lease; a renewal is due after each
 	// third of the time to live.
@@ -66,12 +71,14 @@
 	now := p.Clock()
 	previous, _ := p.Elector.Leader()
 	l, expected, due := p.Elector.Propose(now)
+	observed, _, _ := p.Elector.Row()
 	wasLeader := p.Elector.IsLeader()
 	if wasLeader {
 		l = p.withHandover(l)
 	} else {
 		l = l.WithLoads(previous) // until this node has ordered loads itself
 	}
+	l.Write = p.nextWrite()
 	due = due && !p.released
 	p.mu.Unlock()
 	if !due {
@@ -79,7 +86,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, at, ok, err := p.writeRow(ctx, l, expected)
+	rows, at, ok, err := p.writeRow(ctx, l, observed, expected)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -130,15 +137,38 @@
 	return p.writeSem
 }
 
-// writeRow writes the row on condition that it still has the given revision. It returns the
-// new revision and true, or the row as it is in the store.
-func (p *Placer) writeRow(ctx context.Context, l leader.Lease, expected revision.Revision) ([]platform.Row, revision.Revision, bool, error) {
+// writeRow writes the row on condition that it is still as observed at the given revision. It
+// returns the new revision and true, or the row as it is in the store.
+//
+// A restored store assigns versions again, so the row may have the expected version and another
+// content. Each write therefore also sets a row whose key no other write uses, and the next write
+// expects that row at the same version.
+func (p *Placer) writeRow(ctx context.Context, l, observed leader.Lease, expected revision.Revision) ([]platform.Row, revision.Revision, bool, error) {
 	value, err := json.Marshal(l)
 	if err != nil {
 		return nil, revision.Revision{}, false, err
 	}
 	row := platform.Row{Table: leaseTable, Key: leaseKey, Version: expected.Number, Value: value}
-	return p.Store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row}})
+	c := platform.Change{Expect: []platform.Row{row}, Set: []platform.Row{row, writeRowOf(l, 0)}}
+	if expected.Number != 0 && observed.Write != "" {
+		previous := writeRowOf(observed, expected.Number)
+		c.Expect = append(c.Expect, previous)
+		c.Remove = append(c.Remove, previous)
+	}
+	rows, at, ok, err := p.Store.Change(ctx, c)
+	rows = slices.DeleteFunc(rows, func(r platform.Row) bool { return r.Key != leaseKey })
+	return rows, at, ok, err
+}
+
+// nextWrite returns an identifier that no other write of the row has; p.mu is held.
+func (p *Placer) nextWrite() string {
+	p.writes++
+	return fmt.Sprintf("%s-%d", p.Elector.Self.Incarnation, p.writes)
+}
+
+// writeRowOf returns the row that was written with the lease's row, at a version.
+func writeRowOf(l leader.Lease, version int64) platform.Row {
+	return platform.Row{Table: leaseTable, Key: writeKeyPrefix + l.Write, Version: version, Value: []byte(leaseKey)}
 }
 
 // ObserveLease updates the row from another node's copy and reports whether that copy was newer.
@@ -326,13 +356,14 @@
 // releaseRow writes the row without a leader and reports whether the release is complete.
 func (p *Placer) releaseRow(ctx context.Context) bool {
 	p.mu.Lock()
+	observed, _, _ := p.Elector.Row()
 	expected, epoch, isLeader := p.Elector.Release()
-	l := p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores})
+	l := p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores, Write: p.nextWrite()})
 	p.mu.Unlock()
 	if !isLeader {
 		return true
 	}
-	rows, at, ok, err := p.writeRow(ctx, l, expected)
+	rows, at, ok, err := p.writeRow(ctx, l, observed, expected)
 	p.Log.Info("lease-released", zap.Int64("epoch", epoch), zap.Bool("written", ok), zap.Error(err))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -92,6 +92,7 @@
 		renewedAt    time.Duration
 		failedAt     time.Duration
 		released     bool
+		writes       int64 // number of attempted writes of the lease row
 	}
 
 	// engine is the leader's record of one engine, in addition to its entry in the store.
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/leader"
+	"guavapaddle/core/revision"
+	"guavapaddle/internal/placer"
+	"guavapaddle/io/jsonhttp"
+	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
 
@@ -78,3 +85,49 @@
 	require.Greater(t, s.Row("lease", "orders").Version, row, "the lease is held again")
 	require.Len(t, leading(a, b, c), 1)
 }
+
+// gatedStore is a store that a node can't reach while it is closed.
+type gatedStore struct {
+	placer.Store
+
+	closed atomic.Bool
+}
+
+func (g *gatedStore) ReadOne(ctx context.Context, table, key string) (platform.Row, error) {
+	if g.closed.Load() {
+		return platform.Row{}, errNoReply
+	}
+	return g.Store.ReadOne(ctx, table, key)
+}
+
+func (g *gatedStore) Change(ctx context.Context, c platform.Change) ([]platform.Row, revision.Revision, bool, error) {
+	if g.closed.Load() {
+		return nil, revision.Revision{}, false, errNoReply
+	}
+	return g.Store.Change(ctx, c)
+}
+
+// TestRenewalDoesNotReplaceRowOfSameVersion guards against a leader that overwrites another node's lease
+// because the restored store has assigned the expected version again.
+func TestRenewalDoesNotReplaceRowOfSameVersion(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore(t)
+	gate := &gatedStore{Store: &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}}
+	a := startPlacerWith(t, gate, "a", leaderUnreachable)
+	eventually(t, "the first is leader", a.IsLeading)
+	copied := s.Backup()
+	before := s.Row("lease", "orders").Version
+	eventually(t, "renewed", func() bool { return s.Row("lease", "orders").Version >= before+3 })
+	gate.closed.Store(true)
+	<-time.After(2 * ttl) // the lease has lapsed
+	expected := s.Row("lease", "orders").Version
+	s.Restore(copied)
+	for s.Put("other", "x", nil) < expected-1 {
+	}
+	value, err := json.Marshal(leader.Lease{Node: "b", Incarnation: "b", Key: "b", Cores: 1, Epoch: 1<<20 + 1})
+	require.NoError(t, err)
+	require.Equal(t, expected, s.Put("lease", "orders", value))
+	gate.closed.Store(false)
+	eventually(t, "the first knows the second", func() bool { l, ok := a.Leader(); return ok && l.Node == "b" })
+	require.Equal(t, value, s.Row("lease", "orders").Value)
+}
--- a/internal/placer/rig_test.go
+++ b/internal/placer/rig_test.go
@@ -33,11 +33,16 @@
 }
 
 func startPlacer(t *testing.T, s *standin.Store, node string, reachable func() bool) *testPlacer {
+	t.Helper()
+	return startPlacerWith(t, &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}}, node, reachable)
+}
+
+func startPlacerWith(t *testing.T, s placer.Store, node string, reachable func() bool) *testPlacer {
 	t.Helper()
 	h := &testPlacer{verdicts: map[string]int{}}
 	started := time.Now()
 	h.Placer = &placer.Placer{
-		Store:   &platform.Store{Client: &jsonhttp.Client{Address: s.Address()}},
+		Store:   s,
 		Engines: &platform.Engines{Client: func(a string) *jsonhttp.Client { return &jsonhttp.Client{Address: a} }},
 		Hub:     &hub.Hub{}, Log: zap.NewNop(), Fencing: true, Window: 5 * time.Second, LeaderReachable: reachable,
 		Elector: &leader.Elector{Self: leader.Lease{Node: node, Incarnation: node, Key: node, Cores: 1}, TTL: ttl},
