placer: loads of a term that the store has lost are assumed

What callers would see: loads of weights beyond what the weight store serves (CEILING), all of them slow: 18 within five seconds where 14 are allowed. The store was restored from a copy in which nobody held the lease; the leader of the lost seconds had started a window's loads and ended.

Cause: a new leader assumes a window's loads if the row names a leader, and takes a row without one for a complete handover.

Change: a row restored from a copy is no handover; a window's loads are assumed.

Evidence: TestLoadsOfLostTermCount fails on the code before (18) and passes.

--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -95,7 +95,7 @@
 		e.holding = e.holding && e.mayStillHold(now)
 	case at.Number == 0 || l.Node != e.Self.Node || l.Incarnation != e.Self.Incarnation:
 		e.holding = false
-	case !e.isRestored(): // the reply to the write was lost
+	case !e.IsRestored(): // the reply to the write was lost
 		e.holding, e.epoch, e.term = true, l.Epoch, l.TermID()
 	}
 	if !e.holding {
@@ -115,9 +115,9 @@
 	return e.leaseEnd != 0 && now < e.leaseEnd+e.TTL/marginDivisor
 }
 
-// isRestored reports whether the row was last written before the store was restored from a copy. The
+// IsRestored reports whether the row was last written before the store was restored from a copy. The
 // copy may lack a later acquisition, whose holder still relies on it.
-func (e *Elector) isRestored() bool {
+func (e *Elector) IsRestored() bool {
 	if e.revision.Number == 0 {
 		return e.restored
 	}
@@ -143,7 +143,7 @@
 	l := e.Self
 	if e.holding {
 		l.Epoch, l.Term = e.epoch, e.term
-		if e.epoch == e.fencedEpoch || e.isRestored() {
+		if e.epoch == e.fencedEpoch || e.IsRestored() {
 			l.Epoch = e.nextEpoch()
 			return l, e.revision, true
 		}
@@ -152,7 +152,7 @@
 	l.Epoch = e.nextEpoch()
 	l.Term = l.Epoch
 	// An earlier process of this node must have ended, because this one has its ports.
-	ownNode := e.observed.Node == e.Self.Node && !e.isRestored()
+	ownNode := e.observed.Node == e.Self.Node && !e.IsRestored()
 	return l, e.revision, ownNode || now-e.observedAt >= e.takeoverWait()
 }
 
@@ -160,9 +160,9 @@
 // lease.
 func (e *Elector) takeoverWait() time.Duration {
 	switch {
-	case e.isRestored() && e.Self.Cores < e.observed.Cores:
+	case e.IsRestored() && e.Self.Cores < e.observed.Cores:
 		return e.TTL + e.TTL/marginDivisor + smallNodeWait
-	case e.isRestored():
+	case e.IsRestored():
 		return e.TTL + e.TTL/marginDivisor
 	case e.revision.Number == 0:
 		return time.Duration(max(0, 1-e.Self.Cores) * float64(firstElectionWait))
@@ -234,7 +234,7 @@
 // nodes needn't wait. It returns false if this node isn't the leader.
 func (e *Elector) Release() (at revision.Revision, epoch int64, ok bool) {
 	epoch = e.epoch
-	if e.isRestored() {
+	if e.IsRestored() {
 		epoch = e.nextEpoch()
 	}
 	return e.revision, epoch, e.holding
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -72,7 +72,7 @@
 	previous, _ := p.Elector.Leader()
 	l, expected, due := p.Elector.Propose(now)
 	observed, _, _ := p.Elector.Row()
-	wasLeader := p.Elector.IsLeader()
+	wasLeader, restored := p.Elector.IsLeader(), p.Elector.IsRestored()
 	if wasLeader {
 		l = p.withHandover(l)
 	} else {
@@ -99,7 +99,7 @@
 		p.logRestore(before)
 		p.renewedAt, p.failedAt = now, 0
 		if !wasLeader && p.Elector.IsLeader() {
-			p.startTerm(l.Epoch, previous)
+			p.startTerm(l.Epoch, previous, restored)
 		}
 	default:
 		p.logRefused(l, expected, rows)
@@ -239,14 +239,15 @@
 	case wasLeader && !isLeader:
 		p.Log.Warn("lease-lost", zap.String("holder", l.Node), zap.Int64("epoch", l.Epoch))
 	case isLeader && !wasLeader: // the reply to the write was lost
-		p.startTerm(l.Epoch, leader.Lease{Node: l.Node}.WithLoads(l))
+		p.startTerm(l.Epoch, leader.Lease{Node: l.Node}.WithLoads(l), false)
 	}
 }
 
 // startTerm starts a term as leader. Nothing is known about orders in progress except the
 // loads that the previous leader recorded in the lease: before these were handed over, a new
-// leader ordered second copies of models that were still loading, for 8 s. p.mu is held.
-func (p *Placer) startTerm(epoch int64, previous leader.Lease) {
+// leader ordered second copies of models that were still loading, for 8 s. If that lease was restored from
+// a copy of the store, a later leader may have started loads that it doesn't show. p.mu is held.
+func (p *Placer) startTerm(epoch int64, previous leader.Lease, restored bool) {
 	p.Log.Info("lease-won", zap.Int64("epoch", epoch), zap.String("before", previous.Node), zap.Int("loads", previous.RecentLoads),
 		zap.Int("late", len(previous.UnackedOrders)), zap.Int("coming", len(previous.Loading)))
 	p.engines = map[string]*engine{}
@@ -258,7 +259,7 @@
 	p.termStart = time.Now()
 	p.loads, p.loadOrdered = p.newBudget(), false
 	p.loads.Inherit(p.termStart, previous.RecentLoads, previous.UnackedOrders)
-	p.assumeLoads = previous.Node != ""
+	p.assumeLoads = previous.Node != "" || restored
 	p.OnElected()
 }
 
--- a/internal/placer/loads_test.go
+++ b/internal/placer/loads_test.go
@@ -131,4 +131,25 @@
 	})
 }
 
+// TestLoadsOfLostTermCount guards against a new leader that knows nothing of the loads of a term that the
+// store has lost: the restored row says that nobody held the lease.
+func TestLoadsOfLostTermCount(t *testing.T) {
+	runLoads(t, func(ctx context.Context, t *testing.T, w *simWorld) {
+		a := w.start(nil)
+		for w.leader() != a && clock.Sleep(ctx, time.Millisecond) {
+		}
+		a.Release(ctx)
+		w.remove(a)
+		w.copyStore()
+		b := w.start(nil)
+		b.waitUntilLeader(ctx)
+		clock.Sleep(ctx, time.Second)
+		w.restoreFrom(time.Now(), 0)
+		w.remove(b)
+		c := w.start(nil)
+		c.waitUntilLeader(ctx)
+		clock.Sleep(ctx, 5*time.Second)
+	})
+}
+
 var _ placer.Engines = (*delayedLoads)(nil)
