--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -54,6 +54,9 @@
 	readTimeout   = 1500 * time.Millisecond
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// rereadInterval is the minimum time between two full reads of a table because its feed can't be
+	// continued, so that a store that refuses each feed isn't read without pause.
+	rereadInterval = 500 * time.Millisecond
 	// minLeaderRetryDelay and maxLeaderRetryDelay bound the retry delay of a node whose
 	// leader replies with an outdated copy: the leader and its deputy retry more often, and
 	// pass changes on when the store is back.
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -35,6 +35,7 @@
 		Whole    bool              // Servers are all rows of the table
 		Age      time.Duration
 		Grace    time.Duration            // for which removed entries are still kept
+		Restored time.Duration            // for which entries that a restored store lacks are still kept
 		Withheld map[string]time.Duration // restored entries that aren't used, and for how long
 
 		Config        *platform.Row // the configuration in force if the other node lacks it and the store has lost it, or nil
@@ -90,6 +91,10 @@
 	defer t.mu.Unlock()
 	u.Version = t.revision
 	u.Grace = max(0, t.outageEnd.Add(MissingGrace).Sub(now))
+	u.Restored = MissingGrace
+	if !t.eraBegan.IsZero() {
+		u.Restored = max(0, t.eraBegan.Add(MissingGrace).Sub(now))
+	}
 	u.Withheld = t.withheldFor(now)
 	u.Whole = k.Servers.Before(t.removedAfter)
 	for _, r := range t.rows {
@@ -128,7 +133,7 @@
 	t.recordFeed(now, u)
 	withheld := t.withhold(now, u)
 	if u.Whole {
-		t.applyAll(u.Servers, u.Version)
+		t.applyAll(u.Servers, u.Version, u.Restored)
 		return true
 	}
 	t.applyChanges(u.Servers, u.Version)
@@ -195,7 +200,7 @@
 		}
 	}
 	laterEra := f.server.Revision().Era < c.Version.Era
-	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Age: c.Age})
+	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Age: c.Age, Restored: MissingGrace})
 }
 
 // applyRows applies rows of another node's copy.
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
@@ -49,6 +51,8 @@
 		mu             sync.Mutex
 		rng            *rand.Rand
 		version        int64
+		era            int64
+		awayUntil      time.Time // until when the store responds to nobody
 		rows           map[string]platform.Row
 		log            []platform.Row
 		changed        chan struct{}
@@ -71,6 +75,8 @@
 
 		mu             sync.Mutex
 		list           map[string]fleet.Server
+		departed       departure.Set
+		config         int64             // version in force
 		fedAt          time.Time         // when the leader last passed its copy on
 		leaderVersion  revision.Revision // revision of the leader's copy
 		suspendedUntil time.Time         // its exchange is suspended until then
@@ -115,7 +121,7 @@
 // start starts a node.
 func (f *simFleet) start(ctx context.Context, i int) {
 	n := &simNode{fleet: f, index: i}
-	n.Follower = &follow.Follower{Store: n, Log: zap.NewNop(), OnConfig: func(*fleet.Config) {}, OnServers: n.servers,
+	n.Follower = &follow.Follower{Store: n, Log: zap.NewNop(), OnConfig: n.setConfig, OnServers: n.servers,
 		HasFeed: n.hasFeed, HasLeader: func() bool { return n.role() == follow.Standalone && n.hasFeed() }, Role: n.role}
 	f.nodes = append(f.nodes, n)
 	f.wg.Go(func() { n.Run(ctx) })
@@ -127,10 +133,23 @@
 	defer n.mu.Unlock()
 	n.list = map[string]fleet.Server{}
 	for _, s := range list {
+		if s.Leaving {
+			n.departed.Add(departure.IncarnationOf(s))
+		}
+	}
+	for _, s := range n.departed.MarkLeaving(list) {
 		n.list[s.ID] = s
 	}
 }
 
+// setConfig checks that no older configuration follows a newer one.
+func (n *simNode) setConfig(c *fleet.Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.GreaterOrEqual(n.fleet.t, c.Version(), n.config, "node %d", n.index)
+	n.config = c.Version()
+}
+
 // role returns the node's role: the node after the leader is its deputy.
 func (n *simNode) role() follow.Role {
 	n.fleet.mu.Lock()
@@ -202,11 +221,16 @@
 	f := n.fleet
 	f.mu.Lock()
 	wait := time.Duration(2+f.rng.IntN(6)) * time.Millisecond
+	away := time.Now().Before(f.awayUntil)
 	hang := time.Since(f.hungAt) > simHangInterval && time.Now().After(f.suspendedUntil) && f.rng.IntN(20) == 0
 	if hang {
 		f.hungAt = time.Now()
 	}
 	f.mu.Unlock()
+	if away {
+		clock.Sleep(ctx, wait)
+		return errNoReply
+	}
 	if !hang {
 		clock.Sleep(ctx, wait)
 		return ctx.Err()
@@ -227,10 +251,11 @@
 	var out []platform.Row
 	for _, r := range f.rows {
 		if r.Table == table {
+			r.Era = f.era
 			out = append(out, r)
 		}
 	}
-	return out, revision.Revision{Number: f.version}, nil
+	return out, revision.Revision{Era: f.era, Number: f.version}, nil
 }
 
 // Feed implements follow.Store.
@@ -246,18 +271,22 @@
 		var out []platform.Row
 		for _, r := range f.log {
 			if r.Table == table && r.Version > after.Number {
+				r.Era = f.era
 				out = append(out, r)
 			}
 		}
-		version, changed := f.version, f.changed
+		at, changed := revision.Revision{Era: f.era, Number: f.version}, f.changed
 		f.mu.Unlock()
+		if after.Number > at.Number {
+			return nil, revision.Revision{}, &platform.StatusError{Call: "feed", Status: http.StatusGone, Era: at.Era}
+		}
 		if len(out) > 0 {
-			return out, revision.Revision{Number: version}, nil
+			return out, at, nil
 		}
 		select {
 		case <-changed:
 		case <-end.C:
-			return nil, revision.Revision{Number: version}, nil
+			return nil, at, nil
 		case <-ctx.Done():
 			return nil, revision.Revision{}, ctx.Err()
 		}
@@ -281,8 +310,7 @@
 		f.departed[key] = now
 		delete(f.readySince, key)
 	}
-	f.write(r)
-	f.rows[r.Table+key] = r
+	f.rows[r.Table+key] = f.write(r)
 }
 
 // drop removes a server's entry.
@@ -297,14 +325,15 @@
 	f.write(platform.Row{Table: platform.TableServers, Key: key, Gone: true})
 }
 
-// write appends a row to the history; f.mu is held.
-func (f *simFleet) write(r platform.Row) {
+// write appends a row to the history and returns it with its version; f.mu is held.
+func (f *simFleet) write(r platform.Row) platform.Row {
 	f.version++
 	r.Version = f.version
 	f.log = append(f.log, r)
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.events = append(f.events, fmt.Sprint(time.Since(f.began), " ", r.Key, " ", r.Version, " gone ", r.Gone))
+	return r
 }
 
 func (f *simFleet) event(what string) {
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -64,7 +64,8 @@
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay, maxRetryDelay
 	leaderRetry := backoff.NewExponentialBackOff()
 	leaderRetry.InitialInterval, leaderRetry.MaxInterval = minLeaderRetryDelay, maxLeaderRetryDelay
-	full, again := true, false // whether to read the table in full, and whether that follows a feed that could not be continued
+	full := true
+	var brokenAt time.Time // when a feed could last not be continued
 	for ctx.Err() == nil {
 		if !full && t.hasFeed() {
 			full = t.idle(ctx)
@@ -76,10 +77,8 @@
 		}
 		if feedBroken(err) {
 			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Stringer("after", t.Revision()), zap.Error(err))
-			if again {
-				clock.Sleep(ctx, maxRetryDelay)
-			}
-			full, again = true, true
+			clock.Sleep(ctx, max(0, rereadInterval-time.Since(brokenAt)))
+			full, brokenAt = true, time.Now()
 			continue
 		}
 		if err != nil {
@@ -98,7 +97,6 @@
 		if full {
 			t.awaitFeed(ctx)
 		} else {
-			again = false
 			clock.Sleep(ctx, t.f.gap())
 		}
 		full = false
@@ -196,7 +194,7 @@
 		defer t.mu.Unlock()
 		t.recordResponse()
 		held := t.revision
-		applied := t.applyAll(rows, at)
+		applied := t.applyAll(rows, at, MissingGrace)
 		t.f.Log.Info("table-read", zap.String("table", t.name), zap.Stringer("revision", at), zap.Stringer("held", held),
 			zap.Int("rows", len(rows)), zap.Bool("applied", applied))
 		if at.Era < held.Era {
@@ -256,9 +254,9 @@
 }
 
 // applyAll applies a full read of the table: local rows that it lacks were removed. It returns false
-// if the copy is newer, because changes were applied meanwhile or the read is of an earlier era.
-// t.mu is held.
-func (t *table) applyAll(rows []platform.Row, at revision.Revision) bool {
+// if the copy is newer, because changes were applied meanwhile or the read is of an earlier era. If the
+// store was restored since, rows that it lacks are kept for a grace period. t.mu is held.
+func (t *table) applyAll(rows []platform.Row, at revision.Revision, grace time.Duration) bool {
 	if at.Before(t.revision) {
 		return false
 	}
@@ -276,7 +274,7 @@
 	}
 	t.removedAfter = at
 	t.removed = nil
-	t.merge(rows, at)
+	t.merge(rows, at, grace)
 	t.apply(t)
 	return true
 }
@@ -287,14 +285,37 @@
 	return !t.revision.IsZero() && at.Era > t.revision.Era
 }
 
-// beginEra records that the store was restored from a copy. Entries that the copy lacks are kept for a
-// grace period, as after an outage, since their servers write them again. t.mu is held.
+// latest returns until when a missing entry is kept, given a time that doesn't depend on the entry: after an
+// outage, in which entries expire, it is kept for a grace period, and one that was found missing
+// earlier for as long as was decided then. t.mu is held.
+func (t *table) latest(until time.Time, key string) time.Time {
+	if at := t.outageEnd.Add(MissingGrace); at.After(until) {
+		until = at
+	}
+	if at, ok := t.missing[key]; ok && at.After(until) {
+		until = at
+	}
+	return until
+}
+
+// has reports whether the copy has an entry; t.mu is held.
+func (t *table) has(key string) bool {
+	_, ok := t.rows[key]
+	return ok
+}
+
+// isUsed reports whether the copy has an entry that isn't withheld; t.mu is held.
+func (t *table) isUsed(key string) bool {
+	_, withheld := t.withheld[key]
+	return t.has(key) && !withheld
+}
+
+// beginEra records that the store was restored from a copy; t.mu is held.
 func (t *table) beginEra(rows []platform.Row, at revision.Revision) {
-	t.outageEnd = time.Now()
-	t.eraBegan = t.outageEnd
+	t.eraBegan = time.Now()
 	present := 0
 	for _, r := range rows {
-		if _, ok := t.rows[r.Key]; ok {
+		if t.has(r.Key) {
 			present++
 		}
 	}
@@ -320,14 +341,19 @@
 			fresh = append(fresh, r)
 		}
 	}
-	t.merge(fresh, at)
+	t.merge(fresh, at, 0)
 }
 
 // merge stores rows that are not older than the local ones, drops entries whose grace
-// period is over, and calls apply if anything changed; t.mu is held.
-func (t *table) merge(rows []platform.Row, at revision.Revision) {
+// period is over, and calls apply if anything changed. If the store was restored since, removed rows are
+// kept for the given grace period. t.mu is held.
+func (t *table) merge(rows []platform.Row, at revision.Revision, grace time.Duration) {
 	now := time.Now()
 	restored := t.isRestoredBy(at)
+	var keepUntil time.Time
+	if restored {
+		keepUntil = now.Add(grace)
+	}
 	changed := false
 	for _, r := range rows {
 		if r.Part != "" || r.Revision().Before(t.rows[r.Key].Revision()) {
@@ -341,8 +367,8 @@
 			continue
 		}
 		t.recordRemoval(r)
-		if _, ok := t.rows[r.Key]; ok && now.Before(t.outageEnd.Add(MissingGrace)) {
-			t.missing[r.Key] = t.outageEnd.Add(MissingGrace)
+		if until := t.latest(keepUntil, r.Key); t.isUsed(r.Key) && now.Before(until) {
+			t.missing[r.Key] = until
 			continue
 		}
 		t.drop(now, r.Key)
--- a/internal/follow/withheld.go
+++ b/internal/follow/withheld.go
@@ -56,7 +56,9 @@
 		if !now.Before(at) {
 			released = true
 			delete(t.withheld, k)
-			delete(t.gone, k)
+			if t.has(k) {
+				delete(t.gone, k)
+			}
 		}
 	}
 	return released
@@ -75,7 +77,8 @@
 }
 
 // withhold withholds the entries that another node withholds, unless this copy has them as written
-// since that node's revision. It reports whether there were any; t.mu is held.
+// since that node's revision. It is called before the update is applied, which may leave out an entry
+// that has been removed since. It reports whether there were any; t.mu is held.
 func (t *table) withhold(now time.Time, u Update) bool {
 	changed := false
 	for k, d := range u.Withheld {
@@ -85,7 +88,9 @@
 		if _, ok := t.withheld[k]; ok {
 			continue
 		}
-		t.gone[k] = now
+		if _, ok := t.gone[k]; !ok {
+			t.gone[k] = now
+		}
 		t.withheld[k] = now.Add(d)
 		changed = true
 	}
