--- a/internal/follow/sim_restore_test.go
+++ b/internal/follow/sim_restore_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 	simMaxCopyAge   = 4 * time.Second // of the copy from which the store is restored
 	simRecent       = 200             // events in the message of a failure
 	simReadTimeout  = 1500 * time.Millisecond
-	simLapse        = 2160 * time.Millisecond // outage in which entries may lapse, 1.8 heartbeat intervals
+	simLapse        = 1160 * time.Millisecond // outage in which a node may have no response for 1.8 heartbeat intervals, after a feed of 1 s
 	simMaxAway      = 3 * time.Second         // of the store before it is back
 	// simRewrite is how long after the store's return the operator and the servers may take to write
 	// again what it has lost.
@@ -44,7 +45,7 @@
 		// lapsedUntil is until when a missing entry may be that of a live server: entries that lapsed in
 		// an outage are back within two seconds of its end.
 		lapsedUntil time.Time
-		pending     bool // lost changes are yet to be written again
+		pending     atomic.Bool // lost changes are yet to be written again
 	}
 
 	// tablesCopy is a copy of the store.
@@ -88,7 +89,7 @@
 	next := 8
 	copied, restore := time.Now(), time.Now().Add(time.Second)
 	for time.Since(f.began) < simTime {
-		if !f.pending {
+		if !f.pending.Load() {
 			f.step(ctx, &next)
 			if f.rng.IntN(60) == 0 {
 				f.putConfig(f.config + 1)
@@ -98,7 +99,7 @@
 				copied = time.Now()
 			}
 		}
-		if time.Now().After(restore) && !f.pending && len(f.copies) > 0 {
+		if time.Now().After(restore) && !f.pending.Load() && len(f.copies) > 0 {
 			f.restore(ctx)
 			restore = time.Now().Add(time.Duration(3000+f.rng.IntN(9000)) * time.Millisecond)
 		}
@@ -127,7 +128,7 @@
 
 // restore restores a copy some seconds old after an outage, and has what it lacks written again.
 func (f *restoringFleet) restore(ctx context.Context) {
-	f.pending = true
+	f.pending.Store(true)
 	at := time.Now().Add(-time.Duration(f.rng.Int64N(int64(simMaxCopyAge))))
 	away := time.Duration(0)
 	if f.rng.IntN(3) > 0 {
@@ -197,7 +198,7 @@
 	for id := range f.readySince {
 		f.readySince[id] = time.Now()
 	}
-	f.pending = false
+	f.pending.Store(false)
 }
 
 // jitter returns a random number below n.
@@ -228,9 +229,9 @@
 					at = since
 				}
 			}
-			require.True(f.t, f.pending || time.Since(at) < simDrain, "node %d uses %s at %v\n%v", i, id, time.Since(f.began), f.recent())
+			require.True(f.t, f.pending.Load() || time.Since(at) < simDrain, "node %d uses %s at %v\n%v", i, id, time.Since(f.began), f.recent())
 		}
-		if f.pending {
+		if f.pending.Load() {
 			continue
 		}
 		for id, at := range f.readySince {
