soak: the store comes back from older copies

Run.Restores (cmd/soak -restores, on by default) restores the store from a copy up to 4 s old at random moments, after up to 1.5 s away, beside the other faults; the operator and the servers write again what is lost within 1.5 s. The draws have a source of their own, so the seeds without restores keep their course.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,7 @@
 	seeds := fs.Uint64("seeds", 1, "how many seeds")
 	duration := fs.Duration("duration", 15*time.Second, "how long faults come, for each seed")
 	nodes := fs.Int("nodes", 4, "processes of the system")
+	restores := fs.Bool("restores", true, "the platform's store comes back from older copies, besides the other faults")
 	verbose := fs.Bool("verbose", false, "print each fault")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarNoPrefix()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -44,35 +45,35 @@
 	defer stop()
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = run(ctx, *binary, s, *duration, *nodes, *verbose) || failed
+		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Log: io.Discard}, *verbose) || failed
 	}
 	if failed {
 		os.Exit(1)
 	}
 }
 
-// run runs one seed and reports whether it failed: an invariant was violated or the
+// run runs the soak and reports whether it failed: an invariant was violated or the
 // run returned an error. The logs of failed runs are kept.
-func run(ctx context.Context, binary string, seed uint64, d time.Duration, nodes int, verbose bool) bool {
+func run(ctx context.Context, r *soak.Run, verbose bool) bool {
 	dir, err := soak.TempDir()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return true
 	}
-	r := &soak.Run{Binary: binary, Seed: seed, Duration: d, Nodes: nodes, Dir: dir, Log: io.Discard}
+	r.Dir = dir
 	if verbose {
 		r.Log = os.Stderr
 	}
 	violations, err := r.Do(ctx)
 	if err != nil {
-		fmt.Printf("seed %d: %v; logs in %s\n", seed, err, dir)
+		fmt.Printf("seed %d: %v; logs in %s\n", r.Seed, err, dir)
 		return true
 	}
 	if len(violations) == 0 {
-		fmt.Printf("seed %d: held\n", seed)
+		fmt.Printf("seed %d: held\n", r.Seed)
 		return os.RemoveAll(dir) != nil
 	}
-	fmt.Printf("seed %d: %d broken; logs in %s\n", seed, len(violations), dir)
+	fmt.Printf("seed %d: %d broken; logs in %s\n", r.Seed, len(violations), dir)
 	for _, v := range violations {
 		fmt.Printf("  %s: %s\n", v.Promise, v.Detail)
 	}
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -139,7 +139,7 @@
 	time.Sleep(randomDuration(rng, 100, 500))
 	r.writeEntry(old, true)
 	time.Sleep(2500 * time.Millisecond)
-	r.store.Drop(platform.TableServers, old.ID)
+	r.drop(platform.TableServers, old.ID)
 	time.Sleep(time.Second)
 	old.Stop()
 }
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -49,6 +49,7 @@
 		Seed     uint64
 		Duration time.Duration
 		Nodes    int
+		Restores bool   // the store comes back from older copies, besides the other faults
 		Dir      string // for the settings and logs of the processes
 		Log      io.Writer
 
@@ -60,6 +61,8 @@
 		faults   sync.WaitGroup
 		cleanups []func()
 		mu       sync.Mutex // guards Log and workers
+		rowsMu   sync.Mutex
+		rows     map[rowKey][]byte // as last written by the operator and the servers, nil once removed
 	}
 
 	// worker is a stand-in server behind a proxy.
@@ -99,8 +102,16 @@
 	}
 	wg.Go(func() { r.probeConfigs(work) })
 	wg.Go(func() { r.requestLimits(work) })
-	r.injectFaults(work)
+	if r.Restores {
+		restoring, end := context.WithCancel(work)
+		r.faults.Go(func() { r.restoreStore(restoring) })
+		r.injectFaults(work)
+		end()
+	} else {
+		r.injectFaults(work)
+	}
 	r.faults.Wait()
+	r.rewriteRows()
 	r.clearFaults()
 	if !r.awaitRecovery(ctx, "end") && ctx.Err() == nil {
 		r.check.RecordViolation("recover", "some nodes do not serve requests %v after the last fault", recoveryTime)
@@ -170,7 +181,7 @@
 
 // writeEntry writes a server's table entry, with the proxy's address.
 func (r *Run) writeEntry(w *worker, leaving bool) {
-	r.store.Put(platform.TableServers, w.ID, w.EntryAt(w.proxy.Address(), w.service, "z", leaving))
+	r.put(platform.TableServers, w.ID, w.EntryAt(w.proxy.Address(), w.service, "z", leaving))
 }
 
 // writeConfig writes a configuration with a route that only this version has.
@@ -178,7 +189,7 @@
 	d := standin.Deployment{Host: host, Models: models, Adapters: adapters, AdapterSlots: adapterSlots, ModelMB: modelMB, EngineMB: engineMB,
 		Teams: []standin.Team{{Name: unlimitedTeam, Keys: []string{key(unlimitedTeam, version), key(unlimitedTeam, version-1)}},
 			{Name: limitedTeam, Keys: []string{key(limitedTeam, version), key(limitedTeam, version-1)}, Rate: quotaRate, Burst: quotaBurst}}}
-	r.store.Put(platform.TableOperator, platform.KeyConfig, d.Configuration(version))
+	r.put(platform.TableOperator, platform.KeyConfig, d.Configuration(version))
 	r.version.Store(int64(version))
 	r.check.RecordRevocation(version-2, time.Now().Add(revocationDelay))
 }
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -25,12 +25,19 @@
 	{701005, "a node got only requests for models without a copy while the soak did not refresh the engines' entries"},
 }
 
-// TestSeedsHold runs the soak with each seed and requires that no invariant is violated.
-func TestSeedsHold(t *testing.T) {
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "guavapaddle")
 	build := exec.Command("go", "build", "-o", binary, "guavapaddle/cmd/guavapaddle")
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
+	return binary
+}
+
+// TestSeedsHold runs the soak with each seed and requires that no invariant is violated.
+func TestSeedsHold(t *testing.T) {
+	binary := buildProgram(t)
 	for _, s := range seeds {
 		r := &soak.Run{Binary: binary, Seed: s.seed, Duration: 6 * time.Second, Nodes: 3, Dir: t.TempDir(), Log: io.Discard}
 		violations, err := r.Do(context.Background())
@@ -39,6 +46,21 @@
 	}
 }
 
+// restoreSeeds are run with a store that comes back from older copies.
+var restoreSeeds = []uint64{41, 42}
+
+// TestRestoresHold runs the soak with a store that is restored from copies some seconds old, and requires
+// that no invariant is violated.
+func TestRestoresHold(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range restoreSeeds {
+		r := &soak.Run{Binary: binary, Seed: seed, Duration: 8 * time.Second, Nodes: 3, Restores: true, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
