follow: a node's first read confirms the configuration only after a while

Cause: only a node that had seen the era rise held confirmations back for the time in which the operator writes again; one that starts can't see that.

Change: the first read in an era above zero counts as the begin of that era. Confirmations of other nodes, which have kept to the same rule, count at once. Price: where there are keys, nodes that all start together refuse them for up to 1.8 s after their first read.

Evidence: TestRevokedKeyIsRefusedByNodeStartedAfterRestore failed three times of three and passes; the tests of keys, quotas and restores of internal/front and all of internal/follow pass.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -215,8 +215,9 @@
 	t := &f.operator
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if own := t.ownRevision(); own.Era == newest.Era && !own.Before(newest) {
-		t.confirm(at)
+	own := t.ownRevision()
+	if own.Number > 0 && own.Era == newest.Era && !own.Before(newest) && !f.newest.isStoreBehind() {
+		f.confirmation.advance(at)
 	}
 }
 
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -34,7 +34,7 @@
 		lastComplete time.Time            // up to when the copy is complete, whichever node read it
 		announced    revision.Revision    // newest revision that another node announced
 		outageEnd    time.Time            // when the store's last outage ended
-		eraBegan     time.Time            // when this node learned of the last restore of the store
+		eraBegan     time.Time            // when this node learned of the store's era
 		unreachable  bool
 		quick        bool // the next feed call uses quickWait
 	}
@@ -242,7 +242,8 @@
 }
 
 // confirm records that the copy is complete up to the start of a store call. A store that was just
-// restored, or has an older configuration than the one in force, confirms nothing; t.mu is held.
+// restored, as far as this node knows, or has an older configuration than the one in force, confirms
+// nothing; t.mu is held.
 func (t *table) confirm(began time.Duration) {
 	if t != &t.f.operator || t.ownRevision().Number == 0 || t.f.newest.isStoreBehind() {
 		return
@@ -260,8 +261,11 @@
 	if at.Before(t.revision) {
 		return false
 	}
-	if t.isRestoredBy(at) {
+	switch {
+	case t.isRestoredBy(at):
 		t.beginEra(rows, at)
+	case t.revision.IsZero() && at.Era > 0:
+		t.eraBegan = time.Now() // the store may have been restored just before the first read
 	}
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
--- a/internal/front/restore_test.go
+++ b/internal/front/restore_test.go
@@ -106,3 +106,28 @@
 	f.store.Restore(copied)
 	require.Eventually(t, func() bool { return f.store.Row("node", "late").Version != 0 }, 5*time.Second, 5*time.Millisecond)
 }
+
+// TestRevokedKeyIsRefusedByNodeStartedAfterRestore guards against a node that accepts a revoked key because
+// it reads the restored store before any node that knows the newest configuration has replied to it.
+func TestRevokedKeyIsRefusedByNodeStartedAfterRestore(t *testing.T) {
+	t.Parallel()
+	f, _ := newClusterWithKeys(t, 2, "")
+	f.waitForLeader()
+	copied := f.store.Backup()
+	f.store.Put(platform.TableOperator, platform.KeyConfig, []byte(configWithTeam(2, "", "k-new")))
+	for i, p := range f.nodes {
+		require.Eventually(t, func() bool {
+			status, _ := p.get(t, "/calls/x", fmt.Sprint("r", i), "")
+			return status == 401
+		}, inForceBound, 5*time.Millisecond)
+	}
+	<-time.After(revocation)
+	f.store.Restore(copied)
+	late := f.start("late")
+	began := time.Now()
+	for i := 0; time.Since(began) < 3*time.Second; i++ {
+		status, body := late.get(t, "/calls/x", fmt.Sprint("k", i), "")
+		require.NotEqual(t, 200, status, "%v after the start: %s", time.Since(began), body)
+		<-time.After(5 * time.Millisecond)
+	}
+}
