--- a/core/leader/doc.go
+++ b/core/leader/doc.go
@@ -29,7 +29,7 @@
 // twice. A row that was last written in an earlier era doesn't show who held the
 // lease when the store was restored. Only the node whose own lease can't have been
 // taken by another one acquires it again at once; all others wait for the time to
-// live plus the margin, even if the row names nobody or their own node.
+// live plus the margin, even if the row names no node, or their own.
 //
 // The alternative is one lease for each backend server (core/lease). With a single
 // lease, one node reads the state of at most a few hundred engines and can meter
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -289,10 +289,10 @@
 	return !t.revision.IsZero() && at.Era > t.revision.Era
 }
 
-// latest returns until when a missing entry is kept, given a time that doesn't depend on the entry: after an
+// missingUntil returns until when a missing entry is kept, given a time that doesn't depend on the entry: after an
 // outage, in which entries expire, it is kept for a grace period, and one that was found missing
 // earlier for as long as was decided then. t.mu is held.
-func (t *table) latest(until time.Time, key string) time.Time {
+func (t *table) missingUntil(until time.Time, key string) time.Time {
 	if at := t.outageEnd.Add(MissingGrace); at.After(until) {
 		until = at
 	}
@@ -371,7 +371,7 @@
 			continue
 		}
 		t.recordRemoval(r)
-		if until := t.latest(keepUntil, r.Key); t.isUsed(r.Key) && now.Before(until) {
+		if until := t.missingUntil(keepUntil, r.Key); t.isUsed(r.Key) && now.Before(until) {
 			t.missing[r.Key] = until
 			continue
 		}
--- a/internal/follow/withheld.go
+++ b/internal/follow/withheld.go
@@ -18,7 +18,7 @@
 
 // drop removes an entry and remembers that it was removed; t.mu is held.
 func (t *table) drop(now time.Time, key string) {
-	if _, ok := t.rows[key]; !ok {
+	if !t.has(key) {
 		return
 	}
 	delete(t.rows, key)
