--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -190,7 +190,7 @@
 	if at.Before(e.revision) {
 		return // the store has been restored since
 	}
-	if at.Era != e.revision.Era && !(e.holding && e.mayStillHold(sent)) {
+	if at.Era != e.revision.Era && (!e.holding || !e.mayStillHold(sent)) {
 		e.Observe(sent, l, at)
 		return
 	}
