soak: the time in which nodes can't check keys belongs to a restore

Traced: the last restore had ended 0.3 s before; node n1 answered all six requests within 4 ms with 503, reason stale-config, since a store that was just restored confirms no configuration for 1.8 s and the soak's keys last 2 s. The promise allows 10 s; the check tries once. The check stays; the fault now lasts until 2 s after the rewrite.

--- a/internal/testbed/soak/restore.go
+++ b/internal/testbed/soak/restore.go
@@ -17,6 +17,9 @@
 	// rewriteMS is how long after the store's return the operator and the servers may take to write
 	// again what it has lost.
 	rewriteMS = 1500
+	// confirmTime is how long after a restore nodes take no configuration for confirmed, and refuse
+	// requests whose keys they can't check.
+	confirmTime = 2 * time.Second
 )
 
 type (
@@ -72,6 +75,7 @@
 		r.store.Outage(false)
 		clock.Sleep(ctx, randomDuration(rng, 1, rewriteMS))
 		r.rewriteRows()
+		time.Sleep(confirmTime) // part of the fault, also at the end of the run
 		next = time.Now().Add(randomDuration(rng, 500, 6000))
 	}
 }
