follow: any response of a later era ends the feed calls of an earlier one

Change: a table records the era of every response to its node (platform.Store.OnEra, the other table). A later one cancels the feed call in progress, and the table is read in full.

Test: TestRestoreEndsUnansweredFeed, 0.3 s allowed.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -160,6 +160,14 @@
 	wg.Wait()
 }
 
+// ObserveEra records the era of the store in a response to any of this node's calls. If it is later
+// than that of a table, the table's feed call in progress is cancelled and the table is read in full: the
+// store may leave a call unanswered that began before a restore.
+func (f *Follower) ObserveEra(era int64) {
+	f.operator.observeEra(era)
+	f.server.observeEra(era)
+}
+
 // Age returns the age of the copy of the tables, whichever node read them.
 func (f *Follower) Age(now time.Time) time.Duration {
 	operator, _ := f.operator.ages(now)
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -152,3 +152,32 @@
 	s.Put(platform.TableOperator, platform.KeyConfig, configOf(2))
 	eventually(t, "confirmed", func() bool { return n.ConfigAge() < 2*time.Second })
 }
+
+// TestRestoreEndsUnansweredFeed guards against a node that learns of a restore only when a feed call times
+// out which the store left unanswered at the moment of the restore: entries that the copy lacks were used
+// for 3.2 s after their servers had gone. Any other response of the store shows the restore.
+func TestRestoreEndsUnansweredFeed(t *testing.T) {
+	t.Parallel()
+	const timely = 300 * time.Millisecond // of the 1.4 s after which the call times out
+	for name, learn := range map[string]func(s *standin.Store, n *node){
+		"by the other table": func(s *standin.Store, _ *node) {
+			s.Put(platform.TableOperator, platform.KeyConfig, configOf(3))
+		},
+		"by another call": func(_ *standin.Store, n *node) { n.ObserveEra(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := standin.NewStore(t)
+			s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
+			s.Put(platform.TableServers, "i-1", entry("ready"))
+			n := startAdjustedNode(t, s, func(f *follow.Follower) { f.Role = func() follow.Role { return follow.Leader } })
+			eventually(t, "start", func() bool { return n.version() == 1 && n.has("i-1") })
+			s.HangFeeds(platform.TableServers, 1)
+			eventually(t, "a feed gets no response", func() bool { return s.HungFeeds() == 1 })
+			s.Restore(s.Backup())
+			s.Put(platform.TableServers, "i-2", entry("ready"))
+			learn(s, n)
+			require.Eventually(t, func() bool { return n.has("i-2") }, timely, time.Millisecond)
+		})
+	}
+}
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -36,7 +36,9 @@
 		outageEnd    time.Time            // when the store's last outage ended
 		eraBegan     time.Time            // when this node learned of the store's era
 		unreachable  bool
-		quick        bool // the next feed call uses quickWait
+		quick        bool               // the next feed call uses quickWait
+		cancelFeed   context.CancelFunc // cancels the feed call in progress, nil if there is none
+		observedEra  int64              // latest era of the store in any response to this node
 	}
 )
 
@@ -75,6 +77,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		t.f.ObserveEra(t.eraAfter(err))
 		if feedBroken(err) {
 			t.f.Log.Info("feed-history-gone", zap.String("table", t.name), zap.Stringer("after", t.Revision()), zap.Error(err))
 			clock.Sleep(ctx, max(0, rereadInterval-time.Since(brokenAt)))
@@ -214,11 +217,16 @@
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
+	t.setCancelFeed(cancel)
 	rows, at, err := t.f.Store.Feed(ctx, t.name, after, wait)
 	hideKeys(rows)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.cancelFeed = nil
 	t.quick = err != nil
+	if err != nil && after.Era < t.observedEra {
+		return &EraError{Table: t.name, Held: after.Era, Store: t.observedEra}
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -133,6 +133,7 @@
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
 		Role: n.role, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
+	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
