front: a node that the store rejects asks the seeds for the lease again

If the seed knew none, or the leader changed after that, nothing told the node: it can't read the row, and its reports go to a node that isn't the leader, or nowhere. The seed's one write of the node's row could fail too, and the leader then never accepted its key.

Change: while a node reaches neither the leader nor, for 2 s, the store, it asks the seeds for the lease alone, once a second. The seed that answers writes its row again.

Test: TestNodeRejectedByStoreLearnsOfNextLeader.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -57,6 +57,7 @@
 		wait = n.reportInterval()
 		l, ok := n.placer.Leader()
 		if !ok || l.Node == "" {
+			n.queryLease(ctx)
 			continue
 		}
 		r := n.newReport(l)
@@ -78,6 +79,7 @@
 		}
 		n.gateway.RestoreMarks(r.Marks)
 		n.gateway.LeaderLost()
+		n.queryLease(ctx)
 		wait = b.NextBackOff()
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -258,6 +258,31 @@
 	}, 5*time.Second, 5*time.Millisecond, "the leader accepts its key, since another node wrote its row")
 }
 
+// TestNodeRejectedByStoreLearnsOfNextLeader guards against a node that the store rejects and that never
+// learns of a leader elected after it joined: the seed knew none, or an earlier one, at that time.
+func TestNodeRejectedByStoreLearnsOfNextLeader(t *testing.T) {
+	f := &testCluster{t: t, store: standin.NewStore(t)}
+	f.run(2, configuration)
+	f.waitForLeader()
+	unavailable := standin.NewStore(t)
+	unavailable.Outage(true)
+	f.seeds = []string{f.nodes[0].settings.Control, f.nodes[1].settings.Control}
+	available := f.store
+	f.store = unavailable
+	late := f.start("late")
+	f.store = available
+	reached := func() int { return late.logs.FilterMessage("leader-reached").Len() }
+	require.Eventually(t, func() bool { return reached() == 1 }, 5*time.Second, 5*time.Millisecond)
+	var l leader.Lease
+	require.NoError(t, json.Unmarshal(f.store.Row("lease", "orders").Value, &l))
+	for _, p := range f.nodes {
+		if p.settings.Node == l.Node {
+			p.stop()
+		}
+	}
+	require.Eventually(t, func() bool { return reached() == 2 }, 8*time.Second, 5*time.Millisecond)
+}
+
 func TestLoadChecksSettings(t *testing.T) {
 	good := `{"node":"n","data-centre":"z","clients":"1.2.3.4:1","ready":"1.2.3.4:2","peers":"1.2.3.4:3","metrics":"1.2.3.4:4","control":"1.2.3.4:6","seeds":["1.2.3.4:6"],"store":"1.2.3.4:5",
 "cores":0.4,"memory-mb":284,"descriptors":4100,"grace-s":8,"lease-ms":3000,"load-window-s":5,"repeat-ratio":0.2,"repeat-extra":56,"repeat-span-s":10,"engines-check-epochs":true,"log-level":"info"}`
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -22,13 +22,19 @@
 	joinTimeout = 500 * time.Millisecond
 	// maxJoinBytes limits the size of a join request.
 	maxJoinBytes = 64 << 10
+	// leaseQueryInterval is the minimum time between two queries of the seeds for the lease.
+	leaseQueryInterval = time.Second
+	// storeSilence is how long the store must not have responded to this node before the node queries
+	// the seeds for the lease.
+	storeSilence = 2 * time.Second
 )
 
 type (
 	// joinRequest is the request of a node that the store rejects.
 	joinRequest struct {
-		Node string  `json:"node"`
-		Row  nodeRow `json:"row"`
+		Node      string  `json:"node"`
+		Row       nodeRow `json:"row"`
+		LeaseOnly bool    `json:"lease-only,omitempty"` // the node has a copy of the tables
 	}
 
 	// joinReply is the replying node's copy of the store.
@@ -43,8 +49,24 @@
 // platform, as the address of the store does; their keys can't be checked while the store is
 // out of reach. The node that replies also writes this node's row, so that the leader
 // accepts this node's key.
-func (n *Node) join(ctx context.Context) {
-	r := joinRequest{Node: n.settings.Node, Row: nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()}}
+func (n *Node) join(ctx context.Context) { n.querySeeds(ctx, false) }
+
+// queryLease requests the lease from the seeds if this node reaches neither the leader nor the store.
+// Without it a node that the store rejects would never learn of the next leader, nor would the leader
+// accept this node's key if the write of its row had failed.
+func (n *Node) queryLease(ctx context.Context) {
+	now := clock.SinceBoot()
+	if n.follower.StoreAge(time.Now()) < storeSilence || now-n.leaseQueriedAt < leaseQueryInterval {
+		return
+	}
+	n.leaseQueriedAt = now
+	n.querySeeds(ctx, true)
+}
+
+// querySeeds requests the lease, and the tables unless leaseOnly is set, from the seeds.
+func (n *Node) querySeeds(ctx context.Context, leaseOnly bool) {
+	r := joinRequest{Node: n.settings.Node, LeaseOnly: leaseOnly,
+		Row: nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()}}
 	for _, seed := range n.settings.Seeds {
 		if seed == n.settings.Control {
 			continue
@@ -58,8 +80,11 @@
 			n.log.Info("join-failed", zap.String("seed", seed), zap.Int("status", got.Status), zap.Error(err))
 			continue
 		}
-		n.log.Info("joined", zap.String("seed", seed), zap.Stringer("revision", reply.Copy.Version), zap.Duration("age", reply.Copy.Age))
-		n.follower.ApplySnapshot(time.Now(), reply.Copy, sentAt)
+		n.log.Info("joined", zap.String("seed", seed), zap.Stringer("revision", reply.Copy.Version), zap.Duration("age", reply.Copy.Age),
+			zap.Bool("lease-only", leaseOnly))
+		if !leaseOnly {
+			n.follower.ApplySnapshot(time.Now(), reply.Copy, sentAt)
+		}
 		n.placer.ObserveLease(reply.Lease)
 		return
 	}
@@ -83,10 +108,13 @@
 		http.Error(w, "no node", http.StatusBadRequest)
 		return
 	}
-	c, ok := n.follower.Snapshot(time.Now())
-	if !ok {
-		http.Error(w, "no copy", http.StatusServiceUnavailable)
-		return
+	var c follow.Snapshot
+	if !r.LeaseOnly {
+		var ok bool
+		if c, ok = n.follower.Snapshot(time.Now()); !ok {
+			http.Error(w, "no copy", http.StatusServiceUnavailable)
+			return
+		}
 	}
 	go n.writeRowOf(r)
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -96,6 +96,7 @@
 	roster          uint64                            // version of the leader's roster that a deputy has; likewise
 	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
 	clockEchoAt     time.Duration                     // boot time of the arrival of that reply; likewise
+	leaseQueriedAt  time.Duration                     // boot time of the last query of the seeds for the lease; likewise
 	refresher       refresher
 	peerKeys        trustedKeys
 	leaderCalls     callGroup
