front: nodes register in a part of the store of their own, and ever later

Cause: the store writes the rows of one part one after another, 300 a second, and rejects what would wait for over a second. 985 nodes that start at once wrote their rows into the part of the lease, again each 0.3 s: 50 of 53 logged first writes were refused, and the lease's writes failed from 1.7 to 4 s after the start.

Change: the nodes' rows are in a part "node". A failed write is repeated after 0.3 to 5 s, doubling with jitter. A node of an earlier build doesn't see the rows there, nor is it seen: it serves by itself while both run.

--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -132,6 +132,6 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	_, _, ok, err := n.store.Change(ctx, platform.Change{Set: []platform.Row{{Table: nodeTable, Key: r.Node, Value: value}}})
+	_, _, ok, err := n.store.Change(ctx, platform.Change{Set: []platform.Row{{Table: nodeTable, Part: nodePart, Key: r.Node, Value: value}}})
 	n.log.Info("node-vouched-for", zap.String("node", r.Node), zap.Bool("written", ok), zap.Error(err))
 }
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"guavapaddle/core/revision"
@@ -18,8 +19,13 @@
 
 const (
 	nodeTable = "node"
-	// registerRetry is the delay before a failed write of the node's row is repeated.
-	registerRetry = 300 * time.Millisecond
+	// nodePart is the part of the nodes' rows. The store writes 300 rows of a part per second, and a start
+	// of 1,000 nodes that shared the lease's part kept the leader from renewing the lease for 3 s.
+	nodePart = "node"
+	// minRegisterRetry and maxRegisterRetry bound the delay before a failed write of the node's row is
+	// repeated. It doubles with each failure, since hundreds of nodes may start at once.
+	minRegisterRetry = 300 * time.Millisecond
+	maxRegisterRetry = 5 * time.Second
 	// registerSpread is the time over which the nodes write their rows again after a restore of the
 	// store, so that 350 nodes stay within its write rate.
 	registerSpread = time.Second
@@ -54,15 +60,19 @@
 		n.log.Error("node-row", zap.Error(err))
 		return
 	}
-	row := platform.Row{Table: nodeTable, Key: n.settings.Node, Value: value}
+	row := platform.Row{Table: nodeTable, Part: nodePart, Key: n.settings.Node, Value: value}
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval, retry.Multiplier = minRegisterRetry, maxRegisterRetry, 2
 	for {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, _, ok, err := n.store.Change(call, platform.Change{Set: []platform.Row{row}})
 		cancel()
 		delay := roster.Refresh
-		if !ok {
+		if ok {
+			retry.Reset()
+		} else {
 			n.log.Warn("node-row-failed", zap.Error(err))
-			delay = registerRetry
+			delay = retry.NextBackOff()
 		}
 		if !n.awaitRegistration(ctx, delay) {
 			return
@@ -101,7 +111,7 @@
 func (n *Node) removeExpired(ctx context.Context, w *roster.Watcher) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
+	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
 	if err != nil {
 		n.log.Warn("node-rows-failed", zap.Error(err))
 		return
@@ -111,7 +121,7 @@
 		versions[r.Key] = r.Revision()
 	}
 	for _, key := range w.Expired(clock.SinceBoot(), versions) {
-		row := platform.Row{Table: nodeTable, Key: key, Version: versions[key].Number, Era: versions[key].Era}
+		row := platform.Row{Table: nodeTable, Part: nodePart, Key: key, Version: versions[key].Number, Era: versions[key].Era}
 		_, _, ok, err := n.store.Change(ctx, platform.Change{Expect: []platform.Row{row}, Remove: []platform.Row{row}})
 		n.log.Info("node-row-removed", zap.String("node", key), zap.Stringer("revision", row.Revision()), zap.Bool("removed", ok), zap.Error(err))
 	}
@@ -156,7 +166,7 @@
 func (n *Node) readPeerKeys() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	rows, _, err := n.store.Read(ctx, nodeTable, "", "")
+	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
 	keys := map[string]bool{}
 	for _, r := range rows {
 		var v nodeRow
