balance, placer: engines are indexed by model

Cause: each slot request of an item that was not cached, each adapter load and each report of an adapter's use walked over all engines: their cost grew with the product of requests and engines.

Change: the picker and the placer keep the engines by the models that their entries and updates name.

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -194,7 +194,14 @@
 		return h
 	}
 	h := &holders{at: now, reason: NoServer}
-	for _, s := range p.byService[service] {
+	list := p.byService[service]
+	if item.model != "" {
+		if len(list) > len(p.byModel[key]) {
+			h.reason = NoModel
+		}
+		list = p.byModel[key]
+	}
+	for _, s := range list {
 		switch {
 		case item.model != "" && !s.holds(now, resident{item.model, ""}):
 			h.reason = moreSpecific(h.reason, NoModel)
--- a/core/balance/picker.go
+++ b/core/balance/picker.go
@@ -38,6 +38,7 @@
 		prefillTime map[string]float64 // by model: time to read a prompt, relative to defaultPrefillRate
 		servers     map[string]*server
 		byService   map[string][]*server          // sorted by ID
+		byModel     map[model][]*server           // those of byService that may hold a model, by their entries or updates
 		holders     map[model]map[string]*holders // cache, by model and adapter
 		eligibleBuf []*server                     // reused by each pick
 		nodes       int                           // number of nodes that pick on their own, 0 if unknown
@@ -90,7 +91,7 @@
 // New returns an empty picker that uses rng for its random choices.
 func New(rng *rand.Rand) *Picker {
 	return &Picker{rng: rng, prefillTime: map[string]float64{}, servers: map[string]*server{}, byService: map[string][]*server{},
-		holders: map[model]map[string]*holders{}, rateFraction: 1}
+		byModel: map[model][]*server{}, holders: map[model]map[string]*holders{}, rateFraction: 1}
 }
 
 // Update replaces the list of servers. State is kept for servers that stay or reappear; a server
@@ -125,9 +126,33 @@
 		p.removed = slices.Delete(p.removed, 0, n)
 	}
 	p.servers, p.byService = servers, byService
+	p.indexModels()
 	clear(p.holders)
 }
 
+// indexModels builds byModel. A search of all engines for the holders of each item took time that grew with
+// the product of requests and engines.
+func (p *Picker) indexModels() {
+	p.byModel = map[model][]*server{}
+	for service, list := range p.byService {
+		for _, s := range list {
+			for _, h := range s.Resident {
+				p.addToModel(model{service, h.Model}, s)
+			}
+			for h := range s.residency {
+				p.addToModel(model{service, h.model}, s)
+			}
+		}
+	}
+}
+
+// addToModel adds a server to the servers that may hold a model, unless it was the last one added.
+func (p *Picker) addToModel(m model, s *server) {
+	if list := p.byModel[m]; len(list) == 0 || list[len(list)-1] != s {
+		p.byModel[m] = append(list, s)
+	}
+}
+
 // takeRemoved takes the server with an ID from the removed servers and returns it, or nil if there
 // is none.
 func (p *Picker) takeRemoved(id string) *server {
@@ -214,9 +239,15 @@
 
 // SetResidency overrides a server's store entry: the server holds, or lacks, a model or adapter.
 func (p *Picker) SetResidency(now time.Time, id, name, adapter string, has bool) {
-	if s := p.servers[id]; s != nil {
-		s.residency[resident{name, adapter}] = residencyUpdate{resident: has, until: now.Add(residencyTTL)}
-		delete(p.holders, model{s.Service, name})
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.residency[resident{name, adapter}] = residencyUpdate{resident: has, until: now.Add(residencyTTL)}
+	m := model{s.Service, name}
+	delete(p.holders, m)
+	if has && !s.Leaving && !slices.Contains(p.byModel[m], s) {
+		p.byModel[m] = append(p.byModel[m], s)
 	}
 }
 
--- a/core/grant/growth_test.go
+++ b/core/grant/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -101,3 +102,29 @@
 		})
 	}
 }
+
+// TestPickDoesNotGrowWithOtherEngines guards against a search of all engines for the holders of a model: the cost
+// of a slot request then grew with the fleet, and that of all of them with its square. Each residency update
+// of a model makes its holders be searched again.
+func TestPickDoesNotGrowWithOtherEngines(t *testing.T) {
+	const times = 8
+	fastest := func(engines int) time.Duration {
+		p := balance.New(rand.New(rand.NewPCG(1, 2)))
+		list := make([]fleet.Server, 0, engines)
+		for i := range engines {
+			list = append(list, fleet.Server{ID: fmt.Sprint("s", i), Service: "llm", Slots: 16,
+				Resident: []fleet.ResidentModel{{Model: fmt.Sprint("m", i/10)}}})
+		}
+		p.Update(list)
+		r := balance.Request{Service: "llm", Model: "m1", Tokens: 100}
+		return cputime.Min(20, func() {
+			for range 100 {
+				p.SetResidency(start, "s10", "m1", "a1", true)
+				_, reason := p.PickWithin(start, r, 2000, 1)
+				require.Equal(t, balance.Picked, reason)
+			}
+		})
+	}
+	few, many := fastest(500), fastest(500*times)
+	require.Less(t, many, 3*few, "%d times the engines take %v instead of %v", times, many, few)
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -315,6 +315,17 @@
 	return maps.Clone(h.total)
 }
 
+// CountsAt returns the counts of the given servers, summed over all nodes.
+func (h *Hub) CountsAt(servers []string) map[string]balance.Count {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]balance.Count, len(servers))
+	for _, id := range servers {
+		out[id] = h.total[id]
+	}
+	return out
+}
+
 // countsOfOthers returns the counts of all nodes but one, leaving out servers for which HasGranter is
 // true; h.mu is held. With hundreds of servers the counts of all of them made up most of
 // each reply.
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -99,21 +99,22 @@
 // candidates returns the engines that could load an adapter: those that hold it first, then
 // the others by increasing cost.
 func (p *Placer) candidates(r hub.LoadRequest) []fleet.Server {
-	counts := p.Hub.Counts()
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	holders := p.byModel[r.Model]
+	counts := p.Hub.CountsAt(holders)
 	type candidate struct {
 		fleet.Server
 		cost int
 	}
 	var list []candidate
-	for _, s := range p.servers {
-		e := p.engine(s.ID)
+	for _, id := range holders {
+		s, e := p.servers[id], p.engine(id)
 		if slices.Contains(r.Exclude, s.ID) {
 			continue // the waiting requests can't be sent there
 		}
-		if s.Service != r.Service || s.Leaving || !s.Holds(r.Model, "") || e.unloading == r.Model || now.Before(e.blockedUntil) {
+		if s.Service != r.Service || s.Leaving || e.unloading == r.Model || now.Before(e.blockedUntil) {
 			continue
 		}
 		c := cost(counts[s.ID]) + 300*len(e.adapters)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -77,6 +77,7 @@
 		writeSem     *semaphore.Weighted // serializes writes of the lease row; acquired before mu
 		config       *fleet.Config
 		servers      map[string]fleet.Server
+		byModel      map[string][]string // IDs of the servers whose entries list a model
 		engines      map[string]*engine
 		demand       map[string]float64 // prompt tokens per second, by model
 		priorLoad    map[string]float64 // load assumed before there is demand
@@ -153,7 +154,11 @@
 	defer p.mu.Unlock()
 	previous := p.servers
 	p.servers = make(map[string]fleet.Server, len(list))
+	p.byModel = map[string][]string{}
 	for _, s := range list {
+		for _, h := range s.Resident {
+			p.byModel[h.Model] = append(p.byModel[h.Model], s.ID)
+		}
 		if previous[s.ID].StartedAtMS != s.StartedAtMS {
 			delete(p.engines, s.ID)
 		}
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -97,7 +97,11 @@
 // markUsed records the use of an adapter at all engines that hold it; p.mu is held.
 func (p *Placer) markUsed(now time.Time, d hub.Demand) {
 	key := d.Model + "/" + d.Adapter
-	for _, e := range p.engines {
+	for _, id := range p.byModel[d.Model] {
+		e := p.engines[id]
+		if e == nil {
+			continue
+		}
 		if at, ok := e.adapters[key]; ok && now.After(at) {
 			e.adapters[key] = now
 		}
