--- a/core/balance/picker.go
+++ b/core/balance/picker.go
@@ -110,7 +110,7 @@
 		}
 		s.Server = f
 		servers[f.ID] = s
-		if !f.Leaving {
+		if !f.Leaving && !f.GrantOnly {
 			byService[f.Service] = append(byService[f.Service], s)
 		}
 	}
@@ -246,7 +246,7 @@
 	s.residency[resident{name, adapter}] = residencyUpdate{resident: has, until: now.Add(residencyTTL)}
 	m := model{s.Service, name}
 	delete(p.holders, m)
-	if has && !s.Leaving && !slices.Contains(p.byModel[m], s) {
+	if has && !s.Leaving && !s.GrantOnly && !slices.Contains(p.byModel[m], s) {
 		p.byModel[m] = append(p.byModel[m], s)
 	}
 }
--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -21,6 +21,7 @@
 		Zone        string // data centre
 		Slots       int
 		Leaving     bool
+		GrantOnly   bool // known from a granted slot, and not to be picked for other requests
 		Resident    []ResidentModel
 		OnDisk      []string // models that can be loaded from disk, without the weight store
 		InMemory    []string // models that can be loaded from host memory, which is faster than from disk
--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
 )
 
@@ -20,6 +21,9 @@
 	// core that took the lease of 65 nodes was too slow to answer their handshakes, which all came
 	// at once, yet it kept the lease.
 	smallNodeWait = 1500 * time.Millisecond
+	// relayedNodeWait replaces smallNodeWait in a fleet with relays for a node that is too small to be one. The
+	// relays look for the next leader, and one of them takes the lease unless none is left.
+	relayedNodeWait = 10 * time.Second
 	// firstElectionWait is the maximum time that a node waits before it takes a lease that nobody
 	// has held. The wait is proportional to how much the node's capacity falls short of a whole
 	// core.
@@ -47,6 +51,11 @@
 		UnackedOrders map[string]int64 `json:"late,omitempty"`
 		// Loading is the model that was being loaded on each engine when the row was written.
 		Loading map[string]string `json:"coming,omitempty"`
+		// Relays pass reports and updates on between the leader and the other nodes. They are empty
+		// in a small fleet, and while Assigned is false.
+		Relays []relay.Relay `json:"relays,omitempty"`
+		// Assigned is set once a leader has decided which nodes are relays.
+		Assigned bool `json:"assigned,omitempty"`
 	}
 
 	// Elector tracks the lease for one node and decides when the node may take or renew it.
@@ -74,6 +83,12 @@
 	return l
 }
 
+// WithRelays returns the lease with the relays of another lease.
+func (l Lease) WithRelays(o Lease) Lease {
+	l.Relays, l.Assigned = o.Relays, o.Assigned
+	return l
+}
+
 // TermID identifies the term of the leader. Unlike the epoch it stays the same when the leader acquires
 // the lease again.
 func (l Lease) TermID() int64 { return cmp.Or(l.Term, l.Epoch) }
@@ -159,6 +174,10 @@
 // takeoverWait returns how long the row must have been unchanged before this node may take the
 // lease.
 func (e *Elector) takeoverWait() time.Duration {
+	smallNodeWait := smallNodeWait
+	if len(e.observed.Relays) > 0 && 2*e.Self.Cores < e.observed.Cores {
+		smallNodeWait = relayedNodeWait
+	}
 	switch {
 	case e.IsRestored() && e.Self.Cores < e.observed.Cores:
 		return e.TTL + e.TTL/marginDivisor + smallNodeWait
@@ -215,7 +234,7 @@
 // name an earlier one.
 func (e *Elector) Leader() (Lease, bool) {
 	if e.holding {
-		l := e.Self.WithLoads(e.observed)
+		l := e.Self.WithLoads(e.observed).WithRelays(e.observed)
 		l.Epoch, l.Term = e.epoch, e.term
 		return l, true
 	}
@@ -227,6 +246,9 @@
 	return e.observed, e.revision, e.known && e.revision.Number != 0
 }
 
+// Observed reports whether it is known whether the row exists.
+func (e *Elector) Observed() bool { return e.known }
+
 // Revision returns the last observed revision of the row, zero if there is none.
 func (e *Elector) Revision() revision.Revision { return e.revision }
 
--- a/core/leader/elector_test.go
+++ b/core/leader/elector_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/leader"
+	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
 )
 
@@ -153,3 +154,25 @@
 	e.Observe(5*time.Second, leader.Lease{Node: "a", Incarnation: "0", Epoch: 1}, at(8))
 	require.False(t, e.RecentlyRenewed(5*time.Second), "an earlier process of this node held the lease")
 }
+
+// TestRelaysTakeLeaseFirst guards against a small node that takes the lease of a large fleet because it has lost
+// its relay, while the relays still reach the leader.
+func TestRelaysTakeLeaseFirst(t *testing.T) {
+	relays := []relay.Relay{{Node: "b"}}
+	last := leader.Lease{Node: "x", Incarnation: "1", Epoch: 1, Cores: 0.8, Relays: relays, Assigned: true}
+	lapsed := ttl + ttl/6
+	for _, c := range []struct {
+		cores float64
+		at    time.Duration
+		due   bool
+	}{{0.8, lapsed, true}, {0.4, lapsed + 1500*time.Millisecond, true}, {0.2, lapsed + 1500*time.Millisecond, false}, {0.2, lapsed + 10*time.Second, true}} {
+		e := &leader.Elector{Self: leader.Lease{Node: "a", Incarnation: "1", Cores: c.cores}, TTL: ttl}
+		e.Observe(0, last, at(10))
+		l, _, due := e.Propose(c.at)
+		require.Equal(t, c.due, due, "%v cores after %v", c.cores, c.at)
+		require.Empty(t, l.Relays, "the caller adds them")
+		got, ok := e.Leader()
+		require.True(t, ok)
+		require.Equal(t, relays, got.Relays)
+	}
+}
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"guavapaddle/core/fleet"
@@ -13,6 +14,9 @@
 	assumedNodes = 100
 	// shareTTL is how long a share stays valid after a granter last sent it.
 	shareTTL = 6 * time.Second
+	// maxUnacknowledged is the number of reports that may be acknowledged after later ones were sent,
+	// because a relay answers before the granter does.
+	maxUnacknowledged = 16
 )
 
 type (
@@ -28,11 +32,17 @@
 		sums         map[string]Usage
 		acknowledged map[string]Usage // as of the last acknowledged report
 		reportNumber uint64           // of the last report
-		reported     map[string]Usage // as of the last report
+		reported     []numberedSums   // as of the last reports, oldest first
 		reserves     map[string]*reserve
 		nodes        int
 	}
 
+	// numberedSums is what a report contained.
+	numberedSums struct {
+		number uint64
+		sums   map[string]Usage
+	}
+
 	// assignedShare is a share and the time when a granter last sent it.
 	assignedShare struct {
 		share float64
@@ -159,7 +169,10 @@
 // last acknowledged report.
 func (a *Account) Report() UsageReport {
 	a.reportNumber++
-	a.reported = maps.Clone(a.sums)
+	a.reported = append(a.reported, numberedSums{a.reportNumber, maps.Clone(a.sums)})
+	if n := len(a.reported) - maxUnacknowledged; n > 0 {
+		a.reported = slices.Delete(a.reported, 0, n)
+	}
 	out := UsageReport{Number: a.reportNumber}
 	for team, now := range a.sums {
 		if acknowledged := a.acknowledged[team]; acknowledged != now {
@@ -171,7 +184,11 @@
 
 // Acknowledge records that a granter has acknowledged the report of that number.
 func (a *Account) Acknowledge(reportNumber uint64) {
-	if reportNumber == a.reportNumber {
-		a.acknowledged = a.reported
+	for i, r := range a.reported {
+		if r.number == reportNumber {
+			a.acknowledged = r.sums
+			a.reported = slices.Delete(a.reported, 0, i+1)
+			return
+		}
 	}
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -52,6 +52,9 @@
 	// each is logged once.
 	maxUnreadable = 1024
 	readTimeout   = 1500 * time.Millisecond
+	// partialGrace is how long a node with a partial copy receives no updates before it reads the whole
+	// table. It takes less time to find another relay, and all nodes of a lost relay would read it.
+	partialGrace  = 2500 * time.Millisecond
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
 	// rereadInterval is the minimum time between two full reads of a table because its feed can't be
@@ -119,6 +122,14 @@
 		// was restored from a copy, once for each table and era; nil for never.
 		OnRestore func(table string, era int64)
 
+		// Omit reports whether the entry of a server is left out of the copies of nodes that use a
+		// relay; nil for none.
+		Omit func(server string) bool
+
+		// ExpectsFeed reports whether another node is about to pass changes on to this node, which has just
+		// started, so that it need not read the servers in full; nil for never.
+		ExpectsFeed func() bool
+
 		// FetchSnapshot fetches another node's copy when a table can't be read, nil for never.
 		FetchSnapshot func(ctx context.Context)
 
@@ -308,7 +319,7 @@
 		}
 	}
 	for id := range f.leaving {
-		if _, ok := leaving[id]; !ok {
+		if _, ok := leaving[id]; !ok && !f.dropsPartial(id) {
 			f.Log.Info("server-gone", zap.String("server", id), zap.Duration("age", age))
 		}
 	}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"guavapaddle/core/revision"
@@ -13,6 +14,7 @@
 		Operator revision.Revision
 		Servers  revision.Revision
 		Config   int64 // version of the configuration in force
+		Partial  bool  // the node has a partial copy of the servers
 	}
 
 	// Snapshot is a node's full copy of the tables.
@@ -22,8 +24,9 @@
 		Version  revision.Revision `json:"revision"` // of the table of servers
 		Age      time.Duration     `json:"age"`
 
-		ConfigAge time.Duration `json:"config-age"` // as Follower.ConfigAge returns it
-		Config    *platform.Row `json:"config"`     // the configuration in force if the store has lost it, or nil
+		ConfigAge time.Duration `json:"config-age"`        // as Follower.ConfigAge returns it
+		Config    *platform.Row `json:"config"`            // the configuration in force if the store has lost it, or nil
+		Partial   bool          `json:"partial,omitempty"` // Servers lacks those that Follower.Omit reports
 	}
 
 	// Update holds the changes that one node has and another one lacks.
@@ -33,6 +36,7 @@
 		After    revision.Revision // unless Whole, Servers are all changes after this revision
 		Version  revision.Revision // of the table of servers
 		Whole    bool              // Servers are all rows of the table
+		Partial  bool              // Servers lacks those that Follower.Omit reports
 		Age      time.Duration
 		Grace    time.Duration            // for which removed entries are still kept
 		Restored time.Duration            // for which entries that a restored store lacks are still kept
@@ -49,7 +53,7 @@
 func (f *Follower) Versions() Versions {
 	f.operator.mu.Lock()
 	defer f.operator.mu.Unlock()
-	return Versions{Operator: f.operator.ownRevision(), Servers: f.server.Revision(), Config: f.newest.version}
+	return Versions{Operator: f.operator.ownRevision(), Servers: f.server.Revision(), Config: f.newest.version, Partial: f.server.isPartial()}
 }
 
 // Revision returns the revision up to which this node has all changes.
@@ -89,14 +93,14 @@
 	t := &f.server
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u.Version = t.revision
+	u.Version, u.Partial = t.revision, t.partial
 	u.Grace = max(0, t.outageEnd.Add(MissingGrace).Sub(now))
 	u.Restored = MissingGrace
 	if !t.eraBegan.IsZero() {
 		u.Restored = max(0, t.eraBegan.Add(MissingGrace).Sub(now))
 	}
 	u.Withheld = t.withheldFor(now)
-	u.Whole = k.Servers.Before(t.removedAfter)
+	u.Whole = k.Servers.Before(t.removedAfter) || k.Partial
 	for _, r := range t.rows {
 		if _, missing := t.missing[r.Key]; !missing && (u.Whole || k.Servers.Before(r.Revision())) {
 			u.Servers = append(u.Servers, r)
@@ -110,6 +114,18 @@
 	return u
 }
 
+// PartialChangesSince is ChangesSince without the entries that Omit reports.
+func (f *Follower) PartialChangesSince(now time.Time, k Versions) Update {
+	k.Partial = false // what the other node lacks isn't sent
+	u := f.ChangesSince(now, k)
+	u.Partial = true
+	u.Servers = slices.DeleteFunc(u.Servers, f.omits)
+	return u
+}
+
+// omits reports whether an entry is left out of partial copies.
+func (f *Follower) omits(r platform.Row) bool { return !r.Gone && f.Omit != nil && f.Omit(r.Key) }
+
 // ApplyUpdate applies another node's update. It returns false if that node's copy is of an earlier era
 // of the store than this one's, and the update was ignored. Changes that begin after the revision of this
 // copy don't advance its revision. A node reports the changes that the leader lacked at its last
@@ -132,6 +148,7 @@
 	}
 	t.recordFeed(now, u)
 	withheld := t.withhold(now, u)
+	t.setPartial(u.Partial)
 	if u.Whole {
 		t.applyAll(u.Servers, u.Version, u.Restored)
 		return true
@@ -174,7 +191,7 @@
 func (f *Follower) Snapshot(now time.Time) (Snapshot, bool) {
 	age := f.ConfigAge()
 	config, _ := f.lackedConfig(0)
-	c := Snapshot{ConfigAge: age, Config: config, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Revision(), Age: f.Age(now)}
+	c := Snapshot{Partial: f.server.isPartial(), ConfigAge: age, Config: config, Operator: f.operator.allRows(), Servers: f.server.allRows(), Version: f.server.Revision(), Age: f.Age(now)}
 	return c, len(c.Operator) > 0 && len(c.Servers) > 0
 }
 
@@ -200,7 +217,7 @@
 		}
 	}
 	laterEra := f.server.Revision().Era < c.Version.Era
-	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Age: c.Age, Restored: MissingGrace})
+	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Partial: c.Partial, Age: c.Age, Restored: MissingGrace})
 }
 
 // applyRows applies rows of another node's copy.
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -39,6 +39,8 @@
 		quick        bool               // the next feed call uses quickWait
 		cancelFeed   context.CancelFunc // cancels the feed call in progress, nil if there is none
 		observedEra  int64              // latest era of the store in any response to this node
+		partial      bool               // the entries that Follower.Omit reports are missing
+		feedLostAt   time.Time          // since when no other node passes changes on, zero if one does
 	}
 )
 
@@ -66,13 +68,14 @@
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay, maxRetryDelay
 	leaderRetry := backoff.NewExponentialBackOff()
 	leaderRetry.InitialInterval, leaderRetry.MaxInterval = minLeaderRetryDelay, maxLeaderRetryDelay
-	full := true
+	full := !t.awaitFirstFeed(ctx)
 	var brokenAt time.Time // when a feed could last not be continued
 	for ctx.Err() == nil {
 		if !full && t.hasFeed() {
 			full = t.idle(ctx)
 			continue
 		}
+		full = full || t.needsWhole()
 		err := t.poll(ctx, full)
 		if ctx.Err() != nil {
 			return
@@ -175,7 +178,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quick = true
+	t.quick, t.feedLostAt = true, time.Time{}
 	if at := t.nextExpiry(); !at.IsZero() && !time.Now().Before(at) {
 		t.applyChanges(nil, t.revision)
 	}
@@ -198,6 +201,7 @@
 		t.recordResponse()
 		held := t.revision
 		applied := t.applyAll(rows, at, MissingGrace)
+		t.partial = t.partial && !applied
 		t.f.Log.Info("table-read", zap.String("table", t.name), zap.Stringer("revision", at), zap.Stringer("held", held),
 			zap.Int("rows", len(rows)), zap.Bool("applied", applied))
 		if at.Era < held.Era {
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -58,7 +58,7 @@
 // reportToDeputy reports to the deputy and returns whether the deputy accepted the report.
 func (n *Node) reportToDeputy(ctx context.Context, l leader.Lease, r hub.Report) bool {
 	if n.isActing() {
-		n.applyReply(r, n.HandleReport(r))
+		n.applyOwnReport(l, r)
 		return true
 	}
 	at, ok := n.availableDeputy()
@@ -68,6 +68,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r.Counts = n.gateway.Counts(actingEpoch(l))
+	if r.Nodes > 0 {
+		r.Counts = n.hub.WithCounts(r.Counts)
+	}
 	sentAt := clock.SinceBoot()
 	reply, err := (&hub.Client{Endpoint: n.endpoint}).Exchange(ctx, at.Address, r)
 	if err != nil || !reply.Acting {
@@ -81,6 +84,19 @@
 	return true
 }
 
+// applyOwnReport merges this node's report while it is the acting deputy. The reports of the nodes that use
+// it as their relay are merged one by one.
+func (n *Node) applyOwnReport(l leader.Lease, r hub.Report) {
+	r.Counts, r.Nodes = n.gateway.Counts(actingEpoch(l)), 0
+	n.applyReply(r, n.HandleReport(r))
+}
+
+// deputyReached reports whether the deputy recently replied to a report.
+func (n *Node) deputyReached() bool {
+	repliedAt := n.deputyReplyAt.Load()
+	return repliedAt != 0 && clock.SinceBoot()-time.Duration(repliedAt) < n.leaderTimeout()
+}
+
 // hasCoordinator reports whether this node need not look for a new leader in the store:
 // either the leader replies, or its deputy does, which looks for the next leader itself and
 // passes on the lease. Nodes with at least as many cores as the deputy look too, and may
@@ -89,8 +105,8 @@
 	if n.leaderReached() {
 		return true
 	}
-	at, repliedAt := n.deputy.Load(), n.deputyReplyAt.Load()
-	return at != nil && n.settings.Cores < at.Cores && repliedAt != 0 && clock.SinceBoot()-time.Duration(repliedAt) < n.leaderTimeout()
+	at := n.deputy.Load()
+	return at != nil && n.settings.Cores < at.Cores && n.deputyReached()
 }
 
 // acquireFromDeputy requests a slot at an engine from the deputy.
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -62,10 +62,11 @@
 		}
 		r := n.newReport(l)
 		sentAt := clock.SinceBoot()
-		reply, err := n.sendReport(ctx, l, r)
-		if err == nil && reply.Leading {
+		u := n.upstreamOf(l)
+		reply, err := n.sendReport(ctx, u, r)
+		if err == nil && (reply.Leading || reply.Relaying) {
 			b.Reset()
-			n.onLeaderReply(l, r, reply, sentAt)
+			n.onLeaderReply(u, l, r, reply, sentAt)
 			continue
 		}
 		if err == nil && n.placer.ObserveLease(reply.Lease) {
@@ -73,6 +74,12 @@
 			n.log.Info("leader-left", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
 			continue
 		}
+		if u.isRelay {
+			n.gateway.RestoreMarks(r.Marks)
+			n.avoidRelay(u, err)
+			wait = relayRetryDelay
+			continue
+		}
 		n.onLeaderFailure(l, err)
 		if n.reportToDeputy(ctx, l, r) {
 			continue
@@ -86,7 +93,10 @@
 
 // newReport returns the report of this node to the leader.
 func (n *Node) newReport(l leader.Lease) hub.Report {
-	r := n.gateway.Report(n.settings.Node, l.TermID())
+	r := n.gateway.Report(n.settings.Node, n.granterOf(l))
+	if n.passesOn() {
+		r = n.hub.WithNodes(time.Now(), r)
+	}
 	r.At = hub.Contact{Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
 	r.Known = n.follower.Versions()
 	r.Contact = n.follower.StoreAge(time.Now())
@@ -109,10 +119,10 @@
 	n.follower.ConfirmConfig(r.Update.Operator, r.Echo.Stamp+r.Echo.After)
 }
 
-// sendReport reports to the leader. A silent leader gets a shorter timeout, because the
+// sendReport reports to the upstream. A silent leader gets a shorter timeout, because the
 // report must reach its deputy in time too.
-func (n *Node) sendReport(ctx context.Context, l leader.Lease, r hub.Report) (hub.ReportReply, error) {
-	if l.Key == n.key.Fingerprint() {
+func (n *Node) sendReport(ctx context.Context, u upstream, r hub.Report) (hub.ReportReply, error) {
+	if u.key == n.key.Fingerprint() {
 		return n.HandleReport(r), nil
 	}
 	timeout := exchangeTimeout
@@ -121,13 +131,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return n.leaderClient().Exchange(ctx, l.Address, r)
+	return n.leaderClient().Exchange(ctx, u.address, r)
 }
 
-// onLeaderReply processes the leader's reply to a report. sentAt is the boot time at which
-// the report was sent.
-func (n *Node) onLeaderReply(l leader.Lease, r hub.Report, reply hub.ReportReply, sentAt time.Duration) {
+// onLeaderReply processes the reply of the leader, or of a relay, to a report. sentAt is the boot time
+// at which the report was sent.
+func (n *Node) onLeaderReply(u upstream, l leader.Lease, r hub.Report, reply hub.ReportReply, sentAt time.Duration) {
 	n.nodeCount.Store(int64(reply.Nodes))
+	n.directNodes.Store(int64(reply.Direct))
+	n.relayGranter.Store(reply.Granter)
+	if u != n.lastUpstream {
+		n.lastUpstream = u
+		n.log.Info("upstream", zap.String("upstream", u.node), zap.Bool("relay", u.isRelay), zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
+	}
 	if was := n.leaderReplyAt.Swap(int64(clock.SinceBoot())); was == 0 || time.Duration(int64(clock.SinceBoot())-was) > n.leaderTimeout() {
 		n.log.Info("leader-reached", zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch), zap.Int("nodes", reply.Nodes))
 	}
@@ -140,7 +156,7 @@
 		n.roster = reply.Roster
 	}
 	n.applyReply(r, reply)
-	if l.Key != n.key.Fingerprint() {
+	if u.key != n.key.Fingerprint() {
 		n.onFeed(reply.Update, sentAt)
 		n.placer.ObserveLease(reply.Lease)
 	}
@@ -151,13 +167,27 @@
 func (n *Node) applyReply(r hub.Report, reply hub.ReportReply) {
 	n.ack = reply.Heard
 	n.clockEcho, n.clockEchoAt = hub.ClockEcho{Hub: reply.Heard.Hub, Stamp: reply.Stamp}, clock.SinceBoot()
+	if r.Nodes > 0 {
+		reply = n.hub.ApplyAsRelay(time.Now(), n.gateway.Counts(reply.Granter), reply)
+	}
 	n.gateway.ApplyReply(reply)
 	n.addLeaving(reply.Departed...)
-	n.gateway.UpdateQuotas(r.Quotas.Number, reply.Quotas, reply.Nodes)
+	n.applyQuotas(reply)
 	n.leaderServers.Store(&reply.Update.Version)
 	n.leaderConfig.Store(reply.Update.ConfigVersion)
 }
 
+// applyQuotas applies the state of the quotas in a reply to a report. A relay that has not passed the usage
+// of this node on yet replies without any, and one that reaches no granter with the last one.
+func (n *Node) applyQuotas(reply hub.ReportReply) {
+	if !reply.Relaying || reply.UsageNumber != 0 {
+		n.gateway.UpdateQuotas(reply.UsageNumber, reply.Quotas, reply.Nodes)
+	}
+	if reply.Relaying && reply.Granter == 0 {
+		n.gateway.LeaderLost()
+	}
+}
+
 // recentUpdate returns what this node has recently read of the store's tables, since the store may
 // serve this node and reject the leader, and a configuration that the store has lost.
 func (n *Node) recentUpdate(r hub.Report) *follow.Update {
@@ -229,7 +259,7 @@
 	if n.isDeputy.Load() {
 		return minReportInterval
 	}
-	return min(max(minReportInterval, minReportInterval*time.Duration(n.nodeCount.Load())/minIntervalNodes), maxReportInterval)
+	return min(max(minReportInterval, minReportInterval*time.Duration(n.directNodes.Load())/minIntervalNodes), maxReportInterval)
 }
 
 // leaderTimeout returns for how long the leader may be silent.
@@ -266,7 +296,7 @@
 	if l.Key == n.key.Fingerprint() {
 		return n.RequestLoad(ctx, q)
 	}
-	reply, err := n.leaderClient().RequestLoad(ctx, l.Address, q)
+	reply, err := n.leaderClient().RequestLoad(ctx, n.upstreamOf(l).address, q)
 	if err != nil {
 		n.log.Info("want-failed", zap.String("leader", l.Node), zap.String("model", q.Model), zap.String("adapter", q.Adapter), zap.Error(err))
 	}
@@ -282,24 +312,41 @@
 	if !reply.Leading && n.isActing() {
 		reply = n.replyAsDeputy(r, reply.Lease)
 	}
-	if !reply.Leading && !reply.Acting {
+	if !reply.Leading && !reply.Acting && n.passesOn() {
+		reply = n.replyAsRelay(r, reply.Lease)
+	}
+	if !reply.Leading && !reply.Acting && !reply.Relaying {
 		return reply
 	}
-	reply.Quotas = n.granter.ReportUsage(r)
-	n.granter.MergeLimits(r.Limits)
+	if !reply.Relaying {
+		n.granter.MergeLimits(r.Limits)
+		reply.Quotas = n.granter.ReportUsage(r.Node, r.At.Key, r.Quotas)
+		for _, u := range r.Usage {
+			reply.Usage = append(reply.Usage, hub.NodeQuotas{Node: u.Node, Number: u.Report.Number, States: n.granter.ReportUsage(u.Node, u.Key, u.Report)})
+		}
+	}
 	n.addLeaving(r.Departed...)
 	reply.Departed = n.undeclaredLeaving()
 	if r.Update != nil {
-		n.follower.ApplyUpdate(time.Now(), *r.Update)
+		if !r.Update.Partial {
+			n.follower.ApplyUpdate(time.Now(), *r.Update)
+		}
 		n.confirmConfig(r, reply.Heard.Hub)
 	}
-	reply.Update = n.follower.ChangesSince(time.Now(), r.Known)
+	if n.holdsEngines(r.Node, reply) {
+		reply.Update = n.follower.ChangesSince(time.Now(), r.Known)
+	} else {
+		reply.Update = n.follower.PartialChangesSince(time.Now(), r.Known)
+	}
 	reply.Stamp = clock.SinceBoot()
 	return reply
 }
 
 // RequestLoad serves the load request of a node, which may be this one.
 func (n *Node) RequestLoad(ctx context.Context, q hub.LoadRequest) hub.LoadReply {
+	if n.passesOn() && !n.isActing() {
+		return n.requestLoad(ctx, q)
+	}
 	return n.placer.RequestLoad(ctx, q)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -59,19 +59,33 @@
 	if f.adjust != nil {
 		f.adjust(&p.settings)
 	}
+	f.launch(p)
+	f.nodes = append(f.nodes, p)
+	return p
+}
+
+// restart starts a stopped node again, with another key and at another address for other nodes.
+func (f *testCluster) restart(p *testNode) {
+	p.settings.Peers = freeport.Take()
+	p.done = make(chan error, 1)
+	f.launch(p)
+}
+
+// launch runs a node until the end of the test.
+func (f *testCluster) launch(p *testNode) {
+	f.t.Helper()
 	core, logs := observer.New(zap.InfoLevel)
 	p.logs, p.key = logs, f.key
 	n, err := front.New(p.settings, zap.New(core))
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	go func() { p.done <- n.Run(ctx) }()
+	done := p.done
+	go func() { done <- n.Run(ctx) }()
 	f.t.Cleanup(func() {
 		stop()
-		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+		require.NoError(f.t, await.Value(f.t, done, "the node's end"))
 	})
-	f.nodes = append(f.nodes, p)
-	return p
 }
 
 func (p *testNode) ready() bool {
@@ -312,6 +326,8 @@
 		"bad slack":    {`"log-level"`, `"quota-slack":-1,"log-level"`, "$.quota-slack"},
 		"bad window":   {`"log-level"`, `"quota-span-s":-1,"log-level"`, "$.quota-span-s"},
 		"bad revoking": {`"log-level"`, `"key-revocation-ms":-1,"log-level"`, "$.key-revocation-ms"},
+		"bad direct":   {`"log-level"`, `"max-direct-nodes":-1,"log-level"`, "$.max-direct-nodes"},
+		"bad fanout":   {`"log-level"`, `"relay-fanout":-1,"log-level"`, "$.relay-fanout"},
 		"no margin":    {`"log-level"`, `"key-revocation-ms":200,"log-level"`, "$.key-revocation-ms"},
 		"no span":      {`"repeat-span-s":10`, `"repeat-span-s":0`, "$.repeat-span-s"},
 		"wrong type":   {`284`, `"much"`, "memory-mb"},
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -65,8 +65,7 @@
 
 // querySeeds requests the lease, and the tables unless leaseOnly is set, from the seeds.
 func (n *Node) querySeeds(ctx context.Context, leaseOnly bool) {
-	r := joinRequest{Node: n.settings.Node, LeaseOnly: leaseOnly,
-		Row: nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()}}
+	r := joinRequest{Node: n.settings.Node, LeaseOnly: leaseOnly, Row: n.row()}
 	for _, seed := range n.settings.Seeds {
 		if seed == n.settings.Control {
 			continue
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
 	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
@@ -40,6 +42,8 @@
 		Address    string `json:"address"`
 		DataCentre string `json:"data-centre"`
 		Key        string `json:"key"` // fingerprint of the node's certificate
+
+		Cores float64 `json:"cores"` // processor cores that the node may use
 	}
 
 	// trustedKeys holds the keys of the nodes as last read from the store, and those that
@@ -55,7 +59,7 @@
 // register writes the node's row, again after each refresh period, and after a restore of the
 // store, which may have lost it.
 func (n *Node) register(ctx context.Context) {
-	value, err := json.Marshal(nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint()})
+	value, err := json.Marshal(n.row())
 	if err != nil {
 		n.log.Error("node-row", zap.Error(err))
 		return
@@ -80,6 +84,11 @@
 	}
 }
 
+// row returns the value of this node's row.
+func (n *Node) row() nodeRow {
+	return nodeRow{Address: n.settings.Peers, DataCentre: n.settings.DataCentre, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
+}
+
 // awaitRegistration waits until the node's row is to be written again, and reports whether ctx is still
 // active.
 func (n *Node) awaitRegistration(ctx context.Context, delay time.Duration) bool {
@@ -127,10 +136,12 @@
 	}
 }
 
-// isTrusted reports whether a key belongs to the leader, its deputy, or a node with a row in
-// the store. An unknown key triggers a read of the rows.
+// isTrusted reports whether a key belongs to the leader, its deputy, a relay, or a node with a row
+// in the store. An unknown key triggers a read of the rows, unless this node uses a relay: then no
+// other node calls it.
 func (n *Node) isTrusted(key string) bool {
-	if l, ok := n.placer.Leader(); ok && l.Key == key {
+	l, ok := n.placer.Leader()
+	if ok && (l.Key == key || slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Key == key })) {
 		return true
 	}
 	if at := n.deputy.Load(); at != nil && at.Key == key {
@@ -141,6 +152,9 @@
 	if n.peerKeys.keys[key] {
 		return true
 	}
+	if ok && n.upstreamOf(l).isRelay {
+		return false
+	}
 	if !n.peerKeys.reading && time.Since(n.peerKeys.readAt) > minKeyReadInterval {
 		n.peerKeys.reading = true
 		go n.readPeerKeys()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -96,7 +96,12 @@
 	roster          uint64                            // version of the leader's roster that a deputy has; likewise
 	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
 	clockEchoAt     time.Duration                     // boot time of the arrival of that reply; likewise
+	lastUpstream    upstream                          // that last replied to a report; likewise
 	leaseQueriedAt  time.Duration                     // boot time of the last query of the seeds for the lease; likewise
+	directNodes     atomic.Int64                      // number of nodes that recently reported to this node's upstream itself
+	relayGranter    atomic.Int64                      // granter that this node's relay reaches, 0 for none
+	relays          relayChoice
+	relayLosses     prometheus.Counter
 	refresher       refresher
 	peerKeys        trustedKeys
 	leaderCalls     callGroup
@@ -114,6 +119,9 @@
 	}
 	n := &Node{settings: s, log: log, key: key, hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
 	key.Trusted = n.isTrusted
+	n.relayLosses = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "relay",
+		Name: "losses_total", Help: "Relays of this node that didn't reply, so that it uses another."})
+	n.registry.MustRegister(n.relayLosses)
 	n.store = n.newStore()
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
@@ -123,7 +131,7 @@
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdleTimeout,
-		OnMessage: func(string, peer.Frame) {},
+		Accept: n.acceptsPeer, OnMessage: func(string, peer.Frame) {},
 		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
 			hub.Serve(ctx, n, f, st)
 		}}
@@ -133,7 +141,7 @@
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
-		Role: n.role, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
+		Role: n.role, Omit: n.isGranted, ExpectsFeed: n.expectsFeed, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
@@ -215,7 +223,7 @@
 	tasks := parts.Group{Log: n.log}
 	for name, task := range map[string]func(context.Context){
 		"follower": n.follower.Run, "placer": n.placer.Run, "granter": n.granter.Run, "register": n.register, "tidy": n.cleanUpRows,
-		"exchange": n.runExchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers,
+		"exchange": n.runExchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers, "relays": n.assignRelays,
 	} {
 		tasks.Go(name, func() { task(taskCtx) })
 	}
@@ -317,7 +325,7 @@
 	n.granter.SetTeams(n.gateway.Config().Teams())
 	n.servers.mu.Lock()
 	defer n.servers.mu.Unlock()
-	n.updateEngines(n.servers.list)
+	n.updateEngines(n.servers.all())
 }
 
 // limits returns the limits for clients in the current configuration.
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -1,10 +1,15 @@
 package front
 
 import (
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/clock"
+	"guavapaddle/internal/hub"
 )
 
 // servers is the list of backend servers as read from the store, and the servers that have
@@ -12,10 +17,21 @@
 type servers struct {
 	mu      sync.Mutex
 	list    []fleet.Server
+	granted map[string]grantedServer // servers that the list lacks, by ID
 	read    bool
 	leaving departure.Set
 }
 
+// grantedServer is a server that this node knows from a grant of a slot.
+type grantedServer struct {
+	fleet.Server
+
+	at time.Duration // boot time of the last grant
+}
+
+// grantedTTL is how long a server stays known after the last grant of a slot. Requests last for up to 30 s.
+const grantedTTL = time.Minute
+
 // onServers sets the list as it is in the store now. A server that leaves never returns in the same
 // incarnation, whatever a store shows that was restored from a copy.
 func (n *Node) onServers(list []fleet.Server) {
@@ -27,6 +43,32 @@
 		}
 	}
 	n.servers.list, n.servers.read = list, true
+	for _, s := range list {
+		delete(n.servers.granted, s.ID)
+	}
+	n.setServers()
+}
+
+// addGranted adds the server of a granted slot if the reply has its entry and this node doesn't know it.
+func (n *Node) addGranted(reply hub.SlotReply) {
+	if reply.Entry == nil {
+		return
+	}
+	n.servers.mu.Lock()
+	defer n.servers.mu.Unlock()
+	s, known := n.servers.granted[reply.Server]
+	if !known && slices.ContainsFunc(n.servers.list, func(s fleet.Server) bool { return s.ID == reply.Server }) {
+		return
+	}
+	now := clock.SinceBoot()
+	if n.servers.granted == nil {
+		n.servers.granted = map[string]grantedServer{}
+	}
+	n.servers.granted[reply.Server] = grantedServer{*reply.Entry, now}
+	if known && s.StartedAtMS == reply.Entry.StartedAtMS && s.Address == reply.Entry.Address {
+		return
+	}
+	maps.DeleteFunc(n.servers.granted, func(_ string, s grantedServer) bool { return now-s.at > grantedTTL })
 	n.setServers()
 }
 
@@ -47,7 +89,19 @@
 func (n *Node) undeclaredLeaving() []departure.Incarnation {
 	n.servers.mu.Lock()
 	defer n.servers.mu.Unlock()
-	return n.servers.leaving.Undeclared(n.servers.list)
+	return n.servers.leaving.Undeclared(n.servers.all())
+}
+
+// all returns the list and the servers known from grants; s.mu is held.
+func (s *servers) all() []fleet.Server {
+	if len(s.granted) == 0 {
+		return s.list
+	}
+	out := slices.Clone(s.list)
+	for _, g := range s.granted {
+		out = append(out, g.Server)
+	}
+	return out
 }
 
 // setServers passes the list on to all its users; n.servers.mu is held.
@@ -55,7 +109,7 @@
 	if !n.servers.read {
 		return
 	}
-	list := n.servers.leaving.MarkLeaving(n.servers.list)
+	list := n.servers.leaving.MarkLeaving(n.servers.all())
 	n.gateway.SetServers(list)
 	n.placer.SetServers(list)
 	n.granter.SetServers(list)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -47,6 +47,8 @@
 		QuotaOver   float64  `json:"quota-over"`          // fraction by which the use of a quota may exceed it in a window
 		QuotaSlack  float64  `json:"quota-slack"`         // units by which it may exceed the quota in addition, summed over all nodes
 		QuotaSpanS  float64  `json:"quota-span-s"`        // length of the quota window; 0 for 10
+		MaxDirect   int      `json:"max-direct-nodes"`    // nodes up to which all of them report to the leader directly; 0 for 128
+		RelayFanout int      `json:"relay-fanout"`        // nodes for each relay in a larger fleet; 0 for 32
 		LogLevel    string   `json:"log-level"`
 	}
 
@@ -142,6 +144,10 @@
 		return &SettingsError{Path: "quota-slack", Reason: "must not be below zero"}
 	case s.QuotaSpanS < 0:
 		return &SettingsError{Path: "quota-span-s", Reason: "must not be below zero"}
+	case s.MaxDirect < 0:
+		return &SettingsError{Path: "max-direct-nodes", Reason: "must not be below zero"}
+	case s.RelayFanout < 0:
+		return &SettingsError{Path: "relay-fanout", Reason: "must not be below zero"}
 	case s.RepeatRatio < 0:
 		return &SettingsError{Path: "repeat-ratio", Reason: "must not be below zero"}
 	case s.RepeatExtra < 0:
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -8,6 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
@@ -26,13 +28,56 @@
 	l, _ := n.placer.Leader()
 	granter := l.TermID()
 	if !n.placer.IsLeading() {
-		if !n.isActing() {
+		switch {
+		case n.isActing():
+			granter = actingEpoch(l)
+		case n.passesOn():
+			queued() // this node notices by itself if the leader doesn't reply
+			return n.acquireForNode(ctx, q)
+		default:
 			return hub.SlotReply{}, nil, context.Canceled
 		}
-		granter = actingEpoch(l)
 	}
 	d, grant, err := n.granter.AcquireSlot(ctx, q, queued)
-	return hub.SlotReply{Granted: d.Granted, Granter: granter, Server: d.Selection.Server.ID, Wait: d.Selection.Wait, Why: string(d.Reason), After: d.RetryAfter}, grant, err
+	reply := hub.SlotReply{Granted: d.Granted, Granter: granter, Server: d.Selection.Server.ID, Wait: d.Selection.Wait, Why: string(d.Reason), After: d.RetryAfter}
+	if q.Entry && d.Granted {
+		reply.Entry = entryOf(d.Selection.Server)
+	}
+	return reply, grant, err
+}
+
+// acquireForNode requests a slot for a node that uses this one as its relay. If no granter replies, this node
+// selects an engine by itself, since the other one doesn't know the engines; but not for a request that a
+// granter has to charge to a quota.
+func (n *Node) acquireForNode(ctx context.Context, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
+	reply, grant, err := n.acquireSlot(ctx, q)
+	if err == nil || ctx.Err() != nil || q.Charge.Team != "" {
+		return reply, grant, err
+	}
+	c, reason := n.gateway.Pick(q.PickRequest())
+	if reason != balance.Picked {
+		return hub.SlotReply{}, nil, err
+	}
+	n.log.Info("picked-for-node", zap.String("request-id", q.Request), zap.String("server", c.Server.ID), zap.Duration("age", c.Age), zap.Error(err))
+	return hub.SlotReply{Granted: true, Server: c.Server.ID, Entry: entryOf(c.Server), Wait: c.Wait}, uncounted{}, nil
+}
+
+// uncounted is a slot that no granter counts.
+type uncounted struct{}
+
+// SetRate implements hub.SlotGrant.
+func (uncounted) SetRate(*float64) {}
+
+// PrefillDone implements hub.SlotGrant.
+func (uncounted) PrefillDone() {}
+
+// Done implements hub.SlotGrant.
+func (uncounted) Done(balance.Result) {}
+
+// entryOf returns what a node needs to know of a server to send it a granted request.
+func entryOf(s fleet.Server) *fleet.Server {
+	s.Resident, s.OnDisk, s.InMemory, s.GrantOnly = nil, nil, nil, true
+	return &s
 }
 
 // acquireSlot requests a slot at an engine from the leader, or from its deputy if the leader
@@ -45,18 +90,43 @@
 	if l.Key == n.key.Fingerprint() {
 		return n.AcquireSlot(ctx, q, func() {})
 	}
-	if n.leaderSuspected() {
+	if u := n.upstreamOf(l); u.isRelay {
+		q.Entry = true
+		reply, grant, retry, err := n.acquireThroughRelay(ctx, u, q)
+		if !retry {
+			return reply, grant, err
+		}
+		if u = n.upstreamOf(l); u.isRelay {
+			reply, grant, retry, err = n.acquireThroughRelay(ctx, u, q)
+		}
+		if !retry {
+			return reply, grant, err
+		}
+	} else if n.leaderSuspected() {
 		return n.acquireFromDeputy(ctx, q)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	waitCtx, cancel := n.leaderCalls.withCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(n.leaderCalls.context(), cancel)()
 	sentAt := clock.SinceBoot()
-	reply, grant, err := n.leaderClient().AcquireSlot(ctx, l.Address, q)
+	reply, grant, err := n.leaderClient().AcquireSlot(waitCtx, l.Address, q)
 	n.suspectLeader(l, sentAt, err)
+	n.addGranted(reply)
 	return reply, grant, err
 }
 
+// acquireThroughRelay requests a slot from a relay. If that fails the relay isn't used for a while, and the
+// request is to be repeated: what the leader may have granted is released with the relay's stream.
+func (n *Node) acquireThroughRelay(ctx context.Context, u upstream, q hub.SlotRequest) (reply hub.SlotReply, grant hub.SlotGrant, retry bool, err error) {
+	waitCtx, cancel := n.leaderCalls.withCancel(ctx)
+	defer cancel()
+	reply, grant, err = n.leaderClient().AcquireSlot(waitCtx, u.address, q)
+	n.addGranted(reply)
+	if retry = err != nil && ctx.Err() == nil; retry {
+		n.avoidRelay(u, err)
+	}
+	return reply, grant, retry, err
+}
+
 // leaderClient returns a client that records each message from the leader.
 func (n *Node) leaderClient() *hub.Client {
 	return &hub.Client{Endpoint: n.endpoint, OnReply: n.onLeaderMessage}
@@ -80,6 +150,17 @@
 	n.log.Warn("leader-suspect", zap.String("leader", l.Node), zap.Duration("waited", clock.SinceBoot()-sentAt))
 }
 
+// withCancel returns a context that also ends when the waiting calls are canceled, and a function that
+// releases it.
+func (c *callGroup) withCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(c.context(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // context returns a context that lasts until the waiting calls are canceled.
 func (c *callGroup) context() context.Context {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/front/upstream.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/leader"
+	"guavapaddle/core/relay"
+	"guavapaddle/internal/clock"
+	"guavapaddle/internal/hub"
+)
+
+const (
+	// silentBackoff and refusalBackoff are how long a relay isn't used again that didn't reply in time, or
+	// refused: it may not have read this node's row yet, or not know yet that it is a relay.
+	silentBackoff  = 5 * time.Second
+	refusalBackoff = 500 * time.Millisecond
+	// relayRetryDelay is the delay before a report that a relay left without a reply goes to another one.
+	relayRetryDelay = 50 * time.Millisecond
+	// maxRelayTries is how many relays are tried before a node reports to the leader itself.
+	maxRelayTries = 4
+	// maxPeerConns is the number of connections that a node accepts from nodes other than relays. After a
+	// restart of all nodes of a fleet without relays, each has an old one beside its new one.
+	maxPeerConns = 2 * relay.DefaultMaxDirect
+)
+
+type (
+	// upstream is the node to which this node reports and from which it requests slots: the leader, or
+	// a relay.
+	upstream struct {
+		node, address, key string
+		isRelay            bool
+	}
+
+	// relayChoice is the relay that this node uses. The zero value has chosen none.
+	relayChoice struct {
+		mu           sync.Mutex
+		list         []relay.Relay            // as assigned
+		order        []relay.Relay            // in which this node uses them
+		avoidedUntil map[string]time.Duration // boot time by key, of relays that didn't reply
+	}
+)
+
+// upstreamOf returns the upstream of this node under a lease.
+func (n *Node) upstreamOf(l leader.Lease) upstream {
+	direct := upstream{node: l.Node, address: l.Address, key: l.Key}
+	if l.Key == n.key.Fingerprint() || n.isDeputy.Load() || n.isRelay(l) {
+		return direct
+	}
+	r, ok := n.relays.choose(clock.SinceBoot(), l.Relays, n.settings.Node, n.settings.DataCentre)
+	if !ok {
+		return direct
+	}
+	return upstream{node: r.Node, address: r.Address, key: r.Key, isRelay: true}
+}
+
+// isRelay reports whether a lease names this node as a relay.
+func (n *Node) isRelay(l leader.Lease) bool {
+	return slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == n.settings.Node })
+}
+
+// holdsEngines reports whether a reporting node gets the entries of engines: in a fleet with relays those and
+// the deputy do. The others learn of an engine when they are granted a slot there.
+func (n *Node) holdsEngines(node string, reply hub.ReportReply) bool {
+	l, _ := n.placer.Leader()
+	return !reply.Relaying && (len(l.Relays) == 0 || reply.Deputy || node == n.settings.Node ||
+		slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == node }))
+}
+
+// expectsFeed reports whether this node has just started and will use a relay, or doesn't know the lease yet.
+func (n *Node) expectsFeed() bool {
+	if !n.placer.LeaseObserved() {
+		return true
+	}
+	l, ok := n.placer.Leader()
+	return ok && n.upstreamOf(l).isRelay
+}
+
+// passesOn reports whether this node is a relay now, and not the leader.
+func (n *Node) passesOn() bool {
+	l, ok := n.placer.Leader()
+	return ok && l.Key != n.key.Fingerprint() && n.isRelay(l)
+}
+
+// avoidRelay keeps a relay that failed to reply from being used for a while.
+func (n *Node) avoidRelay(u upstream, err error) {
+	backoff := refusalBackoff
+	if isTimeout(err) {
+		backoff = silentBackoff
+	}
+	if !n.relays.avoid(u.key, clock.SinceBoot(), backoff) {
+		return
+	}
+	n.relayLosses.Inc()
+	n.leaderSuspect.Store(false)
+	n.leaderCalls.cancelAll()
+	n.endpoint.Redial(u.address)
+	n.log.Warn("relay-silent", zap.String("relay", u.node), zap.Duration("backoff", backoff), zap.Error(err))
+}
+
+// isTimeout reports whether a call failed because there was no reply in time.
+func isTimeout(err error) bool {
+	var silent *hub.AckTimeoutError
+	var timeout net.Error
+	return errors.As(err, &silent) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// acceptsPeer reports whether this node accepts another connection from a node at an address. Without a
+// limit the handshakes of a large fleet, whose nodes all start at once, kept a leader from replying to any
+// of them in time.
+func (n *Node) acceptsPeer(address string, open int) bool {
+	l, _ := n.placer.Leader()
+	return open < maxPeerConns || slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Address == address })
+}
+
+// choose returns the first relay that isn't avoided, and false if there is none among the first
+// maxRelayTries.
+func (c *relayChoice) choose(now time.Duration, list []relay.Relay, node, dataCentre string) (relay.Relay, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Equal(c.list, list) {
+		c.list, c.order = list, relay.Order(list, node, dataCentre)
+		c.avoidedUntil = map[string]time.Duration{}
+	}
+	for _, r := range c.order[:min(maxRelayTries, len(c.order))] {
+		if now >= c.avoidedUntil[r.Key] {
+			return r, true
+		}
+	}
+	return relay.Relay{}, false
+}
+
+// avoid keeps the relay with a key from being chosen for a while, and reports whether it wasn't avoided before.
+func (c *relayChoice) avoid(key string, now, backoff time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now < c.avoidedUntil[key] || c.avoidedUntil == nil {
+		return false
+	}
+	c.avoidedUntil[key] = now + backoff
+	return true
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,6 +159,18 @@
 	g.notifyChange()
 }
 
+// Pick picks a server for a request of another node.
+func (g *Gateway) Pick(r balance.Request) (balance.Selection, balance.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	c, reason := g.picker.Pick(now, r)
+	if reason == balance.Picked {
+		g.picker.Reserve(now, c.Server.ID)
+	}
+	return c, reason
+}
+
 // notifyChange makes waiting requests query the picker again.
 func (g *Gateway) notifyChange() {
 	g.mu.Lock()
--- a/internal/granter/quotas.go
+++ b/internal/granter/quotas.go
@@ -28,11 +28,12 @@
 	g.ledger.Configure(time.Now(), teams)
 }
 
-// ReportUsage records the usage that a node reports and returns the quota states to send to it.
-func (g *Granter) ReportUsage(r hub.Report) map[string]quota.State {
+// ReportUsage records the usage that a node reports and returns the quota states to send to it. The key
+// identifies the node's process.
+func (g *Granter) ReportUsage(node, key string, r quota.UsageReport) map[string]quota.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Report(time.Now(), r.Node, r.At.Key, r.Quotas)
+	return g.ledger.Report(time.Now(), node, key, r)
 }
 
 // Balances returns the balance of each team with a quota.
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/fleet"
 	"guavapaddle/io/peer"
 )
 
@@ -52,6 +53,7 @@
 		Target   time.Duration // from now until it should have started
 		Expire   time.Duration // from now until it must have started
 		Charge   Charge        // to the team's quota, zero if already charged
+		Entry    bool          // the requester doesn't know the entries of engines
 	}
 
 	// Charge is the cost of a request, charged to its team's quota.
@@ -63,8 +65,9 @@
 	// SlotReply is the reply to a SlotRequest.
 	SlotReply struct {
 		Granted bool
-		Server  string // incarnation
-		Granter int64  // granter that counts the request until it ends
+		Server  string        // incarnation
+		Entry   *fleet.Server // of the server if requested, without what it holds
+		Granter int64         // granter that counts the request until it ends
 		Wait    time.Duration
 		Why     string
 		After   time.Duration // when the client of a refused request may retry
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -92,6 +92,9 @@
 		Quotas   quota.UsageReport
 		Limits   []Limit                 // rate limits that servers set or removed in responses to this node
 		Departed []departure.Incarnation // servers that announced that they leave but whose entries don't show it yet
+
+		Nodes int         // nodes whose reports a relay has added to its own, itself included; 0 for one
+		Usage []NodeUsage // their usage reports
 	}
 
 	// Limit is the rate limit that a server set or removed.
@@ -121,18 +124,25 @@
 	// ReportReply is the leader's reply to a report.
 	ReportReply struct {
 		Leading  bool     // the replying node holds the lease
+		Relaying bool     // the replying node is a relay
+		Granter  int64    // granter that a relay reaches, 0 for none
 		Acting   bool     // the replying node is the deputy, and grants slots while nobody holds the lease
 		Deputy   bool     // the reporting node is the deputy and follows the store
 		DeputyAt Contact  // of the deputy
 		Keys     []string // of all reporting nodes, sent to the deputy when they have changed
 		Roster   uint64   // version of Keys
 		Nodes    int      // nodes with a recent report, including the reporting one
+		Direct   int      // those of them that report to the replying node itself
 		Counts   map[string]balance.Count
 		Notes    []ResidencyUpdate // those that the reporting node hasn't acknowledged
 		Marks    []CrashMark       // likewise
 		Heard    Ack
-		Stamp    time.Duration           // boot time of the replying node
-		Quotas   map[string]quota.State  // by team
+		Stamp    time.Duration          // boot time of the replying node
+		Quotas   map[string]quota.State // by team
+
+		UsageNumber uint64       // of the usage report that Quotas replies to
+		Usage       []NodeQuotas // replies to the usage reports that a relay has passed on
+
 		Limits   []Limit                 // rate limits that servers set or removed in responses to any node
 		Departed []departure.Incarnation // servers that announced to any node that they leave
 		Update   follow.Update           // of the store's tables
@@ -162,6 +172,7 @@
 		id            uint64                    // of this hub, random and not zero after the first report
 		lastNumber    uint64                    // of the last residency update or crash mark
 		rosterVersion uint64                    // version of the list of reporting nodes
+		relay         relayState
 	}
 
 	nodeReport struct {
@@ -180,6 +191,21 @@
 func (h *Hub) Merge(now time.Time, r Report) ReportReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.merge(now, r) {
+		h.selectDeputy(now)
+	}
+	reply := h.reply(now, r)
+	reply.Leading, reply.Deputy, reply.DeputyAt = true, h.deputyNode == r.Node, h.nodes[h.deputyNode].report.At
+	reply.UsageNumber = r.Quotas.Number
+	if reply.Roster = h.rosterVersion; reply.Deputy && r.Roster != h.rosterVersion {
+		reply.Keys = h.nodeKeys()
+	}
+	return reply
+}
+
+// merge merges a node's report, and reports whether expired reports were removed, which happens each
+// cleanupInterval; h.mu is held.
+func (h *Hub) merge(now time.Time, r Report) bool {
 	if h.nodes == nil {
 		h.nodes = map[string]nodeReport{}
 		h.total = map[string]balance.Count{}
@@ -189,7 +215,7 @@
 		h.marks = append(h.marks, numbered[CrashMark]{m, now, h.nextNumber()})
 	}
 	h.mergeLimits(now, r.Limits)
-	r.Demand, r.Marks, r.Update, r.Limits = nil, nil, nil, nil
+	r.Demand, r.Marks, r.Update, r.Limits, r.Usage = nil, nil, nil, nil, nil
 	previous, known := h.nodes[r.Node]
 	if !known || previous.report.At.Key != r.At.Key {
 		h.rosterVersion++
@@ -197,20 +223,22 @@
 	h.removeReport(r.Node)
 	h.nodes[r.Node] = nodeReport{r, now}
 	h.addCounts(r.Counts, 1)
-	if !known || now.Sub(h.cleanedAt) >= cleanupInterval {
-		h.cleanedAt = now
-		h.removeExpired(now)
-		h.selectDeputy(now)
-	}
-	reply := ReportReply{Leading: true, Nodes: len(h.nodes), Counts: h.countsOfOthers(r.Counts), Deputy: h.deputyNode == r.Node,
-		DeputyAt: h.nodes[h.deputyNode].report.At}
 	if h.id == 0 {
 		h.id = 1 + rand.Uint64N(math.MaxUint64)
 		h.rosterVersion += h.id // versions of different hubs must not be equal
 	}
-	if reply.Roster = h.rosterVersion; reply.Deputy && r.Roster != h.rosterVersion {
-		reply.Keys = h.nodeKeys()
+	if known && now.Sub(h.cleanedAt) < cleanupInterval {
+		return false
 	}
+	h.cleanedAt = now
+	h.removeExpired(now)
+	return true
+}
+
+// reply returns the part of the reply to a merged report that leader, deputy and relays have in common;
+// h.mu is held.
+func (h *Hub) reply(now time.Time, r Report) ReportReply {
+	reply := ReportReply{Nodes: h.nodeCount(), Direct: len(h.nodes), Counts: h.countsOfOthers(r.Counts)}
 	reply.Heard = Ack{h.id, h.lastNumber}
 	acknowledged := uint64(0)
 	if r.Heard.Hub == h.id {
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"guavapaddle/core/leader"
+	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
 	"guavapaddle/platform"
 )
@@ -76,10 +77,13 @@
 	if wasLeader {
 		l = p.withHandover(l)
 	} else {
-		l = l.WithLoads(previous) // until this node has ordered loads itself
+		l = l.WithLoads(previous).WithRelays(previous) // until this node has ordered loads itself
 	}
 	l.Write = p.nextWrite()
-	due = due && !p.released
+	due = (due || wasLeader && p.relaysChanged) && !p.released
+	if due {
+		p.relaysChanged = false
+	}
 	p.mu.Unlock()
 	if !due {
 		return
@@ -196,6 +200,13 @@
 	return platform.Row{Table: leaseTable, Key: leaseKey, Version: at.Number, Era: at.Era, Value: value}
 }
 
+// LeaseObserved reports whether it is known whether the row exists.
+func (p *Placer) LeaseObserved() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Elector.Observed()
+}
+
 // LeaseRevision returns the revision of the row as last observed, zero if it has never been observed.
 func (p *Placer) LeaseRevision() revision.Revision {
 	p.mu.Lock()
@@ -239,7 +250,7 @@
 	case wasLeader && !isLeader:
 		p.Log.Warn("lease-lost", zap.String("holder", l.Node), zap.Int64("epoch", l.Epoch))
 	case isLeader && !wasLeader: // the reply to the write was lost
-		p.startTerm(l.Epoch, leader.Lease{Node: l.Node}.WithLoads(l), false)
+		p.startTerm(l.Epoch, leader.Lease{Node: l.Node}.WithLoads(l).WithRelays(l), false)
 	}
 }
 
@@ -255,6 +266,7 @@
 		e := p.engine(id)
 		e.loading, e.changedAt, e.inherited = model, time.Now(), true
 	}
+	p.relays = leader.Lease{}.WithRelays(previous)
 	p.priorLoad = nil
 	p.termStart = time.Now()
 	p.loads, p.loadOrdered = p.newBudget(), false
@@ -263,9 +275,25 @@
 	p.OnElected()
 }
 
-// withHandover returns a lease with the loads that the next leader has to know about; p.mu
-// is held.
+// SetRelays sets the relays that the lease names, and has the lease written.
+func (p *Placer) SetRelays(list []relay.Relay) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.relays.Relays, p.relays.Assigned = list, true
+	p.relaysChanged = true
+}
+
+// Relays returns the relays of this node's term as leader, and whether they have been assigned.
+func (p *Placer) Relays() ([]relay.Relay, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relays.Relays, p.relays.Assigned
+}
+
+// withHandover returns a lease with the relays, and the loads that the next leader has to know
+// about; p.mu is held.
 func (p *Placer) withHandover(l leader.Lease) leader.Lease {
+	l = l.WithRelays(p.relays)
 	l.RecentLoads, l.UnackedOrders = p.loads.Handover(time.Now())
 	l.Loading = p.loadingModels()
 	return l
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -93,7 +93,10 @@
 		renewedAt    time.Duration
 		failedAt     time.Duration
 		released     bool
-		writes       int64 // number of attempted writes of the lease row
+		relays       leader.Lease // the relays of this node's term as leader; its other fields are zero
+		// relaysChanged means that the lease is to be written because of its relays.
+		relaysChanged bool
+		writes        int64 // number of attempted writes of the lease row
 	}
 
 	// engine is the leader's record of one engine, in addition to its entry in the store.
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -34,10 +34,13 @@
 
 	// Endpoint manages all connections between this node and the other nodes.
 	Endpoint struct {
-		Address      string // IP:port to listen on
-		TLS          TLSSource
-		OnMessage    func(from string, f Frame)
-		OnCall       func(ctx context.Context, from string, f Frame, s *Stream)
+		Address   string // IP:port to listen on
+		TLS       TLSSource
+		OnMessage func(from string, f Frame)
+		OnCall    func(ctx context.Context, from string, f Frame, s *Stream)
+		// Accept reports whether a connection from an address is accepted while the given number of
+		// accepted ones is open; nil for always. A refused one costs no handshake.
+		Accept       func(address string, open int) bool
 		IdleTimeout  time.Duration // idle time after which a connection is closed, default 30 s
 		DialTimeout  time.Duration // default 1 s
 		WriteTimeout time.Duration // limit of one write, after which the peer counts as lost, default 3 s
@@ -45,6 +48,7 @@
 		transport     *quic.Transport
 		frameBytes    frameTraffic
 		datagramBytes atomic.Uint64
+		accepted      atomic.Int64 // open connections that other nodes have dialled
 
 		mu    sync.Mutex
 		conns map[string]*dialledConn
@@ -81,11 +85,22 @@
 	e.IdleTimeout = orDefault(e.IdleTimeout, defaultIdleTimeout)
 	e.DialTimeout = orDefault(e.DialTimeout, defaultDialTimeout)
 	e.WriteTimeout = orDefault(e.WriteTimeout, defaultWriteTimeout)
-	e.transport = &quic.Transport{Conn: &countingConn{UDPConn: c, sent: &e.datagramBytes}}
+	e.transport = &quic.Transport{Conn: &countingConn{UDPConn: c, sent: &e.datagramBytes}, ConnContext: e.admit}
 	e.conns = map[string]*dialledConn{}
 	return c.LocalAddr().String(), nil
 }
 
+// admit counts a connection that another node dials, or refuses it.
+func (e *Endpoint) admit(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+	address := info.RemoteAddr.String()
+	if e.Accept != nil && !e.Accept(address, int(e.accepted.Load())) {
+		return nil, &Error{Kind: Refused, Peer: address}
+	}
+	e.accepted.Add(1)
+	context.AfterFunc(ctx, func() { e.accepted.Add(-1) })
+	return ctx, nil
+}
+
 // Run accepts connections until ctx ends. Listen must have been called before.
 func (e *Endpoint) Run(ctx context.Context) error {
 	tlsConfig := &tls.Config{
--- a/io/peer/endpoint_test.go
+++ b/io/peer/endpoint_test.go
@@ -141,3 +141,31 @@
 	_, err = a.Open(ctx, address, peer.Frame{Kind: 2})
 	require.Error(t, err, "the new key belongs to another authority")
 }
+
+// TestExcessConnectionsAreRefused guards against a node that spends its processor time on the handshakes of
+// more nodes than it serves: the nodes whose handshakes came too late dialled again, without end.
+func TestExcessConnectionsAreRefused(t *testing.T) {
+	names := []string{"server", "a", "b"}
+	dir := t.TempDir()
+	require.NoError(t, keys.Generate(dir, names))
+	server := &peer.Endpoint{TLS: loadFiles(t, dir, "server"), OnCall: echo, Accept: func(_ string, open int) bool { return open < 1 }}
+	address := start(t, server)
+	call := func(e *peer.Endpoint) error {
+		s, err := e.Open(t.Context(), address, peer.Frame{Kind: 1})
+		if err != nil {
+			return err
+		}
+		_, err = s.Read()
+		return err
+	}
+	first := &peer.Endpoint{TLS: loadFiles(t, dir, "a")}
+	start(t, first)
+	require.NoError(t, call(first))
+	second := &peer.Endpoint{TLS: loadFiles(t, dir, "b")}
+	start(t, second)
+	var failed *peer.Error
+	require.ErrorAs(t, call(second), &failed)
+	require.Equal(t, peer.Unreachable, failed.Kind)
+	first.CloseConn(address)
+	require.Eventually(t, func() bool { return call(second) == nil }, 5*time.Second, 10*time.Millisecond)
+}
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -16,6 +16,8 @@
 	TooLarge ErrorKind = "too-large"
 	// Identity means that the peer is not the expected node.
 	Identity ErrorKind = "identity"
+	// Refused means that a node has too many connections for another one.
+	Refused ErrorKind = "refused"
 	// Listen means that the endpoint cannot listen on its address.
 	Listen ErrorKind = "listen"
 )
