placer: the lease's row stays within the store's limit

Cause: the row names the load in progress of each engine, 28 B each: beyond some 2,300 of 4,000 engines the store refuses it, and the leader can't renew its lease.

Change: at most 1,000 are named. The next leader reads an engine's report before it orders anything there, and learns of the others then.

Test: TestLeaseRowIsBounded, 4,000 loads handed over.

--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -33,6 +33,10 @@
 	// maxReleaseWrites is how often the lease row is written to release the lease: one more
 	// than the number of renewals whose reply may have been lost.
 	maxReleaseWrites = 2
+	// maxLoadingRecorded is the number of engines whose loads in progress the row names, so that it stays within
+	// the 64 KiB of a row however many engines there are. The next leader reads the report of an engine before
+	// it orders anything there, so it learns of the others then.
+	maxLoadingRecorded = 1000
 	// maxOutage is how long the leader keeps sending orders during an outage of the store if
 	// engines check epochs. This is safe because the first order of another leader fences
 	// the orders of this one.
@@ -303,7 +307,7 @@
 func (p *Placer) loadingModels() map[string]string {
 	out := map[string]string{}
 	for id, e := range p.engines {
-		if e.loading != "" {
+		if e.loading != "" && len(out) < maxLoadingRecorded {
 			out[id] = e.loading
 		}
 	}
--- a/internal/placer/lease_test.go
+++ b/internal/placer/lease_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
 	"guavapaddle/platform/standin"
 )
 
@@ -100,3 +103,27 @@
 	}
 	require.Equal(t, 6, loaded())
 }
+
+// TestLeaseRowIsBounded guards against a row that the store refuses because it names the loads in progress of
+// thousands of engines: the leader could not renew the lease.
+func TestLeaseRowIsBounded(t *testing.T) {
+	const rowBytes = 64 << 10
+	s := standin.NewStore(t)
+	previous := leader.Lease{Node: "ghost", Incarnation: "1", Epoch: 1, Cores: 1, Loading: map[string]string{}}
+	for i := range 4000 {
+		previous.Loading[fmt.Sprintf("i-%010x", i)] = "model-0001"
+	}
+	value, err := json.Marshal(previous)
+	require.NoError(t, err)
+	s.Put("lease", "orders", value)
+	h := startPlacer(t, s, "n1", leaderUnreachable)
+	var list []fleet.Server
+	for i := range 4000 {
+		list = append(list, fleet.Server{ID: fmt.Sprintf("i-%010x", i), Service: "llm", Address: "127.0.0.1:1", Slots: 8, OnDisk: []string{"m0"}})
+	}
+	h.SetServers(list)
+	eventually(t, "leading", h.IsLeading)
+	before := s.Row("lease", "orders").Version
+	eventually(t, "renewed", func() bool { return s.Row("lease", "orders").Version > before+2 })
+	require.Less(t, len(s.Row("lease", "orders").Value), rowBytes)
+}
