follow, front: nodes that use a relay read no table from the store

Change: a relay's reply carries the configuration that the node lacks. A relay that refuses, since it hasn't read the node's row yet, is asked five times more before another one is used.

Tests: TestNodeOfLargeFleetStartsWithFewCalls, TestRelaysPassOn (reads of the configuration).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -126,9 +126,11 @@
 		// relay; nil for none.
 		Omit func(server string) bool
 
-		// ExpectsFeed reports whether another node is about to pass changes on to this node, which has just
-		// started, so that it need not read the servers in full; nil for never.
-		ExpectsFeed func() bool
+		// ExpectsServers and ExpectsConfig report whether another node is about to pass the servers, or the
+		// configuration, on to this node, which has just started and need not read them from the store; nil
+		// for never.
+		ExpectsServers func() bool
+		ExpectsConfig  func() bool
 
 		// FetchSnapshot fetches another node's copy when a table can't be read, nil for never.
 		FetchSnapshot func(ctx context.Context)
--- a/internal/follow/partial.go
+++ b/internal/follow/partial.go
@@ -45,14 +45,18 @@
 	return f.server.partial && f.Omit != nil && f.Omit(server)
 }
 
-// awaitFirstFeed waits until another node has passed the servers on to this one, for as long as that is
+// awaitFirstFeed waits until another node has passed the table on to this one, for as long as that is
 // expected and for at most partialGrace, and reports whether it has. Hundreds of nodes may start at once, and
 // the store would send each of them the entries of thousands of servers.
 func (t *table) awaitFirstFeed(ctx context.Context) bool {
-	if t != &t.f.server || t.f.ExpectsFeed == nil {
+	expected := t.f.ExpectsConfig
+	if t == &t.f.server {
+		expected = t.f.ExpectsServers
+	}
+	if expected == nil {
 		return false
 	}
-	for until := time.Now().Add(partialGrace); time.Now().Before(until) && t.f.ExpectsFeed(); {
+	for until := time.Now().Add(partialGrace); time.Now().Before(until) && expected(); {
 		if t.hasFeed() && !t.Revision().IsZero() {
 			return true
 		}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -46,6 +46,9 @@
 		ConfigVersion int64         // of the configuration in force
 
 		ConfigAge time.Duration // since Operator was last confirmed as the newest version
+
+		OperatorRows []platform.Row    // rows of the operator's table that the other node lacks, from a relay only
+		OperatorAt   revision.Revision // up to which OperatorRows are complete
 	}
 )
 
@@ -114,15 +117,30 @@
 	return u
 }
 
-// PartialChangesSince is ChangesSince without the entries that Omit reports.
+// PartialChangesSince is ChangesSince for a node that uses a relay: without the entries that Omit reports, and
+// with the configuration, so that the nodes of a large fleet don't all read it from the store.
 func (f *Follower) PartialChangesSince(now time.Time, k Versions) Update {
 	k.Partial = false // what the other node lacks isn't sent
 	u := f.ChangesSince(now, k)
 	u.Partial = true
 	u.Servers = slices.DeleteFunc(u.Servers, f.omits)
+	u.Operator, u.OperatorAt, u.OperatorRows = f.operator.changesAfter(k.Operator)
 	return u
 }
 
+// changesAfter returns the revision of the newest row of this copy, the revision up to which it is complete,
+// and the rows that were written after a revision.
+func (t *table) changesAfter(known revision.Revision) (newest, complete revision.Revision, rows []platform.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		if known.Before(r.Revision()) {
+			rows = append(rows, r)
+		}
+	}
+	return t.ownRevision(), t.revision, rows
+}
+
 // omits reports whether an entry is left out of partial copies.
 func (f *Follower) omits(r platform.Row) bool { return !r.Gone && f.Omit != nil && f.Omit(r.Key) }
 
@@ -137,6 +155,9 @@
 		return false
 	}
 	f.adoptConfig(u.Config)
+	if len(u.OperatorRows) > 0 {
+		f.operator.applyRows(u.OperatorRows, u.OperatorAt)
+	}
 	f.operator.recordAnnounced(now, u)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -209,7 +230,7 @@
 // ApplySnapshot applies another node's copy, which this node requested at a boot time. Newer local
 // rows stay.
 func (f *Follower) ApplySnapshot(now time.Time, c Snapshot, requestedAt time.Duration) {
-	f.operator.applyRows(c.Operator)
+	f.operator.applyRows(c.Operator, revision.Revision{})
 	f.adoptConfig(c.Config)
 	for _, r := range c.Operator {
 		if r.Key == platform.KeyConfig {
@@ -220,9 +241,9 @@
 	f.ApplyUpdate(now, Update{Servers: c.Servers, Version: c.Version, Whole: laterEra, Partial: c.Partial, Age: c.Age, Restored: MissingGrace})
 }
 
-// applyRows applies rows of another node's copy.
-func (t *table) applyRows(rows []platform.Row) {
+// applyRows applies rows of another node's copy, which is complete up to a revision, zero if that isn't known.
+func (t *table) applyRows(rows []platform.Row, at revision.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applyChanges(rows, revision.Revision{})
+	t.applyChanges(rows, at)
 }
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -41,6 +41,7 @@
 		observedEra  int64              // latest era of the store in any response to this node
 		partial      bool               // the entries that Follower.Omit reports are missing
 		feedLostAt   time.Time          // since when no other node passes changes on, zero if one does
+		fed          bool               // another node has passed changes on
 	}
 )
 
@@ -103,7 +104,7 @@
 		if full {
 			t.awaitFeed(ctx)
 		} else {
-			clock.Sleep(ctx, t.f.gap())
+			clock.Sleep(ctx, t.gap())
 		}
 		full = false
 		retry.Reset()
@@ -119,6 +120,18 @@
 	return errors.As(err, &status) && status.HistoryGone() || errors.As(err, &era)
 }
 
+// gap returns the minimum time between a response of the feed and the next call. A node that starts calls less
+// often until another one passes changes on for the first time.
+func (t *table) gap() time.Duration {
+	t.mu.Lock()
+	starting := t.f.HasFeed != nil && !t.fed
+	t.mu.Unlock()
+	if starting && t.f.role() == Standalone {
+		return maxFirstGap
+	}
+	return t.f.gap()
+}
+
 // hasFeed reports whether this node receives changes from another one.
 func (t *table) hasFeed() bool { return t.f.HasFeed != nil && t.f.HasFeed() }
 
@@ -178,7 +191,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.quick, t.feedLostAt = true, time.Time{}
+	t.quick, t.feedLostAt, t.fed = true, time.Time{}, true
 	if at := t.nextExpiry(); !at.IsZero() && !time.Now().Before(at) {
 		t.applyChanges(nil, t.revision)
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -76,8 +76,7 @@
 		}
 		if u.isRelay {
 			n.gateway.RestoreMarks(r.Marks)
-			n.avoidRelay(u, err)
-			wait = relayRetryDelay
+			wait = n.onRelayFailure(u, err)
 			continue
 		}
 		n.onLeaderFailure(l, err)
@@ -140,6 +139,7 @@
 	n.nodeCount.Store(int64(reply.Nodes))
 	n.directNodes.Store(int64(reply.Direct))
 	n.relayGranter.Store(reply.Granter)
+	n.relayRefusals = 0
 	if u != n.lastUpstream {
 		n.lastUpstream = u
 		n.log.Info("upstream", zap.String("upstream", u.node), zap.Bool("relay", u.isRelay), zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -74,6 +74,7 @@
 	follower        *follow.Follower
 	endpoint        *peer.Endpoint
 	key             *keys.SelfSigned
+	startedAt       time.Duration // boot time
 	clients         *http1.Server
 	probes          *http1.Server
 	registry        *prometheus.Registry
@@ -96,6 +97,7 @@
 	roster          uint64                            // version of the leader's roster that a deputy has; likewise
 	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
 	clockEchoAt     time.Duration                     // boot time of the arrival of that reply; likewise
+	relayRefusals   int                               // reports in a row that the relay refused; likewise
 	lastUpstream    upstream                          // that last replied to a report; likewise
 	leaseQueriedAt  time.Duration                     // boot time of the last query of the seeds for the lease; likewise
 	directNodes     atomic.Int64                      // number of nodes that recently reported to this node's upstream itself
@@ -117,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, key: key, hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
+	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
 	key.Trusted = n.isTrusted
 	n.relayLosses = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "relay",
 		Name: "losses_total", Help: "Relays of this node that didn't reply, so that it uses another."})
@@ -141,7 +143,7 @@
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
-		Role: n.role, Omit: n.isGranted, ExpectsFeed: n.expectsFeed, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
+		Role: n.role, Omit: n.isGranted, ExpectsServers: n.expectsServers, ExpectsConfig: n.expectsConfig, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -91,11 +91,13 @@
 	}
 	require.Equal(t, len(f.nodes), granted)
 
+	reads := f.store.Calls("/rows-get")
 	f.store.Put(platform.TableOperator, platform.KeyConfig, []byte(configWithRoute(2)))
 	for i, p := range f.nodes {
 		require.Eventually(t, func() bool { status, _ := p.get(t, "/more/x", fmt.Sprint("m", i), ""); return status == 200 },
 			inForceBound, 5*time.Millisecond)
 	}
+	require.LessOrEqual(t, f.store.Calls("/rows-get")-reads, len(f.relays())+1, "nodes that use a relay don't read the configuration")
 	before := f.store.Calls("/rows-feed")
 	<-time.After(2 * time.Second)
 	require.Less(t, f.store.Calls("/rows-feed")-before, 30, "only the leader and its deputy follow the store")
@@ -145,6 +147,22 @@
 	require.Equal(t, l.Node, f.leaseRow().Node, "the leader is not affected")
 }
 
+// TestNodeOfLargeFleetStartsWithFewCalls guards against nodes that read both tables from the store when they
+// start, hundreds at a time.
+func TestNodeOfLargeFleetStartsWithFewCalls(t *testing.T) {
+	t.Parallel()
+	f, _, _ := newRelayedCluster(t, nil)
+	reads, feeds, began := f.store.Calls("/rows-get"), f.store.Calls("/rows-feed"), time.Now()
+	late := f.start("late")
+	require.Eventually(t, func() bool { return late.ready() && late.usesRelay() }, 5*time.Second, 5*time.Millisecond)
+	status, body := late.get(t, "/plans/x", "p", "m0")
+	require.Equal(t, 200, status, body)
+	require.Zero(t, late.logs.FilterMessage("table-read").Len())
+	require.LessOrEqual(t, f.store.Calls("/rows-get")-reads, 6, "the lease, and at the relay the nodes' rows")
+	perSecond := 14.0 // of the leader and its deputy
+	require.LessOrEqual(t, f.store.Calls("/rows-feed")-feeds, int(2*perSecond*(1+time.Since(began).Seconds())))
+}
+
 // TestRestartedRelayIsUsedAgain guards against nodes that can't connect to a relay any more because it has
 // another key since its restart.
 func TestRestartedRelayIsUsedAgain(t *testing.T) {
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -12,18 +12,26 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/core/relay"
 	"guavapaddle/internal/clock"
+	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
 )
 
 const (
 	// silentBackoff and refusalBackoff are how long a relay isn't used again that didn't reply in time, or
-	// refused: it may not have read this node's row yet, or not know yet that it is a relay.
+	// refused.
 	silentBackoff  = 5 * time.Second
 	refusalBackoff = 500 * time.Millisecond
-	// relayRetryDelay is the delay before a report that a relay left without a reply goes to another one.
-	relayRetryDelay = 50 * time.Millisecond
+	// maxRefusals is how often in a row a relay may refuse a report before another one is used: it may
+	// have to read this node's row first, or not know yet that it is a relay.
+	maxRefusals = 5
+	// relayRetryDelay and refusalRetryDelay are the delays before a report is repeated that a relay left
+	// without a reply, or refused.
+	relayRetryDelay   = 50 * time.Millisecond
+	refusalRetryDelay = 100 * time.Millisecond
 	// maxRelayTries is how many relays are tried before a node reports to the leader itself.
 	maxRelayTries = 4
+	// firstElection is how long a node that starts with others may wait for their first leader.
+	firstElection = time.Second
 	// maxPeerConns is the number of connections that a node accepts from nodes other than relays. After a
 	// restart of all nodes of a fleet without relays, each has an old one beside its new one.
 	maxPeerConns = 2 * relay.DefaultMaxDirect
@@ -72,8 +80,22 @@
 		slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == node }))
 }
 
-// expectsFeed reports whether this node has just started and will use a relay, or doesn't know the lease yet.
-func (n *Node) expectsFeed() bool {
+// expectsServers reports whether this node, which has just started, may expect the servers from its upstream:
+// from a relay, or from a leader that hasn't assigned the relays yet or is about to be elected.
+func (n *Node) expectsServers() bool {
+	l, ok := n.placer.Leader()
+	switch {
+	case n.role() != follow.Standalone:
+		return false
+	case !ok || l.Node == "":
+		return clock.SinceBoot()-n.startedAt < firstElection
+	default:
+		return !l.Assigned || n.upstreamOf(l).isRelay
+	}
+}
+
+// expectsConfig reports whether this node, which has just started, may expect the configuration from a relay.
+func (n *Node) expectsConfig() bool {
 	if !n.placer.LeaseObserved() {
 		return true
 	}
@@ -103,6 +125,16 @@
 	n.log.Warn("relay-silent", zap.String("relay", u.node), zap.Duration("backoff", backoff), zap.Error(err))
 }
 
+// onRelayFailure processes a failed report to a relay, and returns the delay before the next report.
+func (n *Node) onRelayFailure(u upstream, err error) time.Duration {
+	if n.relayRefusals++; !isTimeout(err) && n.relayRefusals <= maxRefusals {
+		return refusalRetryDelay
+	}
+	n.relayRefusals = 0
+	n.avoidRelay(u, err)
+	return relayRetryDelay
+}
+
 // isTimeout reports whether a call failed because there was no reply in time.
 func isTimeout(err error) bool {
 	var silent *hub.AckTimeoutError
