front, follow: leader and relays keep their whole copies; nodes keep to their relay

It asked a seed for a copy, got the partial one of a node that uses a relay, and dropped the entries of all engines: no-model for 7 s and longer, 2,692 requests refused.

Changes: a node on whose copy others rely (leader, deputy, relay) applies no partial one, and one that has become such a node reads the table in full at once. In a fleet with relays, reports and replies carry the configuration, so that no node has to ask a seed for it. A node keeps to its relay while nobody holds the lease; the relay passes on who does. A node whose relays are all silent asks the leader before the deputy. A relay without granter and with an old copy refuses. Nodes that have changed their upstream aren't counted twice, which named seven relays for nine nodes. The gap between two calls of a feed ends when a node becomes leader.

Tests: partial_test.go of follow; TestRelaysFollowNextLeader, TestNodesSurviveLossOfRelays.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -126,11 +126,13 @@
 		// relay; nil for none.
 		Omit func(server string) bool
 
-		// ExpectsServers and ExpectsConfig report whether another node is about to pass the servers, or the
-		// configuration, on to this node, which has just started and need not read them from the store; nil
-		// for never.
-		ExpectsServers func() bool
-		ExpectsConfig  func() bool
+		// HoldsWhole reports whether other nodes rely on this node's copy of the servers, so that a partial one of
+		// another node isn't applied; nil for never.
+		HoldsWhole func() bool
+
+		// ExpectsFeed reports whether another node is about to pass both tables on to this node, which has just
+		// started and need not read them from the store; nil for never.
+		ExpectsFeed func() bool
 
 		// FetchSnapshot fetches another node's copy when a table can't be read, nil for never.
 		FetchSnapshot func(ctx context.Context)
--- a/internal/follow/partial.go
+++ b/internal/follow/partial.go
@@ -29,15 +29,16 @@
 	return t.partial
 }
 
-// needsWhole reports whether the copy is partial and no other node has passed changes on for partialGrace, so
-// that the table must be read in full.
+// needsWhole reports whether the copy is partial and the table must be read in full: other nodes rely on it, or
+// none has passed changes on for partialGrace.
 func (t *table) needsWhole() bool {
+	holdsWhole := t.f.HoldsWhole != nil && t.f.HoldsWhole()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.feedLostAt.IsZero() {
 		t.feedLostAt = time.Now()
 	}
-	return t.partial && time.Since(t.feedLostAt) >= partialGrace
+	return t.partial && (holdsWhole || time.Since(t.feedLostAt) >= partialGrace)
 }
 
 // dropsPartial reports whether an entry that is no longer in the copy is merely omitted from it.
@@ -49,14 +50,10 @@
 // expected and for at most partialGrace, and reports whether it has. Hundreds of nodes may start at once, and
 // the store would send each of them the entries of thousands of servers.
 func (t *table) awaitFirstFeed(ctx context.Context) bool {
-	expected := t.f.ExpectsConfig
-	if t == &t.f.server {
-		expected = t.f.ExpectsServers
-	}
-	if expected == nil {
+	if t.f.ExpectsFeed == nil {
 		return false
 	}
-	for until := time.Now().Add(partialGrace); time.Now().Before(until) && expected(); {
+	for until := time.Now().Add(partialGrace); time.Now().Before(until) && t.f.ExpectsFeed(); {
 		if t.hasFeed() && !t.Revision().IsZero() {
 			return true
 		}
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -47,7 +47,7 @@
 
 		ConfigAge time.Duration // since Operator was last confirmed as the newest version
 
-		OperatorRows []platform.Row    // rows of the operator's table that the other node lacks, from a relay only
+		OperatorRows []platform.Row    // rows of the operator's table that the other node lacks, if WithConfig added them
 		OperatorAt   revision.Revision // up to which OperatorRows are complete
 	}
 )
@@ -117,14 +117,19 @@
 	return u
 }
 
-// PartialChangesSince is ChangesSince for a node that uses a relay: without the entries that Omit reports, and
-// with the configuration, so that the nodes of a large fleet don't all read it from the store.
+// WithConfig returns an update with the configuration that a node with the given versions lacks, so that
+// the nodes of a large fleet don't all read it from the store.
+func (f *Follower) WithConfig(u Update, k Versions) Update {
+	u.Operator, u.OperatorAt, u.OperatorRows = f.operator.changesAfter(k.Operator)
+	return u
+}
+
+// PartialChangesSince is ChangesSince without the entries that Omit reports.
 func (f *Follower) PartialChangesSince(now time.Time, k Versions) Update {
 	k.Partial = false // what the other node lacks isn't sent
 	u := f.ChangesSince(now, k)
 	u.Partial = true
 	u.Servers = slices.DeleteFunc(u.Servers, f.omits)
-	u.Operator, u.OperatorAt, u.OperatorRows = f.operator.changesAfter(k.Operator)
 	return u
 }
 
@@ -159,6 +164,9 @@
 		f.operator.applyRows(u.OperatorRows, u.OperatorAt)
 	}
 	f.operator.recordAnnounced(now, u)
+	if u.Partial && f.HoldsWhole != nil && f.HoldsWhole() {
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !u.Whole && t.revision.Before(u.After) {
@@ -216,6 +224,14 @@
 	return c, len(c.Operator) > 0 && len(c.Servers) > 0
 }
 
+// PartialSnapshot is Snapshot without the entries that Omit reports.
+func (f *Follower) PartialSnapshot(now time.Time) (Snapshot, bool) {
+	c, ok := f.Snapshot(now)
+	c.Partial = true
+	c.Servers = slices.DeleteFunc(c.Servers, f.omits)
+	return c, ok
+}
+
 // allRows returns the rows of the table.
 func (t *table) allRows() []platform.Row {
 	t.mu.Lock()
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -104,7 +104,7 @@
 		if full {
 			t.awaitFeed(ctx)
 		} else {
-			clock.Sleep(ctx, t.gap())
+			t.awaitGap(ctx)
 		}
 		full = false
 		retry.Reset()
@@ -120,6 +120,16 @@
 	return errors.As(err, &status) && status.HistoryGone() || errors.As(err, &era)
 }
 
+// awaitGap waits for the gap between two calls of the feed, which ends early if this node becomes the leader
+// or its deputy.
+func (t *table) awaitGap(ctx context.Context) {
+	for began := time.Now(); time.Since(began) < t.gap(); {
+		if !clock.Sleep(ctx, min(feedCheckInterval, t.gap()-time.Since(began))) {
+			return
+		}
+	}
+}
+
 // gap returns the minimum time between a response of the feed and the next call. A node that starts calls less
 // often until another one passes changes on for the first time.
 func (t *table) gap() time.Duration {
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -119,6 +119,7 @@
 		return hub.SlotReply{}, nil, context.Canceled
 	}
 	reply, grant, err := (&hub.Client{Endpoint: n.endpoint}).AcquireSlot(ctx, at.Address, q)
+	n.addGranted(reply)
 	if err != nil && ctx.Err() == nil {
 		n.recordRefusal(at, err)
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -56,13 +56,13 @@
 	for wait := minReportInterval; n.refresher.sleep(ctx, wait); n.refresher.finish() {
 		wait = n.reportInterval()
 		l, ok := n.placer.Leader()
-		if !ok || l.Node == "" {
+		u := n.upstreamOf(l)
+		if !ok || l.Node == "" && !u.isRelay {
 			n.queryLease(ctx)
 			continue
 		}
 		r := n.newReport(l)
 		sentAt := clock.SinceBoot()
-		u := n.upstreamOf(l)
 		reply, err := n.sendReport(ctx, u, r)
 		if err == nil && (reply.Leading || reply.Relaying) {
 			b.Reset()
@@ -101,6 +101,10 @@
 	r.Contact = n.follower.StoreAge(time.Now())
 	r.Heard, r.Roster, r.Lease = n.ack, n.roster, n.placer.LeaseRevision()
 	r.Update = n.recentUpdate(r)
+	if r.Update != nil && len(l.Relays) > 0 {
+		u := n.follower.WithConfig(*r.Update, follow.Versions{Operator: *n.leaderOperator.Load()})
+		r.Update = &u
+	}
 	r.Echo = n.clockEcho
 	r.Quotas = n.gateway.QuotaUsage()
 	r.Departed = n.undeclaredLeaving()
@@ -173,6 +177,7 @@
 	n.gateway.ApplyReply(reply)
 	n.addLeaving(reply.Departed...)
 	n.applyQuotas(reply)
+	n.leaderOperator.Store(&reply.Update.Operator)
 	n.leaderServers.Store(&reply.Update.Version)
 	n.leaderConfig.Store(reply.Update.ConfigVersion)
 }
@@ -312,7 +317,7 @@
 	if !reply.Leading && n.isActing() {
 		reply = n.replyAsDeputy(r, reply.Lease)
 	}
-	if !reply.Leading && !reply.Acting && n.passesOn() {
+	if !reply.Leading && !reply.Acting && n.passesOn() && (n.reachedGranter() != 0 || n.isCopyFresh()) {
 		reply = n.replyAsRelay(r, reply.Lease)
 	}
 	if !reply.Leading && !reply.Acting && !reply.Relaying {
@@ -333,15 +338,25 @@
 		}
 		n.confirmConfig(r, reply.Heard.Hub)
 	}
-	if n.holdsEngines(r.Node, reply) {
-		reply.Update = n.follower.ChangesSince(time.Now(), r.Known)
-	} else {
-		reply.Update = n.follower.PartialChangesSince(time.Now(), r.Known)
-	}
+	reply.Update = n.updateFor(r, reply)
 	reply.Stamp = clock.SinceBoot()
 	return reply
 }
 
+// updateFor returns the changes of the store's tables that a reporting node lacks.
+func (n *Node) updateFor(r hub.Report, reply hub.ReportReply) follow.Update {
+	now := time.Now()
+	l, _ := n.placer.Leader()
+	switch {
+	case len(l.Relays) == 0:
+		return n.follower.ChangesSince(now, r.Known)
+	case n.holdsEngines(l, r.Node, reply):
+		return n.follower.WithConfig(n.follower.ChangesSince(now, r.Known), r.Known)
+	default:
+		return n.follower.WithConfig(n.follower.PartialChangesSince(now, r.Known), r.Known)
+	}
+}
+
 // RequestLoad serves the load request of a node, which may be this one.
 func (n *Node) RequestLoad(ctx context.Context, q hub.LoadRequest) hub.LoadReply {
 	if n.passesOn() && !n.isActing() {
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -110,7 +110,7 @@
 	var c follow.Snapshot
 	if !r.LeaseOnly {
 		var ok bool
-		if c, ok = n.follower.Snapshot(time.Now()); !ok {
+		if c, ok = n.snapshot(); !ok {
 			http.Error(w, "no copy", http.StatusServiceUnavailable)
 			return
 		}
@@ -122,6 +122,14 @@
 	}
 }
 
+// snapshot returns this node's copy of the store, for a node that will use a relay if the fleet has any.
+func (n *Node) snapshot() (follow.Snapshot, bool) {
+	if l, _ := n.placer.Leader(); len(l.Relays) > 0 {
+		return n.follower.PartialSnapshot(time.Now())
+	}
+	return n.follower.Snapshot(time.Now())
+}
+
 // writeRowOf writes another node's row.
 func (n *Node) writeRowOf(r joinRequest) {
 	value, err := json.Marshal(r.Row)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -87,6 +87,7 @@
 	feedAt          atomic.Int64                      // boot time of the last update from the leader that was not outdated
 	nodeCount       atomic.Int64                      // number of nodes that recently reported to the leader
 	leaderServers   atomic.Pointer[revision.Revision] // revision of the leader's copy of the server table
+	leaderOperator  atomic.Pointer[revision.Revision] // revision of the leader's copy of the operator's table
 	leaderConfig    atomic.Int64                      // version of the configuration in force at the leader
 	isDeputy        atomic.Bool                       // this node follows the store on behalf of all nodes
 	deputy          atomic.Pointer[hub.Contact]       // address and key of the deputy
@@ -143,7 +144,7 @@
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
-		Role: n.role, Omit: n.isGranted, ExpectsServers: n.expectsServers, ExpectsConfig: n.expectsConfig, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
+		Role: n.role, Omit: n.isGranted, HoldsWhole: n.holdsWhole, ExpectsFeed: n.expectsRelay, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
@@ -206,6 +207,7 @@
 		Fencing:            n.settings.CheckEpochs,
 		Window:             time.Duration(n.settings.LoadWindowS * float64(time.Second)),
 		LeaderReachable:    n.hasCoordinator,
+		UsesRelay:          n.isFedByRelay,
 		OnVerdict:          func(v string) { orders.WithLabelValues(v).Inc() },
 		OnElected:          n.granter.Reset,
 		WaitingWithoutCopy: n.granter.Waiting,
--- a/internal/front/relays.go
+++ b/internal/front/relays.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if list, nodes, ok := a.read(ctx); ok {
-		a.assign(now, assigned, list, nodes, max(total(nodes), a.n.hub.NodeCount()))
+		a.assign(now, assigned, list, nodes)
 	}
 }
 
@@ -83,11 +83,13 @@
 	if count == 0 && !settled || count > 0 && len(list) == 0 {
 		return
 	}
-	a.assign(now, nil, list, nodes, registered)
+	a.assign(now, nil, list, nodes)
 }
 
-// assign assigns relays for a number of nodes.
-func (a *assigner) assign(now time.Duration, assigned []relay.Relay, list []relay.Candidate, nodes map[string]int, count int) {
+// assign assigns relays for the registered nodes. The nodes that report are only a sign that there may be
+// more: while some change their upstream they are counted twice.
+func (a *assigner) assign(now time.Duration, assigned []relay.Relay, list []relay.Candidate, nodes map[string]int) {
+	count := total(nodes)
 	relays := relay.Assign(list, assigned, nodes, a.sizes().Count(count, len(assigned)))
 	a.at = now
 	a.n.placer.SetRelays(relays)
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -47,11 +47,11 @@
 }
 
 // acquireForNode requests a slot for a node that uses this one as its relay. If no granter replies, this node
-// selects an engine by itself, since the other one doesn't know the engines; but not for a request that a
-// granter has to charge to a quota.
+// selects an engine by itself, since the other one doesn't know the engines; but not from a copy that may
+// lack departures, nor for a request that a granter has to charge to a quota.
 func (n *Node) acquireForNode(ctx context.Context, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
 	reply, grant, err := n.acquireSlot(ctx, q)
-	if err == nil || ctx.Err() != nil || q.Charge.Team != "" {
+	if err == nil || ctx.Err() != nil || q.Charge.Team != "" || !n.isCopyFresh() {
 		return reply, grant, err
 	}
 	c, reason := n.gateway.Pick(q.PickRequest())
@@ -84,27 +84,46 @@
 // is suspected to be unreachable.
 func (n *Node) acquireSlot(ctx context.Context, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
 	l, ok := n.placer.Leader()
-	if !ok || l.Node == "" {
+	if !ok || l.Node == "" && !n.usesRelays(l) {
 		return hub.SlotReply{}, nil, context.Canceled
 	}
 	if l.Key == n.key.Fingerprint() {
 		return n.AcquireSlot(ctx, q, func() {})
 	}
-	if u := n.upstreamOf(l); u.isRelay {
+	if n.usesRelays(l) {
 		q.Entry = true
-		reply, grant, retry, err := n.acquireThroughRelay(ctx, u, q)
-		if !retry {
-			return reply, grant, err
-		}
-		if u = n.upstreamOf(l); u.isRelay {
-			reply, grant, retry, err = n.acquireThroughRelay(ctx, u, q)
+		return n.acquireThroughRelays(ctx, l, q)
+	}
+	if n.leaderSuspected() {
+		return n.acquireFromDeputy(ctx, q)
+	}
+	return n.acquireFromLeader(ctx, l, q)
+}
+
+// acquireThroughRelays requests a slot from the first relay that replies, and from the leader and its deputy if two
+// fail.
+func (n *Node) acquireThroughRelays(ctx context.Context, l leader.Lease, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
+	for range 2 {
+		u := n.upstreamOf(l)
+		if !u.isRelay {
+			break
 		}
-		if !retry {
+		if reply, grant, retry, err := n.acquireThroughRelay(ctx, u, q); !retry {
 			return reply, grant, err
 		}
-	} else if n.leaderSuspected() {
+	}
+	if l.Node == "" {
+		return hub.SlotReply{}, nil, context.Canceled
+	}
+	reply, grant, err := n.acquireFromLeader(ctx, l, q)
+	if err != nil && ctx.Err() == nil {
 		return n.acquireFromDeputy(ctx, q)
 	}
+	return reply, grant, err
+}
+
+// acquireFromLeader requests a slot from the leader itself.
+func (n *Node) acquireFromLeader(ctx context.Context, l leader.Lease, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
 	waitCtx, cancel := n.leaderCalls.withCancel(ctx)
 	defer cancel()
 	sentAt := clock.SinceBoot()
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -30,8 +30,8 @@
 	refusalRetryDelay = 100 * time.Millisecond
 	// maxRelayTries is how many relays are tried before a node reports to the leader itself.
 	maxRelayTries = 4
-	// firstElection is how long a node that starts with others may wait for their first leader.
-	firstElection = time.Second
+	// leaseReadTime is how long a node that starts may wait for its first read of the lease.
+	leaseReadTime = time.Second
 	// maxPeerConns is the number of connections that a node accepts from nodes other than relays. After a
 	// restart of all nodes of a fleet without relays, each has an old one beside its new one.
 	maxPeerConns = 2 * relay.DefaultMaxDirect
@@ -54,10 +54,15 @@
 	}
 )
 
+// usesRelays reports whether this node is one that uses relays under a lease, even if none replies now.
+func (n *Node) usesRelays(l leader.Lease) bool {
+	return len(l.Relays) > 0 && l.Key != n.key.Fingerprint() && !n.isDeputy.Load() && !n.isRelay(l)
+}
+
 // upstreamOf returns the upstream of this node under a lease.
 func (n *Node) upstreamOf(l leader.Lease) upstream {
 	direct := upstream{node: l.Node, address: l.Address, key: l.Key}
-	if l.Key == n.key.Fingerprint() || n.isDeputy.Load() || n.isRelay(l) {
+	if !n.usesRelays(l) {
 		return direct
 	}
 	r, ok := n.relays.choose(clock.SinceBoot(), l.Relays, n.settings.Node, n.settings.DataCentre)
@@ -74,41 +79,38 @@
 
 // holdsEngines reports whether a reporting node gets the entries of engines: in a fleet with relays those and
 // the deputy do. The others learn of an engine when they are granted a slot there.
-func (n *Node) holdsEngines(node string, reply hub.ReportReply) bool {
-	l, _ := n.placer.Leader()
-	return !reply.Relaying && (len(l.Relays) == 0 || reply.Deputy || node == n.settings.Node ||
+func (n *Node) holdsEngines(l leader.Lease, node string, reply hub.ReportReply) bool {
+	return !reply.Relaying && (reply.Deputy || node == n.settings.Node ||
 		slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == node }))
 }
 
-// expectsServers reports whether this node, which has just started, may expect the servers from its upstream:
-// from a relay, or from a leader that hasn't assigned the relays yet or is about to be elected.
-func (n *Node) expectsServers() bool {
-	l, ok := n.placer.Leader()
-	switch {
-	case n.role() != follow.Standalone:
-		return false
-	case !ok || l.Node == "":
-		return clock.SinceBoot()-n.startedAt < firstElection
-	default:
-		return !l.Assigned || n.upstreamOf(l).isRelay
-	}
-}
+// holdsWhole reports whether other nodes rely on this node's copy of the servers.
+func (n *Node) holdsWhole() bool { return n.role() != follow.Standalone || n.passesOn() }
 
-// expectsConfig reports whether this node, which has just started, may expect the configuration from a relay.
-func (n *Node) expectsConfig() bool {
+// expectsRelay reports whether this node, which has just started, may expect both tables from a relay.
+func (n *Node) expectsRelay() bool {
 	if !n.placer.LeaseObserved() {
-		return true
+		return clock.SinceBoot()-n.startedAt < leaseReadTime
 	}
 	l, ok := n.placer.Leader()
 	return ok && n.upstreamOf(l).isRelay
 }
 
+// isFedByRelay reports whether a relay replies to this node. It passes on who the leader is.
+func (n *Node) isFedByRelay() bool {
+	l, ok := n.placer.Leader()
+	return ok && n.upstreamOf(l).isRelay && n.leaderReached()
+}
+
 // passesOn reports whether this node is a relay now, and not the leader.
 func (n *Node) passesOn() bool {
 	l, ok := n.placer.Leader()
 	return ok && l.Key != n.key.Fingerprint() && n.isRelay(l)
 }
 
+// isCopyFresh reports whether this node's copy of the store is young enough for other nodes to rely on it.
+func (n *Node) isCopyFresh() bool { return n.follower.Age(time.Now()) <= n.maxFeedAge() }
+
 // avoidRelay keeps a relay that failed to reply from being used for a while.
 func (n *Node) avoidRelay(u upstream, err error) {
 	backoff := refusalBackoff
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -67,6 +67,7 @@
 		Fencing            bool          // engines reject orders with an outdated epoch
 		Window             time.Duration // over which loads from the weight store are counted
 		LeaderReachable    func() bool   // reports whether the leader replied recently
+		UsesRelay          func() bool   // reports whether another node passes the lease on to this one, nil for never
 		OnVerdict          func(verdict string)
 		OnElected          func()                      // called when the lease was acquired
 		WaitingWithoutCopy func() map[string]int       // number of requests waiting for a model without a copy
@@ -195,6 +196,9 @@
 // read the row two or three times after a start of all nodes, while the leader was still
 // accepting their connections.
 func (p *Placer) leaderActive() bool {
+	if p.UsesRelay != nil && p.UsesRelay() {
+		return true
+	}
 	p.mu.Lock()
 	l, known := p.Elector.Leader()
 	renewed := p.Elector.RecentlyRenewed(p.Clock())
