--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -38,6 +38,7 @@
 	reply := n.hub.Merge(time.Now(), r)
 	reply.Leading, reply.Acting, reply.Deputy, reply.Lease = false, true, false, lease
 	reply.Nodes = max(reply.Nodes, int(n.nodeCount.Load())) // some nodes haven't reported yet
+	reply.Direct = max(reply.Direct, int(n.directNodes.Load()))
 	return reply
 }
 
