--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -181,3 +181,27 @@
 		})
 	}
 }
+
+// TestUpdateOfEarlierEraIsIgnored guards against a node that takes an entry, or a configuration, from another node which
+// hasn't seen yet that the store was restored.
+func TestUpdateOfEarlierEraIsIgnored(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore(t)
+	s.Put(platform.TableOperator, platform.KeyConfig, configOf(1))
+	s.Put(platform.TableServers, "i-1", entry("ready"))
+	n := startNode(t, s, nil)
+	eventually(t, "start", func() bool { return n.version() == 1 && n.has("i-1") })
+	copied := s.Backup()
+	s.Put(platform.TableServers, "i-2", entry("ready"))
+	eventually(t, "lost change", func() bool { return n.has("i-2") })
+	late := n.ChangesSince(time.Now(), follow.Versions{})
+	s.Restore(copied)
+	s.Put(platform.TableServers, "i-1", entry("draining"))
+	s.Put(platform.TableServers, "i-3", entry("ready"))
+	eventually(t, "the restored table is known", func() bool { return n.has("i-3") && n.leaving("i-1") && !n.has("i-2") })
+	late.Whole = true
+	require.False(t, n.ApplyUpdate(time.Now(), late))
+	require.True(t, n.has("i-3"))
+	require.True(t, n.leaving("i-1"))
+	require.False(t, n.has("i-2"))
+}
