--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -66,6 +66,7 @@
 		}
 	}
 	require.Len(t, w.Runs(), 3)
+	require.Eventually(t, func() bool { return strings.Count(r.log.String(), "event=request ") == 9 }, 2*time.Second, time.Millisecond, "each request is logged")
 	require.NotContains(t, r.log.String(), deskKey, "keys are not logged")
 	require.Contains(t, r.log.String(), "key="+apikey.Sum(deskKey).String())
 }
