leader: one check whether a lease names a node as a relay

It stood twice in front, for this node and for a reporting one. Behaviour is as before; tests of core/leader and the relay tests of front pass.

--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"guavapaddle/core/relay"
@@ -89,6 +90,11 @@
 	return l
 }
 
+// HasRelay reports whether the lease names a node as a relay.
+func (l Lease) HasRelay(node string) bool {
+	return slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == node })
+}
+
 // TermID identifies the term of the leader. Unlike the epoch it stays the same when the leader acquires
 // the lease again.
 func (l Lease) TermID() int64 { return cmp.Or(l.Term, l.Epoch) }
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -56,7 +56,7 @@
 
 // usesRelays reports whether this node is one that uses relays under a lease, even if none replies now.
 func (n *Node) usesRelays(l leader.Lease) bool {
-	return len(l.Relays) > 0 && l.Key != n.key.Fingerprint() && !n.isDeputy.Load() && !n.isRelay(l)
+	return len(l.Relays) > 0 && l.Key != n.key.Fingerprint() && !n.isDeputy.Load() && !l.HasRelay(n.settings.Node)
 }
 
 // upstreamOf returns the upstream of this node under a lease.
@@ -72,16 +72,10 @@
 	return upstream{node: r.Node, address: r.Address, key: r.Key, isRelay: true}
 }
 
-// isRelay reports whether a lease names this node as a relay.
-func (n *Node) isRelay(l leader.Lease) bool {
-	return slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == n.settings.Node })
-}
-
 // holdsEngines reports whether a reporting node gets the entries of engines: in a fleet with relays those and
 // the deputy do. The others learn of an engine when they are granted a slot there.
 func (n *Node) holdsEngines(l leader.Lease, node string, reply hub.ReportReply) bool {
-	return !reply.Relaying && (reply.Deputy || node == n.settings.Node ||
-		slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Node == node }))
+	return !reply.Relaying && (reply.Deputy || node == n.settings.Node || l.HasRelay(node))
 }
 
 // holdsWhole reports whether other nodes rely on this node's copy of the servers.
@@ -105,7 +99,7 @@
 // passesOn reports whether this node is a relay now, and not the leader.
 func (n *Node) passesOn() bool {
 	l, ok := n.placer.Leader()
-	return ok && l.Key != n.key.Fingerprint() && n.isRelay(l)
+	return ok && l.Key != n.key.Fingerprint() && l.HasRelay(n.settings.Node)
 }
 
 // isCopyFresh reports whether this node's copy of the store is young enough for other nodes to rely on it.
