front: the first connection of a node that lost its relays is accepted

A client's request was refused for 2 s at a node whose relays had all stopped.

Cause, read from the node's log, which the test now prints when it fails: n8 had learned of its relay before it ever called the leader. When the relays were gone, leader and deputy refused its first connection (tls: bad certificate): neither had read the node rows since n8 wrote its own. An unknown key started a read of the rows, but that handshake was refused all the same, and with it the request.

Change: the handshake of an unknown key waits for the read that it starts, for at most 350 ms. Reads stay at least 300 ms apart.

With the store away as well the keys stay unknown; see docs/design/whole-fleet.md.

--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -34,6 +34,9 @@
 	// minKeyReadInterval is the minimum time between two reads of the node rows that unknown
 	// keys trigger.
 	minKeyReadInterval = 300 * time.Millisecond
+	// maxKeyWait is how long the handshake of a node with an unknown key may wait for such a read. It must be
+	// below exchangeTimeout, after which the node gives up.
+	maxKeyWait = 350 * time.Millisecond
 )
 
 type (
@@ -52,7 +55,7 @@
 		mu      sync.Mutex
 		keys    map[string]bool
 		readAt  time.Time
-		reading bool
+		reading chan struct{} // closed after the read of the rows that is due or under way, nil if there is none
 	}
 )
 
@@ -147,19 +150,41 @@
 	if at := n.deputy.Load(); at != nil && at.Key == key {
 		return true
 	}
-	n.peerKeys.mu.Lock()
-	defer n.peerKeys.mu.Unlock()
-	if n.peerKeys.keys[key] {
+	if n.peerKeys.has(key) {
 		return true
 	}
 	if ok && n.upstreamOf(l).isRelay {
 		return false
 	}
-	if !n.peerKeys.reading && time.Since(n.peerKeys.readAt) > minKeyReadInterval {
-		n.peerKeys.reading = true
-		go n.readPeerKeys()
+	n.awaitPeerKeys()
+	return n.peerKeys.has(key)
+}
+
+// awaitPeerKeys waits for a read of the rows of all nodes, for at most maxKeyWait. A node that has lost its
+// relays connects to the leader for the first time, and its requests would be refused if it had to
+// connect again.
+func (n *Node) awaitPeerKeys() {
+	n.peerKeys.mu.Lock()
+	read := n.peerKeys.reading
+	if read == nil {
+		read = make(chan struct{})
+		n.peerKeys.reading = read
+		go n.readPeerKeys(max(0, minKeyReadInterval-time.Since(n.peerKeys.readAt)))
+	}
+	n.peerKeys.mu.Unlock()
+	timeout := time.NewTimer(maxKeyWait)
+	defer timeout.Stop()
+	select {
+	case <-read:
+	case <-timeout.C:
 	}
-	return false
+}
+
+// has reports whether a key is known.
+func (t *trustedKeys) has(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keys[key]
 }
 
 // add adds keys that the leader has passed on.
@@ -176,8 +201,9 @@
 	t.keys = known
 }
 
-// readPeerKeys reads the rows of all nodes.
-func (n *Node) readPeerKeys() {
+// readPeerKeys reads the rows of all nodes after a delay.
+func (n *Node) readPeerKeys(delay time.Duration) {
+	time.Sleep(delay)
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
@@ -192,7 +218,8 @@
 	}
 	n.peerKeys.mu.Lock()
 	defer n.peerKeys.mu.Unlock()
-	n.peerKeys.reading = false
+	close(n.peerKeys.reading)
+	n.peerKeys.reading = nil
 	n.peerKeys.readAt = time.Now()
 	if err != nil {
 		n.log.Warn("node-rows-failed", zap.Error(err))
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -20,6 +20,7 @@
 const (
 	relayedNodes = 9
 	relayFanout  = 3
+	recentLines  = 60 // of a node's log in the message of a failure
 )
 
 // newRelayedCluster starts a fleet that needs three relays, and waits until all nodes use theirs.
@@ -59,6 +60,16 @@
 	return p.logs.FilterMessage("upstream").FilterField(zap.Bool("relay", true)).Len() > 0
 }
 
+// recentLogs returns the last log lines of a node, for the message of a failure.
+func (p *testNode) recentLogs() string {
+	var b strings.Builder
+	list := p.logs.All()
+	for _, e := range list[max(0, len(list)-recentLines):] {
+		fmt.Fprintln(&b, e.Time.Format("05.000"), e.Message, e.ContextMap())
+	}
+	return b.String()
+}
+
 // waitForRelays waits until relays are assigned and all other nodes have reached the leader through them.
 func (f *testCluster) waitForRelays() {
 	f.t.Helper()
@@ -78,7 +89,7 @@
 	f, engine, plain := newRelayedCluster(t, nil)
 	for i, p := range f.nodes {
 		status, body := p.get(t, "/plans/x", fmt.Sprint("a", i), "m0/a1")
-		require.Equal(t, 200, status, body)
+		require.Equal(t, 200, status, "%s: %s\n%s", p.settings.Node, body, p.recentLogs())
 		require.Equal(t, 5, strings.Count(body, "data:"))
 	}
 	require.Equal(t, []string{"a1"}, engine.Models()["m0"])
@@ -135,7 +146,7 @@
 	for time.Since(stopped) < 4*time.Second {
 		for i, p := range rest {
 			status, body := p.get(t, "/plans/x", fmt.Sprint(time.Since(stopped), i), "m0")
-			require.Equal(t, 200, status, body)
+			require.Equal(t, 200, status, "%s: %s\n%s", p.settings.Node, body, p.recentLogs())
 		}
 		<-time.After(20 * time.Millisecond)
 	}
@@ -147,6 +158,27 @@
 	require.Equal(t, l.Node, f.leaseRow().Node, "the leader is not affected")
 }
 
+// TestLateNodeSurvivesLossOfRelays guards against a leader that refuses the first connection of a node that has
+// only called its relay so far: the request for which the node connects would be refused too.
+func TestLateNodeSurvivesLossOfRelays(t *testing.T) {
+	t.Parallel()
+	f, _, _ := newRelayedCluster(t, nil)
+	late := f.start("late")
+	require.Eventually(t, func() bool { return late.ready() && late.usesRelay() }, 5*time.Second, 5*time.Millisecond)
+	relays := f.relays()
+	for _, p := range f.nodes {
+		if relays[p.settings.Node] {
+			p.stop()
+		}
+	}
+	stopped := time.Now()
+	for i := 0; time.Since(stopped) < 4*time.Second; i++ {
+		status, body := late.get(t, "/plans/x", fmt.Sprint("late", i), "m0")
+		require.Equal(t, 200, status, "%s\n%s", body, late.recentLogs())
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
 // TestNodeOfLargeFleetStartsWithFewCalls guards against nodes that read both tables from the store when they
 // start, hundreds at a time.
 func TestNodeOfLargeFleetStartsWithFewCalls(t *testing.T) {
