front: the loss of a relay leaves slot requests at the leader alone

Cause, found by reading while the failure above was traced: all slot requests that wait for another node were in one group, and each relay that didn't reply canceled the group. A request that had tried two relays and waited at the leader was canceled when the report loop gave up the third one, and went to the deputy, which refuses while the leader is there.

Change: calls are grouped by the node for which they wait (internal/calls).

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -277,7 +277,7 @@
 		n.endpoint.Redial(l.Address)
 	}
 	if !n.leaderReached() {
-		n.leaderCalls.cancelAll()
+		n.waitingCalls.CancelAll(l.Key)
 	}
 	n.log.Warn("leader-silent", zap.String("leader", l.Node), zap.Error(err))
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -25,6 +25,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/revision"
+	"guavapaddle/internal/calls"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/gateway"
@@ -107,7 +108,7 @@
 	relayLosses     prometheus.Counter
 	refresher       refresher
 	peerKeys        trustedKeys
-	leaderCalls     callGroup
+	waitingCalls    calls.Groups // slot requests at other nodes
 	seeds           clientCache
 	storeRestored   chan struct{} // holds a value after a restore of the store until register has seen it
 	listeners       []net.Listener
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,13 +14,6 @@
 	"guavapaddle/internal/hub"
 )
 
-// callGroup cancels the calls that wait for the leader when the leader stops replying.
-type callGroup struct {
-	mu     sync.Mutex
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
 // AcquireSlot waits until a request of a node, which may be this one, is granted a slot at an
 // engine or refused.
 func (n *Node) AcquireSlot(ctx context.Context, q hub.SlotRequest, queued func()) (hub.SlotReply, hub.SlotGrant, error) {
@@ -124,7 +116,7 @@
 
 // acquireFromLeader requests a slot from the leader itself.
 func (n *Node) acquireFromLeader(ctx context.Context, l leader.Lease, q hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
-	waitCtx, cancel := n.leaderCalls.withCancel(ctx)
+	waitCtx, cancel := n.waitingCalls.WithCancel(ctx, l.Key)
 	defer cancel()
 	sentAt := clock.SinceBoot()
 	reply, grant, err := n.leaderClient().AcquireSlot(waitCtx, l.Address, q)
@@ -136,7 +128,7 @@
 // acquireThroughRelay requests a slot from a relay. If that fails the relay isn't used for a while, and the
 // request is to be repeated: what the leader may have granted is released with the relay's stream.
 func (n *Node) acquireThroughRelay(ctx context.Context, u upstream, q hub.SlotRequest) (reply hub.SlotReply, grant hub.SlotGrant, retry bool, err error) {
-	waitCtx, cancel := n.leaderCalls.withCancel(ctx)
+	waitCtx, cancel := n.waitingCalls.WithCancel(ctx, u.key)
 	defer cancel()
 	reply, grant, err = n.leaderClient().AcquireSlot(waitCtx, u.address, q)
 	n.addGranted(reply)
@@ -165,37 +157,6 @@
 	if !errors.As(err, &silent) || time.Duration(n.leaderMessageAt.Load()) >= sentAt || n.leaderSuspect.Swap(true) {
 		return
 	}
-	n.leaderCalls.cancelAll()
+	n.waitingCalls.CancelAll(l.Key)
 	n.log.Warn("leader-suspect", zap.String("leader", l.Node), zap.Duration("waited", clock.SinceBoot()-sentAt))
 }
-
-// withCancel returns a context that also ends when the waiting calls are canceled, and a function that
-// releases it.
-func (c *callGroup) withCancel(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(c.context(), cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
-// context returns a context that lasts until the waiting calls are canceled.
-func (c *callGroup) context() context.Context {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ctx == nil {
-		c.ctx, c.cancel = context.WithCancel(context.Background())
-	}
-	return c.ctx
-}
-
-// cancelAll cancels the waiting calls.
-func (c *callGroup) cancelAll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ctx != nil {
-		c.cancel()
-		c.ctx = nil
-	}
-}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -116,7 +116,7 @@
 	}
 	n.relayLosses.Inc()
 	n.leaderSuspect.Store(false)
-	n.leaderCalls.cancelAll()
+	n.waitingCalls.CancelAll(u.key)
 	n.endpoint.Redial(u.address)
 	n.log.Warn("relay-silent", zap.String("relay", u.node), zap.Duration("backoff", backoff), zap.Error(err))
 }
