jsonhttp: a call whose context has ended isn't sent

Cause: Do waits on a context of its own, so that a response that arrived while the process stood still can be read. The end of the caller's context reaches it by another goroutine. A call whose context had ended before could start first, reach the server and run, and its failure said only that it might have run. A caller that had left could so book after all.

Change: Do returns not-sent if the context has ended.

--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -101,8 +101,11 @@
 // as well.
 //
 // If the process was not running when the deadline of ctx passed, a response that arrived in
-// the meantime is still read.
+// the meantime is still read. A call whose ctx has ended before isn't sent.
 func (c *Client) Do(ctx context.Context, call Call) (Response, error) {
+	if ctx.Err() != nil {
+		return Response{}, c.newError(NotSent, nil, context.Cause(ctx))
+	}
 	ctx, done := extendAfterStall(ctx)
 	defer done()
 	s, err := c.Open(ctx, call)
--- a/io/jsonhttp/client_test.go
+++ b/io/jsonhttp/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,23 @@
 	require.Equal(t, jsonhttp.Sent, jsonhttp.StageOf(err))
 }
 
+// TestInvariantEndedContextSendsNothing guards against a call that reaches the server although its context had
+// ended before, because the end is noticed by another goroutine.
+func TestInvariantEndedContextSendsNothing(t *testing.T) {
+	var served atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer server.Close()
+	c := &jsonhttp.Client{Address: server.Listener.Addr().String()}
+	for range 500 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		cancel()
+		_, err := c.Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: "/"})
+		require.Equal(t, jsonhttp.NotSent, jsonhttp.StageOf(err))
+		require.ErrorIs(t, err, context.Canceled)
+	}
+	require.Zero(t, served.Load())
+}
+
 // TestInvariantSealedConnectionWritesNothing checks that nothing is written after sealing,
 // so that the number of writes that proves a call unsent is final.
 func TestInvariantSealedConnectionWritesNothing(t *testing.T) {
