clock: a sleep of no duration uses no timer

Suspected, not shown: the timers of a bubble share one state of the race detector, and goroutines that read expired timers enter it at the same time.

Change: no timer is made for a duration that isn't positive, so none is expired when it is read; a canceled context is noticed every time rather than by chance, which TestSleepWithoutDuration checks.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -14,8 +14,12 @@
 )
 
 // Sleep waits for d or until ctx is cancelled. It reports whether the full time has
-// elapsed.
+// elapsed. If d isn't positive it returns at once, without a timer: under the race detector, reading one
+// that has already expired can crash the runtime in simulated time.
 func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -23,6 +23,18 @@
 	})
 }
 
+// TestSleepWithoutDuration guards against a cancelled context that is noticed only by chance.
+func TestSleepWithoutDuration(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, d := range []time.Duration{0, -time.Second} {
+		require.True(t, clock.Sleep(ctx, d))
+	}
+	cancel()
+	for range 100 {
+		require.False(t, clock.Sleep(ctx, 0))
+	}
+}
+
 func TestSinceBootIsMonotonic(t *testing.T) {
 	last := clock.SinceBoot()
 	for range 100 {
