front, hub: the leader and its deputy learn the keys of nodes that use relays

Failure: with the store unavailable, a node whose relays are gone is refused by leader and deputy for as long as the outage lasts, and refuses its clients' requests to engines. The leader knew its key only from the node rows, which it can't read then. A node of a small fleet reports to the leader itself, so its key is known.

Fleets without relays send nothing new.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -95,6 +95,7 @@
 	r := n.gateway.Report(n.settings.Node, n.granterOf(l))
 	if n.passesOn() {
 		r = n.hub.WithNodes(time.Now(), r)
+		r.Keys = n.unreportedKeys(l)
 	}
 	r.At = hub.Contact{Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
 	r.Known = n.follower.Versions()
@@ -144,6 +145,7 @@
 	n.directNodes.Store(int64(reply.Direct))
 	n.relayGranter.Store(reply.Granter)
 	n.relayRefusals = 0
+	n.reportedRoster = n.sentRoster
 	if u != n.lastUpstream {
 		n.lastUpstream = u
 		n.log.Info("upstream", zap.String("upstream", u.node), zap.Bool("relay", u.isRelay), zap.String("leader", l.Node), zap.Int64("epoch", l.Epoch))
@@ -330,6 +332,9 @@
 			reply.Usage = append(reply.Usage, hub.NodeQuotas{Node: u.Node, Number: u.Report.Number, States: n.granter.ReportUsage(u.Node, u.Key, u.Report)})
 		}
 	}
+	if len(r.Keys) > 0 {
+		n.peerKeys.add(r.Keys) // nodes that lose their relay call this node
+	}
 	n.addLeaving(r.Departed...)
 	reply.Departed = n.undeclaredLeaving()
 	if r.Update != nil {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -97,6 +97,8 @@
 	acting          atomic.Bool                       // this node is the deputy and grants slots
 	ack             hub.Ack                           // acknowledges the updates in the leader's last reply; used by runExchange only
 	roster          uint64                            // version of the leader's roster that a deputy has; likewise
+	sentRoster      sentRoster                        // in this relay's last report; likewise
+	reportedRoster  sentRoster                        // in the last one that a leader replied to; likewise
 	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
 	clockEchoAt     time.Duration                     // boot time of the arrival of that reply; likewise
 	relayRefusals   int                               // reports in a row that the relay refused; likewise
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -159,23 +159,31 @@
 }
 
 // TestLateNodeSurvivesLossOfRelays guards against a leader that refuses the first connection of a node that has
-// only called its relay so far: the request for which the node connects would be refused too.
+// only called its relay so far: the request for which the node connects would be refused too. With the store
+// unavailable, the leader must have learned the node's key from the relay.
 func TestLateNodeSurvivesLossOfRelays(t *testing.T) {
 	t.Parallel()
-	f, _, _ := newRelayedCluster(t, nil)
-	late := f.start("late")
-	require.Eventually(t, func() bool { return late.ready() && late.usesRelay() }, 5*time.Second, 5*time.Millisecond)
-	relays := f.relays()
-	for _, p := range f.nodes {
-		if relays[p.settings.Node] {
-			p.stop()
-		}
-	}
-	stopped := time.Now()
-	for i := 0; time.Since(stopped) < 4*time.Second; i++ {
-		status, body := late.get(t, "/plans/x", fmt.Sprint("late", i), "m0")
-		require.Equal(t, 200, status, "%s\n%s", body, late.recentLogs())
-		<-time.After(20 * time.Millisecond)
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprint("outage-", outage), func(t *testing.T) {
+			t.Parallel()
+			f, _, _ := newRelayedCluster(t, nil)
+			late := f.start("late")
+			require.Eventually(t, func() bool { return late.ready() && late.usesRelay() }, 5*time.Second, 5*time.Millisecond)
+			<-time.After(time.Second) // two reports of the relay
+			f.store.Outage(outage)
+			relays := f.relays()
+			for _, p := range f.nodes {
+				if relays[p.settings.Node] {
+					p.stop()
+				}
+			}
+			stopped := time.Now()
+			for i := 0; time.Since(stopped) < 4*time.Second; i++ {
+				status, body := late.get(t, "/plans/x", fmt.Sprint("late", i), "m0")
+				require.Equal(t, 200, status, "%s\n%s", body, late.recentLogs())
+				<-time.After(20 * time.Millisecond)
+			}
+		})
 	}
 }
 
--- a/internal/front/relays.go
+++ b/internal/front/relays.go
@@ -27,6 +27,12 @@
 	minAssignInterval = time.Second
 )
 
+// sentRoster identifies a list of keys that a relay has sent to a leader.
+type sentRoster struct {
+	leader  string // fingerprint of the leader's certificate
+	version uint64
+}
+
 // assigner assigns the relays while this node is the leader.
 type assigner struct {
 	n        *Node
@@ -188,6 +194,17 @@
 	return sum
 }
 
+// unreportedKeys returns the keys of the nodes that use this node as their relay, unless the leader has got
+// them. With the store unavailable, the leader would refuse those nodes once they have lost their relay.
+func (n *Node) unreportedKeys(l leader.Lease) []string {
+	keys, version := n.hub.Roster()
+	n.sentRoster = sentRoster{leader: l.Key, version: version}
+	if n.sentRoster == n.reportedRoster {
+		return nil
+	}
+	return keys
+}
+
 // replyAsRelay replies to the report of a node that uses this node as its relay.
 func (n *Node) replyAsRelay(r hub.Report, lease platform.Row) hub.ReportReply {
 	reply := n.hub.MergeAsRelay(time.Now(), r)
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -95,6 +95,7 @@
 
 		Nodes int         // nodes whose reports a relay has added to its own, itself included; 0 for one
 		Usage []NodeUsage // their usage reports
+		Keys  []string    // fingerprints of their certificates, sent when they have changed
 	}
 
 	// Limit is the rate limit that a server set or removed.
@@ -217,9 +218,12 @@
 	h.mergeLimits(now, r.Limits)
 	r.Demand, r.Marks, r.Update, r.Limits, r.Usage = nil, nil, nil, nil, nil
 	previous, known := h.nodes[r.Node]
-	if !known || previous.report.At.Key != r.At.Key {
+	if !known || previous.report.At.Key != r.At.Key || len(r.Keys) > 0 {
 		h.rosterVersion++
 	}
+	if len(r.Keys) == 0 {
+		r.Keys = previous.report.Keys
+	}
 	h.removeReport(r.Node)
 	h.nodes[r.Node] = nodeReport{r, now}
 	h.addCounts(r.Counts, 1)
@@ -279,12 +283,12 @@
 	}
 }
 
-// nodeKeys returns the keys of all reporting nodes; h.mu is held. The deputy needs them before
-// other nodes call it, since the store may be unreachable by then.
+// nodeKeys returns the keys of all reporting nodes, and of those that report to relays; h.mu is held. The deputy
+// needs them before other nodes call it, since the store may be unreachable by then.
 func (h *Hub) nodeKeys() []string {
-	out := make([]string, 0, len(h.nodes))
+	out := make([]string, 0, h.nodeCount())
 	for _, e := range h.nodes {
-		out = append(out, e.report.At.Key)
+		out = append(append(out, e.report.At.Key), e.report.Keys...)
 	}
 	return out
 }
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -156,3 +156,34 @@
 	reply := h.Merge(now.Add(2*hub.LimitTTL), hub.Report{Node: "b"})
 	require.Empty(t, reply.Limits, "a limit that no node reports expires")
 }
+
+// TestDeputyGetsKeysOfRelayedNodes checks that the deputy gets the keys of nodes that report to relays, also
+// while the relay's later reports don't repeat them.
+func TestDeputyGetsKeysOfRelayedNodes(t *testing.T) {
+	h := &hub.Hub{Self: "leader"}
+	now := time.Unix(1000, 0)
+	cores := map[string]float64{"relay": 0.2, "deputy": 1}
+	report := func(node string, roster uint64, keys ...string) hub.ReportReply {
+		return h.Merge(now, hub.Report{Node: node, At: hub.Contact{Key: "key-" + node, Cores: cores[node]}, Roster: roster, Keys: keys})
+	}
+	report("deputy", 0)
+	report("relay", 0, "key-a", "key-b")
+	first := report("deputy", 0)
+	require.True(t, first.Deputy)
+	require.ElementsMatch(t, []string{"key-relay", "key-deputy", "key-a", "key-b"}, first.Keys)
+	report("relay", 0)
+	require.Empty(t, report("deputy", first.Roster).Keys, "nothing has changed")
+	report("relay", 0, "key-b", "key-c")
+	require.ElementsMatch(t, []string{"key-relay", "key-deputy", "key-b", "key-c"}, report("deputy", first.Roster).Keys)
+
+	relay := &hub.Hub{}
+	relay.MergeAsRelay(now, hub.Report{Node: "a", At: hub.Contact{Key: "key-a"}})
+	keys, version := relay.Roster()
+	require.Equal(t, []string{"key-a"}, keys)
+	relay.MergeAsRelay(now, hub.Report{Node: "a", At: hub.Contact{Key: "key-a"}})
+	_, again := relay.Roster()
+	require.Equal(t, version, again)
+	relay.MergeAsRelay(now, hub.Report{Node: "a", At: hub.Contact{Key: "key-a2"}})
+	_, again = relay.Roster()
+	require.NotEqual(t, version, again, "the node has restarted")
+}
--- a/internal/hub/relay.go
+++ b/internal/hub/relay.go
@@ -80,6 +80,13 @@
 	return r
 }
 
+// Roster returns the keys of the nodes that report here, and the version of that list.
+func (h *Hub) Roster() (keys []string, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodeKeys(), h.rosterVersion
+}
+
 // WithCounts returns a relay's own counts with those of its nodes added.
 func (h *Hub) WithCounts(own map[string]balance.Count) map[string]balance.Count {
 	h.mu.Lock()
