leader, relay: one rule for the capacity of a relay

The elector and relay.Capable each compared processor cores by their own expression, and a local variable hid a constant. Behaviour is as before; tests of both packages pass.

--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -180,13 +180,9 @@
 // takeoverWait returns how long the row must have been unchanged before this node may take the
 // lease.
 func (e *Elector) takeoverWait() time.Duration {
-	smallNodeWait := smallNodeWait
-	if len(e.observed.Relays) > 0 && 2*e.Self.Cores < e.observed.Cores {
-		smallNodeWait = relayedNodeWait
-	}
 	switch {
 	case e.IsRestored() && e.Self.Cores < e.observed.Cores:
-		return e.TTL + e.TTL/marginDivisor + smallNodeWait
+		return e.TTL + e.TTL/marginDivisor + e.smallNodeWait()
 	case e.IsRestored():
 		return e.TTL + e.TTL/marginDivisor
 	case e.revision.Number == 0:
@@ -194,12 +190,20 @@
 	case e.observed.Node == "" && e.Self.Cores >= e.observed.Cores:
 		return 0
 	case e.observed.Node == "":
-		return smallNodeWait
+		return e.smallNodeWait()
 	case e.Self.Cores >= e.observed.Cores:
 		return e.TTL + e.TTL/marginDivisor
 	default:
-		return e.TTL + e.TTL/marginDivisor + smallNodeWait
+		return e.TTL + e.TTL/marginDivisor + e.smallNodeWait()
+	}
+}
+
+// smallNodeWait returns how much longer this node waits if it has less processor capacity than the last leader.
+func (e *Elector) smallNodeWait() time.Duration {
+	if len(e.observed.Relays) > 0 && !relay.IsCapable(e.Self.Cores, e.observed.Cores) {
+		return relayedNodeWait
 	}
+	return smallNodeWait
 }
 
 // RecentlyRenewed reports whether another node has taken or renewed the lease so recently that
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -50,11 +50,15 @@
 	return max(assigned, (nodes+fanout-1)/fanout)
 }
 
-// Capable returns the candidates that have at least half of the given number of processor cores.
-func Capable(list []Candidate, cores float64) []Candidate {
+// IsCapable reports whether a node with some processor cores may be a relay of a leader with others: it needs at
+// least half as many.
+func IsCapable(cores, leaderCores float64) bool { return 2*cores >= leaderCores }
+
+// Capable returns the candidates that may be relays of a leader with the given number of processor cores.
+func Capable(list []Candidate, leaderCores float64) []Candidate {
 	var out []Candidate
 	for _, c := range list {
-		if 2*c.Cores >= cores {
+		if IsCapable(c.Cores, leaderCores) {
 			out = append(out, c)
 		}
 	}
