--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -123,9 +123,8 @@
 func (n *Node) removeExpired(ctx context.Context, w *roster.Watcher) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
-	if err != nil {
-		n.log.Warn("node-rows-failed", zap.Error(err))
+	rows, ok := n.readNodeRows(ctx)
+	if !ok {
 		return
 	}
 	versions := make(map[string]revision.Revision, len(rows))
@@ -206,24 +205,40 @@
 	time.Sleep(delay)
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
+	rows, ok := n.readNodeRows(ctx)
 	keys := map[string]bool{}
 	for _, r := range rows {
-		var v nodeRow
-		if err := json.Unmarshal(r.Value, &v); err != nil {
-			n.log.Error("node-row-unreadable", zap.String("node", r.Key), zap.Error(err))
-			continue
+		if v, ok := n.decodeNodeRow(r); ok {
+			keys[v.Key] = true
 		}
-		keys[v.Key] = true
 	}
 	n.peerKeys.mu.Lock()
 	defer n.peerKeys.mu.Unlock()
 	close(n.peerKeys.reading)
 	n.peerKeys.reading = nil
 	n.peerKeys.readAt = time.Now()
+	if ok {
+		n.peerKeys.keys = keys
+	}
+}
+
+// readNodeRows reads the rows of all nodes. It returns false, and logs the error, if the store doesn't
+// respond.
+func (n *Node) readNodeRows(ctx context.Context) ([]platform.Row, bool) {
+	rows, _, err := n.store.ReadPart(ctx, nodeTable, nodePart)
 	if err != nil {
 		n.log.Warn("node-rows-failed", zap.Error(err))
-		return
+		return nil, false
+	}
+	return rows, true
+}
+
+// decodeNodeRow decodes a node's row. It returns false, and logs the error, if the row can't be read.
+func (n *Node) decodeNodeRow(r platform.Row) (nodeRow, bool) {
+	var v nodeRow
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		n.log.Error("node-row-unreadable", zap.String("node", r.Key), zap.Error(err))
+		return nodeRow{}, false
 	}
-	n.peerKeys.keys = keys
+	return v, true
 }
--- a/internal/front/relays.go
+++ b/internal/front/relays.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -149,35 +148,29 @@
 func (a *assigner) read(ctx context.Context) ([]relay.Candidate, map[string]int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, _, err := a.n.store.ReadPart(ctx, nodeTable, nodePart)
-	if err != nil {
-		a.n.log.Warn("node-rows-failed", zap.Error(err))
+	rows, ok := a.n.readNodeRows(ctx)
+	if !ok {
 		return nil, nil, false
 	}
 	now := clock.SinceBoot()
 	nodes := map[string]int{}
 	var list []relay.Candidate
 	for _, r := range rows {
-		c, ok := a.candidate(r)
+		v, ok := a.n.decodeNodeRow(r)
 		if !ok {
 			continue
 		}
-		nodes[c.DataCentre]++
-		if c.Node != a.n.settings.Node && now >= a.excluded[c.Node] {
-			list = append(list, c)
+		nodes[v.DataCentre]++
+		if r.Key != a.n.settings.Node && now >= a.excluded[r.Key] {
+			list = append(list, v.candidate(r.Key))
 		}
 	}
 	return relay.Capable(list, a.n.settings.Cores), nodes, true
 }
 
-// candidate decodes a node's row.
-func (a *assigner) candidate(r platform.Row) (relay.Candidate, bool) {
-	var v nodeRow
-	if err := json.Unmarshal(r.Value, &v); err != nil {
-		a.n.log.Error("node-row-unreadable", zap.String("node", r.Key), zap.Error(err))
-		return relay.Candidate{}, false
-	}
-	return relay.Candidate{Cores: v.Cores, Relay: relay.Relay{Node: r.Key, Address: v.Address, Key: v.Key, DataCentre: v.DataCentre}}, true
+// candidate returns the node with the row as a candidate.
+func (r nodeRow) candidate(node string) relay.Candidate {
+	return relay.Candidate{Cores: r.Cores, Relay: relay.Relay{Node: node, Address: r.Address, Key: r.Key, DataCentre: r.DataCentre}}
 }
 
 // sizes returns the sizes from the settings.
