follow: entries that a partial update omits aren't collected first

A relay collected all changed entries for each report of a node and then dropped those of engines. The updates are the same; tests of internal/follow pass.

--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -90,6 +90,11 @@
 // versions, lacks. The configuration is large and seldom changes, so only its
 // version is included.
 func (f *Follower) ChangesSince(now time.Time, k Versions) Update {
+	return f.changesSince(now, k, func(platform.Row) bool { return false })
+}
+
+// changesSince is ChangesSince without the entries that omit reports.
+func (f *Follower) changesSince(now time.Time, k Versions, omit func(platform.Row) bool) Update {
 	age := f.ConfigAge() // read before the version: a version read earlier might be older than the one confirmed
 	u := Update{Operator: f.operator.newest(), After: k.Servers, Age: f.Age(now), ConfigAge: age}
 	u.Config, u.ConfigVersion = f.lackedConfig(k.Config)
@@ -105,7 +110,7 @@
 	u.Withheld = t.withheldFor(now)
 	u.Whole = k.Servers.Before(t.removedAfter) || k.Partial
 	for _, r := range t.rows {
-		if _, missing := t.missing[r.Key]; !missing && (u.Whole || k.Servers.Before(r.Revision())) {
+		if _, missing := t.missing[r.Key]; !missing && (u.Whole || k.Servers.Before(r.Revision())) && !omit(r) {
 			u.Servers = append(u.Servers, r)
 		}
 	}
@@ -127,9 +132,8 @@
 // PartialChangesSince is ChangesSince without the entries that Omit reports.
 func (f *Follower) PartialChangesSince(now time.Time, k Versions) Update {
 	k.Partial = false // what the other node lacks isn't sent
-	u := f.ChangesSince(now, k)
+	u := f.changesSince(now, k, f.omits)
 	u.Partial = true
-	u.Servers = slices.DeleteFunc(u.Servers, f.omits)
 	return u
 }
 
