--- a/internal/follow/sim_restore_test.go
+++ b/internal/follow/sim_restore_test.go
@@ -75,9 +75,8 @@
 
 func simulateRestores(t *testing.T, seed uint64) {
 	f := &restoringFleet{
-		simFleet: &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 6)), rows: map[string]platform.Row{}, changed: make(chan struct{}),
-			readySince: map[string]time.Time{}, departed: map[string]time.Time{}, began: time.Now()},
-		rng: rand.New(rand.NewPCG(seed, 7)), used: map[int]map[string]bool{}, known: map[int]map[string]bool{}, since: map[string]time.Time{},
+		simFleet: newSimFleet(t, rand.New(rand.NewPCG(seed, 6))),
+		rng:      rand.New(rand.NewPCG(seed, 7)), used: map[int]map[string]bool{}, known: map[int]map[string]bool{}, since: map[string]time.Time{},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range 8 {
@@ -135,8 +134,8 @@
 // grace period, as those that the store has lost.
 func TestServerThatLeavesDuringSilentReadIsKnownInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &simFleet{t: t, rng: rand.New(rand.NewPCG(1, 8)), rows: map[string]platform.Row{}, changed: make(chan struct{}),
-			readySince: map[string]time.Time{}, departed: map[string]time.Time{}, began: time.Now(), hungAt: time.Now().Add(time.Hour)}
+		f := newSimFleet(t, rand.New(rand.NewPCG(1, 8)))
+		f.hungAt = time.Now().Add(time.Hour) // no other call is left without a response
 		f.put("i-0", "ready")
 		f.put("i-1", "ready")
 		f.put("config", "")
@@ -156,8 +155,7 @@
 		s.silent.Store(true)
 		f.mu.Lock()
 		f.era++
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.wakeFeeds()
 		f.mu.Unlock()
 		for s.silent.Load() {
 			clock.Sleep(ctx, 10*time.Millisecond)
@@ -209,8 +207,7 @@
 	if away > simLapse {
 		f.lapsedUntil = f.awayUntil.Add(2 * time.Second)
 	}
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.wakeFeeds()
 	f.events = append(f.events, fmt.Sprint(time.Since(f.began), " restored to ", c.version, " after ", away))
 	f.mu.Unlock()
 	f.wg.Go(func() {
--- a/internal/follow/sim_test.go
+++ b/internal/follow/sim_test.go
@@ -96,9 +96,14 @@
 	}
 }
 
-func simulateFleet(t *testing.T, seed uint64) {
-	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 3)), rows: map[string]platform.Row{}, changed: make(chan struct{}),
+// newSimFleet returns a fleet without nodes whose store is empty.
+func newSimFleet(t *testing.T, rng *rand.Rand) *simFleet {
+	return &simFleet{t: t, rng: rng, rows: map[string]platform.Row{}, changed: make(chan struct{}),
 		readySince: map[string]time.Time{}, departed: map[string]time.Time{}, began: time.Now()}
+}
+
+func simulateFleet(t *testing.T, seed uint64) {
+	f := newSimFleet(t, rand.New(rand.NewPCG(seed, 3)))
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range 8 {
 		f.put(fmt.Sprint("i-", i), "ready")
@@ -330,12 +335,17 @@
 	f.version++
 	r.Version = f.version
 	f.log = append(f.log, r)
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.wakeFeeds()
 	f.events = append(f.events, fmt.Sprint(time.Since(f.began), " ", r.Key, " ", r.Version, " gone ", r.Gone))
 	return r
 }
 
+// wakeFeeds makes the feed calls in progress look for changes; f.mu is held.
+func (f *simFleet) wakeFeeds() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *simFleet) event(what string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/front/relay_test.go
+++ b/internal/front/relay_test.go
@@ -55,6 +55,19 @@
 	return out
 }
 
+// stopRelays stops all relays and returns the other nodes.
+func (f *testCluster) stopRelays() (rest []*testNode) {
+	relays := f.relays()
+	for _, p := range f.nodes {
+		if !relays[p.settings.Node] {
+			rest = append(rest, p)
+			continue
+		}
+		p.stop()
+	}
+	return rest
+}
+
 // usesRelay reports whether a relay has replied to a node.
 func (p *testNode) usesRelay() bool {
 	return p.logs.FilterMessage("upstream").FilterField(zap.Bool("relay", true)).Len() > 0
@@ -133,15 +146,7 @@
 	t.Parallel()
 	f, _, _ := newRelayedCluster(t, nil)
 	l := f.leaseRow()
-	relays := f.relays()
-	var rest []*testNode
-	for _, p := range f.nodes {
-		if !relays[p.settings.Node] {
-			rest = append(rest, p)
-			continue
-		}
-		p.stop()
-	}
+	rest := f.stopRelays()
 	stopped := time.Now()
 	for time.Since(stopped) < 4*time.Second {
 		for i, p := range rest {
@@ -171,12 +176,7 @@
 			require.Eventually(t, func() bool { return late.ready() && late.usesRelay() }, 5*time.Second, 5*time.Millisecond)
 			<-time.After(time.Second) // two reports of the relay
 			f.store.Outage(outage)
-			relays := f.relays()
-			for _, p := range f.nodes {
-				if relays[p.settings.Node] {
-					p.stop()
-				}
-			}
+			f.stopRelays()
 			stopped := time.Now()
 			for i := 0; time.Since(stopped) < 4*time.Second; i++ {
 				status, body := late.get(t, "/plans/x", fmt.Sprint("late", i), "m0")
