gateway: log and count how each try got its connection

The incident's logs can't tell a refused connection from a silent one, nor whether a served request used a connection that had been opened before. A try now logs its connection error and whether the connection was reused; guavapaddle_gateway_connections_total counts both. http1.Pool takes the function that opens connections, so that a test can cut one node off from its servers.

No decision changes. Tests of io/http1 and internal/gateway pass.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -1,10 +1,15 @@
 package gateway
 
 import (
+	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+
+	"guavapaddle/io/http1"
 )
 
 // Reason is the reason why a request, or one try of it, ended as it did.
@@ -88,6 +93,7 @@
 		duration  *prometheus.HistogramVec
 		wait      *prometheus.HistogramVec
 		open      prometheus.Gauge
+		conns     *prometheus.CounterVec // by how they were obtained
 	}
 )
 
@@ -111,16 +117,34 @@
 		duration:  histogram("request_seconds", "Time from the first byte of a request to the end of its answer."),
 		wait:      histogram("wait_seconds", "Time from the first byte of a request to its first send."),
 		open:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "open_requests", Help: "Requests that are open."}),
+		conns:     counter("connections_total", "Connections to backend servers that tries obtained or failed to open.", "how"),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open}
+	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns}
 }
 
 func (m *Metrics) countTry(r Reason) { m.tries.WithLabelValues(string(r)).Inc() }
 
+// countConnection counts the connection that a try obtained, or the error with which it got none.
+func (m *Metrics) countConnection(c *http1.Conn, err error) {
+	var n net.Error
+	how := "opened"
+	switch {
+	case err == nil && c.Reused:
+		how = "reused"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		how = "refused"
+	case errors.As(err, &n) && n.Timeout():
+		how = "timed-out"
+	case err != nil:
+		how = "failed"
+	}
+	m.conns.WithLabelValues(how).Inc()
+}
+
 // finish records the end of a request in metrics and log.
 func (r *request) finish() {
 	kind := string(r.route.Kind)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -41,6 +41,7 @@
 	respMeta      platform.Response
 	firstByte     time.Duration // time until the response header
 	extraResponse bool          // a response to another request came first
+	err           error         // of the connection
 	stopClose     func() bool   // cancels the close at a disconnect of the client, false if that came too late
 }
 
@@ -60,7 +61,7 @@
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.Duration("estimate", c.Wait),
-			zap.Duration("age", c.Age), zap.Duration("took", time.Since(start)))
+			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.Duration("took", time.Since(start)), zap.Error(t.err))
 	}
 	return state, reason
 }
@@ -93,6 +94,7 @@
 	if err != nil {
 		t.conn.Close()
 		if !wrote {
+			t.err = err
 			return balance.ConnFailed, notSent, Reset
 		}
 		t.sends++
@@ -224,6 +226,8 @@
 	ctx, cancel := context.WithDeadline(t.x.Context(), t.deadline)
 	defer cancel()
 	c, err := t.g.Pool.Get(ctx, t.selection.Server.Address, maxIdle, t.runs > 0)
+	t.err = err
+	t.g.Metrics.countConnection(c, err)
 	if err == nil {
 		t.conn = c
 		return answered, "", true
@@ -241,6 +245,7 @@
 // classifyConnError classifies a connection that broke, or delivered nothing until the
 // deadline, after bytes of the request were written.
 func (t *try) classifyConnError(err error) (balance.Result, sendState, Reason) {
+	t.err = err
 	var n net.Error
 	switch {
 	case t.x.Context().Err() != nil:
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -51,6 +51,9 @@
 	// use.
 	Pool struct {
 		Opened atomic.Int64 // connections opened in total
+		// Dial opens a connection to a backend server; nil for Dial of this package. It must be set
+		// before the first call.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
 
 		mu   sync.Mutex
 		idle map[string][]*Conn // by address, most recently used last
@@ -61,7 +64,7 @@
 		Reused bool
 
 		address     string
-		nc          *net.TCPConn
+		nc          net.Conn
 		br          *bufio.Reader
 		idleSince   time.Time     // end of the last response
 		idleLimit   time.Duration // maximum idle time
@@ -86,14 +89,23 @@
 		}
 		c.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}, Control: setUserTimeout}
-	nc, err := d.DialContext(ctx, "tcp4", address)
+	dial := p.Dial
+	if dial == nil {
+		dial = Dial
+	}
+	nc, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &Conn{address: address, nc: nc.(*net.TCPConn), br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &Conn{address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+}
+
+// Dial opens a TCP connection to a backend server.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}, Control: setUserTimeout}
+	return d.DialContext(ctx, "tcp4", address)
 }
 
 // Put returns a connection to the pool for reuse if its response allows it, and closes it
@@ -231,7 +243,11 @@
 // stillIdle reports whether an idle connection is open and has no unread bytes: any byte
 // would belong to a response that was not requested.
 func (c *Conn) stillIdle() bool {
-	raw, err := c.nc.SyscallConn()
+	tcp, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
