--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -38,6 +38,7 @@
 	seeds  []string
 	lease  time.Duration // time to live of the lease, 0.9 s if zero
 	adjust func(s *front.Settings)
+	setUp  func(n *front.Node, s front.Settings) // before the node runs
 	key    string
 	nodes  []*testNode
 }
@@ -78,6 +79,9 @@
 	p.logs, p.key = logs, f.key
 	n, err := front.New(p.settings, zap.New(core))
 	require.NoError(f.t, err)
+	if f.setUp != nil {
+		f.setUp(n, p.settings)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	done := p.done
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -63,8 +63,11 @@
 	peerIdleTimeout = 5 * time.Second
 )
 
-// Node is one process of the service, created by New.
+// Node is one process of the service, created by New. Its exported fields may be set before Run.
 type Node struct {
+	// DialServer opens a connection to a backend server from this node; the default is http1.Dial.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
+
 	settings        Settings
 	log             *zap.Logger
 	store           *platform.Store
@@ -123,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
+	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, DialServer: http1.Dial, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
 	key.Trusted = n.isTrusted
 	n.relayLosses = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "relay",
 		Name: "losses_total", Help: "Relays of this node that didn't reply, so that it uses another."})
@@ -131,7 +134,7 @@
 	n.store = n.newStore()
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
-	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
+	n.gateway = &gateway.Gateway{Pool: &http1.Pool{Dial: n.dialServer}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
@@ -156,6 +159,9 @@
 	return n, nil
 }
 
+// dialServer opens a connection to a backend server.
+func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) { return n.DialServer(ctx, address) }
+
 // retryBudget returns the retry budget of a service from the settings, where zero means no
 // retries.
 func (n *Node) retryBudget() retry.ServiceBudget {
