front: nodes without a path to servers open connections through other nodes

Cause: a node had one path to a server, its own, and all tries of a request used it. Besides, a refused connection made the node close the idle ones to that server, which such a cut lets live on.

Change: core/path keeps which servers this node fails to reach while another node reaches them; internal/tunnel opens a connection through such a node over QUIC and passes bytes on, so that all decisions about a request stay at its entry node. Nodes that have lost their path too refuse, as do those that serve as many tunnels as their cores allow. A failed connection of a node that may have lost its path doesn't count as a failure of the server at the granter.

Ways weighed: passing whole requests on (a second place that decides about deadlines, retries and what has run); refusing readiness (open connections stay, and with under half of a data centre in rotation all nodes are used); tunnels, which were built.

--- a/core/balance/picker.go
+++ b/core/balance/picker.go
@@ -334,6 +334,17 @@
 	return out
 }
 
+// InUse returns the addresses of up to limit servers at which this node has requests.
+func (p *Picker) InUse(limit int) []string {
+	var out []string
+	for _, s := range p.servers {
+		if s.local.Pending+s.local.Running > 0 && len(out) < limit {
+			out = append(out, s.Address)
+		}
+	}
+	return out
+}
+
 // SetRemoteCounts records the combined counts of the other nodes at each server.
 func (p *Picker) SetRemoteCounts(now time.Time, counts map[string]Count) {
 	for id, s := range p.servers {
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,15 +21,16 @@
 
 // A cut between a node and all backend servers.
 const (
-	connected  cutMode = iota
-	refusing           // new connections are refused, open ones live on
-	hanging            // new connections don't open, open ones deliver nothing
-	resetting          // new connections are refused, open ones are reset
-	cutTime            = 5 * time.Second
-	settleTime         = 1500 * time.Millisecond // in which nodes notice a cut, half of the users' 3 s
-	dialLimit          = 300 * time.Millisecond
-	firstTries         = 60 // at each cut node
-	maxFailed          = 50 // of so many of them one may fail
+	connected   cutMode = iota
+	refusing            // new connections are refused, open ones live on
+	hanging             // new connections don't open, open ones deliver nothing
+	resetting           // new connections are refused, open ones are reset
+	cutTime     = 5 * time.Second
+	settleTime  = 1500 * time.Millisecond // in which nodes notice a cut, half of the users' 3 s
+	dialLimit   = 300 * time.Millisecond
+	firstTries  = 60 // at each cut node
+	maxFailed   = 50 // of so many of them one may fail
+	loggedLines = 12
 )
 
 type (
@@ -164,6 +166,7 @@
 						status, body := p.get(t, x.path, fmt.Sprint("t", x.model, i, p.settings.Node), x.model)
 						if status != 200 {
 							failed++
+							p.printLog(t)
 							require.LessOrEqual(t, failed, firstTries*len(cut)/maxFailed, "%s at %s after %d rounds: %d %s", x.path, p.settings.Node, i, status, body)
 						}
 					}
@@ -172,3 +175,16 @@
 		})
 	}
 }
+
+// printLog logs the node's last decisions about its path to the servers and about requests that failed.
+func (p *testNode) printLog(t *testing.T) {
+	t.Helper()
+	var lines []string
+	for _, e := range p.logs.All() {
+		switch e.Message {
+		case "tunnel-refused", "nodes-read", "node-row-failed", "node-rows-failed", "servers-lost", "servers-reached", "server-checked", "leader-silent", "leader-suspect":
+			lines = append(lines, fmt.Sprint(e.Time.Format("05.000 "), e.Message, " ", e.ContextMap()))
+		}
+	}
+	t.Log(p.settings.Node + "\n" + strings.Join(lines[max(0, len(lines)-loggedLines):], "\n"))
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -100,7 +100,7 @@
 	r.At = hub.Contact{Address: n.settings.Peers, Key: n.key.Fingerprint(), Cores: n.settings.Cores}
 	r.Known = n.follower.Versions()
 	r.Contact = n.follower.StoreAge(time.Now())
-	r.Heard, r.Roster, r.Lease = n.ack, n.roster, n.placer.LeaseRevision()
+	r.Heard, r.Roster, r.Lease = n.ack, n.keyRoster, n.placer.LeaseRevision()
 	r.Update = n.recentUpdate(r)
 	if r.Update != nil && len(l.Relays) > 0 {
 		u := n.follower.WithConfig(*r.Update, follow.Versions{Operator: *n.leaderOperator.Load()})
@@ -159,7 +159,7 @@
 	}
 	if reply.Deputy && len(reply.Keys) > 0 {
 		n.peerKeys.add(reply.Keys) // the nodes that may query the deputy
-		n.roster = reply.Roster
+		n.keyRoster = reply.Roster
 	}
 	n.applyReply(r, reply)
 	if u.key != n.key.Fingerprint() {
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -139,8 +139,7 @@
 }
 
 // isTrusted reports whether a key belongs to the leader, its deputy, a relay, or a node with a row
-// in the store. An unknown key triggers a read of the rows, unless this node uses a relay: then no
-// other node calls it.
+// in the store. An unknown key triggers a read of the rows.
 func (n *Node) isTrusted(key string) bool {
 	l, ok := n.placer.Leader()
 	if ok && (l.Key == key || slices.ContainsFunc(l.Relays, func(r relay.Relay) bool { return r.Key == key })) {
@@ -152,9 +151,6 @@
 	if n.peerKeys.has(key) {
 		return true
 	}
-	if ok && n.upstreamOf(l).isRelay {
-		return false
-	}
 	n.awaitPeerKeys()
 	return n.peerKeys.has(key)
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -34,6 +34,7 @@
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/parts"
 	"guavapaddle/internal/placer"
+	"guavapaddle/internal/tunnel"
 	"guavapaddle/io/http1"
 	"guavapaddle/io/jsonhttp"
 	"guavapaddle/io/peer"
@@ -99,7 +100,7 @@
 	deputyRefusedAt atomic.Int64                      // boot time of the deputy's last refusal
 	acting          atomic.Bool                       // this node is the deputy and grants slots
 	ack             hub.Ack                           // acknowledges the updates in the leader's last reply; used by runExchange only
-	roster          uint64                            // version of the leader's roster that a deputy has; likewise
+	keyRoster       uint64                            // version of the leader's list of keys that a deputy has; likewise
 	sentRoster      sentRoster                        // in this relay's last report; likewise
 	reportedRoster  sentRoster                        // in the last one that a leader replied to; likewise
 	clockEcho       hub.ClockEcho                     // clock echo of the last reply to a report; likewise
@@ -114,6 +115,8 @@
 	refresher       refresher
 	peerKeys        trustedKeys
 	waitingCalls    calls.Groups // slot requests at other nodes
+	dialer          *tunnel.Dialer
+	roster          peerRoster
 	seeds           clientCache
 	storeRestored   chan struct{} // holds a value after a restore of the store until register has seen it
 	listeners       []net.Listener
@@ -134,16 +137,16 @@
 	n.store = n.newStore()
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
-	n.gateway = &gateway.Gateway{Pool: &http1.Pool{Dial: n.dialServer}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
+	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdleTimeout,
 		Accept: n.acceptsPeer, OnMessage: func(string, peer.Frame) {},
-		OnCall: func(ctx context.Context, _ string, f peer.Frame, st *peer.Stream) {
-			hub.Serve(ctx, n, f, st)
-		}}
+		OnCall: n.handleCall}
+	n.dialer = n.newDialer()
+	n.gateway.Pool.Dial, n.gateway.PathSuspect, n.gateway.CheckServer = n.dialer.Dial, n.dialer.Suspect, n.dialer.Check
 	n.hub.HasGranter = n.isGranted
 	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts, Limits: n.gateway.Limits, Tolerance: s.tolerance()}
 	n.registry.MustRegister(n.granter)
@@ -159,9 +162,6 @@
 	return n, nil
 }
 
-// dialServer opens a connection to a backend server.
-func (n *Node) dialServer(ctx context.Context, address string) (net.Conn, error) { return n.DialServer(ctx, address) }
-
 // retryBudget returns the retry budget of a service from the settings, where zero means no
 // retries.
 func (n *Node) retryBudget() retry.ServiceBudget {
@@ -176,6 +176,15 @@
 	return budget
 }
 
+// handleCall serves a call of another node.
+func (n *Node) handleCall(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) {
+	if f.Kind == tunnel.Kind {
+		n.dialer.Serve(ctx, f, s)
+		return
+	}
+	hub.Serve(ctx, n, f, s)
+}
+
 func (n *Node) newStore() *platform.Store {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "store",
 		Name: "calls_total", Help: "Calls to the platform's store, by their answer; 0 where none came."}, []string{"call", "status"})
@@ -237,6 +246,7 @@
 	for name, task := range map[string]func(context.Context){
 		"follower": n.follower.Run, "placer": n.placer.Run, "granter": n.granter.Run, "register": n.register, "tidy": n.cleanUpRows,
 		"exchange": n.runExchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers, "relays": n.assignRelays,
+		"silence": n.gateway.WatchSilence,
 	} {
 		tasks.Go(name, func() { task(taskCtx) })
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,12 @@
 		AcquireSlot func(ctx context.Context, r hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error)
 		// Tolerance is how far the usage of a quota may exceed it.
 		Tolerance quota.Tolerance
+		// PathSuspect reports whether this node may have lost its path to all servers, so that a
+		// failed connection doesn't show that its server has failed. It may be nil.
+		PathSuspect func() bool
+		// CheckServer finds out whether this node reaches the server with an address, and whether
+		// another one does. It may be nil.
+		CheckServer func(ctx context.Context, address string)
 		// Refresh queries another node for a newer configuration, and returns when that is
 		// in force or none is known. It may be nil.
 		Refresh func(ctx context.Context)
@@ -78,6 +84,8 @@
 		newMarks         []hub.CrashMark
 		changed          chan struct{} // closed when the picker's data changes
 		stopped          chan struct{}
+
+		reads atomic.Int64 // reads that got bytes from servers over connections of this node itself
 	}
 
 	// request is the state of one request.
@@ -110,6 +118,7 @@
 		responseBegun     bool
 		rule              string            // how the server was chosen: "granted" by the leader, "picked" by this node
 		selection         balance.Selection // of the last send
+		through           string            // node through which the last connection went, empty for none
 		maxGap            time.Duration     // longest time between two reads of a stream
 		outcome           outcome
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -130,14 +129,15 @@
 
 // countConnection counts the connection that a try obtained, or the error with which it got none.
 func (m *Metrics) countConnection(c *http1.Conn, err error) {
-	var n net.Error
 	how := "opened"
 	switch {
+	case err == nil && c.Through() != "":
+		how = "through-node"
 	case err == nil && c.Reused:
 		how = "reused"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		how = "refused"
-	case errors.As(err, &n) && n.Timeout():
+	case isTimeout(err):
 		how = "timed-out"
 	case err != nil:
 		how = "failed"
@@ -161,7 +161,7 @@
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
 		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status),
-		zap.String("server", r.selection.Server.ID), zap.String("rule", r.rule), zap.Duration("estimate", r.selection.Wait),
+		zap.String("server", r.selection.Server.ID), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
 		zap.Duration("age", r.selection.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -58,6 +58,7 @@
 	for {
 		n, err := t.resp.Body.Read(buf)
 		if now := time.Now(); n > 0 {
+			t.countRead()
 			t.maxGap = max(t.maxGap, now.Sub(last))
 			last = now
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,7 +61,7 @@
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.Duration("estimate", c.Wait),
-			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.Duration("took", time.Since(start)), zap.Error(t.err))
+			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)), zap.Error(t.err))
 	}
 	return state, reason
 }
@@ -77,6 +77,9 @@
 // of the request, and the reason.
 func (t *try) run() (balance.Result, sendState, Reason) {
 	if state, reason, ok := t.connect(); !ok {
+		if t.g.PathSuspect != nil && t.g.PathSuspect() {
+			return balance.Abandoned, state, reason
+		}
 		return balance.ConnFailed, state, reason
 	}
 	t.stopClose = context.AfterFunc(t.x.Context(), t.conn.Close)
@@ -177,6 +180,7 @@
 		if err != nil {
 			return err
 		}
+		t.countRead()
 		t.resp = resp
 		t.respMeta = platform.ParseResponse(resp.StatusCode, resp.Header)
 		if !t.isForeign() || t.route.Repeatable() {
@@ -229,7 +233,7 @@
 	t.err = err
 	t.g.Metrics.countConnection(c, err)
 	if err == nil {
-		t.conn = c
+		t.conn, t.through = c, c.Through()
 		return answered, "", true
 	}
 	switch {
@@ -238,19 +242,26 @@
 	case !time.Now().Before(t.deadline):
 		return deadlinePassed, Deadline, false
 	}
-	t.g.Pool.Drop(t.selection.Server.Address)
+	if isTimeout(err) { // open connections may outlive a refused one
+		t.g.Pool.Drop(t.selection.Server.Address)
+	}
 	return notSent, Unreachable, false
 }
 
+// isTimeout reports whether an error is a timeout of a connection.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
 // classifyConnError classifies a connection that broke, or delivered nothing until the
 // deadline, after bytes of the request were written.
 func (t *try) classifyConnError(err error) (balance.Result, sendState, Reason) {
 	t.err = err
-	var n net.Error
 	switch {
 	case t.x.Context().Err() != nil:
 		return balance.Abandoned, clientGone, ClientLeft
-	case errors.As(err, &n) && n.Timeout() && !time.Now().Before(t.deadline):
+	case isTimeout(err) && !time.Now().Before(t.deadline):
 		t.runs++
 		return balance.ConnFailed, deadlinePassed, Deadline
 	}
--- /dev/null
+++ b/internal/tunnel/serve.go
@@ -0,0 +1,146 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/io/peer"
+)
+
+// drainTime is how long the caller of a tunnel has to read the last bytes after the server has closed
+// its connection.
+const drainTime = 5 * time.Second
+
+// Serve opens a connection that another node requests with the frame f, and passes bytes on until one side ends.
+func (d *Dialer) Serve(ctx context.Context, f peer.Frame, s *peer.Stream) {
+	var r openRequest
+	if err := f.Decode(&r); err != nil {
+		d.Log.Warn("tunnel-unreadable", zap.Error(err))
+		s.Cancel()
+		return
+	}
+	if !d.reserve() {
+		d.refuse(s, Busy, nil)
+		return
+	}
+	defer d.release()
+	if d.Serves != nil && !d.Serves() || d.Isolated() {
+		d.refuse(s, NoPath, nil)
+		return
+	}
+	nc, err := d.dialOwn(ctx, r.Address)
+	switch {
+	case err != nil && d.Suspect():
+		d.refuse(s, NoPath, err)
+		return
+	case err != nil:
+		d.refuse(s, Unreachable, err)
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	if err := writeOpenReply(s, openReply{}); err != nil {
+		s.Cancel()
+		return
+	}
+	d.Metrics.served.WithLabelValues("opened").Inc()
+	forward(ctx, nc, s)
+}
+
+// reserve counts a tunnel that this node serves, and reports whether it may serve another one.
+func (d *Dialer) reserve() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.served >= d.MaxServed {
+		return false
+	}
+	d.served++
+	return true
+}
+
+// release ends a tunnel that this node serves.
+func (d *Dialer) release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.served--
+}
+
+// refuse replies that no connection was opened.
+func (d *Dialer) refuse(s *peer.Stream, r Reason, cause error) {
+	d.Metrics.served.WithLabelValues(string(r)).Inc()
+	reply := openReply{Refused: r}
+	if cause != nil {
+		reply.Detail = cause.Error()
+	}
+	if err := writeOpenReply(s, reply); err != nil {
+		d.Log.Info("tunnel-refusal-unsent", zap.String("reason", string(r)), zap.Error(err))
+		s.Cancel()
+		return
+	}
+	_ = s.Close()
+	s.CancelRead()
+}
+
+// writeOpenReply sends the reply to an openRequest.
+func writeOpenReply(s *peer.Stream, reply openReply) error {
+	f, err := peer.Encode(kindReply, reply)
+	if err != nil {
+		return err
+	}
+	return s.Write(f)
+}
+
+// forward passes bytes on between a server and the caller of a tunnel until both sides have ended.
+func forward(ctx context.Context, nc net.Conn, s *peer.Stream) {
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() }) // the caller has gone
+	defer stop()
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		forwardToServer(nc, s)
+		_ = nc.Close()
+	})
+	if err := forwardToCaller(s, nc); err != nil {
+		s.Cancel() // a reset must not look like an end
+	} else {
+		_ = s.Close()
+		s.SetReadDeadline(time.Now().Add(drainTime))
+	}
+	caller.Wait()
+}
+
+// forwardToServer passes the caller's bytes on until it ends.
+func forwardToServer(nc net.Conn, s *peer.Stream) {
+	for {
+		f, err := s.Read()
+		if err != nil {
+			return
+		}
+		if _, err := nc.Write(f.Body); err != nil {
+			return
+		}
+	}
+}
+
+// forwardToCaller passes the server's bytes on. It returns nil if the server closed its connection.
+func forwardToCaller(s *peer.Stream, nc net.Conn) error {
+	buf := make([]byte, maxChunk)
+	for {
+		n, err := nc.Read(buf)
+		if n > 0 {
+			if werr := s.Write(peer.Frame{Kind: kindData, Body: buf[:n]}); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,230 @@
+package tunnel_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/relay"
+	"guavapaddle/internal/keys"
+	"guavapaddle/internal/testbed/await"
+	"guavapaddle/internal/tunnel"
+	"guavapaddle/io/http1"
+	"guavapaddle/io/peer"
+)
+
+// fakeNode is a node with a dialer, whose own path to the servers can be cut.
+type fakeNode struct {
+	dialer *tunnel.Dialer
+	cut    atomic.Bool
+	dials  atomic.Int64 // of its own
+	at     relay.Relay
+}
+
+// startNodes starts nodes that know each other, each of which serves up to maxServed tunnels.
+func startNodes(t *testing.T, maxServed int, names ...string) []*fakeNode {
+	t.Helper()
+	var all []*fakeNode
+	for _, name := range names {
+		n := &fakeNode{}
+		key, err := keys.NewSelfSigned(name)
+		require.NoError(t, err)
+		key.Trusted = func(string) bool { return true }
+		e := &peer.Endpoint{Address: "127.0.0.1:0", TLS: key, OnMessage: func(string, peer.Frame) {}}
+		e.OnCall = func(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) { n.dialer.Serve(ctx, f, s) }
+		n.dialer = &tunnel.Dialer{Node: name, Endpoint: e, MaxServed: maxServed, Log: zap.NewNop(), Metrics: tunnel.NewMetrics(),
+			Own: func(ctx context.Context, address string) (net.Conn, error) {
+				n.dials.Add(1)
+				if n.cut.Load() {
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+				}
+				return http1.Dial(ctx, address)
+			},
+			Peers: func(context.Context) []relay.Relay {
+				var list []relay.Relay
+				for _, o := range all {
+					list = append(list, o.at)
+				}
+				return list
+			}}
+		address, err := e.Listen()
+		require.NoError(t, err)
+		n.at = relay.Relay{Node: name, Address: address, Key: key.Fingerprint()}
+		all = append(all, n)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- e.Run(ctx) }()
+		t.Cleanup(func() {
+			stop()
+			require.NoError(t, await.Value(t, done, "the endpoint's end"))
+		})
+	}
+	return all
+}
+
+// serve starts a server that handles each connection, and returns its address.
+func serve(t *testing.T, handle func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// echo sends back what it reads, until the caller closes the connection.
+func echo(c *net.TCPConn) {
+	_, _ = io.Copy(c, c)
+	_ = c.Close()
+}
+
+func dial(t *testing.T, n *fakeNode, address string) net.Conn {
+	t.Helper()
+	c, err := n.dialer.Dial(t.Context(), address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestCutNodeReachesServersThroughAnother(t *testing.T) {
+	n := startNodes(t, 10, "cut", "also-cut", "open")
+	n[0].cut.Store(true)
+	n[1].cut.Store(true)
+	a, b := serve(t, echo), serve(t, echo)
+	for _, address := range []string{a, b, a} {
+		c := dial(t, n[0], address)
+		require.Equal(t, "open", c.(*tunnel.Conn).Through())
+		text := make([]byte, 100<<10)
+		text[len(text)-1] = 'x'
+		go func() { _, _ = c.Write(text) }()
+		got := make([]byte, len(text))
+		_, err := io.ReadFull(c, got)
+		require.NoError(t, err)
+		require.Equal(t, text, got)
+	}
+	require.True(t, n[0].dialer.Isolated())
+	require.False(t, n[2].dialer.Isolated())
+	own := n[0].dials.Load()
+	dial(t, n[0], serve(t, echo))
+	require.LessOrEqual(t, n[0].dials.Load(), own+1, "no own attempt but a probe")
+
+	n[0].cut.Store(false)
+	require.Eventually(t, func() bool {
+		c, err := n[0].dialer.Dial(t.Context(), a)
+		if err != nil {
+			return false
+		}
+		_, through := c.(*tunnel.Conn)
+		_ = c.Close()
+		return !through
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// TestEndOfTunneledConnectionKeepsItsMeaning guards against a response without a length that looks complete though its
+// server was reset.
+func TestEndOfTunneledConnectionKeepsItsMeaning(t *testing.T) {
+	n := startNodes(t, 10, "cut", "open")
+	n[0].cut.Store(true)
+	closed := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("all"))
+		_ = c.Close()
+	}))
+	b, err := io.ReadAll(closed)
+	require.NoError(t, err)
+	require.Equal(t, "all", string(b))
+	sent := make(chan struct{})
+	reset := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+		_, _ = c.Write([]byte("part"))
+		<-sent
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}))
+	_, err = io.ReadFull(reset, make([]byte, 4))
+	require.NoError(t, err)
+	close(sent)
+	_, err = io.ReadAll(reset)
+	require.Error(t, err)
+}
+
+// TestServerSeesThatCallerOfTunnelHasGone guards against servers that go on working for a client that has left.
+func TestServerSeesThatCallerOfTunnelHasGone(t *testing.T) {
+	n := startNodes(t, 10, "cut", "open")
+	n[0].cut.Store(true)
+	ended := make(chan error, 1)
+	c := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	}))
+	require.NoError(t, c.Close())
+	require.Error(t, await.Value(t, ended, "the server's connection"))
+}
+
+func TestReadDeadlineEndsReadOfTunnel(t *testing.T) {
+	n := startNodes(t, 10, "cut", "open")
+	n[0].cut.Store(true)
+	c := dial(t, n[0], serve(t, echo))
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Millisecond)))
+	_, err := c.Read(make([]byte, 1))
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+}
+
+func TestServerThatNoNodeReachesHasFailed(t *testing.T) {
+	n := startNodes(t, 10, "a", "b", "c", "d")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = n[0].dialer.Dial(t.Context(), address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.False(t, n[0].dialer.Suspect())
+	var dials int64
+	for _, x := range n {
+		dials += x.dials.Load()
+	}
+	require.Equal(t, int64(3), dials, "two other nodes are asked")
+}
+
+func TestNodesWithoutPathAreAskedOnce(t *testing.T) {
+	n := startNodes(t, 10, "a", "b")
+	for _, x := range n {
+		x.cut.Store(true)
+	}
+	for range 5 {
+		_, err := n[0].dialer.Dial(t.Context(), serve(t, echo))
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	}
+	require.True(t, n[0].dialer.Suspect())
+	require.False(t, n[0].dialer.Isolated(), "nobody has shown that the servers are there")
+	require.LessOrEqual(t, n[1].dials.Load(), int64(3), "a node that may have lost its own path is avoided")
+}
+
+func TestBusyNodeRefusesTunnels(t *testing.T) {
+	n := startNodes(t, 1, "cut", "x", "y")
+	n[0].cut.Store(true)
+	address := serve(t, echo)
+	first, second := dial(t, n[0], address), dial(t, n[0], address)
+	require.NotEqual(t, first.(*tunnel.Conn).Through(), second.(*tunnel.Conn).Through())
+	_, err := n[0].dialer.Dial(t.Context(), address)
+	require.Error(t, err)
+	var refused *tunnel.RefusedError
+	require.False(t, errors.As(err, &refused), "the node's own attempt is the last")
+}
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -108,14 +110,23 @@
 	return d.DialContext(ctx, "tcp4", address)
 }
 
+// Through returns the name of the node that passes the connection's bytes on, empty if it is open from this
+// node to the server.
+func (c *Conn) Through() string {
+	if t, ok := c.nc.(interface{ Through() string }); ok {
+		return t.Through()
+	}
+	return ""
+}
+
 // Put returns a connection to the pool for reuse if its response allows it, and closes it
-// otherwise. The body of the response must have been read to its end.
+// otherwise. A connection through another node is never reused, as it can't be seen whether it is idle. The body of the response must have been read to its end.
 func (p *Pool) Put(c *Conn, resp *http.Response) error {
 	if c.br.Buffered() > 0 {
 		c.Close()
 		return ErrTrailingData
 	}
-	if resp.Close || c.bodyPending || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.StatusCode != http.StatusNoContent {
+	if c.Through() != "" || resp.Close || c.bodyPending || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.StatusCode != http.StatusNoContent {
 		c.Close()
 		return nil
 	}
@@ -141,6 +152,16 @@
 	}
 }
 
+// DropAll closes all idle connections.
+func (p *Pool) DropAll() {
+	p.mu.Lock()
+	addresses := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.Drop(a)
+	}
+}
+
 // Sweep closes connections that exceeded their maximum idle time.
 func (p *Pool) Sweep() {
 	now := time.Now()
