placer, leader: a leader without a path to the engines gives up the lease

In the incident the leader was among the nodes that were cut off: it kept the lease, and its orders to engines failed with connection refused for as long as the cut lasted (seen at 9.6 s). Requests go through other nodes now; orders must not, since each holder has one address and one fence.

Change: a leader that has been isolated for 0.5 s releases the lease as a stopping one does; while a node is isolated, all others go first (10 s). TestIsolatedLeaderGivesUpLease and TestDeferredNodeTakesLeaseLast.

--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -25,6 +25,9 @@
 	// relayedNodeWait replaces smallNodeWait in a fleet with relays for a node that is too small to be one. The
 	// relays look for the next leader, and one of them takes the lease unless none is left.
 	relayedNodeWait = 10 * time.Second
+	// deferredWait is how long a row must have been unchanged before a deferred node may take the lease: every other
+	// node that can has had the time to, unless all of them are deferred.
+	deferredWait = 10 * time.Second
 	// firstElectionWait is the maximum time that a node waits before it takes a lease that nobody
 	// has held. The wait is proportional to how much the node's capacity falls short of a whole
 	// core.
@@ -63,6 +66,8 @@
 	Elector struct {
 		Self Lease // lease that this node proposes; its Epoch is ignored
 		TTL  time.Duration
+		// Deferred lets all other nodes go before this one, since it can't do a leader's work now.
+		Deferred bool
 
 		observed    Lease
 		revision    revision.Revision
@@ -174,6 +179,9 @@
 	l.Term = l.Epoch
 	// An earlier process of this node must have ended, because this one has its ports.
 	ownNode := e.observed.Node == e.Self.Node && !e.IsRestored()
+	if e.Deferred {
+		return l, e.revision, now-e.observedAt >= max(e.takeoverWait(), deferredWait)
+	}
 	return l, e.revision, ownNode || now-e.observedAt >= e.takeoverWait()
 }
 
--- a/core/leader/elector_test.go
+++ b/core/leader/elector_test.go
@@ -176,3 +176,23 @@
 		require.Equal(t, relays, got.Relays)
 	}
 }
+
+// TestDeferredNodeTakesLeaseLast guards against a node that gives a lease up since it can't do a leader's work, and takes
+// it again at once.
+func TestDeferredNodeTakesLeaseLast(t *testing.T) {
+	e := newElector("a")
+	e.Observe(0, leader.Lease{}, at(0))
+	l, _, _ := e.Propose(0)
+	e.Acquired(0, l, at(10))
+	e.Deferred = true
+	_, _, due := e.Propose(ttl / 2)
+	require.True(t, due, "it renews a lease that it holds")
+	e.Observe(ttl, leader.Lease{Epoch: 1}, at(11))
+	_, _, due = e.Propose(ttl + 5*time.Second)
+	require.False(t, due)
+	_, _, due = e.Propose(ttl + 10*time.Second)
+	require.True(t, due, "no other node has taken it")
+	e.Deferred = false
+	_, _, due = e.Propose(ttl)
+	require.True(t, due)
+}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -226,6 +226,7 @@
 		Window:             time.Duration(n.settings.LoadWindowS * float64(time.Second)),
 		LeaderReachable:    n.hasCoordinator,
 		UsesRelay:          n.isFedByRelay,
+		Isolated:           func() bool { return n.dialer.Isolated() },
 		OnVerdict:          func(v string) { orders.WithLabelValues(v).Inc() },
 		OnElected:          n.granter.Reset,
 		WaitingWithoutCopy: n.granter.Waiting,
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -30,6 +30,9 @@
 	searchInterval = 700 * time.Millisecond
 	// storeTimeout limits a call to the store.
 	storeTimeout = 900 * time.Millisecond
+	// maxIsolation is how long a leader keeps the lease after it has lost its path to the engines. Its orders would
+	// fail while another node's reach them.
+	maxIsolation = 500 * time.Millisecond
 	// maxReleaseWrites is how often the lease row is written to release the lease: one more
 	// than the number of renewals whose reply may have been lost.
 	maxReleaseWrites = 2
@@ -49,6 +52,9 @@
 	defer t.Stop()
 	var searched time.Duration
 	for {
+		if p.observeIsolation() {
+			p.release(ctx)
+		}
 		if now := p.Clock(); p.isLeader() || !p.leaderActive() && now-searched >= searchInterval {
 			searched = now
 			p.maintainLease(ctx)
@@ -61,6 +67,29 @@
 	}
 }
 
+// observeIsolation lets other nodes take the lease first while this one is isolated, and reports whether
+// it is the leader and has been isolated for too long.
+func (p *Placer) observeIsolation() bool {
+	isolated := p.Isolated != nil && p.Isolated()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Elector.Deferred = isolated
+	now := p.Clock()
+	switch {
+	case !isolated:
+		p.isolatedAt = 0
+		return false
+	case p.isolatedAt == 0:
+		p.isolatedAt = now
+	}
+	if !p.Elector.IsLeader() || now-p.isolatedAt < maxIsolation {
+		return false
+	}
+	p.isolatedAt = now // the next try, if this one fails
+	p.Log.Warn("lease-given-up", zap.Duration("isolated", maxIsolation))
+	return true
+}
+
 // maintainLease reads the row unless this node is the leader, and writes it if a write is
 // due.
 func (p *Placer) maintainLease(ctx context.Context) {
@@ -368,9 +397,22 @@
 // write fails with the row from the store, and the second write uses its version. Without
 // the second write the other nodes had to wait for the lease to expire.
 func (p *Placer) Release(ctx context.Context) {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.release(ctx)
+}
+
+// release releases the lease. Unless Release was called, this node may take it again later.
+func (p *Placer) release(ctx context.Context) {
 	p.mu.Lock()
 	p.released = true
 	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.released = p.stopped
+	}()
 	sem := p.writeSemaphore()
 	if err := sem.Acquire(ctx, 1); err != nil {
 		p.Log.Warn("lease-not-released", zap.Error(err))
--- a/internal/placer/lease_test.go
+++ b/internal/placer/lease_test.go
@@ -28,6 +28,22 @@
 	eventually(t, "the first is no longer leader", func() bool { return !a.IsLeading() })
 }
 
+// TestIsolatedLeaderGivesUpLease guards against a leader that has lost its path to the engines and keeps the lease
+// though its orders fail.
+func TestIsolatedLeaderGivesUpLease(t *testing.T) {
+	s := standin.NewStore(t)
+	a := startPlacer(t, s, "a", leaderUnreachable)
+	eventually(t, "the first is leader", a.IsLeading)
+	b := startPlacer(t, s, "b", leaderUnreachable)
+	eventually(t, "the second knows the first", func() bool { l, ok := b.Leader(); return ok && l.Node == "a" })
+	a.isolated.Store(true)
+	eventually(t, "the second is leader", b.IsLeading)
+	require.False(t, a.IsLeading())
+	a.isolated.Store(false)
+	b.Release(context.Background())
+	eventually(t, "the first is leader again", a.IsLeading)
+}
+
 // TestReleaseDuringRenewal stops a leader after the store has executed its renewal but
 // before it has replied.
 func TestReleaseDuringRenewal(t *testing.T) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -67,6 +67,7 @@
 		Fencing            bool          // engines reject orders with an outdated epoch
 		Window             time.Duration // over which loads from the weight store are counted
 		LeaderReachable    func() bool   // reports whether the leader replied recently
+		Isolated           func() bool   // reports whether this node has lost its path to the engines, nil for never
 		UsesRelay          func() bool   // reports whether another node passes the lease on to this one, nil for never
 		OnVerdict          func(verdict string)
 		OnElected          func()                      // called when the lease was acquired
@@ -93,8 +94,10 @@
 		termStart    time.Time
 		renewedAt    time.Duration
 		failedAt     time.Duration
-		released     bool
-		relays       leader.Lease // the relays of this node's term as leader; its other fields are zero
+		released     bool          // the lease is being released, or was by Release
+		stopped      bool          // Release was called
+		isolatedAt   time.Duration // since when this node has been isolated, zero if it isn't
+		relays       leader.Lease  // the relays of this node's term as leader; its other fields are zero
 		// relaysChanged means that the lease is to be written because of its relays.
 		relaysChanged bool
 		writes        int64 // number of attempted writes of the lease row
--- a/internal/placer/rig_test.go
+++ b/internal/placer/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 
 // testPlacer is a running placer that counts its callbacks.
 type testPlacer struct {
+	isolated atomic.Bool // it has lost its path to the engines
 	*placer.Placer
 
 	mu       sync.Mutex
@@ -45,8 +47,9 @@
 		Store:   s,
 		Engines: &platform.Engines{Client: func(a string) *jsonhttp.Client { return &jsonhttp.Client{Address: a} }},
 		Hub:     &hub.Hub{}, Log: zap.NewNop(), Fencing: true, Window: 5 * time.Second, LeaderReachable: reachable,
-		Elector: &leader.Elector{Self: leader.Lease{Node: node, Incarnation: node, Key: node, Cores: 1}, TTL: ttl},
-		Clock:   func() time.Duration { return time.Since(started) + time.Hour },
+		Elector:  &leader.Elector{Self: leader.Lease{Node: node, Incarnation: node, Key: node, Cores: 1}, TTL: ttl},
+		Clock:    func() time.Duration { return time.Since(started) + time.Hour },
+		Isolated: h.isolated.Load,
 		OnVerdict: func(v string) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
