http1, gateway: a server that is silent for a second keeps its connections

A working server may be silent for a second or so. Connections had a TCP_USER_TIMEOUT of 1.5 s, which also decides when keep-alive probes give up: a quiet stream whose server went silent just after 1 s without events lost its connection after 1 s of silence. Probes go out each second now, and 2.5 s without a sign of life end a connection, so that silences of 1.5 s are outlasted whenever they begin; a server that is gone is noticed within 3 s on quiet connections, as before, and after 2.5 s in place of 1.5 s with bytes under way. The wait for an unsafe request's own response after an extra one grows from 0.5 s to 1.5 s for the same reason.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,8 +23,9 @@
 	// server closes it as the request arrives, which leaves unknown whether it ran.
 	maxUnsafeIdle = 1500 * time.Millisecond
 	// extraResponseWait bounds the wait for the request's own response after a response
-	// to another request: a plain service takes about 60 ms.
-	extraResponseWait = 500 * time.Millisecond
+	// to another request: a plain service takes about 60 ms, but a working server may be silent for a
+	// second or so.
+	extraResponseWait = 1500 * time.Millisecond
 	// maxExtraResponses bounds the discarded responses to other requests.
 	maxExtraResponses = 2
 	// maxBodyBytes bounds a response that is buffered before it is forwarded.
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -24,9 +24,14 @@
 	// dialTimeout bounds the opening of a connection to a backend server. Within a region it
 	// takes a few milliseconds; a server without power never responds.
 	dialTimeout = 300 * time.Millisecond
-	// ackTimeout bounds how long sent bytes may stay unacknowledged before the connection is
-	// considered broken.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout bounds how long sent bytes, and keep-alive probes, may stay unacknowledged before the connection
+	// is considered broken. A working server may be silent for a second or so. Where it is set, it also
+	// decides when probes give up, whatever their number, by the time since the last byte or acknowledgement was
+	// received: a server whose silence begins just before a probe is lost only after
+	// ackTimeout - keepAliveInterval.
+	ackTimeout = 2500 * time.Millisecond
+	// keepAliveInterval is the time without received bytes before the first probe, and between probes.
+	keepAliveInterval = time.Second
 	// defaultKeepAlive is how long an idle connection is kept if the server sends no
 	// Keep-Alive timeout.
 	defaultKeepAlive = 4 * time.Second
@@ -106,7 +111,7 @@
 // Dial opens a TCP connection to a backend server.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}, Control: setUserTimeout}
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1 + int(ackTimeout/keepAliveInterval)}, Control: setUserTimeout}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
