balance, gateway: requests to brittle servers start by granted slots only

Servers of a service may announce that they are brittle: one that has to reject more than N requests in a second for lack of room falls over. Nodes that pick plain servers by themselves know each other's load some hundred ms late, and send more than there is room for.

Change: the notice travels with the rate limits, and while it holds, the leader (or its deputy, or a relay's granter) grants the slots of plain services as it does those of engines. Without a granter a node has its share of a brittle server's slots, at least one, and after a rejection none for max(1 s, nodes/N s). A connection that breaks at a brittle server, or while this node may have lost its path, is no longer taken for a crash by the request.

Ways weighed: shares of the slots at each node always (idle shares with 8 nodes before 6 slots, overshoot with 85); a rate of rejections for each node (bounds the mean only, not the first second).

--- a/core/balance/picker.go
+++ b/core/balance/picker.go
@@ -267,6 +267,15 @@
 	return s != nil && s.throttle.Learn(l)
 }
 
+// Limit returns the latest limit of a server, and false if the server isn't known.
+func (p *Picker) Limit(id string) (throttle.Limit, bool) {
+	s := p.servers[id]
+	if s == nil {
+		return throttle.Limit{}, false
+	}
+	return s.throttle.Limit(), true
+}
+
 // BackOff records that a server asked this node to send no requests until a given time.
 func (p *Picker) BackOff(id string, until time.Time) {
 	if s := p.servers[id]; s != nil && until.After(s.backoff) {
@@ -301,12 +310,12 @@
 	}
 }
 
-// KnownLimits returns the limits of servers that name a rate now, or that withdrew it after the
-// time since.
+// KnownLimits returns the limits of servers that name a rate or are brittle now, or that withdrew such a
+// limit after the time since.
 func (p *Picker) KnownLimits(since time.Time) map[string]throttle.Limit {
 	out := map[string]throttle.Limit{}
 	for id, s := range p.servers {
-		if l := s.throttle.Limit(); l.Active || l.At.After(since) {
+		if l := s.throttle.Limit(); l.Active || l.Brittle || l.At.After(since) {
 			out[id] = l
 		}
 	}
--- a/core/balance/ticket.go
+++ b/core/balance/ticket.go
@@ -161,7 +161,7 @@
 			s.avoidUntil = now.Add(min(minAvoid<<min(s.failures-1, 8), maxAvoid))
 		}
 	case Full:
-		s.avoidUntil = now.Add(fullAvoid)
+		s.avoidUntil = now.Add(p.avoidAfterRejection(s))
 	}
 }
 
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -169,6 +169,9 @@
 		return
 	}
 	f, _ := s.picker.Server(server)
+	for _, g := range s.models[Item{Service: f.Service}] { // requests to plain services
+		s.marked[g] = true
+	}
 	for m := range s.picker.ResidentModels(server) {
 		for _, g := range s.models[Item{Service: f.Service, Model: m}] {
 			if s.picker.Holds(now, server, g.item.Model, g.item.Adapter) {
@@ -196,6 +199,9 @@
 	if perSecond != nil {
 		l = throttle.NewLimit(now, *perSecond)
 	}
+	if known, ok := s.picker.Limit(h.server); ok {
+		l = l.WithBrittlenessOf(known) // nodes report it apart from rates
+	}
 	if s.picker.LearnLimit(h.server, l) {
 		s.markServer(now, h.server)
 	}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -38,7 +38,7 @@
 
 // Learn records a limit unless a newer one is known. It reports whether the limit changed.
 func (t *Throttle) Learn(l Limit) bool {
-	if !l.At.After(t.limit.At) || !l.Active && !t.limit.Active {
+	if !l.At.After(t.limit.At) || !l.restricts() && !t.limit.restricts() {
 		return false
 	}
 	previous := t.limit
@@ -53,7 +53,7 @@
 	case l.Rate != previous.Rate:
 		t.bucket.SetLimitAt(l.At, rate.Limit(t.Rate()))
 	}
-	return l.Active != previous.Active || l.Rate != previous.Rate
+	return l.Active != previous.Active || l.Rate != previous.Rate || l.Brittle != previous.Brittle || l.MaxRejections != previous.MaxRejections
 }
 
 // Limit returns the latest limit of the server.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -113,7 +113,7 @@
 	}
 	t.mayHaveRun = t.mayHaveRun || !t.respMeta.NotRun
 	t.firstByte = time.Since(sent)
-	t.recordRateLimit(sent)
+	t.recordLimit(sent)
 	t.recordServerState()
 	t.g.mu.Lock()
 	t.g.picker.FirstByte(time.Now(), t.ticket)
@@ -128,12 +128,15 @@
 	return result, state, reason
 }
 
-// recordRateLimit records the rate limit that the server announced with its response.
-func (t *try) recordRateLimit(sent time.Time) {
+// recordLimit records the rate limit and the brittleness that the server announced with its response.
+func (t *try) recordLimit(sent time.Time) {
 	l := throttle.NoLimit(sent)
 	if t.respMeta.RateLimit != nil {
 		l = throttle.NewLimit(time.Now(), *t.respMeta.RateLimit)
 	}
+	if t.respMeta.MaxRejections != nil {
+		l = l.WithBrittleness(*t.respMeta.MaxRejections)
+	}
 	t.g.mu.Lock()
 	changed := t.g.picker.LearnLimit(t.selection.Server.ID, l)
 	t.g.mu.Unlock()
@@ -142,7 +145,7 @@
 	}
 	if changed {
 		t.g.Log.Info("server-limit", zap.String("request-id", t.meta.ID), zap.String("server", t.selection.Server.ID),
-			zap.Bool("named", l.Active), zap.Float64("rate", l.Rate), zap.String("rule", t.rule))
+			zap.Bool("named", l.Active), zap.Float64("rate", l.Rate), zap.Bool("brittle", l.Brittle), zap.Int("max-rejections", l.MaxRejections), zap.String("rule", t.rule))
 	}
 }
 
@@ -267,10 +270,18 @@
 		return balance.ConnFailed, deadlinePassed, Deadline
 	}
 	t.g.Pool.Drop(t.selection.Server.Address)
-	t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
+	if !t.failsAnyway() {
+		t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
+	}
 	return balance.ConnFailed, unknown, ConnLost
 }
 
+// failsAnyway reports whether the connection may have broken for a reason that doesn't lie in the request: a brittle
+// server that had to reject too many others, or a lost path to all servers.
+func (t *try) failsAnyway() bool {
+	return t.g.PathSuspect != nil && t.g.PathSuspect() || t.g.isBrittle(t.service)
+}
+
 // classifyResponse classifies a response by its header, and forwards it if it is final.
 func (t *try) classifyResponse() (balance.Result, sendState, Reason) {
 	status := t.resp.StatusCode
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -166,6 +166,14 @@
 	return b
 }
 
+// isBrittle reports whether the servers of a service announce that they fail if they have to reject too many requests,
+// so that the leader must grant slots there as it does at engines.
+func (g *Gateway) isBrittle(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picker.IsBrittle(time.Now(), service)
+}
+
 // item returns the model and adapter that the request needs.
 func (r *request) item() hub.Item {
 	return hub.Item{Service: r.service, Model: r.meta.Model, Adapter: r.meta.Adapter}
@@ -185,7 +193,7 @@
 	if b.Model != "" && r.sends == 0 {
 		g.addDemand(item, b.Tokens, 0)
 	}
-	if b.Model != "" {
+	if b.Model != "" || g.isBrittle(r.service) {
 		for range maxSlotRequests {
 			c, reason, result := r.requestSlot(b, item)
 			if result == decided {
@@ -281,7 +289,9 @@
 	r.notResident = slices.DeleteFunc(r.notResident, func(id string) bool { return id == reply.Server })
 	r.g.mu.Lock()
 	s, known := r.g.picker.Server(reply.Server)
-	r.g.picker.SetResidency(time.Now(), reply.Server, item.Model, item.Adapter, true)
+	if item.Model != "" {
+		r.g.picker.SetResidency(time.Now(), reply.Server, item.Model, item.Adapter, true)
+	}
 	_, withheld := r.g.picker.Withheld(time.Now(), reply.Server)
 	r.g.mu.Unlock()
 	if !known || withheld {
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -98,12 +98,14 @@
 		Keys  []string    // fingerprints of their certificates, sent when they have changed
 	}
 
-	// Limit is the rate limit that a server set or removed.
+	// Limit is what a server accepts, or accepts again without a limit.
 	Limit struct {
-		Server string
-		Rate   float64 // requests per second
-		Active bool    // false if the server removed its limit
-		Age    time.Duration
+		Server        string
+		Rate          float64 // requests per second
+		Active        bool    // false if the server removed its rate
+		Brittle       bool    // the server fails if it has to reject more than MaxRejections requests in a second
+		MaxRejections int
+		Age           time.Duration
 	}
 
 	// ClockEcho relates the time at which a node read the store to the clock of the node to
@@ -259,14 +261,14 @@
 func EncodeLimits(now time.Time, limits map[string]throttle.Limit) []Limit {
 	out := make([]Limit, 0, len(limits))
 	for id, l := range limits {
-		out = append(out, Limit{Server: id, Rate: l.Rate, Active: l.Active, Age: now.Sub(l.At)})
+		out = append(out, Limit{Server: id, Rate: l.Rate, Active: l.Active, Brittle: l.Brittle, MaxRejections: l.MaxRejections, Age: now.Sub(l.At)})
 	}
 	return out
 }
 
 // Local converts a received limit to one on the local clock.
 func (l Limit) Local(now time.Time) throttle.Limit {
-	return throttle.Limit{Rate: l.Rate, Active: l.Active, At: now.Add(-l.Age)}
+	return throttle.Limit{Rate: l.Rate, Active: l.Active, Brittle: l.Brittle, MaxRejections: l.MaxRejections, At: now.Add(-l.Age)}
 }
 
 // mergeLimits merges the rate limits that a node reported; h.mu is held. A limit is kept for as
