tunnel: nodes of other data centres are tried second; a node that may be cut off refuses at once

After the first one that refuses, nodes of other data centres go first, and a node that may have lost its path refuses without trying. TestNodeOfCutDataCentreFindsAnother.

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,13 +201,13 @@
 	defer cancel()
 	var last error = &NoPeerError{Address: address}
 	peers := d.Peers(ctx)
-	tried := map[string]bool{}
+	var tried []relay.Relay
 	for unreachable := 0; len(tried) < maxPeerTries && unreachable < maxUnreachable; {
 		p, ok := d.choose(peers, tried)
 		if !ok {
 			break
 		}
-		tried[p.Key] = true
+		tried = append(tried, p)
 		c, err := d.dialThrough(ctx, p, address)
 		if err != nil && ctx.Err() != nil {
 			return nil, err
@@ -226,32 +227,46 @@
 	return nil, last
 }
 
-// choose returns the node to ask next. Nodes that opened the last tunnel requested from them go before others; of the
-// first usable ones, the one with the fewest tunnels of this node is chosen.
-func (d *Dialer) choose(peers []relay.Relay, tried map[string]bool) (relay.Relay, bool) {
+// choose returns the node to ask next. Nodes that opened the last tunnel requested from them go before others, and those
+// of data centres where none has been tried before the rest, since all nodes of a data centre may be cut off.
+func (d *Dialer) choose(peers, tried []relay.Relay) (relay.Relay, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	isUsable := func(p relay.Relay) bool {
+		return p.Node != d.Node && !now.Before(d.callee(p.Key).avoidUntil) &&
+			!slices.ContainsFunc(tried, func(t relay.Relay) bool { return t.Key == p.Key })
+	}
+	for _, isPreferred := range []func(p relay.Relay) bool{
+		func(p relay.Relay) bool { return d.callee(p.Key).opened },
+		func(p relay.Relay) bool {
+			return !slices.ContainsFunc(tried, func(t relay.Relay) bool { return t.DataCentre == p.DataCentre })
+		},
+		func(relay.Relay) bool { return true },
+	} {
+		if p, ok := d.leastUsed(peers, func(p relay.Relay) bool { return isUsable(p) && isPreferred(p) }); ok {
+			return p, true
+		}
+	}
+	return relay.Relay{}, false
+}
+
+// leastUsed returns, of the first nodes that match, the one with the fewest tunnels of this node; d.mu is held.
+func (d *Dialer) leastUsed(peers []relay.Relay, matches func(relay.Relay) bool) (relay.Relay, bool) {
 	var best relay.Relay
-	for _, proven := range []bool{true, false} {
-		usable, fewest := 0, 0
-		for _, p := range peers {
-			c := d.callee(p.Key)
-			if p.Node == d.Node || tried[p.Key] || c.opened != proven || now.Before(c.avoidUntil) {
-				continue
-			}
-			if usable == 0 || c.tunnels < fewest {
-				best, fewest = p, c.tunnels
-			}
-			if usable++; usable == spread {
-				break
-			}
+	matching := 0
+	for _, p := range peers {
+		if !matches(p) {
+			continue
+		}
+		if matching == 0 || d.callee(p.Key).tunnels < d.callee(best.Key).tunnels {
+			best = p
 		}
-		if usable > 0 {
-			return best, true
+		if matching++; matching == spread {
+			break
 		}
 	}
-	return best, false
+	return best, matching > 0
 }
 
 // callee returns what is known of the node with a key; d.mu is held.
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -30,7 +30,7 @@
 		return
 	}
 	defer d.release()
-	if d.Serves != nil && !d.Serves() || d.Isolated() {
+	if d.Serves != nil && !d.Serves() || d.Suspect() {
 		d.refuse(s, NoPath, nil)
 		return
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -137,6 +137,20 @@
 	}, 5*time.Second, 20*time.Millisecond)
 }
 
+// TestNodeOfCutDataCentreFindsAnother guards against nodes that only try each other when all nodes of their data centre have
+// lost their path.
+func TestNodeOfCutDataCentreFindsAnother(t *testing.T) {
+	names := []string{"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7", "b0"}
+	n := startNodes(t, 10, names...)
+	for _, x := range n[:8] {
+		x.at.DataCentre = "a"
+		x.cut.Store(true)
+	}
+	n[8].at.DataCentre = "b"
+	c := dial(t, n[0], serve(t, echo))
+	require.Equal(t, "b0", c.(*tunnel.Conn).Through())
+}
+
 // TestEndOfTunneledConnectionKeepsItsMeaning guards against a response without a length that looks complete though its
 // server was reset.
 func TestEndOfTunneledConnectionKeepsItsMeaning(t *testing.T) {
