soak: nodes that lose their path to the servers, servers that are silent or brittle

The soak's own program runs the nodes then, with the path to servers cut in it (refused, hanging, reset), since the kernel can't drop packets of one process; SO_ATTACH_FILTER on the servers' sockets was tried and isn't supported. Checks: nodes without a path serve about as often as others, in requests for which neither node nor store was disturbed for 3 s before; brittle servers don't fall over.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,10 @@
 `
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == soak.NodeCommand {
+		runNode(os.Args[2], os.Args[3])
+		return
+	}
 	fs := flag.NewFlagSet("soak", flag.ExitOnError)
 	fs.Usage = func() {
 		_, _ = io.WriteString(fs.Output(), usage)
@@ -36,6 +40,7 @@
 	duration := fs.Duration("duration", 15*time.Second, "how long faults come, for each seed")
 	nodes := fs.Int("nodes", 4, "processes of the system")
 	restores := fs.Bool("restores", true, "the platform's store comes back from older copies, besides the other faults")
+	cuts := fs.Bool("cuts", true, "this program runs the nodes: they lose their path to the servers at times, and servers are silent or brittle, besides the other faults")
 	verbose := fs.Bool("verbose", false, "print each fault")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarNoPrefix()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -43,15 +48,33 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	own := ""
+	if *cuts {
+		var err error
+		if own, err = os.Executable(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Log: io.Discard}, *verbose) || failed
+		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Soak: own, Log: io.Discard}, *verbose) || failed
 	}
 	if failed {
 		os.Exit(1)
 	}
 }
 
+// runNode runs a node of a soak until it is stopped.
+func runNode(settings, cut string) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := soak.RunNode(ctx, settings, cut); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
 // run runs the soak and reports whether it failed: an invariant was violated or the
 // run returned an error. The logs of failed runs are kept.
 func run(ctx context.Context, r *soak.Run, verbose bool) bool {
--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -1,152 +1,38 @@
 package front_test
 
 import (
-	"context"
 	"fmt"
-	"net"
-	"os"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/internal/front"
-	"guavapaddle/io/http1"
+	"guavapaddle/internal/testbed/cutpath"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
 
-// A cut between a node and all backend servers.
 const (
-	connected   cutMode = iota
-	refusing            // new connections are refused, open ones live on
-	hanging             // new connections don't open, open ones deliver nothing
-	resetting           // new connections are refused, open ones are reset
-	cutTime     = 5 * time.Second
 	settleTime  = 1500 * time.Millisecond // in which nodes notice a cut, half of the users' 3 s
-	dialLimit   = 300 * time.Millisecond
-	firstTries  = 60 // at each cut node
-	maxFailed   = 50 // of so many of them one may fail
-	loggedLines = 12
+	firstTries  = 60                      // at each cut node
+	maxFailed   = 50                      // of so many of them one may fail
+	loggedLines = 20
 )
 
-type (
-	// cutMode is what a cut does to connections.
-	cutMode int
-
-	// serverPath is the path between one node and all backend servers.
-	serverPath struct {
-		mu    sync.Mutex
-		mode  cutMode
-		conns map[*cutConn]bool
-	}
-
-	// cutConn is a connection over a serverPath.
-	cutConn struct {
-		net.Conn
-
-		path   *serverPath
-		closed chan struct{}
-		once   sync.Once
-	}
-)
-
-// set changes the mode.
-func (p *serverPath) set(m cutMode) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mode = m
-	for c := range p.conns {
-		switch m {
-		case resetting:
-			_ = c.Conn.(*net.TCPConn).SetLinger(0)
-			_ = c.Conn.Close()
-		case hanging:
-			_ = c.Conn.(*net.TCPConn).CloseWrite()
-		}
-	}
-}
-
-func (p *serverPath) current() cutMode {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.mode
-}
-
-// dial opens a connection over the path.
-func (p *serverPath) dial(ctx context.Context, address string) (net.Conn, error) {
-	switch p.current() {
-	case refusing, resetting:
-		return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-	case hanging:
-		ctx, cancel := context.WithTimeout(ctx, dialLimit)
-		defer cancel()
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
-	}
-	nc, err := http1.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	c := &cutConn{Conn: nc, path: p, closed: make(chan struct{})}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns == nil {
-		p.conns = map[*cutConn]bool{}
-	}
-	p.conns[c] = true
-	return c, nil
-}
-
-// SyscallConn lets the pool see whether the connection is idle.
-func (c *cutConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(*net.TCPConn).SyscallConn() }
-
-// Write implements net.Conn.
-func (c *cutConn) Write(b []byte) (int, error) {
-	if c.path.current() == hanging {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-// Read implements net.Conn.
-func (c *cutConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if c.path.current() == hanging {
-		select {
-		case <-c.closed:
-			return 0, net.ErrClosed
-		case <-time.After(cutTime):
-			return 0, os.ErrDeadlineExceeded
-		}
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *cutConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	c.path.mu.Lock()
-	delete(c.path.conns, c)
-	c.path.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // TestCutNodesServeFirstTries guards against nodes that have lost their own path to all backend servers and
 // refuse what other nodes could pass on for them.
 func TestCutNodesServeFirstTries(t *testing.T) {
 	t.Parallel()
-	for name, mode := range map[string]cutMode{"refused": refusing, "hanging": hanging, "reset": resetting} {
+	for name, mode := range map[string]cutpath.Mode{"refused": cutpath.Refusing, "hanging": cutpath.Hanging, "reset": cutpath.Resetting} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			paths := map[string]*serverPath{}
+			paths := map[string]*cutpath.Path{}
 			f := &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second,
 				setUp: func(n *front.Node, s front.Settings) {
-					paths[s.Node] = &serverPath{}
-					n.DialServer = paths[s.Node].dial
+					paths[s.Node] = &cutpath.Path{}
+					n.DialServer = paths[s.Node].Dial
 				}}
 			f.run(5, configuration)
 			second := (&standin.Worker{ID: "i-plain2"}).Start(t)
@@ -155,7 +41,7 @@
 			f.sendLoad("/calls/x", "", 20*time.Millisecond, 300*time.Millisecond)
 			cut := f.nodes[:3]
 			for _, p := range cut {
-				paths[p.settings.Node].set(mode)
+				paths[p.settings.Node].Set(mode)
 			}
 			f.nodes = cut
 			f.sendLoad("/calls/early", "", 20*time.Millisecond, settleTime)
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "recover"
 		Detail  string
 	}
 
@@ -30,6 +30,8 @@
 		tokenUsage    map[string][]usage       // by team
 		servedAt      map[string]time.Time     // by request: time of its successful response
 		disturbed     map[string][]disturbance // by node or server
+		statuses      map[string]int           // by request, 0 for no response
+		cuts          []cut
 	}
 
 	// Caller describes the sender of a request.
@@ -52,7 +54,7 @@
 func NewChecker() *Checker {
 	return &Checker{refusedNotRun: map[string]string{}, nonRepeatable: map[string]bool{}, counts: map[string]int{}, newestConfig: map[string]int{},
 		callers: map[string]Caller{}, revoked: map[int]time.Time{}, tokenUsage: map[string][]usage{},
-		servedAt: map[string]time.Time{}, disturbed: map[string][]disturbance{}}
+		servedAt: map[string]time.Time{}, disturbed: map[string][]disturbance{}, statuses: map[string]int{}}
 }
 
 // RecordViolation records a violation of an invariant.
@@ -84,6 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[fmt.Sprint(status)]++
+	c.statuses[id] = status
 	switch status {
 	case 200:
 		c.servedAt[id] = time.Now()
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -22,6 +22,8 @@
 //   - A team gets no more tokens served than its quota and the tolerance allow.
 //   - A server that announces that it leaves, asks a node to back off or sets a rate
 //     gets no more requests than that allows.
+//   - Nodes that have lost their path to all servers serve about as often as others.
+//   - Brittle servers aren't sent so much that they fall over.
 //   - When all faults have ended, every node serves again.
 //
 // # Usage
--- a/internal/testbed/soak/faults.go
+++ b/internal/testbed/soak/faults.go
@@ -32,9 +32,11 @@
 	}},
 	{"reload", func(r *Run, rng *rand.Rand) { _ = r.randomNode(rng).signal(syscall.SIGHUP) }},
 	{"store-down", func(r *Run, rng *rand.Rand) {
+		began := time.Now()
 		r.store.Outage(true)
 		time.Sleep(randomDuration(rng, 300, 4000))
 		r.store.Outage(false)
+		r.check.RecordDisturbance(storeName, began, time.Now(), true)
 	}},
 	{"store-loses-answers", func(r *Run, rng *rand.Rand) { r.store.DropReplies(1 + rng.IntN(4)) }},
 	{"store-forgets", func(r *Run, _ *rand.Rand) { r.store.Compact() }},
--- a/internal/testbed/soak/node.go
+++ b/internal/testbed/soak/node.go
@@ -7,11 +7,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"guavapaddle/internal/front"
+	"guavapaddle/internal/testbed/cutpath"
 	"guavapaddle/internal/testbed/freeport"
 )
 
@@ -25,6 +27,7 @@
 type node struct {
 	settings front.Settings
 	binary   string
+	soak     string // path of the soak's program, which runs the node if it is not empty
 	file     string
 	log      *os.File
 	proxy    *Proxy // in front of the store
@@ -64,6 +67,12 @@
 		return err
 	}
 	cmd := exec.Command(n.binary, "front", "-settings", n.file)
+	if n.soak != "" {
+		if err := n.cut(cutpath.Open); err != nil {
+			return err
+		}
+		cmd = exec.Command(n.soak, NodeCommand, n.file, n.cutFile())
+	}
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -80,6 +89,14 @@
 	return nil
 }
 
+// cutFile returns the path of the file that holds the mode of the node's path to the servers.
+func (n *node) cutFile() string { return n.file + ".cut" }
+
+// cut sets the mode of the node's path to the servers.
+func (n *node) cut(m cutpath.Mode) error {
+	return os.WriteFile(n.cutFile(), []byte(strconv.Itoa(int(m))), 0o600)
+}
+
 // signal sends a signal to the process. A process that has already exited is not an error.
 func (n *node) signal(s syscall.Signal) error {
 	n.mu.Lock()
--- a/internal/testbed/soak/proxy.go
+++ b/internal/testbed/soak/proxy.go
@@ -35,6 +35,7 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]struct{}
+	held  chan struct{} // closed when bytes are forwarded again, nil while they are
 }
 
 // NewProxy starts a proxy in front of target.
@@ -64,9 +65,33 @@
 	}
 }
 
+// Hold keeps back all bytes in both directions until it is ended, as while the server is silent.
+func (p *Proxy) Hold(hold bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case hold && p.held == nil:
+		p.held = make(chan struct{})
+	case !hold && p.held != nil:
+		close(p.held)
+		p.held = nil
+	}
+}
+
+// awaitRelease waits until no bytes are kept back.
+func (p *Proxy) awaitRelease() {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.Hold(false)
 	p.SetMode(Refuse)
 }
 
@@ -118,6 +143,7 @@
 	silent := false
 	for {
 		n, err := from.Read(buf)
+		p.awaitRelease()
 		m := p.currentMode()
 		silent = silent || m == Silence || m == OneWay && fromTarget
 		if m == Delay {
--- a/internal/testbed/soak/restore.go
+++ b/internal/testbed/soak/restore.go
@@ -69,6 +69,7 @@
 		}
 		copies = copies[:i+1]
 		r.logf("restore of a copy %v old", time.Since(copies[i].at))
+		began := time.Now()
 		r.store.Outage(true)
 		clock.Sleep(ctx, randomDuration(rng, 1, maxAwayMS))
 		r.store.Restore(copies[i].content)
@@ -76,6 +77,7 @@
 		clock.Sleep(ctx, randomDuration(rng, 1, rewriteMS))
 		r.rewriteRows()
 		time.Sleep(confirmTime) // part of the fault, also at the end of the run
+		r.check.RecordDisturbance(storeName, began, time.Now(), true)
 		next = time.Now().Add(randomDuration(rng, 500, 6000))
 	}
 }
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -49,9 +49,12 @@
 		Seed     uint64
 		Duration time.Duration
 		Nodes    int
-		Restores bool   // the store comes back from older copies, besides the other faults
-		Dir      string // for the settings and logs of the processes
-		Log      io.Writer
+		Restores bool // the store comes back from older copies, besides the other faults
+		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
+		// the servers at times, and servers are silent or brittle, besides the other faults.
+		Soak string
+		Dir  string // for the settings and logs of the processes
+		Log  io.Writer
 
 		check    *Checker
 		store    *standin.Store
@@ -102,6 +105,12 @@
 	}
 	wg.Go(func() { r.probeConfigs(work) })
 	wg.Go(func() { r.requestLimits(work) })
+	if r.Soak != "" {
+		cutting, end := context.WithCancel(work)
+		r.faults.Go(func() { r.cutPaths(cutting) })
+		defer end()
+		time.AfterFunc(r.Duration, end)
+	}
 	if r.Restores {
 		restoring, end := context.WithCancel(work)
 		r.faults.Go(func() { r.restoreStore(restoring) })
@@ -145,6 +154,7 @@
 		if err != nil {
 			return err
 		}
+		n.soak = r.Soak
 		r.nodes = append(r.nodes, n)
 	}
 	for i, n := range r.nodes {
@@ -160,6 +170,9 @@
 // models, so that the others have to be loaded on demand.
 func (r *Run) addWorker(service, id string) error {
 	s := &standin.Worker{ID: id}
+	if r.Soak != "" {
+		s.Capacity = brittleCapacity
+	}
 	if service == "llm" {
 		s.Stream, s.Pause = streamEvents, 10*time.Millisecond
 		for m := range 2 {
@@ -255,6 +268,7 @@
 		w.SetScript(standin.OK)
 		w.SetRateLimit(0)
 		w.SetBackoff(0)
+		w.proxy.Hold(false)
 	}
 }
 
@@ -274,6 +288,7 @@
 		}
 	}
 	r.check.CheckRuns(ids)
+	r.check.CheckCuts()
 	for _, w := range r.workers {
 		r.check.CheckKeys(w.RunRecords())
 		r.check.CheckLimits(w.ID, w.Visits())
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os/exec"
 	"path/filepath"
@@ -25,11 +26,11 @@
 	{701005, "a node got only requests for models without a copy while the soak did not refresh the engines' entries"},
 }
 
-// buildProgram builds the program and returns its path.
-func buildProgram(t *testing.T) string {
+// buildProgram builds a program of this project and returns its path.
+func buildProgram(t *testing.T, name string) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "guavapaddle")
-	build := exec.Command("go", "build", "-o", binary, "guavapaddle/cmd/guavapaddle")
+	binary := filepath.Join(t.TempDir(), name)
+	build := exec.Command("go", "build", "-o", binary, "guavapaddle/cmd/"+name)
 	out, err := build.CombinedOutput()
 	require.NoError(t, err, string(out))
 	return binary
@@ -37,7 +38,7 @@
 
 // TestSeedsHold runs the soak with each seed and requires that no invariant is violated.
 func TestSeedsHold(t *testing.T) {
-	binary := buildProgram(t)
+	binary := buildProgram(t, "guavapaddle")
 	for _, s := range seeds {
 		r := &soak.Run{Binary: binary, Seed: s.seed, Duration: 6 * time.Second, Nodes: 3, Dir: t.TempDir(), Log: io.Discard}
 		violations, err := r.Do(context.Background())
@@ -53,7 +54,7 @@
 // TestRestoresHold runs the soak with a store that is restored from copies some seconds old, and requires
 // that no invariant is violated.
 func TestRestoresHold(t *testing.T) {
-	binary := buildProgram(t)
+	binary := buildProgram(t, "guavapaddle")
 	for _, seed := range restoreSeeds {
 		r := &soak.Run{Binary: binary, Seed: seed, Duration: 8 * time.Second, Nodes: 3, Restores: true, Dir: t.TempDir(), Log: io.Discard}
 		violations, err := r.Do(context.Background())
@@ -62,6 +63,18 @@
 	}
 }
 
+// TestCutsHold runs the soak with nodes that lose their path to the servers, and servers that are silent or brittle, and
+// requires that no invariant is violated.
+func TestCutsHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1, 2} {
+		r := &soak.Run{Soak: binary, Seed: seed, Duration: 12 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
@@ -121,6 +134,18 @@
 			}
 			c.CheckLimits("s", list)
 		},
+		"cut": func(c *soak.Checker) {
+			now := time.Now()
+			c.RecordCut([]string{"n"}, now.Add(-4*time.Second), now)
+			for i := range 11 {
+				c.RecordRequest(fmt.Sprint("a", i), true, soak.Caller{Node: "m", At: now})
+				c.RecordResponse(fmt.Sprint("a", i), "m", 200)
+				c.RecordRequest(fmt.Sprint("b", i), true, soak.Caller{Node: "n", At: now})
+				c.RecordResponse(fmt.Sprint("b", i), "n", 503)
+			}
+			c.CheckCuts()
+		},
+		"brittle": func(c *soak.Checker) { c.CheckFalls("plain", 9, 3, time.Now(), time.Now()) },
 		"fence": func(c *soak.Checker) {
 			c.CheckOrders("e", []standin.OrderSender{{Holder: "a", Fence: 1}, {Holder: "b", Fence: 1}})
 		},
