tunnel, path: a server that has failed costs one question to another node, not two, and not again within a second

While only one server has failed by a timeout, one other node is enough, and for a second after none reached it none is asked. Nodes remembered from before a restart are bounded.

--- a/core/path/tracker.go
+++ b/core/path/tracker.go
@@ -11,6 +11,8 @@
 	// minFailed is the number of servers that must have failed before the cause may be this node's path. One
 	// server alone, such as the only one of a service, fails by itself.
 	minFailed = 2
+	// missedTTL is how long peers aren't asked again for a server that none of them reached.
+	missedTTL = time.Second
 	// failureTTL is how long a failed attempt is remembered that nothing has confirmed or refuted since.
 	failureTTL = 30 * time.Second
 )
@@ -47,7 +49,8 @@
 	failure struct {
 		at       time.Time
 		outcome  Outcome
-		lost     bool // another node reached the server since
+		lost     bool      // another node reached the server since
+		missedAt time.Time // when no other node reached it
 		probedAt time.Time
 	}
 )
@@ -98,7 +101,9 @@
 	if f == nil {
 		return false
 	}
-	f.lost = opened
+	if f.lost = opened; !opened {
+		f.missedAt = now
+	}
 	if !opened || t.isolated || !t.Suspect() {
 		return false
 	}
@@ -106,6 +111,22 @@
 	return true
 }
 
+// MissedByPeers reports whether other nodes recently failed to reach a server too, so that they need not be asked again.
+func (t *Tracker) MissedByPeers(now time.Time, address string) bool {
+	f := t.failed[address]
+	return f != nil && !f.missedAt.IsZero() && now.Sub(f.missedAt) < missedTTL
+}
+
+// MaxMisses returns how many other nodes must fail to reach a server before it counts as failed. One of them may have lost
+// its own path without having noticed. While only this server has failed, and only after a timeout, one is enough:
+// each may need as long again.
+func (t *Tracker) MaxMisses(address string) int {
+	if t.Hanging(address) && !t.Suspect() {
+		return 1
+	}
+	return 2
+}
+
 // Suspect reports whether connections to several servers failed since this node last opened one, so that a
 // failed connection doesn't show that its server has failed.
 func (t *Tracker) Suspect() bool { return len(t.sinceOpened) >= minFailed }
--- a/core/path/tracker_test.go
+++ b/core/path/tracker_test.go
@@ -30,10 +30,13 @@
 func TestNodeIsIsolatedOnceSeveralServersFailThatPeersReach(t *testing.T) {
 	var p path.Tracker
 	p.RecordOwn(start, "a", path.TimedOut)
+	require.Equal(t, 1, p.MaxMisses("a"))
+	require.Equal(t, 2, p.MaxMisses("b"))
 	require.False(t, p.RecordThroughPeer(start, "a", true), "one server alone may have failed")
 	require.False(t, p.Suspect())
 	p.RecordOwn(start, "b", path.TimedOut)
 	require.True(t, p.Suspect())
+	require.Equal(t, 2, p.MaxMisses("a"))
 	require.Equal(t, 2, p.Failed())
 	require.True(t, p.RecordThroughPeer(start, "b", true))
 	require.False(t, p.RecordThroughPeer(start, "a", true), "it is already")
@@ -55,6 +58,9 @@
 		p.RecordOwn(start, a, path.Refused)
 		require.False(t, p.RecordThroughPeer(start, a, false))
 	}
+	require.True(t, p.MissedByPeers(start, "a"))
+	require.False(t, p.MissedByPeers(start.Add(time.Second), "a"))
+	require.False(t, p.MissedByPeers(start, "d"))
 	require.True(t, p.Suspect(), "this node may be cut off, and others may be too")
 	require.False(t, p.Isolated())
 	require.Equal(t, path.Plan{}, p.Plan(start, "a"))
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -19,9 +20,6 @@
 const (
 	// maxPeerTries is how many nodes are asked to open one connection.
 	maxPeerTries = 4
-	// maxUnreachable is how many nodes must have failed to reach a server before it counts as failed. One of them
-	// may have lost its own path without having noticed.
-	maxUnreachable = 2
 	// totalTimeout bounds the opening of a tunnel by all nodes together.
 	totalTimeout = 700 * time.Millisecond
 	// spread is the number of usable nodes among which the one with the fewest tunnels of this node is chosen.
@@ -32,6 +30,8 @@
 	// only have been slow to accept its first connection from this node, so the time doubles with each failure.
 	minSilentBackoff = 250 * time.Millisecond
 	maxSilentBackoff = 4 * time.Second
+	// maxCallees bounds the nodes that are remembered. A node that restarts has another key.
+	maxCallees = 4096
 )
 
 // backoffs is how long a node isn't asked again that refused, by reason.
@@ -111,7 +111,9 @@
 		if err == nil || ctx.Err() != nil {
 			return nc, err
 		}
-		ownErr = err
+		if ownErr = err; d.missedByPeers(address) {
+			return nil, err
+		}
 	}
 	c, err := d.dialThroughPeers(ctx, address)
 	switch {
@@ -125,6 +127,13 @@
 	return d.dialOwn(ctx, address)
 }
 
+// missedByPeers reports whether other nodes recently failed to reach a server too.
+func (d *Dialer) missedByPeers(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tracker.MissedByPeers(time.Now(), address)
+}
+
 // dialOwn opens a connection from this node and records the outcome.
 func (d *Dialer) dialOwn(ctx context.Context, address string) (net.Conn, error) {
 	nc, err := d.Own(ctx, address)
@@ -201,8 +210,11 @@
 	defer cancel()
 	var last error = &NoPeerError{Address: address}
 	peers := d.Peers(ctx)
+	d.mu.Lock()
+	maxMisses := d.tracker.MaxMisses(address)
+	d.mu.Unlock()
 	var tried []relay.Relay
-	for unreachable := 0; len(tried) < maxPeerTries && unreachable < maxUnreachable; {
+	for misses := 0; len(tried) < maxPeerTries && misses < maxMisses; {
 		p, ok := d.choose(peers, tried)
 		if !ok {
 			break
@@ -218,7 +230,7 @@
 			return c, nil
 		}
 		if last = err; result == Unreachable {
-			unreachable++
+			misses++
 		}
 	}
 	d.mu.Lock()
@@ -275,6 +287,9 @@
 		d.callees = map[string]*callee{}
 	}
 	c := d.callees[key]
+	if c == nil && len(d.callees) >= maxCallees {
+		maps.DeleteFunc(d.callees, func(_ string, c *callee) bool { return c.tunnels == 0 })
+	}
 	if c == nil {
 		c = &callee{}
 		d.callees[key] = c
