tunnel: the callee shows that it is alive; a silent one ends the tunnel after 3 s

The callee sends an empty frame each second without bytes; three seconds without any frame end the tunnel, where a node that was killed kept it for 5 s. TestQuietTunnelStaysOpen fails without the frames.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -7,23 +7,44 @@
 	"guavapaddle/io/peer"
 )
 
-// Conn is the caller's end of a tunnel. It implements net.Conn.
-type Conn struct {
-	stream  *peer.Stream
-	node    string // callee
-	address string // of the server
-	rest    []byte // received and not yet read
-	onClose func()
-}
+// maxSilence is how long the callee of a tunnel may send nothing at all before it counts as lost.
+const maxSilence = 3 * aliveInterval
+
+type (
+	// Conn is the caller's end of a tunnel. It implements net.Conn.
+	Conn struct {
+		stream   *peer.Stream
+		node     string    // callee
+		address  string    // of the server
+		rest     []byte    // received and not yet read
+		deadline time.Time // for reads, zero for none
+		onClose  func()
+	}
+
+	// SilentError reports that the node at the other end of a tunnel doesn't respond any more.
+	SilentError struct{ Node string }
+)
+
+// Error implements error.
+func (e *SilentError) Error() string { return "tunnel: nothing from " + e.Node }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	for len(c.rest) == 0 {
+		silentAt := time.Now().Add(maxSilence)
+		isLimited := !c.deadline.IsZero() && c.deadline.Before(silentAt)
+		if isLimited {
+			silentAt = c.deadline
+		}
+		c.stream.SetReadDeadline(silentAt)
 		f, err := c.stream.Read()
+		if err != nil && !isLimited && !time.Now().Before(silentAt) {
+			return 0, &SilentError{Node: c.node}
+		}
 		if err != nil {
 			return 0, err
 		}
-		c.rest = f.Body
+		c.rest = f.Body // empty if the callee only shows that it is alive
 	}
 	n := copy(b, c.rest)
 	c.rest = c.rest[n:]
@@ -63,9 +84,9 @@
 // SetDeadline implements net.Conn. Writes are bounded by the endpoint.
 func (c *Conn) SetDeadline(at time.Time) error { return c.SetReadDeadline(at) }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. It must not be called during a Read.
 func (c *Conn) SetReadDeadline(at time.Time) error {
-	c.stream.SetReadDeadline(at)
+	c.deadline = at
 	return nil
 }
 
--- a/internal/tunnel/doc.go
+++ b/internal/tunnel/doc.go
@@ -4,9 +4,9 @@
 // # Method
 //
 // A tunnel is a call between two nodes. The caller names the address of a server; the callee connects to it
-// and passes bytes on in both directions. The caller speaks HTTP with the server as over a connection of its
-// own, so that whatever it decides about a request, such as its route, its deadline and whether it may be
-// repeated, is decided once and in one place. A callee uses its own path only, so there is at most one hop.
+// and passes bytes on in both directions. The caller uses HTTP with the server as over a connection of its
+// own, so that everything about a request, such as its route, its deadline and whether it may be repeated, is
+// decided once and in one place. A callee uses its own path only, so there is at most one hop.
 //
 // The end of a connection keeps its meaning: a server that closes its connection ends the caller's read with
 // io.EOF, one that resets it with an error, and a caller that closes its end closes the connection to the server.
--- a/internal/tunnel/serve.go
+++ b/internal/tunnel/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 	"guavapaddle/io/peer"
 )
 
+// aliveInterval is how long the callee of a tunnel may send nothing. Connections between nodes that nothing uses are
+// closed after some seconds, while a server may need longer for a response.
+const aliveInterval = time.Second
+
 // drainTime is how long the caller of a tunnel has to read the last bytes after the server has closed
 // its connection.
 const drainTime = 5 * time.Second
@@ -126,12 +131,17 @@
 	}
 }
 
-// forwardToCaller passes the server's bytes on. It returns nil if the server closed its connection.
+// forwardToCaller passes the server's bytes on, and an empty frame when there are none for aliveInterval. It returns nil
+// if the server closed its connection.
 func forwardToCaller(s *peer.Stream, nc net.Conn) error {
 	buf := make([]byte, maxChunk)
 	for {
+		if err := nc.SetReadDeadline(time.Now().Add(aliveInterval)); err != nil {
+			return err
+		}
 		n, err := nc.Read(buf)
-		if n > 0 {
+		isAlive := errors.Is(err, os.ErrDeadlineExceeded)
+		if n > 0 || isAlive {
 			if werr := s.Write(peer.Frame{Kind: kindData, Body: buf[:n]}); werr != nil {
 				return werr
 			}
@@ -139,7 +149,7 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
-		if err != nil {
+		if err != nil && !isAlive {
 			return err
 		}
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -22,16 +22,26 @@
 	"guavapaddle/io/peer"
 )
 
+// idleTimeout is how long connections between the nodes may be idle.
+const idleTimeout = 1500 * time.Millisecond
+
 // fakeNode is a node with a dialer, whose own path to the servers can be cut.
 type fakeNode struct {
 	dialer *tunnel.Dialer
 	cut    atomic.Bool
-	dials  atomic.Int64 // of its own
+	dials  atomic.Int64         // of its own
+	onCall func(s *peer.Stream) // serves tunnels instead, unless nil
 	at     relay.Relay
 }
 
 // startNodes starts nodes that know each other, each of which serves up to maxServed tunnels.
-func startNodes(t *testing.T, maxServed int, names ...string) []*fakeNode {
+func startNodes(t testing.TB, maxServed int, names ...string) []*fakeNode {
+	t.Helper()
+	return startNodesWith(t, idleTimeout, maxServed, names...)
+}
+
+// startNodesWith is startNodes for connections between the nodes that may be idle for the given time.
+func startNodesWith(t testing.TB, idle time.Duration, maxServed int, names ...string) []*fakeNode {
 	t.Helper()
 	var all []*fakeNode
 	for _, name := range names {
@@ -39,8 +49,14 @@
 		key, err := keys.NewSelfSigned(name)
 		require.NoError(t, err)
 		key.Trusted = func(string) bool { return true }
-		e := &peer.Endpoint{Address: "127.0.0.1:0", TLS: key, OnMessage: func(string, peer.Frame) {}}
-		e.OnCall = func(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) { n.dialer.Serve(ctx, f, s) }
+		e := &peer.Endpoint{Address: "127.0.0.1:0", TLS: key, IdleTimeout: idle, OnMessage: func(string, peer.Frame) {}}
+		e.OnCall = func(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) {
+			if n.onCall != nil {
+				n.onCall(s)
+				return
+			}
+			n.dialer.Serve(ctx, f, s)
+		}
 		n.dialer = &tunnel.Dialer{Node: name, Endpoint: e, MaxServed: maxServed, Log: zap.NewNop(), Metrics: tunnel.NewMetrics(),
 			Own: func(ctx context.Context, address string) (net.Conn, error) {
 				n.dials.Add(1)
@@ -72,7 +88,7 @@
 }
 
 // serve starts a server that handles each connection, and returns its address.
-func serve(t *testing.T, handle func(c *net.TCPConn)) string {
+func serve(t testing.TB, handle func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -190,6 +206,36 @@
 	require.Error(t, await.Value(t, ended, "the server's connection"))
 }
 
+// TestQuietTunnelStaysOpen guards against tunnels that are lost while a server takes longer for its response than connections
+// between nodes may be idle.
+func TestQuietTunnelStaysOpen(t *testing.T) {
+	n := startNodes(t, 10, "cut", "open")
+	n[0].cut.Store(true)
+	c := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+		<-time.After(2 * idleTimeout)
+		_, _ = c.Write([]byte("late"))
+		_ = c.Close()
+	}))
+	b, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, "late", string(b))
+}
+
+// TestTunnelThroughFrozenNodeEnds guards against requests that wait for a node that has frozen with their tunnels.
+func TestTunnelThroughFrozenNodeEnds(t *testing.T) {
+	n := startNodesWith(t, time.Minute, 10, "cut", "frozen")
+	n[0].cut.Store(true)
+	n[1].onCall = func(s *peer.Stream) {
+		f, err := peer.Encode(33, struct{}{}) // a reply that the connection is open
+		require.NoError(t, err)
+		require.NoError(t, s.Write(f))
+	}
+	c := dial(t, n[0], serve(t, echo))
+	_, err := c.Read(make([]byte, 1))
+	var silent *tunnel.SilentError
+	require.ErrorAs(t, err, &silent)
+}
+
 func TestReadDeadlineEndsReadOfTunnel(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
