--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -88,7 +88,9 @@
 	if r.Model != "" {
 		share.Fraction = unscheduledRateFraction
 	}
-	eligible, wait, reason := p.eligible(now, r, func(s *server) time.Duration { return s.throttle.LocalWait(now, share) }, func(s *server) bool { return p.hasLocalRoom(now, s) })
+	eligible, wait, reason := p.eligible(now, r,
+		func(s *server) time.Duration { return s.throttle.LocalWait(now, share) },
+		func(s *server) bool { return p.hasLocalRoom(now, s) })
 	if len(eligible) == 0 {
 		return Selection{Wait: wait}, reason
 	}
@@ -101,7 +103,9 @@
 // pending there, and if less than the fraction maxSlotFraction of its slots is taken. It requires
 // exact counts of the requests of all nodes.
 func (p *Picker) PickWithin(now time.Time, r Request, maxTokens int, maxSlotFraction float64) (Selection, Reason) {
-	eligible, wait, reason := p.eligible(now, r, func(s *server) time.Duration { return s.throttle.GlobalWait(now) }, func(*server) bool { return true })
+	eligible, wait, reason := p.eligible(now, r,
+		func(s *server) time.Duration { return s.throttle.GlobalWait(now) },
+		func(*server) bool { return true })
 	if len(eligible) == 0 {
 		return Selection{Wait: wait}, reason
 	}
--- a/core/balance/picker.go
+++ b/core/balance/picker.go
@@ -356,7 +356,10 @@
 func (p *Picker) InUse(limit int) []string {
 	var out []string
 	for _, s := range p.servers {
-		if s.local.Pending+s.local.Running > 0 && len(out) < limit {
+		if len(out) == limit {
+			break
+		}
+		if s.local.Pending+s.local.Running > 0 {
 			out = append(out, s.Address)
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -270,15 +270,15 @@
 		return balance.ConnFailed, deadlinePassed, Deadline
 	}
 	t.g.Pool.Drop(t.selection.Server.Address)
-	if !t.failsAnyway() {
+	if !t.hasOtherCause() {
 		t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
 	}
 	return balance.ConnFailed, unknown, ConnLost
 }
 
-// failsAnyway reports whether the connection may have broken for a reason that doesn't lie in the request: a brittle
+// hasOtherCause reports whether the connection may have broken for a reason that doesn't lie in the request: a brittle
 // server that had to reject too many others, or a lost path to all servers.
-func (t *try) failsAnyway() bool {
+func (t *try) hasOtherCause() bool {
 	return t.g.PathSuspect != nil && t.g.PathSuspect() || t.g.isBrittle(t.service)
 }
 
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -125,7 +125,8 @@
 }
 
 // Put returns a connection to the pool for reuse if its response allows it, and closes it
-// otherwise. A connection through another node is never reused, as it can't be seen whether it is idle. The body of the response must have been read to its end.
+// otherwise. The body of the response must have been read to its end. A connection through another node is
+// never reused, as it can't be seen whether it is idle.
 func (p *Pool) Put(c *Conn, resp *http.Response) error {
 	if c.br.Buffered() > 0 {
 		c.Close()
