--- a/core/path/doc.go
+++ b/core/path/doc.go
@@ -8,8 +8,6 @@
 // failure of a server. Two observations do: another node reaches the server at the same time, or connections
 // to several servers failed and none has been opened since. A Tracker keeps both.
 //
-// Other nodes are asked only once several servers have failed: a single one has most likely failed itself.
-//
 // A server that only another node reaches is lost to this node: connections to it go through other nodes
 // first. If several servers failed since this node last opened a connection, and another node reached one of
 // them, this node is isolated, and so are all servers lost to it, also those that it hasn't tried yet. One
--- a/core/path/tracker.go
+++ b/core/path/tracker.go
@@ -117,6 +117,16 @@
 	return f != nil && !f.missedAt.IsZero() && now.Sub(f.missedAt) < missedTTL
 }
 
+// MaxMisses returns how many other nodes must fail to reach a server before it counts as failed. One of them may have lost
+// its own path without having noticed. While only this server has failed, and only after a timeout, one is enough:
+// each may need as long again.
+func (t *Tracker) MaxMisses(address string) int {
+	if t.Hanging(address) && !t.Suspect() {
+		return 1
+	}
+	return 2
+}
+
 // Suspect reports whether connections to several servers failed since this node last opened one, so that a
 // failed connection doesn't show that its server has failed.
 func (t *Tracker) Suspect() bool { return len(t.sinceOpened) >= minFailed }
--- a/core/path/tracker_test.go
+++ b/core/path/tracker_test.go
@@ -30,10 +30,13 @@
 func TestNodeIsIsolatedOnceSeveralServersFailThatPeersReach(t *testing.T) {
 	var p path.Tracker
 	p.RecordOwn(start, "a", path.TimedOut)
+	require.Equal(t, 1, p.MaxMisses("a"))
+	require.Equal(t, 2, p.MaxMisses("b"))
 	require.False(t, p.RecordThroughPeer(start, "a", true), "one server alone may have failed")
 	require.False(t, p.Suspect())
 	p.RecordOwn(start, "b", path.TimedOut)
 	require.True(t, p.Suspect())
+	require.Equal(t, 2, p.MaxMisses("a"))
 	require.Equal(t, 2, p.Failed())
 	require.True(t, p.RecordThroughPeer(start, "b", true))
 	require.False(t, p.RecordThroughPeer(start, "a", true), "it is already")
