--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,8 @@
 		rule              string            // how the server was chosen: "granted" by the leader, "picked" by this node
 		selection         balance.Selection // of the last send
 		through           string            // node through which the last connection went, empty for none
+		framing           framing           // of the last response, empty if there is none
+		bodyEnd           bodyEnd           // of the last response, empty if its body wasn't read
 		maxGap            time.Duration     // longest time between two reads of a stream
 		outcome           outcome
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -93,6 +93,7 @@
 		wait      *prometheus.HistogramVec
 		open      prometheus.Gauge
 		conns     *prometheus.CounterVec // by how they were obtained
+		bodies    *prometheus.CounterVec // by framing and end
 	}
 )
 
@@ -117,12 +118,13 @@
 		wait:      histogram("wait_seconds", "Time from the first byte of a request to its first send."),
 		open:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "open_requests", Help: "Requests that are open."}),
 		conns:     counter("connections_total", "Connections to backend servers that tries obtained or failed to open.", "how"),
+		bodies:    counter("bodies_total", "Bodies of responses that were read to be forwarded, by framing and end.", "framing", "end"),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns}
+	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies}
 }
 
 func (m *Metrics) countTry(r Reason) { m.tries.WithLabelValues(string(r)).Inc() }
@@ -160,7 +162,7 @@
 	}
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
-		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status),
+		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
 		zap.String("server", r.selection.Server.ID), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
 		zap.Duration("age", r.selection.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapaddle/core/balance"
+	"guavapaddle/core/sse"
 	"guavapaddle/io/http1"
 )
 
@@ -54,6 +55,7 @@
 func (t *try) copyBody() error {
 	buf := make([]byte, relayBufferBytes)
 	var partial []byte
+	var scanner sse.Scanner
 	last := time.Now()
 	for {
 		n, err := t.resp.Body.Read(buf)
@@ -63,6 +65,7 @@
 			last = now
 		}
 		out := buf[:n]
+		scanner.Scan(out)
 		if t.route.Resumable && n > 0 {
 			partial = append(partial, out...)
 			out = t.takeEvents(&partial)
@@ -72,6 +75,9 @@
 				return &clientError{werr}
 			}
 		}
+		if err != nil {
+			t.recordBodyEnd(streamEnd(&scanner, err))
+		}
 		if errors.Is(err, io.EOF) {
 			if len(partial) > 0 {
 				return io.ErrUnexpectedEOF
@@ -84,6 +90,17 @@
 	}
 }
 
+// streamEnd returns where a stream ended whose last read returned err.
+func streamEnd(s *sse.Scanner, err error) bodyEnd {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return bodyBroken
+	case s.InEvent():
+		return bodyInEvent
+	}
+	return bodyWhole
+}
+
 // takeEvents removes the complete events from the front of partial, returns them and
 // records the id of the last one.
 func (t *try) takeEvents(partial *[]byte) []byte {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,7 +49,7 @@
 // send sends the request to a server and forwards the response if it is final.
 func (r *request) send(c balance.Selection) (sendState, Reason) {
 	t := &try{request: r, selection: c}
-	r.selection = c
+	r.selection, r.framing, r.bodyEnd = c, "", ""
 	start := time.Now()
 	result, state, reason := t.run()
 	t.releaseSlot(result)
@@ -61,7 +61,7 @@
 	r.g.mu.Unlock()
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends), zap.String("rule", r.rule),
-			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.Duration("estimate", c.Wait),
+			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
 			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)), zap.Error(t.err))
 	}
 	return state, reason
@@ -185,7 +185,7 @@
 			return err
 		}
 		t.countRead()
-		t.resp = resp
+		t.resp, t.framing = resp, framingOf(resp)
 		t.respMeta = platform.ParseResponse(resp.StatusCode, resp.Header)
 		if !t.isForeign() || t.route.Repeatable() {
 			if t.extraResponse {
@@ -356,9 +356,11 @@
 func (t *try) forwardWhole() (balance.Result, sendState, Reason) {
 	body, err := http1.ReadBody(t.resp, maxBodyBytes)
 	if err != nil {
+		t.recordBodyEnd(bodyBroken)
 		t.conn.Close()
 		return t.classifyConnError(err)
 	}
+	t.recordBodyEnd(bodyWhole)
 	t.keepConn()
 	t.outcome = outcome{status: t.resp.StatusCode, reason: Served, firstByte: t.firstByte}
 	t.responseBegun = true
