gateway: a stream that ends inside an event was broken off, however it was framed

Only resumable routes looked at events, by searching for two line feeds, so that events with CR LF were never forwarded there at all.

Cause: the end of the transport was taken for the end of the content. Now the gateway follows the events of every stream (core/sse), and an end inside one is handled like a broken connection: resumed where the route allows it, else the client's connection ends without the last chunk; log, counters, crash marks and picker show a failure of the server. A plain answer that is a stream is checked too. An event of a resumable stream that is never complete is bounded at 1 MiB, and bytes are looked at once, where the search began anew with every read.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -15,9 +15,14 @@
 //     if no byte was written; if it is unknown whether the request ran, only on
 //     routes that are repeatable. Every retry counts against the retry budget.
 //
+// A response ends with its length, its last chunk, or, with neither, its connection.
+// One whose connection is reset or times out before was broken off, as was a stream
+// that ends inside an event, however it was framed. A plain response that was broken
+// off isn't forwarded.
+//
 // A stream is forwarded as it arrives. On resumable routes only complete events
 // are forwarded, and a stream that breaks continues at another server after the
-// last event.
+// last event. On others the client's connection ends without the last chunk.
 //
 // Statuses that promise that a request hasn't run (429 and 503) are only sent if
 // no server may have run it; otherwise the status is 502 or 504.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -12,7 +13,14 @@
 	"guavapaddle/io/http1"
 )
 
-const relayBufferBytes = 8 << 10 // bytes per read; an event has less than 100
+const (
+	relayBufferBytes = 8 << 10 // bytes per read; an event has less than 100
+	// maxEventBytes bounds an event on resumable routes, where it is kept until it is complete.
+	maxEventBytes = 1 << 20
+)
+
+// errEventTooLong reports an event of more than maxEventBytes.
+var errEventTooLong = errors.New("gateway: event too long")
 
 // relay forwards a stream to the client as it arrives.
 func (t *try) relay() (balance.Result, sendState, Reason) {
@@ -54,8 +62,9 @@
 // complete events are forwarded, so that the stream can continue after the last one.
 func (t *try) copyBody() error {
 	buf := make([]byte, relayBufferBytes)
-	var partial []byte
 	var scanner sse.Scanner
+	var partial []byte // event of a resumable stream
+	hasEvents := t.hasEvents()
 	last := time.Now()
 	for {
 		n, err := t.resp.Body.Read(buf)
@@ -65,56 +74,51 @@
 			last = now
 		}
 		out := buf[:n]
-		scanner.Scan(out)
-		if t.route.Resumable && n > 0 {
-			partial = append(partial, out...)
-			out = t.takeEvents(&partial)
+		if hasEvents {
+			whole := scanner.Scan(out)
+			if t.route.Resumable {
+				out, partial = splitWhole(partial, out, whole)
+			}
 		}
 		if len(out) > 0 {
 			if werr := t.x.Write(out); werr != nil {
 				return &clientError{werr}
 			}
+			t.lastEvent = cmp.Or(scanner.LastID(), t.lastEvent)
 		}
-		if err != nil {
-			t.recordBodyEnd(streamEnd(&scanner, err))
-		}
-		if errors.Is(err, io.EOF) {
-			if len(partial) > 0 {
-				return io.ErrUnexpectedEOF
-			}
-			return nil
-		}
-		if err != nil {
+		switch {
+		case len(partial) > maxEventBytes:
+			t.recordBodyEnd(bodyInEvent)
+			return errEventTooLong
+		case err == nil:
+			continue
+		case !errors.Is(err, io.EOF):
+			t.recordBodyEnd(bodyBroken)
 			return err
+		case scanner.InEvent():
+			t.recordBodyEnd(bodyInEvent)
+			return io.ErrUnexpectedEOF
 		}
+		t.recordBodyEnd(bodyWhole)
+		return nil
 	}
 }
 
-// streamEnd returns where a stream ended whose last read returned err.
-func streamEnd(s *sse.Scanner, err error) bodyEnd {
-	switch {
-	case !errors.Is(err, io.EOF):
-		return bodyBroken
-	case s.InEvent():
-		return bodyInEvent
-	}
-	return bodyWhole
+// hasEvents reports whether the response is a stream of events, which one without a media type is on a route of streams.
+// A stream that ends inside an event was broken off, however its response was framed.
+func (t *try) hasEvents() bool {
+	contentType := t.resp.Header.Get("Content-Type")
+	return contentType == "" || sse.IsStream(contentType)
 }
 
-// takeEvents removes the complete events from the front of partial, returns them and
-// records the id of the last one.
-func (t *try) takeEvents(partial *[]byte) []byte {
-	end := bytes.LastIndex(*partial, []byte("\n\n"))
-	if end < 0 {
-		return nil
-	}
-	whole := (*partial)[:end+2]
-	rest := bytes.Clone((*partial)[end+2:])
-	for line := range bytes.SplitSeq(whole, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			t.lastEvent = string(bytes.TrimSpace(id))
-		}
+// splitWhole appends next to the partial event before it. It returns the bytes up to the last point between two events, which
+// is after the first whole bytes of next, and the rest.
+func splitWhole(partial, next []byte, whole int) (out, rest []byte) {
+	switch {
+	case whole == 0:
+		return nil, append(partial, next...)
+	case len(partial) == 0:
+		return next[:whole], bytes.Clone(next[whole:])
 	}
-	*partial = rest
-	return whole
+	return append(partial, next[:whole]...), bytes.Clone(next[whole:])
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/sse"
 	"guavapaddle/core/throttle"
 	"guavapaddle/io/http1"
 	"guavapaddle/platform"
@@ -355,12 +357,19 @@
 // forwardWhole reads a response to its end and forwards it.
 func (t *try) forwardWhole() (balance.Result, sendState, Reason) {
 	body, err := http1.ReadBody(t.resp, maxBodyBytes)
-	if err != nil {
+	switch {
+	case err != nil:
 		t.recordBodyEnd(bodyBroken)
+	case !sse.IsWhole(t.resp.Header.Get("Content-Type"), body):
+		t.recordBodyEnd(bodyInEvent)
+		err = io.ErrUnexpectedEOF
+	default:
+		t.recordBodyEnd(bodyWhole)
+	}
+	if err != nil {
 		t.conn.Close()
 		return t.classifyConnError(err)
 	}
-	t.recordBodyEnd(bodyWhole)
 	t.keepConn()
 	t.outcome = outcome{status: t.resp.StatusCode, reason: Served, firstByte: t.firstByte}
 	t.responseBegun = true
