--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -258,11 +258,23 @@
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	<-watchDone
 	if x.state != ended {
+		if !x.Request.ProtoAtLeast(1, 1) {
+			c.reset()
+		}
 		return false
 	}
 	return !x.closing
 }
 
+// reset makes the connection end with a reset. A response to HTTP/1.0 that was written in pieces ends with its
+// connection, so that one which was broken off would look complete otherwise.
+func (c *serverConn) reset() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only if the connection has ended
+	}
+	_ = c.nc.Close()
+}
+
 // body reads the request body to its end.
 func (c *serverConn) body(r *http.Request, f framing, l Limits) ([]byte, error) {
 	if f.length > l.BodyBytes {
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,6 +74,35 @@
 	return string(b)
 }
 
+// TestAbortedResponseToHTTP10IsReset guards against a response that ends with its connection and looks complete though it
+// was broken off.
+func TestAbortedResponseToHTTP10IsReset(t *testing.T) {
+	for _, aborted := range []bool{false, true} {
+		h := &recorder{onRequest: func(x *http1.Exchange) {
+			require.NoError(t, x.WriteHeader(http.StatusOK, http.Header{}))
+			require.NoError(t, x.Write([]byte("part")))
+			if aborted {
+				x.Abort()
+			} else {
+				require.NoError(t, x.End())
+			}
+		}}
+		_, address := serve(t, h, http1.Limits{})
+		c, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.WriteString(c, "GET / HTTP/1.0\r\n\r\n")
+		require.NoError(t, err)
+		_, err = io.ReadAll(c)
+		if aborted {
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+		} else {
+			require.NoError(t, err)
+		}
+	}
+}
+
 func TestAmbiguousRequestsAreRejected(t *testing.T) {
 	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 	for name, text := range map[string]string{
