--- a/io/service/service.go
+++ b/io/service/service.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/core/backend"
+	"guavapaddle/core/sse"
 	"guavapaddle/io/jsonhttp"
 )
 
@@ -22,8 +24,8 @@
 	NotSent Kind = "not-sent"
 	// Refused means that the server stated that it did not run the call.
 	Refused Kind = "refused"
-	// Lost means that the call was sent and no complete response arrived. The call may have
-	// run.
+	// Lost means that the call was sent and no complete response arrived; a stream of events that
+	// ends inside an event isn't complete. The call may have run.
 	Lost Kind = "lost"
 	// Timeout means that the call was sent and no response arrived in time. The call may
 	// have run or may still run.
@@ -138,6 +140,9 @@
 	if refused {
 		return Response{}, c.newError(Refused, nil)
 	}
+	if !sse.IsWhole(resp.Header.Get("Content-Type"), resp.Body) {
+		return Response{}, c.newError(Lost, io.ErrUnexpectedEOF)
+	}
 	return Response{Status: resp.Status, Header: resp.Header, Body: resp.Body}, nil
 }
 
