--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -50,6 +50,7 @@
 		Duration time.Duration
 		Nodes    int
 		Restores bool // the store comes back from older copies, besides the other faults
+		Broken   bool // servers break off responses and send them without a length, besides the other faults
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
 		Soak string
@@ -111,6 +112,12 @@
 		defer end()
 		time.AfterFunc(r.Duration, end)
 	}
+	if r.Broken {
+		breaking, end := context.WithCancel(work)
+		r.faults.Go(func() { r.breakResponses(breaking) })
+		defer end()
+		time.AfterFunc(r.Duration, end)
+	}
 	if r.Restores {
 		restoring, end := context.WithCancel(work)
 		r.faults.Go(func() { r.restoreStore(restoring) })
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// TestBrokenResponsesHold runs the soak with servers that break off responses, however they are framed, and requires that no
+// invariant is violated.
+func TestBrokenResponsesHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1, 2} {
+		r := &soak.Run{Soak: binary, Broken: true, Seed: seed, Duration: 8 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
