--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -26,6 +26,8 @@
 		OnDisk      []string // models that can be loaded from disk, without the weight store
 		InMemory    []string // models that can be loaded from host memory, which is faster than from disk
 		Version     int64    // version of this entry; a higher one is newer
+		// Software is the version of the server's software. What two versions generate doesn't fit together.
+		Software string
 	}
 )
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -62,7 +62,7 @@
 	}
 	r.g.mu.Unlock()
 	if state != answered || r.outcome.reason != Served {
-		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.Int("send", r.sends), zap.String("rule", r.rule),
+		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
 			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)), zap.Error(t.err))
 	}
