A stream goes on only at servers of the software version that began it

Callers got streams with events of two versions (ORDER): within one answer, when a server failed, and when a client took a stream up at another node. No part of the system knew the version of a server's software, nor read Resumes.

Cause: servers of one service were taken for interchangeable at every step. Class: state that lives in one peer (here, what a stream has been generated by) isn't part of what a choice between peers is made by.

Now the version is part of a server (core/fleet) and of a request for one (core/balance, grant.Item, slot and load requests), so that leader, relay and node choose alike; a queue of one version waits apart from others, and is refused at once when the version or the model has no server left (no-version). core/software holds which versions have served in the last minute, which the lease passes on, and which began each stream: a node records it before the first event goes out; while several versions serve, the leader (or its deputy, where the node leads) has it by then, or after 50 ms at most; nodes report what they have again when the leader or the set of versions changes, and the deputy gets the leader's. With one version in service nothing is sent. Who takes a stream up finds the version there; where only one has served it goes on; otherwise it is refused at once with unknown-version. A node that reaches no other relies on its own list only while it is fresh.

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -46,6 +46,7 @@
 		Segments []Segment
 		Zone     string          // data centre of this node
 		Exclude  map[string]bool // IDs of servers that must not be picked
+		Software string          // version that the server's software must have, empty for any
 	}
 
 	// Selection is the result of a pick.
@@ -66,6 +67,8 @@
 	Picked Reason = ""
 	// NoServer means that the service has no server other than the excluded ones.
 	NoServer Reason = "no-server"
+	// NoVersion means that the service has no server whose software has the requested version.
+	NoVersion Reason = "no-version"
 	// NoModel means that no server holds the model.
 	NoModel Reason = "no-model"
 	// Busy means that all servers that could run the request are at capacity.
@@ -140,7 +143,7 @@
 // admits a request; hasRoom reports whether this node may send one to a brittle server. If no server is eligible, it returns
 // the shortest time until a rate limit or a backoff ends.
 func (p *Picker) eligible(now time.Time, r Request, rateWait func(*server) time.Duration, hasRoom func(*server) bool) ([]*server, time.Duration, Reason) {
-	h := p.findHolders(now, r.Service, resident{r.Model, r.Adapter})
+	h := p.withSoftware(now, p.findHolders(now, r.Service, resident{r.Model, r.Adapter}), r)
 	eligible := p.eligibleBuf[:0]
 	var avoided []*server
 	minWait, unavailable := time.Duration(0), h.reason
@@ -224,6 +227,32 @@
 	return h
 }
 
+// withSoftware returns the holders whose software has the version that a request needs.
+func (p *Picker) withSoftware(now time.Time, h *holders, r Request) *holders {
+	if r.Software == "" {
+		return h
+	}
+	out := &holders{at: h.at, reason: NoVersion}
+	for _, s := range h.list {
+		if s.Software == r.Software {
+			out.list = append(out.list, s)
+		}
+	}
+	if len(out.list) > 0 {
+		return out
+	}
+	for _, s := range p.byService[r.Service] {
+		switch {
+		case s.Software != r.Software:
+		case r.Adapter != "" && s.holds(now, resident{r.Model, ""}):
+			out.reason = NoAdapter
+		case out.reason == NoVersion && r.Model != "":
+			out.reason = NoModel
+		}
+	}
+	return out
+}
+
 // moreSpecific returns the more specific reason: a server that lacks only the adapter is closer to
 // serving the request than one that lacks the model.
 func moreSpecific(a, b Reason) Reason {
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -27,8 +27,9 @@
 		SlotFraction    float64 // fraction of an engine's slots that may be taken
 	}
 
-	// Item is a model of a service, or one of the model's adapters.
-	Item struct{ Service, Model, Adapter string }
+	// Item is a model of a service, or one of the model's adapters, at servers whose software has a version, or any if
+	// that is empty.
+	Item struct{ Service, Model, Adapter, Software string }
 
 	// Request is a request that waits for a grant.
 	Request struct {
@@ -84,7 +85,7 @@
 
 // Enqueue adds a request. Next decides about it.
 func (s *Scheduler) Enqueue(r Request) {
-	i := Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter}
+	i := Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter, r.Pick.Software}
 	g := s.groups[i]
 	if g == nil {
 		g = &group{item: i}
@@ -297,7 +298,7 @@
 		r := *g.head()
 		c, reason := s.picker.PickWithin(now, r.Pick, s.settings.MaxUnreadTokens, s.settings.SlotFraction)
 		g.reason = reason
-		if reason == balance.NoServer && len(r.Pick.Exclude) > 0 {
+		if isFinal(reason, r) {
 			// No server is left for this request. Refuse it so that the others of its group don't
 			// wait behind it.
 			out = s.refuse(out, g, r, jitter(r, minRetryAfter))
@@ -322,6 +323,20 @@
 	return out
 }
 
+// isFinal reports whether a request for which no server was picked needn't wait for one. A model may be loaded, but not
+// by the plan at servers of a certain version of their software.
+func isFinal(reason balance.Reason, r Request) bool {
+	switch reason {
+	case balance.NoServer:
+		return len(r.Pick.Exclude) > 0
+	case balance.NoVersion:
+		return true
+	case balance.NoModel:
+		return r.Pick.Software != ""
+	}
+	return false
+}
+
 // advance removes the head of the first group of a queue.
 func (s *Scheduler) advance(queue *groupQueue, g *group) {
 	g.pop()
--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -7,6 +7,7 @@
 
 	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
+	"guavapaddle/core/software"
 )
 
 const (
@@ -55,6 +56,8 @@
 		UnackedOrders map[string]int64 `json:"late,omitempty"`
 		// Loading is the model that was being loaded on each engine when the row was written.
 		Loading map[string]string `json:"coming,omitempty"`
+		// Software holds the versions of the servers' software that have served lately.
+		Software software.Ages `json:"software,omitempty"`
 		// Relays pass reports and updates on between the leader and the other nodes. They are empty
 		// in a small fleet, and while Assigned is false.
 		Relays []relay.Relay `json:"relays,omitempty"`
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -109,6 +109,7 @@
 	r.Echo = n.clockEcho
 	r.Quotas = n.gateway.QuotaUsage()
 	r.Departed = n.undeclaredLeaving()
+	r.Origins, r.KnownOrigins = n.unreportedOrigins(l), n.origins.received
 	r.Echo.After = clock.SinceBoot() - n.follower.ConfigAge() - n.clockEchoAt
 	return r
 }
@@ -172,6 +173,8 @@
 // in common.
 func (n *Node) applyReply(r hub.Report, reply hub.ReportReply) {
 	n.ack = reply.Heard
+	n.origins.reported, n.origins.received = n.origins.pending, reply.KnownOrigins
+	n.addOrigins(reply.Origins)
 	n.clockEcho, n.clockEchoAt = hub.ClockEcho{Hub: reply.Heard.Hub, Stamp: reply.Stamp}, clock.SinceBoot()
 	if r.Nodes > 0 {
 		reply = n.hub.ApplyAsRelay(time.Now(), n.gateway.Counts(reply.Granter), reply)
@@ -335,6 +338,14 @@
 	if len(r.Keys) > 0 {
 		n.peerKeys.add(r.Keys) // nodes that lose their relay call this node
 	}
+	n.addOrigins(r.Origins)
+	if reply.Deputy {
+		known := r.KnownOrigins
+		if r.Heard.Hub != reply.Heard.Hub {
+			known = 0
+		}
+		reply.Origins, reply.KnownOrigins = n.originsForDeputy(known)
+	}
 	n.addLeaving(r.Departed...)
 	reply.Departed = n.undeclaredLeaving()
 	if r.Update != nil {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -114,6 +114,7 @@
 	relayLosses     prometheus.Counter
 	refresher       refresher
 	peerKeys        trustedKeys
+	origins         origins
 	waitingCalls    calls.Groups // slot requests at other nodes
 	dialer          *tunnel.Dialer
 	roster          peerRoster
@@ -141,6 +142,7 @@
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
+	n.gateway.RecordOrigin, n.gateway.FindOrigin = n.recordOrigin, n.findOrigin
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdleTimeout,
 		Accept: n.acceptsPeer, OnMessage: func(string, peer.Frame) {},
@@ -232,6 +234,8 @@
 		WaitingWithoutCopy: n.granter.Waiting,
 		LimitedModels:      n.granter.LimitedModels,
 		OnResidency:        n.granter.SetResidency,
+		Software:           n.softwareAges,
+		OnSoftware:         n.inheritSoftware,
 	}
 }
 
--- /dev/null
+++ b/internal/front/origins.go
@@ -0,0 +1,221 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/fleet"
+	"guavapaddle/core/leader"
+	"guavapaddle/core/software"
+	"guavapaddle/internal/hub"
+)
+
+const (
+	// recordTimeout bounds how long the first event of a stream waits until another node knows the version that began it.
+	recordTimeout = 50 * time.Millisecond
+	// originTimeout bounds the wait for one node's reply about the version that began a stream.
+	originTimeout = 150 * time.Millisecond
+	// maxReportedOrigins bounds the origins in one report or reply.
+	maxReportedOrigins = 256
+)
+
+// errNotCoordinator reports that a node neither leads nor passes calls on to the leader.
+var errNotCoordinator = errors.New("front: not the leader")
+
+// origins is what this node knows of the versions of the servers' software and of the streams that they began. The
+// leader has the origins of all nodes, and its deputy has the leader's.
+type origins struct {
+	mu      sync.Mutex
+	history software.History
+	known   software.Origins
+
+	// The remaining fields are used by runExchange only.
+	reportedTo string // node and services for which reported counts
+	reported   uint64 // number of the last origin that was reported
+	pending    uint64 // the same once the report under way has been replied to
+	received   uint64 // number of the last origin in the leader's reply to its deputy
+}
+
+// observeSoftware records the versions of the servers in the list.
+func (n *Node) observeSoftware(list []fleet.Server) {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	n.origins.history.Observe(time.Now(), list)
+}
+
+// inheritSoftware records the versions that another node's lease names.
+func (n *Node) inheritSoftware(a software.Ages) {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	n.origins.history.Inherit(time.Now(), a)
+}
+
+// softwareAges returns the versions for the lease. Servers in the list are in service until it changes.
+func (n *Node) softwareAges() software.Ages {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	return n.origins.history.Ages(time.Now())
+}
+
+// recordOrigin records the version that began a stream of this node. While several versions serve, it returns once another
+// node knows it too, or none can be reached.
+func (n *Node) recordOrigin(ctx context.Context, o software.Origin) {
+	n.origins.mu.Lock()
+	now := time.Now()
+	n.origins.known.Add(now, o)
+	_, only := n.origins.history.Only(now, o.Service)
+	n.origins.mu.Unlock()
+	if only {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if err := n.sendOrigin(ctx, o); err != nil { // it is in the next report
+		n.log.Info("origin-unsent", zap.String("request-id", o.Stream), zap.String("software", o.Version), zap.Error(err))
+	}
+}
+
+// sendOrigin sends an origin to the leader, or to its deputy if this node leads.
+func (n *Node) sendOrigin(ctx context.Context, o software.Origin) error {
+	return n.callCoordinator(ctx, recordTimeout, func(ctx context.Context, address string) error {
+		return n.leaderClient().RecordOrigin(ctx, address, o)
+	})
+}
+
+// callCoordinator calls the leader, or a relay of it, and then its deputy, until one replies. timeout bounds each call. If this
+// node leads, only the deputy is called.
+func (n *Node) callCoordinator(ctx context.Context, timeout time.Duration, call func(ctx context.Context, address string) error) error {
+	err := error(errNotCoordinator)
+	for _, address := range n.coordinators() {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		err = call(callCtx, address)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// coordinators returns the addresses of the nodes that know the origins of all streams, in the order in which they are called.
+func (n *Node) coordinators() []string {
+	var list []string
+	l, ok := n.placer.Leader()
+	if u := n.upstreamOf(l); ok && u.address != "" && u.key != n.key.Fingerprint() && (u.isRelay || !n.leaderSuspected()) {
+		list = append(list, u.address)
+	}
+	if at := n.deputy.Load(); at != nil && at.Address != "" && at.Key != n.key.Fingerprint() {
+		list = append(list, at.Address)
+	}
+	return list
+}
+
+// RecordOrigin records the origin of a stream of another node.
+func (n *Node) RecordOrigin(ctx context.Context, o software.Origin) error {
+	n.addOrigins([]software.Origin{o})
+	if n.passesOn() && !n.isActing() {
+		return n.sendOrigin(ctx, o)
+	}
+	return nil
+}
+
+// addOrigins adds origins that other nodes have recorded.
+func (n *Node) addOrigins(list []software.Origin) {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	now := time.Now()
+	for _, o := range list {
+		n.origins.known.Add(now, o)
+	}
+}
+
+// FindOrigin returns the version that began a stream, as far as this node can tell it.
+func (n *Node) FindOrigin(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
+	if reply := n.knownOrigin(q); reply.Known {
+		return reply, nil
+	}
+	switch {
+	case n.placer.IsLeading(), n.isActing():
+		return n.onlyOrigin(q), nil
+	case n.passesOn():
+		return n.queryOrigin(ctx, q)
+	}
+	return hub.OriginReply{}, errNotCoordinator
+}
+
+// findOrigin returns the version that began a stream which a client of this node takes up. A node that reaches no other
+// relies on its own list of servers only while that is fresh.
+func (n *Node) findOrigin(ctx context.Context, q hub.OriginQuery) hub.OriginReply {
+	reply, err := n.FindOrigin(ctx, q)
+	if errors.Is(err, errNotCoordinator) {
+		reply, err = n.queryOrigin(ctx, q)
+	}
+	if err != nil && n.isCopyFresh() && n.placer.LeaseObserved() {
+		reply = n.onlyOrigin(q)
+	}
+	if err != nil {
+		n.log.Info("origin-unread", zap.String("resumes", q.Stream), zap.Bool("known", reply.Known), zap.Duration("age", n.follower.Age(time.Now())), zap.Error(err))
+	}
+	return reply
+}
+
+// queryOrigin asks the leader or its deputy which version began a stream.
+func (n *Node) queryOrigin(ctx context.Context, q hub.OriginQuery) (reply hub.OriginReply, err error) {
+	err = n.callCoordinator(ctx, originTimeout, func(ctx context.Context, address string) error {
+		reply, err = n.leaderClient().FindOrigin(ctx, address, q)
+		return err
+	})
+	return reply, err
+}
+
+// knownOrigin returns the origin that this node has of a stream.
+func (n *Node) knownOrigin(q hub.OriginQuery) hub.OriginReply {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	o, ok := n.origins.known.Find(time.Now(), q.Stream)
+	return hub.OriginReply{Known: ok, Service: o.Service, Version: o.Version}
+}
+
+// onlyOrigin returns the only version of the service that a stream can have begun at.
+func (n *Node) onlyOrigin(q hub.OriginQuery) hub.OriginReply {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	v, ok := n.origins.history.Only(time.Now(), q.Service)
+	return hub.OriginReply{Known: ok, Service: q.Service, Version: v}
+}
+
+// unreportedOrigins returns the origins that the node to which this one reports may lack: those of services of which several
+// versions serve.
+func (n *Node) unreportedOrigins(l leader.Lease) []software.Origin {
+	o := &n.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	mixed := o.history.Mixed(now)
+	if to := n.upstreamOf(l).key + " " + strings.Join(mixed, " "); to != o.reportedTo {
+		o.reportedTo, o.reported = to, 0
+	}
+	if len(mixed) == 0 {
+		o.pending = o.reported
+		return nil
+	}
+	list, number := o.known.After(now, o.reported, mixed, maxReportedOrigins)
+	o.pending = number
+	return list
+}
+
+// originsForDeputy returns the origins that the deputy lacks after the one with a number, while several versions of a service serve.
+func (n *Node) originsForDeputy(after uint64) ([]software.Origin, uint64) {
+	n.origins.mu.Lock()
+	defer n.origins.mu.Unlock()
+	now := time.Now()
+	if len(n.origins.history.Mixed(now)) == 0 {
+		return nil, after
+	}
+	return n.origins.known.After(now, after, nil, maxReportedOrigins)
+}
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -110,6 +110,7 @@
 		return
 	}
 	list := n.servers.leaving.MarkLeaving(n.servers.all())
+	n.observeSoftware(list)
 	n.gateway.SetServers(list)
 	n.placer.SetServers(list)
 	n.granter.SetServers(list)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/quota"
 	"guavapaddle/core/retry"
+	"guavapaddle/core/software"
 	"guavapaddle/internal/hub"
 	"guavapaddle/io/http1"
 	"guavapaddle/platform"
@@ -56,6 +57,10 @@
 		// CheckServer finds out whether this node reaches the server with an address, and whether
 		// another one does. It may be nil.
 		CheckServer func(ctx context.Context, address string)
+		// RecordOrigin is called with the version that began a stream before the first event is forwarded, and FindOrigin
+		// returns the version that began a stream which a client takes up. They may be nil.
+		RecordOrigin func(ctx context.Context, o software.Origin)
+		FindOrigin   func(ctx context.Context, q hub.OriginQuery) hub.OriginReply
 		// Refresh queries another node for a newer configuration, and returns when that is
 		// in force or none is known. It may be nil.
 		Refresh func(ctx context.Context)
@@ -115,6 +120,7 @@
 		queued            time.Duration // time until the first send
 		fingerprint       uint64
 		lastEvent         string // id of the last complete event that was forwarded
+		software          string // version that began the stream, empty if none has
 		responseBegun     bool
 		rule              string            // how the server was chosen: "granted" by the leader, "picked" by this node
 		selection         balance.Selection // of the last send
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -35,6 +35,10 @@
 	CrashSuspect Reason = "crashes"
 	// NoServer means that the service has no server left to try.
 	NoServer Reason = "no-server"
+	// NoVersion means that the service has no server left whose software has the version that began the stream.
+	NoVersion Reason = "no-version"
+	// UnknownVersion means that it isn't known which version of the servers' software began the stream.
+	UnknownVersion Reason = "unknown-version"
 	// NoModel means that no server holds the model, or will in time.
 	NoModel Reason = "no-model"
 	// NoAdapter means that no server holds the adapter, or will in time.
@@ -94,6 +98,7 @@
 		open      prometheus.Gauge
 		conns     *prometheus.CounterVec // by how they were obtained
 		bodies    *prometheus.CounterVec // by framing and end
+		takeUps   *prometheus.CounterVec // by reason
 	}
 )
 
@@ -118,13 +123,14 @@
 		wait:      histogram("wait_seconds", "Time from the first byte of a request to its first send."),
 		open:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "open_requests", Help: "Requests that are open."}),
 		conns:     counter("connections_total", "Connections to backend servers that tries obtained or failed to open.", "how"),
+		takeUps:   counter("take_ups_total", "Requests that took up a stream which an earlier one began, by how they ended.", "reason"),
 		bodies:    counter("bodies_total", "Bodies of responses that were read to be forwarded, by framing and end.", "framing", "end"),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies}
+	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies, m.takeUps}
 }
 
 func (m *Metrics) countTry(r Reason) { m.tries.WithLabelValues(string(r)).Inc() }
@@ -154,6 +160,9 @@
 	m, o := r.g.Metrics, r.outcome
 	m.requests.WithLabelValues(string(o.reason), kind).Inc()
 	m.duration.WithLabelValues(kind).Observe(took.Seconds())
+	if r.takesUp() {
+		m.takeUps.WithLabelValues(string(o.reason)).Inc()
+	}
 	if o.reason == Served {
 		m.firstByte.WithLabelValues(kind).Observe(o.firstByte.Seconds())
 	}
@@ -163,7 +172,7 @@
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
 		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
-		zap.String("server", r.selection.Server.ID), zap.String("software", r.selection.Server.Software), zap.String("resumes", r.meta.Resumes), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
+		zap.String("server", r.selection.Server.ID), zap.String("software", r.selection.Server.Software), zap.String("resumes", r.meta.Resumes), zap.String("needs", r.software), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
 		zap.Duration("age", r.selection.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -81,6 +81,7 @@
 			}
 		}
 		if len(out) > 0 {
+			t.recordSoftware()
 			if werr := t.x.Write(out); werr != nil {
 				return &clientError{werr}
 			}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -69,6 +69,10 @@
 	r.lastEvent = r.meta.LastEvent
 	// A request that fails while it holds a slot must not keep it.
 	defer r.releaseSlot(balance.Abandoned)
+	if failure := r.findSoftware(); failure != "" {
+		r.fail(failure, "")
+		return
+	}
 	dials := 0
 	var lastTry Reason
 	for {
@@ -155,7 +159,7 @@
 
 // balanceRequest returns the properties of the request that the picker uses.
 func (r *request) balanceRequest() balance.Request {
-	b := balance.Request{Service: r.service, Zone: r.g.Zone, Exclude: r.excluded}
+	b := balance.Request{Service: r.service, Zone: r.g.Zone, Exclude: r.excluded, Software: r.software}
 	if !r.usesEngine() {
 		return b
 	}
@@ -190,12 +194,14 @@
 	g := r.g
 	b := r.balanceRequest()
 	item := r.item()
+	wanted := item
+	wanted.Software = r.software
 	if b.Model != "" && r.sends == 0 {
 		g.addDemand(item, b.Tokens, 0)
 	}
 	if b.Model != "" || g.isBrittle(r.service) {
 		for range maxSlotRequests {
-			c, reason, result := r.requestSlot(b, item)
+			c, reason, result := r.requestSlot(b, wanted)
 			if result == decided {
 				return c, reason
 			}
@@ -226,7 +232,7 @@
 			}
 			return c, ""
 		}
-		if time.Now().After(waitUntil) {
+		if time.Now().After(waitUntil) || reason == balance.NoVersion || reason == balance.NoModel && r.software != "" {
 			return c, Reason(reason)
 		}
 		if c.Wait > time.Until(waitUntil) || reason == balance.Backoff {
@@ -238,7 +244,7 @@
 			g.addDemand(item, 0, 1)
 		}
 		if reason == balance.NoAdapter {
-			r.requestAdapter(item)
+			r.requestAdapter(wanted)
 		}
 		if !r.noneAvailable(b) {
 			continue
@@ -294,7 +300,7 @@
 	}
 	_, withheld := r.g.picker.Withheld(time.Now(), reply.Server)
 	r.g.mu.Unlock()
-	if !known || withheld {
+	if !known || withheld || r.software != "" && s.Software != r.software {
 		grant.Done(balance.Abandoned) // this node's data is newer than the leader's
 		r.excluded[reply.Server] = true
 		return c, "", declined
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -6,6 +6,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/software"
 	"guavapaddle/io/peer"
 )
 
@@ -21,6 +22,10 @@
 	kindQueued      peer.Kind = 8
 	kindPrefillDone peer.Kind = 9
 	kindRateUpdate  peer.Kind = 10
+	kindRecord      peer.Kind = 11
+	kindRecorded    peer.Kind = 12
+	kindOriginQuery peer.Kind = 13
+	kindOriginReply peer.Kind = 14
 )
 
 // AckTimeout bounds the wait for the first reply to a SlotRequest, which reports whether the
@@ -95,6 +100,19 @@
 		Why    string
 	}
 
+	// OriginQuery asks which version of the software of a service's servers began a stream.
+	OriginQuery struct {
+		Service string
+		Stream  string // id of the client's request that brought the first event, empty if it isn't named
+	}
+
+	// OriginReply is the reply to an OriginQuery.
+	OriginReply struct {
+		Known   bool
+		Service string
+		Version string
+	}
+
 	// Client calls the leader.
 	Client struct {
 		Endpoint *peer.Endpoint
@@ -110,6 +128,10 @@
 		RequestLoad(ctx context.Context, w LoadRequest) LoadReply
 		// AcquireSlot waits for a slot, and calls queued if the request has to wait.
 		AcquireSlot(ctx context.Context, p SlotRequest, queued func()) (SlotReply, SlotGrant, error)
+		// RecordOrigin records the version that began a stream.
+		RecordOrigin(ctx context.Context, o software.Origin) error
+		// FindOrigin finds out which version began a stream.
+		FindOrigin(ctx context.Context, q OriginQuery) (OriginReply, error)
 	}
 )
 
@@ -118,7 +140,7 @@
 
 // PickRequest returns the request for which a server is picked.
 func (q SlotRequest) PickRequest() balance.Request {
-	r := balance.Request{Service: q.Service, Model: q.Model, Adapter: q.Adapter, Tokens: q.Tokens, Segments: q.Parts, Zone: q.Zone}
+	r := balance.Request{Service: q.Service, Model: q.Model, Adapter: q.Adapter, Tokens: q.Tokens, Segments: q.Parts, Zone: q.Zone, Software: q.Software}
 	if len(q.Exclude) > 0 {
 		r.Exclude = make(map[string]bool, len(q.Exclude))
 		for _, id := range q.Exclude {
@@ -142,6 +164,19 @@
 	return reply, err
 }
 
+// RecordOrigin has the leader record the version that began a stream.
+func (c *Client) RecordOrigin(ctx context.Context, address string, o software.Origin) error {
+	var done struct{}
+	return c.call(ctx, address, kindRecord, o, &done)
+}
+
+// FindOrigin asks the leader which version began a stream.
+func (c *Client) FindOrigin(ctx context.Context, address string, q OriginQuery) (OriginReply, error) {
+	var reply OriginReply
+	err := c.call(ctx, address, kindOriginQuery, q, &reply)
+	return reply, err
+}
+
 // AcquireSlot asks the leader for a slot and waits until it is granted or refused.
 func (c *Client) AcquireSlot(ctx context.Context, address string, q SlotRequest) (SlotReply, SlotGrant, error) {
 	f, err := peer.Encode(kindSlotRequest, q)
@@ -271,6 +306,24 @@
 	case kindSlotRequest:
 		serveSlotRequest(ctx, h, f, s)
 		return
+	case kindRecord:
+		var o software.Origin
+		if f.Decode(&o) != nil || h.RecordOrigin(ctx, o) != nil {
+			s.Cancel()
+			return
+		}
+		reply, err = peer.Encode(kindRecorded, struct{}{})
+	case kindOriginQuery:
+		var q OriginQuery
+		if f.Decode(&q) != nil {
+			return
+		}
+		found, findErr := h.FindOrigin(ctx, q)
+		if findErr != nil {
+			s.Cancel()
+			return
+		}
+		reply, err = peer.Encode(kindOriginReply, found)
 	default:
 		return
 	}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -13,6 +13,7 @@
 	"guavapaddle/core/grant"
 	"guavapaddle/core/quota"
 	"guavapaddle/core/revision"
+	"guavapaddle/core/software"
 	"guavapaddle/core/throttle"
 	"guavapaddle/internal/follow"
 	"guavapaddle/platform"
@@ -93,6 +94,9 @@
 		Limits   []Limit                 // rate limits that servers set or removed in responses to this node
 		Departed []departure.Incarnation // servers that announced that they leave but whose entries don't show it yet
 
+		Origins      []software.Origin // of streams, which the leader may not know
+		KnownOrigins uint64            // number of the last origin received from the hub that Heard names
+
 		Nodes int         // nodes whose reports a relay has added to its own, itself included; 0 for one
 		Usage []NodeUsage // their usage reports
 		Keys  []string    // fingerprints of their certificates, sent when they have changed
@@ -150,6 +154,9 @@
 		Departed []departure.Incarnation // servers that announced to any node that they leave
 		Update   follow.Update           // of the store's tables
 		Lease    platform.Row            // as the leader last wrote it, unless the reporting node has it
+
+		Origins      []software.Origin // of streams, sent to the deputy
+		KnownOrigins uint64            // number of the last of them
 	}
 
 	// Hub merges the nodes' reports. The zero value is ready to use and safe for
@@ -218,7 +225,7 @@
 		h.marks = append(h.marks, numbered[CrashMark]{m, now, h.nextNumber()})
 	}
 	h.mergeLimits(now, r.Limits)
-	r.Demand, r.Marks, r.Update, r.Limits, r.Usage = nil, nil, nil, nil, nil
+	r.Demand, r.Marks, r.Update, r.Limits, r.Usage, r.Origins = nil, nil, nil, nil, nil, nil
 	previous, known := h.nodes[r.Node]
 	if !known || previous.report.At.Key != r.At.Key || len(r.Keys) > 0 {
 		h.rosterVersion++
--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -114,7 +114,7 @@
 		if slices.Contains(r.Exclude, s.ID) {
 			continue // the waiting requests can't be sent there
 		}
-		if s.Service != r.Service || s.Leaving || e.unloading == r.Model || now.Before(e.blockedUntil) {
+		if s.Service != r.Service || r.Software != "" && s.Software != r.Software || s.Leaving || e.unloading == r.Model || now.Before(e.blockedUntil) {
 			continue
 		}
 		c := cost(counts[s.ID]) + 300*len(e.adapters)
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -112,6 +112,7 @@
 	} else {
 		l = l.WithLoads(previous).WithRelays(previous) // until this node has ordered loads itself
 	}
+	l = p.withSoftware(l)
 	l.Write = p.nextWrite()
 	due = (due || wasLeader && p.relaysChanged) && !p.released
 	if due {
@@ -264,7 +265,8 @@
 // observe updates the lease from the row as it is in the store in an era, where no row means that it
 // doesn't exist; p.mu is held.
 func (p *Placer) observe(rows []platform.Row, era int64) {
-	defer p.logRestore(p.Elector.Revision())
+	before := p.Elector.Revision()
+	defer p.logRestore(before)
 	wasLeader := p.Elector.IsLeader()
 	if len(rows) == 0 {
 		p.Elector.Observe(p.Clock(), leader.Lease{}, revision.Revision{Era: era})
@@ -278,6 +280,9 @@
 		}
 		p.Elector.Observe(p.Clock(), l, r.Revision())
 	}
+	if l, at, ok := p.Elector.Row(); ok && at != before && p.OnSoftware != nil && l.Incarnation != p.Elector.Self.Incarnation {
+		p.OnSoftware(l.Software)
+	}
 	l, _ := p.Elector.Leader()
 	switch isLeader := p.Elector.IsLeader(); {
 	case wasLeader && !isLeader:
@@ -323,6 +328,14 @@
 	return p.relays.Relays, p.relays.Assigned
 }
 
+// withSoftware returns a lease with the versions of the servers' software that have served lately.
+func (p *Placer) withSoftware(l leader.Lease) leader.Lease {
+	if p.Software != nil {
+		l.Software = p.Software()
+	}
+	return l
+}
+
 // withHandover returns a lease with the relays, and the loads that the next leader has to know
 // about; p.mu is held.
 func (p *Placer) withHandover(l leader.Lease) leader.Lease {
@@ -433,7 +446,7 @@
 	p.mu.Lock()
 	observed, _, _ := p.Elector.Row()
 	expected, epoch, isLeader := p.Elector.Release()
-	l := p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores, Write: p.nextWrite()})
+	l := p.withSoftware(p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores, Write: p.nextWrite()}))
 	p.mu.Unlock()
 	if !isLeader {
 		return true
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -13,6 +13,7 @@
 	"guavapaddle/core/loads"
 	"guavapaddle/core/residency"
 	"guavapaddle/core/revision"
+	"guavapaddle/core/software"
 	"guavapaddle/internal/hub"
 	"guavapaddle/platform"
 )
@@ -58,19 +59,23 @@
 	// Placer acquires the lease and sends orders while it is the leader. Its exported fields
 	// are set before Run.
 	Placer struct {
-		Store              Store
-		Engines            Engines
-		Hub                *hub.Hub
-		Elector            *leader.Elector
-		Clock              func() time.Duration // monotonic, also runs while the machine is suspended
-		Log                *zap.Logger
-		Fencing            bool          // engines reject orders with an outdated epoch
-		Window             time.Duration // over which loads from the weight store are counted
-		LeaderReachable    func() bool   // reports whether the leader replied recently
-		Isolated           func() bool   // reports whether this node has lost its path to the engines, nil for never
-		UsesRelay          func() bool   // reports whether another node passes the lease on to this one, nil for never
-		OnVerdict          func(verdict string)
-		OnElected          func()                      // called when the lease was acquired
+		Store           Store
+		Engines         Engines
+		Hub             *hub.Hub
+		Elector         *leader.Elector
+		Clock           func() time.Duration // monotonic, also runs while the machine is suspended
+		Log             *zap.Logger
+		Fencing         bool          // engines reject orders with an outdated epoch
+		Window          time.Duration // over which loads from the weight store are counted
+		LeaderReachable func() bool   // reports whether the leader replied recently
+		Isolated        func() bool   // reports whether this node has lost its path to the engines, nil for never
+		UsesRelay       func() bool   // reports whether another node passes the lease on to this one, nil for never
+		OnVerdict       func(verdict string)
+		OnElected       func() // called when the lease was acquired
+		// Software returns the versions of the servers' software that have served lately, which the lease passes on, and
+		// OnSoftware is called with those of another node's lease. They may be nil.
+		Software           func() software.Ages
+		OnSoftware         func(software.Ages)
 		WaitingWithoutCopy func() map[string]int       // number of requests waiting for a model without a copy
 		LimitedModels      func() map[string]bool      // models all of whose servers are at their rate limit, nil for none
 		OnResidency        func(n hub.ResidencyUpdate) // called when the content of an engine has changed
