soak: engines of several software versions, replaced in the middle of streams that clients take up elsewhere

Each event names the version that made it, in a comment; a stream must have one version, no gap and no repetition over all its tries, and streams must be taken up at nodes in touch at least half as often as new ones begin while two servers of their version serve.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -42,6 +42,7 @@
 	restores := fs.Bool("restores", true, "the platform's store comes back from older copies, besides the other faults")
 	cuts := fs.Bool("cuts", true, "this program runs the nodes: they lose their path to the servers at times, and servers are silent or brittle, besides the other faults")
 	broken := fs.Bool("broken", true, "servers break off responses and send them without a length, besides the other faults")
+	versions := fs.Bool("versions", true, "engines have several software versions and are replaced, and clients take streams up, besides the other faults")
 	verbose := fs.Bool("verbose", false, "print each fault")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarNoPrefix()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,7 +60,7 @@
 	}
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Broken: *broken, Soak: own, Log: io.Discard}, *verbose) || failed
+		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Broken: *broken, Versions: *versions, Soak: own, Log: io.Discard}, *verbose) || failed
 	}
 	if failed {
 		os.Exit(1)
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "recover"
 		Detail  string
 	}
 
@@ -32,6 +32,7 @@
 		disturbed     map[string][]disturbance // by node or server
 		statuses      map[string]int           // by request, 0 for no response
 		cuts          []cut
+		takeUps       []takeUp
 	}
 
 	// Caller describes the sender of a request.
@@ -126,6 +127,9 @@
 func (c *Checker) CheckEvents(id, body string, events int, complete bool) {
 	list := strings.Split(body, "\n\n")
 	received := list[:len(list)-1]
+	for i, e := range received {
+		received[i], _, _ = strings.Cut(e, "\n: ") // without the comment that names the version
+	}
 	for i, e := range received {
 		if want := fmt.Sprintf("id: %d\ndata: event %d", i+1, i+1); e != want {
 			c.RecordViolation("order", "event %d of request %s is %q", i+1, id, e)
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -50,6 +50,7 @@
 		Duration time.Duration
 		Nodes    int
 		Restores bool // the store comes back from older copies, besides the other faults
+		Versions bool // engines have several software versions and are replaced, and clients take streams up, besides the other faults
 		Broken   bool // servers break off responses and send them without a length, besides the other faults
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
@@ -62,6 +63,7 @@
 		nodes    []*node
 		workers  []*worker
 		version  atomic.Int64
+		software atomic.Int64 // version of the next engine
 		faults   sync.WaitGroup
 		cleanups []func()
 		mu       sync.Mutex // guards Log and workers
@@ -112,6 +114,15 @@
 		defer end()
 		time.AfterFunc(r.Duration, end)
 	}
+	if r.Versions {
+		rolling, end := context.WithCancel(work)
+		r.faults.Go(func() { r.rollVersions(rolling) })
+		defer end()
+		time.AfterFunc(r.Duration, end)
+		for i := range takeUpClients {
+			wg.Go(func() { r.takeUpStreams(rolling, i) })
+		}
+	}
 	if r.Broken {
 		breaking, end := context.WithCancel(work)
 		r.faults.Go(func() { r.breakResponses(breaking) })
@@ -140,12 +151,15 @@
 	}
 	r.checkServers()
 	r.logf("responses by status: %v", r.check.Counts())
+	tried, wentOn := r.check.TakeUps()
+	r.logf("streams taken up: %d, went on: %d", tried, wentOn)
 	return r.check.Violations(), nil
 }
 
 // setUp starts the store, the servers and the nodes.
 func (r *Run) setUp() error {
 	r.store = standin.NewStore(r)
+	r.software.Store(1)
 	r.writeConfig(1)
 	for i := range engines + plainServers {
 		service := "plain"
@@ -182,6 +196,9 @@
 	}
 	if service == "llm" {
 		s.Stream, s.Pause = streamEvents, 10*time.Millisecond
+		if r.Versions {
+			s.Pause, s.Software = versionPause, fmt.Sprint("v", r.software.Load())
+		}
 		for m := range 2 {
 			s.Hold(fmt.Sprint("m", m))
 		}
@@ -296,6 +313,7 @@
 	}
 	r.check.CheckRuns(ids)
 	r.check.CheckCuts()
+	r.check.CheckTakeUps()
 	for _, w := range r.workers {
 		r.check.CheckKeys(w.RunRecords())
 		r.check.CheckLimits(w.ID, w.Visits())
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// TestVersionsHold runs the soak with engines of several software versions, and requires that no invariant is violated.
+func TestVersionsHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1, 2} {
+		r := &soak.Run{Soak: binary, Versions: true, Broken: true, Seed: seed, Duration: 10 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
