front: a leader that has no deputy yet records origins of streams at the one before

TestStreamOutlastsNodeThatBeganIt failed 1 of 96: a leader stopped 40 ms after its election, and streams that began there (origin-unsent, no second node) were refused as unknown. Traced by the log: no node had reported to it yet, so it knew no deputy, though it knew that of the leader before. Also a leader takes its deputy from the reports themselves, not from its next own report. Tests of the queue by version, of a restart of all nodes, and of leaders that stop.

--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -109,8 +109,12 @@
 	if u := n.upstreamOf(l); ok && u.address != "" && u.key != n.key.Fingerprint() && (u.isRelay || !n.leaderSuspected()) {
 		list = append(list, u.address)
 	}
-	if at := n.deputy.Load(); at != nil && at.Address != "" && at.Key != n.key.Fingerprint() {
-		list = append(list, at.Address)
+	deputy := n.deputy.Load()
+	if at := n.hub.Deputy(); n.placer.IsLeading() && at.Address != "" {
+		deputy = &at // before the first reports, it is that of the leader before
+	}
+	if deputy != nil && deputy.Address != "" && deputy.Key != n.key.Fingerprint() {
+		list = append(list, deputy.Address)
 	}
 	return list
 }
--- a/internal/front/software_test.go
+++ b/internal/front/software_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/leader"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
@@ -225,3 +229,79 @@
 		}, 2*time.Second, 50*time.Millisecond)
 	}
 }
+
+// restartAll stops all nodes and starts them again.
+func (f *softwareCluster) restartAll() {
+	f.t.Helper()
+	for _, p := range f.nodes {
+		p.stop()
+	}
+	for _, p := range f.nodes {
+		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+		p.done <- nil // read again by the cleanup
+	}
+	for _, p := range f.nodes {
+		f.restart(p)
+	}
+	for _, p := range f.nodes {
+		require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
+	}
+	f.waitForLeader()
+}
+
+// TestSoftwareVersionsOutlastRestartOfAllNodes guards against a stream that goes on at another version since all nodes have
+// forgotten the one that has left.
+func TestSoftwareVersionsOutlastRestartOfAllNodes(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareCluster(t, 3, "v1", "v2")
+	f.begin(f.nodes[0], "v1", takeUp{id: "first", path: "/plans/x", model: "m0"})
+	for i := range 2 {
+		f.store.Drop(platform.TableServers, fmt.Sprint("v1-llm", i))
+	}
+	f.restartAll()
+	for i, n := range f.nodes {
+		status, server, _ := n.stream(t, takeUp{id: fmt.Sprint("t", i), path: "/plans/x", model: "m0", resumes: "first", afterEvent: "1", firstEventOnly: true})
+		require.Equal(t, 503, status, "went on at %s", server)
+		status, server, _ = n.stream(t, takeUp{id: fmt.Sprint("n", i), path: "/plans/x", model: "m0", firstEventOnly: true})
+		require.Equal(t, 200, status)
+		require.Equal(t, "v2", versionOf(server))
+	}
+}
+
+// isDeputyOf reports whether the node is the deputy of a leader.
+func (p *testNode) isDeputyOf(leader string) bool {
+	logs := p.logs.FilterMessage("deputy").All()
+	return p.settings.Node != leader && len(logs) > 0 && logs[len(logs)-1].ContextMap()["following"] == true
+}
+
+// TestStreamOutlastsNodeThatBeganIt guards against streams that can't be taken up since only the node that began them, the leader
+// included, knew their version.
+func TestStreamOutlastsNodeThatBeganIt(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareCluster(t, 4, "v1", "v2")
+	for round := range 2 {
+		i := -1
+		require.Eventually(t, func() bool {
+			var l leader.Lease
+			require.NoError(t, json.Unmarshal(f.store.Row("lease", "orders").Value, &l))
+			i = slices.IndexFunc(f.nodes, func(p *testNode) bool { return p.settings.Node == l.Node })
+			return i >= 0 && slices.ContainsFunc(f.nodes, func(p *testNode) bool { return p.isDeputyOf(l.Node) })
+		}, 5*time.Second, 5*time.Millisecond, "a leader and its deputy")
+		p := f.nodes[i]
+		id := func(k int) string { return fmt.Sprint("begin-", round, "-", k) }
+		for k := range 4 {
+			f.begin(p, fmt.Sprint("v", 1+k%2), takeUp{id: id(k), path: "/plans/x", model: "m0"})
+		}
+		f.nodes = slices.Delete(f.nodes, i, i+1)
+		p.stop()
+		for k := range 4 {
+			tries := 0
+			require.Eventually(t, func() bool {
+				tries++
+				status, server, _ := f.nodes[k%len(f.nodes)].stream(t, takeUp{id: fmt.Sprint(id(k), "-", tries), path: "/plans/x", model: "m0", resumes: id(k), afterEvent: "1", firstEventOnly: true})
+				require.Contains(t, []string{"", fmt.Sprint("v", 1+k%2)}, versionOf(server))
+				return status == 200
+			}, 3*time.Second, 20*time.Millisecond)
+		}
+	}
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -213,6 +213,13 @@
 	return reply
 }
 
+// Deputy returns the deputy of the leader, zero if there is none.
+func (h *Hub) Deputy() Contact {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes[h.deputyNode].report.At
+}
+
 // merge merges a node's report, and reports whether expired reports were removed, which happens each
 // cleanupInterval; h.mu is held.
 func (h *Hub) merge(now time.Time, r Report) bool {
