--- a/internal/front/cut_test.go
+++ b/internal/front/cut_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/leader"
 	"guavapaddle/internal/front"
 	"guavapaddle/internal/testbed/cutpath"
 	"guavapaddle/platform"
@@ -74,3 +76,33 @@
 	}
 	t.Log(p.settings.Node + "\n" + strings.Join(lines[max(0, len(lines)-loggedLines):], "\n"))
 }
+
+// TestLeaderWithoutPathGivesUpLease guards against a leader whose orders to engines fail while other nodes reach them.
+func TestLeaderWithoutPathGivesUpLease(t *testing.T) {
+	t.Parallel()
+	paths := map[string]*cutpath.Path{}
+	f := &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second,
+		setUp: func(n *front.Node, s front.Settings) {
+			paths[s.Node] = &cutpath.Path{}
+			n.DialServer = paths[s.Node].Dial
+		}}
+	f.run(3, configuration)
+	second := (&standin.Worker{ID: "i-plain2"}).Start(t)
+	f.store.Put(platform.TableServers, "i-plain2", second.Entry("plain", "z", false))
+	f.waitForLeader()
+	holder := func() string {
+		var l leader.Lease
+		require.NoError(t, json.Unmarshal(f.store.Row("lease", "orders").Value, &l))
+		return l.Node
+	}
+	before := holder()
+	for _, p := range f.nodes {
+		if p.settings.Node == before {
+			paths[before].Set(cutpath.Resetting)
+			f.nodes = []*testNode{p}
+		}
+	}
+	f.sendLoad("/plans/x", "m0", 20*time.Millisecond, settleTime)
+	f.sendLoad("/calls/x", "", 20*time.Millisecond, settleTime) // one server alone may have failed
+	require.Eventually(t, func() bool { now := holder(); return now != "" && now != before }, 5*time.Second, 5*time.Millisecond)
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -41,18 +41,24 @@
 	go r.gateway.WatchSilence(t.Context())
 	for i := range 8 {
 		go func() { r.do("GET", "/stream/x", string(rune('a'+i)), "") }()
+		// Requests that begin at once may all choose the same server, as none of them is counted yet.
+		require.Eventually(t, func() bool { return runs(workers) > i }, 5*time.Second, time.Millisecond)
+	}
+	for _, w := range workers {
+		require.NotEmpty(t, w.Runs(), "each server has a request")
 	}
-	require.Eventually(t, func() bool {
-		for _, w := range workers {
-			if len(w.Runs()) == 0 {
-				return false
-			}
-		}
-		return true
-	}, 5*time.Second, time.Millisecond, "each server has a request")
 	return c
 }
 
+// runs returns the number of requests that servers have run.
+func runs(workers []*standin.Worker) int {
+	n := 0
+	for _, w := range workers {
+		n += len(w.Runs())
+	}
+	return n
+}
+
 // TestSilentServersAreChecked guards against a node that goes on sending over connections that deliver nothing until all
 // that were idle before are used up.
 func TestSilentServersAreChecked(t *testing.T) {
