--- a/core/software/software_test.go
+++ b/core/software/software_test.go
@@ -99,3 +99,16 @@
 	_, ok = o.Find(start, fmt.Sprint(added-1))
 	require.True(t, ok)
 }
+
+// BenchmarkOrigins measures the addition of an origin while as many as are kept are known.
+func BenchmarkOrigins(b *testing.B) {
+	var o software.Origins
+	ids := make([]string, 1<<16)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", i)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		o.Add(start, software.Origin{Stream: ids[i%len(ids)], Service: "s", Version: "v1"})
+	}
+}
