software: versions in service don't expire while the list of servers stays as it is

The list is observed only when it changes, and a version was forgotten a minute after: in a calm minute streams would have been refused as unknown though one version served, and two versions that serve side by side would have looked like none. TestVersionsInServiceDoNotExpire fails without the change. TestInheritedVersionsExpireAtTheSameTime lets its server leave first, since one that is listed is in service now until the next list.

--- a/core/software/history.go
+++ b/core/software/history.go
@@ -15,16 +15,27 @@
 type (
 	// History holds the versions that have served, by service. The zero value is empty.
 	History struct {
-		seen map[string]map[string]time.Time // when a version was last in service
+		seen    map[string]map[string]time.Time // when a version was last known to be in service
+		current map[string]map[string]bool      // versions that are in service now
 	}
 
 	// Ages holds how many milliseconds ago each version was last in service, by service.
 	Ages map[string]map[string]int64
 )
 
-// Observe records that the listed servers are in service.
+// Observe records that the listed servers are in service, until it is called again. Those of the list before were until now.
 func (h *History) Observe(now time.Time, list []fleet.Server) {
+	for service, versions := range h.current {
+		for v := range versions {
+			h.add(service, v, now)
+		}
+	}
+	h.current = map[string]map[string]bool{}
 	for _, s := range list {
+		if h.current[s.Service] == nil {
+			h.current[s.Service] = map[string]bool{}
+		}
+		h.current[s.Service][s.Software] = true
 		h.add(s.Service, s.Software, now)
 	}
 }
@@ -59,7 +70,10 @@
 			if out[service] == nil {
 				out[service] = map[string]int64{}
 			}
-			out[service][v] = max(0, now.Sub(h.seen[service][v]).Milliseconds())
+			out[service][v] = 0
+			if !h.current[service][v] {
+				out[service][v] = max(0, now.Sub(h.seen[service][v]).Milliseconds())
+			}
 		}
 	}
 	return out
@@ -68,7 +82,7 @@
 // Versions returns the versions of a service that have served within Retention, sorted.
 func (h *History) Versions(now time.Time, service string) []string {
 	versions := h.seen[service]
-	maps.DeleteFunc(versions, func(_ string, at time.Time) bool { return now.Sub(at) > Retention })
+	maps.DeleteFunc(versions, func(v string, at time.Time) bool { return !h.current[service][v] && now.Sub(at) > Retention })
 	return slices.Sorted(maps.Keys(versions))
 }
 
--- a/core/software/software_test.go
+++ b/core/software/software_test.go
@@ -40,12 +40,26 @@
 	require.Equal(t, "v2", v)
 }
 
+// TestVersionsInServiceDoNotExpire guards against versions that are forgotten while the list of servers doesn't change.
+func TestVersionsInServiceDoNotExpire(t *testing.T) {
+	t.Parallel()
+	var h software.History
+	h.Observe(start, []fleet.Server{server("v1"), server("v2")})
+	later := start.Add(10 * software.Retention)
+	require.Equal(t, []string{"v1", "v2"}, h.Versions(later, "s"))
+	require.Equal(t, software.Ages{"s": {"v1": 0, "v2": 0}}, h.Ages(later))
+	h.Observe(later, []fleet.Server{server("v2")})
+	require.Equal(t, []string{"v1", "v2"}, h.Versions(later.Add(software.Retention), "s"), "the first was in service until then")
+	require.Equal(t, []string{"v2"}, h.Versions(later.Add(software.Retention+time.Second), "s"))
+}
+
 // TestInheritedVersionsExpireAtTheSameTime guards against versions that are remembered for longer with each node that passes
 // them on.
 func TestInheritedVersionsExpireAtTheSameTime(t *testing.T) {
 	t.Parallel()
 	var a, b, c software.History
 	a.Observe(start, []fleet.Server{server("v1")})
+	a.Observe(start, nil)
 	half := start.Add(software.Retention / 2)
 	b.Inherit(half, a.Ages(half))
 	c.Inherit(half, b.Ages(half))
