--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -24,22 +24,28 @@
 	maxReportedOrigins = 256
 )
 
-// errNotCoordinator reports that a node neither leads nor passes calls on to the leader.
-var errNotCoordinator = errors.New("front: not the leader")
-
-// origins is what this node knows of the versions of the servers' software and of the streams that they began. The
-// leader has the origins of all nodes, and its deputy has the leader's.
-type origins struct {
-	mu      sync.Mutex
-	history software.History
-	known   software.Origins
+type (
+	// NotCoordinatorError reports that a node neither leads nor passes calls on to the leader, or that there is no
+	// node that does.
+	NotCoordinatorError struct{}
+
+	// origins is what this node knows of the versions of the servers' software and of the streams that they began. The
+	// leader has the origins of all nodes, and its deputy has the leader's.
+	origins struct {
+		mu      sync.Mutex
+		history software.History
+		known   software.Origins
+
+		// The remaining fields are used by runExchange only.
+		reportedTo string // node and services for which reported counts
+		reported   uint64 // number of the last origin that was reported
+		pending    uint64 // the same once the report under way has been replied to
+		received   uint64 // number of the last origin in the leader's reply to its deputy
+	}
+)
 
-	// The remaining fields are used by runExchange only.
-	reportedTo string // node and services for which reported counts
-	reported   uint64 // number of the last origin that was reported
-	pending    uint64 // the same once the report under way has been replied to
-	received   uint64 // number of the last origin in the leader's reply to its deputy
-}
+// Error implements error.
+func (*NotCoordinatorError) Error() string { return "front: no leader, and no node that reaches it" }
 
 // observeSoftware records the versions of the servers in the list.
 func (n *Node) observeSoftware(list []fleet.Server) {
@@ -90,7 +96,7 @@
 // callCoordinator calls the leader, or a relay of it, and then its deputy, until one replies. timeout bounds each call. If this
 // node leads, only the deputy is called.
 func (n *Node) callCoordinator(ctx context.Context, timeout time.Duration, call func(ctx context.Context, address string) error) error {
-	err := error(errNotCoordinator)
+	var err error = &NotCoordinatorError{}
 	for _, address := range n.coordinators() {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		err = call(callCtx, address)
@@ -149,14 +155,14 @@
 	case n.passesOn():
 		return n.queryOrigin(ctx, q)
 	}
-	return hub.OriginReply{}, errNotCoordinator
+	return hub.OriginReply{}, &NotCoordinatorError{}
 }
 
 // findOrigin returns the version that began a stream which a client of this node takes up. A node that reaches no other
 // relies on its own list of servers only while that is fresh.
 func (n *Node) findOrigin(ctx context.Context, q hub.OriginQuery) hub.OriginReply {
 	reply, err := n.FindOrigin(ctx, q)
-	if errors.Is(err, errNotCoordinator) {
+	if _, ok := errors.AsType[*NotCoordinatorError](err); ok {
 		reply, err = n.queryOrigin(ctx, q)
 	}
 	if err != nil && n.isCopyFresh() && n.placer.LeaseObserved() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"guavapaddle/core/balance"
@@ -19,8 +20,13 @@
 	maxEventBytes = 1 << 20
 )
 
-// errEventTooLong reports an event of more than maxEventBytes.
-var errEventTooLong = errors.New("gateway: event too long")
+// EventTooLongError reports an event of a resumable stream that is longer than maxEventBytes.
+type EventTooLongError struct{ Bytes int }
+
+// Error implements error.
+func (e *EventTooLongError) Error() string {
+	return "gateway: an event has more than " + strconv.Itoa(e.Bytes) + " bytes"
+}
 
 // relay forwards a stream to the client as it arrives.
 func (t *try) relay() (balance.Result, sendState, Reason) {
@@ -90,7 +96,7 @@
 		switch {
 		case len(partial) > maxEventBytes:
 			t.recordBodyEnd(bodyInEvent)
-			return errEventTooLong
+			return &EventTooLongError{maxEventBytes}
 		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF):
--- a/internal/testbed/soak/versions.go
+++ b/internal/testbed/soak/versions.go
@@ -28,9 +28,16 @@
 )
 
 type (
-	// takenUp counts streams that clients took up at nodes in touch while two servers of their version served, and new
-	// streams at such nodes.
-	takenUp struct{ tried, wentOn, begun, served int }
+	// takeUp is a stream that a client began or took up.
+	takeUp struct {
+		Caller
+
+		takesUp, ok bool
+	}
+
+	// takeUpCounts counts streams that clients took up at nodes in touch while two servers of their version served, and
+	// new streams at such nodes.
+	takeUpCounts struct{ tried, wentOn, begun, served int }
 
 	// partialStream is what a client has of a stream.
 	partialStream struct {
@@ -186,17 +193,10 @@
 	c.takeUps = append(c.takeUps, takeUp{caller, takesUp, ok})
 }
 
-// takeUp is a stream that a client began or took up.
-type takeUp struct {
-	Caller
-
-	takesUp, ok bool
-}
-
 // CheckTakeUps checks that streams are taken up about as successfully as new ones begin, at nodes in touch.
 func (c *Checker) CheckTakeUps() {
 	c.mu.Lock()
-	var n takenUp
+	var n takeUpCounts
 	for _, t := range c.takeUps {
 		if !c.inTouch(t.Node, t.At) {
 			continue
