--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// recordTimeout bounds how long the first event of a stream waits until another node knows the version that began it.
-	recordTimeout = 50 * time.Millisecond
+	// recordTimeout bounds how long the first event of a stream waits until another node knows the version that began it. A
+	// leader that takes longer is suspected to be unreachable.
+	recordTimeout = hub.AckTimeout
 	// originTimeout bounds the wait for one node's reply about the version that began a stream.
 	originTimeout = 150 * time.Millisecond
 	// maxReportedOrigins bounds the origins in one report or reply.
