--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -29,8 +29,8 @@
 type fakeNode struct {
 	dialer *tunnel.Dialer
 	cut    atomic.Bool
-	dials  atomic.Int64         // of its own
-	onCall func(s *peer.Stream) // serves tunnels instead, unless nil
+	dials  atomic.Int64                         // of its own
+	onCall atomic.Pointer[func(s *peer.Stream)] // serves tunnels instead, unless nil
 	at     relay.Relay
 }
 
@@ -51,8 +51,8 @@
 		key.Trusted = func(string) bool { return true }
 		e := &peer.Endpoint{Address: "127.0.0.1:0", TLS: key, IdleTimeout: idle, OnMessage: func(string, peer.Frame) {}}
 		e.OnCall = func(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) {
-			if n.onCall != nil {
-				n.onCall(s)
+			if serve := n.onCall.Load(); serve != nil {
+				(*serve)(s)
 				return
 			}
 			n.dialer.Serve(ctx, f, s)
@@ -225,11 +225,12 @@
 func TestTunnelThroughFrozenNodeEnds(t *testing.T) {
 	n := startNodesWith(t, time.Minute, 10, "cut", "frozen")
 	n[0].cut.Store(true)
-	n[1].onCall = func(s *peer.Stream) {
+	reply := func(s *peer.Stream) {
 		f, err := peer.Encode(33, struct{}{}) // a reply that the connection is open
 		require.NoError(t, err)
 		require.NoError(t, s.Write(f))
 	}
+	n[1].onCall.Store(&reply)
 	c := dial(t, n[0], serve(t, echo))
 	_, err := c.Read(make([]byte, 1))
 	var silent *tunnel.SilentError
