gateway: log the shared parts of a broken prompt and the crashes of a request, and count crash marks

No line told that a crash was recorded, under which fingerprint's count, or which parts the prompt had, so that the hypotheses of the incident could not be told apart. try lines have prompt and marks; crash_marks_total counts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -297,12 +297,13 @@
 	return len(g.crashMarks[fp])
 }
 
-// recordCrash records that a server crashed while it ran the request.
-func (g *Gateway) recordCrash(fp uint64, server string) {
+// recordCrash records that a server crashed while it ran the request, and returns how many have.
+func (g *Gateway) recordCrash(fp uint64, server string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.newMarks = append(g.newMarks, hub.CrashMark{Fingerprint: fp, Server: server})
 	g.addCrashMark(fp, server)
+	return len(g.crashMarks[fp])
 }
 
 // addCrashMark stores a crash mark; g.mu is held.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -99,6 +99,7 @@
 		conns     *prometheus.CounterVec // by how they were obtained
 		bodies    *prometheus.CounterVec // by framing and end
 		takeUps   *prometheus.CounterVec // by reason
+		crashes   prometheus.Counter
 	}
 )
 
@@ -124,13 +125,15 @@
 		open:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "open_requests", Help: "Requests that are open."}),
 		conns:     counter("connections_total", "Connections to backend servers that tries obtained or failed to open.", "how"),
 		takeUps:   counter("take_ups_total", "Requests that took up a stream which an earlier one began, by how they ended.", "reason"),
-		bodies:    counter("bodies_total", "Bodies of responses that were read to be forwarded, by framing and end.", "framing", "end"),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "crash_marks_total",
+			Help: "Sends during which the server crashed, as far as this node can tell."}),
+		bodies: counter("bodies_total", "Bodies of responses that were read to be forwarded, by framing and end.", "framing", "end"),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies, m.takeUps}
+	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies, m.takeUps, m.crashes}
 }
 
 func (m *Metrics) countTry(r Reason) { m.tries.WithLabelValues(string(r)).Inc() }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,6 +45,7 @@
 	firstByte     time.Duration // time until the response header
 	extraResponse bool          // a response to another request came first
 	err           error         // of the connection
+	marks         int           // servers that crashed while they ran a copy of the request, if one has now
 	stopClose     func() bool   // cancels the close at a disconnect of the client, false if that came too late
 }
 
@@ -64,7 +65,8 @@
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
-			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)), zap.Error(t.err))
+			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
+			zap.String("prompt", r.sharedPrompt()), zap.Int("marks", t.marks), zap.Error(t.err))
 	}
 	return state, reason
 }
@@ -273,7 +275,8 @@
 	}
 	t.g.Pool.Drop(t.selection.Server.Address)
 	if !t.hasOtherCause() {
-		t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
+		t.marks = t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
+		t.g.Metrics.crashes.Inc()
 	}
 	return balance.ConnFailed, unknown, ConnLost
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -419,6 +420,16 @@
 	return d.Sum64()
 }
 
+// sharedPrompt returns the ids of the parts of the prompt that other requests may share, which are all but the last, in the
+// order of the prompt.
+func (r *request) sharedPrompt() string {
+	var ids []string
+	for _, p := range r.meta.Segments {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids[:max(0, len(ids)-1)], ",")
+}
+
 // outgoing returns the request as it is sent to a server.
 func (r *request) outgoing(s fleet.Server) http1.ClientRequest {
 	h := r.header.Clone()
