--- /dev/null
+++ b/internal/front/crash_test.go
@@ -0,0 +1,283 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const (
+	// crashesUntilRefused is the number of crashes after which requests with the part must not reach servers any more, except
+	// for maxAfter of them, once noticeTime has passed.
+	crashesUntilRefused = 5
+	maxAfter            = 3
+	noticeTime          = 3 * time.Second
+	// restartTime is how long after the crash of a server the next one is in service.
+	restartTime = 700 * time.Millisecond
+	// minServed is the share of sound requests, of those before the first crash, that have to be served from 2 noticeTime after the crashes on.
+	minServed = 0.5
+)
+
+type (
+	// crashCluster is a cluster whose servers crash on parts of prompts, and are replaced.
+	crashCluster struct {
+		*testCluster
+		service, path, model string
+		parts                []string // that crash servers
+
+		mu      sync.Mutex
+		started int
+		workers []*standin.Worker
+		crashes []time.Time
+		sent    []crashRequest
+		rand    *rand.Rand
+	}
+
+	// crashRequest is a request of a client and how its first attempt ended.
+	crashRequest struct {
+		at     time.Time
+		part   string // that crashes servers, empty if the request is sound
+		first  string // first part of the prompt
+		served bool
+	}
+)
+
+// newCrashCluster starts nodes and servers of a service.
+func newCrashCluster(t *testing.T, nodes, servers int, kind string, parts ...string) *crashCluster {
+	t.Helper()
+	f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second},
+		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2))}
+	if f.model != "" {
+		f.service = "llm"
+	}
+	for range servers {
+		f.startServer()
+	}
+	engine, plain := f.run(nodes, configuration)
+	engine.SetScript(standin.Shed) // nodes may not know yet that they have gone
+	plain.SetScript(standin.Shed)
+	f.store.Drop(platform.TableServers, "i-engine")
+	f.store.Drop(platform.TableServers, "i-plain")
+	f.waitForLeader()
+	return f
+}
+
+// startServer starts a server. After its crash its entry lapses and another one starts.
+func (f *crashCluster) startServer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	w := &standin.Worker{ID: fmt.Sprint("i-", f.started), CrashParts: f.parts}
+	if f.model != "" {
+		w.Hold("m0")
+		w.Stream, w.Pause = 20, 20*time.Millisecond
+	} else {
+		w.Think = 100 * time.Millisecond
+	}
+	w.OnCrash = func() {
+		f.mu.Lock()
+		f.crashes = append(f.crashes, time.Now())
+		f.mu.Unlock()
+		time.AfterFunc(restartTime, func() {
+			f.store.Drop(platform.TableServers, w.ID)
+			f.startServer()
+		})
+	}
+	w.Start(f.t)
+	f.store.Put(platform.TableServers, w.ID, w.Entry(f.service, "z", false))
+	f.workers = append(f.workers, w)
+}
+
+// crashTime returns the time of a crash, counted from one, zero if there were fewer.
+func (f *crashCluster) crashTime(n int) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < n {
+		return time.Time{}
+	}
+	return f.crashes[n-1]
+}
+
+// send sends a request whose prompt has the given parts, each at another node if its first attempt fails.
+func (f *crashCluster) send(id, part, first, prompt string) {
+	at := time.Now()
+	status := f.attempt(f.pickNode(), id, prompt)
+	f.mu.Lock()
+	f.sent = append(f.sent, crashRequest{at: at, part: part, first: first, served: status == http.StatusOK})
+	f.mu.Unlock()
+	if status != http.StatusOK {
+		_ = f.attempt(f.pickNode(), id+"-again", prompt)
+	}
+}
+
+// pickNode returns any node.
+func (f *crashCluster) pickNode() *testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[f.rand.IntN(len(f.nodes))]
+}
+
+// attempt sends a request once and returns the status, 0 if the response was not complete.
+func (f *crashCluster) attempt(p *testNode, id, prompt string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.Clients+f.path+"?"+id, nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Guavapaddle-Request-Id", id)
+	req.Header.Set("X-Guavapaddle-Prompt-Prefix", prompt)
+	if f.model != "" {
+		req.Header.Set("X-Guavapaddle-Model", f.model)
+		req.Header.Set("X-Guavapaddle-Token-Count", "100,10")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// prompts returns the prompt of a sound request, one in ten with a rare second part, and of one with a part that crashes servers, at
+// a position counted from zero. No two are alike.
+func (f *crashCluster) prompts(i, position int, part string) (sound, bad string) {
+	f.mu.Lock()
+	second := fmt.Sprintf("b%d", f.rand.IntN(4))
+	if f.rand.IntN(10) == 0 {
+		second = fmt.Sprintf("bb%d", f.rand.IntN(40))
+	}
+	f.mu.Unlock()
+	own := fmt.Sprintf("%x:30", 0x10000+i)
+	switch position {
+	case 0:
+		bad = fmt.Sprintf("%s:50,%s:20,%s", part, second, own)
+	case 1:
+		bad = fmt.Sprintf("a0:50,%s:20,%s", part, own)
+	default:
+		bad = fmt.Sprintf("a0:50,%s:20,%s:10,%s", second, part, own)
+	}
+	return fmt.Sprintf("a0:50,%s:20,%s", second, own), bad
+}
+
+// load sends requests until the context ends: a sound one each interval, and one with each part that crashes servers each so many.
+func (f *crashCluster) load(ctx context.Context, interval time.Duration, position, every int) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for k, part := range f.parts {
+			sound, bad := f.prompts(i, position, part)
+			if k == 0 {
+				all.Go(func() { f.send(fmt.Sprint("s", i), "", "a0", sound) })
+			}
+			if every > 0 && i%every == k {
+				all.Go(func() { f.send(fmt.Sprint("p", k, "-", i), part, "", bad) })
+			}
+		}
+	}
+}
+
+// served returns the share of sound requests sent from a time on, until another, that were served, and their number.
+func (f *crashCluster) served(from, until time.Time) (share float64, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ok := 0
+	for _, r := range f.sent {
+		if r.part != "" || r.at.Before(from) || !r.at.Before(until) {
+			continue
+		}
+		n++
+		if r.served {
+			ok++
+		}
+	}
+	return float64(ok) / float64(max(1, n)), n
+}
+
+// arrivals returns how many requests that crash servers have reached servers since a time.
+func (f *crashCluster) arrivals(part string, since time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.workers {
+		for _, v := range w.Visits() {
+			if v.At.After(since) && v.CrashPart == part {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// play sends sound requests alone, and then beside requests with parts that crash servers until some time after the fifth crash.
+// It returns the times of the first crash and the last request.
+func (f *crashCluster) play(position int, during func()) (first, end time.Time) {
+	f.t.Helper()
+	const interval, every = 12 * time.Millisecond, 14
+	calm, stopCalm := context.WithTimeout(f.t.Context(), 2*time.Second)
+	defer stopCalm()
+	f.load(calm, interval, position, 0)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { f.load(ctx, interval, position, every) })
+	if during != nil {
+		during()
+	}
+	require.Eventually(f.t, func() bool { return !f.crashTime(crashesUntilRefused).IsZero() }, 20*time.Second, 5*time.Millisecond, "the play has too few crashes")
+	<-time.After(2*noticeTime + 2*time.Second)
+	end = time.Now()
+	cancel()
+	done.Wait()
+	return f.crashTime(1), end
+}
+
+// check checks that few requests with a part that crashes servers have reached servers, and that sound ones are served.
+func (f *crashCluster) check(first, end time.Time) {
+	f.t.Helper()
+	bound := f.crashTime(crashesUntilRefused).Add(noticeTime)
+	for _, part := range f.parts {
+		f.t.Logf("part %s: %d sent to servers, %d of them after %v; %d crashes", part, f.arrivals(part, time.Time{}), f.arrivals(part, bound), noticeTime, len(f.crashes))
+	}
+	before, _ := f.served(time.Time{}, first)
+	share, n := f.served(f.crashTime(crashesUntilRefused).Add(2*noticeTime), end)
+	f.t.Logf("sound requests served: %.2f before, %.2f of %d after", before, share, n)
+	for _, part := range f.parts {
+		require.LessOrEqual(f.t, f.arrivals(part, bound), maxAfter, "part %s", part)
+	}
+	require.Greater(f.t, n, 20)
+	require.GreaterOrEqual(f.t, share, minServed*before)
+}
+
+// TestPromptPartThatCrashesServersIsRefused guards against requests, no two alike, with one part in their prompts that crash one
+// server after the other.
+func TestPromptPartThatCrashesServersIsRefused(t *testing.T) {
+	t.Parallel()
+	for position, name := range []string{"first", "second", "third"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashCluster(t, 3, 8, "engine", "dead")
+			f.check(f.play(position, nil))
+		})
+	}
+}
