--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -131,7 +131,7 @@
 func (f *crashCluster) attempt(p *testNode, id, prompt string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.Clients+f.path+"?"+id, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.Clients+f.path+"?"+id, nil)
 	if err != nil {
 		return 0
 	}
