--- a/core/leader/elector.go
+++ b/core/leader/elector.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"guavapaddle/core/poison"
 	"guavapaddle/core/relay"
 	"guavapaddle/core/revision"
 	"guavapaddle/core/software"
@@ -58,6 +59,8 @@
 		Loading map[string]string `json:"coming,omitempty"`
 		// Software holds the versions of the servers' software that have served lately.
 		Software software.Ages `json:"software,omitempty"`
+		// Blocks are the blocks of requests that crash servers.
+		Blocks []poison.Block `json:"blocks,omitempty"`
 		// Relays pass reports and updates on between the leader and the other nodes. They are empty
 		// in a small fleet, and while Assigned is false.
 		Relays []relay.Relay `json:"relays,omitempty"`
--- /dev/null
+++ b/core/poison/crash.go
@@ -0,0 +1,112 @@
+package poison
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxPartBytes bounds the length of a part's id. A longer one is represented by its hash.
+const maxPartBytes = 32
+
+type (
+	// Part is the id of a part of a prompt.
+	Part string
+
+	// Request is a request that was in flight at a server when it crashed.
+	Request struct {
+		Parts  []Part        // of the prompt that other requests may share
+		Before time.Duration // from its send until the crash
+	}
+
+	// Crash is what one node observed of a server's crash. It is immutable.
+	Crash struct {
+		ID       uint64 // tells it apart from all others
+		Server   string // incarnation that crashed
+		Service  string
+		Age      time.Duration // since the crash
+		Requests []Request
+	}
+
+	// Sound states that a server of a service began a response to a request with a part and completed it.
+	Sound struct {
+		Service string
+		Part    Part
+		Age     time.Duration // since the response began
+	}
+
+	// Block is a set of parts. Requests whose prompts have all of them are refused. It is immutable.
+	Block struct {
+		Parts   []Part        `json:"parts"`   // sorted
+		Service string        `json:"service"` // at whose servers the last crash was
+		Crashes int           `json:"crashes"` // that led to it
+		Age     time.Duration `json:"age-ns"`  // since the last of them
+	}
+)
+
+// PartOf returns the part with an id.
+func PartOf(id string) Part {
+	if len(id) <= maxPartBytes {
+		return Part(id)
+	}
+	return Part("hash-" + strconv.FormatUint(xxhash.Sum64String(id), 16))
+}
+
+// SharedParts returns the parts with the given ids, in the order of a prompt, but for the last, which is the request's own.
+func SharedParts(ids []string) []Part {
+	if len(ids) < 2 {
+		return nil
+	}
+	out := make([]Part, 0, len(ids)-1)
+	for _, id := range ids[:len(ids)-1] {
+		out = append(out, PartOf(id))
+	}
+	return out
+}
+
+// WithAge returns the crash with another age.
+func (c Crash) WithAge(age time.Duration) Crash {
+	c.Age = age
+	return c
+}
+
+// WithAge returns the block with another age.
+func (b Block) WithAge(age time.Duration) Block {
+	b.Age = age
+	return b
+}
+
+// Name returns the parts of the block, separated by commas.
+func (b Block) Name() string {
+	var name strings.Builder
+	for i, p := range b.Parts {
+		if i > 0 {
+			name.WriteByte(',')
+		}
+		name.WriteString(string(p))
+	}
+	return name.String()
+}
+
+// Matches reports whether a prompt with the given parts has all parts of the block.
+func (b Block) Matches(parts []Part) bool {
+	for _, p := range b.Parts {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return len(b.Parts) > 0
+}
+
+// FindMatch returns the first block that matches a prompt with the given parts, and whether there is one.
+func FindMatch(blocks []Block, parts []Part) (Block, bool) {
+	for _, b := range blocks {
+		if b.Matches(parts) {
+			return b, true
+		}
+	}
+	return Block{}, false
+}
--- /dev/null
+++ b/core/poison/doc.go
@@ -0,0 +1,39 @@
+// Package poison finds parts of prompts that crash backend servers, and decides which requests are refused for it.
+//
+// # Problem
+//
+// Requests may share parts of their prompts. If one part crashes each server that begins to respond to it, requests that
+// differ in everything else crash one server after the other. At each crash many other requests are in flight at the server,
+// with parts of their own, and most of these are sound and popular.
+//
+// # Method
+//
+// A node that loses its connections to a server reports a Crash: the requests that it had in flight there, with the parts of
+// their prompts but for the last, which is the request's own. Tracker merges the crashes of all nodes. A part is suspected
+// for the crashes of servers at which a request with it was in flight, under two conditions:
+//
+//   - No response has begun after the crash and been completed, by a server of the same service, to a request with the part
+//     (Sound). A part that crashes every server never has such a response, a popular part soon has one.
+//   - The request was sent after the crash before that counts. Servers that end together count as one crash, whatever
+//     was in flight at them.
+//
+// A part with minCrashes such crashes explains them, if no other part explains more. All crashes that it explains are taken
+// away from the other parts, and the rest is looked at again (a greedy set cover): parts that were only in flight beside it are not
+// suspected any longer, and a second part that crashes servers is found beside the first.
+//
+// The decision is a Block: the part, with all other parts that every one of its requests had and that no response shows to be
+// sound. Requests with all parts of a block are refused. A request that has only some of them is let through, and its end
+// tells them apart. A block doesn't expire. It is lifted when another one explains its crashes better, or when a response
+// to a request with its parts was completed after all.
+//
+// # Usage
+//
+//	var t poison.Tracker
+//	t.Add(now, crash)
+//	t.AddSound(now, sound)
+//	for _, b := range t.Blocks(now) {
+//		if b.Matches(parts) {
+//			// Refuse the request.
+//		}
+//	}
+package poison
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -6,12 +6,15 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/internal/front"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
@@ -20,6 +23,8 @@
 	// crashesUntilRefused is the number of crashes after which requests with the part must not reach servers any more, except
 	// for maxAfter of them, once noticeTime has passed.
 	crashesUntilRefused = 5
+	// minCrashes is the least number of crashes of a play that shows anything.
+	minCrashes = 3
 	maxAfter            = 3
 	noticeTime          = 3 * time.Second
 	// restartTime is how long after the crash of a server the next one is in service.
@@ -41,6 +46,7 @@
 		crashes []time.Time
 		sent    []crashRequest
 		rand    *rand.Rand
+		out     map[*testNode]bool // nodes that clients don't reach
 	}
 
 	// crashRequest is a request of a client and how its first attempt ended.
@@ -55,8 +61,14 @@
 // newCrashCluster starts nodes and servers of a service.
 func newCrashCluster(t *testing.T, nodes, servers int, kind string, parts ...string) *crashCluster {
 	t.Helper()
-	f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second},
-		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2))}
+	return newAdjustedCrashCluster(t, nodes, servers, kind, nil, parts...)
+}
+
+// newAdjustedCrashCluster is like newCrashCluster with other settings of the nodes.
+func newAdjustedCrashCluster(t *testing.T, nodes, servers int, kind string, adjust func(*front.Settings), parts ...string) *crashCluster {
+	t.Helper()
+	f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second, adjust: adjust},
+		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2)), out: map[*testNode]bool{}}
 	if f.model != "" {
 		f.service = "llm"
 	}
@@ -120,15 +132,50 @@
 	}
 }
 
-// pickNode returns any node.
+// pickNode returns any node that clients reach, nil if there is none.
 func (f *crashCluster) pickNode() *testNode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.nodes[f.rand.IntN(len(f.nodes))]
+	for _, i := range f.rand.Perm(len(f.nodes)) {
+		if !f.out[f.nodes[i]] {
+			return f.nodes[i]
+		}
+	}
+	return nil
+}
+
+// stopNode stops a node, which clients don't reach from then on.
+func (f *crashCluster) stopNode(p *testNode) {
+	f.mu.Lock()
+	f.out[p] = true
+	f.mu.Unlock()
+	p.stop()
+}
+
+// awaitCrash waits for a crash, counted from one.
+func (f *crashCluster) awaitCrash(n int) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return !f.crashTime(n).IsZero() }, 20*time.Second, 5*time.Millisecond, "the play has too few crashes")
+}
+
+// refusals returns how many sound requests were refused as ones that crash servers.
+func (f *crashCluster) refusals() int {
+	n := 0
+	for _, p := range f.nodes {
+		for _, e := range p.logs.FilterMessage("prompt-refused").All() {
+			if id, _ := e.ContextMap()["request-id"].(string); strings.HasPrefix(id, "s") {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // attempt sends a request once and returns the status, 0 if the response was not complete.
 func (f *crashCluster) attempt(p *testNode, id, prompt string) int {
+	if p == nil {
+		return 0
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.settings.Clients+f.path+"?"+id, nil)
@@ -244,23 +291,30 @@
 	if during != nil {
 		during()
 	}
-	require.Eventually(f.t, func() bool { return !f.crashTime(crashesUntilRefused).IsZero() }, 20*time.Second, 5*time.Millisecond, "the play has too few crashes")
-	<-time.After(2*noticeTime + 2*time.Second)
+	f.awaitCrash(minCrashes)
+	<-time.After(2*noticeTime + 4*time.Second)
 	end = time.Now()
 	cancel()
 	done.Wait()
 	return f.crashTime(1), end
 }
 
+// boundTime returns the time of the crash from which on the bounds count: the fifth, or the last of fewer.
+func (f *crashCluster) boundTime() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[min(crashesUntilRefused, len(f.crashes))-1]
+}
+
 // check checks that few requests with a part that crashes servers have reached servers, and that sound ones are served.
 func (f *crashCluster) check(first, end time.Time) {
 	f.t.Helper()
-	bound := f.crashTime(crashesUntilRefused).Add(noticeTime)
+	bound := f.boundTime().Add(noticeTime)
 	for _, part := range f.parts {
-		f.t.Logf("part %s: %d sent to servers, %d of them after %v; %d crashes", part, f.arrivals(part, time.Time{}), f.arrivals(part, bound), noticeTime, len(f.crashes))
+		f.t.Logf("part %s: %d sent to servers, %d of them later than %v after the fifth crash; %d crashes", part, f.arrivals(part, time.Time{}), f.arrivals(part, bound), noticeTime, len(f.crashes))
 	}
 	before, _ := f.served(time.Time{}, first)
-	share, n := f.served(f.crashTime(crashesUntilRefused).Add(2*noticeTime), end)
+	share, n := f.served(f.boundTime().Add(2*noticeTime), end)
 	f.t.Logf("sound requests served: %.2f before, %.2f of %d after", before, share, n)
 	for _, part := range f.parts {
 		require.LessOrEqual(f.t, f.arrivals(part, bound), maxAfter, "part %s", part)
@@ -281,3 +335,109 @@
 		})
 	}
 }
+
+// TestCrashingPromptPartIsRefusedByEachKindOfCluster guards against plays of the same fault that one way of counting would miss: plain
+// services, few servers, two parts at a time, and a fleet with relays.
+func TestCrashingPromptPartIsRefusedByEachKindOfCluster(t *testing.T) {
+	t.Parallel()
+	for name, start := range map[string]func(t *testing.T) *crashCluster{
+		"plain":       func(t *testing.T) *crashCluster { return newCrashCluster(t, 3, 8, "plain", "dead") },
+		"two parts":   func(t *testing.T) *crashCluster { return newCrashCluster(t, 3, 8, "engine", "dead", "deadly") },
+		"two servers": func(t *testing.T) *crashCluster { return newCrashCluster(t, 3, 2, "engine", "dead") },
+		"one server":  func(t *testing.T) *crashCluster { return newCrashCluster(t, 3, 1, "engine", "dead") },
+		"relays": func(t *testing.T) *crashCluster {
+			f := newAdjustedCrashCluster(t, relayedNodes, 8, "engine", func(s *front.Settings) { s.MaxDirect, s.RelayFanout = 4, relayFanout }, "dead")
+			f.waitForRelays()
+			return f
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t)
+			f.check(f.play(1, nil))
+		})
+	}
+}
+
+// TestCrashingPromptPartStaysRefusedWhenNodesEnd guards against crashes, or the refusal that they led to, that are forgotten with a
+// node: the leader, with the store away so that its deputy stands in, or all of them.
+func TestCrashingPromptPartStaysRefusedWhenNodesEnd(t *testing.T) {
+	t.Parallel()
+	for name, during := range map[string]func(f *crashCluster){
+		"leader after the third crash": func(f *crashCluster) {
+			f.awaitCrash(3)
+			leader, _ := f.leader()
+			f.stopNode(leader)
+		},
+		"leader without the store": func(f *crashCluster) {
+			f.awaitCrash(3)
+			leader, _ := f.leader()
+			f.store.Outage(true)
+			f.stopNode(leader)
+			time.AfterFunc(6*time.Second, func() { f.store.Outage(false) })
+		},
+		"all nodes": func(f *crashCluster) {
+			f.awaitCrash(minCrashes)
+			require.Eventually(f.t, func() bool { return len(f.leaseRow().Blocks) > 0 }, 5*time.Second, 5*time.Millisecond)
+			for _, p := range f.nodes {
+				f.stopNode(p)
+			}
+			for _, p := range f.nodes {
+				require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+				f.restart(p)
+			}
+			for _, p := range f.nodes {
+				require.Eventually(f.t, p.ready, 8*time.Second, 5*time.Millisecond)
+				f.mu.Lock()
+				delete(f.out, p)
+				f.mu.Unlock()
+			}
+		},
+		"a node joins": func(f *crashCluster) {
+			f.awaitCrash(minCrashes)
+			p := f.start("late")
+			f.mu.Lock()
+			f.out[p] = true
+			f.mu.Unlock()
+			require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
+			f.mu.Lock()
+			delete(f.out, p)
+			f.mu.Unlock()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashCluster(t, 4, 8, "engine", "dead")
+			f.check(f.play(1, func() { during(f) }))
+		})
+	}
+}
+
+// TestPopularPromptPartsAreServedWhenServersEnd guards against sound requests that are refused since their parts were in flight at
+// servers that ended for other reasons.
+func TestPopularPromptPartsAreServedWhenServersEnd(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct{ together, times int }{"together": {6, 3}, "one after the other": {1, 12}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashCluster(t, 3, 8, "engine", "dead")
+			ctx, cancel := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			done.Go(func() { f.load(ctx, 12*time.Millisecond, 1, 0) })
+			for range x.times {
+				<-time.After(time.Second)
+				f.mu.Lock()
+				last := f.workers[len(f.workers)-x.together:]
+				f.mu.Unlock()
+				for _, w := range last {
+					w.Crash()
+				}
+			}
+			<-time.After(time.Second)
+			cancel()
+			done.Wait()
+			require.Len(t, f.crashes, x.together*x.times)
+			require.Zero(t, f.refusals())
+		})
+	}
+}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -23,6 +23,7 @@
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/revision"
 	"guavapaddle/internal/calls"
@@ -149,7 +150,7 @@
 		OnCall: n.handleCall}
 	n.dialer = n.newDialer()
 	n.gateway.Pool.Dial, n.gateway.PathSuspect, n.gateway.CheckServer = n.dialer.Dial, n.dialer.Suspect, n.dialer.Check
-	n.hub.HasGranter = n.isGranted
+	n.hub.HasGranter, n.hub.OnBlock = n.isGranted, n.logBlock
 	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts, Limits: n.gateway.Limits, Tolerance: s.tolerance()}
 	n.registry.MustRegister(n.granter)
 	n.placer = n.newPlacer()
@@ -178,6 +179,15 @@
 	return budget
 }
 
+// logBlock logs that a block of requests that crash servers came in force at this node as the leader or its deputy, or was lifted.
+func (n *Node) logBlock(b poison.Block, lifted bool) {
+	event := "prompt-blocked"
+	if lifted {
+		event = "prompt-released"
+	}
+	n.log.Warn(event, zap.String("parts", b.Name()), zap.String("service", b.Service), zap.Int("crashes", b.Crashes), zap.Duration("age", b.Age))
+}
+
 // handleCall serves a call of another node.
 func (n *Node) handleCall(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) {
 	if f.Kind == tunnel.Kind {
@@ -236,6 +246,8 @@
 		OnResidency:        n.granter.SetResidency,
 		Software:           n.softwareAges,
 		OnSoftware:         n.inheritSoftware,
+		Blocks:             func() []poison.Block { return n.hub.Blocks(time.Now()) },
+		OnBlocks:           func(list []poison.Block) { n.hub.SetBlocks(time.Now(), list) },
 	}
 }
 
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -11,6 +11,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/clock"
+	"guavapaddle/internal/gateway"
 	"guavapaddle/internal/hub"
 )
 
@@ -30,6 +31,10 @@
 			return hub.SlotReply{}, nil, context.Canceled
 		}
 	}
+	if b, ok := n.hub.FindBlock(q.SharedParts()); ok { // the node may not know of the block yet
+		n.log.Info("place", zap.String("request-id", q.Request), zap.Bool("granted", false), zap.String("why", string(gateway.PromptCrashes)), zap.String("parts", b.Name()))
+		return hub.SlotReply{Granter: granter, Why: string(gateway.PromptCrashes)}, uncounted{}, nil
+	}
 	d, grant, err := n.granter.AcquireSlot(ctx, q, queued)
 	reply := hub.SlotReply{Granted: d.Granted, Granter: granter, Server: d.Selection.Server.ID, Wait: d.Selection.Wait, Why: string(d.Reason), After: d.RetryAfter}
 	if q.Entry && d.Granted {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/quota"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/software"
@@ -87,6 +88,7 @@
 		demand           map[hub.Item]*hub.Demand
 		crashMarks       map[uint64]map[string]bool
 		newMarks         []hub.CrashMark
+		crashes          crashes
 		changed          chan struct{} // closed when the picker's data changes
 		stopped          chan struct{}
 
@@ -119,8 +121,9 @@
 		sends             int
 		queued            time.Duration // time until the first send
 		fingerprint       uint64
-		lastEvent         string // id of the last complete event that was forwarded
-		software          string // version that began the stream, empty if none has
+		parts             []poison.Part // of the prompt that other requests may share
+		lastEvent         string        // id of the last complete event that was forwarded
+		software          string        // version that began the stream, empty if none has
 		responseBegun     bool
 		rule              string            // how the server was chosen: "granted" by the leader, "picked" by this node
 		selection         balance.Selection // of the last send
@@ -229,6 +232,9 @@
 		r.respond(http.StatusServiceUnavailable, CrashSuspect, 0)
 		return
 	}
+	if r.parts = r.sharedParts(); r.refuseBlocked("") {
+		return
+	}
 	g.creditRetryBudget(r.service)
 	r.serve()
 }
@@ -329,6 +335,7 @@
 	defer g.mu.Unlock()
 	r := hub.Report{Node: node, Counts: g.picker.LocalCounts(granter), Marks: g.newMarks, Limits: g.limits()}
 	g.newMarks = nil
+	g.addCrashReport(time.Now(), &r)
 	for k, d := range g.demand {
 		if d.Tokens > 0 || d.Waiting > 0 || d.Ran != (hub.StreamTotals{}) {
 			r.Demand = append(r.Demand, *d)
@@ -383,6 +390,7 @@
 	for _, m := range reply.Marks {
 		g.addCrashMark(m.Fingerprint, m.Server)
 	}
+	g.applyCrashReply(now, reply)
 }
 
 // setNodes sets the number of nodes; g.mu is held.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -33,6 +33,8 @@
 	Quota Reason = "quota"
 	// CrashSuspect means that the request crashed several servers.
 	CrashSuspect Reason = "crashes"
+	// PromptCrashes means that a part of the request's prompt crashes servers.
+	PromptCrashes Reason = "prompt-crashes"
 	// NoServer means that the service has no server left to try.
 	NoServer Reason = "no-server"
 	// NoVersion means that the service has no server left whose software has the version that began the stream.
--- /dev/null
+++ b/internal/gateway/poison.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/poison"
+	"guavapaddle/internal/hub"
+)
+
+const (
+	// confirmTime is how long a server has to show that it lives, after a connection to it has broken, before the break counts as its
+	// crash.
+	confirmTime = 300 * time.Millisecond
+	// maxSoundParts bounds the parts of prompts whose last sound responses a node remembers: this many at least, and twice at most.
+	maxSoundParts = 2048
+	// maxCrashRequests bounds the requests of one crash that a node reports.
+	maxCrashRequests = 256
+	// overloadTime is how long after it had to reject a request a brittle server may fail for it: it counts the rejections of a second.
+	overloadTime = 2 * time.Second
+	// maxRejected bounds the brittle servers whose last rejection a node remembers.
+	maxRejected = 1024
+)
+
+type (
+	// crashes is what a node has observed of servers that crashed, and what it knows of the parts of prompts that may have
+	// crashed them. Gateway.mu guards it.
+	crashes struct {
+		pending  map[string]*pendingCrash // by server
+		rejected map[string]time.Time     // when a brittle server last rejected a request
+		log      poison.Log
+		recent   map[soundPart]time.Time // when the last sound response began
+		previous map[soundPart]time.Time // likewise, of older ones
+		suspects []poison.Part           // as the leader last sent them
+		blocks   []poison.Block          // likewise
+		at       time.Time               // when the blocks were received
+	}
+
+	// pendingCrash is a broken connection that may be a crash.
+	pendingCrash struct {
+		service  string
+		at       time.Time
+		requests []poison.Request
+		alive    bool // the server has responded since
+	}
+
+	soundPart struct {
+		service string
+		part    poison.Part
+	}
+)
+
+// sharedParts returns the parts of the request's prompt that other requests may share.
+func (r *request) sharedParts() []poison.Part {
+	var ids []string
+	for _, p := range r.meta.Segments {
+		ids = append(ids, p.ID)
+	}
+	return poison.SharedParts(ids)
+}
+
+// findBlock returns the block in force that the request matches, and whether there is one.
+func (r *request) findBlock() (poison.Block, bool) {
+	if len(r.parts) == 0 {
+		return poison.Block{}, false
+	}
+	g := r.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b, ok := poison.FindMatch(g.crashes.blocks, r.parts)
+	return b.WithAge(b.Age + time.Since(g.crashes.at)), ok
+}
+
+// refuseBlocked refuses the request if a part of its prompt crashes servers, and reports whether it does.
+func (r *request) refuseBlocked(lastTry Reason) bool {
+	b, ok := r.findBlock()
+	if !ok {
+		return false
+	}
+	r.g.Log.Info("prompt-refused", zap.String("request-id", r.meta.ID), zap.String("parts", b.Name()), zap.String("service", b.Service),
+		zap.Int("crashes", b.Crashes), zap.Duration("age", b.Age), zap.Int("runs", r.runs))
+	r.fail(PromptCrashes, lastTry)
+	return true
+}
+
+// recordBreak records that the connection to the server broke with an error while the request was in flight.
+func (t *try) recordBreak(err error) {
+	if len(t.parts) == 0 || !t.mayBeCrash(err) {
+		return
+	}
+	now, c := time.Now(), &t.g.crashes
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	id := t.selection.Server.ID
+	if now.Sub(c.rejected[id]) < overloadTime {
+		return
+	}
+	if c.pending == nil {
+		c.pending = map[string]*pendingCrash{}
+	}
+	p := c.pending[id]
+	if p == nil {
+		p = &pendingCrash{service: t.service, at: now}
+		c.pending[id] = p
+	}
+	if len(p.requests) < maxCrashRequests {
+		p.requests = append(p.requests, poison.Request{Parts: t.parts, Before: p.at.Sub(t.sent)})
+	}
+}
+
+// mayBeCrash reports whether a connection may have broken because the server crashed: not if the server was silent, if this
+// node closed the connection, or if its path to all servers may be lost.
+func (t *try) mayBeCrash(err error) bool {
+	if isTimeout(err) || errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	return t.through != "" || t.g.PathSuspect == nil || !t.g.PathSuspect()
+}
+
+// recordRejection records that the server rejected the request for lack of room. A brittle one may fail for that.
+func (t *try) recordRejection() {
+	if !t.g.isBrittle(t.service) {
+		return
+	}
+	c := &t.g.crashes
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	if c.rejected == nil || len(c.rejected) >= maxRejected {
+		c.rejected = map[string]time.Time{}
+	}
+	c.rejected[t.selection.Server.ID] = time.Now()
+}
+
+// recordAlive records that a server responded to a request that was sent at a time; g.mu is held.
+func (g *Gateway) recordAlive(server string, sent time.Time) {
+	if p := g.crashes.pending[server]; p != nil && sent.After(p.at) {
+		p.alive = true
+	}
+}
+
+// recordSound records that a server of the service began a response at a time and completed it.
+func (r *request) recordSound(began time.Time) {
+	if len(r.parts) == 0 {
+		return
+	}
+	c := &r.g.crashes
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	if c.recent == nil || len(c.recent) >= maxSoundParts {
+		c.recent, c.previous = map[soundPart]time.Time{}, c.recent
+	}
+	for _, p := range r.parts {
+		if key := (soundPart{r.service, p}); began.After(c.recent[key]) {
+			c.recent[key] = began
+		}
+	}
+}
+
+// addCrashReport adds what the leader may lack about requests that crash servers to a report; g.mu is held.
+func (g *Gateway) addCrashReport(now time.Time, r *hub.Report) {
+	c := &g.crashes
+	for server, p := range c.pending {
+		if now.Sub(p.at) < confirmTime {
+			continue
+		}
+		delete(c.pending, server)
+		if !p.alive {
+			c.log.Add(now, poison.Crash{ID: rand.Uint64(), Server: server, Service: p.service, Age: now.Sub(p.at), Requests: p.requests})
+		}
+		g.Log.Info("server-crash", zap.String("server", server), zap.Int("requests", len(p.requests)), zap.Bool("alive", p.alive), zap.Duration("age", now.Sub(p.at)))
+	}
+	r.Crashes = c.log.Unsent(now)
+	asked := map[poison.Part]bool{}
+	for _, p := range c.suspects {
+		asked[p] = true
+	}
+	for _, x := range r.Crashes {
+		for _, q := range x.Requests {
+			for _, p := range q.Parts {
+				asked[p] = true
+			}
+		}
+	}
+	r.Sounds = c.sounds(now, asked)
+	for _, b := range c.blocks {
+		r.Blocks = append(r.Blocks, b.WithAge(b.Age+now.Sub(c.at)))
+	}
+}
+
+// sounds returns the last sound responses to the given parts.
+func (c *crashes) sounds(now time.Time, parts map[poison.Part]bool) []poison.Sound {
+	if len(parts) == 0 {
+		return nil
+	}
+	var out []poison.Sound
+	for key, at := range c.recent {
+		if parts[key.part] {
+			out = append(out, poison.Sound{Service: key.service, Part: key.part, Age: now.Sub(at)})
+		}
+	}
+	for key, at := range c.previous {
+		if _, ok := c.recent[key]; !ok && parts[key.part] {
+			out = append(out, poison.Sound{Service: key.service, Part: key.part, Age: now.Sub(at)})
+		}
+	}
+	return out
+}
+
+// applyCrashReply applies what a reply to a report says about requests that crash servers; g.mu is held.
+func (g *Gateway) applyCrashReply(now time.Time, reply hub.ReportReply) {
+	c := &g.crashes
+	c.log.Acknowledge(reply.Heard.Hub)
+	c.suspects, c.blocks, c.at = reply.Suspects, reply.Blocks, now
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"guavapaddle/core/balance"
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/sse"
 	"guavapaddle/core/throttle"
 	"guavapaddle/io/http1"
@@ -43,6 +44,8 @@
 	resp          *http.Response
 	respMeta      platform.Response
 	firstByte     time.Duration // time until the response header
+	sent          time.Time     // zero before
+	began         time.Time     // when the response header came
 	extraResponse bool          // a response to another request came first
 	err           error         // of the connection
 	marks         int           // servers that crashed while they ran a copy of the request, if one has now
@@ -66,7 +69,7 @@
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
 			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
-			zap.String("prompt", r.sharedPrompt()), zap.Int("marks", t.marks), zap.Error(t.err))
+			zap.String("prompt", poison.Block{Parts: r.parts}.Name()), zap.Int("marks", t.marks), zap.Error(t.err))
 	}
 	return state, reason
 }
@@ -97,7 +100,7 @@
 	t.ticket = t.g.picker.RecordSent(time.Now(), t.selection.Server.ID, t.balanceRequest())
 	t.ticket.SetGranter(t.granter)
 	t.g.mu.Unlock()
-	sent := time.Now()
+	t.sent = time.Now()
 	wrote, err := t.conn.Send(t.outgoing(t.selection.Server), t.deadline.Add(responseMargin))
 	if err != nil {
 		t.conn.Close()
@@ -116,18 +119,25 @@
 		return t.classifyConnError(err)
 	}
 	t.mayHaveRun = t.mayHaveRun || !t.respMeta.NotRun
-	t.firstByte = time.Since(sent)
-	t.recordLimit(sent)
+	t.began = time.Now()
+	t.firstByte = t.began.Sub(t.sent)
+	t.recordLimit(t.sent)
 	t.recordServerState()
 	t.g.mu.Lock()
-	t.g.picker.FirstByte(time.Now(), t.ticket)
+	t.g.picker.FirstByte(t.began, t.ticket)
+	if t.respMeta.Stamped {
+		t.g.recordAlive(t.selection.Server.ID, t.sent)
+	}
 	t.g.mu.Unlock()
 	if !t.respMeta.NotRun && t.slot != nil {
 		t.slot.PrefillDone()
 	}
 	result, state, reason := t.classifyResponse()
-	if state == answered && reason == Served && t.usesEngine() {
-		t.g.recordStream(t.item(), t.meta.PromptTokens, time.Since(sent))
+	if state == answered && reason == Served {
+		t.recordSound(t.began)
+		if t.usesEngine() {
+			t.g.recordStream(t.item(), t.meta.PromptTokens, time.Since(t.sent))
+		}
 	}
 	return result, state, reason
 }
@@ -278,6 +288,7 @@
 		t.marks = t.g.recordCrash(t.fingerprint, t.selection.Server.ID)
 		t.g.Metrics.crashes.Inc()
 	}
+	t.recordBreak(err)
 	return balance.ConnFailed, unknown, ConnLost
 }
 
@@ -299,6 +310,7 @@
 		if status == http.StatusMisdirectedRequest {
 			return balance.Succeeded, notRun, t.handleMisdirected()
 		}
+		t.recordRejection()
 		return balance.Full, notRun, Full
 	}
 	if !t.respMeta.Stamped || t.resp.Header.Get("Content-Encoding") != "" {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,6 +89,9 @@
 			r.fail(failure, lastTry)
 			return
 		}
+		if r.refuseBlocked(lastTry) { // it may have waited, or have crashed a server itself
+			return
+		}
 		if r.sends > 0 && !g.takeRetry(r.service) {
 			r.fail(Budget, lastTry)
 			return
@@ -149,6 +151,8 @@
 		status, retryAfter = http.StatusBadGateway, 0
 	case cause == Unauthorized:
 		status, retryAfter = http.StatusUnauthorized, 0
+	case cause == PromptCrashes:
+		retryAfter = 0 // it would crash servers then too
 	case cause == StaleConfig:
 		retryAfter = staleConfigRetryAfter
 	case cause == Quota:
@@ -420,16 +424,6 @@
 	return d.Sum64()
 }
 
-// sharedPrompt returns the ids of the parts of the prompt that other requests may share, which are all but the last, in the
-// order of the prompt.
-func (r *request) sharedPrompt() string {
-	var ids []string
-	for _, p := range r.meta.Segments {
-		ids = append(ids, p.ID)
-	}
-	return strings.Join(ids[:max(0, len(ids)-1)], ",")
-}
-
 // outgoing returns the request as it is sent to a server.
 func (r *request) outgoing(s fleet.Server) http1.ClientRequest {
 	h := r.header.Clone()
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -6,6 +6,7 @@
 
 	"guavapaddle/core/balance"
 	"guavapaddle/core/fleet"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/software"
 	"guavapaddle/io/peer"
 )
@@ -135,6 +136,15 @@
 	}
 )
 
+// SharedParts returns the parts of the request's prompt that other requests may share.
+func (q SlotRequest) SharedParts() []poison.Part {
+	ids := make([]string, 0, len(q.Parts))
+	for _, p := range q.Parts {
+		ids = append(ids, p.ID)
+	}
+	return poison.SharedParts(ids)
+}
+
 // Error implements error.
 func (e *AckTimeoutError) Error() string { return "hub: no reply from " + e.Address }
 
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -11,6 +11,7 @@
 	"guavapaddle/core/departure"
 	"guavapaddle/core/deputy"
 	"guavapaddle/core/grant"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/quota"
 	"guavapaddle/core/revision"
 	"guavapaddle/core/software"
@@ -97,6 +98,10 @@
 		Origins      []software.Origin // of streams, which the leader may not know
 		KnownOrigins uint64            // number of the last origin received from the hub that Heard names
 
+		Crashes []poison.Crash // of servers, which the leader may lack
+		Sounds  []poison.Sound // of the parts that the leader suspects
+		Blocks  []poison.Block // that this node has
+
 		Nodes int         // nodes whose reports a relay has added to its own, itself included; 0 for one
 		Usage []NodeUsage // their usage reports
 		Keys  []string    // fingerprints of their certificates, sent when they have changed
@@ -155,6 +160,9 @@
 		Update   follow.Update           // of the store's tables
 		Lease    platform.Row            // as the leader last wrote it, unless the reporting node has it
 
+		Suspects []poison.Part  // parts of prompts that may crash servers
+		Blocks   []poison.Block // in force
+
 		Origins      []software.Origin // of streams, sent to the deputy
 		KnownOrigins uint64            // number of the last of them
 	}
@@ -167,6 +175,8 @@
 		// decision, so that nodes don't need the counts of others there; nil for no
 		// server.
 		HasGranter func(server string) bool
+		// OnBlock is called when a block of requests that crash servers comes in force here, or is lifted. It may be nil.
+		OnBlock func(b poison.Block, lifted bool)
 
 		mu            sync.Mutex
 		deputy        deputy.Selector
@@ -183,6 +193,8 @@
 		lastNumber    uint64                    // of the last residency update or crash mark
 		rosterVersion uint64                    // version of the list of reporting nodes
 		relay         relayState
+		tracker       poison.Tracker
+		inForce       map[string]poison.Block // for which OnBlock was called, by name
 	}
 
 	nodeReport struct {
@@ -204,7 +216,9 @@
 	if h.merge(now, r) {
 		h.selectDeputy(now)
 	}
+	h.mergeCrashes(now, r)
 	reply := h.reply(now, r)
+	reply.Suspects, reply.Blocks = h.tracker.Suspects(now), h.blocks(now)
 	reply.Leading, reply.Deputy, reply.DeputyAt = true, h.deputyNode == r.Node, h.nodes[h.deputyNode].report.At
 	reply.UsageNumber = r.Quotas.Number
 	if reply.Roster = h.rosterVersion; reply.Deputy && r.Roster != h.rosterVersion {
@@ -233,6 +247,7 @@
 	}
 	h.mergeLimits(now, r.Limits)
 	r.Demand, r.Marks, r.Update, r.Limits, r.Usage, r.Origins = nil, nil, nil, nil, nil, nil
+	r.Crashes, r.Sounds, r.Blocks = nil, nil, nil
 	previous, known := h.nodes[r.Node]
 	if !known || previous.report.At.Key != r.At.Key || len(r.Keys) > 0 {
 		h.rosterVersion++
--- /dev/null
+++ b/internal/hub/poison.go
@@ -0,0 +1,125 @@
+package hub
+
+import (
+	"slices"
+	"time"
+
+	"guavapaddle/core/poison"
+)
+
+// relayedCrashes is what a relay passes on about requests that crash servers.
+type relayedCrashes struct {
+	log      poison.Log                 // crashes that nodes have reported
+	sounds   map[soundKey]time.Duration // sound responses not yet passed on, and their ages
+	suspects []poison.Part              // as the leader last sent them
+	blocks   []poison.Block             // likewise; until the first reply of a leader, as nodes reported them
+	replied  bool                       // a leader has replied
+	at       time.Time                  // when the blocks were received
+}
+
+type soundKey struct {
+	service string
+	part    poison.Part
+}
+
+// mergeCrashes merges what a node reports about requests that crash servers; h.mu is held.
+func (h *Hub) mergeCrashes(now time.Time, r Report) {
+	h.tracker.Inherit(now, r.Blocks)
+	for _, c := range r.Crashes {
+		h.tracker.Add(now, c)
+	}
+	for _, s := range r.Sounds {
+		h.tracker.AddSound(now, s)
+	}
+}
+
+// blocks returns the blocks in force, and calls OnBlock for those that have changed; h.mu is held.
+func (h *Hub) blocks(now time.Time) []poison.Block {
+	list := h.tracker.Blocks(now)
+	if h.OnBlock == nil || len(list)+len(h.inForce) == 0 {
+		return list
+	}
+	before := h.inForce
+	h.inForce = map[string]poison.Block{}
+	for _, b := range list {
+		h.inForce[b.Name()] = b
+		if _, ok := before[b.Name()]; !ok {
+			h.OnBlock(b, false)
+		}
+	}
+	for name, b := range before {
+		if _, ok := h.inForce[name]; !ok {
+			h.OnBlock(b, true)
+		}
+	}
+	return list
+}
+
+// Blocks returns the blocks in force, which the leader decides.
+func (h *Hub) Blocks(now time.Time) []poison.Block {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.blocks(now)
+}
+
+// FindBlock returns the block that a prompt with the given parts matches, and whether there is one.
+func (h *Hub) FindBlock(parts []poison.Part) (poison.Block, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.Find(parts)
+}
+
+// SetBlocks puts the blocks in force that another leader has decided.
+func (h *Hub) SetBlocks(now time.Time, list []poison.Block) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.SetBlocks(now, list)
+}
+
+// mergeCrashesAsRelay keeps what a node reports about requests that crash servers, to pass it on; h.mu is held.
+func (h *Hub) mergeCrashesAsRelay(now time.Time, r Report) {
+	c := &h.relay.crashes
+	for _, x := range r.Crashes {
+		c.log.Add(now, x)
+	}
+	if c.sounds == nil {
+		c.sounds = map[soundKey]time.Duration{}
+	}
+	for _, s := range r.Sounds {
+		key := soundKey{s.Service, s.Part}
+		if age, ok := c.sounds[key]; !ok || s.Age < age {
+			c.sounds[key] = s.Age
+		}
+	}
+	if !c.replied && len(r.Blocks) > 0 {
+		c.blocks, c.at = r.Blocks, now
+	}
+}
+
+// withCrashes returns a relay's own report with what its nodes reported about requests that crash servers; h.mu is held.
+func (h *Hub) withCrashes(now time.Time, r Report) Report {
+	c := &h.relay.crashes
+	r.Crashes = append(r.Crashes, c.log.Unsent(now)...)
+	for key, age := range c.sounds {
+		r.Sounds = append(r.Sounds, poison.Sound{Service: key.service, Part: key.part, Age: age})
+	}
+	clear(c.sounds)
+	return r
+}
+
+// applyBlocksAsRelay records what the leader sent about requests that crash servers; h.mu is held.
+func (h *Hub) applyBlocksAsRelay(now time.Time, reply ReportReply) {
+	c := &h.relay.crashes
+	c.log.Acknowledge(reply.Heard.Hub)
+	c.suspects, c.blocks, c.replied, c.at = reply.Suspects, reply.Blocks, true, now
+}
+
+// relayedBlocks returns the blocks that a relay passes on; h.mu is held.
+func (h *Hub) relayedBlocks(now time.Time) []poison.Block {
+	c := &h.relay.crashes
+	out := slices.Clone(c.blocks)
+	for i, b := range out {
+		out[i] = b.WithAge(b.Age + now.Sub(c.at))
+	}
+	return out
+}
--- a/internal/hub/relay.go
+++ b/internal/hub/relay.go
@@ -31,6 +31,8 @@
 		marks  []CrashMark              // reported by nodes and not yet passed on
 		usage  map[string]NodeUsage     // likewise, by node
 		quotas map[string]NodeQuotas    // last replies to the nodes' usage reports
+
+		crashes relayedCrashes
 	}
 )
 
@@ -49,8 +51,10 @@
 	if len(r.Quotas.Uses) > 0 || h.relay.quotas[r.Node].Number > 0 {
 		h.relay.usage[r.Node] = NodeUsage{Node: r.Node, Key: r.At.Key, Report: r.Quotas}
 	}
+	h.mergeCrashesAsRelay(now, r)
 	h.merge(now, r)
 	reply := h.reply(now, r)
+	reply.Suspects, reply.Blocks = h.relay.crashes.suspects, h.relayedBlocks(now)
 	reply.Relaying, reply.Notes = true, nil // its nodes don't know what engines hold
 	for id, c := range h.relay.counts {
 		reply.Counts[id] = addScaled(reply.Counts[id], c, 1)
@@ -75,6 +79,7 @@
 	r.Marks = append(r.Marks, h.relay.marks...)
 	r.Limits = append(r.Limits, EncodeLimits(now, h.limits)...)
 	r.Usage = slices.Collect(maps.Values(h.relay.usage))
+	r = h.withCrashes(now, r)
 	h.demand, h.relay.marks = nil, nil
 	clear(h.relay.usage)
 	return r
@@ -104,6 +109,7 @@
 		maps.DeleteFunc(h.relay.counts, func(id string, _ balance.Count) bool { return h.HasGranter(id) })
 	}
 	h.relay.limits = reply.Limits
+	h.applyBlocksAsRelay(now, reply)
 	for _, u := range reply.Notes {
 		h.updates = append(h.updates, numbered[ResidencyUpdate]{u, now, h.nextNumber()})
 	}
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -112,7 +112,7 @@
 	} else {
 		l = l.WithLoads(previous).WithRelays(previous) // until this node has ordered loads itself
 	}
-	l = p.withSoftware(l)
+	l = p.withKnowledge(l)
 	l.Write = p.nextWrite()
 	due = (due || wasLeader && p.relaysChanged) && !p.released
 	if due {
@@ -280,8 +280,8 @@
 		}
 		p.Elector.Observe(p.Clock(), l, r.Revision())
 	}
-	if l, at, ok := p.Elector.Row(); ok && at != before && p.OnSoftware != nil && l.Incarnation != p.Elector.Self.Incarnation {
-		p.OnSoftware(l.Software)
+	if l, at, ok := p.Elector.Row(); ok && at != before && l.Incarnation != p.Elector.Self.Incarnation {
+		p.inherit(l)
 	}
 	l, _ := p.Elector.Leader()
 	switch isLeader := p.Elector.IsLeader(); {
@@ -328,14 +328,28 @@
 	return p.relays.Relays, p.relays.Assigned
 }
 
-// withSoftware returns a lease with the versions of the servers' software that have served lately.
-func (p *Placer) withSoftware(l leader.Lease) leader.Lease {
+// withKnowledge returns a lease with what has to outlast a change of the leader and a restart of all nodes: the versions of the
+// servers' software that have served lately, and the blocks of requests that crash servers.
+func (p *Placer) withKnowledge(l leader.Lease) leader.Lease {
 	if p.Software != nil {
 		l.Software = p.Software()
 	}
+	if p.Blocks != nil {
+		l.Blocks = p.Blocks()
+	}
 	return l
 }
 
+// inherit takes over what another node's lease passes on.
+func (p *Placer) inherit(l leader.Lease) {
+	if p.OnSoftware != nil {
+		p.OnSoftware(l.Software)
+	}
+	if p.OnBlocks != nil {
+		p.OnBlocks(l.Blocks)
+	}
+}
+
 // withHandover returns a lease with the relays, and the loads that the next leader has to know
 // about; p.mu is held.
 func (p *Placer) withHandover(l leader.Lease) leader.Lease {
@@ -446,7 +460,7 @@
 	p.mu.Lock()
 	observed, _, _ := p.Elector.Row()
 	expected, epoch, isLeader := p.Elector.Release()
-	l := p.withSoftware(p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores, Write: p.nextWrite()}))
+	l := p.withKnowledge(p.withHandover(leader.Lease{Epoch: epoch, Cores: p.Elector.Self.Cores, Write: p.nextWrite()}))
 	p.mu.Unlock()
 	if !isLeader {
 		return true
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/loads"
+	"guavapaddle/core/poison"
 	"guavapaddle/core/residency"
 	"guavapaddle/core/revision"
 	"guavapaddle/core/software"
@@ -74,8 +75,12 @@
 		OnElected       func() // called when the lease was acquired
 		// Software returns the versions of the servers' software that have served lately, which the lease passes on, and
 		// OnSoftware is called with those of another node's lease. They may be nil.
-		Software           func() software.Ages
-		OnSoftware         func(software.Ages)
+		Software   func() software.Ages
+		OnSoftware func(software.Ages)
+		// Blocks returns the blocks of requests that crash servers, which the lease passes on, and OnBlocks is called with those of
+		// another node's lease. They may be nil.
+		Blocks             func() []poison.Block
+		OnBlocks           func([]poison.Block)
 		WaitingWithoutCopy func() map[string]int       // number of requests waiting for a model without a copy
 		LimitedModels      func() map[string]bool      // models all of whose servers are at their rate limit, nil for none
 		OnResidency        func(n hub.ResidencyUpdate) // called when the content of an engine has changed
