--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -9,14 +9,19 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxPartBytes bounds the length of a part's id. A longer one is represented by its hash.
-const maxPartBytes = 32
+const (
+	// BeginTime is how long after the first byte of a response a part of the prompt may still crash the server. A response that
+	// lasts longer is sound, and a request whose response has lasted longer when the server crashes isn't the cause.
+	BeginTime = time.Second
+	// maxPartBytes bounds the length of a part's id. A longer one is represented by its hash.
+	maxPartBytes = 32
+)
 
 type (
 	// Part is the id of a part of a prompt.
 	Part string
 
-	// Request is a request that was in flight at a server when it crashed.
+	// Request is a request that was in flight at a server when it crashed, and whose response had not lasted BeginTime.
 	Request struct {
 		Parts  []Part        // of the prompt that other requests may share
 		Before time.Duration // from its send until the crash
@@ -31,7 +36,8 @@
 		Requests []Request
 	}
 
-	// Sound states that a server of a service began a response to a request with a part and completed it.
+	// Sound states that a server of a service began a response to a request with a part, and completed it or lived on for
+	// BeginTime.
 	Sound struct {
 		Service string
 		Part    Part
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -4,7 +4,8 @@
 //
 // Requests may share parts of their prompts. If one part crashes each server that begins to respond to it, requests that
 // differ in everything else crash one server after the other. At each crash many other requests are in flight at the server,
-// with parts of their own, and most of these are sound and popular.
+// with parts of their own, and most of these are sound and popular. A server crashes when it begins to respond, or shortly
+// after (BeginTime).
 //
 // # Method
 //
@@ -12,8 +13,9 @@
 // their prompts but for the last, which is the request's own. Tracker merges the crashes of all nodes. A part is suspected
 // for the crashes of servers at which a request with it was in flight, under two conditions:
 //
-//   - No response has begun after the crash and been completed, by a server of the same service, to a request with the part
-//     (Sound). A part that crashes every server never has such a response, a popular part soon has one.
+//   - No server of the same service has begun a response to a request with the part after the crash and lived on (Sound). A
+//     part that crashes every server never has such a response, a popular part soon has one. Against a part that has had one,
+//     crashes therefore count only once later ones would be known.
 //   - The request was sent after the crash before that counts. Servers that end together count as one crash, whatever
 //     was in flight at them.
 //
@@ -24,7 +26,7 @@
 // The decision is a Block: the part, with all other parts that every one of its requests had and that no response shows to be
 // sound. Requests with all parts of a block are refused. A request that has only some of them is let through, and its end
 // tells them apart. A block doesn't expire. It is lifted when another one explains its crashes better, or when a response
-// to a request with its parts was completed after all.
+// to a request with its parts was sound after all.
 //
 // # Usage
 //
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -10,8 +10,11 @@
 	// minCrashes is the number of crashes, one after the other, from which on a part is blocked. With two, a rare part that was in
 	// flight at the crashes of a server and of its successor would be.
 	minCrashes = 3
-	// certainCrashes is the number of crashes from which on a part is blocked at once.
+	// certainCrashes is the number of crashes from which on a part that has never been sound is blocked at once.
 	certainCrashes = 5
+	// settleTime is how long ago a crash must be to count against a part that has been sound before: responses that have begun
+	// since have to last BeginTime before they are reported, through a relay.
+	settleTime = 2 * time.Second
 	// inquiryTime is how long a part is suspected before it is blocked, in which all nodes report when they last got a sound response
 	// to it.
 	inquiryTime = time.Second
@@ -204,11 +207,20 @@
 	}
 	t.stale = false
 	rest := t.crashes
+	if n := len(rest); n > 0 && now.Sub(rest[n-1].at) < settleTime {
+		t.stale = true
+	}
 	found := map[string]bool{} // servers whose crashes a block explains
 	var decided []block
 	for {
 		suspicions := t.suspicions(rest)
 		t.updateSuspected(now, suspicions, len(decided) == 0)
+		settled := t.suspicions(slices.DeleteFunc(slices.Clone(rest), func(c *crash) bool { return now.Sub(c.at) < settleTime }))
+		for p, s := range suspicions {
+			if !t.sounds[soundKey{s.service, p}].IsZero() {
+				suspicions[p] = settled[p]
+			}
+		}
 		p, ok := t.culprit(now, suspicions)
 		if !ok {
 			break
@@ -284,7 +296,8 @@
 		if s.crashes < minCrashes {
 			continue
 		}
-		if s.crashes < certainCrashes && now.Sub(t.suspected[p]) < inquiryTime {
+		certain := s.crashes >= certainCrashes && t.sounds[soundKey{s.service, p}].IsZero()
+		if !certain && now.Sub(t.suspected[p]) < inquiryTime {
 			t.stale = true // it may have to be blocked soon
 			continue
 		}
--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -25,8 +25,8 @@
 	crashesUntilRefused = 5
 	// minCrashes is the least number of crashes of a play that shows anything.
 	minCrashes = 3
-	maxAfter            = 3
-	noticeTime          = 3 * time.Second
+	maxAfter   = 3
+	noticeTime = 3 * time.Second
 	// restartTime is how long after the crash of a server the next one is in service.
 	restartTime = 700 * time.Millisecond
 	// minServed is the share of sound requests, of those before the first crash, that have to be served from 2 noticeTime after the crashes on.
@@ -384,6 +384,7 @@
 			}
 			for _, p := range f.nodes {
 				require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+				p.done <- nil // read again by the cleanup
 				f.restart(p)
 			}
 			for _, p := range f.nodes {
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -89,10 +89,11 @@
 
 // recordBreak records that the connection to the server broke with an error while the request was in flight.
 func (t *try) recordBreak(err error) {
-	if len(t.parts) == 0 || !t.mayBeCrash(err) {
+	now, c := time.Now(), &t.g.crashes
+	mayBeCause := t.began.IsZero() || now.Sub(t.began) < poison.BeginTime
+	if len(t.parts) == 0 || !mayBeCause || !t.mayBeCrash(err) {
 		return
 	}
-	now, c := time.Now(), &t.g.crashes
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
 	id := t.selection.Server.ID
@@ -142,20 +143,31 @@
 	}
 }
 
-// recordSound records that a server of the service began a response at a time and completed it.
-func (r *request) recordSound(began time.Time) {
-	if len(r.parts) == 0 {
+// recordProgress records that a part of a stream was received. One that has lasted for long enough is sound.
+func (t *try) recordProgress(now time.Time) {
+	if t.began.IsZero() {
+		t.began = now
+	}
+	if !t.sound && now.Sub(t.began) >= poison.BeginTime {
+		t.recordSound()
+	}
+}
+
+// recordSound records that the server lived on after it had begun the response.
+func (t *try) recordSound() {
+	if len(t.parts) == 0 || t.began.IsZero() || t.sound {
 		return
 	}
-	c := &r.g.crashes
-	r.g.mu.Lock()
-	defer r.g.mu.Unlock()
+	t.sound = true
+	c := &t.g.crashes
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
 	if c.recent == nil || len(c.recent) >= maxSoundParts {
 		c.recent, c.previous = map[soundPart]time.Time{}, c.recent
 	}
-	for _, p := range r.parts {
-		if key := (soundPart{r.service, p}); began.After(c.recent[key]) {
-			c.recent[key] = began
+	for _, p := range t.parts {
+		if key := (soundPart{t.service, p}); t.began.After(c.recent[key]) {
+			c.recent[key] = t.began
 		}
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -76,6 +76,7 @@
 		n, err := t.resp.Body.Read(buf)
 		if now := time.Now(); n > 0 {
 			t.countRead()
+			t.recordProgress(now)
 			t.maxGap = max(t.maxGap, now.Sub(last))
 			last = now
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,7 +45,8 @@
 	respMeta      platform.Response
 	firstByte     time.Duration // time until the response header
 	sent          time.Time     // zero before
-	began         time.Time     // when the response header came
+	began         time.Time     // when the first byte of a stream, or the header of a plain response, came; zero before
+	sound         bool          // the response is known to be sound
 	extraResponse bool          // a response to another request came first
 	err           error         // of the connection
 	marks         int           // servers that crashed while they ran a copy of the request, if one has now
@@ -119,12 +120,12 @@
 		return t.classifyConnError(err)
 	}
 	t.mayHaveRun = t.mayHaveRun || !t.respMeta.NotRun
-	t.began = time.Now()
-	t.firstByte = t.began.Sub(t.sent)
+	now := time.Now()
+	t.firstByte = now.Sub(t.sent)
 	t.recordLimit(t.sent)
 	t.recordServerState()
 	t.g.mu.Lock()
-	t.g.picker.FirstByte(t.began, t.ticket)
+	t.g.picker.FirstByte(now, t.ticket)
 	if t.respMeta.Stamped {
 		t.g.recordAlive(t.selection.Server.ID, t.sent)
 	}
@@ -134,7 +135,7 @@
 	}
 	result, state, reason := t.classifyResponse()
 	if state == answered && reason == Served {
-		t.recordSound(t.began)
+		t.recordSound()
 		if t.usesEngine() {
 			t.g.recordStream(t.item(), t.meta.PromptTokens, time.Since(t.sent))
 		}
@@ -371,6 +372,7 @@
 
 // forwardWhole reads a response to its end and forwards it.
 func (t *try) forwardWhole() (balance.Result, sendState, Reason) {
+	t.began = time.Now()
 	body, err := http1.ReadBody(t.resp, maxBodyBytes)
 	switch {
 	case err != nil:
