--- a/core/balance/brittle.go
+++ b/core/balance/brittle.go
@@ -33,6 +33,18 @@
 	return false
 }
 
+// NeedsGrants reports whether requests to the plain service start only where a scheduler that counts the requests of all nodes
+// has found room: its servers are brittle or name rates. Nodes that share a rate evenly would use it only as far as they get
+// even shares of the requests.
+func (p *Picker) NeedsGrants(now time.Time, service string) bool {
+	for _, s := range p.byService[service] {
+		if s.throttle.Limit().Active {
+			return true
+		}
+	}
+	return p.IsBrittle(now, service)
+}
+
 // isBrittle reports whether the server's last answer announced that it is brittle.
 func (s *server) isBrittle() bool { return s.throttle.Limit().Brittle }
 
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -25,7 +25,7 @@
 	holdersTTL = 100 * time.Millisecond
 	// maxSegments bounds the prompt segments remembered for each server.
 	maxSegments = 1024
-	// unscheduledRateFraction is the fraction of an engine's named rate that is shared by nodes
+	// unscheduledRateFraction is the fraction of a server's named rate that is shared by nodes
 	// which pick on their own, because a scheduler may be using the whole rate at the same time.
 	unscheduledRateFraction = 0.5
 )
@@ -87,10 +87,7 @@
 // Pick picks a server for a request that is not decided by a scheduler. If the server names a rate
 // limit the request must be reserved with Reserve.
 func (p *Picker) Pick(now time.Time, r Request) (Selection, Reason) {
-	share := throttle.Share{Nodes: max(1, p.nodes), Fraction: 1}
-	if r.Model != "" {
-		share.Fraction = unscheduledRateFraction
-	}
+	share := throttle.Share{Nodes: max(1, p.nodes), Fraction: unscheduledRateFraction}
 	eligible, wait, reason := p.eligible(now, r,
 		func(s *server) time.Duration { return s.throttle.LocalWait(now, share) },
 		func(s *server) bool { return p.hasLocalRoom(now, s) })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -175,14 +175,20 @@
 	return b
 }
 
-// isBrittle reports whether the servers of a service announce that they fail if they have to reject too many requests,
-// so that the leader must grant slots there as it does at engines.
+// isBrittle reports whether the servers of a service announce that they fail if they have to reject too many requests.
 func (g *Gateway) isBrittle(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.picker.IsBrittle(time.Now(), service)
 }
 
+// needsGrants reports whether the leader must grant slots for a plain service as it does at engines.
+func (g *Gateway) needsGrants(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picker.NeedsGrants(time.Now(), service)
+}
+
 // item returns the model and adapter that the request needs.
 func (r *request) item() hub.Item {
 	return hub.Item{Service: r.service, Model: r.meta.Model, Adapter: r.meta.Adapter}
@@ -204,7 +210,7 @@
 	if b.Model != "" && r.sends == 0 {
 		g.addDemand(item, b.Tokens, 0)
 	}
-	if b.Model != "" || g.isBrittle(r.service) {
+	if b.Model != "" || g.needsGrants(r.service) {
 		for range maxSlotRequests {
 			c, reason, result := r.requestSlot(b, wanted)
 			if result == decided {
