--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "hot", "recover"
 		Detail  string
 	}
 
@@ -33,6 +33,7 @@
 		statuses      map[string]int           // by request, 0 for no response
 		cuts          []cut
 		takeUps       []takeUp
+		hot           []hotPeriod
 	}
 
 	// Caller describes the sender of a request.
--- /dev/null
+++ b/internal/testbed/soak/crashes.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"guavapaddle/internal/clock"
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const (
+	// crashPhaseMS is how long requests with one part that crashes servers come, before those with the next one, in milliseconds.
+	minCrashPhaseMS, maxCrashPhaseMS = 5000, 9000
+	minCrashGapMS, maxCrashGapMS     = 100, 500
+	minRestartMS, maxRestartMS       = 300, 1500
+	// Later than crashNotice after the fifth crash no more than maxCrashRequests with the part may reach servers, sent by
+	// nodes in touch.
+	crashNotice      = 3 * time.Second
+	crashesToNotice  = 5
+	maxCrashRequests = 3
+	// sharedPart is the first part of all prompts.
+	sharedPart = "a0"
+
+	minHotMS, maxHotMS = 5000, 8000
+	// hotPercent is the percentage of the requests that one node gets while it is hot, and hotNotice how long it may take to serve
+	// them as well as before, at least the share hotRatio.
+	hotPercent = 85
+	hotNotice  = 3 * time.Second
+	hotRatio   = 3.0 / 4
+	// minHotRequests is the number of requests from which on the share is checked.
+	minHotRequests = 20
+)
+
+// hotPeriod is an interval in which one node got most requests.
+type hotPeriod struct {
+	node     string
+	from, to time.Time
+}
+
+// crashPart returns the part of a phase, counted from one, that crashes servers.
+func crashPart(phase int) string { return fmt.Sprint("dead", phase) }
+
+// crashServers sends requests that crash servers until ctx ends: for some seconds with one part in common, then with
+// another, at any place but the last in the prompt. It has its own random generator, so that the other faults of a seed
+// don't depend on it.
+func (r *Run) crashServers(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.Seed, 8000))
+	for phase := 1; ctx.Err() == nil; phase++ {
+		for n, end := 0, time.Now().Add(randomDuration(rng, minCrashPhaseMS, maxCrashPhaseMS)); time.Now().Before(end) && ctx.Err() == nil; n++ {
+			id, target := fmt.Sprintf("x%d-%d", phase, n), r.nodes[rng.IntN(len(r.nodes))]
+			prompt := []string{
+				fmt.Sprintf("%s:50,b%d:20,%s:30", crashPart(phase), n%3, id),
+				fmt.Sprintf("%s:50,%s:20,%s:30", sharedPart, crashPart(phase), id),
+				fmt.Sprintf("%s:50,b%d:20,%s:10,%s:30", sharedPart, n%3, crashPart(phase), id),
+			}[rng.IntN(3)]
+			model := r.model(rng)
+			r.faults.Go(func() { r.sendCrashing(target, id, model, prompt) })
+			clock.Sleep(ctx, randomDuration(rng, minCrashGapMS, maxCrashGapMS))
+		}
+	}
+}
+
+// sendCrashing sends a request that crashes the server at which it runs.
+func (r *Run) sendCrashing(target *node, id, model, prompt string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+target.settings.Clients+"/stream/x", nil)
+	if err != nil {
+		panic(err) // the request is well-formed
+	}
+	caller := Caller{Team: unlimitedTeam, Version: int(r.version.Load()), At: time.Now(), Node: target.settings.Node, Tokens: 100 + standin.CallOutput}
+	req.Host = host
+	standin.Call{ID: id, Deadline: clientTimeout, Key: key(caller.Team, caller.Version), Model: model, Tokens: 100, Prompt: prompt}.SetHeaders(req.Header)
+	r.check.RecordRequest(id, false, caller)
+	resp, err := (&http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body) // it is broken off if the server has crashed
+}
+
+// replaceCrashed starts a server in place of one that has crashed, whose entry lapses.
+func (r *Run) replaceCrashed(w *worker) {
+	r.logf("%s crashed", w.ID)
+	if !w.startLeaving() {
+		return // another one replaces it already
+	}
+	r.faults.Go(func() {
+		rng := rand.New(rand.NewPCG(r.Seed, uint64(time.Now().UnixNano())))
+		time.Sleep(randomDuration(rng, minRestartMS, maxRestartMS))
+		if err := r.addWorker(w.service, w.ID+"r"); err != nil {
+			r.check.RecordViolation("recover", "cannot start a new server: %v", err)
+			return
+		}
+		time.Sleep(randomDuration(rng, minRestartMS, maxRestartMS))
+		r.drop(platform.TableServers, w.ID)
+	})
+}
+
+// checkCrashes checks that requests with a part that crashes servers are refused soon.
+func (r *Run) checkCrashes() {
+	visits := map[string][]standin.Visit{}
+	for _, w := range r.workers {
+		for _, v := range w.Visits() {
+			if v.CrashPart != "" {
+				visits[v.CrashPart] = append(visits[v.CrashPart], v)
+			}
+		}
+	}
+	for part, list := range visits {
+		r.check.CheckCrashes(part, list)
+	}
+}
+
+// CheckCrashes checks the requests with a part that crashes servers, each of which crashed one.
+func (c *Checker) CheckCrashes(part string, list []standin.Visit) {
+	if len(list) < crashesToNotice {
+		return
+	}
+	slices.SortFunc(list, func(a, b standin.Visit) int { return a.At.Compare(b.At) })
+	bound := list[crashesToNotice-1].At.Add(crashNotice)
+	late := 0
+	c.mu.Lock()
+	for _, v := range list {
+		if caller := c.callers[v.ID]; v.At.After(bound) && c.inTouch(caller.Node, v.At) {
+			late++
+		}
+	}
+	c.mu.Unlock()
+	if late > maxCrashRequests {
+		c.RecordViolation("crash", "%d requests with part %s reached servers later than %v after the fifth crash, %d are allowed", late, part, crashNotice, maxCrashRequests)
+	}
+}
+
+// heatNodes makes clients send most requests to one node, and then to another, until ctx ends.
+func (r *Run) heatNodes(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.Seed, 9000))
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, randomDuration(rng, 500, 2000))
+		n, from := r.randomNode(rng), time.Now()
+		r.hot.Store(n)
+		clock.Sleep(ctx, randomDuration(rng, minHotMS, maxHotMS))
+		r.hot.Store(nil)
+		r.logf("%s got most requests for %v", n.settings.Node, time.Since(from))
+		r.check.RecordHot(n.settings.Node, from, time.Now())
+	}
+}
+
+// target returns the node to which a client sends its next request.
+func (r *Run) target(rng *rand.Rand) *node {
+	n := r.nodes[rng.IntN(len(r.nodes))]
+	if hot := r.hot.Load(); hot != nil && rng.IntN(100) < hotPercent {
+		return hot
+	}
+	return n
+}
+
+// RecordHot records that a node got most requests.
+func (c *Checker) RecordHot(node string, from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hot = append(c.hot, hotPeriod{node, from, to})
+}
+
+// CheckHot checks that a node which got most requests served them about as often as all nodes served theirs before.
+func (c *Checker) CheckHot() {
+	c.mu.Lock()
+	var violations []string
+	for _, h := range c.hot {
+		var count [2]struct{ sent, served int } // before at all nodes, then at the hot one
+		for id, caller := range c.callers {
+			status, ended := c.statuses[id]
+			side := 1
+			switch {
+			case !ended || status == 401 || status == 429 || !c.inTouch(caller.Node, caller.At):
+				continue
+			case caller.At.After(h.from.Add(-hotNotice)) && caller.At.Before(h.from):
+				side = 0
+			case caller.Node != h.node || caller.At.Before(h.from.Add(hotNotice)) || caller.At.After(h.to):
+				continue
+			}
+			count[side].sent++
+			if status == 200 {
+				count[side].served++
+			}
+		}
+		before, hot := count[0], count[1]
+		if min(before.sent, hot.sent) >= minHotRequests && float64(hot.served*before.sent) < hotRatio*float64(before.served*hot.sent) {
+			violations = append(violations, fmt.Sprintf("%s, which got most requests, served %d of %d; %d of %d were served before", h.node, hot.served, hot.sent, before.served, before.sent))
+		}
+	}
+	c.mu.Unlock()
+	for _, v := range violations {
+		c.RecordViolation("hot", "%s", v)
+	}
+}
--- a/internal/testbed/soak/load.go
+++ b/internal/testbed/soak/load.go
@@ -26,7 +26,7 @@
 	rng := rand.New(rand.NewPCG(r.Seed, uint64(1000+client)))
 	keepAlive := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	for seq := 0; ctx.Err() == nil; seq++ {
-		target := r.nodes[rng.IntN(len(r.nodes))]
+		target := r.target(rng)
 		c := keepAlive
 		if rng.IntN(4) == 0 {
 			c = &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -60,6 +60,7 @@
 	caller.Tokens = standin.PlainTokens
 	if model != "" {
 		call.Model, call.Tokens = model, 100+rng.IntN(1500)
+		call.Prompt = fmt.Sprintf("%s:50,b%d:20,%s:30", sharedPart, call.Tokens%3, id)
 		caller.Tokens = call.Tokens + standin.CallOutput
 	}
 	call.SetHeaders(req.Header)
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -52,6 +52,9 @@
 		Restores bool // the store comes back from older copies, besides the other faults
 		Versions bool // engines have several software versions and are replaced, and clients take streams up, besides the other faults
 		Broken   bool // servers break off responses and send them without a length, besides the other faults
+		// Crashes adds requests with a part of their prompts that crashes servers, and nodes that get most requests, to the other
+		// faults.
+		Crashes bool
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
 		Soak string
@@ -63,7 +66,8 @@
 		nodes    []*node
 		workers  []*worker
 		version  atomic.Int64
-		software atomic.Int64 // version of the next engine
+		software atomic.Int64         // version of the next engine
+		hot      atomic.Pointer[node] // gets most requests, nil for none
 		faults   sync.WaitGroup
 		cleanups []func()
 		mu       sync.Mutex // guards Log and workers
@@ -123,6 +127,13 @@
 			wg.Go(func() { r.takeUpStreams(rolling, i) })
 		}
 	}
+	if r.Crashes {
+		crashing, end := context.WithCancel(work)
+		r.faults.Go(func() { r.crashServers(crashing) })
+		r.faults.Go(func() { r.heatNodes(crashing) })
+		defer end()
+		time.AfterFunc(r.Duration, end)
+	}
 	if r.Broken {
 		breaking, end := context.WithCancel(work)
 		r.faults.Go(func() { r.breakResponses(breaking) })
@@ -203,12 +214,17 @@
 			s.Hold(fmt.Sprint("m", m))
 		}
 	}
+	for phase := 1; r.Crashes && phase <= int(r.Duration.Milliseconds())/minCrashPhaseMS+1; phase++ {
+		s.CrashParts = append(s.CrashParts, crashPart(phase))
+	}
+	w := &worker{Worker: s, service: service}
+	s.OnCrash = func() { r.replaceCrashed(w) }
 	s.Start(r)
 	p, err := NewProxy(s.Address())
 	if err != nil {
 		return err
 	}
-	w := &worker{Worker: s, service: service, proxy: p}
+	w.proxy = p
 	r.mu.Lock()
 	r.workers = append(r.workers, w)
 	r.mu.Unlock()
@@ -314,6 +330,8 @@
 	r.check.CheckRuns(ids)
 	r.check.CheckCuts()
 	r.check.CheckTakeUps()
+	r.check.CheckHot()
+	r.checkCrashes()
 	for _, w := range r.workers {
 		r.check.CheckKeys(w.RunRecords())
 		r.check.CheckLimits(w.ID, w.Visits())
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// TestCrashesHold runs the soak with requests that crash servers and nodes that get most requests, and requires that no invariant
+// is violated.
+func TestCrashesHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1} {
+		r := &soak.Run{Soak: binary, Crashes: true, Seed: seed, Duration: 14 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
@@ -169,6 +181,29 @@
 			}
 			c.CheckCuts()
 		},
+		"crash": func(c *soak.Checker) {
+			now := time.Now()
+			var list []standin.Visit
+			for i := range 9 { // the fifth at once, four from 3 s after it on
+				id, at := fmt.Sprint("a", i), now.Add(time.Duration(i/5*(3100+i))*time.Millisecond)
+				c.RecordRequest(id, false, soak.Caller{Node: "n", At: at})
+				list = append(list, standin.Visit{ID: id, At: at})
+			}
+			c.CheckCrashes("dead", list)
+			c.CheckCrashes("other", list[:8])
+		},
+		"hot": func(c *soak.Checker) {
+			now := time.Now()
+			c.RecordHot("n", now, now.Add(6*time.Second))
+			for i := range 30 {
+				id := fmt.Sprint("a", i)
+				c.RecordRequest(id, true, soak.Caller{Node: "m", At: now.Add(-time.Second)})
+				c.RecordResponse(id, "m", 200)
+				c.RecordRequest("h"+id, true, soak.Caller{Node: "n", At: now.Add(4 * time.Second)})
+				c.RecordResponse("h"+id, "n", 200+303*(i%2))
+			}
+			c.CheckHot()
+		},
 		"brittle": func(c *soak.Checker) { c.CheckFalls("plain", 9, 3, time.Now(), time.Now()) },
 		"fence": func(c *soak.Checker) {
 			c.CheckOrders("e", []standin.OrderSender{{Holder: "a", Fence: 1}, {Holder: "b", Fence: 1}})
