gateway: a sound response clears the crash marks of copies of its request

A sound response clears the marks at its node, and with the next report at all others. Both tests failed before: 503 after the third crash.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -312,8 +312,22 @@
 	return len(g.crashMarks[fp])
 }
 
-// addCrashMark stores a crash mark; g.mu is held.
+// clearMarks clears the crash marks of a request that had a sound response, here and at the other nodes.
+func (g *Gateway) clearMarks(fp uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.crashMarks[fp]) > 0 {
+		g.newMarks = append(g.newMarks, hub.CrashMark{Fingerprint: fp})
+		g.addCrashMark(fp, "")
+	}
+}
+
+// addCrashMark stores a crash mark, or clears those of a request that had a sound response; g.mu is held.
 func (g *Gateway) addCrashMark(fp uint64, server string) {
+	if server == "" {
+		delete(g.crashMarks, fp)
+		return
+	}
 	m := g.crashMarks[fp]
 	if m == nil {
 		if len(g.crashMarks) >= maxMarkedRequests {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -499,3 +499,42 @@
 	}
 	require.Equal(t, 1, w.Conns())
 }
+
+// TestRequestThatWasSoundBetweenCrashesIsServed guards against popular requests that are refused for good, since copies of them were in
+// flight at servers that crashed for another reason.
+func TestRequestThatWasSoundBetweenCrashesIsServed(t *testing.T) {
+	var workers []*standin.Worker
+	for i := range 8 {
+		workers = append(workers, startWorker(t, fmt.Sprint("i-", i)))
+	}
+	r := newRig(t, workers...)
+	for i := range 4 {
+		for _, w := range workers {
+			w.SetScript(standin.Crash)
+		}
+		require.Equal(t, 502, r.do("POST", "/unsafe/popular", fmt.Sprint("c", i), "same body").status, "crash %d", i)
+		for _, w := range workers {
+			w.SetScript(standin.OK)
+		}
+		require.Equal(t, 200, r.do("POST", "/unsafe/popular", fmt.Sprint("s", i), "same body").status, "after crash %d", i)
+	}
+}
+
+// TestSoundResponseClearsMarksOfOtherNodes checks that a sound response to a copy clears the crash marks that other nodes have reported.
+func TestSoundResponseClearsMarksOfOtherNodes(t *testing.T) {
+	w := startWorker(t, "i-1")
+	r := newRig(t, w)
+	w.SetScript(standin.Crash)
+	r.do("POST", "/unsafe/popular", "a", "same body")
+	marks := r.gateway.Report("n", 0).Marks
+	require.Len(t, marks, 1)
+	fp := marks[0].Fingerprint
+	w.SetScript(standin.OK)
+	r.gateway.ApplyReply(hub.ReportReply{Marks: []hub.CrashMark{{Fingerprint: fp, Server: "i-2"}}})
+	require.Equal(t, 200, r.do("POST", "/unsafe/popular", "b", "same body").status)
+	require.Equal(t, []hub.CrashMark{{Fingerprint: fp}}, r.gateway.Report("n", 0).Marks)
+	r.gateway.ApplyReply(hub.ReportReply{Marks: []hub.CrashMark{{Fingerprint: fp, Server: "i-3"}, {Fingerprint: fp, Server: "i-4"}, {Fingerprint: fp, Server: "i-5"}}})
+	require.Equal(t, 503, r.do("POST", "/unsafe/popular", "c", "same body").status)
+	r.gateway.ApplyReply(hub.ReportReply{Marks: []hub.CrashMark{{Fingerprint: fp}}})
+	require.Equal(t, 200, r.do("POST", "/unsafe/popular", "d", "same body").status)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -135,6 +135,7 @@
 	}
 	result, state, reason := t.classifyResponse()
 	if state == answered && reason == Served {
+		t.g.clearMarks(t.fingerprint)
 		t.recordSound()
 		if t.usesEngine() {
 			t.g.recordStream(t.item(), t.meta.PromptTokens, time.Since(t.sent))
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -62,10 +62,11 @@
 		Held    bool
 	}
 
-	// CrashMark records that a server ended while it ran the request with this fingerprint.
+	// CrashMark records that a server ended while it ran the request with this fingerprint, or that a copy of the request had a
+	// sound response, which clears the marks before.
 	CrashMark struct {
 		Fingerprint uint64
-		Server      string // incarnation that ended
+		Server      string // incarnation that ended, empty for a sound response
 	}
 
 	// Contact is a node's address, the fingerprint of its certificate, and the number
--- a/internal/hub/relay.go
+++ b/internal/hub/relay.go
@@ -114,7 +114,7 @@
 		h.updates = append(h.updates, numbered[ResidencyUpdate]{u, now, h.nextNumber()})
 	}
 	for _, m := range reply.Marks {
-		if !slices.ContainsFunc(h.marks, func(n numbered[CrashMark]) bool { return n.value == m }) {
+		if m.Server == "" || !slices.ContainsFunc(h.marks, func(n numbered[CrashMark]) bool { return n.value == m }) {
 			h.marks = append(h.marks, numbered[CrashMark]{m, now, h.nextNumber()})
 		}
 	}
