--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -181,6 +181,7 @@
 		}
 		p.servers[s.ID] = s
 		if e := p.engines[s.ID]; e != nil {
+			e.checkLost(previous[s.ID], s)
 			e.reconcile(s)
 		}
 	}
@@ -191,6 +192,16 @@
 	}
 }
 
+// checkLost has the record read again if the entry lacks a model that the one before listed, and which the engine wasn't ordered to
+// unload: the store may have been restored from a copy, and the engine still holds the model.
+func (e *engine) checkLost(before, s fleet.Server) {
+	for _, h := range before.Resident {
+		if h.Model != e.unloading && !s.Holds(h.Model, "") {
+			e.stale = true
+		}
+	}
+}
+
 // reconcile clears the moves that the entry shows as completed.
 func (e *engine) reconcile(s fleet.Server) {
 	if e.loading != "" && s.Holds(e.loading, "") {
--- a/internal/placer/restore_test.go
+++ b/internal/placer/restore_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/revision"
 	"guavapaddle/internal/placer"
@@ -131,3 +132,22 @@
 	eventually(t, "the first knows the second", func() bool { l, ok := a.Leader(); return ok && l.Node == "b" })
 	require.Equal(t, value, s.Row("lease", "orders").Value)
 }
+
+// TestEntryThatGoesBackDoesNotFreeMemory guards against an engine that is ordered to load more than it holds, since a copy from which
+// the store was restored lacks a model that it has loaded meanwhile.
+func TestEntryThatGoesBackDoesNotFreeMemory(t *testing.T) {
+	t.Parallel()
+	s := standin.NewStore(t)
+	w := (&standin.Worker{ID: "i-1"}).Hold("m0").Hold("m1").Start(t)
+	a := startPlacer(t, s, "a", leaderUnreachable)
+	a.SetConfig(configWith(fleet.Engine{WeightsMB: 230000, LoadsPerS: 50}, 4, 0))
+	old := entryOf(w)
+	a.SetServers([]fleet.Server{old})
+	eventually(t, "the third model is loaded", func() bool { return len(w.Models()) == 3 })
+	a.SetServers([]fleet.Server{entryOf(w)})
+	a.mu.Lock()
+	a.waiting = map[string]int{"m2": 1, "m3": 5}
+	a.mu.Unlock()
+	a.SetServers([]fleet.Server{old}) // as the store was restored
+	require.Never(t, func() bool { return w.MaxModels() > 3 }, 2*time.Second, 5*time.Millisecond)
+}
