follow: an entry that the restored store's history shows to be removed isn't kept as missing

A full read after a restore that lacks entries now also reads the store's history; an entry that it shows to be removed after it was last written is dropped at once.

--- a/internal/follow/sim_restore_test.go
+++ b/internal/follow/sim_restore_test.go
@@ -170,6 +170,48 @@
 	})
 }
 
+// TestServerThatLeavesBeforeRestoreIsNoticedIsKnownInTime guards against a server that stays in use because it left after a restore
+// that a node notices later: entries that the restored store lacks are kept for a grace period, unless its history shows
+// their removal.
+func TestServerThatLeavesBeforeRestoreIsNoticedIsKnownInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, rand.New(rand.NewPCG(1, 8)))
+		f.hungAt = time.Now().Add(time.Hour) // no call is left without a response
+		f.put("i-0", "ready")
+		f.put("i-1", "ready")
+		f.put("config", "")
+		ctx, cancel := context.WithCancel(t.Context())
+		n := &simNode{fleet: f}
+		n.Follower = &follow.Follower{Store: n, Log: zap.NewNop(), OnConfig: n.setConfig, OnServers: n.servers, Role: n.role}
+		f.wg.Go(func() { n.Run(ctx) })
+		has := func(id string) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			_, ok := n.list[id]
+			return ok
+		}
+		clock.Sleep(ctx, 3*time.Second)
+		f.put("i-2", "ready") // lost by the copy, and not written again for a while
+		clock.Sleep(ctx, time.Second)
+		require.True(t, has("i-0") && has("i-1") && has("i-2"))
+		f.mu.Lock()
+		f.era++
+		delete(f.rows, platform.TableServers+"i-2")
+		f.log = f.log[:len(f.log)-1]
+		f.awayUntil = time.Now().Add(800 * time.Millisecond)
+		f.wakeFeeds()
+		f.mu.Unlock()
+		clock.Sleep(ctx, 100*time.Millisecond)
+		f.drop("i-1")
+		clock.Sleep(ctx, simDrain)
+		require.False(t, has("i-1"))
+		require.True(t, has("i-0"))
+		require.True(t, has("i-2"), "it may be written again")
+		cancel()
+		f.wg.Wait()
+	})
+}
+
 // putConfig writes a version of the configuration.
 func (f *restoringFleet) putConfig(version int64) {
 	r := platform.Row{Table: platform.TableOperator, Key: platform.KeyConfig, Value: fmt.Appendf(nil, `{"version":%d}`, version)}
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -25,17 +25,18 @@
 
 		mu           sync.Mutex
 		rows         map[string]platform.Row
-		missing      map[string]time.Time // missing entries, and until when they are kept
-		gone         map[string]time.Time // when entries were removed, as far as that is recent
-		withheld     map[string]time.Time // restored entries that had been removed, and until when they aren't used
-		removed      []platform.Row       // recently removed entries, for other nodes
-		removedAfter revision.Revision    // removed is complete for changes after this revision
-		revision     revision.Revision    // up to which the copy is complete
-		lastContact  time.Time            // when the store last responded to this node
-		lastComplete time.Time            // up to when the copy is complete, whichever node read it
-		announced    revision.Revision    // newest revision that another node announced
-		outageEnd    time.Time            // when the store's last outage ended
-		eraBegan     time.Time            // when this node learned of the store's era
+		missing      map[string]time.Time         // missing entries, and until when they are kept
+		gone         map[string]time.Time         // when entries were removed, as far as that is recent
+		withheld     map[string]time.Time         // restored entries that had been removed, and until when they aren't used
+		removed      []platform.Row               // recently removed entries, for other nodes
+		removals     map[string]revision.Revision // entries that a restored store's history shows to be removed; during a full read only
+		removedAfter revision.Revision            // removed is complete for changes after this revision
+		revision     revision.Revision            // up to which the copy is complete
+		lastContact  time.Time                    // when the store last responded to this node
+		lastComplete time.Time                    // up to when the copy is complete, whichever node read it
+		announced    revision.Revision            // newest revision that another node announced
+		outageEnd    time.Time                    // when the store's last outage ended
+		eraBegan     time.Time                    // when this node learned of the store's era
 		unreachable  bool
 		quick        bool               // the next feed call uses quickWait
 		cancelFeed   context.CancelFunc // cancels the feed call in progress, nil if there is none
@@ -219,9 +220,12 @@
 			return err
 		}
 		hideKeys(rows)
+		removed := t.readRemovals(ctx, rows, at)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.recordResponse()
+		t.removals = removed
+		defer func() { t.removals = nil }()
 		held := t.revision
 		applied := t.applyAll(rows, at, MissingGrace)
 		t.partial = t.partial && !applied
@@ -402,12 +406,12 @@
 // merge stores rows that are not older than the local ones, drops entries whose grace
 // period is over, and calls apply if anything changed. If the store was restored since, removed rows are
 // kept for the given grace period. t.mu is held.
-func (t *table) merge(rows []platform.Row, at revision.Revision, grace time.Duration) {
+func (t *table) merge(rows []platform.Row, at revision.Revision, missingGrace time.Duration) {
 	now := time.Now()
 	restored := t.isRestoredBy(at)
 	var keepUntil time.Time
 	if restored {
-		keepUntil = now.Add(grace)
+		keepUntil = now.Add(missingGrace)
 	}
 	changed := false
 	for _, r := range rows {
@@ -422,7 +426,11 @@
 			continue
 		}
 		t.recordRemoval(r)
-		if until := t.missingUntil(keepUntil, r.Key); t.isUsed(r.Key) && now.Before(until) {
+		grace := keepUntil
+		if t.isRemoved(r.Key) {
+			grace = time.Time{}
+		}
+		if until := t.missingUntil(grace, r.Key); t.isUsed(r.Key) && now.Before(until) {
 			t.missing[r.Key] = until
 			continue
 		}
