--- a/internal/follow/removals.go
+++ b/internal/follow/removals.go
@@ -20,8 +20,8 @@
 
 // readRemovals returns the entries that the store's history shows to be removed, if a full read shows that the store was
 // restored from a copy and lacks entries of this copy. Entries that the restored copy lacked are written again if
-// their servers live, so they are kept for a while; those of servers that have left since must not be. A history that can't be read
-// tells nothing.
+// their servers live, so they are kept for a while; those of servers that have left since must not be. If the history can't be read, all
+// are kept.
 func (t *table) readRemovals(ctx context.Context, rows []platform.Row, at revision.Revision) map[string]revision.Revision {
 	t.mu.Lock()
 	lacking := t.isRestoredBy(at) && t.lacks(rows)
