--- a/core/poison/log_test.go
+++ b/core/poison/log_test.go
@@ -35,3 +35,23 @@
 	l.Acknowledge(9)
 	require.Empty(t, ids(2*time.Minute), "old crashes aren't sent")
 }
+
+func TestSoundsAreSentOnceToEachHub(t *testing.T) {
+	t.Parallel()
+	var s poison.Sounds
+	s.Add(service, "a", start)
+	s.Add(service, "a", start.Add(-second))
+	s.Add(service, "b", start)
+	want := []poison.Sound{{Service: service, Part: "a", Age: second}}
+	only := map[poison.Part]bool{"a": true}
+	for _, hub := range []uint64{7, 7} {
+		require.Equal(t, want, s.Unsent(start.Add(second), only))
+		s.Acknowledge(hub)
+	}
+	require.Empty(t, s.Unsent(start.Add(second), only))
+	require.Len(t, s.Unsent(start.Add(second), nil), 1, "the other one wasn't asked for")
+	s.Add(service, "a", start.Add(second))
+	require.Equal(t, []poison.Sound{{Service: service, Part: "a"}}, s.Unsent(start.Add(second), only))
+	s.Acknowledge(8)
+	require.Len(t, s.Unsent(start.Add(second), nil), 2, "another hub lacks all")
+}
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -52,11 +52,6 @@
 		parts           map[Part]sent // of the requests
 	}
 
-	soundKey struct {
-		service string
-		part    Part
-	}
-
 	// block is a block in force.
 	block struct {
 		parts     []Part
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -18,8 +17,6 @@
 	// confirmTime is how long a server has to show that it lives, after a connection to it has broken, before the break counts as its
 	// crash.
 	confirmTime = 300 * time.Millisecond
-	// maxSoundParts bounds the parts of prompts whose last sound responses a node remembers: this many at least, and twice at most.
-	maxSoundParts = 2048
 	// maxCrashRequests bounds the requests of one crash that a node reports.
 	maxCrashRequests = 256
 	// overloadTime is how long after it had to reject a request a brittle server may fail for it: it counts the rejections of a second.
@@ -35,14 +32,10 @@
 		pending  map[string]*pendingCrash // by server
 		rejected map[string]time.Time     // when a brittle server last rejected a request
 		log      poison.Log
-		recent   map[soundPart]time.Time // when the last sound response began
-		previous map[soundPart]time.Time // likewise, of older ones
-		reported map[soundPart]time.Time // sound responses that the hub has
-		sending  map[soundPart]time.Time // those in the report under way
-		hub      uint64                  // that has replied
-		suspects []poison.Part           // as the leader last sent them
-		blocks   []poison.Block          // likewise
-		at       time.Time               // when the blocks were received
+		sounds   poison.Sounds
+		suspects []poison.Part  // as the leader last sent them
+		blocks   []poison.Block // likewise
+		at       time.Time      // when the blocks were received
 	}
 
 	// pendingCrash is a broken connection that may be a crash.
@@ -52,11 +45,6 @@
 		requests []poison.Request
 		alive    bool // the server has responded since
 	}
-
-	soundPart struct {
-		service string
-		part    poison.Part
-	}
 )
 
 // sharedParts returns the parts of the request's prompt that other requests may share.
@@ -177,16 +165,10 @@
 		return
 	}
 	t.sound = true
-	c := &t.g.crashes
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	if c.recent == nil || len(c.recent) >= maxSoundParts {
-		c.recent, c.previous = map[soundPart]time.Time{}, c.recent
-	}
 	for _, p := range t.parts {
-		if key := (soundPart{t.service, p}); t.began.After(c.recent[key]) {
-			c.recent[key] = t.began
-		}
+		t.g.crashes.sounds.Add(t.service, p, t.began)
 	}
 }
 
@@ -215,40 +197,16 @@
 			}
 		}
 	}
-	r.Sounds = c.sounds(now, asked)
+	r.Sounds = c.sounds.Unsent(now, asked)
 	for _, b := range c.blocks {
 		r.Blocks = append(r.Blocks, b.WithAge(b.Age+now.Sub(c.at)))
 	}
 }
 
-// sounds returns the last sound responses to the given parts, as far as the hub lacks them.
-func (c *crashes) sounds(now time.Time, parts map[poison.Part]bool) []poison.Sound {
-	c.sending = map[soundPart]time.Time{}
-	if len(parts) == 0 {
-		return nil
-	}
-	var out []poison.Sound
-	for _, known := range []map[soundPart]time.Time{c.recent, c.previous} {
-		for key, at := range known {
-			if parts[key.part] && at.After(c.sending[key]) && at.After(c.reported[key]) {
-				c.sending[key] = at
-			}
-		}
-	}
-	for key, at := range c.sending {
-		out = append(out, poison.Sound{Service: key.service, Part: key.part, Age: now.Sub(at)})
-	}
-	return out
-}
-
 // applyCrashReply applies what a reply to a report says about requests that crash servers; g.mu is held.
 func (g *Gateway) applyCrashReply(now time.Time, reply hub.ReportReply) {
 	c := &g.crashes
 	c.log.Acknowledge(reply.Heard.Hub)
-	if reply.Heard.Hub != c.hub || len(c.reported) >= maxSoundParts {
-		c.hub, c.reported = reply.Heard.Hub, map[soundPart]time.Time{}
-	} else {
-		maps.Copy(c.reported, c.sending)
-	}
+	c.sounds.Acknowledge(reply.Heard.Hub)
 	c.suspects, c.blocks, c.at = reply.Suspects, reply.Blocks, now
 }
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -42,7 +42,9 @@
 			r := newRig(t, w)
 			require.Equal(t, 502, r.do("POST", "/unsafe/x", "r0", "", promptHeader+"a:20,own:30").status)
 			if lives {
-				require.Eventually(t, func() bool { return r.do("POST", "/unsafe/x", fmt.Sprint("r", time.Now().UnixNano()), "").status == 200 }, time.Second, time.Millisecond)
+				require.Eventually(t, func() bool {
+					return r.do("POST", "/unsafe/x", fmt.Sprint("r", time.Now().UnixNano()), "").status == 200
+				}, time.Second, time.Millisecond)
 			}
 			var list []poison.Crash
 			require.Eventually(t, func() bool {
--- a/internal/hub/poison.go
+++ b/internal/hub/poison.go
@@ -9,17 +9,12 @@
 
 // relayedCrashes is what a relay passes on about requests that crash servers.
 type relayedCrashes struct {
-	log      poison.Log                 // crashes that nodes have reported
-	sounds   map[soundKey]time.Duration // sound responses not yet passed on, and their ages
-	suspects []poison.Part              // as the leader last sent them
-	blocks   []poison.Block             // likewise; until the first reply of a leader, as nodes reported them
-	replied  bool                       // a leader has replied
-	at       time.Time                  // when the blocks were received
-}
-
-type soundKey struct {
-	service string
-	part    poison.Part
+	log      poison.Log     // crashes that nodes have reported
+	sounds   poison.Sounds  // likewise
+	suspects []poison.Part  // as the leader last sent them
+	blocks   []poison.Block // likewise; until the first reply of a leader, as nodes reported them
+	replied  bool           // a leader has replied
+	at       time.Time      // when the blocks were received
 }
 
 // mergeCrashes merges what a node reports about requests that crash servers; h.mu is held.
@@ -82,14 +77,8 @@
 	for _, x := range r.Crashes {
 		c.log.Add(now, x)
 	}
-	if c.sounds == nil {
-		c.sounds = map[soundKey]time.Duration{}
-	}
 	for _, s := range r.Sounds {
-		key := soundKey{s.Service, s.Part}
-		if age, ok := c.sounds[key]; !ok || s.Age < age {
-			c.sounds[key] = s.Age
-		}
+		c.sounds.Add(s.Service, s.Part, now.Add(-s.Age))
 	}
 	if !c.replied && len(r.Blocks) > 0 {
 		c.blocks, c.at = r.Blocks, now
@@ -100,10 +89,7 @@
 func (h *Hub) withCrashes(now time.Time, r Report) Report {
 	c := &h.relay.crashes
 	r.Crashes = append(r.Crashes, c.log.Unsent(now)...)
-	for key, age := range c.sounds {
-		r.Sounds = append(r.Sounds, poison.Sound{Service: key.service, Part: key.part, Age: age})
-	}
-	clear(c.sounds)
+	r.Sounds = append(r.Sounds, c.sounds.Unsent(now, nil)...)
 	return r
 }
 
@@ -111,6 +97,7 @@
 func (h *Hub) applyBlocksAsRelay(now time.Time, reply ReportReply) {
 	c := &h.relay.crashes
 	c.log.Acknowledge(reply.Heard.Hub)
+	c.sounds.Acknowledge(reply.Heard.Hub)
 	c.suspects, c.blocks, c.replied, c.at = reply.Suspects, reply.Blocks, true, now
 }
 
