--- a/internal/hub/doc.go
+++ b/internal/hub/doc.go
@@ -9,6 +9,9 @@
 // a node that gets no reply decides by the requests that it has sent itself and
 // by the servers' own responses.
 //
+// The leader also merges what nodes observed of servers that crashed, decides which requests are refused for it
+// (core/poison), and sends these blocks to all nodes. Relays pass both on.
+//
 // # Usage
 //
 //	h := &hub.Hub{}
