poison: the leader lets single requests through to find out whether a block is right

A block that is wrong, as after servers that end one after the other at a service with one server, would have refused a popular part for good, over restarts too. Nodes leave such requests to the leader.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -50,6 +50,10 @@
 		Service string        `json:"service"` // at whose servers the last crash was
 		Crashes int           `json:"crashes"` // that led to it
 		Age     time.Duration `json:"age-ns"`  // since the last of them
+		// Trials is how many requests were let through to find out whether they still crash servers, and Trial is set while
+		// the leader grants a slot for the next one.
+		Trials int  `json:"trials,omitempty"`
+		Trial  bool `json:"trial,omitempty"`
 	}
 )
 
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -26,11 +26,17 @@
 	maxRequests = 512
 	// maxSounds bounds the parts of which the last sound response is known.
 	maxSounds = 4096
+	// blockRetention is how long after its last crash a block is kept.
+	blockRetention = 24 * time.Hour
 	// maxBlocks bounds the blocks in force, and maxSuspects the suspected parts about which nodes are asked.
 	maxBlocks   = 64
 	maxSuspects = 64
 )
 
+// trialDelays are the times after the last crash, or trial, after which one request is let through. There are no more trials, since
+// each may cost a server.
+var trialDelays = []time.Duration{time.Minute, 10 * time.Minute}
+
 type (
 	// Tracker decides which requests are refused, from what all nodes have observed. The zero value is ready to use.
 	Tracker struct {
@@ -58,6 +64,8 @@
 		service   string
 		crashes   int
 		at        time.Time       // of the last crash that led to it
+		trials    int             // requests that were let through since
+		triedAt   time.Time       // when the last of them was
 		explained map[string]bool // servers whose crashes it explains, nil if another node decided it
 	}
 
@@ -156,10 +164,10 @@
 	for _, b := range list {
 		at := now.Add(-b.Age)
 		lifted, ok := t.lifted[b.Name()]
-		if len(b.Parts) == 0 || ok && !at.After(lifted) || t.covers(b.Parts) {
+		if len(b.Parts) == 0 || b.Age > blockRetention || ok && !at.After(lifted) || t.covers(b.Parts) {
 			continue
 		}
-		t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at})
+		t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, trials: b.Trials, triedAt: now})
 	}
 }
 
@@ -167,6 +175,7 @@
 func (t *Tracker) SetBlocks(now time.Time, list []Block) {
 	t.blocks = nil
 	t.Inherit(now, list)
+	t.stale = true
 }
 
 // covers reports whether each request with the given parts is refused already.
@@ -205,21 +214,44 @@
 // Blocks returns the blocks in force.
 func (t *Tracker) Blocks(now time.Time) []Block {
 	t.decide(now)
+	t.blocks = slices.DeleteFunc(t.blocks, func(b block) bool { return now.Sub(b.at) > blockRetention })
 	var out []Block
 	for _, b := range t.blocks {
-		out = append(out, Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at))})
+		out = append(out, b.export(now))
 	}
 	return out
 }
 
-// Find returns the block that matches a prompt with the given parts, and whether there is one. It makes no new decisions.
-func (t *Tracker) Find(parts []Part) (Block, bool) {
-	for _, b := range t.blocks {
-		if found := (Block{Parts: b.parts, Service: b.service, Crashes: b.crashes}); found.Matches(parts) {
-			return found, true
+// export returns the block for other nodes.
+func (b block) export(now time.Time) Block {
+	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Trials: b.trials, Trial: b.isTrialDue(now)}
+}
+
+// isTrialDue reports whether a request may be let through to find out whether it still crashes servers.
+func (b block) isTrialDue(now time.Time) bool {
+	last := b.at
+	if b.triedAt.After(last) {
+		last = b.triedAt
+	}
+	return b.trials < len(trialDelays) && now.Sub(last) >= trialDelays[b.trials]
+}
+
+// Admit decides whether a request with the given parts may have a slot. It returns the block that refuses it, false if there is
+// none, and whether the request is let through as a trial. It makes no new decisions about crashes.
+func (t *Tracker) Admit(now time.Time, parts []Part) (b Block, blocked, trial bool) {
+	for i := range t.blocks {
+		b = t.blocks[i].export(now)
+		if !b.Matches(parts) {
+			continue
+		}
+		if !b.Trial {
+			return b, true, false
 		}
+		t.blocks[i].trials++
+		t.blocks[i].triedAt = now
+		return b, false, true
 	}
-	return Block{}, false
+	return Block{}, false, false
 }
 
 // decide makes the decisions anew if anything has changed.
@@ -377,6 +409,7 @@
 		i := slices.IndexFunc(t.blocks, func(o block) bool { return slices.Equal(o.parts, b.parts) })
 		switch {
 		case i >= 0:
+			b.trials, b.triedAt = t.blocks[i].trials, t.blocks[i].triedAt
 			t.blocks[i] = b
 		case !t.covers(b.parts):
 			t.insert(b)
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -31,12 +31,16 @@
 			return hub.SlotReply{}, nil, context.Canceled
 		}
 	}
-	if b, ok := n.hub.FindBlock(q.SharedParts()); ok { // the node may not know of the block yet
+	b, blocked, trial := n.hub.Admit(time.Now(), q.SharedParts())
+	if blocked { // the node may not know of the block yet
 		n.log.Info("place", zap.String("request-id", q.Request), zap.Bool("granted", false), zap.String("why", string(gateway.PromptCrashes)), zap.String("parts", b.Name()))
 		return hub.SlotReply{Granter: granter, Why: string(gateway.PromptCrashes)}, uncounted{}, nil
 	}
+	if trial {
+		n.log.Warn("prompt-trial", zap.String("request-id", q.Request), zap.String("parts", b.Name()), zap.Int("trials", b.Trials+1), zap.Duration("age", b.Age))
+	}
 	d, grant, err := n.granter.AcquireSlot(ctx, q, queued)
-	reply := hub.SlotReply{Granted: d.Granted, Granter: granter, Server: d.Selection.Server.ID, Wait: d.Selection.Wait, Why: string(d.Reason), After: d.RetryAfter}
+	reply := hub.SlotReply{Granted: d.Granted, Trial: trial, Granter: granter, Server: d.Selection.Server.ID, Wait: d.Selection.Wait, Why: string(d.Reason), After: d.RetryAfter}
 	if q.Entry && d.Granted {
 		reply.Entry = entryOf(d.Selection.Server)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,7 @@
 		queued            time.Duration // time until the first send
 		fingerprint       uint64
 		parts             []poison.Part // of the prompt that other requests may share
+		trial             bool          // the leader has let it through though a block refuses it
 		lastEvent         string        // id of the last complete event that was forwarded
 		software          string        // version that began the stream, empty if none has
 		responseBegun     bool
@@ -232,7 +233,9 @@
 		r.respond(http.StatusServiceUnavailable, CrashSuspect, 0)
 		return
 	}
-	if r.parts = r.sharedParts(); r.refuseBlocked("") {
+	r.parts = r.sharedParts()
+	if b, ok := r.findBlock(); ok && !(b.Trial && r.needsSlot()) {
+		r.refuseBlocked(b, "")
 		return
 	}
 	g.creditRetryBudget(r.service)
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -81,16 +81,11 @@
 	}
 }
 
-// refuseBlocked refuses the request if a part of its prompt crashes servers, and reports whether it does.
-func (r *request) refuseBlocked(lastTry Reason) bool {
-	b, ok := r.findBlock()
-	if !ok {
-		return false
-	}
+// refuseBlocked refuses the request, since a block matches its prompt.
+func (r *request) refuseBlocked(b poison.Block, lastTry Reason) {
 	r.g.Log.Info("prompt-refused", zap.String("request-id", r.meta.ID), zap.String("parts", b.Name()), zap.String("service", b.Service),
 		zap.Int("crashes", b.Crashes), zap.Duration("age", b.Age), zap.Int("runs", r.runs))
 	r.fail(PromptCrashes, lastTry)
-	return true
 }
 
 // recordBreak records that the connection to the server broke with an error while the request was in flight.
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -1,13 +1,16 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/fleet"
 	"guavapaddle/core/poison"
+	"guavapaddle/internal/gateway"
 	"guavapaddle/internal/hub"
 	"guavapaddle/platform/standin"
 )
@@ -59,3 +62,31 @@
 		})
 	}
 }
+
+// TestTrialIsSentOnlyIfLeaderGrantsIt guards against requests of a block whose trial is due that several nodes let through by themselves.
+func TestTrialIsSentOnlyIfLeaderGrantsIt(t *testing.T) {
+	t.Parallel()
+	w := startWorker(t, "i-1")
+	r := newRig(t, w)
+	engine := &fleet.Engine{Models: map[string]fleet.Model{"m": {Name: "m"}}}
+	r.gateway.SetConfig(fleet.NewConfig(2, routes, []fleet.Service{{Name: "plain", Engine: engine}}, fleet.Limits{}))
+	r.gateway.AddBlocks([]poison.Block{{Parts: []poison.Part{"dead"}, Crashes: 3, Trial: true}})
+	reply, err := hub.SlotReply{}, error(nil)
+	r.gateway.AcquireSlot = func(context.Context, hub.SlotRequest) (hub.SlotReply, hub.SlotGrant, error) {
+		return reply, noGrant{}, err
+	}
+	send := func(id string) int {
+		return r.do("GET", "/stream/", id, "", "X-Guavapaddle-Model: m", promptHeader+"dead:10,own:30").status
+	}
+	reply = hub.SlotReply{Why: string(gateway.PromptCrashes)}
+	require.Equal(t, 503, send("refused"))
+	reply = hub.SlotReply{Granted: true, Server: "i-1"}
+	require.Equal(t, 503, send("granted by a leader that doesn't know the block"))
+	err = context.Canceled
+	require.Equal(t, 503, send("no leader"))
+	require.Empty(t, w.Runs())
+	reply, err = hub.SlotReply{Granted: true, Server: "i-1", Trial: true}, nil
+	require.Equal(t, 200, send("trial"))
+	require.Len(t, w.Runs(), 1)
+	require.Equal(t, 503, r.do("POST", "/unsafe/x", "plain", "", promptHeader+"dead:10,own:30").status)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,7 +89,8 @@
 			r.fail(failure, lastTry)
 			return
 		}
-		if r.refuseBlocked(lastTry) { // it may have waited, or have crashed a server itself
+		if b, ok := r.findBlock(); ok && !(r.trial && r.sends == 0) { // it may have waited, or have crashed a server itself
+			r.refuseBlocked(b, lastTry)
 			return
 		}
 		if r.sends > 0 && !g.takeRetry(r.service) {
@@ -182,11 +183,14 @@
 	return g.picker.IsBrittle(time.Now(), service)
 }
 
-// needsGrants reports whether the leader must grant slots for a plain service as it does at engines.
-func (g *Gateway) needsGrants(service string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.picker.NeedsGrants(time.Now(), service)
+// needsSlot reports whether the leader grants the request its slot: at engines, and at plain services that need it.
+func (r *request) needsSlot() bool {
+	if r.usesEngine() {
+		return true
+	}
+	r.g.mu.Lock()
+	defer r.g.mu.Unlock()
+	return r.g.picker.NeedsGrants(time.Now(), r.service)
 }
 
 // item returns the model and adapter that the request needs.
@@ -210,7 +214,7 @@
 	if b.Model != "" && r.sends == 0 {
 		g.addDemand(item, b.Tokens, 0)
 	}
-	if b.Model != "" || g.needsGrants(r.service) {
+	if r.needsSlot() {
 		for range maxSlotRequests {
 			c, reason, result := r.requestSlot(b, wanted)
 			if result == decided {
@@ -293,6 +297,7 @@
 		return c, "", leaderUnreachable
 	}
 	if reply.Granted {
+		r.trial = reply.Trial
 		r.recordCharge(req.Charge)
 	}
 	if !reply.Granted {
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -76,6 +76,7 @@
 		Granter int64         // granter that counts the request until it ends
 		Wait    time.Duration
 		Why     string
+		Trial   bool          // the request is let through though a block refuses it
 		After   time.Duration // when the client of a refused request may retry
 	}
 
--- a/internal/hub/poison.go
+++ b/internal/hub/poison.go
@@ -57,11 +57,11 @@
 	return h.blocks(now)
 }
 
-// FindBlock returns the block that a prompt with the given parts matches, and whether there is one.
-func (h *Hub) FindBlock(parts []poison.Part) (poison.Block, bool) {
+// Admit decides whether a request whose prompt has the given parts may have a slot, and whether as a trial; see poison.Tracker.
+func (h *Hub) Admit(now time.Time, parts []poison.Part) (b poison.Block, blocked, trial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.tracker.Find(parts)
+	return h.tracker.Admit(now, parts)
 }
 
 // SetBlocks puts the blocks in force that another leader has decided.
