configsync: Fresh tells of the moment at which it is called (TestPausedInOutage)

A call that notices a pause of the process wakes the query of peers, and read the state only after that: a reply that came in between made the node fresh within the call that found it stale.

--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -147,10 +147,7 @@
 // fires.
 func (f *Follower) Fresh() bool {
 	f.init()
-	f.tick(f.Now())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.state.Fresh()
+	return f.tick(f.Now())
 }
 
 // InForce returns the version in force, the zero Ref if there is none.
@@ -223,9 +220,9 @@
 	}
 }
 
-// tick records that the process is running at now. A longer gap since the last tick
-// than MaxPause makes the node stale.
-func (f *Follower) tick(now time.Time) {
+// tick records that the process is running at now, and reports whether the node is fresh then. A longer gap since the last tick
+// than MaxPause makes the node stale; replies that this brings about count from the next call on.
+func (f *Follower) tick(now time.Time) (fresh bool) {
 	f.mu.Lock()
 	gap := f.gap(now)
 	paused := !f.lastTick.IsZero() && gap > f.MaxPause
@@ -241,6 +238,7 @@
 		f.state = f.state.WithAssumed(f.state.QueryStamp())
 	}
 	version := f.state.Target().Version
+	fresh = f.state.Fresh()
 	f.mu.Unlock()
 	if paused {
 		f.Metrics.pauses.Inc()
@@ -251,6 +249,7 @@
 	if assume {
 		f.recordAssumed(version)
 	}
+	return fresh
 }
 
 func (f *Follower) recordAssumed(version uint64) {
