--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -27,9 +27,9 @@
 		Before time.Duration // from its send until the crash
 	}
 
-	// Crash is what one node observed of a server's crash. It is immutable.
+	// Crash is one node's observation of a server's crash. It is immutable.
 	Crash struct {
-		ID       uint64 // tells it apart from all others
+		ID       uint64 // of this observation, random
 		Server   string // incarnation that crashed
 		Service  string
 		Age      time.Duration // since the crash
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -29,7 +29,7 @@
 		requests int
 	}
 
-	// suspicion is what is known against a part.
+	// suspicion is the evidence against a part.
 	suspicion struct {
 		crashes  int // one after the other
 		last     time.Time
@@ -38,7 +38,7 @@
 	}
 )
 
-// decide makes the decisions anew if anything has changed.
+// decide repeats the decisions if the evidence has changed.
 func (t *Tracker) decide(now time.Time) {
 	if !t.stale || now.Sub(t.decidedAt) < decideInterval {
 		return
@@ -66,7 +66,7 @@
 	t.replace(now, decided, found)
 }
 
-// suspicions returns what is known against each part, from crashes in the order of their times.
+// suspicions returns the evidence against each part, from crashes in the order of their times.
 func (t *Tracker) suspicions(list []*crash) map[Part]suspicion {
 	out := map[Part]suspicion{}
 	for _, c := range list {
@@ -84,7 +84,7 @@
 	return out
 }
 
-// settle leaves out the latest crashes from what is known against parts that have been sound before.
+// settle leaves the latest crashes out of the evidence against parts that have been sound before.
 func (t *Tracker) settle(now time.Time, suspicions map[Part]suspicion, list []*crash) {
 	var settled map[Part]suspicion
 	for p, s := range suspicions {
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -24,9 +24,9 @@
 // suspected any longer, and a second part that crashes servers is found beside the first.
 //
 // The decision is a Block: the part, with all other parts that every one of its requests had and that no response shows to be
-// sound. Requests with all parts of a block are refused. A request that has only some of them is let through, and its end
-// tells them apart. A block outlasts the requests that it refuses. It is lifted when another one explains its crashes better, or when a response
-// to a request with its parts was sound after all, for which the leader lets single requests through, twice at most
+// sound. Requests with all parts of a block are refused. A request that has only some of them is sent, and its end
+// distinguishes them. A block outlasts the requests that it refuses. It is lifted when another one explains its crashes better, or when a response
+// to a request with its parts was sound after all, for which the leader admits single requests, twice at most
 // (trialDelays).
 //
 // # Usage
--- a/core/poison/log.go
+++ b/core/poison/log.go
@@ -10,7 +10,7 @@
 )
 
 type (
-	// Log keeps the crashes that a node has observed, or passes on, and tells which of them the node to which it reports lacks.
+	// Log keeps the crashes that a node has observed or passes on, and returns those that the hub to which it reports lacks.
 	// The zero value is empty.
 	Log struct {
 		list   []logged
--- a/core/poison/sounds.go
+++ b/core/poison/sounds.go
@@ -10,7 +10,7 @@
 
 type (
 	// Sounds holds when responses to requests with parts last began that were sound, as a node has observed or passes on, and
-	// tells which of them the node to which it reports lacks. The zero value is empty.
+	// returns those that the hub to which it reports lacks. The zero value is empty.
 	Sounds struct {
 		recent   map[soundKey]time.Time
 		previous map[soundKey]time.Time // older ones
@@ -35,7 +35,7 @@
 	}
 }
 
-// Unsent returns the last sound responses to the wanted parts for the next report; nil wants all.
+// Unsent returns the last sound responses to the given parts for the next report, to all parts if wanted is nil.
 func (s *Sounds) Unsent(now time.Time, wanted map[Part]bool) []Sound {
 	s.sending = map[soundKey]time.Time{}
 	for _, known := range []map[soundKey]time.Time{s.recent, s.previous} {
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -25,7 +25,7 @@
 		suspected map[Part]time.Time // since when
 		blocks    []block
 		lifted    map[string]time.Time // when a block with these parts was lifted
-		stale     bool                 // the decisions have to be made anew
+		stale     bool                 // the evidence has changed since the last decisions
 		decidedAt time.Time
 	}
 
@@ -39,7 +39,7 @@
 	}
 )
 
-// Add adds what a node has observed of a crash. Observations of the same server are merged, and one that is added again is ignored.
+// Add adds a node's observation of a crash. Observations of the same server are merged, and one that is added again is ignored.
 func (t *Tracker) Add(now time.Time, c Crash) {
 	at := now.Add(-c.Age)
 	i := slices.IndexFunc(t.crashes, func(e *crash) bool { return e.server == c.Server })
@@ -67,7 +67,7 @@
 	t.stale = true
 }
 
-// AddSound adds what a node knows of a sound response.
+// AddSound adds a sound response that a node has observed.
 func (t *Tracker) AddSound(now time.Time, s Sound) {
 	key, at := soundKey{s.Service, s.Part}, now.Add(-s.Age)
 	if !at.After(t.sounds[key]) {
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -26,8 +26,8 @@
 )
 
 type (
-	// crashes is what a node has observed of servers that crashed, and what it knows of the parts of prompts that may have
-	// crashed them. Gateway.mu guards it.
+	// crashes holds a node's observations of servers that crashed, and the blocks that follow from those of all nodes. Gateway.mu
+	// guards it.
 	crashes struct {
 		pending  map[string]*pendingCrash // by server
 		rejected map[string]time.Time     // when a brittle server last rejected a request
@@ -167,7 +167,7 @@
 	}
 }
 
-// addCrashReport adds what the leader may lack about requests that crash servers to a report; g.mu is held.
+// addCrashReport adds the crashes and sound responses that the leader may lack, and the blocks, to a report; g.mu is held.
 func (g *Gateway) addCrashReport(now time.Time, r *hub.Report) {
 	c := &g.crashes
 	for server, p := range c.pending {
@@ -198,7 +198,7 @@
 	}
 }
 
-// applyCrashReply applies what a reply to a report says about requests that crash servers; g.mu is held.
+// applyCrashReply applies the suspects and blocks in a reply to a report; g.mu is held.
 func (g *Gateway) applyCrashReply(now time.Time, reply hub.ReportReply) {
 	c := &g.crashes
 	c.log.Acknowledge(reply.Heard.Hub)
--- a/internal/hub/poison.go
+++ b/internal/hub/poison.go
@@ -7,7 +7,7 @@
 	"guavapaddle/core/poison"
 )
 
-// relayedCrashes is what a relay passes on about requests that crash servers.
+// relayedCrashes holds the crashes and blocks that a relay passes on.
 type relayedCrashes struct {
 	log      poison.Log     // crashes that nodes have reported
 	sounds   poison.Sounds  // likewise
@@ -17,7 +17,7 @@
 	at       time.Time      // when the blocks were received
 }
 
-// mergeCrashes merges what a node reports about requests that crash servers; h.mu is held.
+// mergeCrashes merges the crashes, sound responses and blocks in a node's report; h.mu is held.
 func (h *Hub) mergeCrashes(now time.Time, r Report) {
 	h.tracker.Inherit(now, r.Blocks)
 	for _, c := range r.Crashes {
@@ -71,7 +71,7 @@
 	h.tracker.SetBlocks(now, list)
 }
 
-// mergeCrashesAsRelay keeps what a node reports about requests that crash servers, to pass it on; h.mu is held.
+// mergeCrashesAsRelay keeps the crashes and sound responses in a node's report, to pass them on; h.mu is held.
 func (h *Hub) mergeCrashesAsRelay(now time.Time, r Report) {
 	c := &h.relay.crashes
 	for _, x := range r.Crashes {
@@ -93,7 +93,7 @@
 	return r
 }
 
-// applyBlocksAsRelay records what the leader sent about requests that crash servers; h.mu is held.
+// applyBlocksAsRelay records the suspects and blocks in the leader's reply; h.mu is held.
 func (h *Hub) applyBlocksAsRelay(now time.Time, reply ReportReply) {
 	c := &h.relay.crashes
 	c.log.Acknowledge(reply.Heard.Hub)
