--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,7 +234,7 @@
 		return
 	}
 	r.parts = r.sharedParts()
-	if b, ok := r.findBlock(); ok && !(b.Trial && r.needsSlot()) {
+	if b, ok := r.findBlock(); ok && (!b.Trial || !r.needsSlot()) {
 		r.refuseBlocked(b, "")
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,7 +89,7 @@
 			r.fail(failure, lastTry)
 			return
 		}
-		if b, ok := r.findBlock(); ok && !(r.trial && r.sends == 0) { // it may have waited, or have crashed a server itself
+		if b, ok := r.findBlock(); ok && (!r.trial || r.sends > 0) { // it may have waited, or have crashed a server itself
 			r.refuseBlocked(b, lastTry)
 			return
 		}
