--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -70,7 +70,7 @@
 		hot      atomic.Pointer[node] // gets most requests, nil for none
 		faults   sync.WaitGroup
 		cleanups []func()
-		mu       sync.Mutex // guards Log and workers
+		mu       sync.Mutex // guards Log, workers and cleanups
 		rowsMu   sync.Mutex
 		rows     map[rowKey][]byte // as last written by the operator and the servers, nil once removed
 	}
@@ -89,7 +89,11 @@
 
 // Cleanup registers a function that runs at the end. Cleanup and Helper give Run the methods
 // of testing.TB that the stand-ins need.
-func (r *Run) Cleanup(f func()) { r.cleanups = append(r.cleanups, f) }
+func (r *Run) Cleanup(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cleanups = append(r.cleanups, f)
+}
 
 // Helper does nothing.
 func (r *Run) Helper() {}
