--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -47,7 +47,7 @@
 		crashes []time.Time
 		sent    []crashRequest
 		rand    *rand.Rand
-		out     map[*testNode]bool // nodes that clients don't reach
+		targets []*testNode // nodes that clients reach
 	}
 
 	// crashRequest is a request of a client and how its first attempt ended.
@@ -69,7 +69,7 @@
 func newAdjustedCrashCluster(t *testing.T, nodes, servers int, kind string, adjust func(*front.Settings), parts ...string) *crashCluster {
 	t.Helper()
 	f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second, adjust: adjust},
-		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2)), out: map[*testNode]bool{}}
+		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2))}
 	if f.model != "" {
 		f.service = "llm"
 	}
@@ -82,6 +82,7 @@
 	f.store.Drop(platform.TableServers, "i-engine")
 	f.store.Drop(platform.TableServers, "i-plain")
 	f.waitForLeader()
+	f.targets = slices.Clone(f.nodes)
 	return f
 }
 
@@ -137,18 +138,23 @@
 func (f *crashCluster) pickNode() *testNode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, i := range f.rand.Perm(len(f.nodes)) {
-		if !f.out[f.nodes[i]] {
-			return f.nodes[i]
-		}
+	if len(f.targets) == 0 {
+		return nil
 	}
-	return nil
+	return f.targets[f.rand.IntN(len(f.targets))]
+}
+
+// addTarget makes clients reach a node.
+func (f *crashCluster) addTarget(p *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = append(f.targets, p)
 }
 
 // stopNode stops a node, which clients don't reach from then on.
 func (f *crashCluster) stopNode(p *testNode) {
 	f.mu.Lock()
-	f.out[p] = true
+	f.targets = slices.DeleteFunc(f.targets, func(o *testNode) bool { return o == p })
 	f.mu.Unlock()
 	p.stop()
 }
@@ -411,21 +417,14 @@
 			}
 			for _, p := range f.nodes {
 				require.Eventually(f.t, p.ready, 8*time.Second, 5*time.Millisecond)
-				f.mu.Lock()
-				delete(f.out, p)
-				f.mu.Unlock()
+				f.addTarget(p)
 			}
 		},
 		"a node joins": func(f *crashCluster) {
 			f.awaitCrash(minCrashes)
 			p := f.start("late")
-			f.mu.Lock()
-			f.out[p] = true
-			f.mu.Unlock()
 			require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
-			f.mu.Lock()
-			delete(f.out, p)
-			f.mu.Unlock()
+			f.addTarget(p)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
