--- a/internal/follow/sim_restore_test.go
+++ b/internal/follow/sim_restore_test.go
@@ -129,6 +129,18 @@
 	return s.Store.Read(ctx, table, from, to)
 }
 
+// follow starts a node that has no other nodes and follows a store, and returns a function that reports whether it has a server.
+func (f *simFleet) follow(ctx context.Context, n *simNode, s follow.Store) (has func(id string) bool) {
+	n.Follower = &follow.Follower{Store: s, Log: zap.NewNop(), OnConfig: n.setConfig, OnServers: n.servers, Role: n.role}
+	f.wg.Go(func() { n.Run(ctx) })
+	return func(id string) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		_, ok := n.list[id]
+		return ok
+	}
+}
+
 // TestServerThatLeavesDuringSilentReadIsKnownInTime guards against a server that stays in use because it left
 // while the first full read after a restore got no response: entries that the next read lacks are kept for a
 // grace period, as those that the store has lost.
@@ -142,14 +154,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		n := &simNode{fleet: f}
 		s := &silentStore{Store: n}
-		n.Follower = &follow.Follower{Store: s, Log: zap.NewNop(), OnConfig: n.setConfig, OnServers: n.servers, Role: n.role}
-		f.wg.Go(func() { n.Run(ctx) })
-		has := func(id string) bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			_, ok := n.list[id]
-			return ok
-		}
+		has := f.follow(ctx, n, s)
 		clock.Sleep(ctx, 3*time.Second)
 		require.True(t, has("i-0") && has("i-1"))
 		s.silent.Store(true)
@@ -182,14 +187,7 @@
 		f.put("config", "")
 		ctx, cancel := context.WithCancel(t.Context())
 		n := &simNode{fleet: f}
-		n.Follower = &follow.Follower{Store: n, Log: zap.NewNop(), OnConfig: n.setConfig, OnServers: n.servers, Role: n.role}
-		f.wg.Go(func() { n.Run(ctx) })
-		has := func(id string) bool {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			_, ok := n.list[id]
-			return ok
-		}
+		has := f.follow(ctx, n, n)
 		clock.Sleep(ctx, 3*time.Second)
 		f.put("i-2", "ready") // lost by the copy, and not written again for a while
 		clock.Sleep(ctx, time.Second)
