--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -40,6 +40,9 @@
 		*testCluster
 		service, path, model string
 		parts                []string // that crash servers
+		paths                []string // likewise, of requests of which copies come
+		crashDelay           time.Duration
+		crashEnd             standin.CrashEnd
 
 		mu      sync.Mutex
 		started int
@@ -70,6 +73,13 @@
 	t.Helper()
 	f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second, adjust: adjust},
 		service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, parts: parts, rand: rand.New(rand.NewPCG(1, 2))}
+	f.launchWith(nodes, servers)
+	return f
+}
+
+// launchWith starts nodes and servers.
+func (f *crashCluster) launchWith(nodes, servers int) {
+	f.t.Helper()
 	if f.model != "" {
 		f.service = "llm"
 	}
@@ -83,7 +93,6 @@
 	f.store.Drop(platform.TableServers, "i-plain")
 	f.waitForLeader()
 	f.targets = slices.Clone(f.nodes)
-	return f
 }
 
 // startServer starts a server. After its crash its entry lapses and another one starts.
@@ -91,7 +100,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
-	w := &standin.Worker{ID: fmt.Sprint("i-", f.started), CrashParts: f.parts}
+	w := &standin.Worker{ID: fmt.Sprint("i-", f.started), CrashParts: f.parts, CrashPaths: f.paths, CrashDelay: f.crashDelay, End: f.crashEnd}
 	if f.model != "" {
 		w.Hold("m0")
 		w.Stream, w.Pause = 20, 20*time.Millisecond
@@ -102,10 +111,12 @@
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
 		f.mu.Unlock()
-		time.AfterFunc(restartTime, func() {
-			f.store.Drop(platform.TableServers, w.ID)
-			f.startServer()
-		})
+		lapse := restartTime
+		if w.End == standin.EndSilent {
+			lapse = silentLapse
+		}
+		time.AfterFunc(lapse, func() { f.store.Drop(platform.TableServers, w.ID) })
+		time.AfterFunc(restartTime, f.startServer)
 	}
 	w.Start(f.t)
 	f.store.Put(platform.TableServers, w.ID, w.Entry(f.service, "z", false))
