gateway: try and request lines say of which request they are a copy

Crash marks couldn't be followed over nodes: a line of a node that refuses and one of a node that sends didn't show that they concern the same request.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -176,7 +177,7 @@
 	}
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
-		zap.String("reason", string(o.reason)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
+		zap.String("reason", string(o.reason)), zap.String("copy", strconv.FormatUint(r.fingerprint, 16)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
 		zap.String("server", r.selection.Server.ID), zap.String("software", r.selection.Server.Software), zap.String("resumes", r.meta.Resumes), zap.String("needs", r.software), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
 		zap.Duration("age", r.selection.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,7 +71,7 @@
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
 			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
-			zap.String("prompt", poison.Block{Parts: r.parts}.Name()), zap.Int("marks", t.marks), zap.Error(t.err))
+			zap.String("prompt", poison.Block{Parts: r.parts}.Name()), zap.String("copy", strconv.FormatUint(t.fingerprint, 16)), zap.Int("marks", t.marks), zap.Error(t.err))
 	}
 	return state, reason
 }
