poison: a whole request is one more part that requests share

Copies of one request were found by crash marks in the gateway and the hub, beside the evidence against parts of prompts, with state that is lost with each node or leader. The evidence, blocks and trials of core/poison now hold for both: the fingerprint of a request is a part (CopyOf).

- Copies that clients send at the same time count each, if none was ever sound: no crash follows another then.
Popular ones have been sound before, or are within inquiryTime.
- A whole request goes before a part of its prompt, unless that explains minCrashes more; a block of which others explain all but minCrashes-1 crashes is lifted.
- Crashes are kept for an hour in place of ten minutes, and those that are evidence against a suspected part aren't displaced by others (64 are kept).
Crashes later than 3 s after the one that counts take the place of trials, so that no more than three requests reach servers in all.

New tests of core/poison fail without it (they don't compile). Nothing uses it yet.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -15,25 +15,29 @@
 	BeginTime = time.Second
 	// maxPartBytes bounds the length of a part's id. A longer one is represented by its hash.
 	maxPartBytes = 32
+	// copyPrefix begins the id of a whole request. Ids of parts of prompts have no colon.
+	copyPrefix = "copy:"
 )
 
 type (
-	// Part is the id of a part of a prompt.
+	// Part is the id of what several requests may have in common: a part of a prompt, or the whole request.
 	Part string
 
 	// Request is a request that was in flight at a server when it crashed, and whose response had not lasted BeginTime.
 	Request struct {
-		Parts  []Part        // of the prompt that other requests may share
-		Before time.Duration // from its send until the crash
+		Parts  []Part        `json:"parts"`     // that other requests may share
+		Before time.Duration `json:"before-ns"` // from its send until the crash
 	}
 
 	// Crash is one node's observation of a server's crash. It is immutable.
 	Crash struct {
-		ID       uint64 // of this observation, random
-		Server   string // incarnation that crashed
-		Service  string
-		Age      time.Duration // since the crash
-		Requests []Request
+		ID      uint64 `json:"id"`     // of this observation, random
+		Server  string `json:"server"` // incarnation that crashed
+		Service string `json:"service"`
+		// Age is the time since the crash, or since it was noticed if Late.
+		Age      time.Duration `json:"age-ns"`
+		Late     bool          `json:"late,omitempty"`
+		Requests []Request     `json:"requests,omitempty"`
 	}
 
 	// Sound states that a server of a service began a response to a request with a part, and completed it or lived on for
@@ -44,7 +48,7 @@
 		Age     time.Duration // since the response began
 	}
 
-	// Block is a set of parts. Requests whose prompts have all of them are refused. It is immutable.
+	// Block is a set of parts. Requests that have all of them are refused. It is immutable.
 	Block struct {
 		Parts   []Part        `json:"parts"`   // sorted
 		Service string        `json:"service"` // at whose servers the last crash was
@@ -57,9 +61,9 @@
 	}
 )
 
-// PartOf returns the part with an id.
+// PartOf returns the part of a prompt with an id.
 func PartOf(id string) Part {
-	if len(id) <= maxPartBytes {
+	if len(id) <= maxPartBytes && !strings.Contains(id, ":") {
 		return Part(id)
 	}
 	return Part("hash-" + strconv.FormatUint(xxhash.Sum64String(id), 16))
@@ -77,6 +81,12 @@
 	return out
 }
 
+// CopyOf returns the part that stands for a whole request, which copies of it share, by a hash of what they have in common.
+func CopyOf(fingerprint uint64) Part { return Part(copyPrefix + strconv.FormatUint(fingerprint, 16)) }
+
+// IsCopy reports whether the part stands for a whole request.
+func (p Part) IsCopy() bool { return strings.HasPrefix(string(p), copyPrefix) }
+
 // WithAge returns the crash with another age.
 func (c Crash) WithAge(age time.Duration) Crash {
 	c.Age = age
@@ -101,7 +111,10 @@
 	return name.String()
 }
 
-// Matches reports whether a prompt with the given parts has all parts of the block.
+// OfCopies reports whether the block refuses copies of one request.
+func (b Block) OfCopies() bool { return slices.ContainsFunc(b.Parts, Part.IsCopy) }
+
+// Matches reports whether a request with the given parts has all parts of the block.
 func (b Block) Matches(parts []Part) bool {
 	for _, p := range b.Parts {
 		if !slices.Contains(parts, p) {
@@ -111,7 +124,7 @@
 	return len(b.Parts) > 0
 }
 
-// FindMatch returns the first block that matches a prompt with the given parts, and whether there is one.
+// FindMatch returns the first block that matches a request with the given parts, and whether there is one.
 func FindMatch(blocks []Block, parts []Part) (Block, bool) {
 	for _, b := range blocks {
 		if b.Matches(parts) {
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -10,7 +10,8 @@
 	// minCrashes is the number of crashes, one after the other, from which on a part is blocked. With two, a rare part that was in
 	// flight at the crashes of a server and of its successor would be.
 	minCrashes = 3
-	// certainCrashes is the number of crashes from which on a part that has never been sound is blocked at once.
+	// certainCrashes is the number of crashes, one after the other, from which on a part of prompts that has never been sound is blocked
+	// at once. For a whole request it is minCrashes: what was in flight beside it at the next crash is another one.
 	certainCrashes = 5
 	// settleTime is how long ago a crash must be to count against a part that has been sound before: responses that have begun
 	// since have to last BeginTime before they are reported, through a relay.
@@ -18,6 +19,8 @@
 	// inquiryTime is how long a part is suspected before it is blocked, in which all nodes report when they last got a sound response
 	// to it.
 	inquiryTime = time.Second
+	// blockTime is how long after the crash from which on a part is refused all nodes refuse it.
+	blockTime = 3 * time.Second
 	// decideInterval is the minimum time between two decisions, each of which looks at all requests of all crashes.
 	decideInterval = 200 * time.Millisecond
 )
@@ -31,16 +34,18 @@
 
 	// suspicion is the evidence against a part.
 	suspicion struct {
-		crashes  int // one after the other
-		last     time.Time
-		service  string // of the last one
-		requests int    // in flight at these crashes
+		crashes   int // that count
+		last      time.Time
+		chain     int // how many of them came one after the other
+		chainedAt time.Time
+		service   string // of the last one
+		requests  int    // in flight at these crashes
 	}
 )
 
 // decide repeats the decisions if the evidence has changed.
 func (t *Tracker) decide(now time.Time) {
-	if !t.stale || now.Sub(t.decidedAt) < decideInterval {
+	if !t.stale || !t.Eager && now.Sub(t.decidedAt) < decideInterval {
 		return
 	}
 	t.stale, t.decidedAt = false, now
@@ -66,19 +71,25 @@
 	t.replace(now, decided, found)
 }
 
-// suspicions returns the evidence against each part, from crashes in the order of their times.
+// suspicions returns the evidence against each part, from crashes in the order of their times. Crashes that didn't come one after the
+// other count as one, but for a whole request that was never sound: several clients may send copies of it at the same time.
 func (t *Tracker) suspicions(list []*crash) map[Part]suspicion {
 	out := map[Part]suspicion{}
 	for _, c := range list {
 		for p, sent := range c.parts {
 			s := out[p]
-			if !c.at.After(t.sounds[soundKey{c.service, p}]) {
+			soundAt := t.sounds[soundKey{c.service, p}]
+			chained := s.chain == 0 || sent.at.After(s.chainedAt)
+			if !c.at.After(soundAt) || !chained && (!p.IsCopy() || !soundAt.IsZero()) {
 				continue
 			}
-			if s.crashes > 0 && !sent.at.After(s.last) {
-				continue
+			if chained {
+				s.chain++
+				s.chainedAt = c.at
 			}
-			out[p] = suspicion{s.crashes + 1, c.at, c.service, s.requests + sent.requests}
+			s.crashes, s.last, s.service = s.crashes+1, c.at, c.service
+			s.requests += sent.requests
+			out[p] = s
 		}
 	}
 	return out
@@ -131,60 +142,102 @@
 }
 
 // culprit returns the part that explains the most crashes, if one has to be blocked. Of several, it is the one of which the fewest
-// requests were in flight: a sound part that always occurs beside it has as many at least.
+// requests were in flight: a sound part that always occurs beside it has as many at least. A whole request goes before a part of its
+// prompt, unless that explains minCrashes more.
 func (t *Tracker) culprit(now time.Time, suspicions map[Part]suspicion) (best Part, ok bool) {
+	var whole Part // request that explains the most crashes, empty if there is none
 	for p, s := range suspicions {
 		if s.crashes < minCrashes {
 			continue
 		}
-		certain := s.crashes >= certainCrashes && t.sounds[soundKey{s.service, p}].IsZero()
-		if !certain && now.Sub(t.suspected[p]) < inquiryTime {
+		if !t.isCertain(p, s) && now.Sub(t.suspected[p]) < inquiryTime {
 			t.stale = true // it may have to be blocked soon
 			continue
 		}
-		b := suspicions[best]
-		if !ok || s.crashes > b.crashes || s.crashes == b.crashes && (s.requests < b.requests || s.requests == b.requests && p < best) {
+		if !ok || s.exceeds(p, suspicions[best], best) {
 			best, ok = p, true
 		}
+		if p.IsCopy() && (whole == "" || s.exceeds(p, suspicions[whole], whole)) {
+			whole = p
+		}
+	}
+	if whole != "" && suspicions[best].crashes-suspicions[whole].crashes < minCrashes {
+		return whole, true
 	}
 	return best, ok
 }
 
-// blockFor returns the block for a part, from the crashes that aren't explained yet.
+// isCertain reports whether a part is blocked before all nodes have reported when it was last sound.
+func (t *Tracker) isCertain(p Part, s suspicion) bool {
+	enough := certainCrashes
+	if p.IsCopy() {
+		enough = minCrashes
+	}
+	return s.chain >= enough && t.sounds[soundKey{s.service, p}].IsZero()
+}
+
+// exceeds reports whether the suspicion against a part is stronger than another one.
+func (s suspicion) exceeds(p Part, o suspicion, q Part) bool {
+	return s.crashes > o.crashes || s.crashes == o.crashes && (s.requests < o.requests || s.requests == o.requests && p < q)
+}
+
+// blockFor returns the block for a part, from the crashes that aren't explained yet. The block of a whole request has no other parts.
 func (t *Tracker) blockFor(p Part, s suspicion, list []*crash) block {
 	b := block{service: s.service, crashes: s.crashes, at: s.last, explained: map[string]bool{}}
 	var common []Part
+	var times []time.Time
 	for _, c := range list {
+		if c.parts[p].requests == 0 {
+			continue
+		}
+		b.explained[c.server] = true
+		times = append(times, c.at)
 		for _, r := range c.requests {
-			if !slices.Contains(r.Parts, p) {
+			if !slices.Contains(r.Parts, p) || !c.at.After(t.sounds[soundKey{c.service, p}]) { // from before its last sound response
 				continue
 			}
-			b.explained[c.server] = true
-			if !c.at.After(t.sounds[soundKey{c.service, p}]) {
-				continue // from before its last sound response
-			}
 			if common == nil {
 				common = slices.Clone(r.Parts)
 			}
 			common = slices.DeleteFunc(common, func(q Part) bool {
-				return q != p && (!slices.Contains(r.Parts, q) || !c.at.After(t.sounds[soundKey{c.service, q}]))
+				return q != p && (p.IsCopy() || !slices.Contains(r.Parts, q) || !c.at.After(t.sounds[soundKey{c.service, q}]))
 			})
 		}
 	}
 	slices.Sort(common)
 	b.parts = slices.Compact(common)
+	b.trials = lateCrashes(p, times)
 	return b
 }
 
-// replace puts the decided blocks in force. Blocks of before stay, unless others explain all crashes that led to them.
+// lateCrashes returns how many of the crashes of a part, in the order of their times, came though the part should have been refused.
+// Each takes the place of a trial.
+func lateCrashes(p Part, times []time.Time) int {
+	enough := certainCrashes
+	if p.IsCopy() {
+		enough = minCrashes
+	}
+	late := 0
+	for _, at := range times[min(enough, len(times)):] {
+		if at.Sub(times[enough-1]) > blockTime {
+			late++
+		}
+	}
+	return late
+}
+
+// replace puts the decided blocks in force. Blocks of before stay, unless others explain so many of the crashes that led to them that
+// the rest wouldn't have.
 func (t *Tracker) replace(now time.Time, decided []block, found map[string]bool) {
 	for _, old := range t.blocks {
 		again := slices.ContainsFunc(decided, func(b block) bool { return slices.Equal(b.parts, old.parts) })
-		explained := old.explained != nil
+		unexplained := 0
 		for server := range old.explained {
-			explained = explained && found[server]
+			if !found[server] {
+				unexplained++
+			}
 		}
-		if explained && !again {
+		if old.explained != nil && unexplained < minCrashes && !again {
 			t.lift(old.parts, now)
 			t.blocks = slices.DeleteFunc(slices.Clone(t.blocks), func(b block) bool { return slices.Equal(b.parts, old.parts) })
 		}
@@ -193,7 +246,7 @@
 		i := slices.IndexFunc(t.blocks, func(o block) bool { return slices.Equal(o.parts, b.parts) })
 		switch {
 		case i >= 0:
-			b.trials, b.triedAt = t.blocks[i].trials, t.blocks[i].triedAt
+			b.trials, b.triedAt = max(b.trials, t.blocks[i].trials), t.blocks[i].triedAt
 			t.blocks[i] = b
 		case !t.covers(b.parts):
 			t.insert(b)
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// crashRetention is how long crashes count.
-	crashRetention = 10 * time.Minute
+	// crashRetention is how long crashes count. Copies of a request may come minutes apart.
+	crashRetention = time.Hour
 	// maxRequests bounds the requests of one crash that are kept.
 	maxRequests = 512
 	// maxSounds bounds the parts of which the last sound response is known.
@@ -20,6 +20,9 @@
 type (
 	// Tracker decides which requests are refused, from what all nodes have observed. The zero value is ready to use.
 	Tracker struct {
+		// Eager makes it decide whenever the evidence has changed. It is for one node's observations, which are few.
+		Eager bool
+
 		crashes   []*crash // in the order of their times
 		sounds    map[soundKey]time.Time
 		suspected map[Part]time.Time // since when
@@ -33,40 +36,71 @@
 	crash struct {
 		server, service string
 		at              time.Time
-		seen            map[uint64]bool // ids of the observations
-		requests        []Request
-		parts           map[Part]sent // of the requests
+		observed        map[uint64][]Request // requests of each observation, by its id
+		requests        []Request            // of all
+		parts           map[Part]sent        // of the requests
 	}
 )
 
-// Add adds a node's observation of a crash. Observations of the same server are merged, and one that is added again is ignored.
+// Add adds a node's observation of a crash. Observations of the same server are merged. One that is added again replaces what was known
+// of it if it has more requests. Without requests it isn't kept.
 func (t *Tracker) Add(now time.Time, c Crash) {
+	if len(c.Requests) == 0 {
+		return
+	}
 	at := now.Add(-c.Age)
 	i := slices.IndexFunc(t.crashes, func(e *crash) bool { return e.server == c.Server })
 	var e *crash
 	if i >= 0 {
 		e = t.crashes[i]
-		if e.seen[c.ID] {
+		if len(e.observed[c.ID]) >= len(c.Requests) {
 			return
 		}
 		if at.Before(e.at) {
 			e.at = at
 		}
 	} else {
-		e = &crash{server: c.Server, service: c.Service, at: at, seen: map[uint64]bool{}}
+		e = &crash{server: c.Server, service: c.Service, at: at, observed: map[uint64][]Request{}}
 		t.crashes = append(t.crashes, e)
 	}
-	e.seen[c.ID] = true
-	e.requests = append(e.requests, c.Requests[:min(len(c.Requests), maxRequests-len(e.requests))]...)
-	e.parts = e.countParts()
+	e.observed[c.ID] = c.Requests
+	e.merge()
 	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	t.crashes = slices.DeleteFunc(t.crashes, func(e *crash) bool { return now.Sub(e.at) > crashRetention })
 	if len(t.crashes) > maxCrashes {
-		t.crashes = t.crashes[1:]
+		t.evict()
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(e *crash) bool { return now.Sub(e.at) > crashRetention })
 	t.stale = true
 }
 
+// merge joins the requests of all observations.
+func (c *crash) merge() {
+	c.requests = nil
+	for _, id := range slices.Sorted(maps.Keys(c.observed)) {
+		list := c.observed[id]
+		c.requests = append(c.requests, list[:min(len(list), maxRequests-len(c.requests))]...)
+	}
+	c.parts = c.countParts()
+}
+
+// evict removes the oldest crash that is no evidence against a suspected part, or the oldest if there is none. Servers that end for
+// another reason, many together, thus don't displace the crashes of a request that comes seldom.
+func (t *Tracker) evict() {
+	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return !t.isEvidence(c) })
+	i = max(i, 0)
+	t.crashes = slices.Delete(t.crashes, i, i+1)
+}
+
+// isEvidence reports whether a suspected part was in flight at the crash, and was not sound since.
+func (t *Tracker) isEvidence(c *crash) bool {
+	for p := range c.parts {
+		if _, ok := t.suspected[p]; ok && c.at.After(t.sounds[soundKey{c.service, p}]) {
+			return true
+		}
+	}
+	return false
+}
+
 // AddSound adds a sound response that a node has observed.
 func (t *Tracker) AddSound(now time.Time, s Sound) {
 	key, at := soundKey{s.Service, s.Part}, now.Add(-s.Age)
@@ -80,20 +114,25 @@
 		t.pruneSounds()
 	}
 	t.sounds[key] = at
-	t.stale = true
+	if t.isInEvidence(s.Part) {
+		t.stale = true
+	}
 	t.narrow(key, at)
 }
 
 // pruneSounds forgets the sound responses to parts of which no request was in flight at a crash that is kept, or all if there are too many.
 func (t *Tracker) pruneSounds() {
-	maps.DeleteFunc(t.sounds, func(key soundKey, _ time.Time) bool {
-		return !slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.parts[key.part].requests > 0 })
-	})
+	maps.DeleteFunc(t.sounds, func(key soundKey, _ time.Time) bool { return !t.isInEvidence(key.part) })
 	if len(t.sounds) >= maxSounds {
 		clear(t.sounds)
 	}
 }
 
+// isInEvidence reports whether a request with the part was in flight at a crash that is kept.
+func (t *Tracker) isInEvidence(p Part) bool {
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.parts[p].requests > 0 })
+}
+
 // Suspects returns the parts of which nodes report sound responses: those that are suspected or blocked.
 func (t *Tracker) Suspects(now time.Time) []Part {
 	t.decide(now)
