Crashes count whether or not a client waits for the response, and however the server ends

Callers saw copies of one request crash servers without end, if their clients left before the crash or the servers fell silent: a crash was seen only by a node whose own connection broke with a request in flight.

A node keeps, for each server, the requests that it sent and that may still crash it: those in flight whose response isn't known to be sound, and those that it gave up in the last 8 s. They count as in flight at a crash, whose signs are now: a connection that breaks, a new one that is refused, another incarnation at the address, an entry that goes (or names a later start) though the server hadn't announced that it leaves, and the report of another node, which the leader passes on to all (hub.CrashedServer, each once).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -103,6 +103,8 @@
 		Log       *zap.Logger
 		OnConfig  func(*fleet.Config)
 		OnServers func([]fleet.Server)
+		// OnGone is called before OnServers for each server whose entry has gone. It may be nil.
+		OnGone func(server string)
 		// HasFeed reports whether this node receives changes from another one, and so
 		// doesn't need to query the store; nil for never.
 		HasFeed func() bool
@@ -331,6 +333,9 @@
 	for id := range f.leaving {
 		if _, ok := leaving[id]; !ok && !f.dropsPartial(id) {
 			f.Log.Info("server-gone", zap.String("server", id), zap.Duration("age", age))
+			if f.OnGone != nil {
+				f.OnGone(id)
+			}
 		}
 	}
 	f.leaving = leaving
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -155,7 +155,7 @@
 	n.registry.MustRegister(n.granter)
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
-	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
+	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, OnGone: n.gateway.ServerGone, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
 		Role: n.role, Omit: n.isGranted, HoldsWhole: n.holdsWhole, ExpectsFeed: n.expectsRelay, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,6 +171,7 @@
 // SetServers replaces the list of backend servers.
 func (g *Gateway) SetServers(list []fleet.Server) {
 	g.mu.Lock()
+	g.recordServers(list)
 	g.picker.Update(list)
 	g.mu.Unlock()
 	g.notifyChange()
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -6,10 +6,12 @@
 	"net"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"guavapaddle/core/fleet"
 	"guavapaddle/core/poison"
 	"guavapaddle/internal/hub"
 )
@@ -53,6 +55,7 @@
 		sent     sentRequests
 		pending  map[string]*pendingCrash // by server
 		rejected map[string]time.Time     // when a brittle server last rejected a request
+		known    map[string]fleet.Server  // servers in the list
 		log      poison.Log
 		sounds   poison.Sounds  // of parts of prompts
 		copies   poison.Sounds  // of whole requests, which would displace the parts
@@ -148,7 +151,7 @@
 	}
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	if reason == ConnLost {
+	if state == clientGone || state == deadlinePassed || reason == ConnLost {
 		t.record.ended = time.Now()
 		return
 	}
@@ -172,6 +175,23 @@
 	}
 }
 
+// recordRefusal records that a connection to the server was refused.
+func (t *try) recordRefusal(err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !t.mayBeCrash(err) {
+		return
+	}
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.suspectCrash(time.Now(), t.selection.Server.ID, t.service, signRefused)
+}
+
+// recordReplaced records that another incarnation of the server uses its address.
+func (t *try) recordReplaced() {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.suspectCrash(time.Now(), t.selection.Server.ID, t.service, signReplaced)
+}
+
 // suspectCrash records a sign of a server's crash; g.mu is held. A late sign matters only if requests were in flight before.
 func (g *Gateway) suspectCrash(at time.Time, server, service string, sign crashSign) {
 	c, now := &g.crashes, time.Now()
@@ -191,6 +211,31 @@
 	c.pending[server] = &pendingCrash{service: service, sign: sign, at: at, due: due}
 }
 
+// ServerGone records that the entry of a server has gone. A server that hadn't announced that it leaves has crashed.
+func (g *Gateway) ServerGone(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.crashes.known[id]; ok && !s.Leaving {
+		g.suspectCrash(time.Now(), id, s.Service, signGone)
+	}
+}
+
+// recordServers records which servers the list has. One that has started again has crashed; g.mu is held.
+func (g *Gateway) recordServers(list []fleet.Server) {
+	c, now := &g.crashes, time.Now()
+	known := make(map[string]fleet.Server, len(list))
+	for _, s := range list {
+		known[s.ID] = s
+	}
+	for id, s := range c.known {
+		next, ok := known[id]
+		if ok && !s.Leaving && !s.GrantOnly && !next.GrantOnly && next.StartedAtMS != s.StartedAtMS {
+			g.suspectCrash(now, id, s.Service, signGone)
+		}
+	}
+	c.known = known
+}
+
 // mayBeCrash reports whether a connection may have broken because the server crashed: not if the server was silent, if this
 // node closed the connection, or if its path to all servers may be lost.
 func (t *try) mayBeCrash(err error) bool {
@@ -259,11 +304,11 @@
 	}
 }
 
-// confirmCrashes records the crashes of servers that have not responded since a sign of it; g.mu is held.
-func (g *Gateway) confirmCrashes(now time.Time) {
+// confirmCrashes records the crashes of servers that have not responded since a sign of it, all of them if the node stops; g.mu is held.
+func (g *Gateway) confirmCrashes(now time.Time, stopping bool) {
 	c := &g.crashes
 	for server, p := range c.pending {
-		if now.Before(p.due) {
+		if now.Before(p.due) && !stopping {
 			continue
 		}
 		delete(c.pending, server)
@@ -289,7 +334,7 @@
 // addCrashReport adds the crashes and sound responses that the leader may lack, and the blocks, to a report; g.mu is held.
 func (g *Gateway) addCrashReport(now time.Time, r *hub.Report) {
 	c := &g.crashes
-	g.confirmCrashes(now)
+	g.confirmCrashes(now, false)
 	r.Crashes, r.KnownCrashes = c.log.Unsent(now), c.received
 	asked := map[poison.Part]bool{}
 	for _, p := range c.suspects {
@@ -308,6 +353,16 @@
 	}
 }
 
+// HasUnreportedCrash reports whether this node has noticed a crash that the leader may lack. A node that stops doesn't wait whether the
+// server responds again.
+func (g *Gateway) HasUnreportedCrash() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.confirmCrashes(now, true)
+	return g.crashes.log.HasUnsent(now)
+}
+
 // applyCrashReply applies what a reply to a report holds about crashes; g.mu is held.
 func (g *Gateway) applyCrashReply(now time.Time, reply hub.ReportReply) {
 	c := &g.crashes
@@ -319,4 +374,18 @@
 	for _, x := range reply.Crashes {
 		c.log.AddFrom(now, x, reply.Heard.Hub)
 	}
+	for _, x := range reply.Crashed {
+		if len(c.sent.byServer[x.Server]) > 0 {
+			g.suspectReported(now.Add(-x.Age), x)
+		}
+	}
+}
+
+// suspectReported records that another node noticed a server's crash at a time; g.mu is held.
+func (g *Gateway) suspectReported(at time.Time, x hub.CrashedServer) {
+	sign := signReported
+	if x.Late {
+		sign = signReportedLate
+	}
+	g.suspectCrash(at, x.Server, g.crashes.known[x.Server].Service, sign)
 }
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -15,7 +16,11 @@
 	"guavapaddle/platform/standin"
 )
 
-const promptHeader = "X-Guavapaddle-Prompt-Prefix: "
+const (
+	promptHeader = "X-Guavapaddle-Prompt-Prefix: "
+	// crashDelay is how long a server runs a request that crashes it.
+	crashDelay = 150 * time.Millisecond
+)
 
 func TestRequestWithBlockedPartIsRefused(t *testing.T) {
 	t.Parallel()
@@ -96,3 +101,81 @@
 	reply = hub.SlotReply{Granted: true, Server: "i-1", Trial: true}
 	require.Equal(t, 200, r.do("POST", "/unsafe/x", "plain trial", "", promptHeader+"dead:10,own:30").status, "services without slots are tried too")
 }
+
+// TestCrashWithoutWaitingClientIsReported guards against requests whose clients leave before they crash the server, and servers that end
+// without a sign: the node that sent the request doesn't see its connection break.
+func TestCrashWithoutWaitingClientIsReported(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct {
+		end  standin.CrashEnd
+		sign func(r *rig)
+	}{
+		"another request's connection breaks": {standin.EndReset, func(r *rig) { r.do("POST", "/unsafe/other", "other", "") }},
+		"a new connection is refused": {standin.EndReset, func(r *rig) {
+			<-time.After(2 * crashDelay)
+			r.do("POST", "/unsafe/other", "other", "")
+		}},
+		"the entry goes":          {standin.EndSilent, func(r *rig) { r.gateway.ServerGone("i-1") }},
+		"another node reports it": {standin.EndSilent, func(r *rig) { r.gateway.ApplyReply(hub.ReportReply{Crashed: []hub.CrashedServer{{Server: "i-1"}}}) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := (&standin.Worker{ID: "i-1", CrashPaths: []string{"/unsafe/bad"}, CrashDelay: crashDelay, Think: 4 * crashDelay, End: x.end}).Start(t)
+			r := newRig(t, w)
+			r.leave("/unsafe/bad", crashDelay/3)
+			x.sign(r)
+			var copies []poison.Part
+			require.Eventually(t, func() bool {
+				for _, c := range r.gateway.Report("n", 0).Crashes {
+					for _, q := range c.Requests {
+						copies = append(copies, q.Parts...)
+					}
+				}
+				return len(copies) > 0
+			}, 3*time.Second, 20*time.Millisecond)
+			require.True(t, copies[0].IsCopy())
+			require.Contains(t, r.log.String(), "event=server-crash")
+		})
+	}
+}
+
+// TestRequestOfClientThatLeftIsNoCrash checks that a server which is leaving, or lives on, isn't reported.
+func TestRequestOfClientThatLeftIsNoCrash(t *testing.T) {
+	t.Parallel()
+	w := (&standin.Worker{ID: "i-1", Think: crashDelay}).Start(t)
+	r := newRig(t, w)
+	r.leave("/unsafe/x", crashDelay/3)
+	r.gateway.SetServers([]fleet.Server{{ID: "i-1", Service: "plain", Address: w.Address(), Zone: "z", Slots: 4, Leaving: true}})
+	r.gateway.ServerGone("i-1")
+	r.gateway.SetServers([]fleet.Server{{ID: "i-1", Service: "plain", Address: w.Address(), Zone: "z", Slots: 4}})
+	require.Equal(t, 200, r.do("POST", "/unsafe/x", "after", "").status)
+	r.gateway.ApplyReply(hub.ReportReply{Crashed: []hub.CrashedServer{{Server: "i-1", Age: time.Minute}}})
+	require.Never(t, func() bool { return len(r.gateway.Report("n", 0).Crashes) > 0 }, 1500*time.Millisecond, 100*time.Millisecond)
+	require.False(t, r.gateway.HasUnreportedCrash())
+}
+
+// TestNodeThatStopsReportsCrashAtOnce checks that a crash just before a stop can be reported without the wait whether the server lives.
+func TestNodeThatStopsReportsCrashAtOnce(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, startWorker(t, "i-1", standin.Crash))
+	require.False(t, r.gateway.HasUnreportedCrash())
+	r.do("POST", "/unsafe/x", "r0", "")
+	require.True(t, r.gateway.HasUnreportedCrash())
+	require.Len(t, r.gateway.Report("n", 0).Crashes, 1)
+}
+
+// leave sends a request whose client leaves after a time.
+func (r *rig) leave(path string, after time.Duration) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+path, nil)
+	require.NoError(r.t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Guavapaddle-Request-Id", "left")
+	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	require.Error(r.t, err)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -263,6 +263,7 @@
 	case !time.Now().Before(t.deadline):
 		return deadlinePassed, Deadline, false
 	}
+	t.recordRefusal(err)
 	if isTimeout(err) { // open connections may outlive a refused one
 		t.g.Pool.Drop(t.selection.Server.Address)
 	}
@@ -330,6 +331,7 @@
 	id := t.selection.Server.ID
 	if t.respMeta.Instance != "" && t.respMeta.Instance != id || !t.usesEngine() {
 		t.g.Pool.Drop(t.selection.Server.Address)
+		t.recordReplaced()
 		return Misdirected
 	}
 	t.notResident = append(t.notResident, id)
