front: a node that stops reports the crashes that it saw with its last requests

A crash that a node saw as it completed its last request, and no other node had that request in flight, was forgotten: the node waits 0.3 s whether the server responds and reports at most each 0.2 s (0.8 s in a large deployment), and had ended by then. It has a report sent now, without that wait.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -43,6 +43,7 @@
 		paths                []string // likewise, of requests of which copies come
 		crashDelay           time.Duration
 		crashEnd             standin.CrashEnd
+		capacity             int // of a server, zero for no limit
 
 		mu      sync.Mutex
 		started int
@@ -100,7 +101,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
-	w := &standin.Worker{ID: fmt.Sprint("i-", f.started), CrashParts: f.parts, CrashPaths: f.paths, CrashDelay: f.crashDelay, End: f.crashEnd}
+	w := &standin.Worker{ID: fmt.Sprint("i-", f.started), CrashParts: f.parts, CrashPaths: f.paths, CrashDelay: f.crashDelay, End: f.crashEnd, Capacity: f.capacity}
 	if f.model != "" {
 		w.Hold("m0")
 		w.Stream, w.Pause = 20, 20*time.Millisecond
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -357,6 +357,9 @@
 	n.gateway.Stop()
 	_ = n.listeners[0].Close()
 	n.clients.Shutdown(ctx)
+	if n.gateway.HasUnreportedCrash() { // no other node may have had the request that caused it
+		n.refresher.request(ctx)
+	}
 	for _, l := range n.listeners[1:] {
 		_ = l.Close()
 	}
--- a/internal/front/repeat_test.go
+++ b/internal/front/repeat_test.go
@@ -409,3 +409,29 @@
 		w.Crash()
 	}
 }
+
+// TestCrashSeenByNodesThatStopIsKnown guards against crashes that nodes see with their last requests, as they stop, and don't report.
+func TestCrashSeenByNodesThatStopIsKnown(t *testing.T) {
+	t.Parallel()
+	f := newCopyCluster(t, 5, 8, "engine", func(f *crashCluster) {
+		f.adjust = func(s *front.Settings) { s.GraceS = 5 }
+		f.crashDelay = 2500 * time.Millisecond // longer than a node that stops accepts requests
+		f.capacity = 1                         // each copy reaches another server
+	})
+	_, others := f.leader()
+	var all sync.WaitGroup
+	for i, p := range others[:crashesBeforeBound] {
+		all.Go(func() { _ = f.request(p, fmt.Sprint("p", i), f.paths[0], "the same", 0) })
+	}
+	require.Eventually(t, func() bool { return f.copies(time.Time{}) == crashesBeforeBound }, time.Second, time.Millisecond)
+	for _, p := range others[:crashesBeforeBound] {
+		f.stopNode(p)
+	}
+	all.Wait()
+	f.awaitCrash(crashesBeforeBound)
+	<-time.After(noticeTime)
+	for i := range 4 {
+		require.Equal(t, http.StatusServiceUnavailable, f.request(f.nextNode(i), fmt.Sprint("q", i), f.paths[0], "the same", 0), "%s", f.story())
+	}
+	require.Equal(t, crashesBeforeBound, f.copies(time.Time{}))
+}
