--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,7 +43,7 @@
 	cuts := fs.Bool("cuts", true, "this program runs the nodes: they lose their path to the servers at times, and servers are silent or brittle, besides the other faults")
 	broken := fs.Bool("broken", true, "servers break off responses and send them without a length, besides the other faults")
 	versions := fs.Bool("versions", true, "engines have several software versions and are replaced, and clients take streams up, besides the other faults")
-	crashes := fs.Bool("crashes", true, "requests with a part of their prompts that crashes servers come, and one node gets most requests, besides the other faults")
+	crashes := fs.Bool("crashes", true, "requests with a part of their prompts that crashes servers come, copies of one request that does, and one node gets most requests, besides the other faults")
 	verbose := fs.Bool("verbose", false, "print each fault")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarNoPrefix()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -24,8 +24,9 @@
 // are forwarded, and a stream that breaks continues at another server after the
 // last event. On others the client's connection ends without the last chunk.
 //
-// A node reports what it had in flight at servers that crashed, and which responses were sound. Requests whose prompts
-// match a block, which the leader decides from that (core/poison), are refused before each send.
+// A node reports what it had in flight at servers that crashed, or had given up shortly before, and which responses were sound.
+// Requests that match a block, which the leader decides from that (core/poison), are refused before each send: copies of one
+// that crashes servers, and those with a part of a prompt that does.
 //
 // Statuses that promise that a request hasn't run (429 and 503) are only sent if
 // no server may have run it; otherwise the status is 502 or 504.
--- a/internal/hub/doc.go
+++ b/internal/hub/doc.go
@@ -10,7 +10,8 @@
 // by the servers' own responses.
 //
 // The leader also merges what nodes observed of servers that crashed, decides which requests are refused for it
-// (core/poison), and sends these blocks to all nodes. Relays pass both on.
+// (core/poison), and sends these blocks to all nodes. Relays pass both on. Its deputy gets the crashes, and reports them to the
+// next leader.
 //
 // # Usage
 //
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "hot", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "copies", "hot", "recover"
 		Detail  string
 	}
 
--- a/internal/testbed/soak/crashes.go
+++ b/internal/testbed/soak/crashes.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -20,10 +21,17 @@
 	minCrashGapMS, maxCrashGapMS     = 100, 500
 	minRestartMS, maxRestartMS       = 300, 1500
 	// Later than crashNotice after the fifth crash no more than maxCrashRequests with the part may reach servers, sent by
-	// nodes in touch.
+	// nodes in touch. For copies of one request it is the third crash.
 	crashNotice      = 3 * time.Second
 	crashesToNotice  = 5
+	copiesToNotice   = 3
 	maxCrashRequests = 3
+	// maxTogether is the maximum number of copies that are sent at once, and one client in leavePercent leaves leaveMS after it has sent
+	// one, before it has crashed the server.
+	maxTogether    = 3
+	leavePercent   = 40
+	leaveMS        = 40
+	copyCrashDelay = 100 * time.Millisecond
 	// sharedPart is the first part of all prompts.
 	sharedPart = "a0"
 
@@ -60,21 +68,62 @@
 				fmt.Sprintf("%s:50,b%d:20,%s:10,%s:30", sharedPart, n%3, crashPart(phase), id),
 			}[rng.IntN(3)]
 			model := r.model(rng)
-			r.faults.Go(func() { r.sendCrashing(target, id, model, prompt) })
+			r.faults.Go(func() {
+				r.sendCrashing(target, crashingRequest{id: id, path: "/stream/" + id, model: model, prompt: prompt})
+			})
 			clock.Sleep(ctx, randomDuration(rng, minCrashGapMS, maxCrashGapMS))
 		}
 	}
 }
 
+// crashPath returns the path of the request of a phase, counted from one, of which copies crash servers.
+func crashPath(phase int) string {
+	if phase%2 == 0 {
+		return fmt.Sprint("/safe/dead", phase)
+	}
+	return fmt.Sprint("/stream/dead", phase)
+}
+
+// repeatCrashing sends copies of one request that crashes servers, at any node, for some seconds, and then of another one, until ctx ends.
+// Some come together, and some clients leave before the crash.
+func (r *Run) repeatCrashing(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.Seed, 10000))
+	for phase := 1; ctx.Err() == nil; phase++ {
+		for n, end := 0, time.Now().Add(randomDuration(rng, minCrashPhaseMS, maxCrashPhaseMS)); time.Now().Before(end) && ctx.Err() == nil; n++ {
+			for k := range 1 + rng.IntN(maxTogether) {
+				q := crashingRequest{id: fmt.Sprintf("y%d-%d-%d", phase, n, k), path: crashPath(phase), prompt: sharedPart + ":50,copied:30"}
+				if phase%2 != 0 {
+					q.model = "m0"
+				}
+				if rng.IntN(100) < leavePercent {
+					q.leave = leaveMS * time.Millisecond
+				}
+				target := r.nodes[rng.IntN(len(r.nodes))]
+				r.faults.Go(func() { r.sendCrashing(target, q) })
+			}
+			clock.Sleep(ctx, randomDuration(rng, minCrashGapMS, 2*maxCrashGapMS))
+		}
+	}
+}
+
+// crashingRequest is a request that crashes the server at which it runs.
+type crashingRequest struct {
+	id, path, model, prompt string
+	leave                   time.Duration // after which the client leaves, zero to wait for the response
+}
+
 // sendCrashing sends a request that crashes the server at which it runs.
-func (r *Run) sendCrashing(target *node, id, model, prompt string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+target.settings.Clients+"/stream/x", nil)
+func (r *Run) sendCrashing(target *node, q crashingRequest) {
+	id := q.id
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(q.leave, clientTimeout))
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.settings.Clients+q.path, nil)
 	if err != nil {
 		panic(err) // the request is well-formed
 	}
 	caller := Caller{Team: unlimitedTeam, Version: int(r.version.Load()), At: time.Now(), Node: target.settings.Node, Tokens: 100 + standin.CallOutput}
 	req.Host = host
-	standin.Call{ID: id, Deadline: clientTimeout, Key: key(caller.Team, caller.Version), Model: model, Tokens: 100, Prompt: prompt}.SetHeaders(req.Header)
+	standin.Call{ID: id, Deadline: clientTimeout, Key: key(caller.Team, caller.Version), Model: q.model, Tokens: 100, Prompt: q.prompt}.SetHeaders(req.Header)
 	r.check.RecordRequest(id, false, caller)
 	resp, err := (&http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
@@ -102,28 +151,52 @@
 	})
 }
 
-// checkCrashes checks that requests with a part that crashes servers are refused soon.
+// checkCrashes checks that requests that crash servers, with a part or as copies of one, are refused soon.
 func (r *Run) checkCrashes() {
-	visits := map[string][]standin.Visit{}
+	parts, copies := map[string][]standin.Visit{}, map[string][]standin.Visit{}
 	for _, w := range r.workers {
 		for _, v := range w.Visits() {
-			if v.CrashPart != "" {
-				visits[v.CrashPart] = append(visits[v.CrashPart], v)
+			switch {
+			case v.CrashPart != "":
+				parts[v.CrashPart] = append(parts[v.CrashPart], v)
+			case v.CrashPath != "":
+				copies[v.CrashPath] = append(copies[v.CrashPath], v)
 			}
 		}
 	}
-	for part, list := range visits {
-		r.check.CheckCrashes(part, list)
+	for part, list := range parts {
+		r.check.CheckCrashes("part "+part, list)
+	}
+	for path, list := range copies {
+		r.check.CheckCopies(path, list)
 	}
 }
 
 // CheckCrashes checks the requests with a part that crashes servers, each of which crashed one.
 func (c *Checker) CheckCrashes(part string, list []standin.Visit) {
-	if len(list) < crashesToNotice {
+	c.checkCrashes("crash", part, list, crashesToNotice)
+}
+
+// CheckCopies checks the copies of a request that crashes servers. Of those that reached a server together one crashed it.
+func (c *Checker) CheckCopies(path string, list []standin.Visit) {
+	slices.SortFunc(list, func(a, b standin.Visit) int { return a.At.Compare(b.At) })
+	crashed := map[string]bool{}
+	for i, v := range list {
+		crashed[v.Server] = true
+		if len(crashed) == copiesToNotice {
+			c.checkCrashes("copies", path, list[i:], 1)
+			return
+		}
+	}
+}
+
+// checkCrashes checks requests that crash servers, from the one with a number on, counted from one.
+func (c *Checker) checkCrashes(promise, what string, list []standin.Visit, number int) {
+	if len(list) < number {
 		return
 	}
 	slices.SortFunc(list, func(a, b standin.Visit) int { return a.At.Compare(b.At) })
-	bound := list[crashesToNotice-1].At.Add(crashNotice)
+	bound := list[number-1].At.Add(crashNotice)
 	late := 0
 	c.mu.Lock()
 	for _, v := range list {
@@ -133,7 +206,7 @@
 	}
 	c.mu.Unlock()
 	if late > maxCrashRequests {
-		c.RecordViolation("crash", "%d requests with part %s reached servers later than %v after the fifth crash, %d are allowed", late, part, crashNotice, maxCrashRequests)
+		c.RecordViolation(promise, "%d requests (%s) reached servers later than %v after the crash from which on they are refused, %d are allowed", late, what, crashNotice, maxCrashRequests)
 	}
 }
 
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -24,7 +24,8 @@
 //     gets no more requests than that allows.
 //   - Nodes that have lost their path to all servers serve about as often as others.
 //   - Brittle servers aren't sent so much that they fall over.
-//   - Requests with a part of their prompts that crashes servers are refused soon after the fifth crash.
+//   - Requests with a part of their prompts that crashes servers are refused soon after the fifth crash, and copies of a request that
+//     does soon after the third.
 //   - A node that gets most requests serves them about as often as all nodes did before.
 //   - When all faults have ended, every node serves again.
 //
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -52,8 +52,8 @@
 		Restores bool // the store comes back from older copies, besides the other faults
 		Versions bool // engines have several software versions and are replaced, and clients take streams up, besides the other faults
 		Broken   bool // servers break off responses and send them without a length, besides the other faults
-		// Crashes adds requests with a part of their prompts that crashes servers, and nodes that get most requests, to the other
-		// faults.
+		// Crashes adds requests with a part of their prompts that crashes servers, copies of one request that does, and nodes that get
+		// most requests, to the other faults.
 		Crashes bool
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
@@ -134,6 +134,7 @@
 	if r.Crashes {
 		crashing, end := context.WithCancel(work)
 		r.faults.Go(func() { r.crashServers(crashing) })
+		r.faults.Go(func() { r.repeatCrashing(crashing) })
 		r.faults.Go(func() { r.heatNodes(crashing) })
 		defer end()
 		time.AfterFunc(r.Duration, end)
@@ -220,7 +221,9 @@
 	}
 	for phase := 1; r.Crashes && phase <= int(r.Duration.Milliseconds())/minCrashPhaseMS+1; phase++ {
 		s.CrashParts = append(s.CrashParts, crashPart(phase))
+		s.CrashPaths = append(s.CrashPaths, crashPath(phase))
 	}
+	s.CrashDelay = copyCrashDelay
 	w := &worker{Worker: s, service: service}
 	s.OnCrash = func() { r.replaceCrashed(w) }
 	s.Start(r)
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -192,6 +192,22 @@
 			c.CheckCrashes("dead", list)
 			c.CheckCrashes("other", list[:8])
 		},
+		"copies": func(c *soak.Checker) {
+			now := time.Now()
+			var list []standin.Visit
+			for i := range 7 { // two at the first server; the third crash is that of the fourth copy
+				id, at := fmt.Sprint("y", i), now.Add(time.Duration(i)*1100*time.Millisecond)
+				c.RecordRequest(id, false, soak.Caller{Node: "n", At: at})
+				list = append(list, standin.Visit{ID: id, At: at, Server: fmt.Sprint("i-", max(1, i))})
+			}
+			c.CheckCopies("/allowed", list)
+			for i := range 4 {
+				id, at := fmt.Sprint("z", i), now.Add(8*time.Second)
+				c.RecordRequest(id, false, soak.Caller{Node: "n", At: at})
+				list = append(list, standin.Visit{ID: id, At: at, Server: fmt.Sprint("i-", 10+i)})
+			}
+			c.CheckCopies("/broken", list)
+		},
 		"hot": func(c *soak.Checker) {
 			now := time.Now()
 			c.RecordHot("n", now, now.Add(6*time.Second))
