--- a/internal/front/repeat_test.go
+++ b/internal/front/repeat_test.go
@@ -16,6 +16,7 @@
 
 	"guavapaddle/internal/front"
 	"guavapaddle/internal/testbed/await"
+	"guavapaddle/internal/testbed/cutpath"
 
 	"guavapaddle/platform/standin"
 )
@@ -246,6 +247,8 @@
 		"relays": {"engine", steady, func(f *crashCluster) {
 			f.adjust = func(s *front.Settings) { s.MaxDirect, s.RelayFanout = 4, relayFanout }
 		}},
+		"engine, tunnels": {"engine", steady, cutHalf},
+		"plain, tunnels":  {"plain", steady, cutHalf},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -259,6 +262,17 @@
 	}
 }
 
+// cutHalf makes two of the nodes lose their path to the servers, so that they open connections through the others.
+func cutHalf(f *crashCluster) {
+	f.setUp = func(n *front.Node, s front.Settings) {
+		if s.Node == "n0" || s.Node == "n1" {
+			path := &cutpath.Path{}
+			path.Set(cutpath.Refusing)
+			n.DialServer = path.Dial
+		}
+	}
+}
+
 // TestCopiesOfClientsThatLeaveAreRefused guards against copies whose clients leave before the request has crashed the server.
 func TestCopiesOfClientsThatLeaveAreRefused(t *testing.T) {
 	t.Parallel()
@@ -291,6 +305,12 @@
 		leader, _ := f.leader()
 		f.stopNode(leader)
 	}
+	later := func(during func(f *crashCluster)) func(f *crashCluster) {
+		return func(f *crashCluster) {
+			<-time.After(noticeTime + 500*time.Millisecond)
+			during(f)
+		}
+	}
 	for name, x := range map[string]struct {
 		kind   string
 		during func(f *crashCluster)
@@ -307,10 +327,11 @@
 			stopLeader(f)
 			time.AfterFunc(6*time.Second, func() { f.store.Outage(false) })
 		}},
-		"all at once":                {"engine", func(f *crashCluster) { f.restartAll() }},
-		"all at once, plain":         {"plain", func(f *crashCluster) { f.restartAll() }},
-		"one after the other":        {"engine", func(f *crashCluster) { f.replaceAll() }},
-		"one after the other, plain": {"plain", func(f *crashCluster) { f.replaceAll() }},
+		"all at once":                {"engine", later((*crashCluster).restartAll)},
+		"all at once, plain":         {"plain", (*crashCluster).restartAll},
+		"one after the other":        {"engine", (*crashCluster).replaceAll},
+		"one after the other, plain": {"plain", (*crashCluster).replaceAll},
+		"one after the other, later": {"plain", later((*crashCluster).replaceAll)},
 		"a node joins after a change of leader": {"plain", func(f *crashCluster) {
 			stopLeader(f)
 			f.joinNode("late")
@@ -330,7 +351,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newCopyCluster(t, 4, 8, x.kind, nil)
-			f.playCopies(copyLoad{interval: 300 * time.Millisecond, duration: 12 * time.Second}, func() { x.during(f) })
+			f.playCopies(copyLoad{interval: 300 * time.Millisecond, duration: 13 * time.Second}, func() { x.during(f) })
 		})
 	}
 }
