--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -77,6 +77,9 @@
 	out := map[Part]suspicion{}
 	for _, c := range list {
 		for p, sent := range c.parts {
+			if p.IsCopy() && t.copies[p] < minCrashes-1 {
+				continue
+			}
 			s := out[p]
 			soundAt := t.sounds[soundKey{c.service, p}]
 			chained := s.chain == 0 || sent.at.After(s.chainedAt)
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -23,7 +23,8 @@
 		// Eager makes it decide whenever the evidence has changed. It is for one node's observations, which are few.
 		Eager bool
 
-		crashes   []*crash // in the order of their times
+		crashes   []*crash     // in the order of their times
+		copies    map[Part]int // at how many of them copies of a request were in flight
 		sounds    map[soundKey]time.Time
 		suspected map[Part]time.Time // since when
 		blocks    []block
@@ -64,9 +65,13 @@
 		t.crashes = append(t.crashes, e)
 	}
 	e.observed[c.ID] = c.Requests
+	t.countCopies(e, -1)
 	e.merge()
+	t.countCopies(e, 1)
 	slices.SortStableFunc(t.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
-	t.crashes = slices.DeleteFunc(t.crashes, func(e *crash) bool { return now.Sub(e.at) > crashRetention })
+	for len(t.crashes) > 1 && now.Sub(t.crashes[0].at) > crashRetention {
+		t.removeCrash(0)
+	}
 	if len(t.crashes) > maxCrashes {
 		t.evict()
 	}
@@ -87,10 +92,30 @@
 // another reason, many together, thus don't displace the crashes of a request that comes seldom.
 func (t *Tracker) evict() {
 	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return !t.isEvidence(c) })
-	i = max(i, 0)
+	t.removeCrash(max(i, 0))
+}
+
+func (t *Tracker) removeCrash(i int) {
+	t.countCopies(t.crashes[i], -1)
 	t.crashes = slices.Delete(t.crashes, i, i+1)
 }
 
+// countCopies adds a crash to the numbers of crashes at which copies were in flight, or takes it out of them. Nearly all requests were
+// in flight at one crash only; decisions leave them out.
+func (t *Tracker) countCopies(c *crash, change int) {
+	if t.copies == nil {
+		t.copies = map[Part]int{}
+	}
+	for p := range c.parts {
+		if !p.IsCopy() {
+			continue
+		}
+		if t.copies[p] += change; t.copies[p] == 0 {
+			delete(t.copies, p)
+		}
+	}
+}
+
 // isEvidence reports whether a suspected part was in flight at the crash, and was not sound since.
 func (t *Tracker) isEvidence(c *crash) bool {
 	for p := range c.parts {
