--- a/internal/testbed/soak/crashes.go
+++ b/internal/testbed/soak/crashes.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"guavapaddle/internal/clock"
@@ -32,6 +33,8 @@
 	leavePercent   = 40
 	leaveMS        = 40
 	copyCrashDelay = 100 * time.Millisecond
+	// safePath begins the paths of requests that nodes may repeat.
+	safePath = "/safe/"
 	// sharedPart is the first part of all prompts.
 	sharedPart = "a0"
 
@@ -79,7 +82,7 @@
 // crashPath returns the path of the request of a phase, counted from one, of which copies crash servers.
 func crashPath(phase int) string {
 	if phase%2 == 0 {
-		return fmt.Sprint("/safe/dead", phase)
+		return fmt.Sprint(safePath, "dead", phase)
 	}
 	return fmt.Sprint("/stream/dead", phase)
 }
@@ -124,7 +127,7 @@
 	caller := Caller{Team: unlimitedTeam, Version: int(r.version.Load()), At: time.Now(), Node: target.settings.Node, Tokens: 100 + standin.CallOutput}
 	req.Host = host
 	standin.Call{ID: id, Deadline: clientTimeout, Key: key(caller.Team, caller.Version), Model: q.model, Tokens: 100, Prompt: q.prompt}.SetHeaders(req.Header)
-	r.check.RecordRequest(id, false, caller)
+	r.check.RecordRequest(id, strings.HasPrefix(q.path, safePath), caller)
 	resp, err := (&http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return
