placer: loads of adapters without a reply outlast the engine's entry and its start (LIMIT)

Engines got a ninth adapter for eight slots. An unload of an adapter that the engine doesn't hold is answered as done and not counted, so that the leader's number of accepted orders is one too high; a load with that number gets no reply; then the engine's entry lapses and comes back, or the engine starts again under its id, and SetServers drops the record with the load. The leader reads the true number and fills the last slot, and the late load fits the number that the engine has then.

The record of a server that is gone or has started again keeps such loads until they can't be executed any more, and the semaphore of its calls.

--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -186,11 +186,15 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	e.adapters[key], e.orderedAt[key] = now, now
-	if err != nil {
-		e.unacked[key] = unackedLoad{sequence: e.sequence, expires: now.Add(orderLifetime)}
-		e.blockedUntil = now.Add(engineBackoff)
-	} else {
+	if err == nil {
 		delete(e.unacked, key)
+		return v, nil
+	}
+	late := unackedLoad{sequence: e.sequence, expires: now.Add(orderLifetime)}
+	e.unacked[key] = late
+	e.blockedUntil = now.Add(engineBackoff)
+	if r := p.engine(s.ID); r != e && r.sequence <= late.sequence { // renewed meanwhile
+		r.adapters[key], r.unacked[key] = now, late
 	}
 	return v, err
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -164,8 +164,8 @@
 	p.config = c
 }
 
-// SetServers sets the list of backend servers. The record of a server that has restarted is
-// deleted: the new process holds nothing and counts its orders from zero.
+// SetServers sets the list of backend servers. Of a server that has restarted, or whose entry is gone, the record keeps
+// what may still be executed late.
 func (p *Placer) SetServers(list []fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,8 +176,8 @@
 		for _, h := range s.Resident {
 			p.byModel[h.Model] = append(p.byModel[h.Model], s.ID)
 		}
-		if previous[s.ID].StartedAtMS != s.StartedAtMS {
-			delete(p.engines, s.ID)
+		if e := p.engines[s.ID]; e != nil && previous[s.ID].StartedAtMS != s.StartedAtMS {
+			p.engines[s.ID] = e.renew()
 		}
 		p.servers[s.ID] = s
 		if e := p.engines[s.ID]; e != nil {
@@ -185,8 +185,17 @@
 			e.reconcile(s)
 		}
 	}
-	for id := range p.engines {
-		if _, ok := p.servers[id]; !ok {
+	now := time.Now()
+	for id, e := range p.engines {
+		if _, ok := p.servers[id]; ok {
+			continue
+		}
+		if _, ok := previous[id]; ok {
+			e = e.renew()
+			p.engines[id] = e
+		}
+		if e.hasNoUnacked(now) && e.callSem.TryAcquire(1) { // no call is under way
+			e.callSem.Release(1)
 			delete(p.engines, id)
 		}
 	}
@@ -238,9 +247,14 @@
 	}
 	e := p.engines[id]
 	if e == nil {
-		e = &engine{callSem: semaphore.NewWeighted(1), sequence: -1,
-			adapters: map[string]time.Time{}, orderedAt: map[string]time.Time{}, unacked: map[string]unackedLoad{}}
+		e = newEngine()
 		p.engines[id] = e
 	}
 	return e
 }
+
+// newEngine returns the record of an engine of which nothing is known yet.
+func newEngine() *engine {
+	return &engine{callSem: semaphore.NewWeighted(1), sequence: -1,
+		adapters: map[string]time.Time{}, orderedAt: map[string]time.Time{}, unacked: map[string]unackedLoad{}}
+}
--- a/internal/placer/sim_engine_test.go
+++ b/internal/placer/sim_engine_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +31,7 @@
 	simMaxUse            = 3 * time.Second        // duration of requests that use an adapter
 	simMaxLatency        = 40 * time.Millisecond  // latency of a reply that isn't lost
 	simMaxHistory        = 64                     // states remembered for reports
+	simMaxOrders         = 40                     // orders remembered for the message of a failure
 	simAdapterInUseShare = 0.3
 )
 
@@ -55,7 +58,8 @@
 		unloadingAdapters map[string]bool // adapters to be unloaded once unused
 		disk              map[string]bool
 		history           []simReport
-		lossRate          float64 // share of the orders that get no reply
+		orders            []string // the last ones that were sent or executed, for the message of a failure
+		lossRate          float64  // share of the orders that get no reply
 		entry             fleet.Server
 	}
 
@@ -155,6 +159,9 @@
 func (s *simEngines) SendOrder(ctx context.Context, f fleet.Server, o platform.Order) (platform.Verdict, error) {
 	e := s.world.engine(f.ID)
 	s.world.recordHolder(o)
+	e.mu.Lock()
+	e.recordOrder("sent", o)
+	e.mu.Unlock()
 	wait, lost, how := e.draw(simMaxLatency)
 	if !clock.Sleep(ctx, wait/2) {
 		return 0, ctx.Err()
@@ -203,9 +210,10 @@
 }
 
 // execute executes an order, or starts to, and checks that there is room.
-func (e *simEngine) execute(o platform.Order) platform.Verdict {
+func (e *simEngine) execute(o platform.Order) (v platform.Verdict) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	defer func() { e.recordOrder(v.String(), o) }()
 	switch {
 	case o.Fence < e.fence:
 		return platform.Fenced
@@ -227,6 +235,16 @@
 	}
 }
 
+// recordOrder records an order for the message of a failure; e.mu is held.
+func (e *simEngine) recordOrder(what string, o platform.Order) {
+	order := "unload"
+	if o.Load {
+		order = "load"
+	}
+	e.orders = append(e.orders, fmt.Sprintf("%v %s %s %s/%s of %s, number %d: engine has accepted %d, %d adapters", time.Since(e.world.origin).Truncate(time.Millisecond), what, order, o.Model, o.Adapter, o.Holder, o.Sequence, e.sequence, len(e.adapters)))
+	e.orders = e.orders[max(0, len(e.orders)-simMaxOrders):]
+}
+
 // accept counts an accepted order; e.mu is held.
 func (e *simEngine) accept() {
 	e.sequence++
@@ -328,6 +346,7 @@
 		mb += e.world.megabytes(m)
 	}
 	if mb > simWeightsMB || len(e.adapters) > simAdapterSlots {
+		e.world.logEvent("orders to "+e.id, strings.Join(e.orders, "\n  "))
 		e.world.recordOvercommit(e.id, slices.Sorted(maps.Keys(e.models)), e.loading, len(e.adapters))
 	}
 }
--- a/internal/placer/unacked.go
+++ b/internal/placer/unacked.go
@@ -31,6 +31,29 @@
 	}
 }
 
+// renew returns the record of an engine of which nothing is known any more but the loads of adapters that it may still execute: it has
+// started again, or its entry is gone and may come back. An order names the engine's number of accepted orders, which another process
+// under the same id reaches as well. Calls under way still exclude others.
+func (e *engine) renew() *engine {
+	out := newEngine()
+	out.callSem = e.callSem
+	for key, l := range e.unacked {
+		out.unacked[key] = l
+		out.adapters[key] = e.adapters[key]
+	}
+	return out
+}
+
+// hasNoUnacked reports whether the engine can't execute a load of an adapter late any more.
+func (e *engine) hasNoUnacked(now time.Time) bool {
+	for _, l := range e.unacked {
+		if !now.After(l.expires) {
+			return false
+		}
+	}
+	return true
+}
+
 // modelsInMemory returns the models that occupy memory at an engine with the given entry.
 func (e *engine) modelsInMemory(s fleet.Server) []string {
 	var out []string
