gateway: crashes are told apart by the incarnation of the server

A server that starts again under the id that it had, and crashes under the next copy of a request or the next request with a part, was taken for the server that had crashed already: the leader merges observations by server. With few servers such requests were never refused. TestCrashesOfServerThatStartsAgainUnderItsIDCount failed before (no block after three crashes).

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -84,6 +84,14 @@
 // isReported reports whether another node noticed the crash.
 func (s crashSign) isReported() bool { return s == signReported || s == signReportedLate }
 
+// incarnation identifies the process of a server, which may have started again under the id that it had.
+func incarnation(s fleet.Server) string {
+	if s.StartedAtMS == 0 {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(s.StartedAtMS, 10)
+}
+
 // sharedParts returns the parts of the request that other requests may share: those of its prompt but for the last, and the one that
 // stands for the request itself.
 func (r *request) sharedParts() []poison.Part {
@@ -140,8 +148,8 @@
 
 // recordSent records that the request was sent to the server, which it may crash; g.mu is held.
 func (t *try) recordSent() {
-	t.record = &sentRequest{parts: t.parts, sent: t.sent}
-	t.g.crashes.sent.add(t.selection.Server.ID, t.record)
+	t.record = &sentRequest{service: t.service, parts: t.parts, sent: t.sent}
+	t.g.crashes.sent.add(incarnation(t.selection.Server), t.record)
 }
 
 // recordEnd records how the try ended. If the server didn't complete a response, the request may still crash it, or has.
@@ -155,7 +163,7 @@
 		t.record.ended = time.Now()
 		return
 	}
-	t.g.crashes.sent.remove(t.selection.Server.ID, t.record)
+	t.g.crashes.sent.remove(incarnation(t.selection.Server), t.record)
 }
 
 // recordBreak records that the connection to the server broke with an error while the request was in flight.
@@ -167,8 +175,8 @@
 	brittle := t.g.isBrittle(t.service)
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	now, server := time.Now(), t.selection.Server.ID
-	t.g.suspectCrash(now, server, t.service, signBroken)
+	now, server := time.Now(), incarnation(t.selection.Server)
+	t.g.suspectCrash(now, t.selection.Server, signBroken)
 	if !brittle && t.record.mayCrash(now, 0) {
 		t.g.crashes.own.Add(now, poison.Crash{ID: rand.Uint64(), Server: server, Service: t.service,
 			Requests: []poison.Request{{Parts: []poison.Part{t.copyPart()}, Before: now.Sub(t.sent)}}})
@@ -182,18 +190,23 @@
 	}
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.g.suspectCrash(time.Now(), t.selection.Server.ID, t.service, signRefused)
+	t.g.suspectCrash(time.Now(), t.selection.Server, signRefused)
 }
 
 // recordReplaced records that another incarnation of the server uses its address.
 func (t *try) recordReplaced() {
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.g.suspectCrash(time.Now(), t.selection.Server.ID, t.service, signReplaced)
+	t.g.suspectCrash(time.Now(), t.selection.Server, signReplaced)
 }
 
 // suspectCrash records a sign of a server's crash; g.mu is held. A late sign matters only if requests were in flight before.
-func (g *Gateway) suspectCrash(at time.Time, server, service string, sign crashSign) {
+func (g *Gateway) suspectCrash(at time.Time, s fleet.Server, sign crashSign) {
+	g.suspectCrashOf(at, incarnation(s), s.Service, sign)
+}
+
+// suspectCrashOf is like suspectCrash with the incarnation of a server that may be in no list; g.mu is held.
+func (g *Gateway) suspectCrashOf(at time.Time, server, service string, sign crashSign) {
 	c, now := &g.crashes, time.Now()
 	if at.Sub(c.rejected[server]) < overloadTime || sign.isLate() && sign != signGone && len(c.sent.byServer[server]) == 0 {
 		return
@@ -216,7 +229,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s, ok := g.crashes.known[id]; ok && !s.Leaving {
-		g.suspectCrash(time.Now(), id, s.Service, signGone)
+		g.suspectCrash(time.Now(), s, signGone)
 	}
 }
 
@@ -230,7 +243,7 @@
 	for id, s := range c.known {
 		next, ok := known[id]
 		if ok && !s.Leaving && !s.GrantOnly && !next.GrantOnly && next.StartedAtMS != s.StartedAtMS {
-			g.suspectCrash(now, id, s.Service, signGone)
+			g.suspectCrash(now, s, signGone)
 		}
 	}
 	c.known = known
@@ -256,7 +269,7 @@
 	if c.rejected == nil || len(c.rejected) >= maxRejected {
 		c.rejected = map[string]time.Time{}
 	}
-	c.rejected[t.selection.Server.ID] = time.Now()
+	c.rejected[incarnation(t.selection.Server)] = time.Now()
 }
 
 // recordAlive records that a server responded to a request that was sent at a time; g.mu is held.
@@ -293,7 +306,7 @@
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
 	c := &t.g.crashes
-	c.sent.remove(t.selection.Server.ID, t.record)
+	c.sent.remove(incarnation(t.selection.Server), t.record)
 	for _, p := range t.parts {
 		if p.IsCopy() {
 			c.copies.Add(t.service, p, t.began)
@@ -375,17 +388,14 @@
 		c.log.AddFrom(now, x, reply.Heard.Hub)
 	}
 	for _, x := range reply.Crashed {
-		if len(c.sent.byServer[x.Server]) > 0 {
-			g.suspectReported(now.Add(-x.Age), x)
+		list := c.sent.byServer[x.Server]
+		if len(list) == 0 {
+			continue
 		}
+		sign := signReported
+		if x.Late {
+			sign = signReportedLate
+		}
+		g.suspectCrashOf(now.Add(-x.Age), x.Server, list[0].service, sign)
 	}
 }
-
-// suspectReported records that another node noticed a server's crash at a time; g.mu is held.
-func (g *Gateway) suspectReported(at time.Time, x hub.CrashedServer) {
-	sign := signReported
-	if x.Late {
-		sign = signReportedLate
-	}
-	g.suspectCrash(at, x.Server, g.crashes.known[x.Server].Service, sign)
-}
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -179,3 +179,20 @@
 	}
 	require.Error(r.t, err)
 }
+
+// TestCrashesOfServerThatStartsAgainUnderItsIDCount guards against crashes that count as one since the server has the id that it had.
+func TestCrashesOfServerThatStartsAgainUnderItsIDCount(t *testing.T) {
+	t.Parallel()
+	w := startWorker(t, "i-1", standin.Crash)
+	r := newRig(t, w)
+	var tracker poison.Tracker
+	for i := range 3 {
+		r.gateway.SetServers([]fleet.Server{{ID: "i-1", StartedAtMS: int64(i + 1), Service: "plain", Address: w.Address(), Zone: "z", Slots: 4}})
+		require.Equal(t, 502, r.do("POST", "/unsafe/bad", fmt.Sprint("r", i), "").status)
+		require.True(t, r.gateway.HasUnreportedCrash())
+	}
+	for _, c := range r.gateway.Report("n", 0).Crashes {
+		tracker.Add(time.Now(), c)
+	}
+	require.Len(t, tracker.Blocks(time.Now()), 1)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -129,7 +129,7 @@
 	t.g.mu.Lock()
 	t.g.picker.FirstByte(now, t.ticket)
 	if t.respMeta.Stamped {
-		t.g.recordAlive(t.selection.Server.ID, t.sent)
+		t.g.recordAlive(incarnation(t.selection.Server), t.sent)
 	}
 	t.g.mu.Unlock()
 	if !t.respMeta.NotRun && t.slot != nil {
--- a/internal/gateway/sent.go
+++ b/internal/gateway/sent.go
@@ -19,13 +19,14 @@
 type (
 	// sentRequest is a request that was sent to a server and may crash it.
 	sentRequest struct {
-		parts []poison.Part
-		sent  time.Time
-		began time.Time // when the first byte of a stream, or the header of a plain response, came; zero before
-		ended time.Time // when this node gave it up, or lost its connection; zero before
+		service string
+		parts   []poison.Part
+		sent    time.Time
+		began   time.Time // when the first byte of a stream, or the header of a plain response, came; zero before
+		ended   time.Time // when this node gave it up, or lost its connection; zero before
 	}
 
-	// sentRequests holds the requests to each server that may crash it: those in flight whose response isn't known to be sound, and those
+	// sentRequests holds the requests to each incarnation of a server that may crash it: those in flight whose response isn't known to be sound, and those
 	// that ended without a response lately.
 	sentRequests struct {
 		byServer map[string][]*sentRequest
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -63,7 +63,7 @@
 
 	// CrashedServer is a server whose crash a node has noticed.
 	CrashedServer struct {
-		Server string
+		Server string        // incarnation
 		Age    time.Duration // see poison.Crash
 		Late   bool          // likewise
 	}
