poison: the end of many servers doesn't displace the crashes of a request that comes seldom

A popular part is suspected until a response to it is known to be sound, so that all of 500 crashes within two seconds counted as evidence and the oldest went, those of the request that comes again. TestEvidenceIsNotDisplaced plays a popular part and copies now; it failed before.

--- a/core/poison/copy_test.go
+++ b/core/poison/copy_test.go
@@ -56,10 +56,11 @@
 	p.crash(0, request(100*ms, bad))
 	p.crash(second, request(100*ms, bad))
 	for i := range 500 {
-		p.crash(2*second+time.Duration(i)*ms, request(100*ms, poison.CopyOf(uint64(i))))
+		p.crash(2*second+time.Duration(i)*4*ms, request(100*ms, "a", poison.CopyOf(uint64(i))), request(100*ms, "a", poison.CopyOf(1<<32)))
 	}
-	p.crash(4*second, request(100*ms, bad))
-	require.Equal(t, [][]poison.Part{parts(bad)}, p.blocked(5*second))
+	p.sound(5*second, "a", poison.CopyOf(1<<32))
+	p.crash(6*second, request(100*ms, bad))
+	require.Equal(t, [][]poison.Part{parts(bad)}, p.blocked(8*second))
 }
 
 // TestCopiesOfSoundRequestAreNotBlocked guards against a popular request that is refused since copies of it were in flight at servers that
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -88,10 +88,10 @@
 	c.parts = c.countParts()
 }
 
-// evict removes the oldest crash that is no evidence against a suspected part, or the oldest if there is none. Servers that end for
-// another reason, many together, thus don't displace the crashes of a request that comes seldom.
+// evict removes the oldest crash that is no evidence needed against a suspected part, or the oldest if there is none. Servers that end
+// for another reason, many together, thus don't displace the crashes of a request that comes seldom.
 func (t *Tracker) evict() {
-	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return !t.isEvidence(c) })
+	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return !t.isNeeded(c) })
 	t.removeCrash(max(i, 0))
 }
 
@@ -116,16 +116,27 @@
 	}
 }
 
-// isEvidence reports whether a suspected part was in flight at the crash, and was not sound since.
-func (t *Tracker) isEvidence(c *crash) bool {
+// isNeeded reports whether a suspected part was in flight at the crash, was not sound since, and was at few other crashes.
+func (t *Tracker) isNeeded(c *crash) bool {
 	for p := range c.parts {
-		if _, ok := t.suspected[p]; ok && c.at.After(t.sounds[soundKey{c.service, p}]) {
+		if _, ok := t.suspected[p]; ok && c.at.After(t.sounds[soundKey{c.service, p}]) && t.countCrashes(p) <= certainCrashes {
 			return true
 		}
 	}
 	return false
 }
 
+// countCrashes returns at how many crashes a request with the part was in flight.
+func (t *Tracker) countCrashes(p Part) int {
+	n := 0
+	for _, c := range t.crashes {
+		if c.parts[p].requests > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // AddSound adds a sound response that a node has observed.
 func (t *Tracker) AddSound(now time.Time, s Sound) {
 	key, at := soundKey{s.Service, s.Part}, now.Add(-s.Age)
@@ -155,7 +166,7 @@
 
 // isInEvidence reports whether a request with the part was in flight at a crash that is kept.
 func (t *Tracker) isInEvidence(p Part) bool {
-	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.parts[p].requests > 0 })
+	return t.countCrashes(p) > 0
 }
 
 // Suspects returns the parts of which nodes report sound responses: those that are suspected or blocked.
