poison: the lease has the crashes that are needed, not those of popular parts in flight when many servers end

When many servers end together a popular part is suspected for a moment and displaced the crashes of a request that comes seldom, as in the tracker itself. TestEvidenceIsNotDisplaced checks the lease's part too.

--- a/core/poison/copy_test.go
+++ b/core/poison/copy_test.go
@@ -58,6 +58,10 @@
 	for i := range 500 {
 		p.crash(2*second+time.Duration(i)*4*ms, request(100*ms, "a", poison.CopyOf(uint64(i))), request(100*ms, "a", poison.CopyOf(1<<32)))
 	}
+	for _, c := range p.Evidence(start.Add(4 * second)) {
+		require.Equal(t, parts(bad), c.Requests[0].Parts, "the lease has what is needed")
+	}
+	require.Len(t, p.Evidence(start.Add(4*second)), 2)
 	p.sound(5*second, "a", poison.CopyOf(1<<32))
 	p.crash(6*second, request(100*ms, bad))
 	require.Equal(t, [][]poison.Part{parts(bad)}, p.blocked(8*second))
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -11,8 +11,8 @@
 	maxEvidenceRequests = 8
 )
 
-// Evidence returns the latest crashes with those of their requests whose parts are suspected and not blocked yet. It is what has to
-// outlast the nodes that observed the crashes: other requests were in flight at one crash only, or were sound since.
+// Evidence returns the latest crashes that are needed, with those of their requests whose parts are suspected and not blocked yet. It is
+// what has to outlast the nodes that observed the crashes: other requests were in flight at one crash only, or were sound since.
 func (t *Tracker) Evidence(now time.Time) []Crash {
 	t.decide(now)
 	var out []Crash
@@ -31,11 +31,8 @@
 func (t *Tracker) suspectedRequests(c *crash, list []Request) []Request {
 	var out []Request
 	for _, r := range list {
-		suspected := slices.ContainsFunc(r.Parts, func(p Part) bool {
-			_, ok := t.suspected[p]
-			return ok && c.at.After(t.sounds[soundKey{c.service, p}])
-		})
-		if suspected && !t.covers(r.Parts) && len(out) < maxEvidenceRequests {
+		needed := slices.ContainsFunc(r.Parts, func(p Part) bool { return t.isNeeded(c, p) })
+		if needed && !t.covers(r.Parts) && len(out) < maxEvidenceRequests {
 			out = append(out, r)
 		}
 	}
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -91,7 +91,14 @@
 // evict removes the oldest crash that is no evidence needed against a suspected part, or the oldest if there is none. Servers that end
 // for another reason, many together, thus don't displace the crashes of a request that comes seldom.
 func (t *Tracker) evict() {
-	i := slices.IndexFunc(t.crashes, func(c *crash) bool { return !t.isNeeded(c) })
+	i := slices.IndexFunc(t.crashes, func(c *crash) bool {
+		for p := range c.parts {
+			if t.isNeeded(c, p) {
+				return false
+			}
+		}
+		return true
+	})
 	t.removeCrash(max(i, 0))
 }
 
@@ -116,14 +123,11 @@
 	}
 }
 
-// isNeeded reports whether a suspected part was in flight at the crash, was not sound since, and was at few other crashes.
-func (t *Tracker) isNeeded(c *crash) bool {
-	for p := range c.parts {
-		if _, ok := t.suspected[p]; ok && c.at.After(t.sounds[soundKey{c.service, p}]) && t.countCrashes(p) <= certainCrashes {
-			return true
-		}
-	}
-	return false
+// isNeeded reports whether a crash is needed as evidence against a part: it is suspected, was not sound since, and was in flight at few
+// other crashes.
+func (t *Tracker) isNeeded(c *crash, p Part) bool {
+	_, ok := t.suspected[p]
+	return ok && c.at.After(t.sounds[soundKey{c.service, p}]) && t.countCrashes(p) <= certainCrashes
 }
 
 // countCrashes returns at how many crashes a request with the part was in flight.
