--- /dev/null
+++ b/internal/front/outage_test.go
@@ -0,0 +1,151 @@
+package front_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const (
+	// outageTime is how long each server that starts ends again under its first requests.
+	outageTime = 15 * time.Second
+	// recoverTime is how long after the end of an outage, and after the start of nodes, requests must be served again.
+	recoverTime = 12 * time.Second
+	// measuredTime is how long after that requests are counted.
+	measuredTime = 6 * time.Second
+	// minRecovered is the share of requests, of those before the outage, that have to be served after it, and of the requests on
+	// the first routes, on routes that were added later.
+	minRecovered = 0.25
+	// laterPath is a path of the route that was added later.
+	laterPath = "/more/x"
+)
+
+// configWithLaterRoute returns a configuration with a route to the service that version 1 lacks.
+func (f *crashCluster) configWithLaterRoute() string {
+	route := `{"name":"more","host":"h.example","prefix":"/more/","kind":"safe","timeout-ms":3000,"service":"plain","max-attempts":2},`
+	if f.model != "" {
+		route = `{"name":"more","host":"h.example","prefix":"/more/","kind":"streaming","timeout-ms":5000,"target-latency-ms":600,"priority":1,"service":"llm","max-attempts":1},`
+	}
+	return strings.Replace(strings.Replace(configuration, `"version":1`, `"version":2`, 1), `"routes":[`, `"routes":[`+route, 1)
+}
+
+// sendRoutes sends requests on the first and on the later route in turn until the context ends, half of them copies of one another.
+func (f *crashCluster) sendRoutes(ctx context.Context, interval time.Duration) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		path, body := []string{f.path, laterPath}[i%2], fmt.Sprint("body ", i)
+		if i%4 < 2 {
+			body = ""
+		}
+		all.Go(func() {
+			at := time.Now()
+			status := f.request(f.pickNode(), fmt.Sprint("s", i), path, body, 0)
+			f.mu.Lock()
+			f.sent = append(f.sent, crashRequest{at: at, first: path, served: status == http.StatusOK})
+			f.mu.Unlock()
+		})
+	}
+}
+
+// servedOn returns the share of requests on a path sent from a time on, until another, that were served, and their number.
+func (f *crashCluster) servedOn(path string, from, until time.Time) (share float64, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ok := 0
+	for _, r := range f.sent {
+		if r.first != path || r.at.Before(from) || !r.at.Before(until) {
+			continue
+		}
+		n++
+		if r.served {
+			ok++
+		}
+	}
+	return float64(ok) / float64(max(1, n)), n
+}
+
+// setCrashPaths makes servers that start from now on crash on requests with the given paths, and ends all others.
+func (f *crashCluster) setCrashPaths(paths ...string) {
+	f.mu.Lock()
+	f.paths = paths
+	workers := slices.Clone(f.workers)
+	f.mu.Unlock()
+	for _, w := range workers {
+		w.Crash()
+	}
+}
+
+// TestServiceRecoversFromOutageOfAllServers guards against requests that are refused long after an outage of all servers of a
+// service, in which each that starts ends again under its first requests.
+func TestServiceRecoversFromOutageOfAllServers(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"engine", "plain"} {
+		for name, x := range map[string]struct{ during, after func(f *crashCluster) }{
+			"nodes stay":               {},
+			"nodes start anew after":   {after: (*crashCluster).restartAll},
+			"nodes start anew in it":   {during: (*crashCluster).restartAll},
+			"nodes start anew in both": {during: (*crashCluster).restartAll, after: (*crashCluster).restartAll},
+		} {
+			t.Run(kind+" "+name, func(t *testing.T) {
+				t.Parallel()
+				f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second},
+					service: "plain", path: serviceKinds[kind].path, model: serviceKinds[kind].model, rand: rand.New(rand.NewPCG(5, 6)), crashDelay: 30 * time.Millisecond}
+				f.launchWith(4, 8)
+				ctx, cancel := context.WithCancel(t.Context())
+				var done sync.WaitGroup
+				f.store.Put(platform.TableOperator, platform.KeyConfig, []byte(f.configWithLaterRoute()))
+				<-time.After(2 * time.Second)
+				done.Go(func() { f.sendRoutes(ctx, 20*time.Millisecond) })
+				<-time.After(2 * time.Second)
+				calm := time.Now()
+				f.setCrashPaths(f.path, laterPath)
+				<-time.After(outageTime / 2)
+				if x.during != nil {
+					x.during(f)
+				}
+				<-time.After(time.Until(calm.Add(outageTime)))
+				f.setCrashPaths()
+				if x.after != nil {
+					x.after(f)
+				}
+				back := time.Now()
+				<-time.After(recoverTime + measuredTime)
+				cancel()
+				done.Wait()
+				for from := time.Second; from < recoverTime+measuredTime; from += 3 * time.Second {
+					first, _ := f.servedOn(f.path, back.Add(from), back.Add(from+3*time.Second))
+					later, _ := f.servedOn(laterPath, back.Add(from), back.Add(from+3*time.Second))
+					t.Logf("from %v on: %.2f served on the first route, %.2f on the later one", from, first, later)
+				}
+				t.Logf("%d crashes; reasons from 1 s on %v", len(f.crashes), f.reasons(back.Add(time.Second)))
+				first, _ := f.servedOn(f.path, back.Add(recoverTime), time.Now())
+				for _, path := range []string{f.path, laterPath} {
+					before, _ := f.servedOn(path, time.Time{}, calm)
+					share, n := f.servedOn(path, back.Add(recoverTime), time.Now())
+					require.Greater(t, n, 20)
+					require.GreaterOrEqual(t, share, minRecovered*before, "path %s\n%s", path, f.story())
+					require.GreaterOrEqual(t, share, minRecovered*first, "path %s", path)
+				}
+			})
+		}
+	}
+}
