gateway: log and count how far requests had come when their clients left

Without it a request that was sent after its client had left can't be told from one that was sent before. guavapaddle_gateway_departures_total{stage}, and left= in the request's line.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -105,6 +105,7 @@
 		crashes   prometheus.Counter
 		// serverCrashes counts by sign and whether the server responded again.
 		serverCrashes *prometheus.CounterVec
+		departures    *prometheus.CounterVec // by stage
 	}
 )
 
@@ -133,13 +134,14 @@
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "gateway", Name: "crash_marks_total",
 			Help: "Sends during which the server crashed, as far as this node can tell."}),
 		serverCrashes: counter("server_crashes_total", "Signs of crashes of backend servers, and whether the server responded again.", "sign", "alive"),
+		departures:    counter("departures_total", "Requests whose clients left before they had a response, by how far the request had come.", "stage"),
 		bodies:        counter("bodies_total", "Bodies of responses that were read to be forwarded, by framing and end.", "framing", "end"),
 	}
 }
 
 // Collectors returns all metrics to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies, m.takeUps, m.crashes, m.serverCrashes}
+	return []prometheus.Collector{m.requests, m.tries, m.firstByte, m.duration, m.wait, m.open, m.conns, m.bodies, m.takeUps, m.crashes, m.serverCrashes, m.departures}
 }
 
 func (m *Metrics) countTry(r Reason) { m.tries.WithLabelValues(string(r)).Inc() }
@@ -178,9 +180,13 @@
 	if r.sends > 0 {
 		m.wait.WithLabelValues(kind).Observe(r.queued.Seconds())
 	}
+	stage := r.departureStage()
+	if stage != "" {
+		m.departures.WithLabelValues(string(stage)).Inc()
+	}
 	r.g.Log.Info("request", zap.String("request-id", r.meta.ID), zap.String("route", r.route.Name),
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
-		zap.String("reason", string(o.reason)), zap.String("copy", strconv.FormatUint(r.fingerprint, 16)), zap.String("last-try", string(o.lastTry)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
+		zap.String("reason", string(o.reason)), zap.String("copy", strconv.FormatUint(r.fingerprint, 16)), zap.String("last-try", string(o.lastTry)), zap.String("left", string(stage)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
 		zap.String("server", r.selection.Server.ID), zap.String("software", r.selection.Server.Software), zap.String("resumes", r.meta.Resumes), zap.String("needs", r.software), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
 		zap.Duration("age", r.selection.Age), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
