http1: the end of a client's connection shows behind bytes of a next request (GONE)

Callers saw servers work on, and requests that waited for a slot be sent, long after they had left, if they had sent bytes of a next request; that request was then handled as well. The server looked for the end by reading one byte, which was the next request's. Now the read goes on up to the size of the read buffer, and the connection's state is polled from then on (POLLRDHUP, which doesn't depend on what is unread). A request behind one whose client has left isn't handled.

--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -4,7 +4,8 @@
 // Parsing of requests and responses and chunked encoding are left to net/http. This package
 // adds what its Server and Transport do not expose: a request head with ambiguous body
 // framing is rejected instead of being interpreted in one way, an idle connection is closed
-// without dropping a request that was already read, a send reports whether any byte was
+// without dropping a request that was already read, the end of a client's connection is
+// detected also behind bytes of a next request and before a request is forwarded, a send reports whether any byte was
 // written, and a connection that carried bytes after its response is never reused.
 //
 // # Usage
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -30,6 +30,7 @@
 		Received time.Time // when the first byte of the head was read
 
 		ctx     context.Context
+		cancel  context.CancelFunc
 		conn    net.Conn
 		out     bytes.Buffer
 		closing bool // close the connection after this response
@@ -51,6 +52,14 @@
 // Context returns a context that is cancelled when the client disconnects.
 func (x *Exchange) Context() context.Context { return x.ctx }
 
+// Departed reports whether the client has disconnected, also if the context isn't cancelled yet, and cancels the context if so.
+func (x *Exchange) Departed() bool {
+	if x.ctx.Err() == nil && isClosedByPeer(x.conn) {
+		x.cancel()
+	}
+	return x.ctx.Err() != nil
+}
+
 // HeaderWritten reports whether the response has started.
 func (x *Exchange) HeaderWritten() bool { return x.state != notStarted }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -244,18 +244,18 @@
 func (c *serverConn) handle(x *Exchange) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	x.ctx = ctx
+	x.ctx, x.cancel = ctx, cancel
 	x.closing = x.Request.Close
 	_ = c.nc.SetReadDeadline(time.Time{})
+	watching, stop := context.WithCancel(ctx)
 	watchDone := make(chan struct{})
 	go func() {
 		defer close(watchDone)
-		if _, err := c.br.Peek(1); err != nil {
-			cancel()
-		}
+		c.watch(watching, cancel)
 	}()
 	c.s.Handler.Handle(x)
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	stop()
 	<-watchDone
 	if x.state != ended {
 		if !x.Request.ProtoAtLeast(1, 1) {
@@ -263,7 +263,7 @@
 		}
 		return false
 	}
-	return !x.closing
+	return !x.closing && ctx.Err() == nil
 }
 
 // reset makes the connection end with a reset. A response to HTTP/1.0 that was written in pieces ends with its
--- /dev/null
+++ b/io/http1/watch.go
@@ -0,0 +1,62 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// watchInterval is how often the state of a client's connection is polled when the read buffer is full of bytes that follow the request.
+const watchInterval = 100 * time.Millisecond
+
+// watch cancels the context of the request that is being handled when the client disconnects. It returns when the read deadline of the
+// connection passes. Bytes of a next request may precede the end of the connection: they stay in the read buffer, and once that is full
+// the connection is polled.
+func (c *serverConn) watch(ctx context.Context, cancel context.CancelFunc) {
+	for n := 1; n <= c.br.Size(); n = c.br.Buffered() + 1 {
+		if _, err := c.br.Peek(n); err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				cancel()
+			}
+			return
+		}
+	}
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if isClosedByPeer(c.nc) {
+			cancel()
+			return
+		}
+	}
+}
+
+// isClosedByPeer reports whether the peer has closed or reset a TCP connection, even if bytes that it sent before are unread. For other
+// connections it returns false.
+func isClosedByPeer(nc net.Conn) bool {
+	t, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && closed
+}
