gateway: no request is sent whose client's connection has ended (GONE)

Callers that gave up since a node didn't read their requests had them sent to servers all the same: the departure is read by a goroutine beside the request, and neither a pick by the node itself nor a connection from the pool waits for that. The state of the connection is polled when a request has been read, before each send and after a new connection has been opened.

TestRequestsOfClientsThatLeftBeforeTheyAreReadReachNoServer: 33 to 40 of 40 in each of 18 ways before, 0 since (3 rounds with -race).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,6 +222,10 @@
 	r.service = route.Service(g.Rand.Float64())
 	g.mu.Unlock()
 	r.deadline = x.Received.Add(r.timeout())
+	if x.Departed() { // it may have waited to be read
+		r.fail(ClientLeft, "")
+		return
+	}
 	if !r.authenticate(c) {
 		return
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -86,6 +86,9 @@
 // run performs the try. It returns the result for the server's load tracking, the state
 // of the request, and the reason.
 func (t *try) run() (balance.Result, sendState, Reason) {
+	if t.x.Departed() {
+		return balance.Abandoned, clientGone, ClientLeft
+	}
 	if state, reason, ok := t.connect(); !ok {
 		if t.g.PathSuspect != nil && t.g.PathSuspect() {
 			return balance.Abandoned, state, reason
@@ -94,6 +97,10 @@
 	}
 	t.stopClose = context.AfterFunc(t.x.Context(), t.conn.Close)
 	defer t.stopClose()
+	if !t.conn.Reused && t.x.Departed() { // opening the connection took time
+		t.conn.Close()
+		return balance.Abandoned, clientGone, ClientLeft
+	}
 	if cause, ok := t.withheld(); ok {
 		t.conn.Close()
 		return balance.Abandoned, notSent, cause
