poison: decisions are made again only when they can differ

The leader repeated its decisions five times a second for as long as crashes are kept, an hour, since each sound response to a popular part made them due; a node's own tracker repeated them at each look of each request for two seconds after a crash. Now a sound response makes decisions due if it takes a crash out of the evidence or is the first to a part, and time does when a crash settles or an inquiry ends.

--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -43,15 +43,16 @@
 	}
 )
 
-// decide repeats the decisions if the evidence has changed.
+// decide repeats the decisions if the evidence has changed, or time has made more of it count.
 func (t *Tracker) decide(now time.Time) {
-	if !t.stale || !t.Eager && now.Sub(t.decidedAt) < decideInterval {
+	isDue := t.stale || !t.dueAt.IsZero() && !now.Before(t.dueAt)
+	if !isDue || !t.Eager && now.Sub(t.decidedAt) < decideInterval {
 		return
 	}
-	t.stale, t.decidedAt = false, now
+	t.stale, t.decidedAt, t.dueAt = false, now, time.Time{}
 	rest := t.crashes
-	if n := len(rest); n > 0 && now.Sub(rest[n-1].at) < settleTime {
-		t.stale = true
+	if i := slices.IndexFunc(rest, func(c *crash) bool { return now.Sub(c.at) < settleTime }); i >= 0 {
+		t.decideBy(rest[i].at.Add(settleTime))
 	}
 	found := map[string]bool{} // servers whose crashes a block explains
 	var decided []block
@@ -71,6 +72,13 @@
 	t.replace(now, decided, found)
 }
 
+// decideBy makes the next decisions due at a time, unless they are earlier.
+func (t *Tracker) decideBy(at time.Time) {
+	if t.dueAt.IsZero() || at.Before(t.dueAt) {
+		t.dueAt = at
+	}
+}
+
 // suspicions returns the evidence against each part, from crashes in the order of their times. Crashes that didn't come one after the
 // other count as one, but for a whole request that was never sound: several clients may send copies of it at the same time.
 func (t *Tracker) suspicions(list []*crash) map[Part]suspicion {
@@ -154,7 +162,7 @@
 			continue
 		}
 		if !t.isCertain(p, s) && now.Sub(t.suspected[p]) < inquiryTime {
-			t.stale = true // it may have to be blocked soon
+			t.decideBy(t.suspected[p].Add(inquiryTime))
 			continue
 		}
 		if !ok || s.exceeds(p, suspicions[best], best) {
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -31,6 +31,7 @@
 		lifted    map[string]time.Time // when a block with these parts was lifted
 		stale     bool                 // the evidence has changed since the last decisions
 		decidedAt time.Time
+		dueAt     time.Time // when decisions have to be made again though the evidence hasn't changed, zero for never
 	}
 
 	// crash is the crash of one server, as observed by all nodes.
@@ -144,7 +145,8 @@
 // AddSound adds a sound response that a node has observed.
 func (t *Tracker) AddSound(now time.Time, s Sound) {
 	key, at := soundKey{s.Service, s.Part}, now.Add(-s.Age)
-	if !at.After(t.sounds[key]) {
+	before := t.sounds[key]
+	if !at.After(before) {
 		return
 	}
 	if t.sounds == nil {
@@ -154,12 +156,18 @@
 		t.pruneSounds()
 	}
 	t.sounds[key] = at
-	if t.isInEvidence(s.Part) {
-		t.stale = true
-	}
+	t.stale = t.stale || t.changesEvidence(s.Part, before, at)
 	t.narrow(key, at)
 }
 
+// changesEvidence reports whether a sound response to a part, later than the last one known before, takes a crash out of the evidence against
+// it, or is the first one.
+func (t *Tracker) changesEvidence(p Part, before, at time.Time) bool {
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool {
+		return c.parts[p].requests > 0 && (before.IsZero() || c.at.After(before) && !c.at.After(at))
+	})
+}
+
 // pruneSounds forgets the sound responses to parts of which no request was in flight at a crash that is kept, or all if there are too many.
 func (t *Tracker) pruneSounds() {
 	maps.DeleteFunc(t.sounds, func(key soundKey, _ time.Time) bool { return !t.isInEvidence(key.part) })
