--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -330,7 +330,7 @@
 	f.t.Helper()
 	bound := f.boundTime().Add(noticeTime)
 	for _, part := range f.parts {
-		f.t.Logf("part %s: %d sent to servers, %d of them later than %v after the fifth crash; %d crashes", part, f.arrivals(part, time.Time{}), f.arrivals(part, bound), noticeTime, len(f.crashes))
+		f.t.Logf("part %s: %d sent to servers, %d of them later than %v after the fifth crash; %d crashes", part, f.arrivals(part, time.Time{}), f.arrivals(part, bound), noticeTime, f.countCrashes())
 	}
 	before, _ := f.served(time.Time{}, first)
 	share, n := f.served(f.boundTime().Add(2*noticeTime), end)
@@ -355,10 +355,20 @@
 	return out
 }
 
+// countCrashes returns how many servers have crashed.
+func (f *crashCluster) countCrashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashes)
+}
+
 // story returns what the nodes logged about crashes and their leader, for the message of a failure.
 func (f *crashCluster) story() string {
+	f.mu.Lock()
+	crashes := slices.Clone(f.crashes)
+	f.mu.Unlock()
 	var lines []string
-	for i, at := range f.crashes {
+	for i, at := range crashes {
 		lines = append(lines, fmt.Sprint(at.Format("05.000"), " crash ", i+1))
 	}
 	for _, p := range f.nodes {
@@ -483,7 +493,7 @@
 			<-time.After(time.Second)
 			cancel()
 			done.Wait()
-			require.Len(t, f.crashes, x.together*x.times)
+			require.Equal(t, x.together*x.times, f.countCrashes())
 			require.Zero(t, f.refusals())
 		})
 	}
--- a/internal/front/repeat_test.go
+++ b/internal/front/repeat_test.go
@@ -187,7 +187,7 @@
 	before, _ := f.served(time.Time{}, calm)
 	share, n := f.served(third.Add(2*noticeTime), end)
 	f.t.Logf("%d copies sent to servers, %d of them later than %v after the third crash; %d crashes; sound requests served: %.2f before, %.2f of %d after",
-		f.copies(time.Time{}), f.copies(bound), noticeTime, len(f.crashes), before, share, n)
+		f.copies(time.Time{}), f.copies(bound), noticeTime, f.countCrashes(), before, share, n)
 	require.LessOrEqual(f.t, f.copies(bound), copyBound, "%s", f.story())
 	require.Greater(f.t, n, 20)
 	require.GreaterOrEqual(f.t, share, minServed*before)
