--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -16,15 +16,21 @@
 // each may cost a server.
 var trialDelays = []time.Duration{time.Minute, 10 * time.Minute}
 
+// provisionalTrialDelay is the time after the last crash, or trial, after which one request is let through a provisional block, without a limit
+// to their number: in an outage of all servers the block refuses sound requests, and a server that crashes on a trial beside sound responses to
+// others ends the block's being provisional.
+const provisionalTrialDelay = 2 * time.Second
+
 // block is a block in force.
 type block struct {
-	parts     []Part
-	service   string
-	crashes   int
-	at        time.Time       // of the last crash that led to it
-	trials    int             // requests that were let through since
-	triedAt   time.Time       // when the last of them was
-	explained map[string]bool // servers whose crashes it explains, nil if another node decided it
+	parts       []Part
+	service     string
+	crashes     int
+	at          time.Time       // of the last crash that led to it
+	provisional bool            // hardly any response was sound between the crashes
+	trials      int             // requests that were let through since, but for those while it was provisional
+	triedAt     time.Time       // when the last request was let through
+	explained   map[string]bool // servers whose crashes it explains, nil if another node decided it
 }
 
 // narrow takes a part that is sound out of the blocks whose last crash was before.
@@ -52,13 +58,23 @@
 	for _, b := range list {
 		at := now.Add(-b.Age)
 		lifted, ok := t.lifted[b.Name()]
-		if len(b.Parts) == 0 || b.Age > blockRetention || ok && !at.After(lifted) || t.covers(b.Parts) {
+		if len(b.Parts) == 0 || b.Age > blockRetention || ok && !at.After(lifted) {
 			continue
 		}
-		t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, trials: b.Trials, triedAt: now})
+		if i := t.indexOf(b.Parts); i >= 0 {
+			t.blocks[i].provisional = t.blocks[i].provisional && b.Provisional
+		}
+		if !t.covers(b.Parts) {
+			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, provisional: b.Provisional, trials: b.Trials, triedAt: now})
+		}
 	}
 }
 
+// indexOf returns the index of the block with exactly the given parts, -1 if there is none.
+func (t *Tracker) indexOf(parts []Part) int {
+	return slices.IndexFunc(t.blocks, func(b block) bool { return slices.Equal(b.parts, parts) })
+}
+
 // SetBlocks puts the blocks in force that another node has decided, in place of all others.
 func (t *Tracker) SetBlocks(now time.Time, list []Block) {
 	t.blocks = nil
@@ -82,7 +98,7 @@
 
 // export returns the block for other nodes.
 func (b block) export(now time.Time) Block {
-	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Trials: b.trials, Trial: b.isTrialDue(now)}
+	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Provisional: b.provisional, Trials: b.trials, Trial: b.isTrialDue(now)}
 }
 
 // isTrialDue reports whether a request may be let through to find out whether it still crashes servers.
@@ -91,6 +107,9 @@
 	if b.triedAt.After(last) {
 		last = b.triedAt
 	}
+	if b.provisional {
+		return now.Sub(last) >= provisionalTrialDelay
+	}
 	return b.trials < len(trialDelays) && now.Sub(last) >= trialDelays[b.trials]
 }
 
@@ -105,7 +124,9 @@
 		if !b.Trial {
 			return b, true, false
 		}
-		t.blocks[i].trials++
+		if !b.Provisional {
+			t.blocks[i].trials++
+		}
 		t.blocks[i].triedAt = now
 		return b, false, true
 	}
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -17,6 +17,8 @@
 	maxPartBytes = 32
 	// copyPrefix begins the id of a whole request. Ids of parts of prompts have no colon.
 	copyPrefix = "copy:"
+	// AnyRequest is the part that all requests of a service have, in a Sound.
+	AnyRequest Part = ""
 )
 
 type (
@@ -54,6 +56,9 @@
 		Service string        `json:"service"` // at whose servers the last crash was
 		Crashes int           `json:"crashes"` // that led to it
 		Age     time.Duration `json:"age-ns"`  // since the last of them
+		// Provisional states that hardly any response of the service is known to have been sound between the crashes, so that the
+		// servers may have ended for another reason.
+		Provisional bool `json:"provisional,omitempty"`
 		// Trials is how many requests were let through to find out whether they still crash servers, and Trial is set while
 		// the leader grants a slot for the next one.
 		Trials int  `json:"trials,omitempty"`
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -196,13 +196,16 @@
 func (t *Tracker) blockFor(p Part, s suspicion, list []*crash) block {
 	b := block{service: s.service, crashes: s.crashes, at: s.last, explained: map[string]bool{}}
 	var common []Part
-	var times []time.Time
+	var times, counted []time.Time // of the crashes, and of those after its last sound response
 	for _, c := range list {
 		if c.parts[p].requests == 0 {
 			continue
 		}
 		b.explained[c.server] = true
 		times = append(times, c.at)
+		if c.at.After(t.sounds[soundKey{c.service, p}]) {
+			counted = append(counted, c.at)
+		}
 		for _, r := range c.requests {
 			if !slices.Contains(r.Parts, p) || !c.at.After(t.sounds[soundKey{c.service, p}]) { // from before its last sound response
 				continue
@@ -218,6 +221,7 @@
 	slices.Sort(common)
 	b.parts = slices.Compact(common)
 	b.trials = lateCrashes(p, times)
+	b.provisional = t.mayBeOutage(s.service, counted) && (!p.IsCopy() || t.hasOthers(p, s.service, counted[0], s.last))
 	return b
 }
 
@@ -254,9 +258,10 @@
 		}
 	}
 	for _, b := range decided {
-		i := slices.IndexFunc(t.blocks, func(o block) bool { return slices.Equal(o.parts, b.parts) })
+		i := t.indexOf(b.parts)
 		switch {
 		case i >= 0:
+			b.provisional = b.provisional && t.blocks[i].provisional
 			b.trials, b.triedAt = max(b.trials, t.blocks[i].trials), t.blocks[i].triedAt
 			t.blocks[i] = b
 		case !t.covers(b.parts):
--- /dev/null
+++ b/core/poison/outage_test.go
@@ -0,0 +1,119 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/poison"
+)
+
+// respond reports that a response to some request of the service was sound.
+func (p *play) respond(at time.Duration) { p.sound(at, poison.AnyRequest) }
+
+// observe reports that a node observes the responses of the service, none of which was sound yet.
+func (p *play) observe(at time.Duration) { p.AddSound(start.Add(at), poison.NoResponse(service)) }
+
+// admits reports whether a request with the given parts is let through.
+func (p *play) admits(at time.Duration, list ...poison.Part) bool {
+	p.Blocks(start.Add(at))
+	_, blocked, _ := p.Admit(start.Add(at), list)
+	return !blocked
+}
+
+// TestServiceIsServedAfterOutage plays outages in which each server that starts ends again under its first requests, all of which share a part, and
+// counts the requests that are let through in the minute after.
+func TestServiceIsServedAfterOutage(t *testing.T) {
+	t.Parallel()
+	for _, outage := range []time.Duration{5 * second, 22 * second, 33 * second, 44 * second, 66 * second, 10 * time.Minute} {
+		for name, before := range map[string]bool{"sound before": true, "nodes started in it": false} {
+			t.Run(outage.String()+" "+name, func(t *testing.T) {
+				t.Parallel()
+				var p play
+				if before {
+					p.sound(-100*ms, "a", "b0")
+					p.respond(-100 * ms)
+				}
+				p.respond(150 * ms) // of the last server
+				served := 0
+				for at := time.Duration(0); at < outage+time.Minute; at += 100 * ms {
+					p.observe(at)
+					list := parts("a", poison.Part([]string{"b0", "b1"}[int(at/(100*ms))%2]), poison.CopyOf(uint64(at/(400*ms))))
+					switch {
+					case !p.admits(at, list...):
+					case at < outage:
+						p.crash(at, request(50*ms, list...))
+					default:
+						served++
+						p.sound(at, list...)
+						p.respond(at)
+					}
+				}
+				require.GreaterOrEqual(t, served, 600*3/4)
+			})
+		}
+	}
+}
+
+// TestProvisionalBlockBecomesFinal checks that a request which crashes servers faster than others respond is let through twice more, and then
+// seldom: these crashes come beside sound responses to others.
+func TestProvisionalBlockBecomesFinal(t *testing.T) {
+	t.Parallel()
+	var p play
+	for i := range 3 {
+		p.observe(time.Duration(i) * 10 * ms)
+		p.crash(time.Duration(i)*10*ms, request(100*ms, "a", bad), request(100*ms, "a", poison.CopyOf(uint64(i))))
+	}
+	late := 0
+	for at := 100 * ms; at < time.Hour; at += 100 * ms {
+		if p.admits(at, "a", bad) {
+			p.crash(at, request(50*ms, "a", bad))
+			if at > 3*second {
+				late++
+			}
+		} else if at < time.Minute {
+			p.respond(at)
+			p.sound(at, "a")
+		}
+	}
+	require.LessOrEqual(t, late, 3, "later than 3 s after the third crash")
+	require.False(t, p.Blocks(start.Add(time.Hour))[0].Provisional)
+}
+
+// TestCopiesAloneAreBlockedForGood checks that copies of one request which crash servers are blocked where nothing else comes.
+func TestCopiesAloneAreBlockedForGood(t *testing.T) {
+	t.Parallel()
+	var p play
+	p.respond(-second)
+	for i := range 3 {
+		p.crash(time.Duration(i)*second, request(100*ms, "a", bad))
+	}
+	list := p.Blocks(start.Add(2500 * ms))
+	require.Len(t, list, 1)
+	require.False(t, list[0].Provisional)
+}
+
+// TestFinalBlockStaysFinal checks that a leader which decides without what others have observed doesn't weaken a block.
+func TestFinalBlockStaysFinal(t *testing.T) {
+	t.Parallel()
+	for name, decidesFirst := range map[string]bool{"decides first": true, "inherits first": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var p play
+			final := []poison.Block{{Parts: parts("dead"), Service: service, Crashes: 5, Age: second}}
+			if !decidesFirst {
+				p.Inherit(start, final)
+			}
+			p.observe(0)
+			for i := range 5 {
+				p.crash(time.Duration(i)*100*ms, request(10*ms, "a", "dead"), request(10*ms, "a"))
+				p.sound(time.Duration(i)*100*ms+ms, "a")
+			}
+			require.Equal(t, [][]poison.Part{parts("dead")}, p.blocked(500*ms))
+			require.Equal(t, decidesFirst, p.Blocks(start.Add(500 * ms))[0].Provisional)
+			p.Inherit(start.Add(500*ms), final)
+			require.False(t, p.Blocks(start.Add(500 * ms))[0].Provisional)
+		})
+	}
+}
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -26,7 +26,8 @@
 		crashes   []*crash     // in the order of their times
 		copies    map[Part]int // at how many of them copies of a request were in flight
 		sounds    map[soundKey]time.Time
-		suspected map[Part]time.Time // since when
+		responses map[string][]time.Time // by service: begins of sound responses to any request; no entry if none reports them
+		suspected map[Part]time.Time     // since when
 		blocks    []block
 		lifted    map[string]time.Time // when a block with these parts was lifted
 		stale     bool                 // the evidence has changed since the last decisions
@@ -144,6 +145,10 @@
 
 // AddSound adds a sound response that a node has observed.
 func (t *Tracker) AddSound(now time.Time, s Sound) {
+	if s.Part == AnyRequest {
+		t.addResponse(now, s)
+		return
+	}
 	key, at := soundKey{s.Service, s.Part}, now.Add(-s.Age)
 	before := t.sounds[key]
 	if !at.After(before) {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -185,7 +185,8 @@
 	if lifted {
 		event = "prompt-released"
 	}
-	n.log.Warn(event, zap.String("parts", b.Name()), zap.String("service", b.Service), zap.Int("crashes", b.Crashes), zap.Duration("age", b.Age))
+	n.log.Warn(event, zap.String("parts", b.Name()), zap.String("service", b.Service), zap.Int("crashes", b.Crashes),
+		zap.Bool("provisional", b.Provisional), zap.Duration("age", b.Age))
 }
 
 // handleCall serves a call of another node.
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -21,12 +21,11 @@
 	// outageTime is how long each server that starts ends again under its first requests.
 	outageTime = 15 * time.Second
 	// recoverTime is how long after the end of an outage, and after the start of nodes, requests must be served again.
-	recoverTime = 12 * time.Second
+	recoverTime = 5 * time.Second
 	// measuredTime is how long after that requests are counted.
-	measuredTime = 6 * time.Second
-	// minRecovered is the share of requests, of those before the outage, that have to be served after it, and of the requests on
-	// the first routes, on routes that were added later.
-	minRecovered = 0.25
+	measuredTime = 10 * time.Second
+	// minRecovered is the share of requests, of those before the outage, that have to be served after it.
+	minRecovered = 0.75
 	// laterPath is a path of the route that was added later.
 	laterPath = "/more/x"
 )
@@ -52,27 +51,27 @@
 			return
 		case <-tick.C:
 		}
-		path, body := []string{f.path, laterPath}[i%2], fmt.Sprint("body ", i)
+		path, body, first := []string{f.path, laterPath}[i%2], fmt.Sprint("body ", i), "unlike"
 		if i%4 < 2 {
-			body = ""
+			body, first = "", "popular"
 		}
 		all.Go(func() {
 			at := time.Now()
 			status := f.request(f.pickNode(), fmt.Sprint("s", i), path, body, 0)
 			f.mu.Lock()
-			f.sent = append(f.sent, crashRequest{at: at, first: path, served: status == http.StatusOK})
+			f.sent = append(f.sent, crashRequest{at: at, first: path + " " + first, served: status == http.StatusOK})
 			f.mu.Unlock()
 		})
 	}
 }
 
-// servedOn returns the share of requests on a path sent from a time on, until another, that were served, and their number.
-func (f *crashCluster) servedOn(path string, from, until time.Time) (share float64, n int) {
+// servedOf returns the share of requests of a kind sent from a time on, until another, that were served, and their number.
+func (f *crashCluster) servedOf(kind string, from, until time.Time) (share float64, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ok := 0
 	for _, r := range f.sent {
-		if r.first != path || r.at.Before(from) || !r.at.Before(until) {
+		if r.first != kind || r.at.Before(from) || !r.at.Before(until) {
 			continue
 		}
 		n++
@@ -131,19 +130,17 @@
 				<-time.After(recoverTime + measuredTime)
 				cancel()
 				done.Wait()
-				for from := time.Second; from < recoverTime+measuredTime; from += 3 * time.Second {
-					first, _ := f.servedOn(f.path, back.Add(from), back.Add(from+3*time.Second))
-					later, _ := f.servedOn(laterPath, back.Add(from), back.Add(from+3*time.Second))
-					t.Logf("from %v on: %.2f served on the first route, %.2f on the later one", from, first, later)
-				}
-				t.Logf("%d crashes; reasons from 1 s on %v", len(f.crashes), f.reasons(back.Add(time.Second)))
-				first, _ := f.servedOn(f.path, back.Add(recoverTime), time.Now())
+				end := time.Now()
+				t.Logf("%d crashes; reasons from 1 s on %v", f.countCrashes(), f.reasons(back.Add(time.Second)))
 				for _, path := range []string{f.path, laterPath} {
-					before, _ := f.servedOn(path, time.Time{}, calm)
-					share, n := f.servedOn(path, back.Add(recoverTime), time.Now())
-					require.Greater(t, n, 20)
-					require.GreaterOrEqual(t, share, minRecovered*before, "path %s\n%s", path, f.story())
-					require.GreaterOrEqual(t, share, minRecovered*first, "path %s", path)
+					for _, requests := range []string{path + " popular", path + " unlike"} {
+						before, _ := f.servedOf(requests, time.Time{}, calm)
+						early, _ := f.servedOf(requests, back.Add(time.Second), back.Add(recoverTime))
+						share, n := f.servedOf(requests, back.Add(recoverTime), end)
+						t.Logf("%s: %.2f served before, %.2f from 1 s on, %.2f of %d from %v on", requests, before, early, share, n, recoverTime)
+						require.Greater(t, n, 20)
+						require.GreaterOrEqual(t, share, minRecovered*before, "%s\n%s", requests, f.story())
+					}
 				}
 			})
 		}
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -307,6 +307,7 @@
 	defer t.g.mu.Unlock()
 	c := &t.g.crashes
 	c.sent.remove(incarnation(t.selection.Server), t.record)
+	c.sounds.Add(t.service, poison.AnyRequest, t.began)
 	for _, p := range t.parts {
 		if p.IsCopy() {
 			c.copies.Add(t.service, p, t.began)
@@ -353,14 +354,16 @@
 	for _, p := range c.suspects {
 		asked[p] = true
 	}
+	asked[poison.AnyRequest] = len(c.suspects)+len(r.Crashes) > 0
 	for _, x := range r.Crashes {
+		r.Sounds = append(r.Sounds, poison.NoResponse(x.Service))
 		for _, q := range x.Requests {
 			for _, p := range q.Parts {
 				asked[p] = true
 			}
 		}
 	}
-	r.Sounds = append(c.sounds.Unsent(now, asked), c.copies.Unsent(now, asked)...)
+	r.Sounds = slices.Concat(r.Sounds, c.sounds.Unsent(now, asked), c.copies.Unsent(now, asked))
 	for _, b := range c.blocks {
 		r.Blocks = append(r.Blocks, b.WithAge(b.Age+now.Sub(c.at)))
 	}
--- a/internal/hub/poison.go
+++ b/internal/hub/poison.go
@@ -75,6 +75,7 @@
 	defer h.mu.Unlock()
 	for _, c := range list {
 		h.tracker.Add(now, c)
+		h.tracker.AddSound(now, poison.NoResponse(c.Service))
 	}
 }
 
@@ -88,7 +89,7 @@
 	h.inForce = map[string]poison.Block{}
 	for _, b := range list {
 		h.inForce[b.Name()] = b
-		if _, ok := before[b.Name()]; !ok {
+		if old, ok := before[b.Name()]; !ok || old.Provisional != b.Provisional {
 			h.OnBlock(b, false)
 		}
 	}
