poison: a block doesn't refuse requests to services whose servers bear its parts

A block now names the services whose servers have shown all its parts to be sound since its first crash, or in a trial; for these it doesn't hold. At all others it does, as a request that crashes servers may go to another service.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -27,6 +27,7 @@
 	service     string
 	crashes     int
 	at          time.Time       // of the last crash that led to it
+	except      []string        // other services at which the parts are sound
 	provisional bool            // hardly any response was sound between the crashes
 	trials      int             // requests that were let through since, but for those while it was provisional
 	triedAt     time.Time       // when the last request was let through
@@ -45,6 +46,28 @@
 	t.blocks = slices.DeleteFunc(t.blocks, func(b block) bool { return len(b.parts) == 0 })
 }
 
+// exceptService takes a service out of the blocks whose parts its servers have shown to be sound since the last crash.
+func (t *Tracker) exceptService(service string) {
+	for i := range t.blocks {
+		b := &t.blocks[i]
+		if b.service != service && t.allSound(service, b.parts, b.at) {
+			b.except = union(b.except, []string{service})
+		}
+	}
+}
+
+// allSound reports whether the servers of a service have shown all parts to be sound since a time.
+func (t *Tracker) allSound(service string, parts []Part, since time.Time) bool {
+	return !slices.ContainsFunc(parts, func(p Part) bool { return !t.sounds[soundKey{service, p}].After(since) })
+}
+
+// union returns the names of two lists, sorted.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // lift records that a block with the given parts isn't in force any more.
 func (t *Tracker) lift(parts []Part, at time.Time) {
 	if t.lifted == nil || len(t.lifted) >= maxBlocks {
@@ -63,9 +86,10 @@
 		}
 		if i := t.indexOf(b.Parts); i >= 0 {
 			t.blocks[i].provisional = t.blocks[i].provisional && b.Provisional
+			t.blocks[i].except = union(t.blocks[i].except, b.Except)
 		}
 		if !t.covers(b.Parts) {
-			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, provisional: b.Provisional, trials: b.Trials, triedAt: now})
+			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, except: b.Except, provisional: b.Provisional, trials: b.Trials, triedAt: now})
 		}
 	}
 }
@@ -98,7 +122,7 @@
 
 // export returns the block for other nodes.
 func (b block) export(now time.Time) Block {
-	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Provisional: b.provisional, Trials: b.trials, Trial: b.isTrialDue(now)}
+	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Except: b.except, Provisional: b.provisional, Trials: b.trials, Trial: b.isTrialDue(now)}
 }
 
 // isTrialDue reports whether a request may be let through to find out whether it still crashes servers.
@@ -113,12 +137,12 @@
 	return b.trials < len(trialDelays) && now.Sub(last) >= trialDelays[b.trials]
 }
 
-// Admit decides whether a request with the given parts may have a slot. It returns the block that refuses it, false if there is
+// Admit decides whether a request to a service with the given parts may have a slot. It returns the block that refuses it, false if there is
 // none, and whether the request is let through as a trial. It makes no new decisions about crashes.
-func (t *Tracker) Admit(now time.Time, parts []Part) (b Block, blocked, trial bool) {
+func (t *Tracker) Admit(now time.Time, service string, parts []Part) (b Block, blocked, trial bool) {
 	for i := range t.blocks {
 		b = t.blocks[i].export(now)
-		if !b.Matches(parts) {
+		if !b.Refuses(service, parts) {
 			continue
 		}
 		if !b.Trial {
--- a/core/poison/copy_test.go
+++ b/core/poison/copy_test.go
@@ -149,7 +149,7 @@
 		require.Len(t, p.blocked(7*second), 1)
 		admitted := 0
 		for at := 8 * second; at < time.Hour; at += second {
-			if _, _, trial := p.Admit(start.Add(at), parts(bad)); trial {
+			if _, _, trial := p.Admit(start.Add(at), service, parts(bad)); trial {
 				admitted++
 			}
 		}
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -59,6 +59,8 @@
 		// Provisional states that hardly any response of the service is known to have been sound between the crashes, so that the
 		// servers may have ended for another reason.
 		Provisional bool `json:"provisional,omitempty"`
+		// Except are other services whose servers have shown responses to all parts to be sound since the first of these crashes.
+		Except []string `json:"except,omitempty"`
 		// Trials is how many requests were let through to find out whether they still crash servers, and Trial is set while
 		// the leader grants a slot for the next one.
 		Trials int  `json:"trials,omitempty"`
@@ -129,10 +131,15 @@
 	return len(b.Parts) > 0
 }
 
-// FindMatch returns the first block that matches a request with the given parts, and whether there is one.
-func FindMatch(blocks []Block, parts []Part) (Block, bool) {
+// Refuses reports whether the block refuses a request to a service with the given parts.
+func (b Block) Refuses(service string, parts []Part) bool {
+	return !slices.Contains(b.Except, service) && b.Matches(parts)
+}
+
+// FindMatch returns the first block that refuses a request to a service with the given parts, and whether there is one.
+func FindMatch(blocks []Block, service string, parts []Part) (Block, bool) {
 	for _, b := range blocks {
-		if b.Matches(parts) {
+		if b.Refuses(service, parts) {
 			return b, true
 		}
 	}
--- a/core/poison/crash_test.go
+++ b/core/poison/crash_test.go
@@ -16,7 +16,7 @@
 	require.False(t, b.Matches(parts("a", "c")))
 	require.False(t, b.Matches(nil))
 	require.False(t, poison.Block{}.Matches(parts("a")))
-	found, ok := poison.FindMatch([]poison.Block{{Parts: parts("z")}, b}, parts("a", "b"))
+	found, ok := poison.FindMatch([]poison.Block{{Parts: parts("z")}, b}, service, parts("a", "b"))
 	require.True(t, ok)
 	require.Equal(t, b, found)
 }
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -221,6 +221,11 @@
 	slices.Sort(common)
 	b.parts = slices.Compact(common)
 	b.trials = lateCrashes(p, times)
+	for key := range t.sounds {
+		if key.part == p && key.service != s.service && t.allSound(key.service, b.parts, counted[0]) {
+			b.except = union(b.except, []string{key.service})
+		}
+	}
 	b.provisional = t.mayBeOutage(s.service, counted) && (!p.IsCopy() || t.hasOthers(p, s.service, counted[0], s.last))
 	return b
 }
@@ -262,6 +267,7 @@
 		switch {
 		case i >= 0:
 			b.provisional = b.provisional && t.blocks[i].provisional
+			b.except = union(b.except, t.blocks[i].except)
 			b.trials, b.triedAt = max(b.trials, t.blocks[i].trials), t.blocks[i].triedAt
 			t.blocks[i] = b
 		case !t.covers(b.parts):
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -39,7 +39,7 @@
 //	t.Add(now, crash)
 //	t.AddSound(now, sound)
 //	for _, b := range t.Blocks(now) {
-//		if b.Matches(parts) {
+//		if b.Refuses(service, parts) {
 //			// Refuse the request.
 //		}
 //	}
--- a/core/poison/outage_test.go
+++ b/core/poison/outage_test.go
@@ -18,7 +18,7 @@
 // admits reports whether a request with the given parts is let through.
 func (p *play) admits(at time.Duration, list ...poison.Part) bool {
 	p.Blocks(start.Add(at))
-	_, blocked, _ := p.Admit(start.Add(at), list)
+	_, blocked, _ := p.Admit(start.Add(at), service, list)
 	return !blocked
 }
 
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -163,6 +163,7 @@
 	t.sounds[key] = at
 	t.stale = t.stale || t.changesEvidence(s.Part, before, at)
 	t.narrow(key, at)
+	t.exceptService(s.Service)
 }
 
 // changesEvidence reports whether a sound response to a part, later than the last one known before, takes a crash out of the evidence against
--- a/core/poison/tracker_test.go
+++ b/core/poison/tracker_test.go
@@ -290,7 +290,7 @@
 	t.Parallel()
 	var p play
 	admit := func(at time.Duration) string {
-		_, blocked, trial := p.Admit(start.Add(at), parts("x", "y"))
+		_, blocked, trial := p.Admit(start.Add(at), service, parts("x", "y"))
 		return map[[2]bool]string{{true, false}: "blocked", {false, true}: "trial", {false, false}: "free"}[[2]bool{blocked, trial}]
 	}
 	require.Equal(t, "free", admit(0))
--- a/internal/front/slots.go
+++ b/internal/front/slots.go
@@ -31,7 +31,7 @@
 			return hub.SlotReply{}, nil, context.Canceled
 		}
 	}
-	b, blocked, trial := n.hub.Admit(time.Now(), q.SharedParts())
+	b, blocked, trial := n.hub.Admit(time.Now(), q.Service, q.SharedParts())
 	if blocked { // the node may not know of the block yet
 		why := string(gateway.BlockReason(b))
 		n.log.Info("place", zap.String("request-id", q.Request), zap.Bool("granted", false), zap.String("why", why), zap.String("parts", b.Name()))
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -111,10 +111,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now, c := time.Now(), &g.crashes
-	if b, ok := poison.FindMatch(c.blocks, r.parts); ok {
+	if b, ok := poison.FindMatch(c.blocks, r.service, r.parts); ok {
 		return b.WithAge(b.Age + now.Sub(c.at)), true
 	}
-	b, ok := poison.FindMatch(c.own.Blocks(now), r.parts)
+	b, ok := poison.FindMatch(c.own.Blocks(now), r.service, r.parts)
 	return b, ok && (b.Age < ownBlockTime || now.Sub(c.at) > aloneTime)
 }
 
@@ -133,7 +133,7 @@
 	defer g.mu.Unlock()
 	c, now := &g.crashes, time.Now()
 	for _, b := range list {
-		if _, ok := poison.FindMatch(c.blocks, b.Parts); !ok {
+		if _, ok := poison.FindMatch(c.blocks, b.Service, b.Parts); !ok {
 			c.blocks = append(slices.Clone(c.blocks), b.WithAge(b.Age-now.Sub(c.at)))
 		}
 	}
--- a/internal/hub/poison.go
+++ b/internal/hub/poison.go
@@ -108,11 +108,11 @@
 	return h.blocks(now)
 }
 
-// Admit decides whether a request with the given parts may have a slot, and whether as a trial; see poison.Tracker.
-func (h *Hub) Admit(now time.Time, parts []poison.Part) (b poison.Block, blocked, trial bool) {
+// Admit decides whether a request to a service with the given parts may have a slot, and whether as a trial; see poison.Tracker.
+func (h *Hub) Admit(now time.Time, service string, parts []poison.Part) (b poison.Block, blocked, trial bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.tracker.Admit(now, parts)
+	return h.tracker.Admit(now, service, parts)
 }
 
 // SetBlocks puts the blocks in force that another leader has decided.
--- a/internal/hub/poison_test.go
+++ b/internal/hub/poison_test.go
@@ -201,7 +201,7 @@
 
 // refuses reports whether a block refuses requests with a part.
 func refuses(blocks []poison.Block, p poison.Part) bool {
-	_, ok := poison.FindMatch(blocks, []poison.Part{"a", p})
+	_, ok := poison.FindMatch(blocks, "s", []poison.Part{"a", p})
 	return ok
 }
 
