soak: clients leave, and servers end again and again; what all these find is checked

Clients leave 0.2 to 1 s after their request, by an end or a reset, with and without bytes of a next request; later than 0.5 s after no more than three requests in a run may reach servers, and servers may work on no more than a quarter. All servers of a service end and those that start crash under their first requests, for 2 to 5 s at a time, and all nodes are killed after some of these; at the end requests of each kind have to be served.

--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "copies", "hot", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "copies", "hot", "gone", "outage", "recover"
 		Detail  string
 	}
 
@@ -34,6 +34,7 @@
 		cuts          []cut
 		takeUps       []takeUp
 		hot           []hotPeriod
+		departures    map[string]departure // by request
 	}
 
 	// Caller describes the sender of a request.
@@ -56,7 +57,7 @@
 func NewChecker() *Checker {
 	return &Checker{refusedNotRun: map[string]string{}, nonRepeatable: map[string]bool{}, counts: map[string]int{}, newestConfig: map[string]int{},
 		callers: map[string]Caller{}, revoked: map[int]time.Time{}, tokenUsage: map[string][]usage{},
-		servedAt: map[string]time.Time{}, disturbed: map[string][]disturbance{}, statuses: map[string]int{}}
+		departures: map[string]departure{}, servedAt: map[string]time.Time{}, disturbed: map[string][]disturbance{}, statuses: map[string]int{}}
 }
 
 // RecordViolation records a violation of an invariant.
--- a/internal/testbed/soak/crashes.go
+++ b/internal/testbed/soak/crashes.go
@@ -72,7 +72,7 @@
 			}[rng.IntN(3)]
 			model := r.model(rng)
 			r.faults.Go(func() {
-				r.sendCrashing(target, crashingRequest{id: id, path: "/stream/" + id, model: model, prompt: prompt})
+				r.sendSingle(target, singleRequest{id: id, path: "/stream/" + id, model: model, prompt: prompt})
 			})
 			clock.Sleep(ctx, randomDuration(rng, minCrashGapMS, maxCrashGapMS))
 		}
@@ -94,7 +94,7 @@
 	for phase := 1; ctx.Err() == nil; phase++ {
 		for n, end := 0, time.Now().Add(randomDuration(rng, minCrashPhaseMS, maxCrashPhaseMS)); time.Now().Before(end) && ctx.Err() == nil; n++ {
 			for k := range 1 + rng.IntN(maxTogether) {
-				q := crashingRequest{id: fmt.Sprintf("y%d-%d-%d", phase, n, k), path: crashPath(phase), prompt: sharedPart + ":50,copied:30"}
+				q := singleRequest{id: fmt.Sprintf("y%d-%d-%d", phase, n, k), path: crashPath(phase), prompt: sharedPart + ":50,copied:30"}
 				if phase%2 != 0 {
 					q.model = "m0"
 				}
@@ -102,21 +102,21 @@
 					q.leave = leaveMS * time.Millisecond
 				}
 				target := r.nodes[rng.IntN(len(r.nodes))]
-				r.faults.Go(func() { r.sendCrashing(target, q) })
+				r.faults.Go(func() { r.sendSingle(target, q) })
 			}
 			clock.Sleep(ctx, randomDuration(rng, minCrashGapMS, 2*maxCrashGapMS))
 		}
 	}
 }
 
-// crashingRequest is a request that crashes the server at which it runs.
-type crashingRequest struct {
+// singleRequest is a request on a connection of its own.
+type singleRequest struct {
 	id, path, model, prompt string
 	leave                   time.Duration // after which the client leaves, zero to wait for the response
 }
 
-// sendCrashing sends a request that crashes the server at which it runs.
-func (r *Run) sendCrashing(target *node, q crashingRequest) {
+// sendSingle sends a request on a connection of its own and reports whether it got a complete response of a server.
+func (r *Run) sendSingle(target *node, q singleRequest) bool {
 	id := q.id
 	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(q.leave, clientTimeout))
 	defer cancel()
@@ -130,10 +130,11 @@
 	r.check.RecordRequest(id, strings.HasPrefix(q.path, safePath), caller)
 	resp, err := (&http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
-		return
+		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body) // it is broken off if the server has crashed
+	_, err = io.Copy(io.Discard, resp.Body) // it is broken off if the server has crashed
+	return err == nil && resp.StatusCode == http.StatusOK
 }
 
 // replaceCrashed starts a server in place of one that has crashed, whose entry lapses.
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -27,7 +27,9 @@
 //   - Requests with a part of their prompts that crashes servers are refused soon after the fifth crash, and copies of a request that
 //     does soon after the third.
 //   - A node that gets most requests serves them about as often as all nodes did before.
-//   - When all faults have ended, every node serves again.
+//   - Hardly any request reaches a server later than 0.5 s after its client has left, and servers end most of their work by then.
+//   - When all faults have ended, every node serves again, and requests of each kind are served as well, also those that were in flight when
+//     all servers of a service ended.
 //
 // # Usage
 //
--- a/internal/testbed/soak/proxy.go
+++ b/internal/testbed/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,6 +37,8 @@
 	mode  Mode
 	conns map[net.Conn]struct{}
 	held  chan struct{} // closed when bytes are forwarded again, nil while they are
+	// faults are the times in which it didn't forward all bytes at once; the last one may not have ended.
+	faults []disturbance
 }
 
 // NewProxy starts a proxy in front of target.
@@ -58,6 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.recordFault()
 	if m == Refuse {
 		for c := range p.conns {
 			reset(c)
@@ -76,6 +80,29 @@
 		close(p.held)
 		p.held = nil
 	}
+	p.recordFault()
+}
+
+// recordFault records that a fault begins or ends; p.mu is held.
+func (p *Proxy) recordFault() {
+	isFaulty := p.mode != Pass || p.held != nil
+	n := len(p.faults)
+	wasFaulty := n > 0 && p.faults[n-1].to.IsZero()
+	switch {
+	case isFaulty && !wasFaulty:
+		p.faults = append(p.faults, disturbance{from: time.Now()})
+	case !isFaulty && wasFaulty:
+		p.faults[n-1].to = time.Now()
+	}
+}
+
+// wasFaulty reports whether it didn't forward all bytes at once at some moment between two times.
+func (p *Proxy) wasFaulty(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.faults, func(d disturbance) bool {
+		return !d.from.After(to) && (d.to.IsZero() || !d.to.Before(from))
+	})
 }
 
 // awaitRelease waits until no bytes are kept back.
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -55,6 +55,10 @@
 		// Crashes adds requests with a part of their prompts that crashes servers, copies of one request that does, and nodes that get
 		// most requests, to the other faults.
 		Crashes bool
+		// Departures adds clients that leave before they have a response, to the other faults.
+		Departures bool
+		// Outages adds times in which each server of a service that starts crashes under its first requests, to the other faults.
+		Outages bool
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
 		Soak string
@@ -68,6 +72,7 @@
 		version  atomic.Int64
 		software atomic.Int64         // version of the next engine
 		hot      atomic.Pointer[node] // gets most requests, nil for none
+		fragile  atomic.Value         // service whose servers crash under their first requests, empty for none
 		faults   sync.WaitGroup
 		cleanups []func()
 		mu       sync.Mutex // guards Log, workers and cleanups
@@ -139,6 +144,17 @@
 		defer end()
 		time.AfterFunc(r.Duration, end)
 	}
+	if r.Departures {
+		for i := range departingClients {
+			wg.Go(func() { r.leaveEarly(work, i) })
+		}
+	}
+	if r.Outages {
+		ending, end := context.WithCancel(work)
+		r.faults.Go(func() { r.endServers(ending) })
+		defer end()
+		time.AfterFunc(r.Duration, end)
+	}
 	if r.Broken {
 		breaking, end := context.WithCancel(work)
 		r.faults.Go(func() { r.breakResponses(breaking) })
@@ -159,6 +175,9 @@
 	if !r.awaitRecovery(ctx, "end") && ctx.Err() == nil {
 		r.check.RecordViolation("recover", "some nodes do not serve requests %v after the last fault", recoveryTime)
 	}
+	if r.Outages {
+		r.checkOutages(ctx)
+	}
 	stop()
 	wg.Wait()
 	clock.Sleep(ctx, settleTime) // requests in flight may still run
@@ -166,6 +185,7 @@
 		return nil, ctx.Err() // incomplete, so the checks would not be conclusive
 	}
 	r.checkServers()
+	r.checkDepartures()
 	r.logf("responses by status: %v", r.check.Counts())
 	tried, wentOn := r.check.TakeUps()
 	r.logf("streams taken up: %d, went on: %d", tried, wentOn)
@@ -206,7 +226,7 @@
 // addWorker starts a server and writes its table entry. Engines start with two of the four
 // models, so that the others have to be loaded on demand.
 func (r *Run) addWorker(service, id string) error {
-	s := &standin.Worker{ID: id}
+	s := &standin.Worker{ID: id, SlowPaths: slowPaths, SlowTime: slowTime, Fragile: r.fragile.Load() == service}
 	if r.Soak != "" {
 		s.Capacity = brittleCapacity
 	}
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// TestDeparturesAndOutagesHold runs the soak with clients that leave and servers that end again and again, and requires that no invariant is
+// violated.
+func TestDeparturesAndOutagesHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1} {
+		r := &soak.Run{Soak: binary, Departures: true, Outages: true, Seed: seed, Duration: 12 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestChecksReportViolations checks that each check reports the violation that it exists for,
 // and that permitted behaviour is not reported.
 func TestChecksReportViolations(t *testing.T) {
@@ -208,6 +220,19 @@
 			}
 			c.CheckCopies("/broken", list)
 		},
+		"gone": func(c *soak.Checker) {
+			now := time.Now()
+			var late, working []soak.ServerRun
+			for i := range 8 {
+				id := fmt.Sprint("l", i)
+				c.RecordDeparture(id, "n", now, false)
+				late = append(late, soak.ServerRun{RunRecord: standin.RunRecord{ID: id, At: now.Add(time.Second)}})
+				working = append(working, soak.ServerRun{RunRecord: standin.RunRecord{ID: id, At: now.Add(-time.Second), Ended: now.Add(time.Duration(i%4) * 200 * time.Millisecond)}})
+			}
+			c.CheckDepartures(late[:3])
+			c.CheckDepartures(working)
+			c.CheckDepartures(late)
+		},
 		"hot": func(c *soak.Checker) {
 			now := time.Now()
 			c.RecordHot("n", now, now.Add(6*time.Second))
