--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -51,6 +51,9 @@
 	// taskMargin is the part of killMargin in which tasks that don't serve clients may still
 	// end; the rest is for the last log lines.
 	taskMargin = 300 * time.Millisecond
+	// crashReportTime bounds how long a stopping node tries to report the crashes that it noticed with its last requests: several reports,
+	// as the first one may have been under way, or may get no reply.
+	crashReportTime = 2 * time.Second
 	// reservedDescriptors is the number of descriptors reserved for files and connections to
 	// servers.
 	reservedDescriptors = 200
@@ -358,14 +361,24 @@
 	n.gateway.Stop()
 	_ = n.listeners[0].Close()
 	n.clients.Shutdown(ctx)
-	if n.gateway.HasUnreportedCrash() { // no other node may have had the request that caused it
-		n.refresher.request(ctx)
-	}
+	n.reportCrashes(ctx)
 	for _, l := range n.listeners[1:] {
 		_ = l.Close()
 	}
 }
 
+// reportCrashes reports the crashes that the node noticed with its last requests, of which no other node may know, until a hub has acknowledged
+// them, for crashReportTime at most.
+func (n *Node) reportCrashes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, crashReportTime)
+	defer cancel()
+	for n.gateway.HasUnreportedCrash() && ctx.Err() == nil {
+		if !n.refresher.request(ctx) { // the next report is due soon
+			clock.Sleep(ctx, refreshPoll)
+		}
+	}
+}
+
 // ready reports whether the node can serve.
 func (n *Node) ready() bool {
 	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers()
