--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -16,9 +16,9 @@
 // each may cost a server.
 var trialDelays = []time.Duration{time.Minute, 10 * time.Minute}
 
-// provisionalTrialDelay is the time after the last crash, or trial, after which one request is let through a provisional block, without a limit
-// to their number: in an outage of all servers the block refuses sound requests, and a server that crashes on a trial beside sound responses to
-// others ends the block's being provisional.
+// provisionalTrialDelay is the time after the last crash, or trial, after which one request is let through a provisional block. Their number has
+// no limit: after an outage of all servers a trial lifts the block, and a request that does crash servers crashes one between sound responses to
+// others, which makes the block final.
 const provisionalTrialDelay = 2 * time.Second
 
 // block is a block in force.
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -29,7 +29,10 @@
 //
 // The decision is a Block: the part, with all other parts that every one of its requests had and that no response shows to be
 // sound. Requests with all parts of a block are refused. A request that has only some of them is sent, and its end
-// distinguishes them. A block outlasts the requests that it refuses. It is lifted when another one explains its crashes better, or when a response
+// distinguishes them. In an outage of all servers of a service no response is sound, and any part that most requests share explains the crashes.
+// A block whose crashes aren't separated by sound responses to other requests is therefore provisional, and tested by single requests all the time.
+//
+// A block outlasts the requests that it refuses. It is lifted when another one explains its crashes better, or when a response
 // to a request with its parts was sound after all, for which the leader admits single requests, twice at most
 // (trialDelays).
 //
