poison: trials prefer requests without other suspected parts; soak: requests that outlast the timeout of their route

A part that nearly all sound requests share stayed blocked, and became final, where most of its requests also had a part that does crash servers: these were let through as trials of it, and their crashes counted against it. A request now is a trial only if all blocks that match it are due, and waits 2 s longer if another of its parts is suspected and was never sound.

The soak checks that requests that servers handle for longer than the timeout of their route have a final answer 0.5 s after it.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -21,6 +21,10 @@
 // others, which makes the block final.
 const provisionalTrialDelay = 2 * time.Second
 
+// suspectTrialDelay is how much longer a request has to wait for a trial if another of its parts may crash servers: its crash
+// would count against the block.
+const suspectTrialDelay = 2 * time.Second
+
 // block is a block in force.
 type block struct {
 	parts       []Part
@@ -138,21 +142,33 @@
 }
 
 // Admit decides whether a request to a service with the given parts may have a slot. It returns the block that refuses it, false if there is
-// none, and whether the request is let through as a trial. It makes no new decisions about crashes.
+// none, and whether the request is let through as a trial, of all blocks that match it. It makes no new decisions about crashes.
 func (t *Tracker) Admit(now time.Time, service string, parts []Part) (b Block, blocked, trial bool) {
+	var tried []int
 	for i := range t.blocks {
-		b = t.blocks[i].export(now)
-		if !b.Refuses(service, parts) {
+		next := t.blocks[i].export(now)
+		if !next.Refuses(service, parts) {
 			continue
 		}
-		if !b.Trial {
+		if b = next; !b.Trial || !t.blocks[i].isTrialDue(now.Add(-suspectTrialDelay)) && t.isSuspect(service, parts, b) {
 			return b, true, false
 		}
-		if !b.Provisional {
+		tried = append(tried, i)
+	}
+	for _, i := range tried {
+		if !t.blocks[i].provisional {
 			t.blocks[i].trials++
 		}
 		t.blocks[i].triedAt = now
-		return b, false, true
 	}
-	return Block{}, false, false
+	return b, false, len(tried) > 0
+}
+
+// isSuspect reports whether one of the given parts that a block doesn't have is suspected, and no response of the service to it is known to have been
+// sound.
+func (t *Tracker) isSuspect(service string, parts []Part, b Block) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool {
+		_, suspected := t.suspected[p]
+		return suspected && !slices.Contains(b.Parts, p) && t.sounds[soundKey{service, p}].IsZero()
+	})
 }
--- a/core/poison/outage_test.go
+++ b/core/poison/outage_test.go
@@ -117,3 +117,42 @@
 		})
 	}
 }
+
+// TestSoundPartIsServedBesidePartsThatCrashServers plays an outage in which all servers end, beside and before requests with a part that
+// crashes servers, which share another part with nearly all sound ones. Most trials could be of requests that do crash servers.
+func TestSoundPartIsServedBesidePartsThatCrashServers(t *testing.T) {
+	t.Parallel()
+	const outage = 10 * second
+	var p play
+	p.sound(-100*ms, "a", "b", "c")
+	p.respond(-100 * ms)
+	served, refused := 0, 0
+	for i := range 700 {
+		at := time.Duration(i) * 100 * ms
+		p.observe(at)
+		own := poison.CopyOf(uint64(i))
+		list, sound := parts("a", "dead", own), false
+		switch i % 10 {
+		case 0:
+			list, sound = parts("a", "b", own), true
+		case 5:
+			list, sound = parts("c", own), true
+		}
+		isCounted := i%10 == 0 && at > outage+10*second
+		switch {
+		case !p.admits(at, list...):
+			if isCounted {
+				refused++
+			}
+		case at < outage || !sound:
+			p.crash(at, request(50*ms, list...))
+		default:
+			if isCounted {
+				served++
+			}
+			p.sound(at, list...)
+			p.respond(at)
+		}
+	}
+	require.GreaterOrEqual(t, served, 3*refused, "%v", p.blocked(70*second))
+}
--- a/internal/testbed/soak/check.go
+++ b/internal/testbed/soak/check.go
@@ -13,7 +13,7 @@
 type (
 	// Violation is an observed breach of an invariant.
 	Violation struct {
-		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "copies", "hot", "gone", "outage", "recover"
+		Promise string // "whole", "twice", "not-run", "order", "config", "fence", "memory", "key", "quota", "leaving", "rest", "rate", "brittle", "cut", "lost", "crash", "copies", "hot", "gone", "timeout", "outage", "recover"
 		Detail  string
 	}
 
@@ -35,6 +35,7 @@
 		takeUps       []takeUp
 		hot           []hotPeriod
 		departures    map[string]departure // by request
+		waits         []wait
 	}
 
 	// Caller describes the sender of a request.
--- a/internal/testbed/soak/departures.go
+++ b/internal/testbed/soak/departures.go
@@ -25,11 +25,10 @@
 	departedRatio = 0.25
 	// minDeparted is the number of such requests from which on the share is checked.
 	minDeparted = 8
-	// slowTime is how long servers handle requests on slowPaths.
-	slowTime = 2500 * time.Millisecond
+	slowTime    = 2500 * time.Millisecond
 )
 
-// slowPaths are the paths of requests whose clients leave.
+// slowPaths are the paths of requests whose clients leave, which servers handle for slowTime.
 var slowPaths = []string{safePath + "slow", "/unsafe/slow", "/stream/slow", "/resumable/slow"}
 
 // departure is how a client left before it had a response.
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -28,6 +28,7 @@
 //     does soon after the third.
 //   - A node that gets most requests serves them about as often as all nodes did before.
 //   - Hardly any request reaches a server later than 0.5 s after its client has left, and servers end most of their work by then.
+//   - Requests that servers handle for longer than the timeout of their route have a final answer 0.5 s after it.
 //   - When all faults have ended, every node serves again, and requests of each kind are served as well, also those that were in flight when
 //     all servers of a service ended.
 //
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -148,6 +148,9 @@
 		for i := range departingClients {
 			wg.Go(func() { r.leaveEarly(work, i) })
 		}
+		for i := range waitingClients {
+			wg.Go(func() { r.waitForTimeouts(work, i) })
+		}
 	}
 	if r.Outages {
 		ending, end := context.WithCancel(work)
@@ -186,6 +189,7 @@
 	}
 	r.checkServers()
 	r.checkDepartures()
+	r.check.CheckTimeouts()
 	r.logf("responses by status: %v", r.check.Counts())
 	tried, wentOn := r.check.TakeUps()
 	r.logf("streams taken up: %d, went on: %d", tried, wentOn)
@@ -226,7 +230,7 @@
 // addWorker starts a server and writes its table entry. Engines start with two of the four
 // models, so that the others have to be loaded on demand.
 func (r *Run) addWorker(service, id string) error {
-	s := &standin.Worker{ID: id, SlowPaths: slowPaths, SlowTime: slowTime, Fragile: r.fragile.Load() == service}
+	s := &standin.Worker{ID: id, SlowPaths: slowTimes(), Fragile: r.fragile.Load() == service}
 	if r.Soak != "" {
 		s.Capacity = brittleCapacity
 	}
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -233,6 +233,15 @@
 			c.CheckDepartures(working)
 			c.CheckDepartures(late)
 		},
+		"timeout": func(c *soak.Checker) {
+			now := time.Now()
+			for i := range 16 { // half of them are answered in time, and then one less
+				c.RecordWait("n", now, 4*time.Second+time.Duration(i%2)*time.Second)
+			}
+			c.CheckTimeouts()
+			c.RecordWait("n", now, 5*time.Second)
+			c.CheckTimeouts()
+		},
 		"hot": func(c *soak.Checker) {
 			now := time.Now()
 			c.RecordHot("n", now, now.Add(6*time.Second))
