poison: a part that was sound before, or crashed servers of another service only, is tested all the time

A part of prompts was blocked for good at engines for crashes of a plain service, to which only requests that crash servers had it; engines had crashed with it in an outage only. And in the other order: a part that a thousand responses had shown to be sound became final by crashes of requests that carry another part.

A block is final for each service by its own crashes, and provisional for all others; a part of which any response was sound before stays provisional: a part that crashes servers never has one, so the bound on its requests holds.

TestBlockOfPartThatWasSoundStaysProvisional, TestPartIsServedAtServicesThatBearIt (early trial).

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -31,8 +31,10 @@
 	service     string
 	crashes     int
 	at          time.Time       // of the last crash that led to it
+	services    []string        // others with such crashes, for which the block isn't provisional
 	except      []string        // other services at which the parts are sound
-	provisional bool            // hardly any response was sound between the crashes
+	wasSound    bool            // a response to the part was sound before the crashes
+	provisional bool            // the servers may have ended for another reason
 	trials      int             // requests that were let through since, but for those while it was provisional
 	triedAt     time.Time       // when the last request was let through
 	explained   map[string]bool // servers whose crashes it explains, nil if another node decided it
@@ -89,11 +91,12 @@
 			continue
 		}
 		if i := t.indexOf(b.Parts); i >= 0 {
-			t.blocks[i].provisional = t.blocks[i].provisional && b.Provisional
+			t.blocks[i].provisional = t.blocks[i].wasSound || t.blocks[i].provisional && b.Provisional
 			t.blocks[i].except = union(t.blocks[i].except, b.Except)
+			t.blocks[i].services = union(t.blocks[i].services, b.Services)
 		}
 		if !t.covers(b.Parts) {
-			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, except: b.Except, provisional: b.Provisional, trials: b.Trials, triedAt: now})
+			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, services: b.Services, except: b.Except, provisional: b.Provisional, trials: b.Trials, triedAt: now})
 		}
 	}
 }
@@ -126,19 +129,27 @@
 
 // export returns the block for other nodes.
 func (b block) export(now time.Time) Block {
-	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Except: b.except, Provisional: b.provisional, Trials: b.trials, Trial: b.isTrialDue(now)}
+	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Services: b.services, Except: b.except, Provisional: b.provisional, Trials: b.trials,
+		Trial: b.isTrialDue(now), TrialElsewhere: b.isTested(now)}
 }
 
 // isTrialDue reports whether a request may be let through to find out whether it still crashes servers.
 func (b block) isTrialDue(now time.Time) bool {
-	last := b.at
-	if b.triedAt.After(last) {
-		last = b.triedAt
-	}
 	if b.provisional {
-		return now.Sub(last) >= provisionalTrialDelay
+		return b.isTested(now)
+	}
+	return b.trials < len(trialDelays) && now.Sub(b.lastTrial()) >= trialDelays[b.trials]
+}
+
+// isTested reports whether a request may be let through while the block is provisional, or to a service for which it always is.
+func (b block) isTested(now time.Time) bool { return now.Sub(b.lastTrial()) >= provisionalTrialDelay }
+
+// lastTrial returns the time of the last crash or trial.
+func (b block) lastTrial() time.Time {
+	if b.triedAt.After(b.at) {
+		return b.triedAt
 	}
-	return b.trials < len(trialDelays) && now.Sub(last) >= trialDelays[b.trials]
+	return b.at
 }
 
 // Admit decides whether a request to a service with the given parts may have a slot. It returns the block that refuses it, false if there is
@@ -150,13 +161,15 @@
 		if !next.Refuses(service, parts) {
 			continue
 		}
-		if b = next; !b.Trial || !t.blocks[i].isTrialDue(now.Add(-suspectTrialDelay)) && t.isSuspect(service, parts, b) {
+		b = next
+		isLate := t.blocks[i].export(now.Add(-suspectTrialDelay)).AllowsTrial(service)
+		if !b.AllowsTrial(service) || !isLate && t.isSuspect(service, parts, b) {
 			return b, true, false
 		}
 		tried = append(tried, i)
 	}
 	for _, i := range tried {
-		if !t.blocks[i].provisional {
+		if !t.blocks[i].provisional && t.blocks[i].isTrialDue(now) {
 			t.blocks[i].trials++
 		}
 		t.blocks[i].triedAt = now
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -56,15 +56,19 @@
 		Service string        `json:"service"` // at whose servers the last crash was
 		Crashes int           `json:"crashes"` // that led to it
 		Age     time.Duration `json:"age-ns"`  // since the last of them
-		// Provisional states that hardly any response of the service is known to have been sound between the crashes, so that the
-		// servers may have ended for another reason.
+		// Services are other services at whose servers such crashes were, and didn't end for another reason, sorted.
+		Services []string `json:"services,omitempty"`
+		// Provisional states that the servers may have ended for another reason: hardly any response of the service is known to have been
+		// sound between the crashes, or one to the part was before.
 		Provisional bool `json:"provisional,omitempty"`
 		// Except are other services whose servers have shown responses to all parts to be sound since the first of these crashes.
 		Except []string `json:"except,omitempty"`
 		// Trials is how many requests were let through to find out whether they still crash servers, and Trial is set while
-		// the leader grants a slot for the next one.
-		Trials int  `json:"trials,omitempty"`
-		Trial  bool `json:"trial,omitempty"`
+		// the leader grants a slot for the next one. TrialElsewhere is the same for services
+		// that aren't among these.
+		Trials         int  `json:"trials,omitempty"`
+		Trial          bool `json:"trial,omitempty"`
+		TrialElsewhere bool `json:"trial-elsewhere,omitempty"`
 	}
 )
 
@@ -136,6 +140,11 @@
 	return !slices.Contains(b.Except, service) && b.Matches(parts)
 }
 
+// AllowsTrial reports whether the leader grants a slot to a request to a service that the block refuses, to find out whether it crashes servers.
+func (b Block) AllowsTrial(service string) bool {
+	return b.Trial || b.TrialElsewhere && b.Service != service && !slices.Contains(b.Services, service)
+}
+
 // FindMatch returns the first block that refuses a request to a service with the given parts, and whether there is one.
 func FindMatch(blocks []Block, service string, parts []Part) (Block, bool) {
 	for _, b := range blocks {
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -196,7 +196,8 @@
 func (t *Tracker) blockFor(p Part, s suspicion, list []*crash) block {
 	b := block{service: s.service, crashes: s.crashes, at: s.last, explained: map[string]bool{}}
 	var common []Part
-	var times, counted []time.Time // of the crashes, and of those after its last sound response
+	var times []time.Time               // of the crashes
+	counted := map[string][]time.Time{} // by service, of those after its last sound response
 	for _, c := range list {
 		if c.parts[p].requests == 0 {
 			continue
@@ -204,7 +205,7 @@
 		b.explained[c.server] = true
 		times = append(times, c.at)
 		if c.at.After(t.sounds[soundKey{c.service, p}]) {
-			counted = append(counted, c.at)
+			counted[c.service] = append(counted[c.service], c.at)
 		}
 		for _, r := range c.requests {
 			if !slices.Contains(r.Parts, p) || !c.at.After(t.sounds[soundKey{c.service, p}]) { // from before its last sound response
@@ -221,12 +222,20 @@
 	slices.Sort(common)
 	b.parts = slices.Compact(common)
 	b.trials = lateCrashes(p, times)
+	first := counted[s.service][0]
 	for key := range t.sounds {
-		if key.part == p && key.service != s.service && t.allSound(key.service, b.parts, counted[0]) {
+		if key.part == p && key.service != s.service && t.allSound(key.service, b.parts, first) {
 			b.except = union(b.except, []string{key.service})
 		}
 	}
-	b.provisional = t.mayBeOutage(s.service, counted) && (!p.IsCopy() || t.hasOthers(p, s.service, counted[0], s.last))
+	for service, at := range counted {
+		if service != s.service && !t.mayBeOutage(service, at) && !t.wasSound(service, p) {
+			b.services = union(b.services, []string{service})
+		}
+	}
+	b.wasSound = t.wasSound(s.service, p)
+	b.provisional = b.wasSound ||
+		t.mayBeOutage(s.service, counted[s.service]) && (!p.IsCopy() || t.hasOthers(p, s.service, first, s.last))
 	return b
 }
 
@@ -266,8 +275,9 @@
 		i := t.indexOf(b.parts)
 		switch {
 		case i >= 0:
-			b.provisional = b.provisional && t.blocks[i].provisional
+			b.provisional = b.wasSound || b.provisional && t.blocks[i].provisional
 			b.except = union(b.except, t.blocks[i].except)
+			b.services = union(b.services, t.blocks[i].services)
 			b.trials, b.triedAt = max(b.trials, t.blocks[i].trials), t.blocks[i].triedAt
 			t.blocks[i] = b
 		case !t.covers(b.parts):
--- a/core/poison/outage_test.go
+++ b/core/poison/outage_test.go
@@ -156,3 +156,31 @@
 	}
 	require.GreaterOrEqual(t, served, 3*refused, "%v", p.blocked(70*second))
 }
+
+// TestBlockOfPartThatWasSoundStaysProvisional checks that a part is tested all the time that was sound before: servers don't crash on it each time.
+func TestBlockOfPartThatWasSoundStaysProvisional(t *testing.T) {
+	t.Parallel()
+	for name, knownLate := range map[string]bool{"known before": false, "known later": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var p play
+			if !knownLate {
+				p.sound(-second, "x")
+			}
+			for i := range 5 {
+				p.observe(time.Duration(i) * second)
+				p.crash(time.Duration(i)*second, request(50*ms, "x"), request(50*ms, "y"))
+				p.sound(time.Duration(i)*second+300*ms, "y")
+				p.respond(time.Duration(i)*second + 300*ms)
+			}
+			require.Equal(t, knownLate, !p.Blocks(start.Add(7 * second))[0].Provisional)
+			if knownLate {
+				p.AddSound(start.Add(7*second), poison.Sound{Service: service, Part: "x", Age: 8 * second})
+			}
+			require.True(t, p.Blocks(start.Add(8 * second))[0].Provisional)
+			require.True(t, p.admits(8*second, "x"))
+			require.False(t, p.admits(8*second, "x"), "one at a time")
+			require.True(t, p.admits(10*second, "x"))
+		})
+	}
+}
--- a/core/poison/service_test.go
+++ b/core/poison/service_test.go
@@ -15,7 +15,7 @@
 func TestPartIsServedAtServicesThatBearIt(t *testing.T) {
 	t.Parallel()
 	const other = "other"
-	for name, soundAt := range map[string]time.Duration{"between the crashes": 1500 * ms, "as a trial": 63 * second} {
+	for name, soundAt := range map[string]time.Duration{"between the crashes": 1500 * ms, "as an early trial": 5 * second, "as a late trial": 63 * second} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var p play
@@ -42,7 +42,7 @@
 				sound(soundAt)
 			}
 			require.False(t, refused(soundAt+3*second, other))
-			require.True(t, refused(soundAt+3*second, service))
+			require.True(t, refused(soundAt+3*second, service), "at its own service trials are few")
 			var next play
 			next.Inherit(start.Add(70*second), p.Blocks(start.Add(70*second)))
 			_, blocked, _ := next.Admit(start.Add(70*second), other, parts("a", "b"))
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -174,6 +174,11 @@
 	})
 }
 
+// wasSound reports whether a response of a service to a part is known to have been sound.
+func (t *Tracker) wasSound(service string, p Part) bool {
+	return !t.sounds[soundKey{service, p}].IsZero()
+}
+
 // pruneSounds forgets the sound responses to parts of which no request was in flight at a crash that is kept, or all if there are too many.
 func (t *Tracker) pruneSounds() {
 	maps.DeleteFunc(t.sounds, func(key soundKey, _ time.Time) bool { return !t.isInEvidence(key.part) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,7 +231,7 @@
 	}
 	r.fingerprint = fingerprint(x)
 	r.parts = r.sharedParts()
-	if b, ok := r.findBlock(); ok && !b.Trial {
+	if b, ok := r.findBlock(); ok && !b.AllowsTrial(r.service) {
 		r.refuseBlocked(b, "")
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -196,7 +196,7 @@
 // needsTrial reports whether a block refuses the request, and the leader may let it through to find out whether it still crashes servers.
 func (r *request) needsTrial() bool {
 	b, ok := r.findBlock()
-	return ok && b.Trial
+	return ok && b.AllowsTrial(r.service)
 }
 
 // item returns the model and adapter that the request needs.
