--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -58,7 +58,7 @@
 	crashRequest struct {
 		at     time.Time
 		part   string // that crashes servers, empty if the request is sound
-		first  string // first part of the prompt
+		first  string // first part of the prompt, or the kind of request
 		served bool
 	}
 )
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -41,28 +40,13 @@
 
 // sendRoutes sends requests on the first and on the later route in turn until the context ends, half of them copies of one another.
 func (f *crashCluster) sendRoutes(ctx context.Context, interval time.Duration) {
-	var all sync.WaitGroup
-	defer all.Wait()
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		path, body, first := []string{f.path, laterPath}[i%2], fmt.Sprint("body ", i), "unlike"
+	f.sendEach(ctx, interval, func(i int) (path, body, kind string) {
+		path = []string{f.path, laterPath}[i%2]
 		if i%4 < 2 {
-			body, first = "", "popular"
+			return path, "", path + " popular"
 		}
-		all.Go(func() {
-			at := time.Now()
-			status := f.request(f.pickNode(), fmt.Sprint("s", i), path, body, 0)
-			f.mu.Lock()
-			f.sent = append(f.sent, crashRequest{at: at, first: path + " " + first, served: status == http.StatusOK})
-			f.mu.Unlock()
-		})
-	}
+		return path, fmt.Sprint("body ", i), path + " unlike"
+	})
 }
 
 // servedOf returns the share of requests of a kind sent from a time on, until another, that were served, and their number.
--- a/internal/front/repeat_test.go
+++ b/internal/front/repeat_test.go
@@ -95,6 +95,17 @@
 
 // sendSound sends sound requests until the context ends, half of them copies of one another.
 func (f *crashCluster) sendSound(ctx context.Context, interval time.Duration) {
+	f.sendEach(ctx, interval, func(i int) (path, body, kind string) {
+		if i%2 == 0 {
+			return f.below(popularPath), "", "popular"
+		}
+		return f.below(fmt.Sprint("own", i)), fmt.Sprint("body ", i), "unlike"
+	})
+}
+
+// sendEach sends the request that next returns for each number at an interval, each to any node, until the context ends, and records how it ended under
+// its kind.
+func (f *crashCluster) sendEach(ctx context.Context, interval time.Duration, next func(i int) (path, body, kind string)) {
 	var all sync.WaitGroup
 	defer all.Wait()
 	tick := time.NewTicker(interval)
@@ -105,15 +116,12 @@
 			return
 		case <-tick.C:
 		}
-		path, body, first := f.below(fmt.Sprint("own", i)), fmt.Sprint("body ", i), "unlike"
-		if i%2 == 0 {
-			path, body, first = f.below(popularPath), "", "popular"
-		}
+		path, body, kind := next(i)
 		all.Go(func() {
 			at := time.Now()
 			status := f.request(f.pickNode(), fmt.Sprint("s", i), path, body, 0)
 			f.mu.Lock()
-			f.sent = append(f.sent, crashRequest{at: at, first: first, served: status == http.StatusOK})
+			f.sent = append(f.sent, crashRequest{at: at, first: kind, served: status == http.StatusOK})
 			f.mu.Unlock()
 		})
 	}
