poison: a trial that crashes a server between sound responses makes a provisional block final

One does now: others are sound while the part is refused, and its trial is the first request that crashes.

TestProvisionalBlockBecomesFinal: one trial in the first minute, two before.

--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -255,6 +255,12 @@
 	return late
 }
 
+// failedTrial reports whether a crash at a time shows that a trial of a provisional block has crashed a server, after a response to another request
+// was sound.
+func (t *Tracker) failedTrial(b block, crashed time.Time) bool {
+	return !b.triedAt.IsZero() && crashed.After(b.triedAt) && t.respondedBetween(b.service, b.at, crashed)
+}
+
 // replace puts the decided blocks in force. Blocks of before stay, unless others explain so many of the crashes that led to them that
 // the rest wouldn't have.
 func (t *Tracker) replace(now time.Time, decided []block, found map[string]bool) {
@@ -275,7 +281,7 @@
 		i := t.indexOf(b.parts)
 		switch {
 		case i >= 0:
-			b.provisional = b.wasSound || b.provisional && t.blocks[i].provisional
+			b.provisional = b.wasSound || b.provisional && t.blocks[i].provisional && !t.failedTrial(t.blocks[i], b.at)
 			b.except = union(b.except, t.blocks[i].except)
 			b.services = union(b.services, t.blocks[i].services)
 			b.trials, b.triedAt = max(b.trials, t.blocks[i].trials), t.blocks[i].triedAt
--- a/core/poison/outage_test.go
+++ b/core/poison/outage_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// TestProvisionalBlockBecomesFinal checks that a request which crashes servers faster than others respond is let through twice more, and then
-// seldom: these crashes come beside sound responses to others.
+// TestProvisionalBlockBecomesFinal checks that a request which crashes servers faster than others respond is let through once more, and then
+// seldom: this crash comes after sound responses to others.
 func TestProvisionalBlockBecomesFinal(t *testing.T) {
 	t.Parallel()
 	var p play
@@ -65,10 +65,14 @@
 		p.observe(time.Duration(i) * 10 * ms)
 		p.crash(time.Duration(i)*10*ms, request(100*ms, "a", bad), request(100*ms, "a", poison.CopyOf(uint64(i))))
 	}
-	late := 0
+	late, trials := 0, 0
 	for at := 100 * ms; at < time.Hour; at += 100 * ms {
+		isBlocked := len(p.blocked(at)) > 0
 		if p.admits(at, "a", bad) {
-			p.crash(at, request(50*ms, "a", bad))
+			p.crash(at+50*ms, request(50*ms, "a", bad))
+			if isBlocked && at < time.Minute {
+				trials++
+			}
 			if at > 3*second {
 				late++
 			}
@@ -78,6 +82,7 @@
 		}
 	}
 	require.LessOrEqual(t, late, 3, "later than 3 s after the third crash")
+	require.Equal(t, 1, trials, "in the first minute")
 	require.False(t, p.Blocks(start.Add(time.Hour))[0].Provisional)
 }
 
--- a/core/poison/responses.go
+++ b/core/poison/responses.go
@@ -20,19 +20,25 @@
 // mayBeOutage reports whether servers of a service may have ended at the given times, in their order, whatever was in flight: the nodes report its
 // sound responses, and these don't separate minCrashes of the crashes.
 func (t *Tracker) mayBeOutage(service string, crashes []time.Time) bool {
-	list, reported := t.responses[service]
-	if !reported {
+	if _, reported := t.responses[service]; !reported {
 		return false
 	}
 	separate := 1
 	for i := 1; i < len(crashes); i++ {
-		if k, _ := slices.BinarySearchFunc(list, crashes[i-1], time.Time.Compare); k < len(list) && list[k].Before(crashes[i]) {
+		if t.respondedBetween(service, crashes[i-1], crashes[i]) {
 			separate++
 		}
 	}
 	return separate < minCrashes
 }
 
+// respondedBetween reports whether a sound response of a service is known to have begun between two times.
+func (t *Tracker) respondedBetween(service string, from, to time.Time) bool {
+	list := t.responses[service]
+	i, _ := slices.BinarySearchFunc(list, from, time.Time.Compare)
+	return i < len(list) && list[i].Before(to)
+}
+
 // hasOthers reports whether requests without a part were in flight at crashes of a service between two times. Where only copies of one request
 // come, no responses to others can show that the servers live without it.
 func (t *Tracker) hasOthers(p Part, service string, first, last time.Time) bool {
