--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -368,9 +368,13 @@
 }
 
 // reportCrashes reports the crashes that the node noticed with its last requests, of which no other node may know, until a hub has acknowledged
-// them, for crashReportTime at most.
+// them, for crashReportTime and half of the time that is left at most: without a leader no hub acknowledges them, and the tasks have to end as well.
 func (n *Node) reportCrashes(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, crashReportTime)
+	left := crashReportTime
+	if deadline, ok := ctx.Deadline(); ok {
+		left = min(left, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	for n.gateway.HasUnreportedCrash() && ctx.Err() == nil {
 		if !n.refresher.request(ctx) { // the next report is due soon
