--- /dev/null
+++ b/internal/schedlat/monitor.go
@@ -0,0 +1,130 @@
+package schedlat
+
+import (
+	"context"
+	"math"
+	"runtime/metrics"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+)
+
+const (
+	// Interval is the time between two samples.
+	Interval = 25 * time.Millisecond
+	// LateThreshold is the scheduling latency from which the process counts as late: a request needs about ten turns of
+	// goroutines until it is sent, so that it then takes a second longer.
+	LateThreshold = 100 * time.Millisecond
+
+	latencies = "/sched/latencies:seconds"
+)
+
+// latencyBuckets are the bucket bounds of the histogram, in seconds.
+var latencyBuckets = []float64{.0001, .0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+
+// Monitor samples the scheduling latency. Its exported fields are set before Run.
+type Monitor struct {
+	Log *zap.Logger
+	// OnSample is called with each sample. It may be nil.
+	OnSample func(now time.Time, latency time.Duration)
+
+	histogram prometheus.Histogram
+	reader    reader
+	late      bool          // the last sample was above LateThreshold
+	lateSince time.Time     // while late
+	worst     time.Duration // since lateSince
+}
+
+// Collectors returns the metrics to register. It must be called before Run.
+func (m *Monitor) Collectors() []prometheus.Collector {
+	m.histogram = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "guavapaddle", Subsystem: "process",
+		Name: "scheduling_latency_seconds", Help: "Mean time that goroutines waited for the processor, in intervals of 25 ms.", Buckets: latencyBuckets})
+	return []prometheus.Collector{m.histogram}
+}
+
+// Run samples until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	m.reader.mean() // discards the waits before the first interval
+	for {
+		select {
+		case <-t.C:
+			m.sample(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sample takes one sample.
+func (m *Monitor) sample(now time.Time) {
+	latency := m.reader.mean()
+	if m.histogram != nil {
+		m.histogram.Observe(latency.Seconds())
+	}
+	m.logLate(now, latency)
+	if m.OnSample != nil {
+		m.OnSample(now, latency)
+	}
+}
+
+// logLate logs the begin and the end of a time in which the process is late.
+func (m *Monitor) logLate(now time.Time, latency time.Duration) {
+	switch late := latency >= LateThreshold; {
+	case late && !m.late:
+		m.late, m.lateSince, m.worst = true, now, latency
+		m.Log.Warn("process-late", zap.Duration("latency", latency))
+	case late:
+		m.worst = max(m.worst, latency)
+	case m.late && latency < LateThreshold/2:
+		m.late = false
+		m.Log.Info("process-in-time", zap.Duration("latency", latency), zap.Duration("worst", m.worst), zap.Duration("late-for", now.Sub(m.lateSince)))
+	}
+}
+
+// reader reads the runtime's histogram.
+type reader struct {
+	sample [1]metrics.Sample
+	counts []uint64 // at the last read
+}
+
+// mean returns the mean of the waits that were added since the last call, zero if there were none.
+func (r *reader) mean() time.Duration {
+	r.sample[0].Name = latencies
+	metrics.Read(r.sample[:])
+	if r.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := r.sample[0].Value.Float64Histogram()
+	if r.counts == nil {
+		r.counts = make([]uint64, len(h.Counts))
+	}
+	var n uint64
+	var sum float64
+	for i, c := range h.Counts {
+		added := c - r.counts[i]
+		r.counts[i] = c
+		if added == 0 {
+			continue
+		}
+		n += added
+		sum += float64(added) * midpoint(h.Buckets[i], h.Buckets[i+1])
+	}
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(sum / float64(n) * float64(time.Second))
+}
+
+// midpoint returns the middle of a bucket, or its finite bound.
+func midpoint(low, high float64) float64 {
+	switch {
+	case math.IsInf(low, -1):
+		return high
+	case math.IsInf(high, 1):
+		return low
+	}
+	return (low + high) / 2
+}
