peer: a call that its caller has given up leaves the connection open

Callers saw streams broken off, requests refused and configurations come late at a VM with many clients that leave.

--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -138,7 +138,9 @@
 	}
 	s, err := c.OpenUniStreamSync(ctx)
 	if err != nil {
-		e.discard(address, c)
+		if ctx.Err() == nil {
+			e.discard(address, c)
+		}
 		return &Error{Kind: Lost, Peer: address, Err: err}
 	}
 	_ = s.SetWriteDeadline(time.Now().Add(e.WriteTimeout))
@@ -162,7 +164,9 @@
 	defer cancel()
 	qs, err := c.OpenStreamSync(openCtx)
 	if err != nil {
-		e.discard(address, c)
+		if ctx.Err() == nil {
+			e.discard(address, c)
+		}
 		return nil, &Error{Kind: Unreachable, Peer: address, Err: err}
 	}
 	s := &Stream{s: qs, r: bufio.NewReader(qs), e: e, peer: address}
@@ -220,7 +224,8 @@
 	d.conn, d.err = e.transport.Dial(ctx, udpAddr, tlsConfig, e.quic())
 }
 
-// discard closes a connection that failed, so that the next use of the address dials again.
+// discard closes a connection that failed, so that the next use of the address dials again. It ends all other streams on it too: a call that
+// its caller has given up doesn't show that the connection has failed.
 func (e *Endpoint) discard(address string, c *quic.Conn) {
 	_ = c.CloseWithError(0, "")
 	e.mu.Lock()
