lag: timeouts of calls to other nodes, servers and the store allow for the delay of this process and its link

The timeouts are longer by ten scheduling latencies and three delays of the link, at most by a second.

--- a/internal/follow/removals.go
+++ b/internal/follow/removals.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/revision"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -29,7 +30,7 @@
 	if !lacking {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, removalTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, removalTimeout)
 	defer cancel()
 	list, end, err := t.f.Store.Feed(ctx, t.name, revision.Revision{Era: at.Era, Number: max(0, at.Number-removalHistory)}, quickWait)
 	if err != nil || end.Era != at.Era {
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -12,6 +12,7 @@
 
 	"guavapaddle/core/revision"
 	"guavapaddle/internal/clock"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -246,7 +247,7 @@
 		wait = max(quickWait, min(wait, time.Until(at)))
 	}
 	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+responseMargin)
+	ctx, cancel := lag.WithTimeout(ctx, wait+responseMargin)
 	defer cancel()
 	t.setCancelFeed(cancel)
 	rows, at, err := t.f.Store.Feed(ctx, t.name, after, wait)
@@ -273,7 +274,7 @@
 // read reads all rows of the table.
 func (t *table) read(ctx context.Context) ([]platform.Row, revision.Revision, error) {
 	limit := cmp.Or(t.readLimit, maxReadTimeout)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := lag.WithTimeout(ctx, limit)
 	defer cancel()
 	began := time.Now()
 	rows, at, err := t.f.Store.Read(ctx, t.name, "", "")
--- a/internal/front/deputy.go
+++ b/internal/front/deputy.go
@@ -9,6 +9,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -66,7 +67,7 @@
 	if !ok || !n.leaderSuspected() {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	r.Counts = n.gateway.Counts(actingEpoch(l))
 	if r.Nodes > 0 {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -12,6 +12,7 @@
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
 	"guavapaddle/internal/hub"
+	"guavapaddle/internal/lag"
 	"guavapaddle/io/jsonhttp"
 )
 
@@ -131,7 +132,7 @@
 	if n.leaderReached() {
 		timeout += n.reportInterval()
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := lag.WithTimeout(ctx, timeout)
 	defer cancel()
 	return n.leaderClient().Exchange(ctx, u.address, r)
 }
@@ -270,7 +271,9 @@
 }
 
 // leaderTimeout returns for how long the leader may be silent.
-func (n *Node) leaderTimeout() time.Duration { return n.reportInterval() + leaderGrace }
+func (n *Node) leaderTimeout() time.Duration {
+	return n.reportInterval() + lag.Extend(leaderGrace)
+}
 
 // onLeaderFailure logs a failed exchange, and redials if the connection has been silent for
 // long.
--- a/internal/front/join.go
+++ b/internal/front/join.go
@@ -13,6 +13,7 @@
 
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/follow"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -72,7 +73,7 @@
 		}
 		var reply joinReply
 		sentAt := clock.SinceBoot()
-		call, cancel := context.WithTimeout(ctx, joinTimeout)
+		call, cancel := lag.WithTimeout(ctx, joinTimeout)
 		got, err := n.seeds.get(seed).JSON(call, http.MethodPost, joinPath, r, &reply)
 		cancel()
 		if err != nil || got.Status != http.StatusOK {
@@ -137,7 +138,7 @@
 		n.log.Error("node-row", zap.Error(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := lag.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	_, _, ok, err := n.store.Change(ctx, platform.Change{Set: []platform.Row{{Table: nodeTable, Part: nodePart, Key: r.Node, Value: value}}})
 	n.log.Info("node-vouched-for", zap.String("node", r.Node), zap.Bool("written", ok), zap.Error(err))
--- a/internal/front/members.go
+++ b/internal/front/members.go
@@ -16,6 +16,7 @@
 	"guavapaddle/core/revision"
 	"guavapaddle/core/roster"
 	"guavapaddle/internal/clock"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -71,7 +72,7 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval, retry.Multiplier = minRegisterRetry, maxRegisterRetry, 2
 	for {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		call, cancel := lag.WithTimeout(ctx, storeTimeout)
 		_, _, ok, err := n.store.Change(call, platform.Change{Set: []platform.Row{row}})
 		cancel()
 		delay := roster.Refresh
@@ -121,7 +122,7 @@
 // removeExpired removes the rows that the watcher considers expired, unless they have been
 // written since they were read.
 func (n *Node) removeExpired(ctx context.Context, w *roster.Watcher) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, ok := n.readNodeRows(ctx)
 	if !ok {
@@ -199,7 +200,7 @@
 // readPeerKeys reads the rows of all nodes after a delay.
 func (n *Node) readPeerKeys(delay time.Duration) {
 	time.Sleep(delay)
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := lag.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	rows, ok := n.readNodeRows(ctx)
 	keys := map[string]bool{}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -33,9 +33,9 @@
 	"guavapaddle/internal/granter"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/keys"
+	"guavapaddle/internal/lag"
 	"guavapaddle/internal/parts"
 	"guavapaddle/internal/placer"
-	"guavapaddle/internal/schedlat"
 	"guavapaddle/internal/tunnel"
 	"guavapaddle/io/http1"
 	"guavapaddle/io/jsonhttp"
@@ -87,7 +87,7 @@
 	startedAt       time.Duration // boot time
 	clients         *http1.Server
 	probes          *http1.Server
-	scheduling      *schedlat.Monitor
+	lag             *lag.Monitor
 	registry        *prometheus.Registry
 	stopping        atomic.Bool
 	servers         servers
@@ -148,8 +148,8 @@
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
-	n.scheduling = &schedlat.Monitor{Log: log}
-	n.registry.MustRegister(n.scheduling.Collectors()...)
+	n.lag = &lag.Monitor{Log: log}
+	n.registry.MustRegister(n.lag.Collectors()...)
 	n.gateway.RecordOrigin, n.gateway.FindOrigin = n.recordOrigin, n.findOrigin
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdleTimeout,
@@ -279,7 +279,7 @@
 	for name, task := range map[string]func(context.Context){
 		"follower": n.follower.Run, "placer": n.placer.Run, "granter": n.granter.Run, "register": n.register, "tidy": n.cleanUpRows,
 		"exchange": n.runExchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers, "relays": n.assignRelays,
-		"silence": n.gateway.WatchSilence, "scheduling": n.scheduling.Run,
+		"silence": n.gateway.WatchSilence, "lag": n.lag.Run,
 	} {
 		tasks.Go(name, func() { task(taskCtx) })
 	}
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -13,6 +13,7 @@
 	"guavapaddle/core/leader"
 	"guavapaddle/core/software"
 	"guavapaddle/internal/hub"
+	"guavapaddle/internal/lag"
 )
 
 const (
@@ -80,7 +81,7 @@
 	if only {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	if err := n.sendOrigin(ctx, o); err != nil { // it is in the next report
 		n.log.Info("origin-unsent", zap.String("request-id", o.Stream), zap.String("software", o.Version), zap.Error(err))
@@ -99,7 +100,7 @@
 func (n *Node) callCoordinator(ctx context.Context, timeout time.Duration, call func(ctx context.Context, address string) error) error {
 	var err error = &NotCoordinatorError{}
 	for _, address := range n.coordinators() {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		callCtx, cancel := lag.WithTimeout(ctx, timeout)
 		err = call(callCtx, address)
 		cancel()
 		if err == nil || ctx.Err() != nil {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/relay"
+	"guavapaddle/internal/lag"
 	"guavapaddle/internal/tunnel"
 )
 
@@ -75,7 +76,7 @@
 
 // readRoster reads the rows of all nodes.
 func (n *Node) readRoster() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := lag.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	rows, ok := n.readNodeRows(ctx)
 	var list []relay.Relay
--- a/internal/front/relays.go
+++ b/internal/front/relays.go
@@ -11,6 +11,7 @@
 	"guavapaddle/core/relay"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
+	"guavapaddle/internal/lag"
 	"guavapaddle/platform"
 )
 
@@ -146,7 +147,7 @@
 // read reads the rows of all nodes, and returns the nodes that may become relays and the number of nodes
 // by data centre.
 func (a *assigner) read(ctx context.Context) ([]relay.Candidate, map[string]int, bool) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, ok := a.n.readNodeRows(ctx)
 	if !ok {
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -8,6 +8,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/poison"
 	"guavapaddle/core/software"
+	"guavapaddle/internal/lag"
 	"guavapaddle/io/peer"
 )
 
@@ -255,7 +256,7 @@
 
 // readSlotReply reads the reply to a SlotRequest.
 func (c *Client) readSlotReply(s *peer.Stream, address string) (peer.Frame, error) {
-	deadline := time.Now().Add(AckTimeout)
+	deadline := time.Now().Add(lag.Extend(AckTimeout))
 	s.SetReadDeadline(deadline)
 	f, err := c.readFrame(s)
 	if err != nil && !time.Now().Before(deadline) {
--- a/internal/schedlat/monitor.go
+++ b/internal/lag/monitor.go
@@ -1,4 +1,4 @@
-package schedlat
+package lag
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 const (
 	// Interval is the time between two samples.
 	Interval = 25 * time.Millisecond
-	// LateThreshold is the scheduling latency from which the process counts as late: a request needs about ten turns of
-	// goroutines until it is sent, so that it then takes a second longer.
-	LateThreshold = 100 * time.Millisecond
+	// lateThreshold is the scheduling latency from which the process is logged as late: a request waits for the processor about ten times
+	// until it is sent, so that it then takes a second longer.
+	lateThreshold = 100 * time.Millisecond
 
 	latencies = "/sched/latencies:seconds"
 )
@@ -23,24 +23,35 @@
 // latencyBuckets are the bucket bounds of the histogram, in seconds.
 var latencyBuckets = []float64{.0001, .0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
 
-// Monitor samples the scheduling latency. Its exported fields are set before Run.
-type Monitor struct {
-	Log *zap.Logger
-	// OnSample is called with each sample. It may be nil.
-	OnSample func(now time.Time, latency time.Duration)
+type (
+	// Sample is what the Monitor measured in one interval.
+	Sample struct {
+		Scheduling time.Duration // mean scheduling latency
+		Link       time.Duration // queueing delay of the VM's link
+	}
 
-	histogram prometheus.Histogram
-	reader    reader
-	late      bool          // the last sample was above LateThreshold
-	lateSince time.Time     // while late
-	worst     time.Duration // since lateSince
-}
+	// Monitor samples by how much the process is late. Its exported fields are set before Run.
+	Monitor struct {
+		Log *zap.Logger
+		// OnSample is called with each sample. It may be nil.
+		OnSample func(s Sample)
+
+		scheduling, link prometheus.Histogram
+		reader           reader
+		late             bool          // the last sample was above lateThreshold
+		lateSince        time.Time     // while late
+		worst            time.Duration // since lateSince
+	}
+)
 
 // Collectors returns the metrics to register. It must be called before Run.
 func (m *Monitor) Collectors() []prometheus.Collector {
-	m.histogram = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "guavapaddle", Subsystem: "process",
-		Name: "scheduling_latency_seconds", Help: "Mean time that goroutines waited for the processor, in intervals of 25 ms.", Buckets: latencyBuckets})
-	return []prometheus.Collector{m.histogram}
+	histogram := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "guavapaddle", Subsystem: "process", Name: name, Help: help, Buckets: latencyBuckets})
+	}
+	m.scheduling = histogram("scheduling_latency_seconds", "Mean time that goroutines waited for the processor, in intervals of 25 ms.")
+	m.link = histogram("link_delay_seconds", "Time that packets waited at the VM's link, each 25 ms.")
+	return []prometheus.Collector{m.scheduling, m.link}
 }
 
 // Run samples until ctx ends.
@@ -60,25 +71,28 @@
 
 // sample takes one sample.
 func (m *Monitor) sample(now time.Time) {
-	latency := m.reader.mean()
-	if m.histogram != nil {
-		m.histogram.Observe(latency.Seconds())
+	s := Sample{Scheduling: m.reader.mean(), Link: linkDelay(now)}
+	smooth(&process.scheduling, s.Scheduling)
+	smooth(&process.link, s.Link)
+	if m.scheduling != nil {
+		m.scheduling.Observe(s.Scheduling.Seconds())
+		m.link.Observe(s.Link.Seconds())
 	}
-	m.logLate(now, latency)
+	m.logLate(now, s.Scheduling)
 	if m.OnSample != nil {
-		m.OnSample(now, latency)
+		m.OnSample(s)
 	}
 }
 
 // logLate logs the begin and the end of a time in which the process is late.
 func (m *Monitor) logLate(now time.Time, latency time.Duration) {
-	switch late := latency >= LateThreshold; {
+	switch late := latency >= lateThreshold; {
 	case late && !m.late:
 		m.late, m.lateSince, m.worst = true, now, latency
 		m.Log.Warn("process-late", zap.Duration("latency", latency))
 	case late:
 		m.worst = max(m.worst, latency)
-	case m.late && latency < LateThreshold/2:
+	case m.late && latency < lateThreshold/2:
 		m.late = false
 		m.Log.Info("process-in-time", zap.Duration("latency", latency), zap.Duration("worst", m.worst), zap.Duration("late-for", now.Sub(m.lateSince)))
 	}
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -14,6 +14,7 @@
 
 	"guavapaddle/core/path"
 	"guavapaddle/core/relay"
+	"guavapaddle/internal/lag"
 	"guavapaddle/io/peer"
 )
 
@@ -169,7 +170,7 @@
 
 // probe tries whether this node reaches a lost server itself again.
 func (d *Dialer) probe(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	ctx, cancel := lag.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
 	if nc, err := d.dialOwn(ctx, address); err == nil {
 		_ = nc.Close()
@@ -209,7 +210,7 @@
 
 // dialThroughPeers opens a connection through another node.
 func (d *Dialer) dialThroughPeers(ctx context.Context, address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, totalTimeout)
 	defer cancel()
 	var last error = &NoPeerError{Address: address}
 	peers := d.Peers(ctx)
@@ -350,7 +351,7 @@
 
 // dialThrough opens a connection through one node.
 func (d *Dialer) dialThrough(ctx context.Context, p relay.Relay, address string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := lag.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	f, err := peer.Encode(Kind, openRequest{Address: address})
 	if err != nil {
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+
+	"guavapaddle/internal/lag"
 	"golang.org/x/sys/unix"
 )
 
@@ -110,9 +112,14 @@
 
 // Dial opens a TCP connection to a backend server.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: lag.Extend(dialTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1 + int(ackTimeout/keepAliveInterval)}, Control: setUserTimeout}
-	return d.DialContext(ctx, "tcp4", address)
+	began := time.Now()
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		lag.RecordRoundTrip(address, time.Since(began))
+	}
+	return c, err
 }
 
 // Through returns the name of the node that passes the connection's bytes on, empty if it is open from this
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"guavapaddle/internal/lag"
 )
 
 const (
@@ -170,9 +172,9 @@
 
 // init creates the transport.
 func (c *Client) init() {
-	dialer := &net.Dialer{Timeout: cmp.Or(c.ConnectTimeout, DefaultConnectTimeout)}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			dialer := &net.Dialer{Timeout: lag.Extend(cmp.Or(c.ConnectTimeout, DefaultConnectTimeout))}
 			nc, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -12,6 +12,8 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+
+	"guavapaddle/internal/lag"
 )
 
 const (
@@ -160,7 +162,7 @@
 	if err != nil {
 		return nil, err
 	}
-	openCtx, cancel := context.WithTimeout(ctx, e.DialTimeout)
+	openCtx, cancel := lag.WithTimeout(ctx, e.DialTimeout)
 	defer cancel()
 	qs, err := c.OpenStreamSync(openCtx)
 	if err != nil {
@@ -217,7 +219,7 @@
 		d.err = err
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), e.DialTimeout)
+	ctx, cancel := lag.WithTimeout(context.Background(), e.DialTimeout)
 	defer cancel()
 	tlsConfig := e.TLS.Client()
 	tlsConfig.NextProtos = []string{protocol}
@@ -275,7 +277,7 @@
 func (e *Endpoint) quic() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        e.IdleTimeout,
-		HandshakeIdleTimeout:  e.DialTimeout,
+		HandshakeIdleTimeout:  lag.Extend(e.DialTimeout),
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: maxStreams,
 	}
