admission: a node takes on what its processor and its link can do in time

Cause: nothing bounded what a node had begun by what it could do, so that everything waited for everything else.

core/admission turns a queueing delay into a probability of rejection, as PIE does for packets (RFC 8033), for the scheduling latency (target 10 ms) and for the delay of the link (25 ms; the smallest excess over four servers, after LEDBAT, RFC 6817). Neither holds a capacity. What isn't admitted is closed unread, before any of its bytes is read, also on kept connections; what exceeds the admitted is read and gets 503 with a time to come back, and its connection is closed. Where rejecting doesn't bring the delays down for a second, since the clients come back to the same VM, the node isn't ready until they are gone for two.

--- /dev/null
+++ b/core/admission/limiter.go
@@ -0,0 +1,84 @@
+package admission
+
+import "time"
+
+const (
+	// processorTarget is the scheduling latency that is aimed at. A request waits for the processor about ten times until it is sent.
+	processorTarget = 10 * time.Millisecond
+	// linkTarget is the queueing delay of the link that is aimed at. A request crosses the link about three times until its answer begins.
+	linkTarget = 25 * time.Millisecond
+	// saturation is the probability of rejection from which rejecting more doesn't help, and relief the one below which it is over.
+	saturation = 0.75
+	relief     = 0.3
+	// saturatedFor and relievedFor are by how many more observations must show saturation, or relief, than don't, until the VM turns new
+	// clients away, or doesn't any more: 1 s and 2 s at intervals of 25 ms. The balancer notices a VM that isn't ready after two probes, a second apart.
+	saturatedFor = 40
+	relievedFor  = 80
+	// maxCloses bounds the closes that may be saved up, in admitted requests.
+	maxCloses = 50
+)
+
+// Verdicts on a request.
+const (
+	Admit  Verdict = iota // it is served
+	Close                 // its connection is closed before the request is read
+	Reject                // it is read and rejected
+)
+
+type (
+	// Verdict is what happens to a request.
+	Verdict int
+
+	// Limiter decides on requests. The zero value is ready to use and admits all.
+	Limiter struct {
+		processor Controller
+		link      Controller
+		closes    float64 // requests that may still be closed unread: one for each admitted one
+		saturated bool
+		evidence  int // observations that speak for the other value of saturated, less those that don't
+	}
+)
+
+// String returns the name of the verdict in metrics and logs.
+func (v Verdict) String() string { return [...]string{"admit", "close", "reject"}[v] }
+
+// Observe records how long work waits for the processor, and how long packets wait at the link, each 25 ms.
+func (l *Limiter) Observe(processor, link time.Duration) {
+	l.processor.Target, l.link.Target = processorTarget, linkTarget
+	l.processor.Observe(processor)
+	l.link.Observe(link)
+	p := l.Probability()
+	needed, changes := saturatedFor, p >= saturation
+	if l.saturated {
+		needed, changes = relievedFor, p < relief
+	}
+	if !changes {
+		l.evidence = max(0, l.evidence-1)
+		return
+	}
+	if l.evidence++; l.evidence >= needed {
+		l.saturated, l.evidence = !l.saturated, 0
+	}
+}
+
+// Saturated reports whether rejecting requests doesn't bring the delays down, as those that are rejected come back to this VM. It should
+// get no new connections then.
+func (l *Limiter) Saturated() bool { return l.saturated }
+
+// Probability returns the probability with which a request isn't admitted.
+func (l *Limiter) Probability() float64 {
+	return max(l.processor.Probability(), l.link.Probability())
+}
+
+// Decide returns the verdict on a request. r is a random number from 0 to below 1.
+func (l *Limiter) Decide(r float64) Verdict {
+	if r >= l.Probability() {
+		l.closes = min(l.closes+1, maxCloses)
+		return Admit
+	}
+	if l.closes >= 1 {
+		l.closes--
+		return Close
+	}
+	return Reject
+}
--- /dev/null
+++ b/internal/front/admission.go
@@ -0,0 +1,74 @@
+package front
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"guavapaddle/core/admission"
+	"guavapaddle/internal/lag"
+)
+
+const (
+	// overloadThreshold is the probability of rejection from which an overload is logged, and half of it the one at which its end is.
+	overloadThreshold = 0.1
+)
+
+// admissionControl decides which requests of clients this node reads. It is safe for concurrent use.
+type admissionControl struct {
+	log *zap.Logger
+
+	mu         sync.Mutex
+	limiter    admission.Limiter
+	counts     [admission.Reject + 1]int // verdicts since the overload began
+	overloaded bool
+	since      time.Time // of the overload
+	verdicts   *prometheus.CounterVec
+}
+
+// collectors returns the metrics to register. It must be called before the first request.
+func (a *admissionControl) collectors() []prometheus.Collector {
+	a.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "admission",
+		Name: "requests_total", Help: "Requests of clients before they were read, by verdict."}, []string{"verdict"})
+	return []prometheus.Collector{a.verdicts}
+}
+
+// decide returns the verdict on a request.
+func (a *admissionControl) decide() admission.Verdict {
+	a.mu.Lock()
+	v := a.limiter.Decide(rand.Float64())
+	a.counts[v]++
+	a.mu.Unlock()
+	a.verdicts.WithLabelValues(v.String()).Inc()
+	return v
+}
+
+// saturated reports whether this node should get no new connections.
+func (a *admissionControl) saturated() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.Saturated()
+}
+
+// observe processes a sample of how late this process is.
+func (a *admissionControl) observe(s lag.Sample) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	was := a.limiter.Saturated()
+	a.limiter.Observe(s.Scheduling, s.Link)
+	if is := a.limiter.Saturated(); is != was {
+		a.log.Warn("saturated", zap.Bool("saturated", is), zap.Duration("scheduling", s.Scheduling), zap.Duration("link", s.Link))
+	}
+	switch p := a.limiter.Probability(); {
+	case p >= overloadThreshold && !a.overloaded:
+		a.overloaded, a.since, a.counts = true, time.Now(), [admission.Reject + 1]int{}
+		a.log.Warn("overloaded", zap.Float64("probability", p), zap.Duration("scheduling", s.Scheduling), zap.Duration("link", s.Link))
+	case p < overloadThreshold/2 && a.overloaded:
+		a.overloaded = false
+		a.log.Info("overload-ended", zap.Duration("lasted", time.Since(a.since)), zap.Int("admitted", a.counts[admission.Admit]),
+			zap.Int("closed", a.counts[admission.Close]), zap.Int("rejected", a.counts[admission.Reject]))
+	}
+}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -88,6 +88,7 @@
 	clients         *http1.Server
 	probes          *http1.Server
 	lag             *lag.Monitor
+	admission       admissionControl
 	registry        *prometheus.Registry
 	stopping        atomic.Bool
 	servers         servers
@@ -148,8 +149,10 @@
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
-	n.lag = &lag.Monitor{Log: log}
+	n.lag = &lag.Monitor{Log: log, OnSample: n.admission.observe}
+	n.admission.log = log
 	n.registry.MustRegister(n.lag.Collectors()...)
+	n.registry.MustRegister(n.admission.collectors()...)
 	n.gateway.RecordOrigin, n.gateway.FindOrigin = n.recordOrigin, n.findOrigin
 	n.gateway.Run(balance.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	n.endpoint = &peer.Endpoint{Address: s.Peers, TLS: key, DialTimeout: exchangeTimeout, IdleTimeout: peerIdleTimeout,
@@ -168,6 +171,7 @@
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
+	n.clients.Admit = n.admission.decide
 	n.probes = &http1.Server{Handler: readiness{n}, AcceptFailed: n.acceptFailed}
 	return n, nil
 }
@@ -389,7 +393,7 @@
 
 // ready reports whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers()
+	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && !n.admission.saturated()
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,9 @@
 	// noConfigRetryAfter is the Retry-After of a node that has no configuration yet:
 	// one is read within a fraction of a second.
 	noConfigRetryAfter = 500 * time.Millisecond
+	// overloadRetryAfter is the mean Retry-After of a node that has more requests than it can serve: it has served the ones before by
+	// then, and the retry may reach another node.
+	overloadRetryAfter = 500 * time.Millisecond
 	// responseMargin is added to the deadline of reads from a server, so that a
 	// response that the server sends at the deadline still reaches the client.
 	responseMargin = 20 * time.Millisecond
@@ -212,6 +215,10 @@
 		return
 	}
 	r.configVersion = c.Version()
+	if x.Rejected {
+		r.respond(http.StatusServiceUnavailable, Overloaded, r.jitterRetryAfter(overloadRetryAfter))
+		return
+	}
 	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
 	if !ok {
 		r.respond(http.StatusNotFound, NoRoute, 0)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -21,6 +21,8 @@
 	Served Reason = "served"
 	// NoRequestID means that the request has no id.
 	NoRequestID Reason = "no-id"
+	// Overloaded means that the node has more requests than its processor or link can serve in time.
+	Overloaded Reason = "overloaded"
 	// NoConfig means that the node has no configuration yet.
 	NoConfig Reason = "no-config"
 	// NoRoute means that the configuration in force has no route for the request.
--- /dev/null
+++ b/io/http1/admit_test.go
@@ -0,0 +1,100 @@
+package http1_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/core/admission"
+	"guavapaddle/internal/testbed/await"
+	"guavapaddle/io/http1"
+)
+
+// admitting runs a server with a verdict that can be changed.
+func admitting(t *testing.T, h http1.Handler) (address string, verdict *atomic.Int32) {
+	verdict = &atomic.Int32{}
+	s := &http1.Server{Handler: h, Admit: func() admission.Verdict { return admission.Verdict(verdict.Load()) }}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go s.Serve(l)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), verdict
+}
+
+// exchange sends a request on a connection and returns the response, nil if the connection ends without one.
+func exchange(t *testing.T, nc net.Conn) *http.Response {
+	require.NoError(t, nc.SetDeadline(time.Now().Add(5*time.Second)))
+	if _, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return nil
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return nil
+	}
+	require.NoError(t, resp.Body.Close())
+	return resp
+}
+
+func TestRequestThatIsNotAdmittedIsClosedUnread(t *testing.T) {
+	var h recorder
+	address, verdict := admitting(t, &h)
+	served := 0
+	closedUnread := func() bool { // not if the request's bytes are read while its predecessor's handler ends
+		verdict.Store(int32(admission.Admit))
+		kept, err := net.Dial("tcp4", address)
+		require.NoError(t, err)
+		defer func() { _ = kept.Close() }()
+		require.NotNil(t, exchange(t, kept))
+		verdict.Store(int32(admission.Close))
+		served++
+		if exchange(t, kept) != nil {
+			served++
+			return false
+		}
+		return true
+	}
+	require.Eventually(t, closedUnread, 5*time.Second, time.Millisecond, "on a kept connection")
+	fresh, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = fresh.Close() }()
+	require.Nil(t, exchange(t, fresh), "on a new connection")
+	require.Len(t, h.recorded(), served)
+}
+
+// TestRejectedRequestEndsItsConnection guards against connections of clients that come back on new ones and use up all descriptors.
+func TestRejectedRequestEndsItsConnection(t *testing.T) {
+	rejected := make(chan bool, 1)
+	address, verdict := admitting(t, &recorder{onRequest: func(x *http1.Exchange) { rejected <- x.Rejected }})
+	verdict.Store(int32(admission.Reject))
+	nc, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	require.True(t, exchange(t, nc).Close)
+	require.True(t, await.Value(t, rejected, "the request"))
+}
+
+func TestPipelinedRequestIsServedWhenItsPredecessorWasAdmitted(t *testing.T) {
+	var h recorder
+	address, verdict := admitting(t, &h)
+	h.onRequest = func(*http1.Exchange) { verdict.Store(int32(admission.Close)) }
+	nc, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = nc.Close() }()
+	_, err = io.WriteString(nc, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2))
+	require.NoError(t, err)
+	br := bufio.NewReader(nc)
+	for range 2 { // both were read at once
+		resp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -28,6 +28,7 @@
 		Request  *http.Request // its Body must not be read; use Exchange.Body
 		Body     []byte
 		Received time.Time // when the first byte of the head was read
+		Rejected bool      // the server's Admit has decided that the request is to be rejected
 
 		ctx     context.Context
 		cancel  context.CancelFunc
@@ -138,7 +139,7 @@
 func (x *Exchange) writeHead(status int, h http.Header) {
 	x.out.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	_ = h.WriteSubset(&x.out, hopByHop) // writes to a bytes.Buffer do not fail
-	if x.server != nil && x.server.draining.Load() {
+	if x.Rejected || x.server != nil && x.server.draining.Load() {
 		x.closing = true
 	}
 	if x.closing {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavapaddle/core/admission"
 	"guavapaddle/io/tcp"
 )
 
@@ -55,6 +56,8 @@
 		Limits       func() Limits   // returns the current limits; read anew for each request
 		MaxConns     int             // maximum number of connections; above it an idle one is closed; zero means unlimited
 		OnBadRequest func(err error) // called for each request that could not be read, may be nil
+		// Admit decides on the next request. It is called once for each request, before any of its bytes is read. It may be nil.
+		Admit func() admission.Verdict
 		// AcceptFailed is called when accepting a connection fails, may be nil. The server
 		// then retries.
 		AcceptFailed func(err error)
@@ -73,13 +76,20 @@
 		br   *bufio.Reader
 		buf  []byte
 		idle atomic.Bool
+		// verdict is on the request that is read next.
+		verdict admission.Verdict
 	}
 )
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
 	tcp.Accept(l, func(nc net.Conn) {
-		c := &serverConn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}
+		verdict := s.admit()
+		if verdict == admission.Close {
+			_ = nc.Close()
+			return
+		}
+		c := &serverConn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), verdict: verdict}
 		if !s.add(c) {
 			_ = nc.Close()
 			return
@@ -184,7 +194,10 @@
 func (c *serverConn) run() {
 	defer c.s.remove(c)
 	defer func() { _ = c.nc.Close() }()
-	for {
+	for first := true; ; first = false {
+		if !first && !c.admitNext() {
+			return
+		}
 		keepOpen, err := c.serveOne()
 		if err != nil {
 			c.reject(err)
@@ -221,7 +234,35 @@
 	if err != nil {
 		return false, timeoutToStatus(err)
 	}
-	return c.handle(&Exchange{Request: r, Body: body, Received: received, conn: c.nc, server: c.s}), nil
+	return c.handle(&Exchange{Request: r, Body: body, Received: received, Rejected: c.verdict == admission.Reject, conn: c.nc, server: c.s}), nil
+}
+
+// admit returns the verdict on the next request.
+func (s *Server) admit() admission.Verdict {
+	if s.Admit == nil {
+		return admission.Admit
+	}
+	return s.Admit()
+}
+
+// admitNext waits until the next request on a kept connection can be read and decides on it. It reports whether to read on: also when the
+// connection has ended or the wait has passed its limit, which the read then shows.
+func (c *serverConn) admitNext() bool {
+	c.verdict = admission.Admit
+	if c.s.Admit == nil || c.br.Buffered() > 0 {
+		return true
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
+	c.idle.Store(true)
+	if c.s.stopping.Load() {
+		c.interruptIdle()
+	}
+	readable := awaitReadable(c.nc)
+	c.idle.Store(false)
+	if readable {
+		c.verdict = c.s.Admit()
+	}
+	return c.verdict != admission.Close
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it arrived.
--- a/io/http1/watch.go
+++ b/io/http1/watch.go
@@ -60,3 +60,26 @@
 	})
 	return err == nil && closed
 }
+
+// awaitReadable waits until a read from a TCP connection wouldn't block, without reading, and reports whether there are bytes to be read: not
+// if the wait fails, and not for other connections.
+func awaitReadable(nc net.Conn) bool {
+	t, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Read(func(fd uintptr) bool {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		if err == nil && n > 0 {
+			closed = fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+		return err != nil || n > 0
+	})
+	return err == nil && !closed
+}
