http1: answers of servers are bounded in head, body and memory

A head has 64 KiB now, informational responses before it included; the bodies that are buffered at the same time have an eighth of the VM's memory together, beside 64 KiB each; replies of engines 1 MiB, those of the store a sixteenth of the memory. The request ends or goes elsewhere at once with the reason too-long, the server counts as failing but not as crashed.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -44,6 +44,8 @@
 type (
 	// clientCache keeps one client per address.
 	clientCache struct {
+		maxBody int64 // limit of a reply in bytes
+
 		mu      sync.Mutex
 		clients map[string]*jsonhttp.Client
 	}
@@ -390,7 +392,7 @@
 	}
 	client := c.clients[address]
 	if client == nil {
-		client = &jsonhttp.Client{Address: address, ConnectTimeout: 300 * time.Millisecond}
+		client = &jsonhttp.Client{Address: address, ConnectTimeout: 300 * time.Millisecond, MaxBody: c.maxBody}
 		c.clients[address] = client
 	}
 	return client
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -62,8 +62,14 @@
 	clientShare = 0.6
 	// memoryShare is the share of the process's memory limit that is set as the garbage
 	// collector's limit; the rest is for stacks, kernel buffers and code.
-	memoryShare   = 0.75
-	sweepInterval = time.Second
+	memoryShare = 0.75
+	// bufferFraction is the fraction of the memory limit, as its denominator, that responses which are forwarded whole may take, and
+	// storeFraction that of one reply of the store.
+	bufferFraction = 8
+	storeFraction  = 16
+	// maxEngineReply bounds a reply of an engine to an order or a query, in bytes. It lists what the engine holds, some dozens of models and adapters.
+	maxEngineReply = 1 << 20
+	sweepInterval  = time.Second
 	// peerIdleTimeout is how long another node may be silent before its connection is closed
 	// and its slots are released. Nodes report every 0.8 s or more often.
 	peerIdleTimeout = 5 * time.Second
@@ -139,13 +145,14 @@
 	}
 	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, DialServer: http1.Dial, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
 	key.Trusted = n.isTrusted
+	n.seeds.maxBody = s.memoryBytes() / storeFraction
 	n.relayLosses = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "relay",
 		Name: "losses_total", Help: "Relays of this node that didn't reply, so that it uses another."})
 	n.registry.MustRegister(n.relayLosses)
 	n.store = n.newStore()
 	m := gateway.NewMetrics()
 	n.registry.MustRegister(m.Collectors()...)
-	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
+	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Buffers: &http1.Buffers{Max: s.memoryBytes() / bufferFraction}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
@@ -214,7 +221,7 @@
 		Name: "calls_total", Help: "Calls to the platform's store, by their answer; 0 where none came."}, []string{"call", "status"})
 	n.registry.MustRegister(calls)
 	return &platform.Store{
-		Client: &jsonhttp.Client{Address: n.settings.Store, ConnectTimeout: 500 * time.Millisecond},
+		Client: &jsonhttp.Client{Address: n.settings.Store, ConnectTimeout: 500 * time.Millisecond, MaxBody: n.settings.memoryBytes() / storeFraction},
 		OnCall: func(call string, status int) { calls.WithLabelValues(call, strconv.Itoa(status)).Inc() },
 	}
 }
@@ -238,7 +245,7 @@
 	orders := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "placer",
 		Name: "orders_total", Help: "Orders to model engines, by their answer."}, []string{"verdict"})
 	n.registry.MustRegister(orders)
-	engines := &clientCache{}
+	engines := &clientCache{maxBody: maxEngineReply}
 	return &placer.Placer{
 		Store: n.store, Engines: &platform.Engines{Client: engines.get}, Hub: n.hub, Log: n.log, Clock: clock.SinceBoot,
 		Elector: &leader.Elector{
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -102,6 +102,9 @@
 		Ratio: s.QuotaOver, Slack: s.QuotaSlack}
 }
 
+// memoryBytes returns the memory limit in bytes.
+func (s Settings) memoryBytes() int64 { return int64(s.MemoryMB) << 20 }
+
 // check returns an error for the first invalid setting.
 func (s Settings) check() *SettingsError {
 	addresses := []struct{ path, value string }{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	// responseMargin is added to the deadline of reads from a server, so that a
 	// response that the server sends at the deadline still reaches the client.
 	responseMargin = 20 * time.Millisecond
+	// defaultBufferBytes is the memory for responses that are forwarded whole, in bytes.
+	defaultBufferBytes = 64 << 20
 	// defaultTimeout applies to requests for which neither client nor route sets a deadline.
 	defaultTimeout = 60 * time.Second
 )
@@ -42,6 +44,7 @@
 	// Gateway serves requests. Its exported fields are set before the first one.
 	Gateway struct {
 		Pool    *http1.Pool
+		Buffers *http1.Buffers // for responses that are forwarded whole; nil for 64 MiB
 		Log     *zap.Logger
 		Zone    string
 		Metrics *Metrics
@@ -137,6 +140,9 @@
 
 // Run initializes the gateway. It must be called before the first request.
 func (g *Gateway) Run(p *balance.Picker) {
+	if g.Buffers == nil {
+		g.Buffers = &http1.Buffers{Max: defaultBufferBytes}
+	}
 	g.picker = p
 	g.picker.SetNodes(retry.UnknownNodes)
 	g.retryBudgets = map[string]*retry.Budget{}
@@ -209,16 +215,16 @@
 		r.respond(http.StatusBadRequest, NoRequestID, 0)
 		return
 	}
+	if x.Rejected {
+		r.respond(http.StatusServiceUnavailable, Overloaded, r.jitterRetryAfter(overloadRetryAfter))
+		return
+	}
 	c := g.config.Load()
 	if c == nil {
 		r.respond(http.StatusServiceUnavailable, NoConfig, noConfigRetryAfter)
 		return
 	}
 	r.configVersion = c.Version()
-	if x.Rejected {
-		r.respond(http.StatusServiceUnavailable, Overloaded, r.jitterRetryAfter(overloadRetryAfter))
-		return
-	}
 	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
 	if !ok {
 		r.respond(http.StatusNotFound, NoRoute, 0)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -69,6 +69,8 @@
 	Reset Reason = "reset"
 	// ConnLost means that a connection broke after the request was written.
 	ConnLost Reason = "cut"
+	// TooLong means that a server's response exceeded a bound, such as bytes without end that are no response.
+	TooLong Reason = "too-long"
 	// Full means that the server was at capacity and didn't run the request.
 	Full Reason = "full"
 	// Misdirected means that another incarnation of the server uses the address.
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -252,7 +252,7 @@
 // mayBeCrash reports whether a connection may have broken because the server crashed: not if the server was silent, if this
 // node closed the connection, or if its path to all servers may be lost.
 func (t *try) mayBeCrash(err error) bool {
-	if isTimeout(err) || errors.Is(err, net.ErrClosed) {
+	if isTimeout(err) || errors.Is(err, net.ErrClosed) || isTooLong(err) {
 		return false
 	}
 	return t.through != "" || t.g.PathSuspect == nil || !t.g.PathSuspect()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -221,7 +221,7 @@
 		if t.route.Kind == fleet.Unsafe { // a stream's first event may take longer
 			t.conn.SetReadDeadline(earlier(t.deadline, time.Now().Add(extraResponseWait)))
 		}
-		if _, err := http1.ReadBody(resp, maxBodyBytes); err != nil {
+		if err := http1.DiscardBody(resp, maxBodyBytes); err != nil {
 			return err
 		}
 	}
@@ -296,9 +296,18 @@
 	}
 	t.g.Pool.Drop(t.selection.Server.Address)
 	t.recordBreak(err)
+	if isTooLong(err) {
+		return balance.ConnFailed, unknown, TooLong
+	}
 	return balance.ConnFailed, unknown, ConnLost
 }
 
+// isTooLong reports whether a response exceeded one of the bounds on its head, its body or one of its events.
+func isTooLong(err error) bool {
+	var event *EventTooLongError
+	return errors.Is(err, http1.ErrHeadTooLong) || errors.Is(err, http1.ErrBodyTooLong) || errors.As(err, &event)
+}
+
 // classifyResponse classifies a response by its header, and forwards it if it is final.
 func (t *try) classifyResponse() (balance.Result, sendState, Reason) {
 	status := t.resp.StatusCode
@@ -350,7 +359,7 @@
 
 // discardBody reads a response that isn't forwarded to its end and keeps the connection.
 func (t *try) discardBody() {
-	if _, err := http1.ReadBody(t.resp, maxBodyBytes); err != nil {
+	if err := http1.DiscardBody(t.resp, maxBodyBytes); err != nil {
 		t.conn.Close()
 		return
 	}
@@ -374,7 +383,8 @@
 // forwardWhole reads a response to its end and forwards it.
 func (t *try) forwardWhole() (balance.Result, sendState, Reason) {
 	t.recordBegin(time.Now())
-	body, err := http1.ReadBody(t.resp, maxBodyBytes)
+	body, release, err := t.g.Buffers.ReadBody(t.resp, maxBodyBytes)
+	defer release()
 	switch {
 	case err != nil:
 		t.recordBodyEnd(bodyBroken)
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -17,9 +16,9 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 
 	"guavapaddle/internal/lag"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -41,10 +40,22 @@
 	// Longer bodies are sent concurrently, since a server may respond before it has read the
 	// whole body.
 	maxInlineBody = 16 << 10
+	// maxResponseHead bounds the head of a response, with the informational responses before it, in bytes.
+	maxResponseHead = 64 << 10
+	// unreservedBody is the length up to which a body is buffered without a reservation, and the step of reservations, in bytes.
+	unreservedBody = 64 << 10
+	// bufferGrowth is by how much the capacity of a buffer may exceed what it holds, as it doubles when it grows.
+	bufferGrowth = 2
 )
 
-// ErrTrailingData reports that a connection carried bytes that belong to no response.
-var ErrTrailingData = errors.New("http1: unexpected bytes after the response")
+var (
+	// ErrTrailingData reports that a connection carried bytes that belong to no response.
+	ErrTrailingData = errors.New("http1: unexpected bytes after the response")
+	// ErrHeadTooLong reports a response whose head, with the informational responses before it, exceeds 64 KiB.
+	ErrHeadTooLong = errors.New("http1: head of the response too long")
+	// ErrBodyTooLong reports a response body that exceeds its limit, or for which there is no room beside those that are being read.
+	ErrBodyTooLong = errors.New("http1: body of the response too long")
+)
 
 type (
 	// ClientRequest is a request to a backend server.
@@ -75,6 +86,7 @@
 		address     string
 		nc          net.Conn
 		br          *bufio.Reader
+		head        *headLimiter  // below br
 		idleSince   time.Time     // end of the last response
 		idleLimit   time.Duration // maximum idle time
 		method      string
@@ -107,7 +119,8 @@
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &Conn{address: address, nc: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	head := &headLimiter{r: nc}
+	return &Conn{address: address, nc: nc, head: head, br: bufio.NewReaderSize(head, readBuffer)}, nil
 }
 
 // Dial opens a TCP connection to a backend server.
@@ -245,10 +258,15 @@
 	return true, nil
 }
 
-// Receive reads the head of the response. Informational responses are skipped.
+// Receive reads the head of the response. Informational responses are skipped. The error is ErrHeadTooLong if there is no end of the head.
 func (c *Conn) Receive() (*http.Response, error) {
+	c.head.limit(maxResponseHead)
+	defer c.head.lift()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: c.method})
+		if c.head.exceeded {
+			return nil, ErrHeadTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -319,13 +337,3 @@
 	}
 	return defaultKeepAlive
 }
-
-// ReadBody reads a response body to its end. It returns io.ErrShortBuffer if the body is
-// longer than limit bytes.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(b)) > limit {
-		err = io.ErrShortBuffer
-	}
-	return b, err
-}
--- a/io/http1/client_test.go
+++ b/io/http1/client_test.go
@@ -44,8 +44,9 @@
 	resp, err := c.Receive()
 	require.NoError(t, err)
 	defer func() { _ = resp.Body.Close() }()
-	b, err := http1.ReadBody(resp, 1000)
+	b, release, err := (&http1.Buffers{Max: 1 << 20}).ReadBody(resp, 1000)
 	require.NoError(t, err)
+	defer release()
 	_ = p.Put(c, resp)
 	return string(b), c
 }
@@ -133,7 +134,8 @@
 			return
 		}
 		defer func() { _ = resp.Body.Close() }()
-		body, err := http1.ReadBody(resp, 1<<16)
+		body, release, err := (&http1.Buffers{Max: 1 << 20}).ReadBody(resp, 1<<16)
+		defer release()
 		if err == nil && resp.ContentLength > 0 {
 			require.EqualValues(t, resp.ContentLength, len(body))
 		}
--- /dev/null
+++ b/io/http1/limit.go
@@ -0,0 +1,97 @@
+package http1
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+)
+
+type (
+	// headLimiter is a reader that ends while a response head is read that is too long. http.ReadResponse has no limit of its own.
+	headLimiter struct {
+		r        io.Reader
+		limited  bool
+		left     int // bytes, while limited
+		exceeded bool
+	}
+
+	// Buffers bounds the memory of response bodies that are buffered at the same time. The zero value has no room for bodies that are longer
+	// than 64 KiB.
+	Buffers struct {
+		Max int64 // in bytes; set before the first use
+
+		mu       sync.Mutex
+		reserved int64
+	}
+)
+
+// limit ends the reader after n bytes.
+func (h *headLimiter) limit(n int) { h.limited, h.left, h.exceeded = true, n, false }
+
+// lift removes the limit.
+func (h *headLimiter) lift() { h.limited = false }
+
+// Read implements io.Reader.
+func (h *headLimiter) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.r.Read(p)
+	}
+	if h.left <= 0 {
+		h.exceeded = true
+		return 0, ErrHeadTooLong
+	}
+	n, err := h.r.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// reserve takes n bytes and reports whether there is room for them.
+func (b *Buffers) reserve(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reserved+n > b.Max {
+		return false
+	}
+	b.reserved += n
+	return true
+}
+
+// release gives n bytes back.
+func (b *Buffers) release(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved -= n
+}
+
+// ReadBody reads a response body to its end. It returns ErrBodyTooLong if the body is longer than limit bytes, or if there is no room for it
+// beside the others. The memory is reserved until release is called, which has to be done once the body isn't needed any more.
+func (b *Buffers) ReadBody(resp *http.Response, limit int64) (body []byte, release func(), err error) {
+	var buf bytes.Buffer
+	reserved := int64(0)
+	release = func() { b.release(reserved) }
+	if n := min(resp.ContentLength, unreservedBody); n > 0 {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	for {
+		_, err := io.CopyN(&buf, resp.Body, unreservedBody)
+		switch {
+		case err == io.EOF && int64(buf.Len()) <= limit: //nolint:errorlint // CopyN returns it unwrapped; a body that was broken off has another error
+			return buf.Bytes(), release, nil
+		case err != nil && err != io.EOF: //nolint:errorlint // as above
+			return nil, release, err
+		case int64(buf.Len()) > limit || !b.reserve(bufferGrowth*unreservedBody):
+			return nil, release, ErrBodyTooLong
+		}
+		reserved += bufferGrowth * unreservedBody
+	}
+}
+
+// DiscardBody reads a response body to its end without keeping it. It returns ErrBodyTooLong if the body is longer than limit bytes.
+func DiscardBody(resp *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		err = ErrBodyTooLong
+	}
+	return err
+}
