front: nodes that share a process with clients and servers admit all requests

Tests of front run several nodes, their clients and servers in one process. Beside load 12 its scheduling latency is that of all of them, and the nodes turned requests away (TestCrashingPromptPartStaysRefusedWhenNodesEnd: overloaded 118 of 252).

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -33,14 +33,15 @@
 
 // testCluster is a set of nodes with a store and stand-in backend servers.
 type testCluster struct {
-	t      *testing.T
-	store  *standin.Store
-	seeds  []string
-	lease  time.Duration // time to live of the lease, 0.9 s if zero
-	adjust func(s *front.Settings)
-	setUp  func(n *front.Node, s front.Settings) // before the node runs
-	key    string
-	nodes  []*testNode
+	t       *testing.T
+	store   *standin.Store
+	seeds   []string
+	lease   time.Duration // time to live of the lease, 0.9 s if zero
+	adjust  func(s *front.Settings)
+	setUp   func(n *front.Node, s front.Settings) // before the node runs
+	limited bool                                  // nodes admit what they can do in time only
+	key     string
+	nodes   []*testNode
 }
 
 // testNode is a running node.
@@ -79,6 +80,7 @@
 	p.logs, p.key = logs, f.key
 	n, err := front.New(p.settings, zap.New(core))
 	require.NoError(f.t, err)
+	n.AdmitAll = !f.limited // the nodes share the processor with all else in the test
 	if f.setUp != nil {
 		f.setUp(n, p.settings)
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/admission"
 	"guavapaddle/core/balance"
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
@@ -79,6 +80,9 @@
 type Node struct {
 	// DialServer opens a connection to a backend server from this node; the default is http1.Dial.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
+	// AdmitAll makes the node take on all requests, however late its process is. It is for processes that several nodes share with their
+	// clients and servers.
+	AdmitAll bool
 
 	settings        Settings
 	log             *zap.Logger
@@ -178,11 +182,19 @@
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
-	n.clients.Admit = n.admission.decide
+	n.clients.Admit = n.admit
 	n.probes = &http1.Server{Handler: readiness{n}, AcceptFailed: n.acceptFailed}
 	return n, nil
 }
 
+// admit decides on a request of a client.
+func (n *Node) admit() admission.Verdict {
+	if n.AdmitAll {
+		return admission.Admit
+	}
+	return n.admission.decide()
+}
+
 // retryBudget returns the retry budget of a service from the settings, where zero means no
 // retries.
 func (n *Node) retryBudget() retry.ServiceBudget {
@@ -400,7 +412,7 @@
 
 // ready reports whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && !n.admission.saturated()
+	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && (n.AdmitAll || !n.admission.saturated())
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -130,3 +130,50 @@
 		}
 	}
 }
+
+// TestPlainServiceOfOneRequestRecoversFromOutage guards against copies of one request, of which a plain service gets nothing else, that are refused
+// long after an outage of all its servers.
+func TestPlainServiceOfOneRequestRecoversFromOutage(t *testing.T) {
+	t.Parallel()
+	const calm, outage, measured = 2 * time.Second, 15 * time.Second, 8 * time.Second
+	for name, x := range map[string]struct {
+		servers int
+		calm    time.Duration // of requests before the outage
+		restart bool          // all nodes start anew after it
+	}{
+		"from the start":           {servers: 4},
+		"from the start, restarts": {servers: 2, restart: true},
+		"later":                    {servers: 4, calm: calm},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := &crashCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second},
+				service: "plain", path: serviceKinds["plain"].path, rand: rand.New(rand.NewPCG(5, 6)), crashDelay: 100 * time.Millisecond}
+			f.launchWith(4, x.servers)
+			ctx, cancel := context.WithCancel(t.Context())
+			var done sync.WaitGroup
+			if x.calm == 0 {
+				f.setCrashPaths(f.path)
+			}
+			done.Go(func() {
+				f.sendEach(ctx, 40*time.Millisecond, func(int) (path, body, kind string) { return f.path, "", "copy" })
+			})
+			<-time.After(x.calm)
+			if x.calm > 0 {
+				f.setCrashPaths(f.path)
+			}
+			<-time.After(outage)
+			f.setCrashPaths()
+			if x.restart {
+				f.restartAll()
+			}
+			back := time.Now()
+			<-time.After(recoverTime + measured)
+			cancel()
+			done.Wait()
+			share, n := f.servedOf("copy", back.Add(recoverTime), time.Now())
+			t.Logf("%.2f of %d served from %v on; %d crashes", share, n, recoverTime, f.countCrashes())
+			require.GreaterOrEqual(t, share, minRecovered, "%s", f.story())
+		})
+	}
+}
