gateway: a refusal by a configuration that is too old is not final

The age of the configuration was known and bounded requests with keys only. From the setting config-apply-ms on, 404 and 401 are 503 with a time to come back: what the configuration in force lacks a newer one may have. Routes that it has are served, also in an outage of the store. TestRefusalByOutdatedConfigurationIsNotFinal fails before by the missing field.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -159,7 +159,7 @@
 	n.gateway = &gateway.Gateway{Pool: &http1.Pool{}, Buffers: &http1.Buffers{Max: s.memoryBytes() / bufferFraction}, Log: log, Zone: s.DataCentre, Metrics: m, RequestLoad: n.requestLoad, AcquireSlot: n.acquireSlot,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
-		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), Tolerance: s.tolerance()}
+		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), RefusalAge: time.Duration(s.ApplyMS) * time.Millisecond, Tolerance: s.tolerance()}
 	n.lag = &lag.Monitor{Log: log, OnSample: n.admission.observe}
 	n.admission.log = log
 	n.registry.MustRegister(n.lag.Collectors()...)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -44,6 +44,7 @@
 		HeartbeatMS int      `json:"server-heartbeat-ms"` // interval at which backend servers write their entries; 0 if unknown
 		NoticeMS    int      `json:"server-notice-ms"`    // how long a backend server may get requests after its entry shows that it is leaving; 0 for 2000
 		RevokeMS    int      `json:"key-revocation-ms"`   // how long requests with an API key may be accepted after its removal from the store; 0 for no limit
+		ApplyMS     int      `json:"config-apply-ms"`     // within which a configuration has to be in force at all nodes; 0 for no limit
 		QuotaOver   float64  `json:"quota-over"`          // fraction by which the use of a quota may exceed it in a window
 		QuotaSlack  float64  `json:"quota-slack"`         // units by which it may exceed the quota in addition, summed over all nodes
 		QuotaSpanS  float64  `json:"quota-span-s"`        // length of the quota window; 0 for 10
@@ -141,6 +142,8 @@
 		return &SettingsError{Path: "server-notice-ms", Reason: "must not be below zero"}
 	case s.RevokeMS < 0 || s.RevokeMS > 0 && s.RevokeMS <= revocationMarginMS:
 		return &SettingsError{Path: "key-revocation-ms", Reason: fmt.Sprintf("must be 0 or above %d", revocationMarginMS)}
+	case s.ApplyMS < 0:
+		return &SettingsError{Path: "config-apply-ms", Reason: "must not be below zero"}
 	case s.QuotaOver < 0:
 		return &SettingsError{Path: "quota-over", Reason: "must not be below zero"}
 	case s.QuotaSlack < 0:
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -76,7 +76,17 @@
 }
 
 // unauthorized refuses a request without a valid key.
-func (r *request) unauthorized() { r.respond(http.StatusUnauthorized, Unauthorized, 0) }
+func (r *request) unauthorized() { r.refuseByConfig(http.StatusUnauthorized, Unauthorized) }
+
+// refuseByConfig refuses a request that the configuration in force doesn't allow. If a newer one may be in force elsewhere, the client is
+// asked to come back instead.
+func (r *request) refuseByConfig(status int, cause Reason) {
+	if g := r.g; g.RefusalAge > 0 && g.ConfigAge() > g.RefusalAge {
+		r.respond(http.StatusServiceUnavailable, StaleConfig, staleConfigRetryAfter)
+		return
+	}
+	r.respond(status, cause, 0)
+}
 
 // recheckKey returns the reason why the request may not be sent to a server, or "": its
 // key must be in the configuration in force, which must not be too old. The key is checked
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -242,3 +242,19 @@
 	require.Len(t, stayingWorker.Visits(), 1)
 	require.Contains(t, r.log.String(), "reason=leaving")
 }
+
+// TestRefusalByOutdatedConfigurationIsNotFinal guards against a 404 for a route that a newer configuration has, while this node is late.
+func TestRefusalByOutdatedConfigurationIsNotFinal(t *testing.T) {
+	r := newRig(t, startWorker(t, "i-1"))
+	var age atomic.Int64
+	r.gateway.ConfigAge = func() time.Duration { return time.Duration(age.Load()) }
+	r.gateway.RefusalAge = 2 * time.Second
+	age.Store(int64(time.Second))
+	require.Equal(t, 404, r.do("GET", "/none/", "r1", "").status)
+	age.Store(int64(3 * time.Second))
+	a := r.do("GET", "/none/", "r2", "")
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Contains(t, r.log.String(), "reason=stale-config")
+	require.Equal(t, 200, r.do("GET", "/safe/", "r3", "").status, "a route that it has is served")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,10 @@
 		// the newest. From the age KeyAge on keys aren't accepted; zero means no limit.
 		ConfigAge func() time.Duration
 		KeyAge    time.Duration
-		Rand      *rand.Rand
+		// RefusalAge is the age of the configuration from which a request isn't refused for good by it, as a newer one may allow the request.
+		// Zero means no limit.
+		RefusalAge time.Duration
+		Rand       *rand.Rand
 		// OnLeaving is called when a server announces that it is leaving, and reports
 		// whether that is new. It may be nil.
 		OnLeaving func(departure.Incarnation) bool
@@ -227,7 +230,7 @@
 	r.configVersion = c.Version()
 	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
 	if !ok {
-		r.respond(http.StatusNotFound, NoRoute, 0)
+		r.refuseByConfig(http.StatusNotFound, NoRoute)
 		return
 	}
 	r.route = route
