--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -8,7 +8,7 @@
 	derivativeGain = 1.25
 	// decay is the factor of the probability at an observation far below the target, so that it halves in half a second at 25 ms.
 	decay = 0.97
-	// maxDelay bounds the delay that is taken into account: a longer one tells no more of the load.
+	// maxDelay bounds the delay that is taken into account, so that one long stall doesn't reject requests for seconds.
 	maxDelay = 200 * time.Millisecond
 	// maxProbability leaves some requests, whose delays show the end of the overload.
 	maxProbability = 0.95
--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -11,12 +11,11 @@
 //
 // A Limiter combines the controllers of processor and link. What isn't admitted is closed unread, which costs the VM least and lets the client
 // try another VM at once. If that is more than is admitted, clients are likely to come back to this VM: the rest is read and rejected
-// with a time to come back.
+// with a time to come back. Where rejecting doesn't bring the delays down, the VM is Saturated and gets no new connections.
 //
 // # Usage
 //
-//	l.ObserveProcessor(schedulingLatency)
-//	l.ObserveLink(trips.Delay(now))
+//	l.Observe(schedulingLatency, trips.Delay(now)) // each 25 ms
 //	switch l.Decide(rand.Float64()) {
 //	case admission.Close:
 //	...
--- a/core/admission/roundtrip.go
+++ b/core/admission/roundtrip.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// roundTripTTL is how long a round trip tells of the present delay.
+	// roundTripTTL is how long a round trip counts as a sample of the present delay.
 	roundTripTTL = 300 * time.Millisecond
 	// minPeers is the number of different peers whose round trips must agree that this VM's own link is the cause.
 	minPeers = 4
