--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,45 +1,16 @@
 package gateway_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/testbed/endless"
 )
 
-// startEndless runs a server that answers each request with start and then bytes without end, and returns its address.
-func startEndless(t *testing.T, start string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	piece := strings.Repeat("x", 16<<10)
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-					return
-				}
-				for _, err := io.WriteString(nc, start); err == nil; {
-					_, err = io.WriteString(nc, piece)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // TestServerWithEndlessAnswerIsLeftAtOnce guards against requests that wait for their deadline at a server whose bytes are no answer and don't end.
 func TestServerWithEndlessAnswerIsLeftAtOnce(t *testing.T) {
 	for name, start := range map[string]string{
@@ -50,7 +21,7 @@
 			sound := startWorker(t, "i-sound")
 			r := newRig(t, sound)
 			r.gateway.SetServers([]fleet.Server{
-				{ID: "i-endless", Service: "plain", Address: startEndless(t, start), Zone: "z", Slots: 4},
+				{ID: "i-endless", Service: "plain", Address: endless.Start(t, start, "x"), Zone: "z", Slots: 4},
 				{ID: sound.ID, Service: "plain", Address: sound.Address(), Zone: "away", Slots: 4},
 			})
 			began := time.Now()
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -14,42 +14,17 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/internal/testbed/await"
+	"guavapaddle/internal/testbed/endless"
 	"guavapaddle/io/http1"
 )
 
-// endless runs a server that answers each connection with start and then repeats piece until the client closes. It returns the address.
-func endless(t *testing.T, start, piece string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	piece = strings.Repeat(piece, 1+4096/len(piece))
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-					return
-				}
-				for _, err := io.WriteString(nc, start); err == nil; {
-					_, err = io.WriteString(nc, piece)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // receiveWhole sends a request and reads the response to its end.
 func receiveWhole(c *http1.Conn, b *http1.Buffers) error {
 	defer c.Close()
 	if _, err := c.Send(http1.ClientRequest{Method: "GET", Target: "/", Host: "h"}, time.Now().Add(20*time.Second)); err != nil {
 		return err
 	}
-	resp, err := c.Receive()
+	resp, err := c.Receive() //nolint:bodyclose // its connection is closed; closing an endless body would read on
 	if err != nil {
 		return err
 	}
@@ -80,7 +55,7 @@
 		"body with a length": {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x", http1.ErrBodyTooLong},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := endless(t, x.start, x.piece)
+			address := endless.Start(t, x.start, x.piece)
 			var p http1.Pool
 			b := &http1.Buffers{Max: 23 << 20}
 			done := make(chan struct{})
@@ -140,7 +115,7 @@
 		require.NoError(t, err)
 		_, err = c.Send(http1.ClientRequest{Method: "GET", Target: "/", Host: "h"}, time.Now().Add(10*time.Second))
 		require.NoError(t, err)
-		resp, err := c.Receive()
+		resp, err := c.Receive() //nolint:bodyclose // its connection is closed; closing an endless body would read on
 		require.NoError(t, err)
 		got, release, err := (&http1.Buffers{Max: 64 << 20}).ReadBody(resp, 8<<20)
 		require.NoError(t, err)
