--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -252,16 +252,11 @@
 	if c.s.Admit == nil || c.br.Buffered() > 0 {
 		return true
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(c.s.limits().IdleTimeout))
-	c.idle.Store(true)
-	if c.s.stopping.Load() {
-		c.interruptIdle()
-	}
-	readable := awaitReadable(c.nc)
-	c.idle.Store(false)
-	if readable {
-		c.verdict = c.s.Admit()
-	}
+	c.whileIdle(c.s.limits().IdleTimeout, func() {
+		if awaitReadable(c.nc) {
+			c.verdict = c.s.Admit()
+		}
+	})
 	return c.verdict != admission.Close
 }
 
@@ -270,14 +265,20 @@
 	if c.br.Buffered() > 0 {
 		return true
 	}
+	var err error
+	c.whileIdle(timeout, func() { _, err = c.br.Peek(1) })
+	return err == nil
+}
+
+// whileIdle calls wait, which may be interrupted, with a limit of time for reads.
+func (c *serverConn) whileIdle(timeout time.Duration, wait func()) {
 	_ = c.nc.SetReadDeadline(time.Now().Add(timeout))
 	c.idle.Store(true)
 	if c.s.stopping.Load() {
 		c.interruptIdle()
 	}
-	_, err := c.br.Peek(1)
+	wait()
 	c.idle.Store(false)
-	return err == nil
 }
 
 // handle runs the handler and cancels its context if the client disconnects meanwhile. It
