--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -255,6 +255,6 @@
 	a := r.do("GET", "/none/", "r2", "")
 	require.Equal(t, 503, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
-	require.Contains(t, r.log.String(), "reason=stale-config")
+	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "reason=stale-config") }, 2*time.Second, time.Millisecond)
 	require.Equal(t, 200, r.do("GET", "/safe/", "r3", "").status, "a route that it has is served")
 }
