front: the play of parts that crash servers lasts as long as its check counts requests

The check counts sound requests from 6 s after the fifth crash, or the last of fewer, until the end of the play, which was 10 s after the third. The play goes on now until 10 s after that crash. Bounds and checks are unchanged.

--- a/internal/front/crash_test.go
+++ b/internal/front/crash_test.go
@@ -32,6 +32,8 @@
 	restartTime = 700 * time.Millisecond
 	// minServed is the share of sound requests, of those before the first crash, that have to be served from 2 noticeTime after the crashes on.
 	minServed = 0.5
+	// servedTime is for how long sound requests are counted then.
+	servedTime = 4 * time.Second
 )
 
 type (
@@ -296,8 +298,8 @@
 	return n
 }
 
-// play sends sound requests alone, and then beside requests with parts that crash servers until some time after the fifth crash.
-// It returns the times of the first crash and the last request.
+// play sends sound requests alone, and then beside requests with parts that crash servers until some time after the crash from
+// which on the bounds count. It returns the times of the first crash and the last request.
 func (f *crashCluster) play(position int, during func()) (first, end time.Time) {
 	f.t.Helper()
 	const interval, every = 20 * time.Millisecond, 9
@@ -311,7 +313,9 @@
 		during()
 	}
 	f.awaitCrash(minCrashes)
-	<-time.After(2*noticeTime + 4*time.Second)
+	for rest := 2*noticeTime + servedTime; rest > 0; rest = time.Until(f.boundTime().Add(2*noticeTime + servedTime)) {
+		<-time.After(rest)
+	}
 	end = time.Now()
 	cancel()
 	done.Wait()
