--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -33,7 +33,7 @@
 	Limiter struct {
 		processor Controller
 		link      Controller
-		closes    float64 // requests that may still be closed unread: one for each admitted one
+		closes    int // requests that may still be closed unread: one for each admitted one
 		saturated bool
 		evidence  int // observations that speak for the other value of saturated, less those that don't
 	}
@@ -76,7 +76,7 @@
 		l.closes = min(l.closes+1, maxCloses)
 		return Admit
 	}
-	if l.closes >= 1 {
+	if l.closes > 0 {
 		l.closes--
 		return Close
 	}
