front: an overloaded node that doesn't reach the store runs no requests by an outdated configuration

Cause: the node's own log has store-lost from 1.8 s on, leader-silent, join-failed, and version 2 in force until 8.5 s. Refusals by such a configuration are 503, but requests that it has a route for were served. Change: where an overload is under way (or ended within a second), the last read of the configuration failed, and it is older than config-apply-ms, requests get 503 stale-config, and the node isn't ready, so that its clients go elsewhere. During an outage of the store nodes that aren't overloaded serve on.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -231,6 +231,13 @@
 // as the newest, whichever node read it.
 func (f *Follower) ConfigAge() time.Duration { return f.confirmation.age(f.now()) }
 
+// ConfigUnreachable reports whether the last read of the configuration from the store failed.
+func (f *Follower) ConfigUnreachable() bool {
+	f.operator.mu.Lock()
+	defer f.operator.mu.Unlock()
+	return f.operator.unreachable
+}
+
 // now returns the time of the clock.
 func (f *Follower) now() time.Duration {
 	if f.Clock == nil {
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -15,6 +15,8 @@
 const (
 	// overloadThreshold is the probability of rejection from which an overload is logged, and half of it the one at which its end is.
 	overloadThreshold = 0.1
+	// overloadGrace is how long after an overload calls that it has delayed may be under way.
+	overloadGrace = time.Second
 )
 
 // admissionControl decides which requests of clients this node reads. It is safe for concurrent use.
@@ -26,6 +28,7 @@
 	counts     [admission.Reject + 1]int // verdicts since the overload began
 	overloaded bool
 	since      time.Time // of the overload
+	endedAt    time.Time // of the last overload, zero if there was none
 	verdicts   *prometheus.CounterVec
 }
 
@@ -53,6 +56,13 @@
 	return a.limiter.Saturated()
 }
 
+// delayed reports whether an overload may delay calls to other processes now.
+func (a *admissionControl) delayed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.overloaded || time.Since(a.endedAt) < overloadGrace
+}
+
 // observe processes a sample of how late this process is.
 func (a *admissionControl) observe(s lag.Sample) {
 	a.mu.Lock()
@@ -67,7 +77,7 @@
 		a.overloaded, a.since, a.counts = true, time.Now(), [admission.Reject + 1]int{}
 		a.log.Warn("overloaded", zap.Float64("probability", p), zap.Duration("scheduling", s.Scheduling), zap.Duration("link", s.Link))
 	case p < overloadThreshold/2 && a.overloaded:
-		a.overloaded = false
+		a.overloaded, a.endedAt = false, time.Now()
 		a.log.Info("overload-ended", zap.Duration("lasted", time.Since(a.since)), zap.Int("admitted", a.counts[admission.Admit]),
 			zap.Int("closed", a.counts[admission.Close]), zap.Int("rejected", a.counts[admission.Reject]))
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -179,6 +179,7 @@
 		Role: n.role, Omit: n.isGranted, HoldsWhole: n.holdsWhole, ExpectsFeed: n.expectsRelay, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
+	n.gateway.Delayed = func() bool { return n.admission.delayed() && n.follower.ConfigUnreachable() }
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
 	n.clients.Admit = n.admit
@@ -416,7 +417,7 @@
 
 // ready reports whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && (n.SharesProcess || !n.admission.saturated())
+	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && (n.SharesProcess || !n.admission.saturated() && !n.gateway.Outdated())
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -81,13 +81,21 @@
 // refuseByConfig refuses a request that the configuration in force doesn't allow. If a newer one may be in force elsewhere, the client is
 // asked to come back instead.
 func (r *request) refuseByConfig(status int, cause Reason) {
-	if g := r.g; g.RefusalAge > 0 && g.ConfigAge() > g.RefusalAge {
+	if r.g.refusalAgeReached() {
 		r.respond(http.StatusServiceUnavailable, StaleConfig, staleConfigRetryAfter)
 		return
 	}
 	r.respond(status, cause, 0)
 }
 
+// refusalAgeReached reports whether the configuration in force is too old to refuse requests for good.
+func (g *Gateway) refusalAgeReached() bool { return g.RefusalAge > 0 && g.ConfigAge() > g.RefusalAge }
+
+// Outdated reports whether the configuration in force must not be used.
+func (g *Gateway) Outdated() bool {
+	return g.Delayed != nil && g.refusalAgeReached() && g.Delayed()
+}
+
 // recheckKey returns the reason why the request may not be sent to a server, or "": its
 // key must be in the configuration in force, which must not be too old. The key is checked
 // again since the request may have waited after it was admitted, or the process may have
--- a/internal/gateway/admit_test.go
+++ b/internal/gateway/admit_test.go
@@ -258,3 +258,25 @@
 	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "reason=stale-config") }, 2*time.Second, time.Millisecond)
 	require.Equal(t, 200, r.do("GET", "/safe/", "r3", "").status, "a route that it has is served")
 }
+
+// TestOverloadedNodeDoesNotRunOutdatedRoutes guards against requests that are run by a configuration whose successors an overloaded node has not
+// noticed. Where the store is the reason, they are served.
+func TestOverloadedNodeDoesNotRunOutdatedRoutes(t *testing.T) {
+	w := startWorker(t, "i-1")
+	r := newRig(t, w)
+	for i, x := range []struct {
+		age     time.Duration
+		delayed bool
+		status  int
+	}{{time.Second, true, 200}, {3 * time.Second, true, 503}, {3 * time.Second, false, 200}} {
+		r.gateway.ConfigAge = func() time.Duration { return x.age }
+		r.gateway.Delayed = func() bool { return x.delayed }
+		r.gateway.RefusalAge = 2 * time.Second
+		a := r.do("GET", "/safe/", fmt.Sprint("r", i), "")
+		require.Equal(t, x.status, a.status, "%+v", x)
+		if x.status == 503 {
+			require.NotEmpty(t, a.header.Get("Retry-After"))
+		}
+	}
+	require.Len(t, w.Visits(), 2)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,10 @@
 		// RefusalAge is the age of the configuration from which a request isn't refused for good by it, as a newer one may allow the request.
 		// Zero means no limit.
 		RefusalAge time.Duration
-		Rand       *rand.Rand
+		// Delayed reports whether this node doesn't get configurations, probably since it is overloaded. One of RefusalAge isn't used
+		// then, as its successors may be in force elsewhere. During an outage of the store it is. It may be nil.
+		Delayed func() bool
+		Rand    *rand.Rand
 		// OnLeaving is called when a server announces that it is leaving, and reports
 		// whether that is new. It may be nil.
 		OnLeaving func(departure.Incarnation) bool
@@ -222,12 +225,17 @@
 		r.respond(http.StatusServiceUnavailable, Overloaded, r.jitterRetryAfter(overloadRetryAfter))
 		return
 	}
+	outdated := g.Outdated() // before the configuration is loaded, which may become newer meanwhile
 	c := g.config.Load()
 	if c == nil {
 		r.respond(http.StatusServiceUnavailable, NoConfig, noConfigRetryAfter)
 		return
 	}
 	r.configVersion = c.Version()
+	if outdated {
+		r.respond(http.StatusServiceUnavailable, StaleConfig, r.jitterRetryAfter(overloadRetryAfter))
+		return
+	}
 	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
 	if !ok {
 		r.refuseByConfig(http.StatusNotFound, NoRoute)
