front: admission and readiness need no case for nodes that share a process

Such a node starts no monitor, so its limiter has no sample: all requests are admitted and it is never saturated or delayed. The checks of SharesProcess in Admit and readiness said the same again.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -19,7 +19,6 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"guavapaddle/core/admission"
 	"guavapaddle/core/balance"
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
@@ -182,19 +181,11 @@
 	n.gateway.Delayed = func() bool { return n.admission.delayed() && n.follower.ConfigUnreachable() }
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
-	n.clients.Admit = n.admit
+	n.clients.Admit = n.admission.decide
 	n.probes = &http1.Server{Handler: readiness{n}, AcceptFailed: n.acceptFailed}
 	return n, nil
 }
 
-// admit decides on a request of a client.
-func (n *Node) admit() admission.Verdict {
-	if n.SharesProcess {
-		return admission.Admit
-	}
-	return n.admission.decide()
-}
-
 // retryBudget returns the retry budget of a service from the settings, where zero means no
 // retries.
 func (n *Node) retryBudget() retry.ServiceBudget {
@@ -306,7 +297,7 @@
 	} {
 		tasks.Go(name, func() { task(taskCtx) })
 	}
-	if !n.SharesProcess {
+	if !n.SharesProcess { // without the monitor's samples all requests are admitted
 		before := debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.memoryBytes())))
 		defer debug.SetMemoryLimit(before)
 		tasks.Go("lag", func() { n.lag.Run(taskCtx) })
@@ -417,7 +408,7 @@
 
 // ready reports whether the node can serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && (n.SharesProcess || !n.admission.saturated() && !n.gateway.Outdated())
+	return !n.stopping.Load() && n.gateway.Serves() && n.hasServers() && !n.admission.saturated() && !n.gateway.Outdated()
 }
 
 func (n *Node) onConfig(c *fleet.Config) {
