--- a/io/peer/endpoint.go
+++ b/io/peer/endpoint.go
@@ -140,9 +140,7 @@
 	}
 	s, err := c.OpenUniStreamSync(ctx)
 	if err != nil {
-		if ctx.Err() == nil {
-			e.discard(address, c)
-		}
+		e.discardUnlessGivenUp(ctx, address, c)
 		return &Error{Kind: Lost, Peer: address, Err: err}
 	}
 	_ = s.SetWriteDeadline(time.Now().Add(e.WriteTimeout))
@@ -166,9 +164,7 @@
 	defer cancel()
 	qs, err := c.OpenStreamSync(openCtx)
 	if err != nil {
-		if ctx.Err() == nil {
-			e.discard(address, c)
-		}
+		e.discardUnlessGivenUp(ctx, address, c)
 		return nil, &Error{Kind: Unreachable, Peer: address, Err: err}
 	}
 	s := &Stream{s: qs, r: bufio.NewReader(qs), e: e, peer: address}
@@ -226,8 +222,15 @@
 	d.conn, d.err = e.transport.Dial(ctx, udpAddr, tlsConfig, e.quic())
 }
 
-// discard closes a connection that failed, so that the next use of the address dials again. It ends all other streams on it too: a call that
-// its caller has given up doesn't show that the connection has failed.
+// discardUnlessGivenUp discards a connection on which no stream could be opened, unless the caller has given up: that doesn't show that the
+// connection has failed.
+func (e *Endpoint) discardUnlessGivenUp(ctx context.Context, address string, c *quic.Conn) {
+	if ctx.Err() == nil {
+		e.discard(address, c)
+	}
+}
+
+// discard closes a connection that failed, so that the next use of the address dials again. It ends all other streams on it too.
 func (e *Endpoint) discard(address string, c *quic.Conn) {
 	_ = c.CloseWithError(0, "")
 	e.mu.Lock()
