--- a/internal/gateway/spend.go
+++ b/internal/gateway/spend.go
@@ -11,11 +11,11 @@
 	// noGranterRetryAfter is the longest Retry-After of requests that were refused while no
 	// granter was reachable: another node may reach one.
 	noGranterRetryAfter = 500 * time.Millisecond
-	// retryJitter is the maximum share by which the Retry-After of clients over their quota
-	// exceeds the time until their tokens are available, so that they don't retry together.
+	// retryJitter is the maximum share by which a Retry-After exceeds the time until a request may be served, as until the tokens of a
+	// team are available, so that clients don't retry together.
 	retryJitter = 0.5
-	// minQuotaRetryAfter is the shortest Retry-After of clients over their quota.
-	minQuotaRetryAfter = 50 * time.Millisecond
+	// minJitteredRetryAfter is the shortest Retry-After with jitter.
+	minJitteredRetryAfter = 50 * time.Millisecond
 )
 
 // hasQuota reports whether the request counts against a quota.
@@ -69,12 +69,12 @@
 	return Quota
 }
 
-// jitterRetryAfter returns the Retry-After of a client over its quota, with jitter.
+// jitterRetryAfter returns a Retry-After with jitter.
 func (r *request) jitterRetryAfter(after time.Duration) time.Duration {
 	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(minQuotaRetryAfter, time.Duration(float64(after)*(1+retryJitter*g.Rand.Float64())))
+	return max(minJitteredRetryAfter, time.Duration(float64(after)*(1+retryJitter*g.Rand.Float64())))
 }
 
 // refund returns the charge of the request to the quota if no server may have run it.
