--- a/io/http1/admit_test.go
+++ b/io/http1/admit_test.go
@@ -20,12 +20,7 @@
 // admitting runs a server with a verdict that can be changed.
 func admitting(t *testing.T, h http1.Handler) (address string, verdict *atomic.Int32) {
 	verdict = &atomic.Int32{}
-	s := &http1.Server{Handler: h, Admit: func() admission.Verdict { return admission.Verdict(verdict.Load()) }}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	go s.Serve(l)
-	t.Cleanup(func() { _ = l.Close() })
-	return l.Addr().String(), verdict
+	return run(t, &http1.Server{Handler: h, Admit: func() admission.Verdict { return admission.Verdict(verdict.Load()) }}), verdict
 }
 
 // exchange sends a request on a connection and returns the status of the response, zero if the connection ends without one, and whether the
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -47,6 +47,12 @@
 func serve(t testing.TB, h http1.Handler, l http1.Limits) (*http1.Server, string) {
 	t.Helper()
 	s := &http1.Server{Handler: h, Limits: func() http1.Limits { return l }}
+	return s, run(t, s)
+}
+
+// run runs a server until the test ends and returns its address.
+func run(t testing.TB, s *http1.Server) string {
+	t.Helper()
 	nl, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	go s.Serve(nl)
@@ -56,7 +62,7 @@
 		defer cancel()
 		s.Shutdown(ctx)
 	})
-	return s, nl.Addr().String()
+	return nl.Addr().String()
 }
 
 // sendRaw sends text over a new connection and returns everything that the server sends
