front: bytes of the link by peer, and its state each second of an overload

Counters by peer and direction, and a line link-traffic each second of an overload. jsonhttp's Traffic moved to io/tcp, which counts the bytes of any TCP connection.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -98,6 +98,7 @@
 	probes          *http1.Server
 	lag             *lag.Monitor
 	admission       admissionControl
+	traffic         linkTraffic
 	registry        *prometheus.Registry
 	stopping        atomic.Bool
 	servers         servers
@@ -172,6 +173,7 @@
 	n.hub.HasGranter, n.hub.OnBlock = n.isGranted, n.logBlock
 	n.granter = &granter.Granter{Log: log, Counts: n.hub.Counts, Limits: n.gateway.Limits, Tolerance: s.tolerance()}
 	n.registry.MustRegister(n.granter)
+	n.registry.MustRegister(n.trafficCollectors()...)
 	n.placer = n.newPlacer()
 	n.granter.LoadAdapter = n.placer.RequestLoad
 	n.follower = &follow.Follower{Store: n.store, Log: log, OnConfig: n.onConfig, OnServers: n.onServers, OnGone: n.gateway.ServerGone, HasFeed: n.hasFeed, HasLeader: n.hasLeader,
@@ -181,7 +183,7 @@
 	n.gateway.Delayed = func() bool { return n.admission.delayed() && n.follower.ConfigUnreachable() }
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
-	n.clients.Admit = n.admission.decide
+	n.clients.Admit, n.clients.Traffic = n.admission.decide, &n.traffic.clients
 	n.probes = &http1.Server{Handler: readiness{n}, AcceptFailed: n.acceptFailed}
 	return n, nil
 }
@@ -224,7 +226,7 @@
 		Name: "calls_total", Help: "Calls to the platform's store, by their answer; 0 where none came."}, []string{"call", "status"})
 	n.registry.MustRegister(calls)
 	return &platform.Store{
-		Client: &jsonhttp.Client{Address: n.settings.Store, ConnectTimeout: 500 * time.Millisecond, MaxBody: n.settings.memoryBytes() / storeFraction},
+		Client: &jsonhttp.Client{Address: n.settings.Store, ConnectTimeout: 500 * time.Millisecond, MaxBody: n.settings.memoryBytes() / storeFraction, Traffic: &n.traffic.store},
 		OnCall: func(call string, status int) { calls.WithLabelValues(call, strconv.Itoa(status)).Inc() },
 	}
 }
@@ -293,7 +295,7 @@
 	for name, task := range map[string]func(context.Context){
 		"follower": n.follower.Run, "placer": n.placer.Run, "granter": n.granter.Run, "register": n.register, "tidy": n.cleanUpRows,
 		"exchange": n.runExchange, "sweep": n.sweep, "reload": n.reload, "peers": n.servePeers, "relays": n.assignRelays,
-		"silence": n.gateway.WatchSilence,
+		"silence": n.gateway.WatchSilence, "traffic": n.logTraffic,
 	} {
 		tasks.Go(name, func() { task(taskCtx) })
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -38,7 +38,13 @@
 	n.registry.MustRegister(m.Collectors()...)
 	return &tunnel.Dialer{
 		Node: n.settings.Node, Endpoint: n.endpoint, Peers: n.tunnelPeers, Log: n.log, Metrics: m,
-		Own:       func(ctx context.Context, address string) (net.Conn, error) { return n.DialServer(ctx, address) },
+		Own: func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := n.DialServer(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return n.traffic.servers.Count(c), nil
+		},
 		MaxServed: max(minTunnels, int(tunnelsPerCore*n.settings.Cores)),
 		Serves:    func() bool { return !n.stopping.Load() },
 		OnHanging: n.gateway.Pool.Drop, OnAllHanging: n.gateway.Pool.DropAll,
--- /dev/null
+++ b/internal/front/traffic.go
@@ -0,0 +1,83 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"guavapaddle/internal/clock"
+	"guavapaddle/internal/lag"
+	"guavapaddle/io/tcp"
+)
+
+const (
+	// trafficInterval is the time between two log lines of the traffic while the node is overloaded.
+	trafficInterval = time.Second
+
+	fromPeer, toPeer = "received", "sent" // directions of bytes
+)
+
+type (
+	// linkTraffic counts the bytes of this node's connections. Those to other nodes are counted by their endpoint.
+	linkTraffic struct{ clients, servers, store tcp.Traffic }
+
+	// peerBytes are the bytes exchanged with one kind of peer since the start.
+	peerBytes struct {
+		peer           string
+		sent, received uint64
+	}
+)
+
+// trafficBytes returns the bytes by kind of peer. Of datagrams from other nodes only the frames are counted.
+func (n *Node) trafficBytes() []peerBytes {
+	var list []peerBytes
+	for _, t := range []struct {
+		peer    string
+		traffic *tcp.Traffic
+	}{{"clients", &n.traffic.clients}, {"servers", &n.traffic.servers}, {"store", &n.traffic.store}} {
+		sent, received := t.traffic.Bytes()
+		list = append(list, peerBytes{peer: t.peer, sent: sent, received: received})
+	}
+	return append(list, peerBytes{peer: "nodes", sent: n.endpoint.DatagramBytes(), received: n.endpoint.FrameBytes()})
+}
+
+// trafficCollectors returns the metrics of the traffic.
+func (n *Node) trafficCollectors() []prometheus.Collector {
+	var list []prometheus.Collector
+	for i, p := range n.trafficBytes() {
+		for direction, value := range map[string]func() float64{
+			toPeer:   func() float64 { return float64(n.trafficBytes()[i].sent) },
+			fromPeer: func() float64 { return float64(n.trafficBytes()[i].received) },
+		} {
+			list = append(list, prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "link", Name: "bytes_total",
+				Help: "Bytes exchanged with peers, without headers of TCP, UDP and IP.", ConstLabels: prometheus.Labels{"peer": p.peer, "direction": direction}}, value))
+		}
+	}
+	return list
+}
+
+// logTraffic logs each second of an overload what the link carried in it, and the state that depends on it, until ctx ends.
+func (n *Node) logTraffic(ctx context.Context) {
+	t := time.NewTicker(trafficInterval)
+	defer t.Stop()
+	last := n.trafficBytes()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		now := n.trafficBytes()
+		if n.admission.delayed() {
+			fields := []zap.Field{zap.Duration("config-age", n.follower.ConfigAge()), zap.Duration("allowance", lag.Allowance()),
+				zap.Duration("leader-age", clock.SinceBoot()-time.Duration(n.leaderReplyAt.Load()))}
+			for i, p := range now {
+				fields = append(fields, zap.Uint64(p.peer+"-"+fromPeer, p.received-last[i].received), zap.Uint64(p.peer+"-"+toPeer, p.sent-last[i].sent))
+			}
+			n.log.Info("link-traffic", fields...)
+		}
+		last = now
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,8 +9,8 @@
 	"guavapaddle/core/member"
 	"guavapaddle/internal/cluster"
 	"guavapaddle/internal/metrics"
-	"guavapaddle/io/jsonhttp"
 	"guavapaddle/io/peer"
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -27,7 +27,7 @@
 	// platformTraffic counts the bytes of calls to the platform's services and to
 	// engines.
 	platformTraffic struct {
-		table, objects, vms, engines jsonhttp.Traffic
+		table, objects, vms, engines tcp.Traffic
 	}
 
 	// gauges collects the metrics that are read from the node's components at the
@@ -130,7 +130,7 @@
 // platform collects the bytes of calls to the platform's services and to engines.
 func (g *gauges) platform(count func(kind string, out, in uint64)) {
 	p := &g.node.platform
-	for kind, t := range map[string]*jsonhttp.Traffic{
+	for kind, t := range map[string]*tcp.Traffic{
 		"table": &p.table, "objects": &p.objects, "vm-list": &p.vms, "engines": &p.engines,
 	} {
 		out, in := t.Bytes()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -13,6 +13,7 @@
 
 	"guavapaddle/core/backend"
 	"guavapaddle/io/jsonhttp"
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -35,9 +36,9 @@
 	// Client makes calls to one engine. Its exported fields must be set before the first
 	// call. It is safe for concurrent use.
 	Client struct {
-		Address string            // IP:port
-		Timeout time.Duration     // for calls other than streams, DefaultTimeout if zero
-		Traffic *jsonhttp.Traffic // counts the bytes of calls other than streams; may be nil
+		Address string        // IP:port
+		Timeout time.Duration // for calls other than streams, DefaultTimeout if zero
+		Traffic *tcp.Traffic  // counts the bytes of calls other than streams; may be nil
 
 		calls   jsonhttp.Lazy // reuses connections
 		streams jsonhttp.Lazy // one connection per stream
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -61,6 +61,8 @@
 		// AcceptFailed is called when accepting a connection fails, may be nil. The server
 		// then retries.
 		AcceptFailed func(err error)
+		// Traffic counts the bytes of the clients' connections. It may be nil.
+		Traffic *tcp.Traffic
 
 		draining atomic.Bool
 		stopping atomic.Bool
@@ -89,6 +91,7 @@
 			_ = nc.Close()
 			return
 		}
+		nc = s.Traffic.Count(nc)
 		c := &serverConn{s: s, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), verdict: verdict}
 		if !s.add(c) {
 			_ = nc.Close()
@@ -311,7 +314,7 @@
 // reset makes the connection end with a reset. A response to HTTP/1.0 that was written in pieces ends with its
 // connection, so that one which was broken off would look complete otherwise.
 func (c *serverConn) reset() {
-	if t, ok := c.nc.(*net.TCPConn); ok {
+	if t, ok := c.nc.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // fails only if the connection has ended
 	}
 	_ = c.nc.Close()
@@ -383,7 +386,7 @@
 // linger closes the sending side and keeps reading for a short time: closing a connection
 // with unread bytes would reset it, and the client could lose the response.
 func (c *serverConn) linger() {
-	t, ok := c.nc.(*net.TCPConn)
+	t, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok || t.CloseWrite() != nil {
 		return
 	}
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/internal/lag"
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -43,7 +44,7 @@
 		IdleTimeout    time.Duration // DefaultIdleTimeout if zero
 		MaxBody        int64         // limit of a response body in bytes, DefaultMaxBody if zero
 		DisableReuse   bool          // opens a new connection for each call
-		Traffic        *Traffic      // counts the bytes on the client's connections, may be nil
+		Traffic        *tcp.Traffic  // counts the bytes on the client's connections, may be nil
 
 		once      sync.Once
 		transport *http.Transport
--- a/io/jsonhttp/lazy.go
+++ b/io/jsonhttp/lazy.go
@@ -1,6 +1,10 @@
 package jsonhttp
 
-import "sync"
+import (
+	"sync"
+
+	"guavapaddle/io/tcp"
+)
 
 // Lazy creates a Client on first use, for an address that is only known then. Later calls
 // return the same Client, whatever their arguments. The zero value is ready to use.
@@ -13,7 +17,7 @@
 func (l *Lazy) Get(address string) *Client { return l.WithTraffic(address, nil) }
 
 // WithTraffic is like Get, but the client counts its traffic in t, unless t is nil.
-func (l *Lazy) WithTraffic(address string, t *Traffic) *Client {
+func (l *Lazy) WithTraffic(address string, t *tcp.Traffic) *Client {
 	l.once.Do(func() { l.client = &Client{Address: address, Traffic: t} })
 	return l.client
 }
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/io/jsonhttp"
+	"guavapaddle/io/tcp"
 )
 
 // Kind classifies a failure by its meaning for the call.
@@ -37,9 +38,9 @@
 	// Client makes calls to the object store. Its exported fields must be set before the
 	// first call. It is safe for concurrent use.
 	Client struct {
-		Address string            // IP:port
-		Timeout time.Duration     // per call, DefaultTimeout if zero
-		Traffic *jsonhttp.Traffic // counts the bytes of calls; may be nil
+		Address string        // IP:port
+		Timeout time.Duration // per call, DefaultTimeout if zero
+		Traffic *tcp.Traffic  // counts the bytes of calls; may be nil
 
 		http jsonhttp.Lazy
 	}
--- a/io/peer/traffic.go
+++ b/io/peer/traffic.go
@@ -30,6 +30,15 @@
 // headers, acknowledgements and handshakes, without UDP and IP headers.
 func (e *Endpoint) DatagramBytes() uint64 { return e.datagramBytes.Load() }
 
+// FrameBytes returns the number of bytes in frames of all kinds that were received since the start.
+func (e *Endpoint) FrameBytes() uint64 {
+	var n uint64
+	for k := range e.frameBytes.received {
+		n += e.frameBytes.received[k].Load()
+	}
+	return n
+}
+
 // size returns the encoded size of an uncompressed frame in bytes.
 func (f Frame) size() uint64 {
 	var b [binary.MaxVarintLen64]byte
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -12,6 +12,7 @@
 
 	"guavapaddle/core/row"
 	"guavapaddle/io/jsonhttp"
+	"guavapaddle/io/tcp"
 )
 
 // Kind classifies a failure by its meaning for the transaction.
@@ -39,9 +40,9 @@
 	// Client makes calls to the table service. Its exported fields must be set before the
 	// first call. It is safe for concurrent use.
 	Client struct {
-		Address string            // IP:port
-		Timeout time.Duration     // per call, DefaultTimeout if zero
-		Traffic *jsonhttp.Traffic // counts the bytes of calls; may be nil
+		Address string        // IP:port
+		Timeout time.Duration // per call, DefaultTimeout if zero
+		Traffic *tcp.Traffic  // counts the bytes of calls; may be nil
 
 		http jsonhttp.Lazy
 	}
--- a/io/tcp/doc.go
+++ b/io/tcp/doc.go
@@ -1,4 +1,5 @@
-// Package tcp provides an accept loop for servers that do not use the one of net/http.
+// Package tcp provides what the project's protocols over TCP share: an accept loop for servers that do not use the one of net/http, and
+// counts of bytes.
 //
 // # Usage
 //
@@ -6,4 +7,8 @@
 //	go tcp.Accept(l, serve, logFailure)
 //	...
 //	err = l.Close() // ends Accept
+//
+//	var t tcp.Traffic
+//	conn = t.Count(conn)
+//	sent, received := t.Bytes()
 package tcp
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/io/jsonhttp"
+	"guavapaddle/io/tcp"
 )
 
 // Role is the kind of process that a VM runs.
@@ -78,9 +79,9 @@
 	// Client reads and sets entries of the list. Its exported fields must be set before the
 	// first call. It is safe for concurrent use.
 	Client struct {
-		Address string            // IP:port
-		Timeout time.Duration     // per call, DefaultTimeout if zero
-		Traffic *jsonhttp.Traffic // counts the bytes of calls; may be nil
+		Address string        // IP:port
+		Timeout time.Duration // per call, DefaultTimeout if zero
+		Traffic *tcp.Traffic  // counts the bytes of calls; may be nil
 
 		http jsonhttp.Lazy
 	}
