admission: round trips that don't end are samples of the link's delay

Callers of an overloaded VM saw requests admitted, configurations outdated and peers dropped while each new connection took a second: the delay of the link came from connections that were opened, in the last 0.3 s, to four servers. Once its queue is longer than a dial may take there is no sample, so that the delay reads zero, the overload counts as over, and timeouts, which are extended by the delay, are at their shortest.

A round trip that is under way or was given up takes at least as long as it has taken, unless one that began later was faster (a server that hangs, a lost path to servers while the leader replies). Reports to the leader and slot requests are round trips too, as are connections to the store and to seeds. Without a new sample the delay stays as it was, and the link is probed by a connection to the store or a seed each 100 ms.

TestQueueBeyondDialTimeoutIsSeen failed before (0 s from 2.8 s of the play on).

--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -15,7 +15,7 @@
 
 // dial is a dial to a peer that would be completed at a time.
 type dial struct {
-	peer        string
+	id          uint64
 	began, done time.Time
 }
 
@@ -29,13 +29,14 @@
 // step plays the dial that begins at a time, and the end of earlier ones.
 func (q *linkQueue) step(now time.Time, n int, queue time.Duration) {
 	peer := n % 8
-	q.dials = append(q.dials, dial{peer: strconv.Itoa(peer), began: now, done: now.Add(distance(peer) + queue)})
+	q.dials = append(q.dials, dial{id: q.trips.Begin(now, strconv.Itoa(peer)), began: now, done: now.Add(distance(peer) + queue)})
 	open := q.dials[:0]
 	for _, d := range q.dials {
 		switch {
-		case now.Sub(d.began) >= dialTimeout:
 		case !now.Before(d.done):
-			q.trips.Record(now, d.peer, d.done.Sub(d.began))
+			q.trips.End(d.done, d.id, true)
+		case now.Sub(d.began) >= dialTimeout:
+			q.trips.End(now, d.id, false)
 		default:
 			open = append(open, d)
 		}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -159,7 +159,7 @@
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), RefusalAge: time.Duration(s.ApplyMS) * time.Millisecond, Tolerance: s.tolerance()}
-	n.lag = &lag.Monitor{Log: log, OnSample: n.admission.observe}
+	n.lag = &lag.Monitor{Log: log, OnSample: n.admission.observe, Probe: n.probeLink}
 	n.admission.log = log
 	n.registry.MustRegister(n.lag.Collectors()...)
 	n.registry.MustRegister(n.admission.collectors()...)
--- a/internal/front/traffic.go
+++ b/internal/front/traffic.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,13 +17,18 @@
 const (
 	// trafficInterval is the time between two log lines of the traffic while the node is overloaded.
 	trafficInterval = time.Second
+	// probeTimeout limits a probe of the link.
+	probeTimeout = time.Second
 
 	fromPeer, toPeer = "received", "sent" // directions of bytes
 )
 
 type (
 	// linkTraffic counts the bytes of this node's connections. Those to other nodes are counted by their endpoint.
-	linkTraffic struct{ clients, servers, store tcp.Traffic }
+	linkTraffic struct {
+		clients, servers, store tcp.Traffic
+		probes                  atomic.Uint32 // of the link, so far
+	}
 
 	// peerBytes are the bytes exchanged with one kind of peer since the start.
 	peerBytes struct {
@@ -58,6 +65,21 @@
 	return list
 }
 
+// probeLink makes a round trip to the store or a seed in turn, by opening a connection. It needs no answer of theirs.
+func (n *Node) probeLink() {
+	targets := append([]string{n.settings.Store}, n.settings.Seeds...)
+	address := targets[int(n.traffic.probes.Add(1))%len(targets)]
+	trip := lag.BeginRoundTrip(address)
+	d := net.Dialer{Timeout: lag.Extend(probeTimeout)}
+	c, err := d.Dial("tcp4", address)
+	trip.EndWith(err)
+	if err != nil {
+		n.log.Debug("probe-failed", zap.String("address", address), zap.Error(err))
+		return
+	}
+	_ = c.Close()
+}
+
 // logTraffic logs each second of an overload what the link carried in it, and the state that depends on it, until ctx ends.
 func (n *Node) logTraffic(ctx context.Context) {
 	t := time.NewTicker(trafficInterval)
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -171,7 +171,9 @@
 // Exchange reports to the leader and returns its reply.
 func (c *Client) Exchange(ctx context.Context, address string, r Report) (ReportReply, error) {
 	var reply ReportReply
+	trip := lag.BeginRoundTrip(address)
 	err := c.call(ctx, address, kindReport, r, &reply)
+	trip.End(err == nil)
 	return reply, err
 }
 
@@ -258,7 +260,9 @@
 func (c *Client) readSlotReply(s *peer.Stream, address string) (peer.Frame, error) {
 	deadline := time.Now().Add(lag.Extend(AckTimeout))
 	s.SetReadDeadline(deadline)
+	trip := lag.BeginRoundTrip(address)
 	f, err := c.readFrame(s)
+	trip.End(err == nil)
 	if err != nil && !time.Now().Before(deadline) {
 		return f, &AckTimeoutError{Address: address}
 	}
--- a/internal/lag/allowance.go
+++ b/internal/lag/allowance.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"guavapaddle/core/admission"
@@ -29,19 +31,38 @@
 	trips admission.RoundTrips
 }
 
-// RecordRoundTrip records how long a round trip to a peer took that needed nothing of the peer but its kernel, as the opening of a
-// connection.
+// RoundTrip is a round trip to a peer that is under way, which needs next to nothing of the peer, as the opening of a connection.
+type RoundTrip struct{ id uint64 }
+
+// BeginRoundTrip records that a round trip to a peer begins.
+func BeginRoundTrip(peer string) RoundTrip {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	return RoundTrip{process.trips.Begin(time.Now(), peer)}
+}
+
+// End records that the round trip was completed, or given up. It must be called once.
+func (t RoundTrip) End(completed bool) {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	process.trips.End(time.Now(), t.id, completed)
+}
+
+// EndWith ends the round trip with the error of the connection that it opened. A refused connection is a round trip as well.
+func (t RoundTrip) EndWith(err error) { t.End(err == nil || errors.Is(err, syscall.ECONNREFUSED)) }
+
+// RecordRoundTrip records how long a completed round trip to a peer took.
 func RecordRoundTrip(peer string, took time.Duration) {
 	process.mu.Lock()
 	defer process.mu.Unlock()
 	process.trips.Record(time.Now(), peer, took)
 }
 
-// linkDelay returns how long packets wait at the link.
-func linkDelay(now time.Time) time.Duration {
+// linkDelay returns how long packets wait at the link, and whether a round trip that was completed recently shows so.
+func linkDelay(now time.Time) (delay time.Duration, shown bool) {
 	process.mu.Lock()
 	defer process.mu.Unlock()
-	return process.trips.Delay(now)
+	return process.trips.Delay(now), process.trips.CompletedSince(now.Add(-probeInterval))
 }
 
 // smooth moves a mean towards a sample.
--- a/internal/lag/monitor.go
+++ b/internal/lag/monitor.go
@@ -17,6 +17,11 @@
 	// until it is sent, so that it then takes a second longer.
 	lateThreshold = 100 * time.Millisecond
 
+	// probeThreshold is the delay of the link from which it is probed if nothing else shows it. It is below the delay at which requests are rejected.
+	probeThreshold = 10 * time.Millisecond
+	// probeInterval is the minimum time between two probes.
+	probeInterval = 100 * time.Millisecond
+
 	latencies = "/sched/latencies:seconds"
 )
 
@@ -35,7 +40,11 @@
 		Log *zap.Logger
 		// OnSample is called with each sample. It may be nil.
 		OnSample func(s Sample)
+		// Probe makes a round trip and records it. It is called in a goroutine of its own while the link's delay is long and no recent round
+		// trip shows it, at most once per 100 ms. It may be nil.
+		Probe func()
 
+		probedAt         time.Time
 		scheduling, link prometheus.Histogram
 		reader           reader
 		late             bool          // the last sample was above lateThreshold
@@ -75,7 +84,12 @@
 
 // sample takes one sample.
 func (m *Monitor) sample(now time.Time) {
-	s := Sample{Scheduling: m.reader.mean(), Link: linkDelay(now)}
+	link, shown := linkDelay(now)
+	if m.Probe != nil && link >= probeThreshold && !shown && now.Sub(m.probedAt) >= probeInterval {
+		m.probedAt = now
+		go m.Probe()
+	}
+	s := Sample{Scheduling: m.reader.mean(), Link: link}
 	smooth(&process.scheduling, s.Scheduling)
 	smooth(&process.link, s.Link)
 	if m.scheduling != nil {
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -127,11 +127,9 @@
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: lag.Extend(dialTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1 + int(ackTimeout/keepAliveInterval)}, Control: setUserTimeout}
-	began := time.Now()
+	trip := lag.BeginRoundTrip(address)
 	c, err := d.DialContext(ctx, "tcp4", address)
-	if err == nil {
-		lag.RecordRoundTrip(address, time.Since(began))
-	}
+	trip.EndWith(err)
 	return c, err
 }
 
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -176,7 +176,9 @@
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			dialer := &net.Dialer{Timeout: lag.Extend(cmp.Or(c.ConnectTimeout, DefaultConnectTimeout))}
+			trip := lag.BeginRoundTrip(address)
 			nc, err := dialer.DialContext(ctx, network, address)
+			trip.EndWith(err)
 			if err != nil {
 				return nil, err
 			}
