front: the leader's replies carry the configuration in small fleets too

An overloaded VM, in touch with its leader, ran requests by outdated versions, and refused all once they were older than config-apply-ms: it knew of the new version, and read it from the store over a connection of its own, which its link delayed for longer than the call may take. The connection to the leader is open. So the leader's reply carries the rows of the operator's table that the reporting node lacks, as relays' replies do already. It is smaller too: 52 kB of JSON in base64 from the store, against a compressed frame.

TestNewConfigurationNeedsNoPathToStore failed before.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -367,7 +367,7 @@
 	l, _ := n.placer.Leader()
 	switch {
 	case len(l.Relays) == 0:
-		return n.follower.ChangesSince(now, r.Known)
+		return n.follower.WithConfig(n.follower.ChangesSince(now, r.Known), r.Known)
 	case n.holdsEngines(l, r.Node, reply):
 		return n.follower.WithConfig(n.follower.ChangesSince(now, r.Known), r.Known)
 	default:
