admission: a VM that rejects half, or whose link is full, gets no new connections

Callers of an overloaded VM were rejected by it, or waited, for the whole rush: what is rejected comes back to the same VM, as the only one of its data centre, and fills its link again. At 500 requests a second clients send it 0.6 to 0.9 of the 1.25 MB a second that its link carries, so that no admission mends it; the balancer could send them to the next data centre.

The VM isn't ready once half of the requests (three quarters before) isn't admitted, or the link is full, for half a second (a second before). The rate of the link is a setting (link-mbps), its utilization is counted from the bytes of all connections. A VM that is saturated again within 8 s of its clients' return stays away for twice as long, up to 16 s. While it is saturated, Retry-After is 2 to 3 s: the balancer has noticed by then, so that the client reaches another VM.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -8,12 +8,18 @@
 	// linkTarget is the queueing delay of the link that is aimed at. A request crosses the link about three times until its answer begins.
 	linkTarget = 25 * time.Millisecond
 	// saturation is the probability of rejection from which rejecting more doesn't help, and relief the one below which it is over.
-	saturation = 0.75
-	relief     = 0.3
+	saturation = 0.5
+	relief     = 0.25
+	// fullLink is the utilization from which the link is full. Headers of TCP, UDP and IP aren't counted in it.
+	fullLink = 0.85
 	// saturatedFor and relievedFor are by how many more observations must show saturation, or relief, than don't, until the VM turns new
-	// clients away, or doesn't any more: 1 s and 2 s at intervals of 25 ms. The balancer notices a VM that isn't ready after two probes, a second apart.
-	saturatedFor = 40
+	// clients away, or doesn't any more: 0.5 s and 2 s at intervals of 25 ms. The balancer notices a VM that isn't ready after two probes, a second apart.
+	saturatedFor = 20
 	relievedFor  = 80
+	// maxBackoff is how often relievedFor may double, to 16 s, for a VM that is saturated again soon after its clients have returned. Each
+	// steadyFor observations without saturation, 8 s, halve it again.
+	maxBackoff = 3
+	steadyFor  = 320
 	// maxCloses bounds the closes that may be saved up, in admitted requests.
 	maxCloses = 50
 )
@@ -35,30 +41,49 @@
 		link      Controller
 		closes    int // requests that may still be closed unread: one for each admitted one
 		saturated bool
-		evidence  int // observations that speak for the other value of saturated, less those that don't
+		evidence  int  // observations that speak for the other value of saturated, less those that don't
+		relieved  bool // it was saturated recently
+		backoff   int  // doublings of relievedFor
+		steady    int  // observations without saturation since the last one, or since backoff changed
+	}
+
+	// Sample is what is observed of a VM at one time.
+	Sample struct {
+		Processor   time.Duration // how long work waits for the processor
+		Link        time.Duration // how long packets wait at the link
+		Utilization float64       // of the link, in the direction that carries more; zero if its rate isn't known
 	}
 )
 
 // String returns the name of the verdict in metrics and logs.
 func (v Verdict) String() string { return [...]string{"admit", "close", "reject"}[v] }
 
-// Observe records how long work waits for the processor, and how long packets wait at the link, each 25 ms.
-func (l *Limiter) Observe(processor, link time.Duration) {
+// Observe records a sample, each 25 ms.
+func (l *Limiter) Observe(s Sample) {
 	l.processor.Target, l.link.Target = processorTarget, linkTarget
-	l.processor.Observe(processor)
-	l.link.Observe(link)
+	l.processor.Observe(s.Processor)
+	l.link.Observe(s.Link)
 	p := l.Probability()
-	needed, changes := saturatedFor, p >= saturation
+	needed, changes := saturatedFor, p >= saturation || s.Utilization >= fullLink
 	if l.saturated {
-		needed, changes = relievedFor, p < relief
+		needed, changes = relievedFor<<l.backoff, p < relief && s.Utilization < fullLink
+	} else if l.steady++; l.steady >= steadyFor {
+		l.relieved = l.backoff > 0
+		l.backoff, l.steady = max(0, l.backoff-1), 0
 	}
 	if !changes {
 		l.evidence = max(0, l.evidence-1)
 		return
 	}
-	if l.evidence++; l.evidence >= needed {
-		l.saturated, l.evidence = !l.saturated, 0
+	if l.evidence++; l.evidence < needed {
+		return
+	}
+	if !l.saturated && l.relieved {
+		l.backoff = min(l.backoff+1, maxBackoff)
 	}
+	l.relieved = l.saturated
+	l.saturated = !l.saturated
+	l.evidence, l.steady = 0, 0
 }
 
 // Saturated reports whether rejecting requests doesn't bring the delays down, as those that are rejected come back to this VM. It should
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -47,7 +47,7 @@
 		if now >= warmUp {
 			longest = max(longest, wait)
 		}
-		p.limiter.Observe(wait/turns, 0)
+		p.limiter.Observe(admission.Sample{Processor: wait / turns})
 		backlog = max(0, backlog-p.capacity*interval.Seconds())
 	}
 	return served / (playTime - warmUp).Seconds(), longest
@@ -83,7 +83,7 @@
 func TestNoMoreIsClosedThanIsAdmitted(t *testing.T) {
 	var l admission.Limiter
 	for range 100 {
-		l.Observe(time.Second, 0)
+		l.Observe(admission.Sample{Processor: time.Second})
 	}
 	counts := map[admission.Verdict]int{}
 	r := rand.New(rand.NewPCG(1, 1))
@@ -98,19 +98,56 @@
 func TestSaturatedVMTurnsClientsAway(t *testing.T) {
 	var l admission.Limiter
 	for range 20 {
-		l.Observe(0, time.Second)
+		l.Observe(admission.Sample{Link: time.Second})
 	}
 	require.False(t, l.Saturated(), "a short overload is rejected only")
 	for range 100 {
-		l.Observe(0, time.Second)
+		l.Observe(admission.Sample{Link: time.Second})
 	}
 	require.True(t, l.Saturated())
 	for range 60 {
-		l.Observe(0, 0)
+		l.Observe(admission.Sample{})
 	}
 	require.True(t, l.Saturated(), "the balancer may not have noticed yet")
 	for range 200 {
-		l.Observe(0, 0)
+		l.Observe(admission.Sample{})
 	}
 	require.False(t, l.Saturated())
 }
+
+// TestVMWithFullLinkTurnsClientsAway guards against a VM whose link is full of requests, so that it doesn't help to reject them, but which
+// isn't late yet.
+func TestVMWithFullLinkTurnsClientsAway(t *testing.T) {
+	var l admission.Limiter
+	for range 40 {
+		l.Observe(admission.Sample{Utilization: 0.6})
+	}
+	require.False(t, l.Saturated())
+	for range 40 {
+		l.Observe(admission.Sample{Utilization: 0.95})
+	}
+	require.True(t, l.Saturated())
+}
+
+// TestVMThatIsSaturatedAgainTurnsClientsAwayForLonger plays clients that return together as soon as the VM is ready.
+func TestVMThatIsSaturatedAgainTurnsClientsAwayForLonger(t *testing.T) {
+	var l admission.Limiter
+	full, idle := admission.Sample{Utilization: 1}, admission.Sample{}
+	until := func(saturated bool, s admission.Sample) (n int) {
+		for ; l.Saturated() != saturated; n++ {
+			l.Observe(s)
+		}
+		return n
+	}
+	var away []int
+	for range 6 {
+		until(true, full)
+		away = append(away, until(false, idle))
+	}
+	require.Equal(t, []int{80, 160, 320, 640, 640, 640}, away)
+	for range 40 * 60 {
+		l.Observe(idle)
+	}
+	until(true, full)
+	require.Equal(t, 80, until(false, idle), "that was long ago")
+}
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -60,7 +60,7 @@
 		now := start.Add(at)
 		q.step(now, n, queue)
 		delay := q.trips.Delay(now)
-		l.Observe(0, delay)
+		l.Observe(admission.Sample{Link: delay})
 		if at > time.Second+unseen {
 			before := min(max(0, time.Duration(float64(growth)*(at-time.Second-unseen).Seconds())), longest)
 			require.GreaterOrEqual(t, delay, min(before, dialTimeout)*9/10, "after %v the queue is %v long", at, queue)
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"guavapaddle/core/admission"
-	"guavapaddle/internal/lag"
 )
 
 const (
@@ -25,6 +24,7 @@
 
 	mu         sync.Mutex
 	limiter    admission.Limiter
+	last       admission.Sample
 	counts     [admission.Reject + 1]int // verdicts since the overload began
 	overloaded bool
 	since      time.Time // of the overload
@@ -49,6 +49,13 @@
 	return v
 }
 
+// lastSample returns the last sample of the VM.
+func (a *admissionControl) lastSample() admission.Sample {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last
+}
+
 // saturated reports whether this node should get no new connections.
 func (a *admissionControl) saturated() bool {
 	a.mu.Lock()
@@ -63,19 +70,21 @@
 	return a.overloaded || time.Since(a.endedAt) < overloadGrace
 }
 
-// observe processes a sample of how late this process is.
-func (a *admissionControl) observe(s lag.Sample) {
+// observe processes a sample of the VM.
+func (a *admissionControl) observe(s admission.Sample) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.last = s
 	was := a.limiter.Saturated()
-	a.limiter.Observe(s.Scheduling, s.Link)
+	a.limiter.Observe(s)
+	fields := []zap.Field{zap.Duration("scheduling", s.Processor), zap.Duration("link", s.Link), zap.Float64("utilization", s.Utilization)}
 	if is := a.limiter.Saturated(); is != was {
-		a.log.Warn("saturated", zap.Bool("saturated", is), zap.Duration("scheduling", s.Scheduling), zap.Duration("link", s.Link))
+		a.log.Warn("saturated", append(fields, zap.Bool("saturated", is))...)
 	}
 	switch p := a.limiter.Probability(); {
 	case p >= overloadThreshold && !a.overloaded:
 		a.overloaded, a.since, a.counts = true, time.Now(), [admission.Reject + 1]int{}
-		a.log.Warn("overloaded", zap.Float64("probability", p), zap.Duration("scheduling", s.Scheduling), zap.Duration("link", s.Link))
+		a.log.Warn("overloaded", append(fields, zap.Float64("probability", p))...)
 	case p < overloadThreshold/2 && a.overloaded:
 		a.overloaded, a.endedAt = false, time.Now()
 		a.log.Info("overload-ended", zap.Duration("lasted", time.Since(a.since)), zap.Int("admitted", a.counts[admission.Admit]),
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -159,7 +159,7 @@
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		RetryBudget: n.retryBudget(), Refresh: n.refresh,
 		OnLeaving: func(i departure.Incarnation) bool { return n.addLeaving(i) }, KeyAge: s.keyAge(), RefusalAge: time.Duration(s.ApplyMS) * time.Millisecond, Tolerance: s.tolerance()}
-	n.lag = &lag.Monitor{Log: log, OnSample: n.admission.observe, Probe: n.probeLink}
+	n.lag = &lag.Monitor{Log: log, OnSample: n.observeLag, Probe: n.probeLink}
 	n.admission.log = log
 	n.registry.MustRegister(n.lag.Collectors()...)
 	n.registry.MustRegister(n.admission.collectors()...)
@@ -180,6 +180,7 @@
 		Role: n.role, Omit: n.isGranted, HoldsWhole: n.holdsWhole, ExpectsFeed: n.expectsRelay, OnRestore: n.onRestore(), FetchSnapshot: n.join, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond, MaxConfigAge: n.gateway.KeyAge}
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
+	n.gateway.Saturated = n.admission.saturated
 	n.gateway.Delayed = func() bool { return n.admission.delayed() && n.follower.ConfigUnreachable() }
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -34,6 +34,7 @@
 		Cores       float64  `json:"cores"`         // processor cores that the process may use
 		MemoryMB    int      `json:"memory-mb"`     // memory limit of the process
 		Descriptors int      `json:"descriptors"`   // limit of open files and sockets
+		LinkMbps    float64  `json:"link-mbps"`     // rate of the machine's link in each direction, 0 if unknown
 		GraceS      float64  `json:"grace-s"`       // from SIGTERM to SIGKILL
 		LeaseMS     int      `json:"lease-ms"`      // time to live of the lease on orders
 		LoadWindowS float64  `json:"load-window-s"` // window in which loads from the weight store are counted
@@ -130,6 +131,8 @@
 		return &SettingsError{Path: "memory-mb", Reason: "must be above zero"}
 	case s.Descriptors <= reservedDescriptors:
 		return &SettingsError{Path: "descriptors", Reason: fmt.Sprintf("must be above %d", reservedDescriptors)}
+	case s.LinkMbps < 0:
+		return &SettingsError{Path: "link-mbps", Reason: "must not be below zero"}
 	case s.GraceS <= 0:
 		return &SettingsError{Path: "grace-s", Reason: "must be above zero"}
 	case s.LeaseMS <= 0:
--- a/internal/front/traffic.go
+++ b/internal/front/traffic.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"guavapaddle/core/admission"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/lag"
 	"guavapaddle/io/tcp"
@@ -17,6 +18,10 @@
 const (
 	// trafficInterval is the time between two log lines of the traffic while the node is overloaded.
 	trafficInterval = time.Second
+	// utilizationSmoothing is the time constant of the mean utilization of the link.
+	utilizationSmoothing = 250 * time.Millisecond
+	bitsPerByte          = 8
+	bitsPerMbit          = 1e6
 	// probeTimeout limits a probe of the link.
 	probeTimeout = time.Second
 
@@ -28,6 +33,9 @@
 	linkTraffic struct {
 		clients, servers, store tcp.Traffic
 		probes                  atomic.Uint32 // of the link, so far
+
+		lastSent, lastReceived uint64  // at the last sample; used by observeLag only
+		utilization            float64 // moving mean; likewise
 	}
 
 	// peerBytes are the bytes exchanged with one kind of peer since the start.
@@ -65,6 +73,29 @@
 	return list
 }
 
+// observeLag processes a sample of how late this process is.
+func (n *Node) observeLag(s lag.Sample) {
+	utilization := n.traffic.observe(n.trafficBytes(), n.settings.LinkMbps, s.Elapsed)
+	n.admission.observe(admission.Sample{Processor: s.Scheduling, Link: s.Link, Utilization: utilization})
+}
+
+// observe returns the mean utilization of a link with a rate, in the direction that carries more, given the bytes since the start and the time
+// since the last call. It returns zero if the rate isn't known.
+func (t *linkTraffic) observe(peers []peerBytes, mbps float64, elapsed time.Duration) float64 {
+	if mbps == 0 || elapsed <= 0 {
+		return 0
+	}
+	var sent, received uint64
+	for _, p := range peers {
+		sent, received = sent+p.sent, received+p.received
+	}
+	more := max(sent-t.lastSent, received-t.lastReceived)
+	t.lastSent, t.lastReceived = sent, received
+	now := float64(more*bitsPerByte) / (mbps * bitsPerMbit * elapsed.Seconds())
+	t.utilization += (now - t.utilization) * min(1, elapsed.Seconds()/utilizationSmoothing.Seconds())
+	return t.utilization
+}
+
 // probeLink makes a round trip to the store or a seed in turn, by opening a connection. It needs no answer of theirs.
 func (n *Node) probeLink() {
 	targets := append([]string{n.settings.Store}, n.settings.Seeds...)
@@ -84,7 +115,7 @@
 func (n *Node) logTraffic(ctx context.Context) {
 	t := time.NewTicker(trafficInterval)
 	defer t.Stop()
-	last := n.trafficBytes()
+	before := n.trafficBytes()
 	for {
 		select {
 		case <-t.C:
@@ -93,13 +124,14 @@
 		}
 		now := n.trafficBytes()
 		if n.admission.delayed() {
-			fields := []zap.Field{zap.Duration("config-age", n.follower.ConfigAge()), zap.Duration("allowance", lag.Allowance()),
+			last := n.admission.lastSample()
+			fields := []zap.Field{zap.Duration("config-age", n.follower.ConfigAge()), zap.Duration("allowance", lag.Allowance()), zap.Duration("link", last.Link), zap.Float64("utilization", last.Utilization),
 				zap.Duration("leader-age", clock.SinceBoot()-time.Duration(n.leaderReplyAt.Load()))}
 			for i, p := range now {
-				fields = append(fields, zap.Uint64(p.peer+"-"+fromPeer, p.received-last[i].received), zap.Uint64(p.peer+"-"+toPeer, p.sent-last[i].sent))
+				fields = append(fields, zap.Uint64(p.peer+"-"+fromPeer, p.received-before[i].received), zap.Uint64(p.peer+"-"+toPeer, p.sent-before[i].sent))
 			}
 			n.log.Info("link-traffic", fields...)
 		}
-		last = now
+		before = now
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// overloadRetryAfter is the mean Retry-After of a node that has more requests than it can serve: it has served the ones before by
 	// then, and the retry may reach another node.
 	overloadRetryAfter = 500 * time.Millisecond
+	// saturatedRetryAfter is the mean Retry-After of a node that is about to get no new connections: the balancer has noticed by then, so that
+	// the client reaches another node.
+	saturatedRetryAfter = 2 * time.Second
 	// responseMargin is added to the deadline of reads from a server, so that a
 	// response that the server sends at the deadline still reaches the client.
 	responseMargin = 20 * time.Millisecond
@@ -79,7 +82,9 @@
 		// Delayed reports whether this node doesn't get configurations, probably since it is overloaded. One of RefusalAge isn't used
 		// then, as its successors may be in force elsewhere. During an outage of the store it is. It may be nil.
 		Delayed func() bool
-		Rand    *rand.Rand
+		// Saturated reports whether this node turns new clients away; nil for never.
+		Saturated func() bool
+		Rand      *rand.Rand
 		// OnLeaving is called when a server announces that it is leaving, and reports
 		// whether that is new. It may be nil.
 		OnLeaving func(departure.Incarnation) bool
@@ -212,6 +217,14 @@
 	g.changed = make(chan struct{})
 }
 
+// overloadRetryAfter returns the Retry-After of an overloaded node.
+func (r *request) overloadRetryAfter() time.Duration {
+	if r.g.Saturated != nil && r.g.Saturated() {
+		return r.jitterRetryAfter(saturatedRetryAfter)
+	}
+	return r.jitterRetryAfter(overloadRetryAfter)
+}
+
 // Handle serves one request.
 func (g *Gateway) Handle(x *http1.Exchange) {
 	r := &request{g: g, x: x, meta: platform.ParseRequest(x.Request.Header)}
@@ -222,7 +235,7 @@
 		return
 	}
 	if x.Rejected {
-		r.respond(http.StatusServiceUnavailable, Overloaded, r.jitterRetryAfter(overloadRetryAfter))
+		r.respond(http.StatusServiceUnavailable, Overloaded, r.overloadRetryAfter())
 		return
 	}
 	outdated := g.Outdated() // before the configuration is loaded, which may become newer meanwhile
@@ -233,7 +246,7 @@
 	}
 	r.configVersion = c.Version()
 	if outdated {
-		r.respond(http.StatusServiceUnavailable, StaleConfig, r.jitterRetryAfter(overloadRetryAfter))
+		r.respond(http.StatusServiceUnavailable, StaleConfig, r.overloadRetryAfter())
 		return
 	}
 	route, ok := c.Match(x.Request.Host, x.Request.URL.EscapedPath())
--- a/internal/lag/monitor.go
+++ b/internal/lag/monitor.go
@@ -33,6 +33,7 @@
 	Sample struct {
 		Scheduling time.Duration // mean scheduling latency
 		Link       time.Duration // queueing delay of the VM's link
+		Elapsed    time.Duration // since the sample before
 	}
 
 	// Monitor samples by how much the process is late. Its exported fields are set before Run.
@@ -44,7 +45,8 @@
 		// trip shows it, at most once per 100 ms. It may be nil.
 		Probe func()
 
-		probedAt         time.Time
+		probedAt         time.Time // of the last probe
+		sampledAt        time.Time // of the last sample
 		scheduling, link prometheus.Histogram
 		reader           reader
 		late             bool          // the last sample was above lateThreshold
@@ -71,6 +73,7 @@
 	}()
 	t := time.NewTicker(Interval)
 	defer t.Stop()
+	m.sampledAt = time.Now()
 	m.reader.mean() // discards the waits before the first interval
 	for {
 		select {
@@ -89,7 +92,8 @@
 		m.probedAt = now
 		go m.Probe()
 	}
-	s := Sample{Scheduling: m.reader.mean(), Link: link}
+	s := Sample{Scheduling: m.reader.mean(), Link: link, Elapsed: now.Sub(m.sampledAt)}
+	m.sampledAt = now
 	smooth(&process.scheduling, s.Scheduling)
 	smooth(&process.link, s.Link)
 	if m.scheduling != nil {
