front: an overload that has ended doesn't make the configuration new

A configuration older than config-apply-ms isn't used if the node has been overloaded since it was last confirmed, its own read failed, and neither the leader nor its deputy replies. If one replies, the age is that of the whole fleet's configuration, as in an outage of the store, and it is used: refusing then would end the service.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -14,8 +14,6 @@
 const (
 	// overloadThreshold is the probability of rejection from which an overload is logged, and half of it the one at which its end is.
 	overloadThreshold = 0.1
-	// overloadGrace is how long after an overload calls that it has delayed may be under way.
-	overloadGrace = time.Second
 )
 
 // admissionControl decides which requests of clients this node reads. It is safe for concurrent use.
@@ -63,11 +61,18 @@
 	return a.limiter.Saturated()
 }
 
-// delayed reports whether an overload may delay calls to other processes now.
-func (a *admissionControl) delayed() bool {
+// isOverloaded reports whether requests are rejected now.
+func (a *admissionControl) isOverloaded() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.overloaded || time.Since(a.endedAt) < overloadGrace
+	return a.overloaded
+}
+
+// overloadedSince reports whether an overload has delayed calls to other processes since a time.
+func (a *admissionControl) overloadedSince(at time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.overloaded || a.endedAt.After(at)
 }
 
 // observe processes a sample of the VM.
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -181,7 +181,7 @@
 	n.store.OnEra = n.follower.ObserveEra
 	n.gateway.ConfigAge = n.follower.ConfigAge
 	n.gateway.Saturated = n.admission.saturated
-	n.gateway.Delayed = func() bool { return n.admission.delayed() && n.follower.ConfigUnreachable() }
+	n.gateway.Delayed = n.configDelayed
 	n.clients = &http1.Server{Handler: n.gateway, Limits: n.limits, OnBadRequest: n.badRequest, AcceptFailed: n.acceptFailed,
 		MaxConns: int(float64(s.Descriptors-reservedDescriptors) * clientShare)}
 	n.clients.Admit, n.clients.Traffic = n.admission.decide, &n.traffic.clients
@@ -232,6 +232,13 @@
 	}
 }
 
+// configDelayed reports whether this node probably lacks a newer configuration because it has been overloaded: since the one in force was
+// confirmed it was, its own call to the store failed, and neither the leader nor its deputy replies, which would show an outage of the store.
+func (n *Node) configDelayed() bool {
+	return n.follower.ConfigUnreachable() && !n.hasLeader() && !n.deputyReached() &&
+		n.admission.overloadedSince(time.Now().Add(-n.follower.ConfigAge()))
+}
+
 // onRestore returns the function that counts restores of the store from a copy, and has the node's row
 // written again.
 func (n *Node) onRestore() func(table string, era int64) {
--- a/internal/front/traffic.go
+++ b/internal/front/traffic.go
@@ -123,7 +123,7 @@
 			return
 		}
 		now := n.trafficBytes()
-		if n.admission.delayed() {
+		if n.admission.isOverloaded() {
 			last := n.admission.lastSample()
 			fields := []zap.Field{zap.Duration("config-age", n.follower.ConfigAge()), zap.Duration("allowance", lag.Allowance()), zap.Duration("link", last.Link), zap.Float64("utilization", last.Utilization),
 				zap.Duration("leader-age", clock.SinceBoot()-time.Duration(n.leaderReplyAt.Load()))}
