poison: copies without other requests are tested twice in the first 16 s

A plain service of which only copies of one request are asked stayed refused for a minute and longer after all its servers had ended for 15 s: nothing tells such an outage from a request that crashes servers, and the block had its first trial after a minute, the next after ten.

Such a block is marked (alone) and has its trials after 4 s, 12 s and 10 minutes; a sound one lifts it at all nodes. Crashes later than 3 s still take the place of trials. A block that a leader inherits is tested by the age of its last crash, not from the inheritance on.

TestCopiesAloneAreTestedSoonAfterOutage failed before at outages of 5, 15 and 20 s; with an outage without end at most three requests reach servers.

--- a/core/poison/blocks.go
+++ b/core/poison/blocks.go
@@ -16,6 +16,11 @@
 // each may cost a server.
 var trialDelays = []time.Duration{time.Minute, 10 * time.Minute}
 
+// aloneTrialDelays replace trialDelays for a block of copies beside which no other request comes. Nothing tells an outage of all servers from a
+// request that crashes them then, so the first trials are early: the second when the block is four times as old as at the first. No more than three
+// requests may reach servers after the block.
+var aloneTrialDelays = []time.Duration{4 * time.Second, 12 * time.Second, 10 * time.Minute}
+
 // provisionalTrialDelay is the time after the last crash, or trial, after which one request is let through a provisional block. Their number has
 // no limit: after an outage of all servers a trial lifts the block, and a request that does crash servers crashes one between sound responses to
 // others, which makes the block final.
@@ -35,6 +40,7 @@
 	except      []string        // other services at which the parts are sound
 	wasSound    bool            // a response to the part was sound before the crashes
 	provisional bool            // the servers may have ended for another reason
+	alone       bool            // they may have, but no other request comes that would show it
 	trials      int             // requests that were let through since, but for those while it was provisional
 	triedAt     time.Time       // when the last request was let through
 	explained   map[string]bool // servers whose crashes it explains, nil if another node decided it
@@ -96,7 +102,11 @@
 			t.blocks[i].services = union(t.blocks[i].services, b.Services)
 		}
 		if !t.covers(b.Parts) {
-			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, services: b.Services, except: b.Except, provisional: b.Provisional, trials: b.Trials, triedAt: now})
+			triedAt := now
+			if b.Alone { // the crash of a trial is the last one
+				triedAt = time.Time{}
+			}
+			t.insert(block{parts: b.Parts, service: b.Service, crashes: b.Crashes, at: at, services: b.Services, except: b.Except, provisional: b.Provisional, alone: b.Alone, trials: b.Trials, triedAt: triedAt})
 		}
 	}
 }
@@ -129,7 +139,7 @@
 
 // export returns the block for other nodes.
 func (b block) export(now time.Time) Block {
-	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Services: b.services, Except: b.except, Provisional: b.provisional, Trials: b.trials,
+	return Block{Parts: b.parts, Service: b.service, Crashes: b.crashes, Age: max(0, now.Sub(b.at)), Services: b.services, Except: b.except, Provisional: b.provisional, Alone: b.alone, Trials: b.trials,
 		Trial: b.isTrialDue(now), TrialElsewhere: b.isTested(now)}
 }
 
@@ -138,7 +148,11 @@
 	if b.provisional {
 		return b.isTested(now)
 	}
-	return b.trials < len(trialDelays) && now.Sub(b.lastTrial()) >= trialDelays[b.trials]
+	delays := trialDelays
+	if b.alone {
+		delays = aloneTrialDelays
+	}
+	return b.trials < len(delays) && now.Sub(b.lastTrial()) >= delays[b.trials]
 }
 
 // isTested reports whether a request may be let through while the block is provisional, or to a service for which it always is.
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -61,6 +61,8 @@
 		// Provisional states that the servers may have ended for another reason: hardly any response of the service is known to have been
 		// sound between the crashes, or one to the part was before.
 		Provisional bool `json:"provisional,omitempty"`
+		// Alone states that they may have, but that only copies of one request come.
+		Alone bool `json:"alone,omitempty"`
 		// Except are other services whose servers have shown responses to all parts to be sound since the first of these crashes.
 		Except []string `json:"except,omitempty"`
 		// Trials is how many requests were let through to find out whether they still crash servers, and Trial is set while
--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -234,8 +234,9 @@
 		}
 	}
 	b.wasSound = t.wasSound(s.service, p)
-	b.provisional = b.wasSound ||
-		t.mayBeOutage(s.service, counted[s.service]) && (!p.IsCopy() || t.hasOthers(p, s.service, first, s.last))
+	outage := t.mayBeOutage(s.service, counted[s.service])
+	b.alone = outage && p.IsCopy() && !t.hasOthers(p, s.service, first, s.last)
+	b.provisional = b.wasSound || outage && !b.alone
 	return b
 }
 
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -34,7 +34,8 @@
 //
 // A block outlasts the requests that it refuses. It is lifted when another one explains its crashes better, or when a response
 // to a request with its parts was sound after all, for which the leader admits single requests, twice at most
-// (trialDelays).
+// (trialDelays), and three times, two of them early, where only copies of one request come, so that nothing else can show the end of an
+// outage (aloneTrialDelays).
 //
 // # Usage
 //
--- a/core/poison/outage_test.go
+++ b/core/poison/outage_test.go
@@ -189,3 +189,37 @@
 		})
 	}
 }
+
+// TestCopiesAloneAreTestedSoonAfterOutage guards against a service of which only copies of one request are asked, and which stays refused after
+// an outage of all its servers. A request that crashes each server reaches three at most.
+func TestCopiesAloneAreTestedSoonAfterOutage(t *testing.T) {
+	t.Parallel()
+	for _, outage := range []time.Duration{5 * second, 15 * second, 20 * second, 2 * time.Hour} {
+		t.Run(outage.String(), func(t *testing.T) {
+			t.Parallel()
+			var p play
+			p.respond(-second)
+			late, servedAt := 0, time.Duration(0)
+			for at := time.Duration(0); at < time.Hour && servedAt == 0; at += 100 * ms {
+				switch {
+				case !p.admits(at, "a", bad):
+				case at >= outage:
+					p.sound(at, "a", bad)
+					servedAt = at
+				default:
+					p.crash(at, request(50*ms, "a", bad))
+					if at > 3*second {
+						late++
+					}
+				}
+			}
+			if outage > time.Hour {
+				require.LessOrEqual(t, late, 3, "requests let through after the block")
+				return
+			}
+			require.Positive(t, servedAt)
+			require.LessOrEqual(t, servedAt, 2*outage, "the time until a trial is bounded by the length of the outage")
+			require.Empty(t, p.blocked(servedAt+second))
+		})
+	}
+}
--- a/internal/front/outage_test.go
+++ b/internal/front/outage_test.go
@@ -144,6 +144,8 @@
 		"from the start":           {servers: 4},
 		"from the start, restarts": {servers: 2, restart: true},
 		"later":                    {servers: 4, calm: calm},
+		"later, longer calm":       {servers: 4, calm: 3 * time.Second},
+		"later, two servers":       {servers: 2, calm: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
