soak: the node that gets most requests has a share of a processor

It runs a quarter to a half of each 20 ms now while it is hot, by SIGSTOP and SIGCONT in turns; the checks of the hot node, of clients that have left, of configurations that don't go back and of timeouts stay as they are. Its link isn't slow: clients have no proxy in the soak.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -44,6 +44,7 @@
 	broken := fs.Bool("broken", true, "servers break off responses and send them without a length, besides the other faults")
 	versions := fs.Bool("versions", true, "engines have several software versions and are replaced, and clients take streams up, besides the other faults")
 	crashes := fs.Bool("crashes", true, "requests with a part of their prompts that crashes servers come, copies of one request that does, and one node gets most requests, besides the other faults")
+	shares := fs.Bool("shares", true, "the node that gets most requests has a share of a processor meanwhile, besides the other faults")
 	departures := fs.Bool("departures", true, "clients leave before they have a response, besides the other faults")
 	outages := fs.Bool("outages", true, "each server of a service that starts crashes under its first requests for some seconds, and all nodes are killed, besides the other faults")
 	verbose := fs.Bool("verbose", false, "print each fault")
@@ -64,7 +65,7 @@
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
 		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Broken: *broken, Versions: *versions, Crashes: *crashes,
-			Departures: *departures, Outages: *outages, Soak: own, Log: io.Discard}, *verbose) || failed
+			Shares: *shares, Departures: *departures, Outages: *outages, Soak: own, Log: io.Discard}, *verbose) || failed
 	}
 	if failed {
 		os.Exit(1)
--- a/internal/testbed/soak/crashes.go
+++ b/internal/testbed/soak/crashes.go
@@ -216,12 +216,19 @@
 
 // heatNodes makes clients send most requests to one node, and then to another, until ctx ends.
 func (r *Run) heatNodes(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(r.Seed, 9000))
+	rng, shareRNG := rand.New(rand.NewPCG(r.Seed, 9000)), rand.New(rand.NewPCG(r.Seed, 9001))
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, randomDuration(rng, 500, 2000))
 		n, from := r.randomNode(rng), time.Now()
 		r.hot.Store(n)
-		clock.Sleep(ctx, randomDuration(rng, minHotMS, maxHotMS))
+		lasts := randomDuration(rng, minHotMS, maxHotMS)
+		if r.Shares {
+			hot, end := context.WithTimeout(ctx, lasts)
+			r.limitShare(hot, n, shareRNG)
+			end()
+		} else {
+			clock.Sleep(ctx, lasts)
+		}
 		r.hot.Store(nil)
 		r.logf("%s got most requests for %v", n.settings.Node, time.Since(from))
 		r.check.RecordHot(n.settings.Node, from, time.Now())
--- a/internal/testbed/soak/doc.go
+++ b/internal/testbed/soak/doc.go
@@ -26,7 +26,7 @@
 //   - Brittle servers aren't sent so much that they fall over.
 //   - Requests with a part of their prompts that crashes servers are refused soon after the fifth crash, and copies of a request that
 //     does soon after the third.
-//   - A node that gets most requests serves them about as often as all nodes did before.
+//   - A node that gets most requests serves them about as often as all nodes did before, also with a share of a processor.
 //   - Hardly any request reaches a server later than 0.5 s after its client has left, and servers end most of their work by then.
 //   - Requests that servers handle for longer than the timeout of their route have a final answer 0.5 s after it.
 //   - When all faults have ended, every node serves again, and requests of each kind are served as well, also those that were in flight when
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -59,6 +59,8 @@
 		Departures bool
 		// Outages adds times in which each server of a service that starts crashes under its first requests, to the other faults.
 		Outages bool
+		// Shares gives the node that gets most requests a share of a processor meanwhile, if Crashes is set.
+		Shares bool
 		// Soak is the path of the soak's own program. If it is set, it runs the nodes, which then lose their path to
 		// the servers at times, and servers are silent or brittle, besides the other faults.
 		Soak string
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -111,6 +111,18 @@
 	}
 }
 
+// TestSharesHold runs the soak with nodes that have a share of a processor while they get most requests, and clients that leave, and requires that no
+// invariant is violated.
+func TestSharesHold(t *testing.T) {
+	binary := buildProgram(t, "soak")
+	for _, seed := range []uint64{1} {
+		r := &soak.Run{Soak: binary, Crashes: true, Shares: true, Departures: true, Seed: seed, Duration: 12 * time.Second, Nodes: 4, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestDeparturesAndOutagesHold runs the soak with clients that leave and servers that end again and again, and requires that no invariant is
 // violated.
 func TestDeparturesAndOutagesHold(t *testing.T) {
