front: a leader without the store passes on that there is a newer configuration

A fault of: the update with the rows that a node lacks named the leader's own version as the newest, in place of the one that the deputy had announced to it, so that no node read it; and the deputy announced it without the row.

An update with rows keeps the announcement in small fleets; in large ones the relays' replies don't, as before. Reports carry rows in small fleets too, so that the leader gets the configuration from its deputy.

--- a/internal/follow/partial_test.go
+++ b/internal/follow/partial_test.go
@@ -36,7 +36,7 @@
 	child := startNode(t, empty, func() bool { return true })
 	eventually(t, "both tables are read", func() bool { return empty.Calls("/rows-get") == 2 })
 	update := func() {
-		u := relay.WithConfig(relay.PartialChangesSince(time.Now(), child.Versions()), child.Versions())
+		u := relay.WithOwnConfig(relay.PartialChangesSince(time.Now(), child.Versions()), child.Versions())
 		require.True(t, child.ApplyUpdate(time.Now(), u))
 	}
 	update()
--- a/internal/follow/share.go
+++ b/internal/follow/share.go
@@ -122,9 +122,16 @@
 	return u
 }
 
-// WithConfig returns an update with the configuration that a node with the given versions lacks, so that
-// the nodes of a large fleet don't all read it from the store.
+// WithConfig returns an update with the configuration that this node has and one with the given versions lacks. A newer one stays announced, which the
+// other node then reads from the store.
 func (f *Follower) WithConfig(u Update, k Versions) Update {
+	_, u.OperatorAt, u.OperatorRows = f.operator.changesAfter(k.Operator)
+	return u
+}
+
+// WithOwnConfig is WithConfig without the announcement, so that the nodes of a large fleet don't all read a configuration from the store that
+// reaches them through their relays a moment later.
+func (f *Follower) WithOwnConfig(u Update, k Versions) Update {
 	u.Operator, u.OperatorAt, u.OperatorRows = f.operator.changesAfter(k.Operator)
 	return u
 }
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -95,3 +95,16 @@
 		return p.logs.FilterMessage("request").FilterField(zap.String("reason", "stale-config")).Len() > 0
 	}, 20*time.Second, time.Millisecond)
 }
+
+// TestNodeWithFullLinkTurnsClientsAway guards against a node that takes on clients until its link is full of their requests, though nothing is late
+// yet.
+func TestNodeWithFullLinkTurnsClientsAway(t *testing.T) {
+	f, get := runLimited(t, func(s *front.Settings) { s.LinkMbps = 0.1 })
+	p := f.nodes[0]
+	require.Eventually(t, func() bool {
+		get()
+		return !p.ready()
+	}, 20*time.Second, time.Millisecond)
+	require.NotZero(t, p.logs.FilterMessage("saturated").Len())
+	require.Eventually(t, p.ready, 20*time.Second, 50*time.Millisecond, "its clients have gone")
+}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -102,7 +102,7 @@
 	r.Contact = n.follower.StoreAge(time.Now())
 	r.Heard, r.Roster, r.Lease = n.ack, n.keyRoster, n.placer.LeaseRevision()
 	r.Update = n.recentUpdate(r)
-	if r.Update != nil && len(l.Relays) > 0 {
+	if r.Update != nil {
 		u := n.follower.WithConfig(*r.Update, follow.Versions{Operator: *n.leaderOperator.Load()})
 		r.Update = &u
 	}
@@ -369,9 +369,9 @@
 	case len(l.Relays) == 0:
 		return n.follower.WithConfig(n.follower.ChangesSince(now, r.Known), r.Known)
 	case n.holdsEngines(l, r.Node, reply):
-		return n.follower.WithConfig(n.follower.ChangesSince(now, r.Known), r.Known)
+		return n.follower.WithOwnConfig(n.follower.ChangesSince(now, r.Known), r.Known)
 	default:
-		return n.follower.WithConfig(n.follower.PartialChangesSince(now, r.Known), r.Known)
+		return n.follower.WithOwnConfig(n.follower.PartialChangesSince(now, r.Known), r.Known)
 	}
 }
 
--- a/internal/front/outdated_test.go
+++ b/internal/front/outdated_test.go
@@ -95,3 +95,39 @@
 	f.store.Outage(false)
 	require.Eventually(t, func() bool { return get() == http.StatusOK }, 10*time.Second, 10*time.Millisecond)
 }
+
+// TestNewConfigurationIsKnownWhileLeaderLosesStore guards against nodes that rely on the replies of a leader which doesn't get the configuration
+// itself.
+func TestNewConfigurationIsKnownWhileLeaderLosesStore(t *testing.T) {
+	f := &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second}
+	path := newStorePath(t, f.store)
+	f.adjust = func(s *front.Settings) {
+		if s.Node == "n0" {
+			s.Store = path.address
+		}
+	}
+	f.run(1, configuration)
+	f.waitForLeader()
+	for _, name := range []string{"n1", "n2"} {
+		f.start(name)
+	}
+	require.Eventually(t, func() bool {
+		deputies := 0
+		for _, p := range f.nodes[1:] {
+			deputies += p.logs.FilterMessage("deputy").Len()
+		}
+		return deputies > 0 && f.nodes[1].ready() && f.nodes[2].ready()
+	}, 5*time.Second, 5*time.Millisecond)
+	path.lost.Store(true)
+	<-time.After(time.Second)
+	f.store.Put(platform.TableOperator, platform.KeyConfig, withMoreRoutes(2, 60))
+	written := time.Now()
+	for i, p := range f.nodes {
+		id := 0
+		require.Eventually(t, func() bool {
+			id++
+			status, _ := p.get(t, "/more59/x", fmt.Sprint(i, "-", id), "")
+			return status == http.StatusOK
+		}, time.Until(written.Add(2*time.Second)), 10*time.Millisecond, "node %d", i)
+	}
+}
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -182,7 +182,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: nc, traffic: c.Traffic}, nil
+			return &conn{Conn: c.Traffic.Count(nc)}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      c.DisableReuse,
--- a/io/jsonhttp/conn.go
+++ b/io/jsonhttp/conn.go
@@ -5,17 +5,14 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
-
-	"guavapaddle/io/tcp"
 )
 
 // conn is a connection that counts writes and can be sealed against further ones.
 type conn struct {
 	net.Conn
-	traffic *tcp.Traffic // may be nil
-	mu      sync.Mutex
-	writes  uint64
-	sealed  bool
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
 }
 
 // Write writes b unless the connection is sealed.
@@ -27,16 +24,7 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	n, err := c.Conn.Write(b)
-	c.traffic.Add(n, 0)
-	return n, err
-}
-
-// Read reads into b.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.traffic.Add(0, n)
-	return n, err
+	return c.Conn.Write(b)
 }
 
 // writeCount returns the number of writes.
