--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -7,15 +7,21 @@
 // request isn't admitted, as PIE does for packets (RFC 8033): the probability rises with the excess of the delay over a
 // target, and with the growth of the delay. It holds no capacity, which depends on the VM and on what is asked, only a delay.
 //
-// RoundTrips estimates the queueing delay of the VM's link from the time that connections to different peers take to open.
+// RoundTrips estimates the queueing delay of the VM's link from the time that round trips to different peers take, such as the opening of
+// connections: those that were completed, are under way, or were given up.
 //
 // A Limiter combines the controllers of processor and link. What isn't admitted is closed unread, which costs the VM least and lets the client
 // try another VM at once. If that is more than is admitted, clients are likely to come back to this VM: the rest is read and rejected
-// with a time to come back. Where rejecting doesn't bring the delays down, the VM is Saturated and gets no new connections.
+// with a time to come back. Where half isn't admitted, or the link is full of requests, which rejecting them doesn't change, the VM is Saturated and
+// gets no new connections.
 //
 // # Usage
 //
-//	l.Observe(schedulingLatency, trips.Delay(now)) // each 25 ms
+//	id := trips.Begin(now, peer)
+//	...
+//	trips.End(now, id, completed)
+//
+//	l.Observe(admission.Sample{Processor: schedulingLatency, Link: trips.Delay(now)}) // each 25 ms
 //	switch l.Decide(rand.Float64()) {
 //	case admission.Close:
 //	...
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -7,7 +7,7 @@
 	processorTarget = 10 * time.Millisecond
 	// linkTarget is the queueing delay of the link that is aimed at. A request crosses the link about three times until its answer begins.
 	linkTarget = 25 * time.Millisecond
-	// saturation is the probability of rejection from which rejecting more doesn't help, and relief the one below which it is over.
+	// saturation is the probability of rejection from which clients are better served by other VMs, and relief the one below which they may return.
 	saturation = 0.5
 	relief     = 0.25
 	// fullLink is the utilization from which the link is full. Headers of TCP, UDP and IP aren't counted in it.
@@ -86,8 +86,8 @@
 	l.evidence, l.steady = 0, 0
 }
 
-// Saturated reports whether rejecting requests doesn't bring the delays down, as those that are rejected come back to this VM. It should
-// get no new connections then.
+// Saturated reports whether the VM should get no new connections: it rejects much of what it gets, or its link is full, and those that it
+// rejects come back to it.
 func (l *Limiter) Saturated() bool { return l.saturated }
 
 // Probability returns the probability with which a request isn't admitted.
