gateway, granter: log what a stream that is taken up finds

no-version was logged for a version that has no server left and for one whose holders of the model had been tried, so a slow release and a crash read alike. take-up lines have the number of servers of the version and of those that hold the model; place lines have the version that is needed and the number of servers that were excluded.

--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -278,32 +278,6 @@
 	return h
 }
 
-// withSoftware returns the holders whose software has the version that a request needs.
-func (p *Picker) withSoftware(now time.Time, h *holders, r Request) *holders {
-	if r.Software == "" {
-		return h
-	}
-	out := &holders{at: h.at, reason: NoVersion}
-	for _, s := range h.list {
-		if s.Software == r.Software {
-			out.list = append(out.list, s)
-		}
-	}
-	if len(out.list) > 0 {
-		return out
-	}
-	for _, s := range p.byService[r.Service] {
-		switch {
-		case s.Software != r.Software:
-		case r.Adapter != "" && s.holds(now, resident{r.Model, ""}):
-			out.reason = NoAdapter
-		case out.reason == NoVersion && r.Model != "":
-			out.reason = NoModel
-		}
-	}
-	return out
-}
-
 // moreSpecific returns the more specific reason: a server that lacks only the adapter is closer to
 // serving the request than one that lacks the model.
 func moreSpecific(a, b Reason) Reason {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -24,8 +24,12 @@
 	}
 	began := time.Now()
 	origin := r.g.FindOrigin(r.x.Context(), hub.OriginQuery{Service: r.service, Stream: r.meta.Resumes})
+	r.g.mu.Lock()
+	servers, holders := r.g.picker.SoftwareServers(time.Now(), origin.Service, origin.Version, r.meta.Model)
+	r.g.mu.Unlock()
 	r.g.Log.Info("take-up", zap.String("request-id", r.meta.ID), zap.String("resumes", r.meta.Resumes), zap.String("service", origin.Service),
-		zap.Bool("known", origin.Known), zap.String("software", origin.Version), zap.Duration("took", time.Since(began)))
+		zap.Bool("known", origin.Known), zap.String("software", origin.Version), zap.String("model", r.meta.Model), zap.Int("servers", servers), zap.Int("holders", holders),
+		zap.Duration("took", time.Since(began)))
 	switch {
 	case r.x.Context().Err() != nil:
 		return ClientLeft
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -264,7 +264,7 @@
 func (w waiter) log(log *zap.Logger, d grant.Decision) {
 	log.Info("place", zap.String("request-id", w.slot.Request), zap.Bool("granted", d.Granted), zap.String("why", string(d.Reason)),
 		zap.String("server", d.Selection.Server.ID), zap.String("model", w.slot.Model), zap.String("adapter", w.slot.Adapter),
-		zap.Int("priority", w.slot.Priority), zap.Stringer("class", w.slot.Class), zap.Float64("reserve", d.Reserve), zap.Bool("over-usual", d.OverUsual), zap.Int("tokens", w.slot.Tokens), zap.Int("ahead", w.ahead),
+		zap.String("needs", w.slot.Software), zap.Int("excluded", len(w.slot.Exclude)), zap.Int("priority", w.slot.Priority), zap.Stringer("class", w.slot.Class), zap.Float64("reserve", d.Reserve), zap.Bool("over-usual", d.OverUsual), zap.Int("tokens", w.slot.Tokens), zap.Int("ahead", w.ahead),
 		zap.Duration("estimate", d.Selection.Wait), zap.Duration("age", d.Selection.Age), zap.Duration("waited", time.Since(w.arrivedAt)),
 		zap.Duration("come-back", d.RetryAfter), zap.Bool("promised", d.Promised), zap.Stringer("turn", d.Turn), zap.String("team", w.slot.Charge.Team), zap.Float64("charge", w.slot.Charge.Cost))
 }
