front: failing tests of streams whose model's only holder has crashed

Streams that may be resumed are refused as no-version, or broken off, when the only engine that held their model has crashed, while other engines of their software version have room, or hold models that have other copies.

--- /dev/null
+++ b/internal/front/takeup_test.go
@@ -0,0 +1,132 @@
+package front_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavapaddle/platform"
+	"guavapaddle/platform/standin"
+)
+
+const (
+	// placesConfiguration has six models, of which three fit on an engine, and a route of resumable streams whose clients wait for 16 s.
+	placesConfiguration = `{"version":1,"routes":[
+ {"name":"plans","host":"h.example","prefix":"/plans/","kind":"streaming","resumable":true,"timeout-ms":15000,"target-latency-ms":4000,"priority":1,"service":"llm","max-attempts":2}],
+ "services":[{"name":"llm","engine":{"slots":8,"weights-mb":230000,"adapter-slots":4,"loads-per-s":2,"models":[%s]}},{"name":"plain"}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
+
+	// lapseTime is how long the entry of an engine outlives it.
+	lapseTime = time.Second
+)
+
+// placedEngine is an engine with what it holds.
+type placedEngine struct {
+	version    string
+	models     []string
+	crashAfter time.Duration // the engine crashes so long after its first request has begun to run, never if it is zero
+}
+
+// rest is two engines of v1 that hold all models but m3, and have room.
+var rest = []placedEngine{{version: "v1", models: []string{"m0", "m1"}}, {version: "v1", models: []string{"m1", "m2"}}}
+
+// newPlacesCluster starts nodes and engines. The engines' names begin with their versions.
+func newPlacesCluster(t *testing.T, nodes int, declared int, engines ...placedEngine) *softwareCluster {
+	t.Helper()
+	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second}}
+	for i, e := range engines {
+		w := &standin.Worker{ID: fmt.Sprint(e.version, "-llm", i), Stream: streamLength, Pause: pauseBetweenEvents, Software: e.version}
+		w.Fragile, w.CrashDelay = e.crashAfter > 0, e.crashAfter
+		w.OnCrash = func() { time.AfterFunc(lapseTime, func() { f.store.Drop(platform.TableServers, w.ID) }) }
+		for _, m := range e.models {
+			w.Hold(m)
+		}
+		w.Start(t)
+		f.store.Put(platform.TableServers, w.ID, w.Entry("llm", "z", false))
+		f.workers = append(f.workers, w)
+	}
+	var models []string
+	for i := range declared {
+		models = append(models, fmt.Sprintf(`{"name":"m%d","weights-mb":72000,"load-time-s":1}`, i))
+	}
+	f.store.Put(platform.TableOperator, platform.KeyConfig, fmt.Appendf(nil, placesConfiguration, strings.Join(models, ",")))
+	for i := range nodes {
+		f.start(fmt.Sprint("n", i))
+	}
+	for _, p := range f.nodes {
+		require.Eventually(t, p.ready, 5*time.Second, 5*time.Millisecond)
+	}
+	f.waitForLeader()
+	return f
+}
+
+// TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn guards against streams that are refused since the only engine that held their model has
+// crashed, while other engines of their software version have room for it.
+func TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn(t *testing.T) {
+	t.Parallel()
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, rest[0], rest[1])
+	for i, n := range f.nodes {
+		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: "m3"})
+	}
+	f.workers[0].Crash()
+	for i := range f.nodes {
+		n, id := f.nodes[(i+1)%3], fmt.Sprint("next", i)
+		status, server, events := n.stream(t, takeUp{id: id, path: "/plans/x", model: "m3", resumes: fmt.Sprint("begin", i), afterEvent: "1"})
+		require.Equal(t, 200, status, "%v", n.reasonsOf(id))
+		require.Equal(t, "v1", versionOf(server))
+		require.True(t, strings.HasPrefix(events, "id: 2\n"), events)
+		require.Equal(t, streamLength-1, strings.Count(events, "data:"))
+	}
+}
+
+// TestStreamGoesOnAfterCrashOfOnlyHolder guards against streams that are broken off since the only engine that held their model has
+// crashed, while other engines of their software version have room for it.
+func TestStreamGoesOnAfterCrashOfOnlyHolder(t *testing.T) {
+	t.Parallel()
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}, crashAfter: 5 * pauseBetweenEvents}, rest[0], rest[1])
+	status, _, events := f.nodes[0].stream(t, takeUp{id: "whole", path: "/plans/x", model: "m3"})
+	require.Equal(t, 200, status)
+	for i := range streamLength {
+		require.Equal(t, 1, strings.Count(events, fmt.Sprintf("id: %d\n", i+1)), events)
+	}
+}
+
+// TestStreamTakenUpWaitsForItsModelAtItsSoftwareVersion guards against streams that are refused since no engine of their software
+// version holds their model, while engines of another version do.
+func TestStreamTakenUpWaitsForItsModelAtItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m0"}}, placedEngine{version: "v1", models: []string{"m1", "m2", "m3"}},
+		placedEngine{version: "v2", models: []string{"m0", "m1", "m2"}}, placedEngine{version: "v2", models: []string{"m0", "m3"}})
+	for i, n := range f.nodes {
+		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: "m0"})
+	}
+	f.workers[0].Crash()
+	for i := range f.nodes {
+		n, id := f.nodes[(i+1)%3], fmt.Sprint("next", i)
+		status, server, events := n.stream(t, takeUp{id: id, path: "/plans/x", model: "m0", resumes: fmt.Sprint("begin", i), afterEvent: "1"})
+		require.Equal(t, 200, status, "%v", n.reasonsOf(id))
+		require.Equal(t, "v1", versionOf(server))
+		require.Equal(t, streamLength-1, strings.Count(events, "data:"))
+	}
+}
+
+// TestStreamWithoutPlaceAtItsSoftwareVersionIsRefusedAtOnce guards against streams that wait for a model while each place at their software
+// version is taken by the only copy of another model.
+func TestStreamWithoutPlaceAtItsSoftwareVersionIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newPlacesCluster(t, 3, 6, placedEngine{version: "v1", models: []string{"m0"}}, placedEngine{version: "v1", models: []string{"m1", "m2", "m3"}}, placedEngine{version: "v2", models: []string{"m0", "m4", "m5"}})
+	f.begin(f.nodes[0], "v1", takeUp{id: "first", path: "/plans/x", model: "m0"})
+	f.workers[0].Crash()
+	f.store.Drop(platform.TableServers, f.workers[0].ID)
+	for i, n := range f.nodes {
+		require.Eventually(t, func() bool {
+			began := time.Now()
+			status, server, _ := n.stream(t, takeUp{id: fmt.Sprint("t", i, began.UnixNano()), path: "/plans/x", model: "m0", resumes: "first", afterEvent: "1", firstEventOnly: true})
+			require.NotEqual(t, "v2", versionOf(server))
+			return status == 503 && time.Since(began) < time.Second
+		}, 5*time.Second, 50*time.Millisecond)
+	}
+}
