Streams that have begun wait for their model at their software version

What callers saw: when the only engine that held a stream's model ended, the stream was broken off, and refused at once when its client took it up (503 no-version or no-model), while other engines of its version served and could load the model. New streams waited for the load.

Cause: a stream that has begun is bound to a software version. A request that is bound was refused as final when all holders of its version had been tried (reported as no-version, as if the version had gone) or when none of the version held the model; and the plan counted copies over all versions, so that a model with a copy at v2 was never loaded at v1.

Change: such a stream waits as long as its client does for the next event. It tries the holders again after 0.3, 0.6, 1.2 and 2 s, until they respond or leave the list, and then waits at the leader. The plan loads the model at the version that the streams need, first where there is room, else in place of a model with another copy; a last copy goes only where there are more models than places and it has less load than the streams would take. If each place of the version is taken by a last copy, the granter is told and the streams are refused at once.

TestResumedRequestWithoutServerIsRefusedAtOnce asked that a request of v2 is refused while a server of v2 has room for its model: that was the fault. It asks the same now of a model without a place and, besides, of servers that have all been tried; TestResumedRequestWaitsForItsModel has the other case.

--- a/core/balance/software.go
+++ b/core/balance/software.go
@@ -29,6 +29,7 @@
 		}
 	}
 	if len(out.list) > 0 {
+		out.reason = NoServer // all of these are excluded, if none is picked
 		return out
 	}
 	for _, s := range p.byService[r.Service] {
--- a/core/grant/group.go
+++ b/core/grant/group.go
@@ -47,13 +47,18 @@
 
 // groupKey returns the key of the group in which the request waits.
 func (r *Request) groupKey() groupKey {
-	k := groupKey{item: Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter, r.Pick.Software}, class: r.Class}
+	k := groupKey{item: r.item(), class: r.Class}
 	if r.Class != Ordinary && len(r.Pick.Exclude) > 0 {
 		k.excluded = strings.Join(slices.Sorted(maps.Keys(r.Pick.Exclude)), " ")
 	}
 	return k
 }
 
+// item returns what the request needs.
+func (r *Request) item() Item {
+	return Item{r.Pick.Service, r.Pick.Model, r.Pick.Adapter, r.Pick.Software}
+}
+
 // rateKey returns the key of the rates at which the group's requests start.
 func (g *group) rateKey() rateKey { return rateKey{g.item, g.key.class} }
 
--- a/core/grant/scheduler.go
+++ b/core/grant/scheduler.go
@@ -40,12 +40,14 @@
 		models   map[Item][]*group // the groups of a model and its adapters, by model
 		marked   map[*group]bool   // groups whose head may be granted now
 		missing  map[*group]bool   // groups whose item no server holds
-		waiting  map[uint64]*group // groups of the waiting requests, by request
-		granted  map[uint64]activeGrant
-		rates    map[rateKey]*rates
-		reserve  reserve
-		teams    teams
-		calendar turns.Calendar[rateKey]
+		// unplaceable holds the models that no server of a software version holds or has a place for.
+		unplaceable map[Item]bool
+		waiting     map[uint64]*group // groups of the waiting requests, by request
+		granted     map[uint64]activeGrant
+		rates       map[rateKey]*rates
+		reserve     reserve
+		teams       teams
+		calendar    turns.Calendar[rateKey]
 	}
 
 	// rateKey identifies requests whose grants are counted together.
@@ -112,7 +114,7 @@
 	for g := range s.missing {
 		i := g.item
 		if g.reason == balance.NoModel {
-			i = Item{Service: i.Service, Model: i.Model}
+			i.Adapter = ""
 		}
 		out[i] += g.waiting()
 	}
@@ -178,9 +180,12 @@
 	}
 }
 
-// model returns the item without its adapter.
+// model returns the model of the item, at servers of any version.
 func (i Item) model() Item { return Item{Service: i.Service, Model: i.Model} }
 
+// modelAt returns the item without its adapter.
+func (i Item) modelAt() Item { return Item{Service: i.Service, Model: i.Model, Software: i.Software} }
+
 // markServer marks the groups for the next attempt that a server with new capacity may serve.
 func (s *Scheduler) markServer(now time.Time, server string) {
 	if len(s.groups) == 0 {
@@ -335,7 +340,7 @@
 		} else {
 			delete(s.missing, g)
 		}
-		if isFinal(now, reason, r) {
+		if s.isFinal(now, reason, r) {
 			// No server is left for this request. Refuse it so that the others of its group don't
 			// wait behind it.
 			out = s.refuse(now, out, g, r, jitter(r, minRetryAfter))
@@ -371,16 +376,25 @@
 	return out
 }
 
-// isFinal reports whether a request for which no server was picked needn't wait for one. A model may be loaded, but not
-// by the plan at servers of a certain version of their software.
-func isFinal(now time.Time, reason balance.Reason, r Request) bool {
+// SetUnplaceable sets the models that no server of a software version holds or has a place for. Requests that need one are refused.
+func (s *Scheduler) SetUnplaceable(items map[Item]bool) {
+	s.unplaceable = items
+	for g := range s.missing {
+		if items[g.item.modelAt()] {
+			s.marked[g] = true
+		}
+	}
+}
+
+// isFinal reports whether a request for which no server was picked needn't wait for one.
+func (s *Scheduler) isFinal(now time.Time, reason balance.Reason, r Request) bool {
 	switch reason {
 	case balance.NoServer:
 		return len(r.Pick.Exclude) > 0 && !r.awaitsCopy(now)
 	case balance.NoVersion:
 		return true
 	case balance.NoModel:
-		return r.Pick.Software != ""
+		return r.Pick.Software != "" && s.unplaceable[r.item().modelAt()]
 	}
 	return false
 }
--- a/core/grant/software_test.go
+++ b/core/grant/software_test.go
@@ -48,16 +48,20 @@
 	require.Equal(t, []uint64{2}, granted(s.Next(start)))
 }
 
-// TestResumedRequestWithoutServerIsRefusedAtOnce guards against a queue that waits for a software version that has gone, or for
-// a model that no server of it holds.
+// TestResumedRequestWithoutServerIsRefusedAtOnce guards against a queue that waits for a software version that has gone, for a model
+// that no server of it has a place for, or for servers that have all been tried.
 func TestResumedRequestWithoutServerIsRefusedAtOnce(t *testing.T) {
 	s := newScheduler(withSoftware(server("a", "m"), "v1"), withSoftware(server("b", "n"), "v2"))
+	s.SetUnplaceable(map[grant.Item]bool{{Service: "llm", Model: "m", Software: "v2"}: true})
 	for _, x := range []struct {
 		id             uint64
 		model, version string
+		exclude        string
 		reason         balance.Reason
-	}{{1, "m", "v3", balance.NoVersion}, {2, "m", "v2", balance.NoModel}} {
-		s.Enqueue(resumed(x.id, x.model, x.version))
+	}{{1, "m", "v3", "", balance.NoVersion}, {2, "m", "v2", "", balance.NoModel}, {3, "m", "v1", "a", balance.NoServer}} {
+		r := resumed(x.id, x.model, x.version)
+		r.Pick.Exclude = map[string]bool{x.exclude: true}
+		s.Enqueue(r)
 		d := s.Next(start)
 		require.Len(t, d, 1, x)
 		require.False(t, d[0].Granted, x)
@@ -67,6 +71,23 @@
 	require.Zero(t, s.Waiting())
 }
 
+// TestResumedRequestWaitsForItsModel guards against streams that are refused while their model is loaded at a server of their software
+// version, and against ones that wait once it is known that it won't be.
+func TestResumedRequestWaitsForItsModel(t *testing.T) {
+	s := newScheduler(withSoftware(server("a", "m"), "v1"), withSoftware(server("b", "n"), "v2"))
+	s.Enqueue(resumed(1, "m", "v2"))
+	require.Empty(t, s.Next(start))
+	item := grant.Item{Service: "llm", Model: "m", Software: "v2"}
+	require.Equal(t, map[grant.Item]int{item: 1}, s.WaitingByMissingItem())
+	s.SetUnplaceable(map[grant.Item]bool{{Service: "llm", Model: "m", Software: "v1"}: true})
+	require.Empty(t, s.Next(start))
+	s.SetUnplaceable(map[grant.Item]bool{item: true})
+	d := s.Next(start)
+	require.Len(t, d, 1)
+	require.Equal(t, balance.NoModel, d[0].Reason)
+	require.Zero(t, s.Waiting())
+}
+
 // TestAdapterIsRequestedForSoftwareVersion guards against an adapter that is loaded at a server where the waiting request
 // can't go.
 func TestAdapterIsRequestedForSoftwareVersion(t *testing.T) {
--- a/core/residency/eviction.go
+++ b/core/residency/eviction.go
@@ -17,15 +17,17 @@
 // copy, or the whole load of the model for a last copy; an eviction is worthwhile if its
 // cost times MinGain is at most newCopyLoad, the load credited to the new copy. If
 // required is set, a copy that is not a last one may be evicted even if that is not
-// worthwhile. makeRoom reports whether room is being made.
-func (p *planner) makeRoom(model string, newCopyLoad float64, required bool) bool {
+// worthwhile. If the model is to be at a software version, only servers of that version are considered. makeRoom reports
+// whether room is being made.
+func (p *planner) makeRoom(m ModelAt, newCopyLoad float64, required bool) bool {
+	model := m.Model
 	if p.moving >= max(1, len(p.in.Servers)/serversPerMove) {
 		return false
 	}
 	var best evictionCandidate
 	for i := range p.in.Servers {
 		s := &p.in.Servers[i]
-		if !p.available(s) || s.Holds(model, "") {
+		if !p.available(s) || s.Holds(model, "") || m.Software != "" && s.Software != m.Software {
 			continue
 		}
 		source := loadSource(s, model)
--- a/core/residency/limited.go
+++ b/core/residency/limited.go
@@ -11,7 +11,7 @@
 func (p *planner) placeLimited() {
 	for _, m := range p.limitedModels() {
 		if !p.load(m, Limited) {
-			p.makeRoom(m, p.in.Load[m], false)
+			p.makeRoom(ModelAt{Model: m}, p.in.Load[m], false)
 		}
 	}
 }
--- a/core/residency/overcommit.go
+++ b/core/residency/overcommit.go
@@ -34,7 +34,12 @@
 // one. It never may while there is a place for every declared model, since all of them must
 // be reachable at once, and never for a model that nobody requests.
 func (p *planner) mayEvictLastCopy(s *Server, wanted string) bool {
-	return p.overcommitted && !p.in.LoadAssumed && s.SinceLastMove >= minLastCopyTime && p.reason(wanted) != Declared
+	return s.SinceLastMove >= minLastCopyTime && p.mayEvictLastCopies(wanted)
+}
+
+// mayEvictLastCopies reports whether last copies may be evicted for a model, on servers that have not changed lately.
+func (p *planner) mayEvictLastCopies(wanted string) bool {
+	return p.overcommitted && !p.in.LoadAssumed && p.reason(wanted) != Declared
 }
 
 // starvedLoad returns the load of a model without a copy, increased by the time for which it
--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -71,6 +71,7 @@
 		Waiting    map[string]int           // requests waiting, by model without a copy
 		Starved    map[string]time.Duration // time for which a model has been requested without a copy
 		Limited    map[string]bool          // models whose servers accept no more requests under the rate limits that they announce
+		Resuming   map[ModelAt]int          // streams that wait for a model at servers of the software version that began them
 		StoreLoads int                      // number of loads from the weight store that may start now
 
 		LoadAssumed bool // there is no demand yet, and Load comes from PriorLoad
@@ -104,8 +105,8 @@
 	}
 )
 
-// Plan returns the orders to give now, the most urgent first, at most one for each server.
-func Plan(in Input) []Move {
+// newPlanner returns a planner with the copies that the servers have.
+func newPlanner(in Input) *planner {
 	in.Servers = slices.Clone(in.Servers)
 	p := &planner{in: in, copies: map[string]int{}, serving: map[string]int{}, reserved: map[string]int{}, sizes: NewSizes(in.Engine)}
 	p.overcommitted = len(in.Engine.Models) > p.totalPlaces()
@@ -126,15 +127,22 @@
 			}
 		}
 	}
+	return p
+}
+
+// Plan returns the orders to give now, the most urgent first, at most one for each server.
+func Plan(in Input) []Move {
+	p := newPlanner(in)
 	p.unloadUndeclared()
 	p.reviewReservations()
 	p.loadReserved()
 	p.collectServersWithRoom()
+	p.placeResuming()
 	p.loadLocal()
 	p.placeMissing()
 	p.placeLimited()
 	p.rebalance()
-	if in.LoadAssumed {
+	if p.in.LoadAssumed {
 		p.spreadBusyCopies()
 	}
 	return p.moves
@@ -235,18 +243,24 @@
 	case p.in.LoadAssumed:
 		newCopyLoad = declaredLoad
 	}
-	p.makeRoom(model, newCopyLoad, reason == Requested)
+	p.makeRoom(ModelAt{Model: model}, newCopyLoad, reason == Requested)
 }
 
-// load orders a load on the preferred server with room and reports whether there is such a
-// server. It reports true as well if the load has to wait for the weight store, since no
+// load orders a load of a model wherever there is room. See loadAt.
+func (p *planner) load(model string, reason Reason) bool {
+	return p.loadAt(ModelAt{Model: model}, reason)
+}
+
+// loadAt orders a load on the preferred server with room, of any version if m names none, and reports whether there is such
+// a server. It reports true as well if the load has to wait for the weight store, since no
 // other room is needed then. With localOnly set it orders no loads from the weight store and
 // reports false for them.
-func (p *planner) load(model string, reason Reason) bool {
+func (p *planner) loadAt(m ModelAt, reason Reason) bool {
 	var best *Server
+	model := m.Model
 	size := p.sizes.Of(model)
 	for _, s := range p.withRoom {
-		if !p.available(s) || s.Holds(model, "") || p.freeMemory(s) < size {
+		if !p.available(s) || s.Holds(model, "") || p.freeMemory(s) < size || m.Software != "" && s.Software != m.Software {
 			continue
 		}
 		if best == nil || p.preferredForLoad(s, best, model) {
@@ -320,7 +334,7 @@
 	p.ranking = p.rank()
 	for range p.in.Servers {
 		m, ok := p.ranking.top()
-		if !ok || !p.load(m.model, Busy) && !p.makeRoom(m.model, m.load, false) {
+		if !ok || !p.load(m.model, Busy) && !p.makeRoom(ModelAt{Model: m.model}, m.load, false) {
 			return
 		}
 		p.reserved[m.model]++
--- a/core/residency/reservation.go
+++ b/core/residency/reservation.go
@@ -19,7 +19,7 @@
 		if s.ReservedFor == "" || s.ReservedReason != MakeRoom {
 			continue
 		}
-		if !p.needsCopy(s.ReservedFor) {
+		if !p.needsCopy(s.ReservedFor) && !p.resumesAt(s, s.ReservedFor) {
 			s.ReservedFor, s.ReservedReason = "", ""
 			continue
 		}
@@ -75,9 +75,10 @@
 // modelForReservation returns the model to load into reserved room: the one that the room
 // was made for, or the model in memory or on disk there with the highest load per copy if
 // that is at least 1/localLoadAdvantage of the former's. The model that was evicted to make
-// the room is excluded, and a model without a copy always gets the room made for it.
+// the room is excluded, and a model without a copy, or one for which streams wait that can't go on elsewhere, always gets the room
+// made for it.
 func (p *planner) modelForReservation(s *Server) string {
-	if loadSource(s, s.ReservedFor) != fromStore || p.copies[s.ReservedFor] == 0 {
+	if loadSource(s, s.ReservedFor) != fromStore || p.copies[s.ReservedFor] == 0 || p.resumesAt(s, s.ReservedFor) {
 		return s.ReservedFor
 	}
 	minLoad := p.loadPerCopyWithOneMore(s.ReservedFor, p.copies[s.ReservedFor]) / localLoadAdvantage
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -278,6 +278,7 @@
 		OnVerdict:          func(v string) { orders.WithLabelValues(v).Inc() },
 		OnElected:          n.granter.Reset,
 		WaitingWithoutCopy: n.granter.Waiting,
+		OnUnplaceable:      n.granter.SetUnplaceable,
 		LimitedModels:      n.granter.LimitedModels,
 		OnResidency:        n.granter.SetResidency,
 		Software:           n.softwareAges,
--- a/internal/front/software_test.go
+++ b/internal/front/software_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,6 +91,7 @@
 type softwareCluster struct {
 	*testCluster
 	workers []*standin.Worker
+	crashed sync.Map // when servers crashed, by id
 }
 
 // newSoftwareCluster starts nodes and, for each version, two engines and two servers of a plain service.
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/internal/clock"
+	"guavapaddle/internal/testbed/await"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
 )
@@ -21,13 +24,14 @@
 
 	// lapseTime is how long the entry of an engine outlives it.
 	lapseTime = time.Second
+	// beatInterval is the time between two heartbeats of an engine.
+	beatInterval = 100 * time.Millisecond
 )
 
 // placedEngine is an engine with what it holds.
 type placedEngine struct {
-	version    string
-	models     []string
-	crashAfter time.Duration // the engine crashes so long after its first request has begun to run, never if it is zero
+	version string
+	models  []string
 }
 
 // rest is two engines of v1 that hold all models but m3, and have room.
@@ -39,8 +43,7 @@
 	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second}}
 	for i, e := range engines {
 		w := &standin.Worker{ID: fmt.Sprint(e.version, "-llm", i), Stream: streamLength, Pause: pauseBetweenEvents, Software: e.version}
-		w.Fragile, w.CrashDelay = e.crashAfter > 0, e.crashAfter
-		w.OnCrash = func() { time.AfterFunc(lapseTime, func() { f.store.Drop(platform.TableServers, w.ID) }) }
+		w.OnCrash = func() { f.crashed.Store(w.ID, time.Now()) }
 		for _, m := range e.models {
 			w.Hold(m)
 		}
@@ -60,9 +63,31 @@
 		require.Eventually(t, p.ready, 5*time.Second, 5*time.Millisecond)
 	}
 	f.waitForLeader()
+	f.beat(t.Context())
 	return f
 }
 
+// beat rewrites the entries of the engines whose contents change, as their heartbeats do, and removes those of engines that have crashed
+// for a while.
+func (f *softwareCluster) beat(ctx context.Context) {
+	entries := map[string]string{}
+	go func() {
+		for clock.Sleep(ctx, beatInterval); ctx.Err() == nil; clock.Sleep(ctx, beatInterval) {
+			for _, w := range f.workers {
+				at, crashed := f.crashed.Load(w.ID)
+				entry := string(w.Entry("llm", "z", false))
+				switch {
+				case crashed && time.Since(at.(time.Time)) > lapseTime:
+					f.store.Drop(platform.TableServers, w.ID)
+				case !crashed && entry != entries[w.ID]:
+					entries[w.ID] = entry
+					f.store.Put(platform.TableServers, w.ID, []byte(entry))
+				}
+			}
+		}
+	}()
+}
+
 // TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn guards against streams that are refused since the only engine that held their model has
 // crashed, while other engines of their software version have room for it.
 func TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn(t *testing.T) {
@@ -86,9 +111,17 @@
 // crashed, while other engines of their software version have room for it.
 func TestStreamGoesOnAfterCrashOfOnlyHolder(t *testing.T) {
 	t.Parallel()
-	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}, crashAfter: 5 * pauseBetweenEvents}, rest[0], rest[1])
-	status, _, events := f.nodes[0].stream(t, takeUp{id: "whole", path: "/plans/x", model: "m3"})
-	require.Equal(t, 200, status)
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, rest[0], rest[1])
+	f.workers[0].SetScript(standin.Cut)
+	n := f.nodes[0]
+	done := make(chan string, 1)
+	go func() {
+		_, _, events := n.stream(t, takeUp{id: "whole", path: "/plans/x", model: "m3"})
+		done <- events
+	}()
+	require.Eventually(t, func() bool { return n.logs.FilterMessage("try").Len() > 0 }, 5*time.Second, time.Millisecond, "the stream was cut")
+	f.workers[0].Crash()
+	events := await.Value(t, done, "the stream's end")
 	for i := range streamLength {
 		require.Equal(t, 1, strings.Count(events, fmt.Sprintf("id: %d\n", i+1)), events)
 	}
@@ -120,7 +153,6 @@
 	f := newPlacesCluster(t, 3, 6, placedEngine{version: "v1", models: []string{"m0"}}, placedEngine{version: "v1", models: []string{"m1", "m2", "m3"}}, placedEngine{version: "v2", models: []string{"m0", "m4", "m5"}})
 	f.begin(f.nodes[0], "v1", takeUp{id: "first", path: "/plans/x", model: "m0"})
 	f.workers[0].Crash()
-	f.store.Drop(platform.TableServers, f.workers[0].ID)
 	for i, n := range f.nodes {
 		require.Eventually(t, func() bool {
 			began := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,9 @@
 		parts             []poison.Part // that other requests may share
 		trial             bool          // the leader has let it through though a block refuses it
 		lastEvent         string        // id of the last complete event that was forwarded
+		forwardedAt       time.Time     // when a part of the response was last forwarded, zero before
 		software          string        // version that began the stream, empty if none has
+		holderRetry       time.Duration // delay before the next retry at the holders of the stream's model, zero before the first
 		responseBegun     bool
 		rule              string            // how the server was chosen: "granted" by the leader, "picked" by this node
 		selection         balance.Selection // of the last send
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -96,7 +96,7 @@
 			if werr := t.x.Write(out); werr != nil {
 				return &clientError{werr}
 			}
-			t.lastEvent = cmp.Or(scanner.LastID(), t.lastEvent)
+			t.lastEvent, t.forwardedAt = cmp.Or(scanner.LastID(), t.lastEvent), time.Now()
 		}
 		switch {
 		case len(partial) > maxEventBytes:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -117,7 +117,7 @@
 			r.fail(Deadline, reason)
 			return
 		case notSent:
-			if dials++; dials >= maxDials {
+			if dials++; dials >= maxDials && !r.awaitsModel() {
 				r.fail(Unreachable, reason)
 				return
 			}
@@ -231,6 +231,12 @@
 		retryDelay := recheckInterval
 		for n := 0; n < maxSlotRequests; {
 			c, reason, result := r.requestSlot(b, wanted)
+			if result == decided && reason == NoServer && r.awaitsModel() {
+				if ended := r.awaitHolders(); ended != "" {
+					return c, ended
+				}
+				continue
+			}
 			if result == decided {
 				return c, reason
 			}
@@ -250,7 +256,7 @@
 	waiting := false
 	defer func() {
 		if waiting {
-			g.addDemand(item, 0, -1)
+			g.addDemand(wanted, 0, -1)
 		}
 	}()
 	waitUntil := time.Now().Add(r.maxWait(b.Model))
@@ -270,7 +276,7 @@
 			}
 			return c, ""
 		}
-		if time.Now().After(waitUntil) || reason == balance.NoVersion || reason == balance.NoModel && r.software != "" {
+		if time.Now().After(waitUntil) || reason == balance.NoVersion {
 			return c, Reason(reason)
 		}
 		if c.Wait > time.Until(waitUntil) || reason == balance.Backoff {
@@ -279,7 +285,13 @@
 		}
 		if !waiting && b.Model != "" {
 			waiting = true
-			g.addDemand(item, 0, 1)
+			g.addDemand(wanted, 0, 1)
+		}
+		if reason == balance.NoServer && r.awaitsModel() {
+			if ended := r.awaitHolders(); ended != "" {
+				return c, ended
+			}
+			continue
 		}
 		if reason == balance.NoAdapter {
 			r.requestAdapter(wanted)
@@ -468,18 +480,25 @@
 	if !ok {
 		return 0
 	}
+	if r.awaitsModel() {
+		return min(left, r.nextEventWait())
+	}
 	if r.class() == grant.Deferrable {
 		return min(left, time.Until(r.x.Received.Add(r.route.TargetLatency-deferrableMargin)))
 	}
-	return min(m.LoadTime+modelWait, left, r.firstEventWait())
+	return min(m.LoadTime+modelWait, left, r.nextEventWait())
 }
 
-// firstEventWait returns how long the client still waits for the first event: until 2 s,
+// nextEventWait returns how long the client still waits for the next event: until 2 s,
 // four times the target latency or eight times the maximum event gap after the request
-// was received, whichever is longest, less 300 ms for the prefill of the prompt.
-func (r *request) firstEventWait() time.Duration {
+// was received, or the last event forwarded, whichever is longest, less 300 ms for the prefill of the prompt.
+func (r *request) nextEventWait() time.Duration {
 	limit := max(2*time.Second, 4*r.route.TargetLatency, 8*r.route.MaxEventGap)
-	return time.Until(r.x.Received.Add(limit)) - 300*time.Millisecond
+	since := r.x.Received
+	if r.responseBegun {
+		since = r.forwardedAt
+	}
+	return time.Until(since.Add(limit)) - 300*time.Millisecond
 }
 
 // fingerprint identifies copies of a request by a hash of its method, host, path with
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -11,6 +11,10 @@
 	"guavapaddle/internal/hub"
 )
 
+// maxHolderRetry bounds the time between two tries at servers that hold the model of a stream and have failed. An entry lapses after some
+// seconds.
+const maxHolderRetry = 2 * time.Second
+
 // takesUp reports whether the client takes up a stream that an earlier request of it began.
 func (r *request) takesUp() bool {
 	return r.route.Kind == fleet.Stream && (r.meta.Resumes != "" || r.meta.LastEvent != "")
@@ -42,6 +46,25 @@
 	return ""
 }
 
+// awaitsModel reports whether the request is a stream that has begun at a software version and that waits, as long as its client does,
+// for a server of that version with its model: nothing else can complete it.
+func (r *request) awaitsModel() bool { return r.software != "" && r.usesEngine() }
+
+// awaitHolders waits before the servers that hold the stream's model are tried again, after all of them were: each either responds again
+// or leaves the list, so that the model is loaded elsewhere. It returns the reason if the request ends meanwhile, or the client's
+// patience would.
+func (r *request) awaitHolders() Reason {
+	r.holderRetry = min(max(recheckInterval, 2*r.holderRetry), maxHolderRetry)
+	if r.holderRetry > r.maxWait(r.meta.Model) {
+		return NoServer
+	}
+	if ended := r.awaitChange(nil, r.holderRetry, time.Now().Add(r.holderRetry)); ended != "" {
+		return ended
+	}
+	clear(r.excluded)
+	return ""
+}
+
 // recordSoftware records the version that begins the stream, before its first event is forwarded.
 func (t *try) recordSoftware() {
 	s := t.selection.Server
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -387,18 +387,35 @@
 	return out
 }
 
-// Waiting returns the number of waiting requests for each model that no server holds.
-func (g *Granter) Waiting() map[string]int {
+// Waiting returns the number of waiting requests for each model that no server holds, or none of the software version that the
+// requests need.
+func (g *Granter) Waiting() map[hub.Item]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := map[string]int{}
+	out := map[hub.Item]int{}
 	if g.scheduler == nil {
 		return out
 	}
 	for i, n := range g.scheduler.WaitingByMissingItem() {
 		if i.Adapter == "" {
-			out[i.Model] += n
+			out[i] += n
 		}
 	}
 	return out
 }
+
+// SetUnplaceable sets the models that no server of a software version holds or has a place for, and refuses the requests that wait for
+// them.
+func (g *Granter) SetUnplaceable(list []hub.Item) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.scheduler == nil {
+		return
+	}
+	items := make(map[hub.Item]bool, len(list))
+	for _, i := range list {
+		items[i] = true
+	}
+	g.scheduler.SetUnplaceable(items)
+	g.grantSlots()
+}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -112,7 +112,7 @@
 	g := startGranter(t, nil)
 	q := slotRequest("none", "", 100)
 	q.Target, q.Expire = 0, 200*time.Millisecond
-	waiting := make(chan map[string]int, 1)
+	waiting := make(chan map[hub.Item]int, 1)
 	time.AfterFunc(100*time.Millisecond, func() { waiting <- g.Waiting() })
 	d, grant, err := g.AcquireSlot(context.Background(), q, func() {})
 	require.NoError(t, err)
@@ -120,7 +120,7 @@
 	require.False(t, d.Granted)
 	require.Equal(t, balance.NoModel, d.Reason)
 	require.Positive(t, d.RetryAfter)
-	require.Equal(t, map[string]int{"none": 1}, <-waiting)
+	require.Equal(t, map[hub.Item]int{{Service: "llm", Model: "none"}: 1}, <-waiting)
 }
 
 // TestKnownRateLimitsApplyFromFirstGrant guards against a new granter that grants all waiting
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -79,9 +79,12 @@
 		OnSoftware func(software.Ages)
 		// Blocks returns the blocks of requests that crash servers and the crashes that may lead to others, which the lease passes on,
 		// and OnBlocks is called with those of another node's lease. They may be nil.
-		Blocks             func() ([]poison.Block, []poison.Crash)
-		OnBlocks           func([]poison.Block, []poison.Crash)
-		WaitingWithoutCopy func() map[string]int       // number of requests waiting for a model without a copy
+		Blocks   func() ([]poison.Block, []poison.Crash)
+		OnBlocks func([]poison.Block, []poison.Crash)
+		// WaitingWithoutCopy returns the number of requests that wait for a model without a copy, or without one at the software version
+		// that they need, and OnUnplaceable is called with the models for which there is no place at such a version. It may be nil.
+		WaitingWithoutCopy func() map[hub.Item]int
+		OnUnplaceable      func([]hub.Item)
 		LimitedModels      func() map[string]bool      // models all of whose servers are at their rate limit, nil for none
 		OnResidency        func(n hub.ResidencyUpdate) // called when the content of an engine has changed
 
@@ -95,6 +98,7 @@
 		priorLoad    map[string]float64 // load assumed before there is demand
 		slotTimes    residency.SlotTimes
 		waiting      map[string]int
+		resuming     map[hub.Item]int // streams that wait for a model at servers of a software version
 		limited      map[string]bool
 		starvedSince map[string]map[string]time.Time // since when models without a copy have been requested, by service
 		decayedAt    time.Time
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -14,6 +14,7 @@
 
 // planTask is a copy of the input of one plan, so that planning needs no lock.
 type planTask struct {
+	service   string
 	in        residency.Input
 	termStart time.Time      // when this node became leader
 	reads     map[string]int // number of reports read, by engine
@@ -65,17 +66,39 @@
 		}
 	}
 	p.slotTimes.Decay(dt)
-	p.waiting, p.limited = waitingWithoutCopy, limited
+	p.waiting, p.resuming, p.limited = map[string]int{}, map[hub.Item]int{}, limited
+	for i, n := range waitingWithoutCopy {
+		p.addWaiting(i, n)
+	}
 	for _, d := range list {
 		p.demand[d.Model] += float64(d.Tokens) / demandDecay.Seconds()
 		p.slotTimes.Add(d.Model, d.Ran.Tokens, d.Ran.Time)
-		p.waiting[d.Model] += d.Waiting
+		p.addWaiting(d.Item, d.Waiting)
 		if d.Adapter != "" {
 			p.markUsed(now, d)
 		}
 	}
 }
 
+// addWaiting adds requests that wait for a model; p.mu is held.
+func (p *Placer) addWaiting(i hub.Item, n int) {
+	p.waiting[i.Model] += n
+	if i.Software != "" {
+		p.resuming[hub.Item{Service: i.Service, Model: i.Model, Software: i.Software}] += n
+	}
+}
+
+// resumingOf returns the streams that wait for each model of a service at servers of a software version; p.mu is held.
+func (p *Placer) resumingOf(service string) map[residency.ModelAt]int {
+	out := map[residency.ModelAt]int{}
+	for i, n := range p.resuming {
+		if i.Service == service {
+			out[residency.ModelAt{Model: i.Model, Software: i.Software}] = n
+		}
+	}
+	return out
+}
+
 // slotLoad returns how many slots the demand for each model occupies. It returns the assumed
 // load, and true, while the measured one is too small to rely on; p.mu is held.
 func (p *Placer) slotLoad(e fleet.Engine) (load map[string]float64, assumed bool) {
@@ -113,13 +136,20 @@
 // have to wait otherwise.
 func (p *Placer) planMoves(now time.Time) []residency.Move {
 	tasks, out := p.planTasks(now)
+	var unplaceable []hub.Item
 	for _, t := range tasks {
+		for _, m := range residency.Unplaceable(t.in) {
+			unplaceable = append(unplaceable, hub.Item{Service: t.service, Model: m.Model, Software: m.Software})
+		}
 		for _, m := range residency.Plan(t.in) {
 			if p.commitMove(now, t, m) {
 				out = append(out, m)
 			}
 		}
 	}
+	if p.OnUnplaceable != nil && len(tasks) > 0 {
+		p.OnUnplaceable(unplaceable)
+	}
 	return out
 }
 
@@ -139,8 +169,8 @@
 			continue
 		}
 		load, assumed := p.slotLoad(*s.Engine)
-		t := planTask{termStart: p.termStart, reads: map[string]int{}}
-		t.in = residency.Input{Engine: *s.Engine, Load: load, LoadAssumed: assumed, Waiting: p.waiting, Limited: p.limited, StoreLoads: p.storeLoads(now, *s.Engine)}
+		t := planTask{service: name, termStart: p.termStart, reads: map[string]int{}}
+		t.in = residency.Input{Engine: *s.Engine, Load: load, LoadAssumed: assumed, Waiting: p.waiting, Limited: p.limited, Resuming: p.resumingOf(name), StoreLoads: p.storeLoads(now, *s.Engine)}
 		t.in.Engine.WeightsMB -= memoryMarginMB
 		for _, f := range p.servers {
 			if f.Service != name {
--- a/internal/placer/rig_test.go
+++ b/internal/placer/rig_test.go
@@ -60,10 +60,10 @@
 			defer h.mu.Unlock()
 			h.terms++
 		},
-		WaitingWithoutCopy: func() map[string]int {
+		WaitingWithoutCopy: func() map[hub.Item]int {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return h.waiting
+			return byItem(h.waiting)
 		},
 		OnResidency: func(hub.ResidencyUpdate) {},
 	}
@@ -80,6 +80,15 @@
 	return h
 }
 
+// byItem returns the requests that wait for each model, at servers of any software version.
+func byItem(waiting map[string]int) map[hub.Item]int {
+	out := map[hub.Item]int{}
+	for m, n := range waiting {
+		out[hub.Item{Service: "llm", Model: m}] = n
+	}
+	return out
+}
+
 func leaderUnreachable() bool { return false }
 
 func eventually(t *testing.T, what string, ok func() bool) {
--- a/internal/placer/sim_world_test.go
+++ b/internal/placer/sim_world_test.go
@@ -179,7 +179,7 @@
 		LeaderReachable: n.reachable,
 		Elector:         &leader.Elector{Self: leader.Lease{Node: n.name, Incarnation: n.name, Key: n.name, Cores: 1}, TTL: simTTL},
 		Clock:           func() time.Duration { return time.Since(w.origin) + time.Hour },
-		OnVerdict:       func(string) {}, OnElected: func() { w.logEvent("lease", n.name) }, WaitingWithoutCopy: n.waiting, OnResidency: func(hub.ResidencyUpdate) {},
+		OnVerdict:       func(string) {}, OnElected: func() { w.logEvent("lease", n.name) }, WaitingWithoutCopy: func() map[hub.Item]int { return byItem(n.waiting()) }, OnResidency: func(hub.ResidencyUpdate) {},
 	}
 	n.SetConfig(w.config)
 	w.mu.Lock()
