placer: the lease names a new software version before streams of it begin

What callers would see: after all nodes were killed, a stream goes on at another software version than the one that began it, answered 200, with nothing in the response to show it.

Cause: after a kill of all nodes the versions that have served are known from the lease's row only, and that is written each third of its time to live: 1 s on the users' machines. The first write of a term comes before the leader has read the list of servers, so it names none. A version whose servers came after the last write and ended with the nodes, or one that the first write lacked, is forgotten, so that the other seems to be the only one.

Change: the leader writes the row at its next check, within 150 ms, when a version serves that the row lacks; and while several versions serve, it replies to the origin of a stream, for which the first event waits, once the row names the stream's version. Both waits are bounded as before (250 ms).

--- a/core/software/history.go
+++ b/core/software/history.go
@@ -79,6 +79,18 @@
 	return out
 }
 
+// HasMore reports whether a has a version of a service that b lacks.
+func (a Ages) HasMore(b Ages) bool {
+	for service, versions := range a {
+		for v := range versions {
+			if _, ok := b[service][v]; !ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Versions returns the versions of a service that have served within Retention, sorted.
 func (h *History) Versions(now time.Time, service string) []string {
 	versions := h.seen[service]
--- a/core/software/software_test.go
+++ b/core/software/software_test.go
@@ -68,6 +68,17 @@
 	require.Empty(t, c.Ages(start.Add(software.Retention+time.Second)))
 }
 
+func TestAgesHasMore(t *testing.T) {
+	t.Parallel()
+	one := software.Ages{"s": {"v1": 0}}
+	two := software.Ages{"s": {"v1": 9, "v2": 0}}
+	require.True(t, two.HasMore(one))
+	require.True(t, one.HasMore(nil))
+	require.True(t, one.HasMore(software.Ages{"t": {"v1": 0}}))
+	require.False(t, one.HasMore(two))
+	require.False(t, software.Ages{}.HasMore(nil))
+}
+
 func TestOrigins(t *testing.T) {
 	t.Parallel()
 	var o software.Origins
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -83,6 +83,7 @@
 	}
 	ctx, cancel := lag.WithTimeout(ctx, recordTimeout)
 	defer cancel()
+	n.placer.AwaitSoftware(ctx, o.Service, o.Version)
 	if err := n.sendOrigin(ctx, o); err != nil { // it is in the next report
 		n.log.Info("origin-unsent", zap.String("request-id", o.Stream), zap.String("software", o.Version), zap.Error(err))
 	}
@@ -127,12 +128,15 @@
 	return list
 }
 
-// RecordOrigin records the origin of a stream of another node.
+// RecordOrigin records the origin of a stream of another node. The leader replies once its lease names the version.
 func (n *Node) RecordOrigin(ctx context.Context, o software.Origin) error {
 	n.addOrigins([]software.Origin{o})
 	if n.passesOn() && !n.isActing() {
 		return n.sendOrigin(ctx, o)
 	}
+	ctx, cancel := lag.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	n.placer.AwaitSoftware(ctx, o.Service, o.Version)
 	return nil
 }
 
--- a/internal/front/software_test.go
+++ b/internal/front/software_test.go
@@ -92,12 +92,18 @@
 	*testCluster
 	workers []*standin.Worker
 	crashed sync.Map // when servers crashed, by id
+	begun   []string // streams
 }
 
 // newSoftwareCluster starts nodes and, for each version, two engines and two servers of a plain service.
 func newSoftwareCluster(t *testing.T, nodes int, versions ...string) *softwareCluster {
 	t.Helper()
-	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second}}
+	return newSoftwareClusterWithLease(t, nodes, 3*time.Second, versions...)
+}
+
+func newSoftwareClusterWithLease(t *testing.T, nodes int, lease time.Duration, versions ...string) *softwareCluster {
+	t.Helper()
+	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: lease}}
 	for _, v := range versions {
 		for i := range 2 {
 			f.add("llm", v, i)
@@ -319,3 +325,69 @@
 		}
 	}
 }
+
+// killAll ends all nodes at once, without a last write to the store, and starts them again.
+func (f *softwareCluster) killAll() {
+	f.t.Helper()
+	f.store.Outage(true)
+	for _, p := range f.nodes {
+		p.stop()
+	}
+	for _, p := range f.nodes {
+		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+		p.done <- nil // read again by the cleanup
+	}
+	f.store.Outage(false)
+	for _, p := range f.nodes {
+		f.restart(p)
+	}
+	for _, p := range f.nodes {
+		require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
+	}
+}
+
+// TestStreamsOfTwoSoftwareVersionsAreNotJoinedAfterKillOfAllNodes guards against a stream that goes on at another version since all nodes
+// have forgotten the one that began it: it had left shortly before, or its first server had come after the last renewal of the lease and
+// ended with the nodes.
+func TestStreamsOfTwoSoftwareVersionsAreNotJoinedAfterKillOfAllNodes(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct{ name, first, left, rest string }{
+		{"old version", "v1", "v1", "v2"},
+		{"new version", "v2", "v2", "v1"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			f := newSoftwareClusterWithLease(t, 3, time.Minute, "v1") // renewed after a third of it
+			for i := range 2 {
+				f.add("llm", "v2", i)
+			}
+			for i, n := range f.nodes {
+				require.Eventually(t, func() bool {
+					for _, w := range f.workers {
+						if w.Software != x.first {
+							w.SetScript(standin.Shed)
+						}
+					}
+					id := fmt.Sprint("begin", i, "-", time.Now().UnixNano())
+					status, server, _ := n.stream(t, takeUp{id: id, path: "/plans/x", model: "m0", firstEventOnly: true})
+					f.begun = append(f.begun, id)
+					return status == 200 && versionOf(server) == x.first
+				}, 5*time.Second, 10*time.Millisecond)
+			}
+			for _, w := range f.workers {
+				w.SetScript(standin.OK)
+			}
+			for i := range 2 {
+				f.store.Drop(platform.TableServers, fmt.Sprint(x.left, "-llm", i))
+			}
+			f.killAll()
+			for i, n := range f.nodes {
+				status, server, _ := n.stream(t, takeUp{id: fmt.Sprint("t", i), path: "/plans/x", model: "m0", resumes: f.begun[len(f.begun)-1], afterEvent: "1", firstEventOnly: true})
+				require.Equal(t, 503, status, "went on at %s", server)
+				status, server, _ = n.stream(t, takeUp{id: fmt.Sprint("n", i), path: "/plans/x", model: "m0", firstEventOnly: true})
+				require.Equal(t, 200, status)
+				require.Equal(t, x.rest, versionOf(server))
+			}
+		})
+	}
+}
--- a/internal/placer/lease.go
+++ b/internal/placer/lease.go
@@ -114,7 +114,7 @@
 	}
 	l = p.withKnowledge(l)
 	l.Write = p.nextWrite()
-	due = (due || wasLeader && p.relaysChanged) && !p.released
+	due = (due || wasLeader && (p.relaysChanged || l.Software.HasMore(observed.Software))) && !p.released
 	if due {
 		p.relaysChanged = false
 	}
