front: the version of a stream is asked for again, and of more nodes

What callers saw: a client that takes a stream up is refused (503 unknown-version) at nodes that reach neither the leader nor its deputy, though one version has ever served, or though the node that forwarded the first event is in reach; the refusal is final for its request.

Cause: leader and deputy were asked once, 150 ms each, and nobody else. A node that had no reply relied on its own list of servers only if the store had confirmed it shortly before; in an outage of the store no list is, though the leader's counted however old it was until it ended.

Change: while no node that can tell the version replies, the node asks again for 1.5 s, longer than a deputy takes to act. It asks up to eight other nodes beside the coordinators: each tells what it has recorded, and passes the question on to the leader that it may reach. A list counts that a leader has confirmed within the bound for lists that the store has confirmed. Nothing is guessed: with two versions, or a list that nobody has confirmed within the bound, the stream is refused as before.

That a node cut from both, which reaches others, is served by the same way isn't tested: the tests can't cut nodes from each other.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -163,6 +163,9 @@
 		n.keyRoster = reply.Roster
 	}
 	n.applyReply(r, reply)
+	if reply.Leading {
+		n.confirmedAt.Store(int64(clock.SinceBoot()))
+	}
 	if u.key != n.key.Fingerprint() {
 		n.onFeed(reply.Update, sentAt)
 		n.placer.ObserveLease(reply.Lease)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -106,6 +106,7 @@
 	servers         servers
 	engineIDs       atomic.Pointer[map[string]bool]   // IDs of the servers that are model engines
 	leaderReplyAt   atomic.Int64                      // boot time of the leader's last reply to a report
+	confirmedAt     atomic.Int64                      // the same, but of the leader itself, not of a relay
 	leaderMessageAt atomic.Int64                      // boot time of the leader's last message of any kind
 	leaderSuspect   atomic.Bool                       // the leader left a slot request without a reply
 	feedAt          atomic.Int64                      // boot time of the last update from the leader that was not outdated
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
 	"guavapaddle/core/software"
+	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/lag"
 )
@@ -22,6 +22,15 @@
 	recordTimeout = hub.AckTimeout
 	// originTimeout bounds the wait for one node's reply about the version that began a stream.
 	originTimeout = 150 * time.Millisecond
+	// originWait bounds the time for which a client that takes a stream up waits until a node that can tell its version replies. A deputy
+	// acts half a second after its leader has ended.
+	originWait = 1500 * time.Millisecond
+	// originRetryInterval is the time between two tries to find such a node.
+	originRetryInterval = 100 * time.Millisecond
+	// peerOriginTimeout bounds the wait for the replies of nodes that aren't coordinators. They may ask the leader and its deputy.
+	peerOriginTimeout = 400 * time.Millisecond
+	// maxOriginPeers bounds the nodes that are asked beside the leader and its deputy.
+	maxOriginPeers = 8
 	// maxReportedOrigins bounds the origins in one report or reply.
 	maxReportedOrigins = 256
 )
@@ -150,7 +159,7 @@
 	}
 }
 
-// FindOrigin returns the version that began a stream, as far as this node can tell it.
+// FindOrigin returns the version that began a stream, as far as this node can tell it or reaches a node that can.
 func (n *Node) FindOrigin(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
 	if reply := n.knownOrigin(q); reply.Known {
 		return reply, nil
@@ -160,24 +169,57 @@
 		return n.onlyOrigin(q), nil
 	case n.passesOn():
 		return n.queryOrigin(ctx, q)
+	case !q.PassedOn:
+		q.PassedOn = true
+		return n.queryOrigin(ctx, q)
 	}
 	return hub.OriginReply{}, &NotCoordinatorError{}
 }
 
-// findOrigin returns the version that began a stream which a client of this node takes up. A node that reaches no other
-// relies on its own list of servers only while that is fresh.
+// findOrigin returns the version that began a stream which a client of this node takes up. While no node that can tell it replies, it
+// tries again: another node takes the place of a lost leader.
 func (n *Node) findOrigin(ctx context.Context, q hub.OriginQuery) hub.OriginReply {
+	ctx, cancel := lag.WithTimeout(ctx, originWait)
+	defer cancel()
+	for {
+		reply, err := n.lookUpOrigin(ctx, q)
+		if err == nil {
+			return reply
+		}
+		if clock.Sleep(ctx, originRetryInterval); ctx.Err() != nil {
+			n.log.Info("origin-unread", zap.String("resumes", q.Stream), zap.Duration("age", n.follower.Age(time.Now())), zap.Error(err))
+			return reply
+		}
+	}
+}
+
+// lookUpOrigin asks the leader or its deputy which version began a stream, and other nodes if neither knows: the one that forwarded
+// its first event does. A node that reaches neither relies on its own list of servers only while that is fresh.
+func (n *Node) lookUpOrigin(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
 	reply, err := n.FindOrigin(ctx, q)
-	if _, ok := errors.AsType[*NotCoordinatorError](err); ok {
-		reply, err = n.queryOrigin(ctx, q)
+	if reply.Known || err == nil && q.Stream == "" {
+		return reply, err
 	}
-	if err != nil && n.isCopyFresh() && n.placer.LeaseObserved() {
-		reply = n.onlyOrigin(q)
+	if err != nil && n.reliesOnOwnList() {
+		if own := n.onlyOrigin(q); own.Known {
+			return own, nil
+		}
 	}
-	if err != nil {
-		n.log.Info("origin-unread", zap.String("resumes", q.Stream), zap.Bool("known", reply.Known), zap.Duration("age", n.follower.Age(time.Now())), zap.Error(err))
+	q.PassedOn = err == nil
+	if other, otherErr := n.queryPeers(ctx, q); otherErr == nil {
+		return other, nil
+	}
+	return reply, err
+}
+
+// reliesOnOwnList reports whether a version that has begun a stream can't have come since this node's list of servers was confirmed: by
+// the store, or by a leader, from which each node gets what any of them has read.
+func (n *Node) reliesOnOwnList() bool {
+	if !n.placer.LeaseObserved() {
+		return false
 	}
-	return reply
+	at := n.confirmedAt.Load()
+	return n.isCopyFresh() || at != 0 && clock.SinceBoot()-time.Duration(at) <= n.maxFeedAge()
 }
 
 // queryOrigin asks the leader or its deputy which version began a stream.
@@ -189,6 +231,37 @@
 	return reply, err
 }
 
+// queryPeers asks several nodes at once which version began a stream, and returns the first reply that tells it, or else one that says
+// that the leader doesn't know.
+func (n *Node) queryPeers(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
+	ctx, cancel := lag.WithTimeout(ctx, peerOriginTimeout)
+	defer cancel()
+	peers := n.tunnelPeers(ctx)
+	peers = peers[:min(len(peers), maxOriginPeers)]
+	type result struct {
+		reply hub.OriginReply
+		err   error
+	}
+	results := make(chan result, len(peers))
+	for _, p := range peers {
+		go func() {
+			reply, err := n.leaderClient().FindOrigin(ctx, p.Address, q)
+			results <- result{reply, err}
+		}()
+	}
+	unknown := result{err: &NotCoordinatorError{}}
+	for range peers {
+		r := <-results
+		if r.err == nil && r.reply.Known {
+			return r.reply, nil
+		}
+		if r.err == nil {
+			unknown = r
+		}
+	}
+	return unknown.reply, unknown.err
+}
+
 // knownOrigin returns the origin that this node has of a stream.
 func (n *Node) knownOrigin(q hub.OriginQuery) hub.OriginReply {
 	n.origins.mu.Lock()
--- a/internal/front/software_test.go
+++ b/internal/front/software_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/leader"
+	"guavapaddle/internal/front"
 	"guavapaddle/internal/testbed/await"
 	"guavapaddle/platform"
 	"guavapaddle/platform/standin"
@@ -91,8 +92,9 @@
 type softwareCluster struct {
 	*testCluster
 	workers []*standin.Worker
-	crashed sync.Map // when servers crashed, by id
-	begun   []string // streams
+	crashed sync.Map               // when servers crashed, by id
+	begun   []string               // streams
+	running map[string]*front.Node // by name
 }
 
 // newSoftwareCluster starts nodes and, for each version, two engines and two servers of a plain service.
@@ -103,7 +105,8 @@
 
 func newSoftwareClusterWithLease(t *testing.T, nodes int, lease time.Duration, versions ...string) *softwareCluster {
 	t.Helper()
-	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: lease}}
+	f := &softwareCluster{testCluster: &testCluster{t: t, store: standin.NewStore(t), lease: lease}, running: map[string]*front.Node{}}
+	f.setUp = func(n *front.Node, s front.Settings) { f.running[s.Node] = n }
 	for _, v := range versions {
 		for i := range 2 {
 			f.add("llm", v, i)
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/core/software"
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/testbed/await"
 	"guavapaddle/platform"
@@ -34,8 +37,8 @@
 	models  []string
 }
 
-// rest is two engines of v1 that hold all models but m3, and have room.
-var rest = []placedEngine{{version: "v1", models: []string{"m0", "m1"}}, {version: "v1", models: []string{"m1", "m2"}}}
+// enginesWithRoom is two engines of v1 that hold all models but m3.
+var enginesWithRoom = []placedEngine{{version: "v1", models: []string{"m0", "m1"}}, {version: "v1", models: []string{"m1", "m2"}}}
 
 // newPlacesCluster starts nodes and engines. The engines' names begin with their versions.
 func newPlacesCluster(t *testing.T, nodes int, declared int, engines ...placedEngine) *softwareCluster {
@@ -92,7 +95,7 @@
 // crashed, while other engines of their software version have room for it.
 func TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn(t *testing.T) {
 	t.Parallel()
-	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, rest[0], rest[1])
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, enginesWithRoom[0], enginesWithRoom[1])
 	for i, n := range f.nodes {
 		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: "m3"})
 	}
@@ -111,7 +114,7 @@
 // crashed, while other engines of their software version have room for it.
 func TestStreamGoesOnAfterCrashOfOnlyHolder(t *testing.T) {
 	t.Parallel()
-	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, rest[0], rest[1])
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, enginesWithRoom[0], enginesWithRoom[1])
 	f.workers[0].SetScript(standin.Cut)
 	n := f.nodes[0]
 	done := make(chan string, 1)
@@ -162,3 +165,63 @@
 		}, 5*time.Second, 50*time.Millisecond)
 	}
 }
+
+// endCoordinators ends the leader and its deputy, and returns the other nodes.
+func (f *softwareCluster) endCoordinators() []*testNode {
+	f.t.Helper()
+	var ended []*testNode
+	require.Eventually(f.t, func() bool {
+		l := f.leaseRow()
+		ended = nil
+		for _, p := range f.nodes {
+			if p.settings.Node == l.Node || p.isDeputyOf(l.Node) {
+				ended = append(ended, p)
+			}
+		}
+		return len(ended) == 2
+	}, 5*time.Second, 5*time.Millisecond, "a leader and its deputy")
+	for _, p := range ended {
+		p.stop()
+	}
+	for _, p := range ended {
+		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
+		p.done <- nil // read again by the cleanup
+	}
+	return slices.DeleteFunc(slices.Clone(f.nodes), func(p *testNode) bool { return slices.Contains(ended, p) })
+}
+
+// TestStreamTakenUpAfterLeaderAndDeputyEndDuringOutageGoesOn guards against streams that are refused since no node tells their software
+// version, while only one has ever served and the leader confirmed so just before.
+func TestStreamTakenUpAfterLeaderAndDeputyEndDuringOutageGoesOn(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareCluster(t, 4, "v1")
+	f.store.Outage(true)
+	lost := time.Now()
+	require.Eventually(t, func() bool { return time.Since(lost) > 4*time.Second }, 5*time.Second, 50*time.Millisecond, "the lists of servers are outdated")
+	rest := f.endCoordinators()
+	statuses := make([]int, len(rest))
+	var wg sync.WaitGroup
+	for i, p := range rest {
+		wg.Go(func() {
+			statuses[i], _, _ = p.stream(t, takeUp{id: fmt.Sprint("next", i), path: "/plans/x", model: "m0", resumes: "never-seen", afterEvent: "1", firstEventOnly: true})
+		})
+	}
+	wg.Wait()
+	require.Equal(t, []int{200, 200}, statuses)
+}
+
+// TestStreamIsFoundAtNodeThatForwardedItsFirstEvent guards against streams that are refused since their origin hasn't reached the leader,
+// although the node that forwarded the first event is in reach.
+func TestStreamIsFoundAtNodeThatForwardedItsFirstEvent(t *testing.T) {
+	t.Parallel()
+	f := newSoftwareCluster(t, 4, "v1", "v2")
+	leader, others := f.leader()
+	for i, first := range others {
+		id, next := fmt.Sprint("begin", i), others[(i+1)%len(others)]
+		version := fmt.Sprint("v", 1+i%2)
+		require.NoError(t, f.running[first.settings.Node].RecordOrigin(t.Context(), software.Origin{Stream: id, Service: "llm", Version: version}))
+		status, server, _ := next.stream(t, takeUp{id: id + "-next", path: "/plans/x", model: "m0", resumes: id, afterEvent: "1", firstEventOnly: true})
+		require.Equal(t, 200, status, "%v, the leader is %s", next.reasonsOf(id+"-next"), leader.settings.Node)
+		require.Equal(t, version, versionOf(server))
+	}
+}
--- a/internal/hub/client.go
+++ b/internal/hub/client.go
@@ -117,6 +117,8 @@
 	OriginQuery struct {
 		Service string
 		Stream  string // id of the client's request that brought the first event, empty if it isn't named
+		// PassedOn means that a node that received the query from another one replies without asking others, unless it is a relay.
+		PassedOn bool
 	}
 
 	// OriginReply is the reply to an OriginQuery.
