placer: the unanswered load of a model keeps its memory when its engine starts again

Cause: an order to load a model gets no answer and may be carried out up to 12 s later, if the engine has then accepted as many orders as it expects. An engine that starts again under its id counts anew. The record that replaces its old one kept unanswered loads of adapters, not those of models, so the memory was planned for others, and as many orders as the late one expects fill an engine.

Change: the load of a model that wasn't accepted, or whose answer isn't known since a previous leader ordered it, keeps its memory across a restart and a lapse of the entry, as adapters keep their slots: until another order of its number is accepted, a report shows a higher number, or 13 s are over. It is no copy, so that the model is loaded elsewhere meanwhile.

--- a/core/residency/plan.go
+++ b/core/residency/plan.go
@@ -53,12 +53,13 @@
 	// Server is an engine with what is, or may be, in its memory.
 	Server struct {
 		fleet.Server
-		Loading        string // model that is, or may be, loading
-		Unloading      string // model that is, or may be, unloading
-		ReservedFor    string // model that room is reserved, or being made, for
-		ReservedReason Reason // reason for the reservation: MakeRoom or Spread
-		Evicted        string // model that was evicted to make the room
-		Blocked        bool   // cannot take orders now
+		Loading        string   // model that is, or may be, loading
+		Unloading      string   // model that is, or may be, unloading
+		Late           []string // models that may still be loaded by orders that an earlier process of the server got
+		ReservedFor    string   // model that room is reserved, or being made, for
+		ReservedReason Reason   // reason for the reservation: MakeRoom or Spread
+		Evicted        string   // model that was evicted to make the room
+		Blocked        bool     // cannot take orders now
 
 		SinceLastMove time.Duration // time since its last move
 	}
@@ -387,6 +388,11 @@
 	if s.Loading != "" {
 		freeMemory -= p.sizes.Of(s.Loading)
 	}
+	for _, m := range s.Late {
+		if m != s.Loading && !s.Holds(m, "") {
+			freeMemory -= p.sizes.Of(m)
+		}
+	}
 	return freeMemory - p.sizes.Adapters()
 }
 
--- a/internal/placer/order.go
+++ b/internal/placer/order.go
@@ -42,7 +42,7 @@
 		e.blockedUntil = now.Add(engineBackoff)
 		return
 	case v == platform.Accepted:
-		e.unanswered = nil
+		e.unanswered, e.accepted = nil, true
 		if !m.Load {
 			p.unloadStarted(e, m)
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -132,6 +132,8 @@
 		changedAt      time.Time
 		blockedUntil   time.Time
 		unanswered     *residency.Move        // move whose order got no reply
+		accepted       bool                   // the engine has accepted the order of the last move
+		late           map[string]unackedLoad // models that the engine may still load by orders from before the record was renewed
 		adapters       map[string]time.Time   // held or loading, with the time of the last use
 		orderedAt      map[string]time.Time   // time of the last load order, by adapter
 		unacked        map[string]unackedLoad // adapters whose load orders got no reply
@@ -173,6 +175,7 @@
 func (p *Placer) SetServers(list []fleet.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	previous := p.servers
 	p.servers = make(map[string]fleet.Server, len(list))
 	p.byModel = map[string][]string{}
@@ -181,7 +184,7 @@
 			p.byModel[h.Model] = append(p.byModel[h.Model], s.ID)
 		}
 		if e := p.engines[s.ID]; e != nil && previous[s.ID].StartedAtMS != s.StartedAtMS {
-			p.engines[s.ID] = e.renew()
+			p.engines[s.ID] = e.renew(now)
 		}
 		p.servers[s.ID] = s
 		if e := p.engines[s.ID]; e != nil {
@@ -189,13 +192,12 @@
 			e.reconcile(s)
 		}
 	}
-	now := time.Now()
 	for id, e := range p.engines {
 		if _, ok := p.servers[id]; ok {
 			continue
 		}
 		if _, ok := previous[id]; ok {
-			e = e.renew()
+			e = e.renew(now)
 			p.engines[id] = e
 		}
 		if e.hasNoUnacked(now) && e.callSem.TryAcquire(1) { // no call is under way
@@ -260,5 +262,5 @@
 // newEngine returns the record of an engine of which nothing is known yet.
 func newEngine() *engine {
 	return &engine{callSem: semaphore.NewWeighted(1), sequence: -1,
-		adapters: map[string]time.Time{}, orderedAt: map[string]time.Time{}, unacked: map[string]unackedLoad{}}
+		adapters: map[string]time.Time{}, orderedAt: map[string]time.Time{}, unacked: map[string]unackedLoad{}, late: map[string]unackedLoad{}}
 }
--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -183,7 +183,7 @@
 				resend = append(resend, *e.unanswered)
 			}
 			t.reads[f.ID] = e.reads
-			t.in.Servers = append(t.in.Servers, residency.Server{Server: f, Loading: e.loading, Unloading: e.unloading, ReservedFor: e.reservedFor, ReservedReason: e.reservedReason, Evicted: e.evicted,
+			t.in.Servers = append(t.in.Servers, residency.Server{Server: f, Loading: e.loading, Unloading: e.unloading, ReservedFor: e.reservedFor, ReservedReason: e.reservedReason, Evicted: e.evicted, Late: e.lateModels(now),
 				Blocked: now.Before(e.blockedUntil) || e.needsReport(), SinceLastMove: now.Sub(later(e.changedAt, p.termStart))})
 		}
 		t.in.Starved = p.updateStarved(now, name, t.in)
@@ -259,7 +259,7 @@
 // recordMove enters a move into the engine's record; p.mu is held.
 func (p *Placer) recordMove(now time.Time, m residency.Move) {
 	e := p.engine(m.Server.ID)
-	e.changedAt = now
+	e.changedAt, e.accepted = now, false
 	if m.Load {
 		e.loading, e.reservedFor = m.Model, ""
 		if m.Store {
--- a/internal/placer/report.go
+++ b/internal/placer/report.go
@@ -180,5 +180,10 @@
 			current[key] = used
 		}
 	}
+	for model, l := range e.late {
+		if r.Sequence > l.sequence || now.After(l.expires) {
+			delete(e.late, model) // the report shows whether it was loaded
+		}
+	}
 	e.adapters = current
 }
