--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,6 +39,8 @@
 	seeds := fs.Uint64("seeds", 1, "how many seeds")
 	duration := fs.Duration("duration", 15*time.Second, "how long faults come, for each seed")
 	nodes := fs.Int("nodes", 4, "processes of the system")
+	models := fs.Int("models", 0, "declared models, 0 for the usual number; if it is set, engines start with different models, so that few hold the same")
+	engines := fs.Int("engines", 0, "model engines, each with three places, 0 for the usual number")
 	restores := fs.Bool("restores", true, "the platform's store comes back from older copies, besides the other faults")
 	cuts := fs.Bool("cuts", true, "this program runs the nodes: they lose their path to the servers at times, and servers are silent or brittle, besides the other faults")
 	broken := fs.Bool("broken", true, "servers break off responses and send them without a length, besides the other faults")
@@ -65,7 +67,7 @@
 	}
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Restores: *restores, Broken: *broken, Versions: *versions, Crashes: *crashes,
+		failed = run(ctx, &soak.Run{Binary: *binary, Seed: s, Duration: *duration, Nodes: *nodes, Models: *models, Engines: *engines, Restores: *restores, Broken: *broken, Versions: *versions, Crashes: *crashes,
 			Shares: *shares, Departures: *departures, Outages: *outages, Contended: *contended, Soak: own, Log: io.Discard}, *verbose) || failed
 	}
 	if failed {
--- a/internal/front/odd_rows_test.go
+++ b/internal/front/odd_rows_test.go
@@ -3,7 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +84,40 @@
 	f.nodes = others
 	check("next")
 }
+
+// TestOddReportsAreIgnored guards against nodes that end, or give no more orders, since an engine reports what can't be decoded.
+func TestOddReportsAreIgnored(t *testing.T) {
+	t.Parallel()
+	const sound = `{"stage":"both","models":[],"coming":[],"busy":false,"seq":0,"born":0,"queued":0,"running":0}`
+	deep := strings.Repeat("[", 20_000)
+	reports := []string{"", "null", "[]", deep, strings.Replace(sound, `"seq":0`, `"seq":1e400`, 1), strings.Replace(sound, `"seq":0`, `"seq":-5`, 1), strings.Replace(sound, `"models":[]`, `"models":`+deep, 1),
+		strings.Replace(sound, `"coming":[]`, `"coming":["/","@","m0/","\ud800"]`, 1), strings.Replace(sound, `"born":0`, `"born":"x"`, 1), strings.Replace(sound, `"running":0`, `"running":-9223372036854775808`, 1), sound[:40]}
+	f := &testCluster{t: t, store: standin.NewStore(t), lease: 3 * time.Second}
+	read := make([]atomic.Int64, len(reports))
+	for i, report := range reports {
+		odd := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if req.URL.Path != "/report" {
+				w.WriteHeader(http.StatusTeapot)
+				return
+			}
+			read[i].Add(1)
+			_, _ = io.WriteString(w, report)
+		}))
+		t.Cleanup(odd.Close)
+		f.store.Put(platform.TableServers, fmt.Sprint("i-odd", i), fmt.Appendf(nil, `{"service":"llm","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","models":[],"seq":1}`, odd.Listener.Addr()))
+	}
+	f.run(3, configuration)
+	f.waitForLeader()
+	for i := range read {
+		require.Eventually(t, func() bool { return read[i].Load() > 0 }, 10*time.Second, 5*time.Millisecond, "%q is read", reports[i][:min(len(reports[i]), 40)])
+	}
+	for i, p := range f.nodes {
+		require.Empty(t, p.done, "%s has ended", p.settings.Node)
+		n := 0
+		require.Eventually(t, func() bool {
+			n++
+			status, _ := p.get(t, "/plans/x", fmt.Sprint("p", i, "-", n), fmt.Sprint("m0/a", 1+i))
+			return status == 200
+		}, 5*time.Second, 5*time.Millisecond, "an adapter is loaded at the sound engine")
+	}
+}
--- a/internal/testbed/soak/load.go
+++ b/internal/testbed/soak/load.go
@@ -112,7 +112,7 @@
 
 // model returns a random model, with an adapter in one of three cases.
 func (r *Run) model(rng *rand.Rand) string {
-	m := fmt.Sprint("m", rng.IntN(models))
+	m := fmt.Sprint("m", rng.IntN(r.modelCount()))
 	if rng.IntN(3) == 0 {
 		m += fmt.Sprint("/a", 1+rng.IntN(adapters))
 	}
--- a/internal/testbed/soak/run.go
+++ b/internal/testbed/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,10 +18,10 @@
 )
 
 const (
-	models       = 4
+	models       = 4 // unless Run.Models is set
 	adapters     = 6
 	adapterSlots = 4 // adapters that fit on an engine
-	engines      = 3
+	engines      = 3 // unless Run.Engines is set
 	plainServers = 3
 	clients      = 6
 	modelMB      = 72000
@@ -49,6 +50,8 @@
 		Seed     uint64
 		Duration time.Duration
 		Nodes    int
+		Models   int  // 0 means the usual number, with which each engine starts with the same two; else engines start with different ones
+		Engines  int  // 0 means the usual number
 		Restores bool // the store comes back from older copies, besides the other faults
 		Versions bool // engines have several software versions and are replaced, and clients take streams up, besides the other faults
 		Broken   bool // servers break off responses and send them without a length, besides the other faults
@@ -78,6 +81,7 @@
 		software                     atomic.Int64         // version of the next engine
 		hot                          atomic.Pointer[node] // gets most requests, nil for none
 		deferrable, deferrableServed atomic.Int64         // requests on the deferrable route
+		started                      atomic.Int64         // engines
 
 		fragile  atomic.Value // service whose servers crash under their first requests, empty for none
 		faults   sync.WaitGroup
@@ -215,9 +219,10 @@
 	r.store = standin.NewStore(r)
 	r.software.Store(1)
 	r.writeConfig(1)
-	for i := range engines + plainServers {
+	n := cmp.Or(r.Engines, engines)
+	for i := range n + plainServers {
 		service := "plain"
-		if i < engines {
+		if i < n {
 			service = "llm"
 		}
 		if err := r.addWorker(service, fmt.Sprint("i-", i)); err != nil {
@@ -256,8 +261,12 @@
 		if r.Versions {
 			s.Pause, s.Software = versionPause, fmt.Sprint("v", r.software.Load())
 		}
+		first := 0
+		if r.Models > 0 {
+			first = 2 * int(r.started.Add(1)-1)
+		}
 		for m := range 2 {
-			s.Hold(fmt.Sprint("m", m))
+			s.Hold(fmt.Sprint("m", (first+m)%r.modelCount()))
 		}
 	}
 	for phase := 1; r.Crashes && phase <= int(r.Duration.Milliseconds())/minCrashPhaseMS+1; phase++ {
@@ -280,6 +289,9 @@
 	return nil
 }
 
+// modelCount returns the number of declared models.
+func (r *Run) modelCount() int { return cmp.Or(r.Models, models) }
+
 // writeEntry writes a server's table entry, with the proxy's address.
 func (r *Run) writeEntry(w *worker, leaving bool) {
 	r.put(platform.TableServers, w.ID, w.EntryAt(w.proxy.Address(), w.service, "z", leaving))
@@ -287,7 +299,7 @@
 
 // writeConfig writes a configuration with a route that only this version has.
 func (r *Run) writeConfig(version int) {
-	d := standin.Deployment{Host: host, Models: models, Adapters: adapters, AdapterSlots: adapterSlots, ModelMB: modelMB, EngineMB: engineMB,
+	d := standin.Deployment{Host: host, Models: r.modelCount(), Adapters: adapters, AdapterSlots: adapterSlots, ModelMB: modelMB, EngineMB: engineMB,
 		Teams: []standin.Team{{Name: unlimitedTeam, Keys: []string{key(unlimitedTeam, version), key(unlimitedTeam, version-1)}},
 			{Name: limitedTeam, Keys: []string{key(limitedTeam, version), key(limitedTeam, version-1)}, Rate: quotaRate, Burst: quotaBurst}}}
 	if r.Contended {
--- a/internal/testbed/soak/soak_test.go
+++ b/internal/testbed/soak/soak_test.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// TestFewHoldersHold runs the soak with more models than any engine holds, so that few engines hold the same one while they are replaced and streams
+// are taken up, and requires that no invariant is violated.
+func TestFewHoldersHold(t *testing.T) {
+	binary := buildProgram(t, "guavapaddle")
+	for _, seed := range []uint64{7601} {
+		r := &soak.Run{Binary: binary, Versions: true, Broken: true, Models: 14, Engines: 5, Seed: seed, Duration: 10 * time.Second, Nodes: 6, Dir: t.TempDir(), Log: io.Discard}
+		violations, err := r.Do(context.Background())
+		require.NoError(t, err, seed)
+		require.Empty(t, violations, seed)
+	}
+}
+
 // TestCrashesHold runs the soak with requests that crash servers and nodes that get most requests, and requires that no invariant
 // is violated.
 func TestCrashesHold(t *testing.T) {
