front: the search for a stream's version ends with its request, and asks few

The search for the version of a stream that is taken up could outlast the deadline of its request by up to 1.5 s, as it wasn't bound by it; it is now. After a start of all nodes each stream taken up would have each node read the rows of all others and ask eight of them, 15 times: other nodes are asked in fleets of up to 32 nodes only, where eight are a good part, by nodes that know the size of the fleet, and the delay between tries doubles from 0.1 s.

--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -25,12 +25,14 @@
 	// originWait bounds the time for which a client that takes a stream up waits until a node that can tell its version replies. A deputy
 	// acts half a second after its leader has ended.
 	originWait = 1500 * time.Millisecond
-	// originRetryInterval is the time between two tries to find such a node.
-	originRetryInterval = 100 * time.Millisecond
+	// originRetryDelay is the time between the first two tries to find such a node; it doubles after each.
+	originRetryDelay = 100 * time.Millisecond
 	// peerOriginTimeout bounds the wait for the replies of nodes that aren't coordinators. They may ask the leader and its deputy.
 	peerOriginTimeout = 400 * time.Millisecond
-	// maxOriginPeers bounds the nodes that are asked beside the leader and its deputy.
+	// maxOriginPeers bounds the nodes that are asked beside the leader and its deputy, and maxOriginFleet the fleets in which they are: in
+	// larger ones the one that knows is rarely among them, and all nodes ask when all have started again.
 	maxOriginPeers = 8
+	maxOriginFleet = 32
 	// maxReportedOrigins bounds the origins in one report or reply.
 	maxReportedOrigins = 256
 )
@@ -181,20 +183,20 @@
 func (n *Node) findOrigin(ctx context.Context, q hub.OriginQuery) hub.OriginReply {
 	ctx, cancel := lag.WithTimeout(ctx, originWait)
 	defer cancel()
-	for {
+	for delay := originRetryDelay; ; delay *= 2 {
 		reply, err := n.lookUpOrigin(ctx, q)
 		if err == nil {
 			return reply
 		}
-		if clock.Sleep(ctx, originRetryInterval); ctx.Err() != nil {
+		if clock.Sleep(ctx, delay); ctx.Err() != nil {
 			n.log.Info("origin-unread", zap.String("resumes", q.Stream), zap.Duration("age", n.follower.Age(time.Now())), zap.Error(err))
 			return reply
 		}
 	}
 }
 
-// lookUpOrigin asks the leader or its deputy which version began a stream, and other nodes if neither knows: the one that forwarded
-// its first event does. A node that reaches neither relies on its own list of servers only while that is fresh.
+// lookUpOrigin asks the leader or its deputy which version began a stream, and in a small fleet other nodes if neither knows: the one that
+// forwarded its first event does. A node that reaches neither relies on its own list of servers only while that is fresh.
 func (n *Node) lookUpOrigin(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
 	reply, err := n.FindOrigin(ctx, q)
 	if reply.Known || err == nil && q.Stream == "" {
@@ -205,6 +207,9 @@
 			return own, nil
 		}
 	}
+	if nodes := n.nodeCount.Load(); nodes == 0 || nodes > maxOriginFleet {
+		return reply, err
+	}
 	q.PassedOn = err == nil
 	if other, otherErr := n.queryPeers(ctx, q); otherErr == nil {
 		return other, nil
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -27,7 +28,9 @@
 		return ""
 	}
 	began := time.Now()
-	origin := r.g.FindOrigin(r.x.Context(), hub.OriginQuery{Service: r.service, Stream: r.meta.Resumes})
+	ctx, cancel := context.WithDeadline(r.x.Context(), r.deadline)
+	defer cancel()
+	origin := r.g.FindOrigin(ctx, hub.OriginQuery{Service: r.service, Stream: r.meta.Resumes})
 	r.g.mu.Lock()
 	servers, holders := r.g.picker.SoftwareServers(time.Now(), origin.Service, origin.Version, r.meta.Model)
 	r.g.mu.Unlock()
