--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -91,18 +91,18 @@
 	}()
 }
 
-// TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn guards against streams that are refused since the only engine that held their model has
-// crashed, while other engines of their software version have room for it.
-func TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn(t *testing.T) {
-	t.Parallel()
-	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, enginesWithRoom[0], enginesWithRoom[1])
+// crashUnderStreams begins streams of v1 at all nodes, ends the first engine, which is the only one of v1 that holds their model, and requires that
+// they go on at other nodes, each within one request.
+func (f *softwareCluster) crashUnderStreams(model string) {
+	t := f.t
+	t.Helper()
 	for i, n := range f.nodes {
-		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: "m3"})
+		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: model})
 	}
 	f.workers[0].Crash()
 	for i := range f.nodes {
-		n, id := f.nodes[(i+1)%3], fmt.Sprint("next", i)
-		status, server, events := n.stream(t, takeUp{id: id, path: "/plans/x", model: "m3", resumes: fmt.Sprint("begin", i), afterEvent: "1"})
+		n, id := f.nodes[(i+1)%len(f.nodes)], fmt.Sprint("next", i)
+		status, server, events := n.stream(t, takeUp{id: id, path: "/plans/x", model: model, resumes: fmt.Sprint("begin", i), afterEvent: "1"})
 		require.Equal(t, 200, status, "%v", n.reasonsOf(id))
 		require.Equal(t, "v1", versionOf(server))
 		require.True(t, strings.HasPrefix(events, "id: 2\n"), events)
@@ -110,6 +110,14 @@
 	}
 }
 
+// TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn guards against streams that are refused since the only engine that held their model has
+// crashed, while other engines of their software version have room for it.
+func TestStreamTakenUpAfterCrashOfOnlyHolderGoesOn(t *testing.T) {
+	t.Parallel()
+	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m3"}}, enginesWithRoom[0], enginesWithRoom[1])
+	f.crashUnderStreams("m3")
+}
+
 // TestStreamGoesOnAfterCrashOfOnlyHolder guards against streams that are broken off since the only engine that held their model has
 // crashed, while other engines of their software version have room for it.
 func TestStreamGoesOnAfterCrashOfOnlyHolder(t *testing.T) {
@@ -136,17 +144,7 @@
 	t.Parallel()
 	f := newPlacesCluster(t, 3, 4, placedEngine{version: "v1", models: []string{"m0"}}, placedEngine{version: "v1", models: []string{"m1", "m2", "m3"}},
 		placedEngine{version: "v2", models: []string{"m0", "m1", "m2"}}, placedEngine{version: "v2", models: []string{"m0", "m3"}})
-	for i, n := range f.nodes {
-		f.begin(n, "v1", takeUp{id: fmt.Sprint("begin", i), path: "/plans/x", model: "m0"})
-	}
-	f.workers[0].Crash()
-	for i := range f.nodes {
-		n, id := f.nodes[(i+1)%3], fmt.Sprint("next", i)
-		status, server, events := n.stream(t, takeUp{id: id, path: "/plans/x", model: "m0", resumes: fmt.Sprint("begin", i), afterEvent: "1"})
-		require.Equal(t, 200, status, "%v", n.reasonsOf(id))
-		require.Equal(t, "v1", versionOf(server))
-		require.Equal(t, streamLength-1, strings.Count(events, "data:"))
-	}
+	f.crashUnderStreams("m0")
 }
 
 // TestStreamWithoutPlaceAtItsSoftwareVersionIsRefusedAtOnce guards against streams that wait for a model while each place at their software
