--- a/internal/front/software_test.go
+++ b/internal/front/software_test.go
@@ -256,20 +256,32 @@
 // restartAll stops all nodes and starts them again.
 func (f *softwareCluster) restartAll() {
 	f.t.Helper()
-	for _, p := range f.nodes {
+	f.stopNodes(f.nodes)
+	f.startAgain()
+	f.waitForLeader()
+}
+
+// stopNodes stops nodes at the same time and waits until they have ended.
+func (f *softwareCluster) stopNodes(list []*testNode) {
+	f.t.Helper()
+	for _, p := range list {
 		p.stop()
 	}
-	for _, p := range f.nodes {
+	for _, p := range list {
 		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
 		p.done <- nil // read again by the cleanup
 	}
+}
+
+// startAgain starts all nodes again, which have ended, and waits until they are ready.
+func (f *softwareCluster) startAgain() {
+	f.t.Helper()
 	for _, p := range f.nodes {
 		f.restart(p)
 	}
 	for _, p := range f.nodes {
 		require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
 	}
-	f.waitForLeader()
 }
 
 // TestSoftwareVersionsOutlastRestartOfAllNodes guards against a stream that goes on at another version since all nodes have
@@ -333,20 +345,9 @@
 func (f *softwareCluster) killAll() {
 	f.t.Helper()
 	f.store.Outage(true)
-	for _, p := range f.nodes {
-		p.stop()
-	}
-	for _, p := range f.nodes {
-		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
-		p.done <- nil // read again by the cleanup
-	}
+	f.stopNodes(f.nodes)
 	f.store.Outage(false)
-	for _, p := range f.nodes {
-		f.restart(p)
-	}
-	for _, p := range f.nodes {
-		require.Eventually(f.t, p.ready, 5*time.Second, 5*time.Millisecond)
-	}
+	f.startAgain()
 }
 
 // TestStreamsOfTwoSoftwareVersionsAreNotJoinedAfterKillOfAllNodes guards against a stream that goes on at another version since all nodes
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -174,13 +174,7 @@
 		}
 		return len(ended) == 2
 	}, 5*time.Second, 5*time.Millisecond, "a leader and its deputy")
-	for _, p := range ended {
-		p.stop()
-	}
-	for _, p := range ended {
-		require.NoError(f.t, await.Value(f.t, p.done, "the node's end"))
-		p.done <- nil // read again by the cleanup
-	}
+	f.stopNodes(ended)
 	return slices.DeleteFunc(slices.Clone(f.nodes), func(p *testNode) bool { return slices.Contains(ended, p) })
 }
 
