--- /dev/null
+++ b/review/standin2/worker.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// run is a request that a worker began to work on.
+type run struct {
+	id, worker string
+	at         time.Time
+}
+
+// worker is a stand-in for a backend server. A service with models has adapters, which it loads by order.
+type worker struct {
+	w             *world
+	id, service   string
+	zone, address string
+	slots         int
+	model         string        // resident model, empty for a plain service
+	adapterSlots  int           // of an engine
+	adapterLoad   time.Duration // time that an adapter takes to load
+	events        int           // of a stream; zero for a plain answer
+	gap           time.Duration // between events
+	work          time.Duration // of a plain answer
+
+	// answer, if not nil, handles a request in place of the usual answer and reports whether it did.
+	answer func(c *workerConn, q *http.Request, body []byte) bool
+	// answered, if not nil, is called after each answer with its bytes.
+	answered func(c *workerConn, q *http.Request, b []byte)
+	// before, if not nil, is called when a request has been read.
+	before func(c *workerConn, q *http.Request)
+
+	mu       sync.Mutex
+	adapters map[string]bool // held; false while it is loading
+	seq      int64           // accepted orders
+	fence    int64
+	beats    int64
+	runs     []run
+}
+
+// workerConn is a connection to a worker.
+type workerConn struct {
+	net.Conn
+	worker *worker
+	late   []byte // bytes that are sent when the next request has been read
+}
+
+func (k *worker) start() error {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	k.address = l.Addr().String()
+	if k.adapters == nil {
+		k.adapters = map[string]bool{}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go k.serve(&workerConn{Conn: c, worker: k})
+		}
+	}()
+	k.beat()
+	go func() {
+		for range time.Tick(1200 * time.Millisecond) {
+			k.beat()
+		}
+	}()
+	return nil
+}
+
+// beat writes the worker's entry to the store.
+func (k *worker) beat() {
+	k.mu.Lock()
+	k.beats++
+	e := map[string]any{"service": k.service, "address": k.address, "zone": k.zone, "version": "v1", "slots": k.slots, "state": "ready", "cold-left-ms": 0, "seq": k.beats}
+	if k.model != "" {
+		e["stage"], e["models"] = "both", k.models()
+	}
+	k.mu.Unlock()
+	b, _ := json.Marshal(e)
+	k.w.store.put("servers", k.id, b)
+}
+
+// models returns the models field of reports and entries; k.mu is held.
+func (k *worker) models() []map[string]any {
+	held := []string{}
+	for _, a := range slices.Sorted(maps.Keys(k.adapters)) {
+		if k.adapters[a] {
+			held = append(held, a)
+		}
+	}
+	return []map[string]any{{"name": k.model, "version": 1, "adapters": held}}
+}
+
+func (k *worker) serve(c *workerConn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		if k.before != nil {
+			k.before(c, q)
+		}
+		if expect := q.Header.Get("X-Guavapaddle-Expect-Instance"); expect != "" && expect != k.id {
+			c.send(q, http.StatusMisdirectedRequest, nil, nil)
+			continue
+		}
+		switch q.URL.Path {
+		case "/report":
+			c.send(q, http.StatusOK, nil, k.report())
+		case "/order":
+			c.send(q, k.order(body), nil, []byte("{}"))
+		case "/healthz":
+			c.send(q, http.StatusOK, nil, nil)
+		default:
+			if k.answer != nil && k.answer(c, q, body) {
+				continue
+			}
+			k.respond(c, q)
+		}
+	}
+}
+
+// respond runs a request and answers it, or rejects it.
+func (k *worker) respond(c *workerConn, q *http.Request) {
+	id := q.Header.Get("X-Guavapaddle-Request-Id")
+	if k.model != "" {
+		if _, adapter, ok := cut(q.Header.Get("X-Guavapaddle-Model")); ok && !k.holds(adapter) {
+			k.w.note("%s  421  request %s: adapter %s isn't present", k.id, id, adapter)
+			c.send(q, http.StatusMisdirectedRequest, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
+			return
+		}
+	}
+	k.w.note("%s  runs  request %s", k.id, id)
+	k.mu.Lock()
+	k.runs = append(k.runs, run{id: id, worker: k.id, at: time.Now()})
+	k.mu.Unlock()
+	if k.events == 0 {
+		time.Sleep(k.work)
+		c.send(q, http.StatusOK, k.stamp(id), []byte("answer to "+id))
+		return
+	}
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Guavapaddle-Request-Id: " + id + "\r\n")
+	for n, v := range k.stamp(id) {
+		b.WriteString(n + ": " + v + "\r\n")
+	}
+	b.WriteString("\r\n")
+	for i := 1; i <= k.events; i++ {
+		time.Sleep(k.gap)
+		e := fmt.Sprintf("id: %d\ndata: %s by %s, %d of %d\n\n", i, id, k.id, i, k.events)
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
+		if _, err := c.Write(b.Bytes()); err != nil {
+			k.w.note("%s  ends  request %s at event %d, since its connection is closed", k.id, id, i)
+			return
+		}
+		b.Reset()
+	}
+	_, _ = c.Write([]byte("0\r\n\r\n"))
+	k.w.note("%s  ends  request %s", k.id, id)
+}
+
+func (k *worker) stamp(id string) map[string]string {
+	return map[string]string{"X-Guavapaddle-Server-Stamp": k.id + "." + id, "X-Guavapaddle-Weight-Versions": "1"}
+}
+
+// holds reports whether the worker holds an adapter.
+func (k *worker) holds(adapter string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.adapters[adapter]
+}
+
+func (k *worker) report() []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	coming := []string{}
+	for a, held := range k.adapters {
+		if !held {
+			coming = append(coming, k.model+"/"+a+"@1")
+		}
+	}
+	b, _ := json.Marshal(map[string]any{"stage": "both", "models": k.models(), "busy": false, "seq": k.seq, "queued": 0, "running": 0,
+		"kv-used": 0, "kv-total": 140514, "handles": 0, "coming": coming})
+	return b
+}
+
+// order carries out an order for an adapter, and returns the status of the answer.
+func (k *worker) order(body []byte) int {
+	var o struct {
+		Operation string `json:"operation"`
+		Model     string `json:"model"`
+		Adapter   string `json:"adapter"`
+		Expected  *int64 `json:"expected"`
+		Holder    string `json:"holder"`
+		Fence     int64  `json:"fencing-token"`
+	}
+	if json.Unmarshal(body, &o) != nil || o.Holder == "" {
+		return http.StatusBadRequest
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	status := http.StatusAccepted
+	_, known := k.adapters[o.Adapter]
+	switch {
+	case o.Fence < k.fence:
+		status = http.StatusPreconditionFailed
+	case o.Adapter == "" || o.Model != k.model:
+		status = http.StatusBadRequest // a case of this folder needs no orders for models
+	case o.Expected != nil && *o.Expected != k.seq:
+		status = http.StatusConflict
+	case o.Operation == "model_load" && known:
+		status = http.StatusOK
+	case o.Operation == "model_load":
+		k.seq++
+		k.adapters[o.Adapter] = false
+		time.AfterFunc(k.adapterLoad, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.adapters[o.Adapter] = true
+			k.w.note("%s  adapter %s is present", k.id, o.Adapter)
+		})
+	case !known:
+		status = http.StatusOK
+	default:
+		k.seq++
+		delete(k.adapters, o.Adapter)
+		status = http.StatusOK
+	}
+	k.fence = max(k.fence, o.Fence)
+	k.w.note("%s  order %s %s/%s by %s: %d", k.id, o.Operation, o.Model, o.Adapter, o.Holder, status)
+	return status
+}
+
+// send sends an answer with a length.
+func (c *workerConn) send(q *http.Request, status int, header map[string]string, body []byte) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\nX-Guavapaddle-Instance-Id: %s\r\n", status, http.StatusText(status), len(body), c.worker.id)
+	if id := q.Header.Get("X-Guavapaddle-Request-Id"); id != "" {
+		b.WriteString("X-Guavapaddle-Request-Id: " + id + "\r\n")
+	}
+	for n, v := range header {
+		b.WriteString(n + ": " + v + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(body)
+	_, _ = c.Write(b.Bytes())
+	if c.worker.answered != nil {
+		c.worker.answered(c, q, b.Bytes())
+	}
+}
+
+// cut splits MODEL/ADAPTER.
+func cut(s string) (model, adapter string, ok bool) {
+	for i := range s {
+		if s[i] == '/' {
+			return s[:i], s[i+1:], true
+		}
+	}
+	return s, "", false
+}
