--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -15,7 +15,8 @@
 
 // cases are the cases by name. Each returns the broken rule's finding, empty if the rule held.
 var cases = map[string]func(w *world, trouble bool) (string, error){
-	"late-copy": lateCopy,
+	"late-copy":   lateCopy,
+	"late-report": lateReport,
 }
 
 func main() {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -30,6 +30,7 @@
 	adapterSlots  int           // of an engine
 	adapterLoad   time.Duration // time that an adapter takes to load
 	events        int           // of a stream; zero for a plain answer
+	plainEvents   int           // of a stream without an adapter, if above zero
 	gap           time.Duration // between events
 	work          time.Duration // of a plain answer
 
@@ -42,6 +43,9 @@
 
 	mu       sync.Mutex
 	adapters map[string]bool // held; false while it is loading
+	users    map[string]int  // runs that use an adapter
+	leaving  map[string]bool // adapters that go once no run uses them
+	overfull string          // the first order that would load more adapters than there are slots
 	seq      int64           // accepted orders
 	fence    int64
 	beats    int64
@@ -64,6 +68,7 @@
 	if k.adapters == nil {
 		k.adapters = map[string]bool{}
 	}
+	k.users, k.leaving = map[string]int{}, map[string]bool{}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -149,6 +154,12 @@
 			k.w.note("%s  421  request %s: adapter %s isn't present", k.id, id, adapter)
 			c.send(q, http.StatusMisdirectedRequest, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
 			return
+		} else if ok && !k.use(adapter) {
+			k.w.note("%s  503  request %s: adapter %s is leaving", k.id, id, adapter)
+			c.send(q, http.StatusServiceUnavailable, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
+			return
+		} else if ok {
+			defer k.unuse(adapter)
 		}
 	}
 	k.w.note("%s  runs  request %s", k.id, id)
@@ -166,9 +177,13 @@
 		b.WriteString(n + ": " + v + "\r\n")
 	}
 	b.WriteString("\r\n")
-	for i := 1; i <= k.events; i++ {
+	events := k.events
+	if _, _, ok := cut(q.Header.Get("X-Guavapaddle-Model")); !ok && k.plainEvents > 0 {
+		events = k.plainEvents
+	}
+	for i := 1; i <= events; i++ {
 		time.Sleep(k.gap)
-		e := fmt.Sprintf("id: %d\ndata: %s by %s, %d of %d\n\n", i, id, k.id, i, k.events)
+		e := fmt.Sprintf("id: %d\ndata: %s by %s, %d of %d\n\n", i, id, k.id, i, events)
 		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e), e)
 		if _, err := c.Write(b.Bytes()); err != nil {
 			k.w.note("%s  ends  request %s at event %d, since its connection is closed", k.id, id, i)
@@ -184,6 +199,28 @@
 	return map[string]string{"X-Guavapaddle-Server-Stamp": k.id + "." + id, "X-Guavapaddle-Weight-Versions": "1"}
 }
 
+// use counts a run that uses an adapter, and reports whether it may.
+func (k *worker) use(adapter string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving[adapter] {
+		return false
+	}
+	k.users[adapter]++
+	return true
+}
+
+// unuse ends a run that uses an adapter, which goes if it is leaving.
+func (k *worker) unuse(adapter string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.users[adapter]--; k.users[adapter] == 0 && k.leaving[adapter] {
+		delete(k.adapters, adapter)
+		delete(k.leaving, adapter)
+		k.w.note("%s  adapter %s is gone", k.id, adapter)
+	}
+}
+
 // holds reports whether the worker holds an adapter.
 func (k *worker) holds(adapter string) bool {
 	k.mu.Lock()
@@ -232,6 +269,10 @@
 	case o.Operation == "model_load" && known:
 		status = http.StatusOK
 	case o.Operation == "model_load":
+		if len(k.adapters) >= k.adapterSlots && k.overfull == "" {
+			k.overfull = fmt.Sprintf("%s is ordered by %s to load adapter %s beside %v, for %d slots", k.id, o.Holder, o.Adapter, slices.Sorted(maps.Keys(k.adapters)), k.adapterSlots)
+			k.w.note("%s", k.overfull)
+		}
 		k.seq++
 		k.adapters[o.Adapter] = false
 		time.AfterFunc(k.adapterLoad, func() {
@@ -242,6 +283,11 @@
 		})
 	case !known:
 		status = http.StatusOK
+	case k.leaving[o.Adapter]:
+		status = http.StatusConflict // that order is under way
+	case k.users[o.Adapter] > 0:
+		k.seq++
+		k.leaving[o.Adapter] = true
 	default:
 		k.seq++
 		delete(k.adapters, o.Adapter)
