--- a/review/standin2/latecopy.go
+++ b/review/standin2/latecopy.go
@@ -152,6 +152,9 @@
 		}
 		if r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests {
 			w.note("REFUSED: request %s ran at %s, and its client got status %d", id, list[0], r.status)
+			if found == "" {
+				found = fmt.Sprintf("REFUSED: request %s ran at %s, and its client got status %d", id, list[0], r.status)
+			}
 		}
 	}
 	return found
