--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -34,6 +34,9 @@
 	gap           time.Duration // between events
 	work          time.Duration // of a plain answer
 
+	modelLoad time.Duration                     // time that the model takes to load after a restart
+	takeOrder func(k *worker, body []byte) bool // is called with each order, if not nil, and reports whether it gets no answer now
+
 	// answer, if not nil, handles a request in place of the usual answer and reports whether it did.
 	answer func(c *workerConn, q *http.Request, body []byte) bool
 	// answered, if not nil, is called after each answer with its bytes.
@@ -45,8 +48,13 @@
 	adapters map[string]bool // held; false while it is loading
 	users    map[string]int  // runs that use an adapter
 	leaving  map[string]bool // adapters that go once no run uses them
-	overfull string          // the first order that would load more adapters than there are slots
-	seq      int64           // accepted orders
+	born     int64           // start of the process in Unix ms, 0 if it isn't stated
+	down     bool            // crashed
+	absent   bool            // the model isn't present
+	busy     bool            // the model is being loaded
+	conns    map[*workerConn]bool
+	overfull string // the first order that would load more adapters than there are slots
+	seq      int64  // accepted orders
 	fence    int64
 	beats    int64
 	runs     []run
@@ -68,6 +76,7 @@
 	if k.adapters == nil {
 		k.adapters = map[string]bool{}
 	}
+	k.conns = map[*workerConn]bool{}
 	k.users, k.leaving = map[string]int{}, map[string]bool{}
 	go func() {
 		for {
@@ -75,7 +84,16 @@
 			if err != nil {
 				return
 			}
-			go k.serve(&workerConn{Conn: c, worker: k})
+			wc := &workerConn{Conn: c, worker: k}
+			k.mu.Lock()
+			down := k.down
+			k.conns[wc] = true
+			k.mu.Unlock()
+			if down {
+				wc.reset()
+				continue
+			}
+			go k.serve(wc)
 		}
 	}()
 	k.beat()
@@ -90,10 +108,18 @@
 // beat writes the worker's entry to the store.
 func (k *worker) beat() {
 	k.mu.Lock()
+	if k.down {
+		k.mu.Unlock()
+		return
+	}
 	k.beats++
 	e := map[string]any{"service": k.service, "address": k.address, "zone": k.zone, "version": "v1", "slots": k.slots, "state": "ready", "cold-left-ms": 0, "seq": k.beats}
 	if k.model != "" {
 		e["stage"], e["models"] = "both", k.models()
+		e["at-hand"] = map[string]any{"in-memory": []string{}, "on-disk": []string{k.model}}
+	}
+	if k.born != 0 {
+		e["born"] = k.born
 	}
 	k.mu.Unlock()
 	b, _ := json.Marshal(e)
@@ -102,6 +128,9 @@
 
 // models returns the models field of reports and entries; k.mu is held.
 func (k *worker) models() []map[string]any {
+	if k.absent {
+		return []map[string]any{}
+	}
 	held := []string{}
 	for _, a := range slices.Sorted(maps.Keys(k.adapters)) {
 		if k.adapters[a] {
@@ -134,6 +163,10 @@
 		case "/report":
 			c.send(q, http.StatusOK, nil, k.report())
 		case "/order":
+			if k.takeOrder != nil && k.takeOrder(k, body) {
+				_, _ = io.Copy(io.Discard, c) // until the caller gives up
+				return
+			}
 			c.send(q, k.order(body), nil, []byte("{}"))
 		case "/healthz":
 			c.send(q, http.StatusOK, nil, nil)
@@ -149,6 +182,14 @@
 // respond runs a request and answers it, or rejects it.
 func (k *worker) respond(c *workerConn, q *http.Request) {
 	id := q.Header.Get("X-Guavapaddle-Request-Id")
+	k.mu.Lock()
+	absent := k.absent
+	k.mu.Unlock()
+	if absent {
+		k.w.note("%s  421  request %s: the model isn't present", k.id, id)
+		c.send(q, http.StatusMisdirectedRequest, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
+		return
+	}
 	if k.model != "" {
 		if _, adapter, ok := cut(q.Header.Get("X-Guavapaddle-Model")); ok && !k.holds(adapter) {
 			k.w.note("%s  421  request %s: adapter %s isn't present", k.id, id, adapter)
@@ -214,7 +255,7 @@
 func (k *worker) unuse(adapter string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.users[adapter]--; k.users[adapter] == 0 && k.leaving[adapter] {
+	if k.users[adapter]--; k.users[adapter] <= 0 && k.leaving[adapter] {
 		delete(k.adapters, adapter)
 		delete(k.leaving, adapter)
 		k.w.note("%s  adapter %s is gone", k.id, adapter)
@@ -237,7 +278,7 @@
 			coming = append(coming, k.model+"/"+a+"@1")
 		}
 	}
-	b, _ := json.Marshal(map[string]any{"stage": "both", "models": k.models(), "busy": false, "seq": k.seq, "queued": 0, "running": 0,
+	b, _ := json.Marshal(map[string]any{"stage": "both", "models": k.models(), "busy": k.busy, "born": k.born, "seq": k.seq, "queued": 0, "running": 0,
 		"kv-used": 0, "kv-total": 140514, "handles": 0, "coming": coming})
 	return b
 }
@@ -262,8 +303,18 @@
 	switch {
 	case o.Fence < k.fence:
 		status = http.StatusPreconditionFailed
-	case o.Adapter == "" || o.Model != k.model:
-		status = http.StatusBadRequest // a case of this folder needs no orders for models
+	case o.Expected != nil && *o.Expected == k.seq && o.Operation == "model_load" && o.Adapter == "" && o.Model == k.model && k.absent && !k.busy:
+		k.seq++
+		k.busy = true
+		time.AfterFunc(k.modelLoad, func() {
+			k.mu.Lock()
+			k.absent, k.busy = false, false
+			k.mu.Unlock()
+			k.w.note("%s  model %s is present", k.id, k.model)
+			k.beat()
+		})
+	case o.Adapter == "" || o.Model != k.model || k.absent:
+		status = http.StatusBadRequest // the cases of this folder need no other orders for models
 	case o.Expected != nil && *o.Expected != k.seq:
 		status = http.StatusConflict
 	case o.Operation == "model_load" && known:
@@ -278,6 +329,9 @@
 		time.AfterFunc(k.adapterLoad, func() {
 			k.mu.Lock()
 			defer k.mu.Unlock()
+			if _, ok := k.adapters[o.Adapter]; !ok {
+				return // the worker has started again since
+			}
 			k.adapters[o.Adapter] = true
 			k.w.note("%s  adapter %s is present", k.id, o.Adapter)
 		})
@@ -316,6 +370,35 @@
 	}
 }
 
+// reset closes the connection as the end of a process does.
+func (c *workerConn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// crash ends the worker for a time. It starts again under its id and knows nothing of before; its disk is preserved.
+func (k *worker) crash(duration time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.w.note("%s  crashes", k.id)
+	k.down = true
+	for c := range k.conns {
+		c.reset()
+	}
+	k.conns = map[*workerConn]bool{}
+	time.AfterFunc(duration, func() {
+		k.mu.Lock()
+		k.adapters, k.users, k.leaving = map[string]bool{}, map[string]int{}, map[string]bool{}
+		k.seq, k.fence, k.beats, k.absent, k.busy, k.down = 0, 0, 0, true, false, false
+		k.born = time.Now().UnixMilli()
+		k.mu.Unlock()
+		k.w.note("%s  has started again, born %d", k.id, k.born)
+		k.beat()
+	})
+}
+
 // cut splits MODEL/ADAPTER.
 func cut(s string) (model, adapter string, ok bool) {
 	for i := range s {
