--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *world, trouble bool) (string, error){
 	"late-copy":   lateCopy,
 	"late-report": lateReport,
+	"late-model":  lateModel,
 	"late-order":  lateOrder,
 	"late-shed":   lateShed,
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -37,6 +37,10 @@
 	modelLoad time.Duration                     // time that the model takes to load after a restart
 	takeOrder func(k *worker, body []byte) bool // is called with each order, if not nil, and reports whether it gets no answer now
 
+	resident map[string]bool // models that are present, of a worker with room for several; nil for others
+	onDisk   []string
+	places   int
+
 	// answer, if not nil, handles a request in place of the usual answer and reports whether it did.
 	answer func(c *workerConn, q *http.Request, body []byte) bool
 	// answered, if not nil, is called after each answer with its bytes.
@@ -116,7 +120,7 @@
 	e := map[string]any{"service": k.service, "address": k.address, "zone": k.zone, "version": "v1", "slots": k.slots, "state": "ready", "cold-left-ms": 0, "seq": k.beats}
 	if k.model != "" {
 		e["stage"], e["models"] = "both", k.models()
-		e["at-hand"] = map[string]any{"in-memory": []string{}, "on-disk": []string{k.model}}
+		e["at-hand"] = map[string]any{"in-memory": []string{}, "on-disk": append([]string{k.model}, k.onDisk...)}
 	}
 	if k.born != 0 {
 		e["born"] = k.born
@@ -128,6 +132,19 @@
 
 // models returns the models field of reports and entries; k.mu is held.
 func (k *worker) models() []map[string]any {
+	if k.resident != nil {
+		out := []map[string]any{}
+		for _, m := range slices.Sorted(maps.Keys(k.resident)) {
+			held := []string{}
+			for _, a := range slices.Sorted(maps.Keys(k.adapters)) {
+				if mm, aa, _ := cut(a); mm == m && k.adapters[a] {
+					held = append(held, aa)
+				}
+			}
+			out = append(out, map[string]any{"name": m, "version": 1, "adapters": held})
+		}
+		return out
+	}
 	if k.absent {
 		return []map[string]any{}
 	}
@@ -184,13 +201,17 @@
 	id := q.Header.Get("X-Guavapaddle-Request-Id")
 	k.mu.Lock()
 	absent := k.absent
+	if k.resident != nil {
+		m, a, ok := cut(q.Header.Get("X-Guavapaddle-Model"))
+		absent = !k.resident[m] || ok && !k.adapters[m+"/"+a]
+	}
 	k.mu.Unlock()
 	if absent {
 		k.w.note("%s  421  request %s: the model isn't present", k.id, id)
 		c.send(q, http.StatusMisdirectedRequest, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
 		return
 	}
-	if k.model != "" {
+	if k.model != "" && k.resident == nil {
 		if _, adapter, ok := cut(q.Header.Get("X-Guavapaddle-Model")); ok && !k.holds(adapter) {
 			k.w.note("%s  421  request %s: adapter %s isn't present", k.id, id, adapter)
 			c.send(q, http.StatusMisdirectedRequest, map[string]string{"X-Guavapaddle-Not-Run": "1"}, nil)
@@ -298,6 +319,9 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.resident != nil {
+		return k.orderMulti(o.Operation, o.Model, o.Adapter, o.Holder, o.Expected, o.Fence)
+	}
 	status := http.StatusAccepted
 	_, known := k.adapters[o.Adapter]
 	switch {
@@ -391,6 +415,9 @@
 	time.AfterFunc(duration, func() {
 		k.mu.Lock()
 		k.adapters, k.users, k.leaving = map[string]bool{}, map[string]int{}, map[string]bool{}
+		if k.resident != nil {
+			k.resident = map[string]bool{}
+		}
 		k.seq, k.fence, k.beats, k.absent, k.busy, k.down = 0, 0, 0, true, false, false
 		k.born = time.Now().UnixMilli()
 		k.mu.Unlock()
@@ -408,3 +435,53 @@
 	}
 	return s, "", false
 }
+
+// orderMulti carries out an order of a worker with room for several models, and returns the status of the answer; k.mu is held.
+func (k *worker) orderMulti(op, model, adapter, holder string, expected *int64, fence int64) int {
+	status := http.StatusAccepted
+	key := model + "/" + adapter
+	_, knownA := k.adapters[key]
+	switch {
+	case fence < k.fence:
+		status = http.StatusPreconditionFailed
+	case expected != nil && *expected != k.seq || adapter == "" && k.busy:
+		status = http.StatusConflict
+	case adapter == "" && op == "model_load" && k.resident[model]:
+		status = http.StatusOK
+	case adapter == "" && op == "model_load":
+		if len(k.resident) >= k.places && k.overfull == "" {
+			k.overfull = fmt.Sprintf("%s is ordered by %s to load %s beside %v, for %d places", k.id, holder, model, slices.Sorted(maps.Keys(k.resident)), k.places)
+			k.w.note("%s", k.overfull)
+		}
+		k.seq++
+		k.busy = true
+		time.AfterFunc(k.modelLoad, func() {
+			k.mu.Lock()
+			k.busy = false
+			k.resident[model] = true
+			k.mu.Unlock()
+			k.w.note("%s  model %s is present", k.id, model)
+			k.beat()
+		})
+	case adapter == "" && op == "model_unload" && k.resident[model]:
+		k.seq++
+		delete(k.resident, model)
+		go k.beat()
+	case adapter == "":
+		status = http.StatusOK
+	case op == "model_load" && knownA:
+		status = http.StatusOK
+	case op == "model_load":
+		k.seq++
+		k.adapters[key] = true
+	case !knownA:
+		status = http.StatusOK
+	default:
+		k.seq++
+		delete(k.adapters, key)
+		status = http.StatusOK
+	}
+	k.fence = max(k.fence, fence)
+	k.w.note("%s  order %s %s by %s, expected %d, seq %d: %d", k.id, op, key, holder, *expected, k.seq, status)
+	return status
+}
