Reads report the failure of a connection that a concurrent write received

What callers saw: a server answered a long upload with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The part reached the client as a complete response, on routes of all kinds.

Cause: the kernel reports the failure of a connection once, to whichever call comes first. If that is the write of the request, the next read of the response returns the end of the stream, which ends a body that has neither a length nor chunks. The result of the write was only looked at for whether the connection can be reused.

Change: tcp.Conn remembers the failure that a write received and reports it to the reads. A read that finds the end of the stream on a connection that is closed in both directions waits for the write in progress, which the kernel ends at once. EPIPE is no failure of its own: the peer has ended its stream before, and a response that was complete stays so. http1.Dial and jsonhttp.Client open such connections, so that the gateway, the callee of a tunnel and all clients of JSON calls read through them. It takes the place of the connection that counted bytes.

TestConnectionOutlastsShortSilence asserts the connection to syscall.Conn, as Dial returns a *tcp.Conn; its checks are the same.

--- a/internal/testbed/cutpath/path.go
+++ b/internal/testbed/cutpath/path.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"guavapaddle/io/http1"
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -53,7 +54,7 @@
 
 	// conn is a connection over a Path.
 	conn struct {
-		*net.TCPConn
+		*tcp.Conn
 
 		path   *Path
 		closed chan struct{}
@@ -99,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{TCPConn: nc.(*net.TCPConn), path: p, closed: make(chan struct{})}
+	c := &conn{Conn: nc.(*tcp.Conn), path: p, closed: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
@@ -114,12 +115,12 @@
 	if c.path.Mode() == Hanging {
 		return len(b), nil
 	}
-	return c.TCPConn.Write(b)
+	return c.Conn.Write(b)
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	if c.path.Mode() != Hanging {
 		return n, err
 	}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 	"guavapaddle/core/relay"
 	"guavapaddle/internal/keys"
 	"guavapaddle/internal/testbed/await"
+	"guavapaddle/internal/testbed/rawhttp"
 	"guavapaddle/internal/tunnel"
 	"guavapaddle/io/http1"
 	"guavapaddle/io/peer"
@@ -193,6 +194,31 @@
 	require.Error(t, err)
 }
 
+// TestResetWhileCallerWritesIsNotTheEndOfTunneledConnection guards against the beginning of a response without a length that looks complete to the
+// caller of a tunnel, since the reset of the server's connection was reported to the write of the request.
+func TestResetWhileCallerWritesIsNotTheEndOfTunneledConnection(t *testing.T) {
+	const tries = 30 // the failure is reported either to the reader or to the writer
+	n := startNodes(t, 10, "cut", "open")
+	n[0].cut.Store(true)
+	address := serve(t, func(c *net.TCPConn) {
+		_ = c.SetReadBuffer(4 << 10)
+		_, _ = io.ReadFull(c, make([]byte, 1))
+		rawhttp.Reset(c, "part")
+	})
+	for try := range tries {
+		c := dial(t, n[0], address)
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = c.Write(make([]byte, rawhttp.LongBody))
+		}()
+		b, err := io.ReadAll(c)
+		require.Error(t, err, "try %d: %q", try, b)
+		_ = c.Close()
+		await.Value(t, written, "the end of the write")
+	}
+}
+
 // TestServerSeesThatCallerOfTunnelHasGone guards against servers that go on working for a client that has left.
 func TestServerSeesThatCallerOfTunnelHasGone(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"guavapaddle/internal/lag"
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -84,14 +85,16 @@
 	}
 )
 
-// Dial opens a TCP connection to a backend server.
+// Dial opens a TCP connection to a backend server, a *tcp.Conn.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: lag.Extend(dialTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1 + int(ackTimeout/keepAliveInterval)}, Control: setUserTimeout}
 	trip := lag.BeginRoundTrip(address)
 	c, err := d.DialContext(ctx, "tcp4", address)
-	trip.EndWith(err)
-	return c, err
+	if trip.EndWith(err); err != nil {
+		return nil, err
+	}
+	return &tcp.Conn{TCPConn: c.(*net.TCPConn)}, nil
 }
 
 // Through returns the name of the node that passes the connection's bytes on, empty if it is open from this
--- a/io/http1/silence_test.go
+++ b/io/http1/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	c, err := http1.Dial(context.Background(), l.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	require.NoError(t, err)
 	option := func(level, name int) int {
 		v := 0
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -182,7 +182,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: c.Traffic.Count(nc)}, nil
+			return &conn{Conn: &tcp.Conn{TCPConn: nc.(*net.TCPConn), Traffic: c.Traffic}}, nil
 		},
 		DisableCompression:     true,
 		DisableKeepAlives:      c.DisableReuse,
--- a/io/service/broken_test.go
+++ b/io/service/broken_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavapaddle/internal/testbed/rawhttp"
 	"guavapaddle/io/service"
 )
 
@@ -60,3 +61,21 @@
 		})
 	}
 }
+
+// TestResetWhileCallIsWrittenIsLost guards against the beginning of a response that is returned as a whole one, since the reset of its connection
+// was reported to the write of the request.
+func TestResetWhileCallIsWrittenIsLost(t *testing.T) {
+	t.Parallel()
+	const tries = 30 // the failure is reported either to the reader or to the writer
+	address := rawhttp.Start(t, func(c *net.TCPConn, _ *http.Request) {
+		rawhttp.Reset(c, "HTTP/1.1 200 OK\r\n"+service.RequestIDHeader+": a\r\n\r\npart")
+	})
+	for n := range tries {
+		call := confirm("a")
+		call.Body = make([]byte, rawhttp.LongBody)
+		c := &service.Client{Address: address}
+		resp, err := c.Do(t.Context(), call)
+		require.Equal(t, service.Lost, service.KindOf(err), "try %d: %q, %v", n, resp.Body, err)
+		c.Close()
+	}
+}
--- a/io/tcp/traffic.go
+++ b/io/tcp/traffic.go
@@ -5,17 +5,9 @@
 	"sync/atomic"
 )
 
-type (
-	// Traffic counts the bytes, including headers, that are written to and read from connections, without TCP and IP
-	// overhead. Several connections may share one Traffic. The zero value is ready to use.
-	Traffic struct{ sent, received atomic.Uint64 }
-
-	// countedConn is a connection whose bytes are counted.
-	countedConn struct {
-		*net.TCPConn
-		traffic *Traffic
-	}
-)
+// Traffic counts the bytes, including headers, that are written to and read from connections, without TCP and IP
+// overhead. Several connections may share one Traffic. The zero value is ready to use.
+type Traffic struct{ sent, received atomic.Uint64 }
 
 // Bytes returns the number of bytes sent and received since the start.
 func (t *Traffic) Bytes() (sent, received uint64) { return t.sent.Load(), t.received.Load() }
@@ -31,21 +23,7 @@
 // Count returns a connection that counts the bytes of c in t. It returns c if that is no TCP connection, or if t is nil.
 func (t *Traffic) Count(c net.Conn) net.Conn {
 	if tc, ok := c.(*net.TCPConn); ok && t != nil {
-		return &countedConn{TCPConn: tc, traffic: t}
+		return &Conn{TCPConn: tc, Traffic: t}
 	}
 	return c
 }
-
-// Write writes b.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.TCPConn.Write(b)
-	c.traffic.Add(n, 0)
-	return n, err
-}
-
-// Read reads into b.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	c.traffic.Add(0, n)
-	return n, err
-}
