A response whose status no response can have is malformed

What callers saw: a server in trouble sent a response with the status 000. Where nothing followed it, its client got a 502; where something did, 000 was skipped like an informational response, and what followed was forwarded as the response. 600 to 999, and a 101 for an upgrade that nobody had requested, were forwarded as they were, and so was HTTP/3.0 as a version.

Cause: http.ReadResponse takes any three characters that parse as a number for a status code, and http1.Conn skipped all below 200.

Change: responsehead.Scanner checks the bytes of a response's head as they are read from the connection, below the parser: of http.ReadResponse for clients' requests and of http.Transport for calls. A line that breaks a rule isn't handed on, so that a malformed head is never complete. Such a response may have run: a request that must not run again gets 502 and isn't repeated, another is tried elsewhere; the reason is `malformed` in logs and counters, which counts as a failure of the server and not as its crash. Heads that the parser rejects by itself have that reason too, where they were `cut`, a sign of a crash.

Evidence: TestMalformedResponseIsNotForwarded and TestMalformedHeadIsAnError failed before for each of 000, 099, 600 and +20, also before and behind informational responses, for the upgrade and for the version.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -72,6 +72,8 @@
 	ConnLost Reason = "cut"
 	// TooLong means that a server's response exceeded a bound, such as bytes without end that are no response.
 	TooLong Reason = "too-long"
+	// Malformed means that the head of a server's response was malformed, so that it isn't known what it answers.
+	Malformed Reason = "malformed"
 	// Full means that the server was at capacity and didn't run the request.
 	Full Reason = "full"
 	// Misdirected means that another incarnation of the server uses the address.
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -249,10 +249,10 @@
 	c.known = known
 }
 
-// mayBeCrash reports whether a connection may have broken because the server crashed: not if the server was silent, if this
+// mayBeCrash reports whether a connection may have broken because the server crashed: not if the server was silent, or sent bytes that are no response, if this
 // node closed the connection, or if its path to all servers may be lost.
 func (t *try) mayBeCrash(err error) bool {
-	if isTimeout(err) || errors.Is(err, net.ErrClosed) || isTooLong(err) {
+	if isTimeout(err) || errors.Is(err, net.ErrClosed) || isTooLong(err) || isMalformed(err) {
 		return false
 	}
 	return t.through != "" || t.g.PathSuspect == nil || !t.g.PathSuspect()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -17,6 +17,7 @@
 	"guavapaddle/core/sse"
 	"guavapaddle/core/throttle"
 	"guavapaddle/io/http1"
+	"guavapaddle/io/responsehead"
 	"guavapaddle/platform"
 )
 
@@ -305,8 +306,11 @@
 	t.connBroke = true
 	t.g.Pool.Drop(t.selection.Server.Address)
 	t.recordBreak(err)
-	if isTooLong(err) {
+	switch {
+	case isTooLong(err):
 		return balance.ConnFailed, unknown, TooLong
+	case isMalformed(err):
+		return balance.ConnFailed, unknown, Malformed
 	}
 	return balance.ConnFailed, unknown, ConnLost
 }
@@ -317,6 +321,12 @@
 	return errors.Is(err, http1.ErrHeadTooLong) || errors.Is(err, http1.ErrBodyTooLong) || errors.As(err, &event)
 }
 
+// isMalformed reports whether the head of a response was malformed.
+func isMalformed(err error) bool {
+	var malformed *responsehead.MalformedError
+	return errors.As(err, &malformed)
+}
+
 // classifyResponse classifies a response by its header, and forwards it if it is final.
 func (t *try) classifyResponse() (balance.Result, sendState, Reason) {
 	status := t.resp.StatusCode
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"guavapaddle/internal/lag"
+	"guavapaddle/io/responsehead"
 	"guavapaddle/io/tcp"
 )
 
@@ -75,7 +76,7 @@
 		address     string
 		nc          net.Conn
 		br          *bufio.Reader
-		head        *headLimiter  // below br
+		head        *headReader   // below br
 		idleSince   time.Time     // end of the last response
 		idleLimit   time.Duration // maximum idle time
 		entry       *list.Element // in the pool's list of idle connections, nil while it carries a request
@@ -144,19 +145,24 @@
 	return true, nil
 }
 
-// Receive reads the head of the response. Informational responses are skipped. The error is ErrHeadTooLong if there is no end of the head.
+// Receive reads the head of the response. Informational responses are skipped. The error is ErrHeadTooLong if there is no end of the head, and a
+// *responsehead.MalformedError if it is malformed.
 func (c *Conn) Receive() (*http.Response, error) {
-	c.head.limit(maxResponseHead)
-	defer c.head.lift()
+	first, _ := c.br.Peek(c.br.Buffered()) // can't fail
+	if err := c.head.begin(maxResponseHead, first); err != nil {
+		return nil, err
+	}
+	defer c.head.end()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: c.method})
-		if c.head.exceeded {
+		switch {
+		case c.head.exceeded:
 			return nil, ErrHeadTooLong
-		}
-		if err != nil {
+		case err != nil && c.head.scanner.Done():
+			return nil, &responsehead.MalformedError{Reason: err.Error()}
+		case err != nil:
 			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -6,18 +6,22 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"guavapaddle/io/responsehead"
 )
 
 // errNoRoom means that there is no room for a body beside the others.
 var errNoRoom = errors.New("http1: no room for a body")
 
 type (
-	// headLimiter is a reader that ends while a response head is read that is too long. http.ReadResponse has no limit of its own.
-	headLimiter struct {
+	// headReader is a reader that ends while a response head is read that is too long or malformed. http.ReadResponse has no limit of its
+	// own, and accepts some malformed heads.
+	headReader struct {
 		r        io.Reader
-		limited  bool
-		left     int // bytes, while limited
+		reading  bool // a head is being read
+		left     int  // bytes, while a head is being read
 		exceeded bool
+		scanner  responsehead.Scanner
 	}
 
 	// Buffers bounds the memory of response bodies that are buffered at the same time. The zero value has no room for bodies that are longer
@@ -30,15 +34,19 @@
 	}
 )
 
-// limit ends the reader after n bytes.
-func (h *headLimiter) limit(n int) { h.limited, h.left, h.exceeded = true, n, false }
+// begin ends the reader after n bytes, or where the next head is malformed, whose first bytes have been read already. The error is one of these.
+func (h *headReader) begin(n int, first []byte) error {
+	h.reading, h.left, h.exceeded = true, n, false
+	h.scanner.Reset()
+	return h.scanner.Scan(first)
+}
 
-// lift removes the limit.
-func (h *headLimiter) lift() { h.limited = false }
+// end lets the body pass.
+func (h *headReader) end() { h.reading = false }
 
 // Read implements io.Reader.
-func (h *headLimiter) Read(p []byte) (int, error) {
-	if !h.limited {
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.reading {
 		return h.r.Read(p)
 	}
 	if h.left <= 0 {
@@ -47,6 +55,9 @@
 	}
 	n, err := h.r.Read(p[:min(len(p), h.left)])
 	h.left -= n
+	if malformed := h.scanner.Scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
 
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -97,7 +97,7 @@
 	p.mu.Lock()
 	p.endpoint(address).open++
 	p.mu.Unlock()
-	head := &headLimiter{r: nc}
+	head := &headReader{r: nc}
 	return &Conn{Opening: opening, Idle: idle, pool: p, address: address, nc: nc, head: head, br: bufio.NewReaderSize(head, readBuffer)}, nil
 }
 
--- a/io/jsonhttp/conn.go
+++ b/io/jsonhttp/conn.go
@@ -5,14 +5,38 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"guavapaddle/io/responsehead"
 )
 
-// conn is a connection that counts writes and can be sealed against further ones.
+// conn is a connection that counts writes, can be sealed against further ones, and checks the heads of responses, which the transport
+// doesn't do in full.
 type conn struct {
 	net.Conn
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	head   responsehead.Scanner // of the response that is being read
+}
+
+// Read reads into b. The error is a *responsehead.MalformedError if that completes a line of a response's head that is malformed.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if malformed := c.head.Scan(b[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
+// begin makes the connection check the head of the next response.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head.Done() {
+		c.head.Reset()
+	}
 }
 
 // Write writes b unless the connection is sealed.
@@ -74,6 +98,7 @@
 				t.unknownConn = true
 				return
 			}
+			c.begin()
 			t.attempts = append(t.attempts, attempt{conn: c, writesBefore: c.writeCount()})
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
