A response with a malformed field name, or two ways to end its body, is malformed

What callers saw: a server in trouble sent a response in whose head the name of a field held a blank. The client got it as a response, with that line passed on; `Content-Length :` and `Transfer-Encoding :` left the body without its framing, and clients got bytes that were not the body, also as parts of streams. So it was with Transfer-Encoding in HTTP/1.0. A control byte in a name was rejected before.

Cause: http.ReadResponse accepts a blank in a name, as a field of another name, and ignores Transfer-Encoding before HTTP/1.1.

Change: responsehead.Scanner checks the names of fields, and that at most one kind of field delimits the body. A folded line is accepted, as before, unless it continues such a field.

Evidence: the cases that this adds to TestMalformedResponseIsNotForwarded and TestMalformedHeadIsAnError failed before, on routes of all kinds, on new and kept connections, and where the head had been read together with a late response to another request. The cases that were rejected before stay as tests (control bytes in names and values, two lengths, other encodings), and so does a folded field that is forwarded.

--- a/io/jsonhttp/head_test.go
+++ b/io/jsonhttp/head_test.go
@@ -65,6 +65,12 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 x\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 101 Switching Protocols\r\n\r\n{}",
 		"HTTP/3.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	} {
 		for _, reused := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%q, %v", head, reused), func(t *testing.T) {
--- a/io/responsehead/doc.go
+++ b/io/responsehead/doc.go
@@ -1,5 +1,5 @@
 // Package responsehead checks the heads of HTTP/1.1 responses for what the parser of net/http accepts, and a client of the node must not get:
-// status codes that no response can have.
+// status codes that no response can have, names that are no names, and more than one way to delimit the body.
 //
 // # Method
 //
--- a/io/responsehead/scanner.go
+++ b/io/responsehead/scanner.go
@@ -22,10 +22,16 @@
 		partial       []byte // of a line whose end hasn't been read
 		inFields      bool   // the status line has been read
 		informational bool
+		beforeHTTP11  bool
+		framing       framing
+		lastFraming   bool // the last field line delimits the body
 		done          bool
 		err           error
 	}
 
+	// framing is which fields that delimit a body the head has.
+	framing struct{ length, encoding bool }
+
 	// MalformedError reports a response with a malformed head.
 	MalformedError struct {
 		Reason string
@@ -75,6 +81,7 @@
 		s.inFields = true
 		return s.statusLine(line)
 	case len(line) > 0:
+		return s.fieldLine(line)
 	case s.informational:
 		s.Reset()
 	default:
@@ -91,6 +98,7 @@
 	if len(text) < statusStart+codeDigits || !strings.HasPrefix(text, version) || !isDigit(text[len(version)]) || text[len(version)+1] != ' ' {
 		return "no status line"
 	}
+	s.beforeHTTP11 = text[len(version)] == '0'
 	code, reason, _ := strings.Cut(text[statusStart:], " ")
 	switch {
 	case len(code) != codeDigits || code[0] < '1' || code[0] > '5' || !isDigit(code[1]) || !isDigit(code[2]):
@@ -104,5 +112,32 @@
 	return ""
 }
 
+// fieldLine checks a field line: it has a name that is a token (RFC 9110, section 5.1) with the colon right behind it (RFC 9112, section 5.1).
+// A folded line (RFC 9112, section 5.2) is accepted unless it belongs to a field that delimits the body. At most one kind of these fields is
+// accepted (RFC 9112, section 6.3), and Transfer-Encoding only from HTTP/1.1 on (RFC 9112, section 6.1).
+func (s *Scanner) fieldLine(line []byte) string {
+	if line[0] == ' ' || line[0] == '\t' {
+		if s.lastFraming {
+			return "folded field that delimits the body"
+		}
+		return ""
+	}
+	name, _, ok := strings.Cut(string(line), ":")
+	if !ok || !httpguts.ValidHeaderFieldName(name) {
+		return "invalid field name"
+	}
+	length, encoding := strings.EqualFold(name, "Content-Length"), strings.EqualFold(name, "Transfer-Encoding")
+	s.lastFraming = length || encoding
+	s.framing.length = s.framing.length || length
+	s.framing.encoding = s.framing.encoding || encoding
+	switch {
+	case encoding && s.beforeHTTP11:
+		return "transfer encoding before HTTP/1.1"
+	case s.framing.length && s.framing.encoding:
+		return "ambiguous body length"
+	}
+	return ""
+}
+
 // isDigit reports whether c is a decimal digit.
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- a/io/responsehead/scanner_test.go
+++ b/io/responsehead/scanner_test.go
@@ -32,8 +32,12 @@
 			"HTTP/1.1\t200 OK\r\n", " " + ok, "SSH-2.0-x\r\n"},
 		"invalid status code": {"HTTP/1.1 000 \r\n", "HTTP/1.1 000\n", "HTTP/1.1 099 x\r\n", "HTTP/1.1 600 x\r\n", "HTTP/1.1 999 x\r\n", "HTTP/1.1 2000 x\r\n",
 			"HTTP/1.1 +20 x\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 20x OK\r\n", "HTTP/1.1 2 0 OK\r\n", continue100 + "HTTP/1.1 000 x\r\n"},
-		"an upgrade that wasn't requested": {"HTTP/1.1 101 Switching Protocols\r\n"},
-		"control byte":                     {"HTTP/1.1 200 O\x01K\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\x00K\n"},
+		"an upgrade that wasn't requested":    {"HTTP/1.1 101 Switching Protocols\r\n"},
+		"control byte":                        {"HTTP/1.1 200 O\x01K\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\x00K\n"},
+		"invalid field name":                  {ok + "X Y: a\r\n", ok + "X : a\r\n", ok + "X\t: a\r\n", ok + "Content-Length : 1\r\n", ok + "Transfer-Encoding : chunked\n", ok + "X\x00: a\r\n", ok + "X\x7f: a\r\n", ok + ": a\r\n", ok + "X\r\n", ok + "X(: a\r\n", ok + "X\xe9: a\r\n", "HTTP/1.1 103 Early Hints\r\nX Y: a\r\n"},
+		"folded field that delimits the body": {ok + "Content-Length:\r\n 1\r\n", ok + "Transfer-Encoding: \r\n\tchunked\r\n"},
+		"transfer encoding before HTTP/1.1":   {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"},
+		"ambiguous body length":               {ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", ok + "transfer-encoding: chunked\r\nX: y\r\ncontent-length: 1\r\n"},
 	} {
 		for _, text := range list {
 			for _, piece := range []int{1, 7, len(text)} {
