What is kept of events that aren't whole is bounded for all streams of a node

What may happen: a server sends bytes without end in one event of a resumable stream, which is kept until it is whole.

Cause: the memory of events wasn't part of the bound on what is kept of responses (Buffers).

Change: an event takes its memory of Buffers as it grows beyond 64 KiB. One for which there is no room counts as too long: its server is left, as before.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,7 +1,14 @@
 package gateway_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +16,7 @@
 
 	"guavapaddle/core/fleet"
 	"guavapaddle/internal/testbed/endless"
+	"guavapaddle/internal/testbed/rawhttp"
 )
 
 // TestServerWithEndlessAnswerIsLeftAtOnce guards against requests that wait for their deadline at a server whose bytes are no answer and don't end.
@@ -33,3 +41,41 @@
 		})
 	}
 }
+
+// TestEventsWithoutEndTakeBoundedMemory guards against a server that doesn't end its events on a route where they are kept until they are whole: what
+// the node keeps of all of them is bounded, however many there are.
+func TestEventsWithoutEndTakeBoundedMemory(t *testing.T) {
+	const (
+		callers   = 150
+		maxMemory = 138 << 20 // three quarters of that of a small VM, the garbage collector's limit there
+		eventSize = 1 << 20   // the least that is too long for one event
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(maxMemory))
+	var begun atomic.Int64
+	part := make([]byte, eventSize-1<<10)
+	r := newRig(t, startWorker(t, "unused"))
+	r.gateway.Buffers.Max = 23 << 20
+	r.gateway.SetServers([]fleet.Server{{ID: "i-1", Service: "plain", Zone: "z", Slots: 2 * callers, Address: rawhttp.Start(t, func(c *net.TCPConn, q *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Guavapaddle-Request-Id: %s\r\nX-Guavapaddle-Server-Stamp: i-1\r\n\r\ndata: ", q.Header.Get("X-Guavapaddle-Request-Id"))
+		_, _ = c.Write(part)
+		begun.Add(1)
+		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
+	})}})
+	peak := endless.PeakHeap(func() {
+		var clients sync.WaitGroup
+		for n := range callers {
+			c, err := net.Dial("tcp4", r.address)
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			clients.Go(func() {
+				_, err := fmt.Fprintf(c, "GET /resumable/ HTTP/1.1\r\nHost: h.example\r\nX-Guavapaddle-Request-Id: r%d\r\n\r\n", n)
+				require.NoError(t, err)
+			})
+		}
+		clients.Wait()
+		require.Eventually(t, func() bool { return begun.Load() >= callers }, 20*time.Second, 10*time.Millisecond, "all have reached the server")
+		runtime.GC()
+	})
+	require.Less(t, peak, uint64(maxMemory))
+	require.Contains(t, r.log.String(), "reason=too-long")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 	// Gateway serves requests. Its exported fields are set before the first one.
 	Gateway struct {
 		Pool    *http1.Pool
-		Buffers *http1.Buffers // for responses that are forwarded whole; nil for 64 MiB
+		Buffers *http1.Buffers // for what is kept of responses: whole ones, and events that aren't whole yet; nil for 64 MiB
 		Log     *zap.Logger
 		Zone    string
 		Metrics *Metrics
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,12 +20,13 @@
 	maxEventBytes = 1 << 20
 )
 
-// EventTooLongError reports an event of a resumable stream that is longer than maxEventBytes.
-type EventTooLongError struct{ Bytes int }
+// EventTooLongError reports an event of a resumable stream that is longer than maxEventBytes, or for which there is no room beside what is kept of
+// other responses.
+type EventTooLongError struct{ Bytes int } // of the event, as far as it was read
 
 // Error implements error.
 func (e *EventTooLongError) Error() string {
-	return "gateway: an event has more than " + strconv.Itoa(e.Bytes) + " bytes"
+	return "gateway: no room for " + strconv.Itoa(e.Bytes) + " bytes of an event"
 }
 
 // relay forwards a stream to the client as it arrives.
@@ -70,6 +71,8 @@
 	buf := make([]byte, relayBufferBytes)
 	var scanner sse.Scanner
 	var partial []byte // event of a resumable stream
+	room := t.g.Buffers.Reservation()
+	defer room.Release()
 	hasEvents := t.hasEvents()
 	last := time.Now()
 	header := last
@@ -99,9 +102,9 @@
 			t.lastEvent, t.forwardedAt = cmp.Or(scanner.LastID(), t.lastEvent), time.Now()
 		}
 		switch {
-		case len(partial) > maxEventBytes:
+		case len(partial) > maxEventBytes || !room.Fit(len(partial)):
 			t.recordBodyEnd(bodyInEvent)
-			return &EventTooLongError{maxEventBytes}
+			return &EventTooLongError{len(partial)}
 		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF):
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -32,6 +32,12 @@
 		mu       sync.Mutex
 		reserved int64
 	}
+
+	// Reservation is the memory that a buffer which grows has taken of Buffers.
+	Reservation struct {
+		buffers *Buffers
+		taken   int64
+	}
 )
 
 // begin ends the reader after n bytes, or where the next head is malformed, whose first bytes have been read already. The error is one of these.
@@ -79,6 +85,29 @@
 	b.reserved -= n
 }
 
+// Reservation returns a reservation of no memory. It has to be released once its buffer isn't needed any more.
+func (b *Buffers) Reservation() *Reservation { return &Reservation{buffers: b} }
+
+// Fit takes the memory of a buffer that holds n bytes, or gives back what it doesn't need any more. It reports whether there is room; 64 KiB need none.
+func (r *Reservation) Fit(n int) bool {
+	need := int64(0)
+	if n > unreservedBody {
+		steps := (int64(n) + unreservedBody - 1) / unreservedBody
+		need = bufferGrowth * unreservedBody * steps
+	}
+	switch {
+	case need > r.taken && !r.buffers.reserve(need-r.taken):
+		return false
+	case need < r.taken:
+		r.buffers.release(r.taken - need)
+	}
+	r.taken = need
+	return true
+}
+
+// Release gives all of the memory back.
+func (r *Reservation) Release() { r.Fit(0) }
+
 // ReadBody reads a response body to its end. It returns ErrBodyTooLong if the body is longer than limit bytes, or if there is no room for it
 // beside the others. The memory is reserved until release is called, which has to be done once the body isn't needed any more.
 func (b *Buffers) ReadBody(resp *http.Response, limit int64) (body []byte, release func(), err error) {
