What is kept of the answers to calls is bounded for all backend servers

What may happen, on the own interface: a faulty server answers calls with bytes without end. Each call kept up to 64 MiB of them, and all calls together had no bound. A stream kept up to 1 MiB of one event, of which each has some hundred bytes.

Change: the clients of backend servers share a bound on the memory of the bodies that they read (32 MiB; a body may have half of that, as its buffer may be twice as large), with the Buffers that the gateway has; a call whose answer finds no room ends as one whose answer is too large. An event may have 64 KiB. The stores' clients are as before: the bound of one is theirs alone.

A trial with a bound of 128 MiB that is shared with the stores' clients is dropped: one faulty server would have taken the room of the stores' answers.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -140,7 +140,7 @@
 func (c *Client) ExportKV(ctx context.Context, requestID string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	resp, err := c.calls.WithTraffic(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: kvPath + url.PathEscape(requestID)})
+	resp, err := c.calls.Backend(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodGet, Path: kvPath + url.PathEscape(requestID)})
 	if err != nil {
 		return nil, c.transportError(err)
 	}
@@ -155,7 +155,7 @@
 func (c *Client) ImportKV(ctx context.Context, requestID string, kv []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	resp, err := c.calls.WithTraffic(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodPut, Path: kvPath + url.PathEscape(requestID), Body: kv})
+	resp, err := c.calls.Backend(c.Address, c.Traffic).Do(ctx, jsonhttp.Call{Method: http.MethodPut, Path: kvPath + url.PathEscape(requestID), Body: kv})
 	if err != nil {
 		return c.transportError(err)
 	}
@@ -163,13 +163,13 @@
 }
 
 // Close closes idle connections. Open streams continue.
-func (c *Client) Close() { c.calls.WithTraffic(c.Address, c.Traffic).Close() }
+func (c *Client) Close() { c.calls.Backend(c.Address, c.Traffic).Close() }
 
 // call makes one call, bounded by the timeout.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) (jsonhttp.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.Timeout, DefaultTimeout))
 	defer cancel()
-	resp, err := c.calls.WithTraffic(c.Address, c.Traffic).JSON(ctx, method, path, in, out)
+	resp, err := c.calls.Backend(c.Address, c.Traffic).JSON(ctx, method, path, in, out)
 	if err != nil {
 		return resp, c.transportError(err)
 	}
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -23,7 +23,7 @@
 	// DefaultProgressTimeout bounds the wait between two events.
 	DefaultProgressTimeout = 2 * time.Second
 
-	maxLine  = 1 << 20
+	maxLine  = 64 << 10 // bytes of one event; there may be thousands of streams
 	readSize = 4 << 10
 )
 
@@ -120,7 +120,7 @@
 	// The timer runs until the first event. Next restarts it for each further event, so that
 	// the time that the reader spends between calls does not count.
 	s.timer = time.AfterFunc(cmp.Or(o.FirstEventTimeout, DefaultFirstEventTimeout), func() { cancel(errSilent) })
-	s.stream, err = c.streams.WithoutReuse(c.Address).Open(ctx, jsonhttp.Call{
+	s.stream, err = c.streams.BackendWithoutReuse(c.Address).Open(ctx, jsonhttp.Call{
 		Method: http.MethodPost, Path: path, Body: body,
 		Header: http.Header{"Content-Type": {"application/json"}, "X-Request-Id": {id}},
 	})
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -111,11 +111,20 @@
 // ReadBody reads a response body to its end. It returns ErrBodyTooLong if the body is longer than limit bytes, or if there is no room for it
 // beside the others. The memory is reserved until release is called, which has to be done once the body isn't needed any more.
 func (b *Buffers) ReadBody(resp *http.Response, limit int64) (body []byte, release func(), err error) {
-	body, reserved, err := b.readAll(resp.Body, resp.ContentLength, limit)
+	return b.Read(resp.Body, resp.ContentLength, limit)
+}
+
+// Read is ReadBody for a reader whose length is expected, or negative if it isn't known. Without Buffers there is no limit for all bodies.
+func (b *Buffers) Read(r io.Reader, expected, limit int64) (body []byte, release func(), err error) {
+	body, reserved, err := b.readAll(r, expected, limit)
 	if errors.Is(err, errNoRoom) {
 		err = ErrBodyTooLong
 	}
-	return body, func() { b.release(reserved) }, err
+	return body, func() {
+		if reserved > 0 {
+			b.release(reserved)
+		}
+	}, err
 }
 
 // readAll reads a body to its end, which is expected after a number of bytes or is unknown if that is negative. It returns
--- a/io/jsonhttp/client.go
+++ b/io/jsonhttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/internal/lag"
+	"guavapaddle/io/http1"
 	"guavapaddle/io/tcp"
 )
 
@@ -27,7 +28,6 @@
 	DefaultIdleTimeout = 5 * time.Second
 	// DefaultMaxBody is the default limit of a response body, in bytes.
 	DefaultMaxBody = 64 << 20
-
 	maxIdlePerHost = 16
 	maxHeaderBytes = 64 << 10
 )
@@ -45,6 +45,8 @@
 		MaxBody        int64         // limit of a response body in bytes, DefaultMaxBody if zero
 		DisableReuse   bool          // opens a new connection for each call
 		Traffic        *tcp.Traffic  // counts the bytes on the client's connections, may be nil
+		// Bodies bounds the memory of the response bodies that this and other clients read at the same time. It may be nil.
+		Bodies *http1.Buffers
 
 		once      sync.Once
 		transport *http.Transport
@@ -101,7 +103,7 @@
 
 // Do sends a call and returns the complete response. Every error is an *Error. If a call
 // fails, its connection is closed, and so are all idle ones, since they may be unresponsive
-// as well.
+// as well. A response is too large if its body exceeds MaxBody, or if there is no room for it beside those that other calls are reading.
 //
 // If the process was not running when the deadline of ctx passed, a response that arrived in
 // the meantime is still read. A call whose ctx has ended before isn't sent.
@@ -115,17 +117,17 @@
 	if err != nil {
 		return Response{}, err
 	}
-	limit := cmp.Or(c.MaxBody, DefaultMaxBody)
-	body, err := io.ReadAll(io.LimitReader(s.Body, limit+1))
-	if err != nil {
+	body, release, err := c.Bodies.Read(s.Body, -1, cmp.Or(c.MaxBody, DefaultMaxBody))
+	defer release()
+	switch {
+	case errors.Is(err, http1.ErrBodyTooLong):
+		s.Abort()
+		return Response{}, c.newError(TooLarge, s.tracker, errTooLarge)
+	case err != nil:
 		s.Abort()
 		c.transport.CloseIdleConnections()
 		return Response{}, c.newError(Sent, s.tracker, err)
 	}
-	if int64(len(body)) > limit {
-		s.Abort()
-		return Response{}, c.newError(TooLarge, s.tracker, errTooLarge)
-	}
 	s.Close()
 	return Response{Status: s.Status, Header: s.Header, Body: body}, nil
 }
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -152,7 +152,7 @@
 	var out backend.LoadReport
 	ctx, cancel := context.WithTimeoutCause(ctx, cmp.Or(c.Timeout, DefaultTimeout), errTimeout)
 	defer cancel()
-	resp, err := c.reusing.Get(c.Address).JSON(ctx, http.MethodGet, LoadPath, nil, &out)
+	resp, err := c.reusing.Backend(c.Address, nil).JSON(ctx, http.MethodGet, LoadPath, nil, &out)
 	if err != nil {
 		return out, c.transportError(ctx, err)
 	}
@@ -163,14 +163,14 @@
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.reusing.Get(c.Address).Close() }
+func (c *Client) Close() { c.reusing.Backend(c.Address, nil).Close() }
 
 // httpClient returns the client with the connection policy that the call requires.
 func (c *Client) httpClient(r Request) *jsonhttp.Client {
 	if r.Repeatable {
-		return c.reusing.Get(c.Address)
+		return c.reusing.Backend(c.Address, nil)
 	}
-	return c.nonReusing.WithoutReuse(c.Address)
+	return c.nonReusing.BackendWithoutReuse(c.Address)
 }
 
 // requestHeader returns the header to send.
