A request that is whole late in a stop is sent on only if it ends in time

What callers saw: in a planned stop, a request whose body ended 2.8 s or more after SIGTERM was sent on up to the end of the grace, on routes of all kinds, and cut with no response when the node exited, among them requests that must not run again.

Cause: a node that stops takes requests for 2.8 s, and then closes its listener and idle connections. A connection on which a request is being read isn't idle, and once the request was whole it was handled like any other; only requests that wait for a server were refused.

Change: Gateway.Stop is told when the node exits. From then on a request that no server has got yet is refused at once as not run, with Retry-After, unless its deadline, at which it has a response, is before the exit. One that has run may be repeated as before.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -397,7 +397,7 @@
 	drainCtx, cancelDrain := context.WithDeadline(ctx, started.Add(min(DrainTime, grace/2)))
 	defer cancelDrain()
 	<-drainCtx.Done()
-	n.gateway.Stop()
+	n.gateway.Stop(started.Add(grace))
 	_ = n.listeners[0].Close()
 	n.clients.Shutdown(ctx)
 	n.reportCrashes(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 		crashes          crashes
 		changed          chan struct{} // closed when the picker's data changes
 		stopped          chan struct{}
+		exit             time.Time // when the node exits; set before stopped is closed, and read after
 
 		loadLog rate.Sometimes // limits the log lines about load headers
 		reads   atomic.Int64   // reads that got bytes from servers over connections of this node itself
@@ -195,8 +196,12 @@
 }
 
 // Stop refuses all requests that wait for a server, now and from now on: the node
-// exits before a server would be free for them, and another node can serve them.
-func (g *Gateway) Stop() { close(g.stopped) }
+// exits before a server would be free for them, and another node can serve them. So it refuses those that no server has got yet and that may take
+// until after exit, when they would be cut off.
+func (g *Gateway) Stop(exit time.Time) {
+	g.exit = exit
+	close(g.stopped)
+}
 
 // Config returns the configuration in force, nil if there is none yet.
 func (g *Gateway) Config() *fleet.Config { return g.config.Load() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -416,7 +416,7 @@
 	got := make(chan response, 1)
 	go func() { got <- r.do("GET", "/stream/", "r1", "", "X-Guavapaddle-Model: m") }()
 	require.Never(t, func() bool { return len(got) > 0 }, 50*time.Millisecond, 10*time.Millisecond)
-	r.gateway.Stop()
+	r.gateway.Stop(time.Now())
 	a := <-got
 	require.Equal(t, 503, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -56,7 +56,7 @@
 	Backoff Reason = "resting"
 	// Leaving means that the server announced that it is leaving after it was picked.
 	Leaving Reason = "leaving"
-	// Stopping means that the node stops before a server is free for the request.
+	// Stopping means that the node stops before a server is free for the request, or before it would have a response for certain.
 	Stopping Reason = "stopping"
 	// Budget means that the retry budget is exhausted.
 	Budget Reason = "budget"
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -43,6 +43,8 @@
 	// servers have reached their announced limits or asked this node to back off:
 	// the retry may reach another node that may send one.
 	maxLimitedRetryAfter = time.Second
+	// exitMargin is the time that a response at the deadline takes to reach the client.
+	exitMargin = 100 * time.Millisecond
 	// defaultRetryAfter is the Retry-After of refusals without a better estimate.
 	defaultRetryAfter = 400 * time.Millisecond
 )
@@ -83,6 +85,10 @@
 	dials := 0
 	var lastTry Reason
 	for {
+		if r.outlastsNode() {
+			r.fail(Stopping, lastTry)
+			return
+		}
 		c, failure := r.pick()
 		if failure != "" {
 			r.fail(failure, lastTry)
@@ -140,6 +146,16 @@
 	}
 }
 
+// outlastsNode reports whether the node stops and the request, which has not run, may have no response when it exits. At its deadline it has one.
+func (r *request) outlastsNode() bool {
+	select {
+	case <-r.g.stopped:
+		return !r.mayHaveRun && r.deadline.Add(exitMargin).After(r.g.exit)
+	default:
+		return false
+	}
+}
+
 // fail ends the request for the given cause when no server gave a final response; lastTry is
 // the reason of the last try, if any.
 func (r *request) fail(cause, lastTry Reason) {
