A node that is out of step tells no version by what it held before

What callers saw: during a release, one node stood still, or was cut off, while servers of a new software version joined. Streams that had begun at these through other nodes broke, were taken up at that node and went on at the old version.

Cause: the leader, and its deputy while it hears nothing of the leader, name the only version in their list of servers for a stream whose beginning they don't know. Neither asked how old that list was: a deputy that goes on after a standstill has heard nothing of its leader for seconds, so it acts at once. Any other node that reaches no coordinator relied on its list for 1.3 s, and one that leads took its own reply for a leader's confirmation.

Change: the leader and the deputy answer by their list only if they have heard of another node, or have begun to read the list, within the 250 ms for which a node that reaches no coordinator waits before it begins a stream; or if nobody reports to them while they read the list, so that they are alone. After a standstill (core/standstill, by the samples of the process every 25 ms) what comes first may have been sent before it, and doesn't count. Another node relies on its own list only if a call that began after the request came has confirmed it. Who can't tell is asked again, for 1.5 s as before, and the request is refused as not run after that (`unknown-version`).

Tried: a condition on the number of nodes in place of who was heard of: that falls to one within 0.4 s of a cut, as on a node that is alone.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -148,6 +148,7 @@
 		operator     table
 		server       table
 		confirmation confirmation
+		serversRead  confirmation                 // of the server table, by this node itself
 		newest       newestConfig                 // guarded by operator.mu
 		entries      map[string]parsedEntry       // as last read, by key
 		unreadable   map[string]revision.Revision // of unreadable entries that were logged
@@ -231,6 +232,10 @@
 // as the newest, whichever node read it.
 func (f *Follower) ConfigAge() time.Duration { return f.confirmation.age(f.now()) }
 
+// ServersReadAt returns the time of Clock at which the last call of the store began that confirmed this node's whole copy of the server table, zero if
+// there was none.
+func (f *Follower) ServersReadAt() time.Duration { return time.Duration(f.serversRead.at.Load()) }
+
 // ConfigUnreachable reports whether the last read of the configuration from the store failed.
 func (f *Follower) ConfigUnreachable() bool {
 	f.operator.mu.Lock()
--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -301,6 +301,9 @@
 // restored, as far as this node knows, or has an older configuration than the one in force, confirms
 // nothing; t.mu is held.
 func (t *table) confirm(began time.Duration) {
+	if t == &t.f.server && !t.partial {
+		t.f.serversRead.advance(began)
+	}
 	if t != &t.f.operator || t.ownRevision().Number == 0 || t.f.newest.isStoreBehind() {
 		return
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -163,10 +163,10 @@
 		n.keyRoster = reply.Roster
 	}
 	n.applyReply(r, reply)
-	if reply.Leading {
-		n.confirmedAt.Store(int64(clock.SinceBoot()))
-	}
 	if u.key != n.key.Fingerprint() {
+		if reply.Leading {
+			n.confirmedAt.Store(int64(sentAt))
+		}
 		n.onFeed(reply.Update, sentAt)
 		n.placer.ObserveLease(reply.Lease)
 	}
@@ -320,6 +320,7 @@
 
 // HandleReport processes the report of a node, which may be this one, and returns the reply.
 func (n *Node) HandleReport(r hub.Report) hub.ReportReply {
+	n.hear(r)
 	reply := n.placer.Report(r)
 	if n.placer.LeaseRevision() != r.Lease {
 		reply.Lease = n.placer.LeaseRow() // even if the lease was released
--- a/internal/front/late_upload_test.go
+++ b/internal/front/late_upload_test.go
@@ -38,18 +38,18 @@
 	return &upload{conn: c, rest: body[50:]}
 }
 
-// end sends the rest of the body and returns the response, whose body has been read.
-func (u *upload) end() (*http.Response, error) {
+// end sends the rest of the body and returns the status and the header of a whole response.
+func (u *upload) end() (int, http.Header, error) {
 	if _, err := io.WriteString(u.conn, u.rest); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(u.conn), nil)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return resp, err
+	return resp.StatusCode, resp.Header, err
 }
 
 // TestRequestThatIsWholeLateInAStopIsRefused guards against requests whose bodies end late in the grace of a node that stops, and that are sent on and cut
@@ -74,10 +74,10 @@
 		return err != nil
 	}, 5*time.Second, time.Millisecond, "the node takes no more connections")
 	for path, u := range uploads {
-		resp, err := u.end()
+		status, header, err := u.end()
 		require.NoError(t, err, path)
-		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, path)
-		require.NotEmpty(t, resp.Header.Get("Retry-After"), path)
+		require.Equal(t, http.StatusServiceUnavailable, status, path)
+		require.NotEmpty(t, header.Get("Retry-After"), path)
 	}
 	require.Empty(t, engine.Runs())
 	require.Empty(t, plain.Runs())
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -101,12 +101,13 @@
 	lag             *lag.Monitor
 	admission       admissionControl
 	traffic         linkTraffic
+	inStep          inStep
 	registry        *prometheus.Registry
 	stopping        atomic.Bool
 	servers         servers
 	engineIDs       atomic.Pointer[map[string]bool]   // IDs of the servers that are model engines
 	leaderReplyAt   atomic.Int64                      // boot time of the leader's last reply to a report
-	confirmedAt     atomic.Int64                      // the same, but of the leader itself, not of a relay
+	confirmedAt     atomic.Int64                      // boot time at which the report was sent that another node, the leader and not a relay, last replied to
 	leaderMessageAt atomic.Int64                      // boot time of the leader's last message of any kind
 	leaderSuspect   atomic.Bool                       // the leader left a slot request without a reply
 	feedAt          atomic.Int64                      // boot time of the last update from the leader that was not outdated
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -168,6 +168,9 @@
 	}
 	switch {
 	case n.placer.IsLeading(), n.isActing():
+		if !n.coordinatesInStep() {
+			return hub.OriginReply{}, &OutOfStepError{}
+		}
 		return n.onlyOrigin(q), nil
 	case n.passesOn():
 		return n.queryOrigin(ctx, q)
@@ -183,8 +186,9 @@
 func (n *Node) findOrigin(ctx context.Context, q hub.OriginQuery) hub.OriginReply {
 	ctx, cancel := lag.WithTimeout(ctx, originWait)
 	defer cancel()
+	began := clock.SinceBoot()
 	for delay := originRetryDelay; ; delay *= 2 {
-		reply, err := n.lookUpOrigin(ctx, q)
+		reply, err := n.lookUpOrigin(ctx, q, began)
 		if err == nil {
 			return reply
 		}
@@ -196,13 +200,14 @@
 }
 
 // lookUpOrigin asks the leader or its deputy which version began a stream, and in a small fleet other nodes if neither knows: the one that
-// forwarded its first event does. A node that reaches neither relies on its own list of servers only while that is fresh.
-func (n *Node) lookUpOrigin(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
+// forwarded its first event does. A node that reaches neither relies on its own list of servers only if that has been confirmed since the
+// client's request came, at the boot time began.
+func (n *Node) lookUpOrigin(ctx context.Context, q hub.OriginQuery, began time.Duration) (hub.OriginReply, error) {
 	reply, err := n.FindOrigin(ctx, q)
 	if reply.Known || err == nil && q.Stream == "" {
 		return reply, err
 	}
-	if err != nil && n.reliesOnOwnList() {
+	if err != nil && n.readSince(began) {
 		if own := n.onlyOrigin(q); own.Known {
 			return own, nil
 		}
@@ -217,16 +222,6 @@
 	return reply, err
 }
 
-// reliesOnOwnList reports whether a version that has begun a stream can't have come since this node's list of servers was confirmed: by
-// the store, or by a leader, from which each node gets what any of them has read.
-func (n *Node) reliesOnOwnList() bool {
-	if !n.placer.LeaseObserved() {
-		return false
-	}
-	at := n.confirmedAt.Load()
-	return n.isCopyFresh() || at != 0 && clock.SinceBoot()-time.Duration(at) <= n.maxFeedAge()
-}
-
 // queryOrigin asks the leader or its deputy which version began a stream.
 func (n *Node) queryOrigin(ctx context.Context, q hub.OriginQuery) (reply hub.OriginReply, err error) {
 	err = n.callCoordinator(ctx, originTimeout, func(ctx context.Context, address string) error {
--- a/internal/front/traffic.go
+++ b/internal/front/traffic.go
@@ -75,6 +75,7 @@
 
 // observeLag processes a sample of how late this process is.
 func (n *Node) observeLag(s lag.Sample) {
+	n.beat()
 	utilization := n.traffic.observe(n.trafficBytes(), n.settings.LinkMbps, s.Elapsed)
 	n.admission.observe(admission.Sample{Processor: s.Scheduling, Link: s.Link, Utilization: utilization})
 }
