--- a/core/standstill/detector.go
+++ b/core/pause/detector.go
@@ -1,10 +1,10 @@
-package standstill
+package pause
 
 import "time"
 
 // Detector finds gaps between beats. One without a beat has no gap. It isn't safe for concurrent use.
 type Detector struct {
-	MaxGap time.Duration // between two beats, above which the process has stood still
+	MaxGap time.Duration // between two beats, above which the process was paused
 
 	last  time.Duration // beat
 	since time.Duration // end of the last gap
--- a/core/standstill/detector_test.go
+++ b/core/pause/detector_test.go
@@ -1,4 +1,4 @@
-package standstill_test
+package pause_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"guavapaddle/core/standstill"
+	"guavapaddle/core/pause"
 )
 
 func TestGapsAreFound(t *testing.T) {
@@ -27,7 +27,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			d := standstill.Detector{MaxGap: maxGap}
+			d := pause.Detector{MaxGap: maxGap}
 			require.Zero(t, d.RunningSince(time.Hour), "without a beat")
 			now := beat
 			for range 10 {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -101,7 +101,7 @@
 	lag             *lag.Monitor
 	admission       admissionControl
 	traffic         linkTraffic
-	inStep          inStep
+	contact         contact
 	registry        *prometheus.Registry
 	stopping        atomic.Bool
 	servers         servers
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -168,8 +168,8 @@
 	}
 	switch {
 	case n.placer.IsLeading(), n.isActing():
-		if !n.coordinatesInStep() {
-			return hub.OriginReply{}, &OutOfStepError{}
+		if !n.knowsVersions() {
+			return hub.OriginReply{}, &StaleVersionsError{}
 		}
 		return n.onlyOrigin(q), nil
 	case n.passesOn():
@@ -207,7 +207,7 @@
 	if reply.Known || err == nil && q.Stream == "" {
 		return reply, err
 	}
-	if err != nil && n.readSince(began) {
+	if err != nil && n.hasReadSince(began) {
 		if own := n.onlyOrigin(q); own.Known {
 			return own, nil
 		}
--- /dev/null
+++ b/internal/front/staleness.go
@@ -0,0 +1,82 @@
+package front
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavapaddle/core/pause"
+	"guavapaddle/internal/clock"
+	"guavapaddle/internal/hub"
+)
+
+// maxPause is the time between two samples of the process above which it counts as paused: other nodes wait as long for the leader's
+// acknowledgement, and then begin streams without it.
+const maxPause = recordTimeout
+
+type (
+	// contact is when this node last had contact with others, and since when it has been running.
+	contact struct {
+		heardAt atomic.Int64 // boot time of the last report of another node
+
+		mu       sync.Mutex
+		detector pause.Detector
+	}
+
+	// StaleVersionsError reports that a coordinator can't tell which versions have begun streams: it was paused or is cut off, and servers of
+	// others may have joined meanwhile.
+	StaleVersionsError struct{}
+)
+
+// Error implements error.
+func (*StaleVersionsError) Error() string {
+	return "front: the versions that this node knows are out of date"
+}
+
+// beat records that the process runs.
+func (n *Node) beat() {
+	s := &n.contact
+	s.mu.Lock()
+	s.detector.MaxGap = maxPause
+	gap := s.detector.Beat(clock.SinceBoot())
+	s.mu.Unlock()
+	if gap > 0 {
+		n.log.Info("process-paused", zap.Duration("for", gap))
+	}
+}
+
+// runningSince returns the boot time at which the last pause of this node ended, zero if it had none.
+func (n *Node) runningSince() time.Duration {
+	s := &n.contact
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.detector.RunningSince(clock.SinceBoot())
+}
+
+// hear records a report of another node.
+func (n *Node) hear(r hub.Report) {
+	if r.Node != n.settings.Node {
+		n.contact.heardAt.Store(int64(clock.SinceBoot()))
+	}
+}
+
+// knowsVersions reports whether this node, as the leader or its deputy, knows all versions that have begun streams. Another node either reports one
+// before it begins a stream of it, or waits for recordTimeout in vain. So this node must have heard of others, or have begun to read the list of
+// servers, within that time; after a pause, reports that were sent before it are read first. A node that no other reports to, but that reads the
+// list, is alone rather than cut off.
+func (n *Node) knowsVersions() bool {
+	now, since := clock.SinceBoot(), n.runningSince()
+	readAt, heardAt := n.follower.ServersReadAt(), time.Duration(n.contact.heardAt.Load())
+	hasRead := readAt > since && now-readAt <= recordTimeout
+	hasHeard := now-heardAt <= recordTimeout && (since == 0 || heardAt-since > recordTimeout)
+	isAlone := readAt > since && readAt-heardAt > recordTimeout && n.isCopyFresh()
+	return hasRead || hasHeard || isAlone
+}
+
+// hasReadSince reports whether this node's list of servers has all versions that had begun streams by a boot time: the store, or a leader, from which each
+// node gets what any of them has read, has confirmed it in a call that began later.
+func (n *Node) hasReadSince(at time.Duration) bool {
+	return n.placer.LeaseObserved() && max(n.follower.ServersReadAt(), time.Duration(n.confirmedAt.Load())) >= at
+}
--- a/internal/testbed/endless/endless.go
+++ b/internal/testbed/endless/endless.go
@@ -3,6 +3,7 @@
 // # Usage
 //
 //	address := endless.Start(t, "HTTP/1.1 200 OK\r\nX: ", "x")
+//	peak := endless.PeakHeap(func() { call(address) })
 package endless
 
 import (
--- a/internal/testbed/soak/outofstep_test.go
+++ b/internal/testbed/soak/outofstep_test.go
@@ -199,7 +199,7 @@
 	return version(c)
 }
 
-// standStill lets a node stand still while servers of a second version join, and streams begin at them, which clients take up at that node just before it goes on. It
+// standStill pauses a node while servers of a second version join, and streams begin at them, which clients take up at that node just before it goes on. It
 // returns the versions at which these go on.
 func (r *release) standStill(play int, x role, pause time.Duration) []string {
 	t, name := r.t, service(play)
--- a/io/tcp/doc.go
+++ b/io/tcp/doc.go
@@ -1,5 +1,5 @@
-// Package tcp provides what the project's protocols over TCP share: an accept loop for servers that do not use the one of net/http, and
-// counts of bytes.
+// Package tcp provides what the project's protocols over TCP share: an accept loop for servers that do not use the one of net/http, counts
+// of bytes, and connections whose reads report what a concurrent write has learned.
 //
 // # Usage
 //
@@ -11,4 +11,7 @@
 //	var t tcp.Traffic
 //	conn = t.Count(conn)
 //	sent, received := t.Bytes()
+//
+//	conn = &tcp.Conn{TCPConn: tcpConn}
+//	n, err := conn.Read(b) // io.EOF only if the peer has ended the stream
 package tcp
