A node in reach of others relies on its list of servers for 1.3 s

Change: such a node relies on its list as before, 1.3 s from its confirmation, if another node has called it since the request came, or answers it: one that declines a query is in reach (peer.IsDeclined). The list must have been confirmed after the last pause. Calls of all kinds count as contact, where only reports did.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -320,7 +320,6 @@
 
 // HandleReport processes the report of a node, which may be this one, and returns the reply.
 func (n *Node) HandleReport(r hub.Report) hub.ReportReply {
-	n.hear(r)
 	reply := n.placer.Report(r)
 	if n.placer.LeaseRevision() != r.Lease {
 		reply.Lease = n.placer.LeaseRow() // even if the lease was released
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -220,7 +220,8 @@
 }
 
 // handleCall serves a call of another node.
-func (n *Node) handleCall(ctx context.Context, _ string, f peer.Frame, s *peer.Stream) {
+func (n *Node) handleCall(ctx context.Context, from string, f peer.Frame, s *peer.Stream) {
+	n.hear(from)
 	if f.Kind == tunnel.Kind {
 		n.dialer.Serve(ctx, f, s)
 		return
--- a/internal/front/origins.go
+++ b/internal/front/origins.go
@@ -14,6 +14,7 @@
 	"guavapaddle/internal/clock"
 	"guavapaddle/internal/hub"
 	"guavapaddle/internal/lag"
+	"guavapaddle/io/peer"
 )
 
 const (
@@ -199,25 +200,29 @@
 	}
 }
 
-// lookUpOrigin asks the leader or its deputy which version began a stream, and in a small fleet other nodes if neither knows: the one that
-// forwarded its first event does. A node that reaches neither relies on its own list of servers only if that has been confirmed since the
-// client's request came, at the boot time began.
+// lookUpOrigin asks the leader or its deputy which version began a stream that a client takes up, whose request came at the boot time began. If
+// neither knows, it asks other nodes: the one that forwarded its first event does. A node that reaches neither relies on its own list of servers if that has
+// been confirmed since, or shortly before while other nodes are in its reach.
 func (n *Node) lookUpOrigin(ctx context.Context, q hub.OriginQuery, began time.Duration) (hub.OriginReply, error) {
 	reply, err := n.FindOrigin(ctx, q)
 	if reply.Known || err == nil && q.Stream == "" {
 		return reply, err
 	}
-	if err != nil && n.hasReadSince(began) {
+	if err != nil && n.isListConfirmed(began) {
 		if own := n.onlyOrigin(q); own.Known {
 			return own, nil
 		}
 	}
-	if nodes := n.nodeCount.Load(); nodes == 0 || nodes > maxOriginFleet {
-		return reply, err
+	if nodes := n.nodeCount.Load(); nodes > 0 && nodes <= maxOriginFleet {
+		q.PassedOn = err == nil
+		if other, otherErr := n.queryPeers(ctx, q); otherErr == nil {
+			return other, nil
+		}
 	}
-	q.PassedOn = err == nil
-	if other, otherErr := n.queryPeers(ctx, q); otherErr == nil {
-		return other, nil
+	if err != nil && n.isListConfirmed(began-n.maxFeedAge()) && (n.isHeardSince(began) || n.reachesPeers(ctx, q)) {
+		if own := n.onlyOrigin(q); own.Known {
+			return own, nil
+		}
 	}
 	return reply, err
 }
@@ -231,26 +236,33 @@
 	return reply, err
 }
 
-// queryPeers asks several nodes at once which version began a stream, and returns the first reply that tells it, or else one that says
-// that the leader doesn't know.
-func (n *Node) queryPeers(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
-	ctx, cancel := lag.WithTimeout(ctx, peerOriginTimeout)
-	defer cancel()
+// originResult is the reply of another node about the version that began a stream, or why there is none.
+type originResult struct {
+	reply hub.OriginReply
+	err   error
+}
+
+// startQueries asks several nodes at once which version began a stream, and returns their number and where the results arrive.
+func (n *Node) startQueries(ctx context.Context, q hub.OriginQuery) (int, <-chan originResult) {
 	peers := n.tunnelPeers(ctx)
 	peers = peers[:min(len(peers), maxOriginPeers)]
-	type result struct {
-		reply hub.OriginReply
-		err   error
-	}
-	results := make(chan result, len(peers))
+	results := make(chan originResult, len(peers))
 	for _, p := range peers {
 		go func() {
 			reply, err := n.leaderClient().FindOrigin(ctx, p.Address, q)
-			results <- result{reply, err}
+			results <- originResult{reply, err}
 		}()
 	}
-	unknown := result{err: &NotCoordinatorError{}}
-	for range peers {
+	return len(peers), results
+}
+
+// queryPeers returns the first reply of other nodes that tells which version began a stream, or else one that says that the leader doesn't know.
+func (n *Node) queryPeers(ctx context.Context, q hub.OriginQuery) (hub.OriginReply, error) {
+	ctx, cancel := lag.WithTimeout(ctx, peerOriginTimeout)
+	defer cancel()
+	unknown := originResult{err: &NotCoordinatorError{}}
+	count, results := n.startQueries(ctx, q)
+	for range count {
 		r := <-results
 		if r.err == nil && r.reply.Known {
 			return r.reply, nil
@@ -262,6 +274,20 @@
 	return unknown.reply, unknown.err
 }
 
+// reachesPeers reports whether another node is in reach, so that this one isn't cut off. They are asked for what they know themselves.
+func (n *Node) reachesPeers(ctx context.Context, q hub.OriginQuery) bool {
+	ctx, cancel := lag.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	q.PassedOn = true
+	count, results := n.startQueries(ctx, q)
+	for range count {
+		if r := <-results; r.err == nil || peer.IsDeclined(r.err) {
+			return true
+		}
+	}
+	return false
+}
+
 // knownOrigin returns the origin that this node has of a stream.
 func (n *Node) knownOrigin(q hub.OriginQuery) hub.OriginReply {
 	n.origins.mu.Lock()
--- a/internal/front/staleness.go
+++ b/internal/front/staleness.go
@@ -9,7 +9,6 @@
 
 	"guavapaddle/core/pause"
 	"guavapaddle/internal/clock"
-	"guavapaddle/internal/hub"
 )
 
 // maxPause is the time between two samples of the process above which it counts as paused: other nodes wait as long for the leader's
@@ -19,7 +18,7 @@
 type (
 	// contact is when this node last had contact with others, and since when it has been running.
 	contact struct {
-		heardAt atomic.Int64 // boot time of the last report of another node
+		heardAt atomic.Int64 // boot time of the last call of another node
 
 		mu       sync.Mutex
 		detector pause.Detector
@@ -55,16 +54,21 @@
 	return s.detector.RunningSince(clock.SinceBoot())
 }
 
-// hear records a report of another node.
-func (n *Node) hear(r hub.Report) {
-	if r.Node != n.settings.Node {
+// hear records that another node, which has a name, called this one.
+func (n *Node) hear(from string) {
+	if from != n.settings.Node {
 		n.contact.heardAt.Store(int64(clock.SinceBoot()))
 	}
 }
 
+// isHeardSince reports whether another node has called this one since a boot time.
+func (n *Node) isHeardSince(at time.Duration) bool {
+	return time.Duration(n.contact.heardAt.Load()) >= at
+}
+
 // knowsVersions reports whether this node, as the leader or its deputy, knows all versions that have begun streams. Another node either reports one
 // before it begins a stream of it, or waits for recordTimeout in vain. So this node must have heard of others, or have begun to read the list of
-// servers, within that time; after a pause, reports that were sent before it are read first. A node that no other reports to, but that reads the
+// servers, within that time; after a pause, calls that were sent before it are read first. A node that no other calls, but that reads the
 // list, is alone rather than cut off.
 func (n *Node) knowsVersions() bool {
 	now, since := clock.SinceBoot(), n.runningSince()
@@ -75,8 +79,9 @@
 	return hasRead || hasHeard || isAlone
 }
 
-// hasReadSince reports whether this node's list of servers has all versions that had begun streams by a boot time: the store, or a leader, from which each
-// node gets what any of them has read, has confirmed it in a call that began later.
-func (n *Node) hasReadSince(at time.Duration) bool {
-	return n.placer.LeaseObserved() && max(n.follower.ServersReadAt(), time.Duration(n.confirmedAt.Load())) >= at
+// isListConfirmed reports whether this node's list of servers has all versions that had begun streams by a boot time: the store, or a leader, from
+// which each node gets what any of them has read, has confirmed it in a call that began later, and after the last pause of this node.
+func (n *Node) isListConfirmed(by time.Duration) bool {
+	at := max(n.follower.ServersReadAt(), time.Duration(n.confirmedAt.Load()))
+	return n.placer.LeaseObserved() && at >= by && at > n.runningSince()
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -8,7 +8,6 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,31 +50,41 @@
 		eventSize = 1 << 20   // the least that is too long for one event
 	)
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(maxMemory))
-	var begun atomic.Int64
+	var settled sync.Map // ids of requests that have sent what they send, or have ended
 	part := make([]byte, eventSize-1<<10)
 	r := newRig(t, startWorker(t, "unused"))
 	r.gateway.Buffers.Max = 23 << 20
 	r.gateway.SetServers([]fleet.Server{{ID: "i-1", Service: "plain", Zone: "z", Slots: 2 * callers, Address: rawhttp.Start(t, func(c *net.TCPConn, q *http.Request) {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Guavapaddle-Request-Id: %s\r\nX-Guavapaddle-Server-Stamp: i-1\r\n\r\ndata: ", q.Header.Get("X-Guavapaddle-Request-Id"))
 		_, _ = c.Write(part)
-		begun.Add(1)
+		settled.Store(q.Header.Get("X-Guavapaddle-Request-Id"), true)
 		_, _ = io.Copy(io.Discard, c) // until the node closes the connection
 	})}})
+	var clients sync.WaitGroup
+	var conns []net.Conn
 	peak := endless.PeakHeap(func() {
-		var clients sync.WaitGroup
 		for n := range callers {
 			c, err := net.Dial("tcp4", r.address)
 			require.NoError(t, err)
-			defer func() { _ = c.Close() }()
+			conns = append(conns, c)
 			clients.Go(func() {
 				_, err := fmt.Fprintf(c, "GET /resumable/ HTTP/1.1\r\nHost: h.example\r\nX-Guavapaddle-Request-Id: r%d\r\n\r\n", n)
 				require.NoError(t, err)
+				_, _ = io.Copy(io.Discard, c) // until it has ended, or the test has
+				settled.Store(fmt.Sprint("r", n), true)
 			})
 		}
-		clients.Wait()
-		require.Eventually(t, func() bool { return begun.Load() >= callers }, 20*time.Second, 10*time.Millisecond, "all have reached the server")
+		require.Eventually(t, func() bool {
+			count := 0
+			settled.Range(func(any, any) bool { count++; return true })
+			return count == callers
+		}, 20*time.Second, 10*time.Millisecond, "each has sent what it sends, or has ended")
 		runtime.GC()
 	})
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	clients.Wait()
 	require.Less(t, peak, uint64(maxMemory))
 	require.Contains(t, r.log.String(), "reason=too-long")
 }
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -1,6 +1,11 @@
 package peer
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+
+	"github.com/quic-go/quic-go"
+)
 
 // ErrorKind classifies a failure by its consequence for a call.
 type ErrorKind string
@@ -39,3 +44,9 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// IsDeclined reports whether a call failed since the other node ended it without a reply. It is in reach then.
+func IsDeclined(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote
+}
--- a/io/responsehead/scanner.go
+++ b/io/responsehead/scanner.go
@@ -48,7 +48,7 @@
 }
 
 // Reset makes the scanner check the head of the next response.
-func (s *Scanner) Reset() { *s = Scanner{partial: s.partial[:0]} }
+func (s *Scanner) Reset() { *s = Scanner{} }
 
 // Done reports whether the head of the final response has been read.
 func (s *Scanner) Done() bool { return s.done }
