--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -23,6 +23,7 @@
 	"guavapaddle/core/departure"
 	"guavapaddle/core/fleet"
 	"guavapaddle/core/leader"
+	"guavapaddle/core/pause"
 	"guavapaddle/core/poison"
 	"guavapaddle/core/retry"
 	"guavapaddle/core/revision"
@@ -150,7 +151,8 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, DialServer: http1.Dial, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1)}
+	n := &Node{settings: s, log: log, key: key, startedAt: clock.SinceBoot(), hub: &hub.Hub{Self: s.Node}, DialServer: http1.Dial, registry: prometheus.NewRegistry(), storeRestored: make(chan struct{}, 1),
+		contact: contact{detector: pause.Detector{MaxGap: maxPause}}}
 	key.Trusted = n.isTrusted
 	n.seeds.maxBody = s.memoryBytes() / storeFraction
 	n.relayLosses = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "guavapaddle", Subsystem: "relay",
--- a/internal/front/staleness.go
+++ b/internal/front/staleness.go
@@ -38,7 +38,6 @@
 func (n *Node) beat() {
 	s := &n.contact
 	s.mu.Lock()
-	s.detector.MaxGap = maxPause
 	gap := s.detector.Beat(clock.SinceBoot())
 	s.mu.Unlock()
 	if gap > 0 {
