A deputy that is cut off isn't alone

Cause, read from the code: a coordinator that nobody calls, but that reads the list, counts as alone. Nobody calls a deputy before it acts, so that one that is cut off looked alone from when it acted, 0.7 s after its leader's last reply, until its copy of the store was 1.3 s old.

Change: replies to this node's reports count as contact like calls, and a node is alone only if it has begun to read the list later than leaderTimeout after its last contact: the link to the others was lost then while that to the store wasn't.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -164,6 +164,7 @@
 	}
 	n.applyReply(r, reply)
 	if u.key != n.key.Fingerprint() {
+		n.hear(u.node)
 		if reply.Leading {
 			n.confirmedAt.Store(int64(sentAt))
 		}
--- a/internal/front/staleness.go
+++ b/internal/front/staleness.go
@@ -18,7 +18,7 @@
 type (
 	// contact is when this node last had contact with others, and since when it has been running.
 	contact struct {
-		heardAt atomic.Int64 // boot time of the last call of another node
+		heardAt atomic.Int64 // boot time of the last call of another node, or reply to a report
 
 		mu       sync.Mutex
 		detector pause.Detector
@@ -53,28 +53,28 @@
 	return s.detector.RunningSince(clock.SinceBoot())
 }
 
-// hear records that another node, which has a name, called this one.
+// hear records that a node with a name called this one, or replied to it.
 func (n *Node) hear(from string) {
 	if from != n.settings.Node {
 		n.contact.heardAt.Store(int64(clock.SinceBoot()))
 	}
 }
 
-// isHeardSince reports whether another node has called this one since a boot time.
+// isHeardSince reports whether another node has called this one, or replied to it, since a boot time.
 func (n *Node) isHeardSince(at time.Duration) bool {
 	return time.Duration(n.contact.heardAt.Load()) >= at
 }
 
 // knowsVersions reports whether this node, as the leader or its deputy, knows all versions that have begun streams. Another node either reports one
 // before it begins a stream of it, or waits for recordTimeout in vain. So this node must have heard of others, or have begun to read the list of
-// servers, within that time; after a pause, calls that were sent before it are read first. A node that no other calls, but that reads the
-// list, is alone rather than cut off.
+// servers, within that time; after a pause, calls that were sent before it are read first. A node that has had no contact for a while, but
+// has read the list since, is alone rather than cut off.
 func (n *Node) knowsVersions() bool {
 	now, since := clock.SinceBoot(), n.runningSince()
 	readAt, heardAt := n.follower.ServersReadAt(), time.Duration(n.contact.heardAt.Load())
 	hasRead := readAt > since && now-readAt <= recordTimeout
 	hasHeard := now-heardAt <= recordTimeout && (since == 0 || heardAt-since > recordTimeout)
-	isAlone := readAt > since && readAt-heardAt > recordTimeout && n.isCopyFresh()
+	isAlone := readAt > since && readAt-heardAt > n.leaderTimeout() && n.isCopyFresh()
 	return hasRead || hasHeard || isAlone
 }
 
