--- a/internal/gateway/head_test.go
+++ b/internal/gateway/head_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"guavapaddle/core/fleet"
+	"guavapaddle/internal/testbed/rawhttp"
 )
 
 // retriedEach is the number of bytes of a head after which requests that may be repeated are tried.
@@ -30,19 +31,7 @@
 // start starts the server and returns its address.
 func (s *cutHeadServer) start(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	return rawhttp.Listen(t, s.serve)
 }
 
 func (s *cutHeadServer) serve(c *net.TCPConn) {
--- a/internal/testbed/endless/endless.go
+++ b/internal/testbed/endless/endless.go
@@ -7,14 +7,13 @@
 package endless
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/require"
+	"guavapaddle/internal/testbed/rawhttp"
 )
 
 // writeBytes is the least length of one write, in bytes.
@@ -24,29 +23,10 @@
 // the client closes the connection.
 func Start(t testing.TB, start, piece string) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	piece = strings.Repeat(piece, 1+writeBytes/len(piece))
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc, start, piece)
+	return rawhttp.Start(t, func(c *net.TCPConn, _ *http.Request) {
+		for _, err := io.WriteString(c, start); err == nil; {
+			_, err = io.WriteString(c, piece)
 		}
-	}()
-	return l.Addr().String()
-}
-
-// serve answers one request.
-func serve(nc net.Conn, start, piece string) {
-	defer func() { _ = nc.Close() }()
-	if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
-		return
-	}
-	for _, err := io.WriteString(nc, start); err == nil; {
-		_, err = io.WriteString(nc, piece)
-	}
+	})
 }
--- a/internal/testbed/rawhttp/rawhttp.go
+++ b/internal/testbed/rawhttp/rawhttp.go
@@ -15,6 +15,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"guavapaddle/io/tcp"
 )
 
 const (
@@ -24,25 +26,23 @@
 	receiveBuffer = 4 << 10 // of a server's connection, in bytes
 )
 
-// Start runs a server until the test ends and returns its address. It passes the first request of each connection to respond once its head
-// has been read, and closes the connection afterwards.
-func Start(t testing.TB, respond func(c *net.TCPConn, r *http.Request)) string {
+// Listen runs a TCP server until the test ends and returns its address. It passes each connection to handle, in a goroutine of its own.
+func Listen(t testing.TB, handle func(c *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(nc.(*net.TCPConn), respond)
-		}
-	}()
+	go tcp.Accept(l, func(nc net.Conn) { go handle(nc.(*net.TCPConn)) }, nil)
 	return l.Addr().String()
 }
 
+// Start runs a server until the test ends and returns its address. It passes the first request of each connection to respond once its head
+// has been read, and closes the connection afterwards.
+func Start(t testing.TB, respond func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	return Listen(t, func(c *net.TCPConn) { serve(c, respond) })
+}
+
 // serve answers one request.
 func serve(c *net.TCPConn, respond func(c *net.TCPConn, r *http.Request)) {
 	defer func() { _ = c.Close() }()
--- a/internal/tunnel/bench_test.go
+++ b/internal/tunnel/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"guavapaddle/internal/testbed/rawhttp"
 )
 
 // BenchmarkExchange measures the opening of a connection, 1 kB to a server, 1 kB back, and its end: from the node itself and
@@ -16,7 +18,7 @@
 		b.Run(name, func(b *testing.B) {
 			n := startNodes(b, 10, "cut", "open")
 			n[0].cut.Store(cut)
-			addresses := []string{serve(b, echo), serve(b, echo)}
+			addresses := []string{rawhttp.Listen(b, echo), rawhttp.Listen(b, echo)}
 			buf := make([]byte, 1000)
 			for i := 0; b.Loop(); i++ {
 				c, err := n[0].dialer.Dial(context.Background(), addresses[i%2])
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -88,24 +88,6 @@
 	return all
 }
 
-// serve starts a server that handles each connection, and returns its address.
-func serve(t testing.TB, handle func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go handle(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
-}
-
 // echo sends back what it reads, until the caller closes the connection.
 func echo(c *net.TCPConn) {
 	_, _ = io.Copy(c, c)
@@ -124,7 +106,7 @@
 	n := startNodes(t, 10, "cut", "also-cut", "open")
 	n[0].cut.Store(true)
 	n[1].cut.Store(true)
-	a, b := serve(t, echo), serve(t, echo)
+	a, b := rawhttp.Listen(t, echo), rawhttp.Listen(t, echo)
 	for _, address := range []string{a, b, a} {
 		c := dial(t, n[0], address)
 		require.Equal(t, "open", c.(*tunnel.Conn).Through())
@@ -139,7 +121,7 @@
 	require.True(t, n[0].dialer.Isolated())
 	require.False(t, n[2].dialer.Isolated())
 	own := n[0].dials.Load()
-	dial(t, n[0], serve(t, echo))
+	dial(t, n[0], rawhttp.Listen(t, echo))
 	require.LessOrEqual(t, n[0].dials.Load(), own+1, "no own attempt but a probe")
 
 	n[0].cut.Store(false)
@@ -164,7 +146,7 @@
 		x.cut.Store(true)
 	}
 	n[8].at.DataCentre = "b"
-	c := dial(t, n[0], serve(t, echo))
+	c := dial(t, n[0], rawhttp.Listen(t, echo))
 	require.Equal(t, "b0", c.(*tunnel.Conn).Through())
 }
 
@@ -173,7 +155,7 @@
 func TestEndOfTunneledConnectionKeepsItsMeaning(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
-	closed := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+	closed := dial(t, n[0], rawhttp.Listen(t, func(c *net.TCPConn) {
 		_, _ = c.Write([]byte("all"))
 		_ = c.Close()
 	}))
@@ -181,7 +163,7 @@
 	require.NoError(t, err)
 	require.Equal(t, "all", string(b))
 	sent := make(chan struct{})
-	reset := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+	reset := dial(t, n[0], rawhttp.Listen(t, func(c *net.TCPConn) {
 		_, _ = c.Write([]byte("part"))
 		<-sent
 		_ = c.SetLinger(0)
@@ -200,7 +182,7 @@
 	const tries = 30 // the failure is reported either to the reader or to the writer
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
-	address := serve(t, func(c *net.TCPConn) {
+	address := rawhttp.Listen(t, func(c *net.TCPConn) {
 		_ = c.SetReadBuffer(4 << 10)
 		_, _ = io.ReadFull(c, make([]byte, 1))
 		rawhttp.Reset(c, "part")
@@ -224,7 +206,7 @@
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
 	ended := make(chan error, 1)
-	c := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+	c := dial(t, n[0], rawhttp.Listen(t, func(c *net.TCPConn) {
 		_, err := c.Read(make([]byte, 1))
 		ended <- err
 	}))
@@ -237,7 +219,7 @@
 func TestQuietTunnelStaysOpen(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
-	c := dial(t, n[0], serve(t, func(c *net.TCPConn) {
+	c := dial(t, n[0], rawhttp.Listen(t, func(c *net.TCPConn) {
 		<-time.After(2 * idleTimeout)
 		_, _ = c.Write([]byte("late"))
 		_ = c.Close()
@@ -257,7 +239,7 @@
 		require.NoError(t, s.Write(f))
 	}
 	n[1].onCall.Store(&reply)
-	c := dial(t, n[0], serve(t, echo))
+	c := dial(t, n[0], rawhttp.Listen(t, echo))
 	_, err := c.Read(make([]byte, 1))
 	var silent *tunnel.SilentError
 	require.ErrorAs(t, err, &silent)
@@ -266,7 +248,7 @@
 func TestReadDeadlineEndsReadOfTunnel(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
 	n[0].cut.Store(true)
-	c := dial(t, n[0], serve(t, echo))
+	c := dial(t, n[0], rawhttp.Listen(t, echo))
 	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Millisecond)))
 	_, err := c.Read(make([]byte, 1))
 	var timeout net.Error
@@ -294,7 +276,7 @@
 // their reply make a server count as failed that other nodes reach.
 func TestNodeWithoutPathDoesNotReportServerAsFailed(t *testing.T) {
 	n := startNodes(t, 10, "a", "b", "c", "open")
-	before, lost := serve(t, echo), serve(t, echo)
+	before, lost := rawhttp.Listen(t, echo), rawhttp.Listen(t, echo)
 	for _, x := range n {
 		dial(t, x, before)
 	}
@@ -307,7 +289,7 @@
 // TestFailedServerCostsOneCheckPerNode guards against checks of the own path that grow with the connections that fail.
 func TestFailedServerCostsOneCheckPerNode(t *testing.T) {
 	n := startNodes(t, 10, "a", "b", "c")
-	sound := serve(t, echo)
+	sound := rawhttp.Listen(t, echo)
 	for _, x := range n {
 		dial(t, x, sound)
 	}
@@ -330,7 +312,7 @@
 		x.cut.Store(true)
 	}
 	for range 5 {
-		_, err := n[0].dialer.Dial(t.Context(), serve(t, echo))
+		_, err := n[0].dialer.Dial(t.Context(), rawhttp.Listen(t, echo))
 		require.ErrorIs(t, err, syscall.ECONNREFUSED)
 	}
 	require.True(t, n[0].dialer.Suspect())
@@ -341,7 +323,7 @@
 func TestBusyNodeRefusesTunnels(t *testing.T) {
 	n := startNodes(t, 1, "cut", "x", "y")
 	n[0].cut.Store(true)
-	address := serve(t, echo)
+	address := rawhttp.Listen(t, echo)
 	first, second := dial(t, n[0], address), dial(t, n[0], address)
 	require.NotEqual(t, first.(*tunnel.Conn).Through(), second.(*tunnel.Conn).Through())
 	_, err := n[0].dialer.Dial(t.Context(), address)
--- a/io/tcp/conn_test.go
+++ b/io/tcp/conn_test.go
@@ -12,37 +12,36 @@
 	"guavapaddle/io/tcp"
 )
 
-// blockedWrite starts a Write of more bytes than the kernel takes, and returns its result. The peer has received some of them.
-func blockedWrite(t *testing.T, c, peer net.Conn) chan error {
+// blockedWrite returns a connection on which a Write of more bytes than the kernel takes is in progress, its peer, and the result of the Write. The
+// peer has received some of the bytes and sent a text, which has been read.
+func blockedWrite(t *testing.T, text string) (c *tcp.Conn, peer *net.TCPConn, written chan error) {
 	t.Helper()
-	result := make(chan error, 1)
+	a, b := connect(t)
+	c, peer, written = &tcp.Conn{TCPConn: a.(*net.TCPConn)}, b.(*net.TCPConn), make(chan error, 1)
+	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
 	go func() {
 		_, err := c.Write(make([]byte, 64<<20))
-		result <- err
+		written <- err
 	}()
 	_, err := io.ReadFull(peer, make([]byte, 1))
 	require.NoError(t, err)
-	return result
+	_, err = io.WriteString(peer, text)
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, len(text)))
+	require.NoError(t, err)
+	return c, peer, written
 }
 
 // TestReadReportsFailureThatWriteReceived guards against a body that ends with its connection and is taken for complete, as the reset of the
 // connection was reported to the write of the request.
 func TestReadReportsFailureThatWriteReceived(t *testing.T) {
 	t.Parallel()
-	a, b := connect(t)
-	c := &tcp.Conn{TCPConn: a.(*net.TCPConn)}
-	require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	written := blockedWrite(t, c, b)
-	_, err := io.WriteString(b, "part")
-	require.NoError(t, err)
-	got := make([]byte, 4)
-	_, err = io.ReadFull(c, got)
-	require.NoError(t, err)
-	require.NoError(t, b.(*net.TCPConn).SetLinger(0))
-	require.NoError(t, b.Close())
+	c, peer, written := blockedWrite(t, "part")
+	require.NoError(t, peer.SetLinger(0))
+	require.NoError(t, peer.Close())
 	require.ErrorIs(t, <-written, syscall.ECONNRESET)
 	for range 2 {
-		_, err = c.Read(got)
+		_, err := c.Read(make([]byte, 1))
 		require.ErrorIs(t, err, syscall.ECONNRESET)
 	}
 }
@@ -54,23 +53,16 @@
 	for name, closes := range map[string]bool{"half closed": false, "closed later": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, b := connect(t)
-			c := &tcp.Conn{TCPConn: a.(*net.TCPConn)}
-			require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-			written := blockedWrite(t, c, b)
-			_, err := io.WriteString(b, "whole")
-			require.NoError(t, err)
-			require.NoError(t, b.(*net.TCPConn).CloseWrite())
-			got := make([]byte, 5)
-			_, err = io.ReadFull(c, got)
-			require.NoError(t, err)
+			c, peer, written := blockedWrite(t, "whole")
+			require.NoError(t, peer.CloseWrite())
+			got := make([]byte, 1)
 			if closes {
-				_, err = c.Read(got)
+				_, err := c.Read(got)
 				require.Equal(t, io.EOF, err)
-				require.NoError(t, b.Close())
+				require.NoError(t, peer.Close())
 				require.Error(t, <-written)
 			}
-			_, err = c.Read(got)
+			_, err := c.Read(got)
 			require.Equal(t, io.EOF, err)
 		})
 	}
