front, follow: what a contact is, and what a restored store doesn't confirm, in the usual terms

The comment of knowsVersions names calls and replies, and its limit for a node that is alone. confirm's comment said that a restored store confirms nothing, which is so for the configuration only since the list of servers is confirmed there too.

--- a/internal/follow/table.go
+++ b/internal/follow/table.go
@@ -299,7 +299,7 @@
 
 // confirm records that the copy is complete up to the start of a store call. A store that was just
 // restored, as far as this node knows, or has an older configuration than the one in force, confirms
-// nothing; t.mu is held.
+// no configuration; t.mu is held.
 func (t *table) confirm(began time.Duration) {
 	if t == &t.f.server && !t.partial {
 		t.f.serversRead.advance(began)
--- a/internal/front/staleness.go
+++ b/internal/front/staleness.go
@@ -65,10 +65,10 @@
 	return time.Duration(n.contact.heardAt.Load()) >= at
 }
 
-// knowsVersions reports whether this node, as the leader or its deputy, knows all versions that have begun streams. Another node either reports one
-// before it begins a stream of it, or waits for recordTimeout in vain. So this node must have heard of others, or have begun to read the list of
-// servers, within that time; after a pause, calls that were sent before it are read first. A node that has had no contact for a while, but
-// has read the list since, is alone rather than cut off.
+// knowsVersions reports whether this node, as the leader or its deputy, knows all versions that have begun streams. Another node reports one
+// before it begins a stream of it, or waits for recordTimeout without an acknowledgement. So this node must have had a call or a reply of another one, or
+// have begun to read the list of servers, within that time; after a pause, calls that were sent before it are read first. A node that has read
+// the list later than leaderTimeout after its last contact is alone rather than cut off.
 func (n *Node) knowsVersions() bool {
 	now, since := clock.SinceBoot(), n.runningSince()
 	readAt, heardAt := n.follower.ServersReadAt(), time.Duration(n.contact.heardAt.Load())
