gateway: the log line of a send reads nothing of a connection that is back in the pool

Callers saw nothing: it concerns the log line only.

Cause: `request.send` writes the line `try` after the send has ended. By then a connection whose response was read to its end is back in the pool, and `http1.Pool.takeIdle` writes `Reused` for the next request that gets it. The line read that field, without a lock, and so told how the next request got the connection.

Change: how a send got its connection is recorded in the request when it gets it, as `connection` and `idle` were already; `reused` follows from it. No other field of a connection is read after Pool.Put (by reading all uses of try.conn).

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,6 +30,8 @@
 	maxExtraResponses = 2
 	// maxBodyBytes bounds a response that is buffered before it is forwarded.
 	maxBodyBytes = 8 << 20
+	// reusedConnection is logged in place of why a connection was opened.
+	reusedConnection = "reused"
 )
 
 // try is one attempt to send a request to a server.
@@ -69,7 +71,7 @@
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
-			zap.Duration("age", c.Age), zap.Bool("reused", t.conn != nil && t.conn.Reused), zap.String("connection", t.connection), zap.Duration("idle", t.connIdle), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
+			zap.Duration("age", c.Age), zap.Bool("reused", t.connection == reusedConnection), zap.String("connection", t.connection), zap.Duration("idle", t.connIdle), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
 			zap.String("prompt", poison.Block{Parts: r.parts}.Name()), zap.Error(t.err))
 	}
 	return state, reason
@@ -278,11 +280,11 @@
 	return notSent, Unreachable, false
 }
 
-// recordConnection records for the log how the last send got its connection.
+// recordConnection records for the log how the last send got its connection, which may carry another request by the time the line is written.
 func (r *request) recordConnection(c *http1.Conn) {
 	r.connection, r.connIdle = string(c.Opening), c.Idle
 	if c.Reused {
-		r.connection = "reused"
+		r.connection = reusedConnection
 	}
 }
 
