--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,7 @@
 		through           string            // node through which the last connection went, empty for none
 		connection        string            // how the last send got its connection: "reused", or why it was opened
 		connIdle          time.Duration     // how long that connection was idle
+		connLocal         string            // this node's address on that connection, which identifies it
 		connBroke         bool              // a connection broke under the request
 		framing           framing           // of the last response, empty if there is none
 		bodyEnd           bodyEnd           // of the last response, empty if its body wasn't read
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -202,6 +202,6 @@
 		zap.Int64("config", r.configVersion), zap.String("model", r.meta.Model), zap.String("adapter", r.meta.Adapter),
 		zap.String("reason", string(o.reason)), zap.String("copy", strconv.FormatUint(r.fingerprint, 16)), zap.String("last-try", string(o.lastTry)), zap.String("left", string(stage)), zap.Int("status", o.status), zap.String("framing", string(r.framing)), zap.String("body", string(r.bodyEnd)),
 		zap.String("server", r.selection.Server.ID), zap.String("software", r.selection.Server.Software), zap.String("resumes", r.meta.Resumes), zap.String("needs", r.software), zap.String("rule", r.rule), zap.String("through", r.through), zap.Duration("estimate", r.selection.Wait),
-		zap.Duration("age", r.selection.Age), zap.String("connection", r.connection), zap.Duration("idle", r.connIdle), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
+		zap.Duration("age", r.selection.Age), zap.String("connection", r.connection), zap.Duration("idle", r.connIdle), zap.String("local", r.connLocal), zap.Int("sends", r.sends), zap.Int("runs", r.runs),
 		zap.Duration("queued", r.queued), zap.Duration("first", o.firstByte), zap.Duration("gap", r.maxGap), zap.Duration("took", took), zap.Inline(callerFields{r}), zap.Error(o.err))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -57,7 +57,7 @@
 func (r *request) send(c balance.Selection) (sendState, Reason) {
 	t := &try{request: r, selection: c}
 	r.selection, r.framing, r.bodyEnd = c, "", ""
-	r.connection, r.connIdle = "", 0
+	r.connection, r.connIdle, r.connLocal = "", 0, ""
 	start := time.Now()
 	result, state, reason := t.run()
 	t.releaseSlot(result)
@@ -71,7 +71,7 @@
 	if state != answered || r.outcome.reason != Served {
 		r.g.Log.Info("try", zap.String("request-id", r.meta.ID), zap.String("server", c.Server.ID), zap.String("software", c.Server.Software), zap.Int("send", r.sends), zap.String("rule", r.rule),
 			zap.String("reason", string(reason)), zap.Int("status", t.status()), zap.String("framing", string(t.framing)), zap.String("body", string(t.bodyEnd)), zap.Duration("estimate", c.Wait),
-			zap.Duration("age", c.Age), zap.Bool("reused", t.connection == reusedConnection), zap.String("connection", t.connection), zap.Duration("idle", t.connIdle), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
+			zap.Duration("age", c.Age), zap.Bool("reused", t.connection == reusedConnection), zap.String("connection", t.connection), zap.Duration("idle", t.connIdle), zap.String("local", t.connLocal), zap.String("through", t.through), zap.Duration("took", time.Since(start)),
 			zap.String("prompt", poison.Block{Parts: r.parts}.Name()), zap.Error(t.err))
 	}
 	return state, reason
@@ -282,7 +282,7 @@
 
 // recordConnection records for the log how the last send got its connection, which may carry another request by the time the line is written.
 func (r *request) recordConnection(c *http1.Conn) {
-	r.connection, r.connIdle = string(c.Opening), c.Idle
+	r.connection, r.connIdle, r.connLocal = string(c.Opening), c.Idle, c.Local()
 	if c.Reused {
 		r.connection = reusedConnection
 	}
