service: a call that is repeated gets a connection of its own

What callers saw: a repeatable call is refused, as a server has no room, and is sent to it again, where no other is left; a late copy of the refusal is taken for the response, and the caller is told that a call has not run which runs.

Calls that must not run twice have a connection each and aren't concerned.

Change: the client remembers the hashes of the last 1,024 ids; a call with one of them gets a connection of its own. net/http doesn't tell which of its connections a call will get, so that the choice can't be made by connection as in http1.Pool. Calls that aren't repeated, the most, share connections as before.

--- a/internal/testbed/rawhttp/rawhttp.go
+++ b/internal/testbed/rawhttp/rawhttp.go
@@ -43,6 +43,31 @@
 	return Listen(t, func(c *net.TCPConn) { serve(c, respond) })
 }
 
+// StartKept runs a server that keeps its connections until the test ends and returns its address. It answers each request with the bytes that respond
+// returns. If again is set they are sent once more, late: before the response to the next request on the connection.
+func StartKept(t testing.TB, respond func(r *http.Request) (response string, again bool)) string {
+	t.Helper()
+	return Listen(t, func(c *net.TCPConn) { serveKept(c, respond) })
+}
+
+// serveKept answers requests until the connection ends.
+func serveKept(c *net.TCPConn, respond func(r *http.Request) (string, bool)) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for late := ""; ; {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		ReadBody(r)
+		response, again := respond(r)
+		_, _ = io.WriteString(c, late+response)
+		if late = ""; again {
+			late = response
+		}
+	}
+}
+
 // serve answers one request.
 func serve(c *net.TCPConn, respond func(c *net.TCPConn, r *http.Request)) {
 	defer func() { _ = c.Close() }()
--- a/io/service/doc.go
+++ b/io/service/doc.go
@@ -3,7 +3,8 @@
 // A call that is not repeatable uses a connection of its own, so that it cannot be sent
 // twice, neither by this client nor by the Transport of net/http, which replays requests
 // with an Idempotency-Key when a reused connection breaks. A repeatable call may reuse a
-// connection. It is not repeated here either: retries are up to the caller of this package.
+// connection, unless a call with its id was made before. It is not repeated here either:
+// retries are up to the caller of this package.
 //
 // # Usage
 //
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"guavapaddle/core/backend"
+	"guavapaddle/core/recent"
 	"guavapaddle/core/sse"
 	"guavapaddle/io/jsonhttp"
 )
@@ -49,6 +51,9 @@
 	LoadPath = "/load"
 	// DefaultTimeout bounds a call.
 	DefaultTimeout = 10 * time.Second
+
+	// maxCalledIDs bounds the ids of calls that a client remembers, to find those that are repeated.
+	maxCalledIDs = 1024
 )
 
 // errTimeout is the cause of an Error of kind Timeout.
@@ -63,6 +68,9 @@
 
 		reusing    jsonhttp.Lazy
 		nonReusing jsonhttp.Lazy
+
+		mu     sync.Mutex
+		called recent.IDs // ids of the calls over connections that are reused
 	}
 
 	// Request is a call.
@@ -165,14 +173,27 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.reusing.Backend(c.Address, nil).Close() }
 
-// httpClient returns the client with the connection policy that the call requires.
+// httpClient returns the client with the connection policy that the call requires. A call that is repeated gets a connection of its own: if the server
+// sends its earlier response once more, that can't be told from the next one.
 func (c *Client) httpClient(r Request) *jsonhttp.Client {
-	if r.Repeatable {
+	if r.Repeatable && !c.isRepeated(r.RequestID) {
 		return c.reusing.Backend(c.Address, nil)
 	}
 	return c.nonReusing.BackendWithoutReuse(c.Address)
 }
 
+// isRepeated records a call and reports whether one with the same id was made before.
+func (c *Client) isRepeated(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.called.Contains(id) {
+		return true
+	}
+	c.called.Max = maxCalledIDs
+	c.called.Add(id)
+	return false
+}
+
 // requestHeader returns the header to send.
 func requestHeader(r Request) http.Header {
 	h := r.Header.Clone()
