--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +22,7 @@
 	"guavapaddle/internal/tunnel"
 	"guavapaddle/io/http1"
 	"guavapaddle/io/peer"
+	"guavapaddle/io/responsehead"
 )
 
 // idleTimeout is how long connections between the nodes may be idle.
@@ -201,6 +203,38 @@
 	}
 }
 
+// TestMalformedHeadThroughAnotherNodeIsAnError guards against a response whose status no response can have, such as 000, that is taken for one since it came
+// through another node. No connection through a node is used again.
+func TestMalformedHeadThroughAnotherNodeIsAnError(t *testing.T) {
+	n := startNodes(t, 10, "cut", "also-cut", "open")
+	n[0].cut.Store(true)
+	n[1].cut.Store(true)
+	p := &http1.Pool{Dial: n[0].dialer.Dial}
+	receive := func(response string) (*http1.Conn, *http.Response, error) {
+		address := rawhttp.Start(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, response) })
+		c, err := p.Get(t.Context(), address, http1.Need{RequestID: "r", IdleShare: 1})
+		require.NoError(t, err)
+		t.Cleanup(c.Close)
+		require.Equal(t, "open", c.Through())
+		_, err = c.Send(http1.ClientRequest{Method: "POST", Target: "/", Host: "h", Body: []byte("body")}, time.Now().Add(5*time.Second))
+		require.NoError(t, err)
+		resp, err := c.Receive()
+		return c, resp, err
+	}
+	for _, head := range []string{"HTTP/1.1 000 \r\n", "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 x\r\n",
+		"HTTP/1.1 0200 OK\r\n", "HTTP/1.1 +20 OK\r\n", "HTTP/1.1 600 x\r\n", "HTTP/1.1 101 x\r\n"} {
+		_, _, err := receive(head + "Content-Length: 2\r\n\r\nok") //nolint:bodyclose // its connection is closed
+		var malformed *responsehead.MalformedError
+		require.ErrorAs(t, err, &malformed, head)
+	}
+	c, resp, err := receive("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok") //nolint:bodyclose // it is read to its end
+	require.NoError(t, err)
+	require.NoError(t, http1.DiscardBody(resp, 100))
+	require.NoError(t, p.Put(c, resp, 0))
+	_, idle := p.Counts()
+	require.Zero(t, idle)
+}
+
 // TestServerSeesThatCallerOfTunnelHasGone guards against servers that go on working for a client that has left.
 func TestServerSeesThatCallerOfTunnelHasGone(t *testing.T) {
 	n := startNodes(t, 10, "cut", "open")
