http1, gateway, service: comments in the usual terms

The package comments of http1 and gateway state that each send of a request goes over a connection of its own; others in the touched files say requirements, estimate and distinguish. Comments only.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -18,7 +18,7 @@
 	keptShare = 0.5
 )
 
-// connectionNeed returns what the request needs of its next connection.
+// connectionNeed returns the requirements on the connection of the next send.
 func (r *request) connectionNeed() http1.Need {
 	n := http1.Need{RequestID: r.meta.ID, IdleShare: keepalive.OnceShare, New: r.connBroke}
 	if r.route.Repeatable() {
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -15,6 +15,10 @@
 //     if no byte was written; if it is unknown whether the request ran, only on
 //     routes that are repeatable. Every retry counts against the retry budget.
 //
+// A response is matched to its request by its place on the connection and the
+// request's id, which is the same in every send. So each send of a request goes
+// over another connection: the server may send its earlier response again.
+//
 // A response ends with its length, its last chunk, or, with neither, its connection.
 // One whose connection is reset or times out before was broken off, as was a stream
 // that ends inside an event, however it was framed. A plain response that was broken
@@ -24,7 +28,7 @@
 // are forwarded, and a stream that breaks continues at another server after the
 // last event. On others the client's connection ends without the last chunk.
 //
-// A node reports what it had in flight at servers that crashed, or had given up shortly before, and which responses were sound.
+// A node reports the requests that were in flight at servers that crashed, or that it had given up shortly before, and which responses were sound.
 // Requests that match a block, which the leader decides from that (core/poison), are refused before each send: copies of one
 // that crashes servers, and those with a part of a prompt that does.
 //
--- a/io/http1/client.go
+++ b/io/http1/client.go
@@ -109,7 +109,7 @@
 	return ""
 }
 
-// Local returns this node's address on the connection, which tells it from the others to its server. It is empty for a connection through another node.
+// Local returns this node's address on the connection, which identifies it among those to its server. It is empty for a connection through another node.
 func (c *Conn) Local() string { return c.nc.LocalAddr().String() }
 
 // Close closes the connection, which cancels the server's work on the current request.
--- a/io/http1/doc.go
+++ b/io/http1/doc.go
@@ -6,7 +6,8 @@
 // framing is rejected instead of being interpreted in one way, an idle connection is closed
 // without dropping a request that was already read, the end of a client's connection is
 // detected also behind bytes of a next request and before a request is forwarded, a send reports whether any byte was
-// written, and a connection that carried bytes after its response is never reused.
+// written, and a connection that carried bytes after its response is never reused, nor is
+// one that has carried a request for another one with the same id.
 //
 // # Usage
 //
--- a/io/http1/need.go
+++ b/io/http1/need.go
@@ -6,10 +6,10 @@
 // that the last ones matter.
 const maxCarriedIDs = 64
 
-// Need is what a request needs of its connection.
+// Need holds the requirements of a request on its connection.
 type Need struct {
 	// RequestID is the request's id, empty if it has none. A connection that has carried a request with the same id isn't used: if the server sends the
-	// response to that one again, it can't be told from the response to this one.
+	// response to that one again, it can't be distinguished from the response to this one.
 	RequestID string
 	// IdleShare is the part, between zero and one, of the time for which the server keeps an idle connection that the connection may have been idle.
 	IdleShare float64
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -16,7 +16,7 @@
 	"guavapaddle/core/recent"
 )
 
-// maxRemembered bounds the addresses without a connection of which the pool remembers what it learned.
+// maxRemembered bounds the addresses without a connection for which the pool keeps its estimate of the idle time.
 const maxRemembered = 4096
 
 // Opening is why a connection is opened in place of using one of the pool.
@@ -78,7 +78,7 @@
 	}
 )
 
-// Get returns the most recently used idle connection to address that a request may use, or opens a new one.
+// Get returns the most recently used idle connection to address that meets the needs of a request, or opens a new one.
 func (p *Pool) Get(ctx context.Context, address string, need Need) (*Conn, error) {
 	opening, idle := Forced, time.Duration(0)
 	if !need.New {
@@ -183,7 +183,7 @@
 	}
 }
 
-// learn changes what is known of how long the server with an address keeps idle connections.
+// learn updates the estimate of how long the server with an address keeps idle connections.
 func (p *Pool) learn(address string, change func(keepalive.Estimate) keepalive.Estimate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -262,7 +262,7 @@
 	return out
 }
 
-// Drop closes the idle connections to an address, and forgets what was learned of the server there.
+// Drop closes the idle connections to an address, and discards the estimate of how long the server there keeps them.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
 	var dropped []*Conn
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -53,7 +53,7 @@
 	// before Serve is called.
 	Server struct {
 		Handler      Handler
-		Limits       func() Limits   // returns the current limits; read anew for each request
+		Limits       func() Limits   // returns the current limits; called for each request
 		MaxConns     int             // maximum number of connections; above it an idle one is closed; zero means unlimited
 		OnBadRequest func(err error) // called for each request that could not be read, may be nil
 		// Admit decides on the next request. It is called once for each request, before any of its bytes is read. It may be nil.
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -174,7 +174,7 @@
 func (c *Client) Close() { c.reusing.Backend(c.Address, nil).Close() }
 
 // httpClient returns the client with the connection policy that the call requires. A call that is repeated gets a connection of its own: if the server
-// sends its earlier response once more, that can't be told from the next one.
+// sends its earlier response again, it can't be distinguished from the next one.
 func (c *Client) httpClient(r Request) *jsonhttp.Client {
 	if r.Repeatable && !c.isRepeated(r.RequestID) {
 		return c.reusing.Backend(c.Address, nil)
